Serve the whole path, thin, as separate processes

Cause: nothing stood yet; the users ask for the whole path first.

Change: a workspace of one module a program (entry, fbctl, fbload, fbstandin), one for what they share and one for tests with real processes. The node's decisions are reducers (drafts, records, retries, log and configuration, target health, membership, admission) inside a shell on pond. Stand-ins for engine, service, platform and a fault-injecting proxy; a demonstration.

Not yet: recovery other than a restart from the prompt, group of collectors, fencing, isolation, fair admission; no property test yet.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+MODULES := common entry fbctl fbload fbstandin integration
+PROGRAMS := entry fbctl fbload fbstandin
+
+.PHONY: build test lint format demo run ci
+
+build: ## build every program into .bin
+	@mkdir -p .bin
+	@for p in $(PROGRAMS); do go build -o .bin/$$p ./$$p || exit 1; done
+
+test: build ## run every test, the same way each time
+	go test $(addsuffix /...,$(addprefix ./,$(MODULES))) -count=1
+
+lint: .bin/golangci-lint ## run the formatter's check and the linter
+	@for m in $(MODULES); do (cd $$m && ../.bin/golangci-lint run ./...) || exit 1; done
+
+format: .bin/golangci-lint ## format the code
+	@for m in $(MODULES); do (cd $$m && ../.bin/golangci-lint fmt ./...) || exit 1; done
+
+.bin/golangci-lint: tools/go.mod
+	@mkdir -p .bin
+	cd tools && GOWORK=off go build -o ../.bin/golangci-lint github.com/golangci/golangci-lint/v2/cmd/golangci-lint
+
+demo: build ## run the demonstration on a local fleet
+	@scripts/fleet.sh demo
+
+run: build ## leave a local fleet up, to try by hand
+	@scripts/fleet.sh run
+
+ci: ## run what CI runs
+	@.ci/run
--- /dev/null
+++ b/common/configurer/settings.go
@@ -0,0 +1,158 @@
+package configurer
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"fuchsiabridge.example/common/identifier"
+)
+
+// Values for what a team leaves open.
+const (
+	DefaultWeight   = 1
+	DefaultDeadline = 30 * time.Second
+	DefaultChoice   = "expected"
+)
+
+// Account is one client account.
+type Account struct {
+	ID                identifier.AccountID
+	Team              identifier.TeamID
+	Weight            int
+	RequestsPerSecond int
+}
+
+// Service is one plain service.
+type Service struct {
+	ID         identifier.ServiceID
+	Idempotent bool
+	AskPath    string
+}
+
+// Class is one class of requests.
+type Class struct {
+	Priority int
+	// Deadline is the time from a request's arrival to its deadline.
+	Deadline time.Duration
+}
+
+// Team is what one team's subtree says.
+type Team struct {
+	Models    map[identifier.ModelID]identifier.Layer
+	Services  map[identifier.ServiceID]Service
+	Classes   map[identifier.Class]Class
+	Operators map[string]string
+	Choice    string
+}
+
+// Settings is the typed, read-only view of a tree.
+type Settings struct {
+	Offset identifier.Offset
+	// Accounts are found by the hex SHA-256 of their bearer key.
+	Accounts map[string]Account
+	Teams    map[identifier.TeamID]*Team
+}
+
+// Settings returns the typed view of the tree; its values were checked when their change was accepted.
+func (t *Tree) Settings() *Settings {
+	s := &Settings{
+		Offset:   t.Offset,
+		Accounts: map[string]Account{},
+		Teams:    map[identifier.TeamID]*Team{},
+	}
+	for id, sub := range t.Teams {
+		s.addTeam(id, sub)
+	}
+	return s
+}
+
+func (s *Settings) addTeam(id identifier.TeamID, sub *Subtree) {
+	team := &Team{
+		Models:    map[identifier.ModelID]identifier.Layer{},
+		Services:  map[identifier.ServiceID]Service{},
+		Classes:   map[identifier.Class]Class{},
+		Operators: map[string]string{},
+		Choice:    DefaultChoice,
+	}
+	s.Teams[id] = team
+	accounts, keys := map[string]Account{}, map[string]string{}
+	for path, value := range sub.Values {
+		parts := strings.Split(path, "/")
+		switch parts[0] {
+		case "accounts":
+			setAccount(accounts, keys, id, parts, value)
+		case "operators":
+			team.Operators[parts[1]] = decode[string](value)
+		case "models":
+			team.Models[identifier.ModelID(parts[1])] = identifier.Layer(decode[int](value))
+		case "services":
+			team.setService(parts, value)
+		case "classes":
+			team.setClass(parts, value)
+		case "policy":
+			team.Choice = decode[string](value)
+		}
+	}
+	for name, key := range keys {
+		s.Accounts[key] = accounts[name]
+	}
+}
+
+func setAccount(accounts map[string]Account, keys map[string]string, team identifier.TeamID, parts []string, value json.RawMessage) {
+	a, ok := accounts[parts[1]]
+	if !ok {
+		a = Account{ID: identifier.AccountID(string(team) + "/" + parts[1]), Team: team, Weight: DefaultWeight}
+	}
+	switch parts[2] {
+	case "key_sha256":
+		keys[parts[1]] = strings.ToLower(decode[string](value))
+	case "weight":
+		a.Weight = decode[int](value)
+	case "requests_per_second":
+		a.RequestsPerSecond = decode[int](value)
+	}
+	accounts[parts[1]] = a
+}
+
+func (t *Team) setService(parts []string, value json.RawMessage) {
+	id := identifier.ServiceID(parts[1])
+	service := t.Services[id]
+	service.ID = id
+	switch parts[2] {
+	case "idempotent":
+		service.Idempotent = decode[bool](value)
+	case "ask_path":
+		service.AskPath = decode[string](value)
+	}
+	t.Services[id] = service
+}
+
+func (t *Team) setClass(parts []string, value json.RawMessage) {
+	id := identifier.Class(parts[1])
+	class, ok := t.Classes[id]
+	if !ok {
+		class.Deadline = DefaultDeadline
+	}
+	switch parts[2] {
+	case "priority":
+		class.Priority = decode[int](value)
+	case "deadline_ms":
+		class.Deadline = time.Duration(decode[int](value)) * time.Millisecond
+	}
+	t.Classes[id] = class
+}
+
+// Class returns the class's settings, or the defaults.
+func (t *Team) Class(id identifier.Class) Class {
+	if class, ok := t.Classes[id]; ok {
+		return class
+	}
+	return Class{Deadline: DefaultDeadline}
+}
+
+func decode[T any](value json.RawMessage) T {
+	var v T
+	_ = json.Unmarshal(value, &v)
+	return v
+}
--- /dev/null
+++ b/common/enginecaller/enginecaller.go
@@ -0,0 +1,178 @@
+// Package enginecaller reaches model engines: its types are the engines' published
+// protocol (JSON over HTTP), its Caller speaks it.
+package enginecaller
+
+import (
+	"context"
+	"net/url"
+	"strconv"
+
+	"fuchsiabridge.example/common/httpcaller"
+	"fuchsiabridge.example/common/identifier"
+)
+
+// StepName names one step; a step sent again under the same name runs at most once.
+type StepName struct {
+	Draft    identifier.DraftID  `json:"draft"`
+	Epoch    identifier.Epoch    `json:"epoch"`
+	Position identifier.Position `json:"position"`
+	Stage    int                 `json:"stage"`
+}
+
+// Step is one run of a stage's layers for one position of a draft.
+type Step struct {
+	StepName
+	Generation identifier.Generation `json:"generation"`
+	Layers     identifier.LayerRange `json:"layers"`
+	Input      []byte                `json:"input"`
+	// PromptTokens counts the prompt's tokens; it is set at position 0 only.
+	PromptTokens int `json:"prompt_tokens,omitempty"`
+	// PrefixBlocks holds the rolling hashes of the prompt's blocks, at position 0 only.
+	PrefixBlocks []uint64 `json:"prefix_blocks,omitempty"`
+	// Priority is higher for steps to run first.
+	Priority int `json:"priority"`
+	// Last says that the step ends at the model's last layer and gives a token.
+	Last bool `json:"last"`
+}
+
+// StepCode says how a step ended.
+type StepCode string
+
+// Step codes.
+const (
+	// StepOK means that Output (and Token, at the last stage) hold the result.
+	StepOK StepCode = "ok"
+	// StepKVMissing means the engine has the draft's cache for Have positions only; nothing ran.
+	StepKVMissing StepCode = "kv_missing"
+	// StepReloaded means the engine's generation or layers are others than the step's; nothing ran.
+	StepReloaded StepCode = "reloaded"
+	// StepSuperseded means the engine has seen a higher epoch or a cancel of the draft; nothing ran.
+	StepSuperseded StepCode = "superseded"
+)
+
+// StepResult is the answer to one step.
+type StepResult struct {
+	StepName
+	Code   StepCode            `json:"code"`
+	Output []byte              `json:"output,omitempty"`
+	Token  string              `json:"token,omitempty"`
+	Have   identifier.Position `json:"have,omitempty"`
+}
+
+// StepBatch is the body of POST /v1/steps.
+type StepBatch struct {
+	Steps []Step `json:"steps"`
+}
+
+// StepResults is the answer to POST /v1/steps, in the batch's order.
+type StepResults struct {
+	Results []StepResult `json:"results"`
+}
+
+// Status is the answer to GET /v1/status; the load it reports lags.
+type Status struct {
+	Target      identifier.TargetID   `json:"target"`
+	Model       identifier.ModelID    `json:"model"`
+	Layers      identifier.LayerRange `json:"layers"`
+	Generation  identifier.Generation `json:"generation"`
+	Accelerator string                `json:"accelerator"`
+	// LayerMicros is the time of one layer for one position, in microseconds.
+	LayerMicros int `json:"layer_micros"`
+	BatchLimit  int `json:"batch_limit"`
+	// Queued counts the steps waiting or running.
+	Queued  int  `json:"queued"`
+	Leaving bool `json:"leaving"`
+	// Role is "decode", "prefill" or "both".
+	Role string `json:"role"`
+	// Fence is the highest fencing number seen in an order.
+	Fence identifier.FencingNumber `json:"fence"`
+}
+
+// Order tells an engine to load a layer range, to unload, or to change its role.
+type Order struct {
+	ID     string                   `json:"id"`
+	Kind   string                   `json:"kind"`
+	Model  identifier.ModelID       `json:"model"`
+	Layers identifier.LayerRange    `json:"layers"`
+	Role   string                   `json:"role,omitempty"`
+	Fence  identifier.FencingNumber `json:"fence"`
+}
+
+// KV is an exported KV cache of one draft over a layer range.
+type KV struct {
+	Draft     identifier.DraftID          `json:"draft"`
+	Epoch     identifier.Epoch            `json:"epoch"`
+	Positions identifier.Position         `json:"positions"`
+	Layers    identifier.LayerRange       `json:"layers"`
+	Digests   map[identifier.Layer]uint64 `json:"digests"`
+}
+
+// CacheEvent says that a prompt block entered or left an engine's prefix cache.
+type CacheEvent struct {
+	Number int64  `json:"number"`
+	Block  uint64 `json:"block"`
+	Added  bool   `json:"added"`
+}
+
+// CacheEvents is the answer to GET /v1/cache_events?after=N; numbers may have gaps.
+type CacheEvents struct {
+	Events []CacheEvent `json:"events"`
+}
+
+// Caller speaks the engines' protocol.
+type Caller struct{ http *httpcaller.Caller }
+
+// NewCaller returns a caller of engines over the given HTTP caller.
+func NewCaller(http *httpcaller.Caller) *Caller { return &Caller{http: http} }
+
+// Steps runs a batch at the engine at address. With fresh it uses a new connection.
+func (c *Caller) Steps(ctx context.Context, address string, steps []Step, fresh bool) ([]StepResult, error) {
+	var out StepResults
+	r := httpcaller.Request{Method: "POST", URL: "http://" + address + "/v1/steps", Fresh: fresh}
+	err := c.http.JSONWith(ctx, r, StepBatch{Steps: steps}, &out)
+	return out.Results, err
+}
+
+// Status reads the engine's state.
+func (c *Caller) Status(ctx context.Context, address string) (Status, error) {
+	var out Status
+	err := c.http.JSON(ctx, "GET", "http://"+address+"/v1/status", nil, &out)
+	return out, err
+}
+
+// Cancel drops a draft at the engine and refuses its steps up to epoch.
+func (c *Caller) Cancel(ctx context.Context, address string, draft identifier.DraftID, epoch identifier.Epoch) error {
+	return c.http.JSON(ctx, "DELETE", draftURL(address, "drafts", draft, epoch), nil, nil)
+}
+
+// Order gives the engine an order; a refusal is an *httpcaller.StatusError with status 409.
+func (c *Caller) Order(ctx context.Context, address string, order Order) (Status, error) {
+	var out Status
+	err := c.http.JSON(ctx, "POST", "http://"+address+"/v1/orders", order, &out)
+	return out, err
+}
+
+// ExportKV reads the draft's KV cache.
+func (c *Caller) ExportKV(ctx context.Context, address string, draft identifier.DraftID, epoch identifier.Epoch) (KV, error) {
+	var out KV
+	err := c.http.JSON(ctx, "GET", draftURL(address, "kv", draft, epoch), nil, &out)
+	return out, err
+}
+
+// ImportKV gives the engine a draft's KV cache.
+func (c *Caller) ImportKV(ctx context.Context, address string, kv KV) error {
+	return c.http.JSON(ctx, "POST", "http://"+address+"/v1/kv", kv, nil)
+}
+
+// CacheEvents reads the engine's cache events after number.
+func (c *Caller) CacheEvents(ctx context.Context, address string, after int64) ([]CacheEvent, error) {
+	var out CacheEvents
+	u := "http://" + address + "/v1/cache_events?after=" + strconv.FormatInt(after, 10)
+	err := c.http.JSON(ctx, "GET", u, nil, &out)
+	return out.Events, err
+}
+
+func draftURL(address, kind string, draft identifier.DraftID, epoch identifier.Epoch) string {
+	q := url.Values{"draft": {string(draft)}, "epoch": {strconv.FormatUint(uint64(epoch), 10)}}
+	return "http://" + address + "/v1/" + kind + "?" + q.Encode()
+}
--- /dev/null
+++ b/common/eventlogger/eventlogger.go
@@ -0,0 +1,20 @@
+// Package eventlogger writes numbered, structured log events; docs/EVENTS.md is their catalogue.
+package eventlogger
+
+import "k8s.io/klog/v2"
+
+// Event is one row of the catalogue.
+type Event struct {
+	Number  int
+	Message string
+}
+
+// Info writes the event with its keys and values.
+func Info(e Event, keysAndValues ...any) {
+	klog.InfoSDepth(1, e.Message, append([]any{"event", e.Number}, keysAndValues...)...)
+}
+
+// Error writes the event as an error with its cause.
+func Error(err error, e Event, keysAndValues ...any) {
+	klog.ErrorSDepth(1, err, e.Message, append([]any{"event", e.Number}, keysAndValues...)...)
+}
--- /dev/null
+++ b/common/httpcaller/httpcaller.go
@@ -0,0 +1,141 @@
+// Package httpcaller makes HTTP calls that are never sent twice by the library,
+// and tells calls that cannot have been sent from those that may have been.
+package httpcaller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	defaultTimeout   = 5 * time.Second
+	dialTimeout      = time.Second
+	idleConnLifetime = 10 * time.Second
+	maxConnsPerHost  = 512
+	maxResponseBytes = 64 << 20
+)
+
+// ErrNotSent marks a call of which no byte can have reached the other side.
+var ErrNotSent = errors.New("call not sent")
+
+// StatusError is an answer with a status other than 2xx.
+type StatusError struct {
+	Status int
+	Body   []byte
+}
+
+// Error gives the status and the body.
+func (e *StatusError) Error() string { return fmt.Sprintf("status %d: %s", e.Status, e.Body) }
+
+// Caller makes calls to many hosts over pooled connections.
+type Caller struct{ client *fasthttp.Client }
+
+// NewCaller returns a caller that resends nothing.
+func NewCaller() *Caller {
+	return &Caller{client: &fasthttp.Client{
+		NoDefaultUserAgentHeader:  true,
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		MaxIdleConnDuration:       idleConnLifetime,
+		MaxConnsPerHost:           maxConnsPerHost,
+		MaxResponseBodySize:       maxResponseBytes,
+		Dial:                      dial,
+	}}
+}
+
+func dial(address string) (net.Conn, error) {
+	conn, err := fasthttp.DialTimeout(address, dialTimeout)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrapf(err, "dialling %s", address), ErrNotSent)
+	}
+	return conn, nil
+}
+
+// Request is one call; Body is sent as it is.
+type Request struct {
+	Method string
+	URL    string
+	Body   []byte
+	Header map[string]string
+	// Fresh makes the call on a new connection, which is closed after it.
+	Fresh bool
+}
+
+// Response is the answer to a call.
+type Response struct {
+	Status int
+	Body   []byte
+	Header map[string]string
+}
+
+// Do makes one call before ctx's deadline. Its error is marked ErrNotSent only
+// when no byte of the call can have left.
+func (c *Caller) Do(ctx context.Context, r Request) (Response, error) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(defaultTimeout)
+	}
+	if err := ctx.Err(); err != nil {
+		return Response{}, errors.Mark(err, ErrNotSent)
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(r.Method)
+	req.SetRequestURI(r.URL)
+	req.SetBody(r.Body)
+	for k, v := range r.Header {
+		req.Header.Set(k, v)
+	}
+	do := c.client.DoDeadline
+	if r.Fresh {
+		req.SetConnectionClose()
+		client := NewCaller().client
+		do = client.DoDeadline
+	}
+	if err := do(req, resp, deadline); err != nil {
+		return Response{}, errors.Wrapf(err, "calling %s %s", r.Method, r.URL)
+	}
+	answer := Response{
+		Status: resp.StatusCode(),
+		Body:   append([]byte(nil), resp.Body()...),
+		Header: map[string]string{"Content-Type": string(resp.Header.ContentType())},
+	}
+	if v := resp.Header.Peek("Retry-After"); len(v) > 0 {
+		answer.Header["Retry-After"] = string(v)
+	}
+	return answer, nil
+}
+
+// JSON calls url with in as JSON (nil sends no body) and decodes a 2xx answer into out (nil drops it).
+func (c *Caller) JSON(ctx context.Context, method, url string, in, out any) error {
+	return c.JSONWith(ctx, Request{Method: method, URL: url}, in, out)
+}
+
+// JSONWith is JSON for a call with header fields of its own.
+func (c *Caller) JSONWith(ctx context.Context, r Request, in, out any) error {
+	if in != nil {
+		body, err := json.Marshal(in)
+		if err != nil {
+			return errors.Wrap(err, "encoding a call")
+		}
+		r.Body = body
+	}
+	answer, err := c.Do(ctx, r)
+	if err != nil {
+		return err
+	}
+	if answer.Status/100 != 2 {
+		return &StatusError{Status: answer.Status, Body: answer.Body}
+	}
+	if out == nil {
+		return nil
+	}
+	return errors.Wrapf(json.Unmarshal(answer.Body, out), "decoding the answer of %s", r.URL)
+}
--- /dev/null
+++ b/entry/internal/commander/commander.go
@@ -0,0 +1,129 @@
+// Package commander is the command line of the node.
+package commander
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+	"k8s.io/klog/v2"
+
+	"fuchsiabridge.example/common/eventlogger"
+	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/common/optionparser"
+	"fuchsiabridge.example/common/responder"
+	"fuchsiabridge.example/entry/internal/executor"
+	"fuchsiabridge.example/entry/internal/heartbeater"
+	"fuchsiabridge.example/entry/internal/server"
+	"fuchsiabridge.example/entry/internal/tracer"
+)
+
+const (
+	exitOK    = 0
+	exitError = 1
+	exitUsage = 2
+
+	stopPoll = 20 * time.Millisecond
+	// traceGrace is how long the last spans may take to be sent.
+	traceGrace = 2 * time.Second
+)
+
+// Run runs the command line and returns the exit code.
+func Run(args []string) int {
+	values, _, err := optionparser.Parse("entry", Options(), args)
+	if errors.Is(err, flag.ErrHelp) {
+		return exitOK
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	if values.Bool("check") {
+		fmt.Println("settings are right")
+		return exitOK
+	}
+	defer klog.Flush()
+	if err := serve(values); err != nil {
+		fmt.Fprintln(os.Stderr, "entry:", err)
+		return exitError
+	}
+	return exitOK
+}
+
+func serve(values optionparser.Values) error {
+	signals, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var listen net.ListenConfig
+	listener, err := listen.Listen(ctx, "tcp", values.Text("listen"))
+	if err != nil {
+		return errors.Wrap(err, "listening for callers")
+	}
+	peerListener, err := listen.Listen(ctx, "tcp", values.Text("peer-listen"))
+	if err != nil {
+		return errors.Wrap(err, "listening for peers")
+	}
+	flush, err := tracer.SetUp(ctx, values.Text("trace-endpoint"), values.Text("node"))
+	if err != nil {
+		return err
+	}
+	x := executor.NewExecutor(ctx, executor.Config{
+		Self: heartbeater.Heartbeat{
+			Node:        identifier.NodeID(values.Text("node")),
+			Incarnation: identifier.Incarnation(time.Now().UnixNano()),
+			Address:     peerListener.Addr().String(),
+			DataCentre:  identifier.DataCentre(values.Text("data-centre")),
+		},
+		Platform:   values.Text("platform"),
+		Shards:     values.Number("shards"),
+		DraftLimit: values.Number("draft-limit"),
+	})
+	go x.Run()
+	go x.Peers().Serve(ctx, peerListener)
+	eventlogger.Info(eventlogger.NodeStarted, "node", values.Text("node"), "listen", listener.Addr().String())
+	err = serveCallers(signals, values, x, listener)
+	cancel()
+	flushed, stopFlush := context.WithTimeout(context.Background(), traceGrace)
+	defer stopFlush()
+	return errors.CombineErrors(err, flush(flushed))
+}
+
+// serveCallers serves until a signal, then stops without cutting off a request: unready
+// first, accepting for the balancer's lag, then waiting for what is in progress.
+func serveCallers(signals context.Context, values optionparser.Values, x *executor.Executor, l net.Listener) error {
+	keys, err := parseKeys(values.Text("operator-keys"))
+	if err != nil {
+		return err
+	}
+	s := &fasthttp.Server{
+		Handler:               server.NewServer(x, keys).Handle,
+		MaxRequestBodySize:    server.MaxBodyBytes,
+		NoDefaultServerHeader: true,
+		CloseOnShutdown:       true,
+		StreamRequestBody:     false,
+	}
+	stopped, stopServing := context.WithCancel(context.Background())
+	defer stopServing()
+	go func() {
+		<-signals.Done()
+		eventlogger.Info(eventlogger.NodeStopping, "open_requests", x.Open())
+		x.Leave()
+		limit := time.Now().Add(values.Duration("stop-limit"))
+		time.Sleep(values.Duration("balancer-lag"))
+		for x.Open() > 0 && time.Now().Before(limit) {
+			time.Sleep(stopPoll)
+		}
+		stopServing()
+	}()
+	err = responder.Serve(stopped, s, l, values.Duration("stop-limit"))
+	eventlogger.Info(eventlogger.NodeStopped, "open_requests", x.Open())
+	return err
+}
--- /dev/null
+++ b/entry/internal/peercaller/peercaller.go
@@ -0,0 +1,106 @@
+// Package peercaller carries calls between entry nodes: JSON-RPC 2.0 over TCP, by jsonrpc2.
+package peercaller
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+const dialTimeout = time.Second
+
+// Handler answers one method; its result is encoded as JSON.
+type Handler func(ctx context.Context, params json.RawMessage) (any, error)
+
+// Caller calls peers over one kept connection each, and serves their calls.
+type Caller struct {
+	handlers map[string]Handler
+
+	mu    sync.Mutex
+	conns map[string]*jsonrpc2.Conn
+}
+
+// NewCaller returns a caller that answers the given methods.
+func NewCaller(handlers map[string]Handler) *Caller {
+	return &Caller{handlers: handlers, conns: map[string]*jsonrpc2.Conn{}}
+}
+
+// Serve accepts peers' connections until ctx ends.
+func (c *Caller) Serve(ctx context.Context, l net.Listener) {
+	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+	defer stop()
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		c.open(ctx, conn)
+	}
+}
+
+// Call calls a method of the peer at address. When it fails the connection is
+// dropped, so that the next call dials anew.
+func (c *Caller) Call(ctx context.Context, address, method string, params, result any) error {
+	conn, err := c.conn(ctx, address)
+	if err != nil {
+		return err
+	}
+	if err := conn.Call(ctx, method, params, result); err != nil {
+		c.drop(address, conn)
+		return errors.Wrapf(err, "calling %s of %s", method, address)
+	}
+	return nil
+}
+
+func (c *Caller) conn(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+	c.mu.Lock()
+	conn, ok := c.conns[address]
+	c.mu.Unlock()
+	if ok {
+		return conn, nil
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "dialling %s", address)
+	}
+	conn = c.open(context.WithoutCancel(ctx), raw)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if other, ok := c.conns[address]; ok {
+		_ = conn.Close()
+		return other, nil
+	}
+	c.conns[address] = conn
+	return conn, nil
+}
+
+func (c *Caller) open(ctx context.Context, raw net.Conn) *jsonrpc2.Conn {
+	stream := jsonrpc2.NewBufferedStream(raw, jsonrpc2.VSCodeObjectCodec{})
+	return jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(c.handle)))
+}
+
+func (c *Caller) handle(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+	handler, ok := c.handlers[r.Method]
+	if !ok {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no such method: " + r.Method}
+	}
+	if r.Params == nil {
+		return handler(ctx, nil)
+	}
+	return handler(ctx, *r.Params)
+}
+
+func (c *Caller) drop(address string, conn *jsonrpc2.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conns[address] == conn {
+		delete(c.conns, address)
+	}
+	_ = conn.Close()
+}
--- /dev/null
+++ b/entry/internal/server/server.go
@@ -0,0 +1,204 @@
+// Package server serves callers and operators over HTTP.
+package server
+
+import (
+	"bytes"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"expvar"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/expvarhandler"
+
+	"fuchsiabridge.example/common/configurer"
+	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/common/messenger"
+	"fuchsiabridge.example/common/responder"
+	"fuchsiabridge.example/entry/internal/counter"
+	"fuchsiabridge.example/entry/internal/executor"
+)
+
+const (
+	// MaxBodyBytes bounds a request's body.
+	MaxBodyBytes = 1 << 20
+
+	maxRequestIDLength = 128
+	randomIDBytes      = 16
+	retryUnready       = 2 * time.Second
+
+	headerRequestID = "X-Request-ID"
+	headerClass     = "X-Class"
+	// headerDeadline is an instant in milliseconds since the Unix epoch, by the caller's clock.
+	headerDeadline = "X-Deadline-Unix-Ms"
+	headerKey      = "Idempotency-Key"
+	headerOutcome  = "X-Outcome"
+)
+
+// Node is what the server needs of the node.
+type Node interface {
+	Call(room int, event func(identifier.CallID) messenger.Event) (identifier.CallID, <-chan any)
+	Submit(event messenger.Event)
+	Close(id identifier.CallID)
+	Settings() *configurer.Settings
+	Ready() bool
+	Status() executor.Status
+	Explain(subject string) []executor.Explanation
+}
+
+// Server handles requests by handing them to the node.
+type Server struct {
+	node Node
+	// operators holds the hex SHA-256 of a bearer key for each team, from the node's settings.
+	operators map[identifier.TeamID]string
+}
+
+// NewServer returns a server of the node; operators holds key hashes that need no configuration.
+func NewServer(node Node, operators map[identifier.TeamID]string) *Server {
+	return &Server{node: node, operators: operators}
+}
+
+// Handle serves one request.
+func (s *Server) Handle(c *fasthttp.RequestCtx) {
+	path := string(c.Path())
+	switch {
+	case path == "/v1/chat/completions":
+		s.draft(c)
+	case strings.HasPrefix(path, "/services/"):
+		s.service(c)
+	case strings.HasPrefix(path, "/operator/"):
+		s.operator(c, path)
+	case path == "/healthz":
+		c.SetStatusCode(fasthttp.StatusNoContent)
+	case path == "/readyz":
+		s.ready(c)
+	case path == "/debug/vars":
+		expvarhandler.ExpvarHandler(c)
+	default:
+		s.refuse(c, fasthttp.StatusNotFound, "unknown_path", "no such path", "path")
+	}
+}
+
+func (s *Server) ready(c *fasthttp.RequestCtx) {
+	if s.node.Ready() {
+		c.SetStatusCode(fasthttp.StatusNoContent)
+		return
+	}
+	responder.Refuse(c, fasthttp.StatusServiceUnavailable, responder.NotRun,
+		responder.Problem{Code: "unready", Message: "the node has no configuration yet, or is leaving"}, retryUnready)
+}
+
+// request is what every caller's request has.
+type request struct {
+	id       identifier.RequestID
+	account  configurer.Account
+	team     *configurer.Team
+	class    identifier.Class
+	priority int
+	deadline time.Time
+}
+
+// authenticate reads what every caller's request has, or answers the request and returns false.
+func (s *Server) authenticate(c *fasthttp.RequestCtx) (request, bool) {
+	settings := s.node.Settings()
+	if settings == nil {
+		responder.Refuse(c, fasthttp.StatusServiceUnavailable, responder.NotRun,
+			responder.Problem{Code: "unready", Message: "the node has no configuration yet"}, retryUnready)
+		return request{}, false
+	}
+	account, ok := settings.Accounts[keyHash(c)]
+	if !ok {
+		s.refuse(c, fasthttp.StatusUnauthorized, "unauthorized", "no client account has this bearer key", "header Authorization")
+		return request{}, false
+	}
+	r := request{account: account, team: settings.Teams[account.Team]}
+	r.id, ok = s.requestID(c)
+	if !ok {
+		return request{}, false
+	}
+	r.class = identifier.Class(c.Request.Header.Peek(headerClass))
+	class := r.team.Class(r.class)
+	r.priority = class.Priority
+	r.deadline, ok = s.deadline(c, time.Now(), class)
+	return r, ok
+}
+
+func (s *Server) requestID(c *fasthttp.RequestCtx) (identifier.RequestID, bool) {
+	id := string(c.Request.Header.Peek(headerRequestID))
+	if id == "" {
+		id = randomID()
+		c.Request.Header.Set(headerRequestID, id)
+	}
+	if len(id) > maxRequestIDLength {
+		s.refuse(c, fasthttp.StatusBadRequest, "bad_request_id", "at most 128 bytes", "header "+headerRequestID)
+		return "", false
+	}
+	c.Response.Header.Set(headerRequestID, id)
+	return identifier.RequestID(id), true
+}
+
+// deadline takes the caller's instant, which may only shorten the class's.
+func (s *Server) deadline(c *fasthttp.RequestCtx, now time.Time, class configurer.Class) (time.Time, bool) {
+	deadline := now.Add(class.Deadline)
+	text := string(c.Request.Header.Peek(headerDeadline))
+	if text == "" {
+		return deadline, true
+	}
+	millis, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		s.refuse(c, fasthttp.StatusBadRequest, "bad_deadline", "must be milliseconds since the Unix epoch", "header "+headerDeadline)
+		return time.Time{}, false
+	}
+	// The caller's instant becomes one of this process's monotonic clock.
+	left := time.UnixMilli(millis).Sub(now.Round(0))
+	if left <= 0 {
+		s.refuse(c, fasthttp.StatusBadRequest, "deadline_past", "the deadline has passed already", "header "+headerDeadline)
+		return time.Time{}, false
+	}
+	return now.Add(min(left, class.Deadline)), true
+}
+
+func (s *Server) refuse(c *fasthttp.RequestCtx, status int, code, message, place string) {
+	counter.Requests.Add("none/"+string(responder.Refused), 1)
+	id := string(c.Request.Header.Peek(headerRequestID))
+	responder.Refuse(c, status, responder.Refused, responder.Problem{Code: code, Message: message, Place: place, RequestID: id}, 0)
+}
+
+func count(class identifier.Class, outcome responder.Outcome, deadline time.Time) {
+	counter.Requests.Add(string(class)+"/"+string(outcome), 1)
+	if outcome == responder.Delivered && time.Now().After(deadline) {
+		counter.Late.Add(string(class), 1)
+	}
+}
+
+// keyHash returns the hex SHA-256 of the request's bearer key.
+func keyHash(c *fasthttp.RequestCtx) string {
+	key, _ := bytes.CutPrefix(c.Request.Header.Peek("Authorization"), []byte("Bearer "))
+	sum := sha256.Sum256(key)
+	return hex.EncodeToString(sum[:])
+}
+
+func equalHash(a, b string) bool {
+	return subtle.ConstantTimeCompare([]byte(strings.ToLower(a)), []byte(b)) == 1
+}
+
+func randomID() string {
+	var raw [randomIDBytes]byte
+	_, _ = rand.Read(raw[:])
+	return hex.EncodeToString(raw[:])
+}
+
+func fingerprint(parts ...string) string {
+	sum := sha256.New()
+	for _, p := range parts {
+		_, _ = sum.Write([]byte(strconv.Itoa(len(p)) + ":" + p))
+	}
+	return hex.EncodeToString(sum.Sum(nil))
+}
+
+// Publish registers a value under /debug/vars.
+func Publish(name string, value func() any) { expvar.Publish(name, expvar.Func(value)) }
--- /dev/null
+++ b/fbctl/main.go
@@ -0,0 +1,12 @@
+// Command fbctl is the operator's command line of fuchsiabridge.
+package main
+
+import (
+	"os"
+
+	"fuchsiabridge.example/fbctl/internal/commander"
+)
+
+func main() {
+	os.Exit(commander.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/fbload/internal/demonstrator/demonstrator.go
@@ -0,0 +1,230 @@
+// Package demonstrator runs the demonstration: a draft over several stages, a payment
+// recorded once although it is sent twice, and a change of configuration.
+package demonstrator
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"fuchsiabridge.example/common/configurer"
+	"fuchsiabridge.example/common/httpcaller"
+	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/common/layerhasher"
+	"fuchsiabridge.example/common/responder"
+	"fuchsiabridge.example/fbload/requester"
+)
+
+const (
+	draftTokens = 12
+	draftLayers = 24
+	wantStages  = 3
+	forceLimit  = 8 * time.Second
+	poll        = 50 * time.Millisecond
+)
+
+// Config says where the fleet is.
+type Config struct {
+	Nodes       []string
+	Key         string
+	OperatorKey string
+	// Ledgers is the folder of the stand-ins' ledgers.
+	Ledgers string
+}
+
+type demonstration struct {
+	cfg Config
+	out io.Writer
+	r   *requester.Requester
+}
+
+// Run runs every part, prints each outcome, and returns the first thing that did not hold.
+func Run(ctx context.Context, cfg Config, out io.Writer) error {
+	d := demonstration{cfg: cfg, out: out, r: requester.NewRequester()}
+	for _, part := range []func(context.Context) error{d.draft, d.payment, d.configuration} {
+		if err := part(ctx); err != nil {
+			return err
+		}
+	}
+	fmt.Fprintln(out, "all held")
+	return nil
+}
+
+func (d demonstration) draft(ctx context.Context) error {
+	id := fmt.Sprintf("demo-%d", time.Now().UnixNano())
+	prompt := "a reminder for the second instalment of the portrait session"
+	fmt.Fprintf(d.out, "draft %s:", id)
+	result, err := d.r.Stream(ctx, requester.Draft{
+		Node: d.cfg.Nodes[0], Key: d.cfg.Key, ID: id, Model: "atlas", Prompt: prompt, MaxTokens: draftTokens,
+	}, func(_ int, text string) { fmt.Fprint(d.out, " ", text) })
+	fmt.Fprintln(d.out)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(d.out, "  outcome %s, whole %t, first token %v\n", result.Outcome, result.Whole, result.FirstToken.Sub(result.Started).Round(time.Millisecond))
+	want := layerhasher.Answer(draftLayers, requester.Prompt(prompt), draftTokens)
+	if !result.Whole || strings.Join(result.Tokens, " ") != strings.Join(want, " ") {
+		return errors.Newf("the draft is not the undisturbed answer %v: %+v", want, result.Problem)
+	}
+	return d.lineage(id)
+}
+
+type run struct {
+	Target   string                `json:"target"`
+	Draft    string                `json:"draft"`
+	Position int                   `json:"position"`
+	Layers   identifier.LayerRange `json:"layers"`
+}
+
+// lineage prints which targets ran which layers, and checks that each ran once for each token.
+func (d demonstration) lineage(id string) error {
+	runs, err := d.runs(id)
+	if err != nil {
+		return err
+	}
+	byPosition := map[int][]run{}
+	for _, r := range runs {
+		byPosition[r.Position] = append(byPosition[r.Position], r)
+	}
+	for position := range draftTokens {
+		stages := byPosition[position]
+		sort.Slice(stages, func(i, j int) bool { return stages[i].Layers.From < stages[j].Layers.From })
+		next := identifier.Layer(0)
+		line := make([]string, 0, len(stages))
+		for _, s := range stages {
+			if s.Layers.From != next {
+				return errors.Newf("position %d: layer %d did not run exactly once: %+v", position, next, stages)
+			}
+			next = s.Layers.To
+			line = append(line, fmt.Sprintf("%d-%d on %s", s.Layers.From, s.Layers.To, s.Target))
+		}
+		if next != draftLayers || len(stages) < wantStages {
+			return errors.Newf("position %d: layers up to %d ran, over %d stages", position, next, len(stages))
+		}
+		if position == 0 {
+			fmt.Fprintf(d.out, "  layers of each token: %s\n", strings.Join(line, ", "))
+		}
+	}
+	return nil
+}
+
+func (d demonstration) runs(id string) ([]run, error) {
+	files, err := filepath.Glob(filepath.Join(d.cfg.Ledgers, "*.ledger"))
+	if err != nil {
+		return nil, errors.Wrap(err, "finding ledgers")
+	}
+	var runs []run
+	for _, name := range files {
+		found, err := runsIn(name, id)
+		if err != nil {
+			return nil, err
+		}
+		runs = append(runs, found...)
+	}
+	return runs, nil
+}
+
+func runsIn(name, id string) ([]run, error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return nil, errors.Wrap(err, "opening a ledger")
+	}
+	defer file.Close()
+	var runs []run
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		var r run
+		if err := json.Unmarshal(lines.Bytes(), &r); err != nil {
+			return nil, errors.Wrapf(err, "reading %s", name)
+		}
+		if strings.HasSuffix(r.Draft, "/"+id) {
+			runs = append(runs, r)
+		}
+	}
+	return runs, errors.Wrapf(lines.Err(), "reading %s", name)
+}
+
+// payment records one payment, sends it again through another node, and expects the same answer.
+func (d demonstration) payment(ctx context.Context) error {
+	key := fmt.Sprintf("payment-%d", time.Now().UnixNano())
+	var bodies []string
+	for i, node := range []string{d.cfg.Nodes[0], d.cfg.Nodes[1]} {
+		result, err := d.r.Call(ctx, requester.Service{
+			Node: node, Key: d.cfg.Key, Method: "POST", Service: "ledger", Path: "/payments",
+			Body: `{"amount":50000}`, IdempotencyKey: key,
+		})
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(d.out, "payment %s through node %d: outcome %s, replayed %t, %s\n", key, i+1, result.Outcome, result.Replayed, result.Body)
+		if result.Outcome != responder.Delivered {
+			return errors.Newf("the payment ended as %q: %+v", result.Outcome, result.Problem)
+		}
+		bodies = append(bodies, string(result.Body))
+	}
+	if bodies[0] != bodies[1] {
+		return errors.New("the second answer is not the first one's")
+	}
+	return nil
+}
+
+// configuration changes a value through one node and waits until every node has it in force.
+func (d demonstration) configuration(ctx context.Context) error {
+	started := time.Now()
+	caller := httpcaller.NewCaller()
+	tree, err := d.tree(ctx, caller, d.cfg.Nodes[0])
+	if err != nil {
+		return err
+	}
+	weight := started.UnixNano()%100 + 1
+	change := configurer.Change{
+		ID: identifier.ChangeID(fmt.Sprintf("demo-%d", started.UnixNano())), Team: "dakar", Expected: tree.Get("dakar").Revision,
+		Set: map[string]json.RawMessage{"accounts/studio/weight": json.RawMessage(fmt.Sprint(weight))},
+	}
+	var verdict configurer.Verdict
+	if err := caller.JSONWith(ctx, d.operator("POST", d.cfg.Nodes[0], "/operator/changes"), change, &verdict); err != nil {
+		return err
+	}
+	if !verdict.Accepted {
+		return errors.Newf("the change was rejected: %s", verdict.Reason)
+	}
+	for _, node := range d.cfg.Nodes {
+		if err := d.awaitWeight(ctx, caller, node, fmt.Sprint(weight), started.Add(forceLimit)); err != nil {
+			return err
+		}
+	}
+	fmt.Fprintf(d.out, "change %s: accepted, in force on %d nodes after %v\n", change.ID, len(d.cfg.Nodes), time.Since(started).Round(time.Millisecond))
+	return nil
+}
+
+func (d demonstration) awaitWeight(ctx context.Context, caller *httpcaller.Caller, node, weight string, deadline time.Time) error {
+	for time.Now().Before(deadline) {
+		tree, err := d.tree(ctx, caller, node)
+		if err == nil && string(tree.Get("dakar").Values["accounts/studio/weight"]) == weight {
+			return nil
+		}
+		time.Sleep(poll)
+	}
+	return errors.Newf("the change is not in force on %s", node)
+}
+
+func (d demonstration) tree(ctx context.Context, caller *httpcaller.Caller, node string) (*configurer.Tree, error) {
+	tree := configurer.NewTree()
+	return tree, caller.JSONWith(ctx, d.operator("GET", node, "/operator/tree"), nil, tree)
+}
+
+func (d demonstration) operator(method, node, path string) httpcaller.Request {
+	return httpcaller.Request{
+		Method: method, URL: "http://" + node + path,
+		Header: map[string]string{"Authorization": "Bearer " + d.cfg.OperatorKey},
+	}
+}
--- /dev/null
+++ b/integration/path_test.go
@@ -0,0 +1,86 @@
+package integration_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fuchsiabridge.example/common/layerhasher"
+	"fuchsiabridge.example/common/responder"
+	"fuchsiabridge.example/fbload/requester"
+	"fuchsiabridge.example/integration/launcher"
+)
+
+// smallFleet starts three nodes before engines of three ranges and two ledger services.
+func smallFleet(t *testing.T) *launcher.Fleet {
+	t.Helper()
+	f := launcher.NewFleet(t)
+	f.AddEngine("engine-a", 0, 8)
+	f.AddEngine("engine-b", 8, 16)
+	f.AddEngine("engine-c", 16, 24)
+	f.AddService("ledger", "ledger-1")
+	f.AddService("ledger", "ledger-2")
+	for _, id := range []string{"node-1", "node-2", "node-3"} {
+		f.AddNode(id, "")
+	}
+	f.Configure(24)
+	return f
+}
+
+// TestPathOfADraft streams one draft over three stages and compares it with the undisturbed answer.
+func TestPathOfADraft(t *testing.T) {
+	c := qt.New(t)
+	f := smallFleet(t)
+	r := requester.NewRequester()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	result, err := r.Stream(ctx, requester.Draft{
+		Node: f.Nodes[0].Address, Key: launcher.AccountKey, ID: "draft-1", Class: "counter",
+		Model: launcher.Model, Prompt: "a quote for a wedding", MaxTokens: 16,
+	}, nil)
+	c.Assert(err, qt.IsNil)
+	c.Assert(result.Problem, qt.Equals, responder.Problem{})
+	c.Assert(result.Whole, qt.IsTrue)
+	c.Assert(result.Tokens, qt.DeepEquals, layerhasher.Answer(24, requester.Prompt("a quote for a wedding"), 16))
+}
+
+// TestBadInputIsRefused sends wrong requests; each gets a 4xx in the one error shape.
+func TestBadInputIsRefused(t *testing.T) {
+	c := qt.New(t)
+	f := smallFleet(t)
+	r := requester.NewRequester()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	good := requester.Draft{Node: f.Nodes[0].Address, Key: launcher.AccountKey, ID: "bad", Model: launcher.Model, Prompt: "p", MaxTokens: 4}
+	unknownModel, wrongKey, tooMany, past := good, good, good, good
+	unknownModel.Model = "none"
+	wrongKey.Key = "none"
+	tooMany.MaxTokens = 1_000_000
+	past.Deadline = time.Now().Add(-time.Second)
+	for _, tc := range []struct {
+		name   string
+		draft  requester.Draft
+		status int
+		code   string
+	}{
+		{"unknown model", unknownModel, 400, "bad_request"},
+		{"wrong key", wrongKey, 401, "unauthorized"},
+		{"too many tokens", tooMany, 400, "bad_request"},
+		{"deadline past", past, 400, "deadline_past"},
+	} {
+		c.Run(tc.name, func(c *qt.C) {
+			result, err := r.Stream(ctx, tc.draft, nil)
+			c.Assert(err, qt.IsNil)
+			c.Assert(result.Status, qt.Equals, tc.status)
+			c.Assert(result.Outcome, qt.Equals, responder.Refused)
+			c.Assert(result.Problem.Code, qt.Equals, tc.code)
+			c.Assert(result.Problem.RequestID, qt.Equals, "bad")
+		})
+	}
+	result, err := r.Call(ctx, requester.Service{Node: f.Nodes[0].Address, Key: launcher.AccountKey, Method: "POST", Service: "ledger", Path: "/payments"})
+	c.Assert(err, qt.IsNil)
+	c.Assert(result.Status, qt.Equals, 400)
+	c.Assert(result.Problem.Code, qt.Equals, "bad_key")
+}
