--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 	go test $(addsuffix /...,$(addprefix ./,$(MODULES))) -count=1
 
 lint: .bin/golangci-lint ## run the formatter's check and the linter
-	@for m in $(MODULES); do (cd $$m && ../.bin/golangci-lint run ./...) || exit 1; done
+	@for m in $(MODULES); do (cd $$m && ../.bin/golangci-lint run --allow-serial-runners ./...) || exit 1; done
 
 format: .bin/golangci-lint ## format the code
 	@for m in $(MODULES); do (cd $$m && ../.bin/golangci-lint fmt ./...) || exit 1; done
--- /dev/null
+++ b/common/eventlogger/process.go
@@ -0,0 +1,22 @@
+package eventlogger
+
+// Events of process.
+var (
+	NodeStarted    = Event{1001, "node started"}
+	NodeStopping   = Event{1002, "node stopping"}
+	NodeStopped    = Event{1003, "node stopped"}
+	SettingsWrong  = Event{1004, "settings wrong"}
+	CallFailed     = Event{1005, "call failed"}
+	StandInStarted = Event{9001, "stand-in started"}
+)
+
+func processEvents() []Event {
+	return []Event{
+		NodeStarted,
+		NodeStopping,
+		NodeStopped,
+		SettingsWrong,
+		CallFailed,
+		StandInStarted,
+	}
+}
--- a/entry/internal/executor/executor.go
+++ b/entry/internal/executor/executor.go
@@ -24,6 +24,7 @@
 	"fuchsiabridge.example/entry/internal/counter"
 	"fuchsiabridge.example/entry/internal/drafter"
 	"fuchsiabridge.example/entry/internal/heartbeater"
+	"fuchsiabridge.example/entry/internal/isolator"
 	"fuchsiabridge.example/entry/internal/peercaller"
 	"fuchsiabridge.example/entry/internal/recorder"
 	"fuchsiabridge.example/entry/internal/retrier"
@@ -104,6 +105,7 @@
 		heartbeater.NewHeartbeater(cfg.Self),
 		recorder.NewRecorder(owner),
 		retrier.NewRetrier(),
+		isolator.NewIsolator(),
 		admitter.NewAdmitter(cfg.DraftLimit),
 	), x.run)
 	for range cfg.Shards {
--- /dev/null
+++ b/entry/internal/executor/records.go
@@ -0,0 +1,66 @@
+package executor
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"fuchsiabridge.example/common/httpcaller"
+	"fuchsiabridge.example/common/messenger"
+	"fuchsiabridge.example/entry/internal/recorder"
+	"fuchsiabridge.example/entry/internal/retrier"
+	"fuchsiabridge.example/entry/internal/tracer"
+)
+
+// runRecord carries out the effects of calls to plain services.
+func (x *Executor) runRecord(effect messenger.Effect) bool {
+	switch e := effect.(type) {
+	case recorder.CallService:
+		x.start(x.servicePool, func() { x.callService(e) }, recorder.ServiceFailed{Key: e.Key, Target: e.Target, NotSent: true})
+	case retrier.CallService:
+		x.start(x.servicePool, func() { x.callIdempotent(e) }, retrier.Failed{Call: e.Call, Target: e.Target})
+	default:
+		return false
+	}
+	return true
+}
+
+// callService makes a call that must not be repeated, on a connection of its own.
+func (x *Executor) callService(e recorder.CallService) {
+	answer, err := x.call(e, true)
+	if err != nil {
+		x.Submit(recorder.ServiceFailed{Key: e.Key, Target: e.Target, NotSent: errors.Is(err, httpcaller.ErrNotSent)})
+		return
+	}
+	x.Submit(answer)
+}
+
+func (x *Executor) callIdempotent(e retrier.CallService) {
+	answer, err := x.call(e.CallService, false)
+	if err != nil {
+		x.Submit(retrier.Failed{Call: e.Call, Target: e.Target})
+		return
+	}
+	x.Submit(retrier.Answered{Call: e.Call, ServiceAnswered: answer})
+}
+
+func (x *Executor) call(e recorder.CallService, fresh bool) (recorder.ServiceAnswered, error) {
+	ctx, cancel := context.WithDeadline(x.ctx, e.Deadline)
+	defer cancel()
+	traceparent, end := tracer.Start(e.Traceparent, "service.call", "target", string(e.Target))
+	r := httpcaller.Request{
+		Method: e.Method, URL: "http://" + e.Address + e.Path, Body: e.Body, Fresh: fresh,
+		Header: map[string]string{tracer.Header: traceparent},
+	}
+	for k, v := range e.Header {
+		r.Header[k] = v
+	}
+	answer, err := x.services.Do(ctx, r)
+	end(err)
+	if err != nil {
+		return recorder.ServiceAnswered{}, err
+	}
+	return recorder.ServiceAnswered{
+		Key: e.Key, Status: answer.Status, Body: answer.Body, ContentType: answer.Header["Content-Type"],
+	}, nil
+}
--- /dev/null
+++ b/entry/internal/isolator/messages.go
@@ -0,0 +1,52 @@
+// Package isolator decides which requests crash the targets that run them: what a
+// target ran when it died is suspect, a suspect runs beside no other suspect, and
+// one whose target dies again is convicted.
+package isolator
+
+import "fuchsiabridge.example/common/identifier"
+
+// StageLost says that a target died while it ran a step of a draft. The draft's
+// shard holds the draft until the Ruling.
+type StageLost struct {
+	Draft identifier.DraftID
+	// Fingerprint is the request's, of client account and body; a request sent again has the same.
+	Fingerprint string
+	Target      identifier.TargetID
+	// Ruled says that the lost step ran under an earlier ruling RunAlone.
+	Ruled bool
+	// Candidates holds the targets that could run the lost step, best first.
+	Candidates []identifier.TargetID
+}
+
+// StagePassed says that a draft under the ruling RunAlone got past the step it was suspected for.
+type StagePassed struct {
+	Draft       identifier.DraftID
+	Fingerprint string
+	Target      identifier.TargetID
+}
+
+// RulingKind says how a draft goes on.
+type RulingKind int
+
+// Kinds of rulings.
+const (
+	// RunFreely lets the draft go on as any other.
+	RunFreely RulingKind = iota
+	// RunAlone lets the lost step run at Target, where no other suspect runs; StagePassed or StageLost follows.
+	RunAlone
+	// Refuse ends the draft: its request crashes targets.
+	Refuse
+)
+
+// Ruling answers a StageLost; it is routed to the draft's shard.
+type Ruling struct {
+	Draft  identifier.DraftID
+	Kind   RulingKind
+	Target identifier.TargetID
+}
+
+// DraftKey names the draft.
+func (r Ruling) DraftKey() identifier.DraftID { return r.Draft }
+
+// Convicted brings, to the admission of every node, the fingerprints that are refused.
+type Convicted struct{ Fingerprints []string }
