Decide records by claim, and prove it against lost appends, freezes and deaths

Cause: a property test over three recorders, one model log and one model service (losses, late and lost appends, freezes, deaths, wrong beliefs about peers) failed at once on the recorder as it stood, and so did tests of single cases:

A claim was matched by its owner, not by its record, so that a claim given up for one body dispatched another; a resend at the owner before the outcome was in the log ended not_run; a lost release or outcome was never appended again and blocked its key; one append on a silent connection held up all others for an hour, the deadline of a release.

Change: a work appends one claim under one record id and dispatches only when that claim wins; releases and outcomes are appended until the log shows them; each call has its own deadline; a frozen process gives no not_run; a request whose owner died, or whose log is unreachable, is answered at once. Appends take at most 2 s, three at a time, on a new connection after a failure. A fresh service call has a client of its own, dials no longer than the deadline and leaves no cleaner behind.

Ruled out: that the committer reorders safely by luck; the order of appends is not relied on anywhere now. Appending a claim again before the log was read is harmless under the same id; it waits 100 ms only to save appends.

--- a/common/eventlogger/records.go
+++ b/common/eventlogger/records.go
@@ -4,11 +4,18 @@
 var (
 	RecordClaimed = Event{3001, "record claimed"}
 	RecordEnded   = Event{3002, "record ended"}
+	// RecordClaimSent and those after it say how a key came to its claim.
+	RecordClaimSent = Event{3003, "record claim sent"}
+	RecordReleased  = Event{3004, "record claim released"}
+	RecordJoined    = Event{3005, "record waits for the key's claim"}
 )
 
 func recordsEvents() []Event {
 	return []Event{
 		RecordClaimed,
 		RecordEnded,
+		RecordClaimSent,
+		RecordReleased,
+		RecordJoined,
 	}
 }
--- a/common/httpcaller/httpcaller.go
+++ b/common/httpcaller/httpcaller.go
@@ -19,6 +19,8 @@
 	idleConnLifetime = 10 * time.Second
 	maxConnsPerHost  = 512
 	maxResponseBytes = 64 << 20
+	// freshIdleLifetime is how long what a fresh call used may outlive it.
+	freshIdleLifetime = 100 * time.Millisecond
 )
 
 // ErrNotSent marks a call of which no byte can have reached the other side.
@@ -49,14 +51,37 @@
 	}}
 }
 
-func dial(address string) (net.Conn, error) {
-	conn, err := fasthttp.DialTimeout(address, dialTimeout)
+func dial(address string) (net.Conn, error) { return dialBefore(address, time.Now().Add(dialTimeout)) }
+
+// dialBefore dials until the deadline, so that no call is sent after its own.
+func dialBefore(address string, deadline time.Time) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, Deadline: deadline}
+	conn, err := dialer.Dial("tcp", address)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "dialling %s", address), ErrNotSent)
 	}
 	return conn, nil
 }
 
+// freshClient returns a client of one call: it has no pool from which a connection could come.
+func freshClient(address string, deadline time.Time) *fasthttp.HostClient {
+	return &fasthttp.HostClient{
+		Addr:                      address,
+		NoDefaultUserAgentHeader:  true,
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		// The client's cleaner ends this long after the call.
+		MaxIdleConnDuration: freshIdleLifetime,
+		MaxResponseBodySize: maxResponseBytes,
+		Dial:                func(address string) (net.Conn, error) { return dialBefore(address, deadline) },
+	}
+}
+
+type freshKey struct{}
+
+// WithFresh returns a context whose calls are made on new connections.
+func WithFresh(ctx context.Context) context.Context { return context.WithValue(ctx, freshKey{}, true) }
+
 // Request is one call; Body is sent as it is.
 type Request struct {
 	Method string
@@ -94,10 +119,9 @@
 		req.Header.Set(k, v)
 	}
 	do := c.client.DoDeadline
-	if r.Fresh {
+	if r.Fresh || ctx.Value(freshKey{}) != nil {
 		req.SetConnectionClose()
-		client := NewCaller().client
-		do = client.DoDeadline
+		do = freshClient(string(req.Host()), deadline).DoDeadline
 	}
 	if err := do(req, resp, deadline); err != nil {
 		return Response{}, errors.Wrapf(err, "calling %s %s", r.Method, r.URL)
--- a/entry/internal/committer/committer.go
+++ b/entry/internal/committer/committer.go
@@ -15,8 +15,14 @@
 	batchLimit = 256
 	// queueLimit bounds the records that wait.
 	queueLimit = 8192
-	// retryAfter is the pause after an append the platform refused for its rate.
-	retryAfter = 20 * time.Millisecond
+	// inFlightLimit bounds the appends in flight, so that one on a silent connection doesn't hold up the rest.
+	inFlightLimit = 3
+	// appendTimeout bounds one append.
+	appendTimeout = 2 * time.Second
+	// shortestPause and longestPause bound the pause after an append that the platform
+	// refused for its rate or that failed; it doubles while they go on.
+	shortestPause = 20 * time.Millisecond
+	longestPause  = 160 * time.Millisecond
 )
 
 // Append asks for a record to be appended; Appended or Lost follows.
@@ -42,6 +48,8 @@
 type AppendLog struct {
 	Records  []platformcaller.Record
 	Deadline time.Time
+	// Fresh asks for a new connection.
+	Fresh bool
 }
 
 // AppendDone says that the records took effect from First on.
@@ -57,15 +65,35 @@
 	Refused bool
 }
 
-// Committer is the sub-reducer of appends.
+// Config says how records are grouped.
+type Config struct {
+	// BatchLimit bounds the records of one append.
+	BatchLimit int
+}
+
+// DefaultConfig returns the configuration of a node.
+func DefaultConfig() Config { return Config{BatchLimit: batchLimit} }
+
+// Committer is the sub-reducer of appends. Their order in the log is not the order
+// in which they were asked for.
 type Committer struct {
+	cfg      Config
 	queue    []Append
 	inFlight map[string]Append
+	open     int
+	pause    time.Duration
 	notUntil time.Time
+	// fresh says that the last append failed, so that the next goes on a new connection.
+	fresh bool
 }
 
 // NewCommitter returns a committer with nothing waiting.
-func NewCommitter() *Committer { return &Committer{inFlight: map[string]Append{}} }
+func NewCommitter() *Committer { return NewCommitterWith(DefaultConfig()) }
+
+// NewCommitterWith is NewCommitter with a configuration.
+func NewCommitterWith(cfg Config) *Committer {
+	return &Committer{cfg: cfg, inFlight: map[string]Append{}}
+}
 
 // Apply takes one event and returns what to do.
 func (c *Committer) Apply(now time.Time, event messenger.Event) []messenger.Effect {
@@ -91,7 +119,8 @@
 }
 
 func (c *Committer) done(now time.Time, ev AppendDone) []messenger.Effect {
-	clear(c.inFlight)
+	c.land(ev.Records)
+	c.pause, c.fresh = 0, false
 	var effects []messenger.Effect
 	for i, r := range ev.Records {
 		effects = append(effects, messenger.Raise{Event: Appended{ID: r.ID, Offset: ev.First + identifier.Offset(i)}})
@@ -100,35 +129,50 @@
 }
 
 func (c *Committer) failed(now time.Time, ev AppendFailed) []messenger.Effect {
+	landed := c.land(ev.Records)
+	c.pause = min(max(2*c.pause, shortestPause), longestPause)
+	c.notUntil = now.Add(c.pause)
+	if ev.Refused {
+		c.queue = append(landed, c.queue...)
+		return c.next(now)
+	}
+	c.fresh = true
 	var effects []messenger.Effect
-	var again []Append
 	for _, r := range ev.Records {
-		if ev.Refused {
-			again = append(again, c.inFlight[r.ID])
-			continue
-		}
 		effects = append(effects, messenger.Raise{Event: Lost{ID: r.ID, NotSent: ev.NotSent}})
 	}
-	clear(c.inFlight)
-	c.queue = append(again, c.queue...)
-	c.notUntil = now.Add(retryAfter)
 	return append(effects, c.next(now)...)
 }
 
-// next sends what waits, unless an append is in flight or the platform asked for a pause.
+// land ends an append and returns what it held.
+func (c *Committer) land(records []platformcaller.Record) []Append {
+	landed := make([]Append, 0, len(records))
+	for _, r := range records {
+		landed = append(landed, c.inFlight[r.ID])
+		delete(c.inFlight, r.ID)
+	}
+	c.open--
+	return landed
+}
+
+// next sends what waits, unless enough appends are in flight or the platform asked for a pause.
 func (c *Committer) next(now time.Time) []messenger.Effect {
 	effects := c.expire(now)
-	if len(c.inFlight) > 0 || len(c.queue) == 0 || now.Before(c.notUntil) {
+	if c.open >= inFlightLimit || len(c.queue) == 0 || now.Before(c.notUntil) {
 		return effects
 	}
-	n := min(len(c.queue), batchLimit)
-	batch := AppendLog{Deadline: c.queue[0].Deadline}
+	n := min(len(c.queue), c.cfg.BatchLimit)
+	batch := AppendLog{Deadline: now, Fresh: c.fresh}
 	for _, a := range c.queue[:n] {
 		batch.Records = append(batch.Records, a.Record)
 		batch.Deadline = maxTime(batch.Deadline, a.Deadline)
 		c.inFlight[a.Record.ID] = a
 	}
+	if limit := now.Add(appendTimeout); batch.Deadline.After(limit) {
+		batch.Deadline = limit
+	}
 	c.queue = append([]Append(nil), c.queue[n:]...)
+	c.open++
 	return append(effects, batch)
 }
 
--- a/entry/internal/executor/log.go
+++ b/entry/internal/executor/log.go
@@ -38,6 +38,9 @@
 func (x *Executor) appendLog(e committer.AppendLog) {
 	ctx, cancel := context.WithDeadline(x.ctx, e.Deadline)
 	defer cancel()
+	if e.Fresh {
+		ctx = httpcaller.WithFresh(ctx)
+	}
 	_, end := tracer.Start("", "platform.append")
 	first, err := x.platform.Append(ctx, e.Records)
 	end(err)
--- /dev/null
+++ b/entry/internal/recorder/appender.go
@@ -0,0 +1,168 @@
+package recorder
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+	"time"
+
+	"fuchsiabridge.example/common/eventlogger"
+	"fuchsiabridge.example/common/messenger"
+	"fuchsiabridge.example/common/platformcaller"
+	"fuchsiabridge.example/entry/internal/committer"
+)
+
+const (
+	// answerLimit bounds the body of a recorded answer, in bytes.
+	answerLimit = 16 << 10
+	// appendWait is how long a release or an outcome may wait for one append.
+	appendWait = 10 * time.Second
+	// appendPause is the time between a failed append of a release or an outcome and the next.
+	appendPause = 250 * time.Millisecond
+)
+
+// hold is what the log says of a key that is claimed or ended.
+type hold struct {
+	owner       Owner
+	claim       string
+	fingerprint string
+	ended       bool
+	end         Entry
+}
+
+// unseen is a record that must get into the log; appending it twice is harmless.
+type unseen struct {
+	record  platformcaller.Record
+	retryAt time.Time
+}
+
+// seen applies one record of the log; every node does so in the same order.
+func (r *Recorder) seen(now time.Time, record platformcaller.Record) []messenger.Effect {
+	if record.Stream != Stream {
+		return nil
+	}
+	delete(r.pending, record.ID)
+	var e Entry
+	if err := json.Unmarshal(record.Body, &e); err != nil {
+		return nil
+	}
+	switch e.Kind {
+	case EntryClaim:
+		e.Claim = record.ID
+		return r.claimSeen(now, e)
+	case EntryRelease:
+		return r.releaseSeen(e)
+	case EntryOutcome:
+		return r.outcomeSeen(e)
+	}
+	return nil
+}
+
+// claimSeen lets the first claim in log order win.
+func (r *Recorder) claimSeen(now time.Time, e Entry) []messenger.Effect {
+	if r.holds[e.Key] != nil {
+		return nil
+	}
+	r.holds[e.Key] = &hold{owner: e.Owner, claim: e.Claim, fingerprint: e.Fingerprint}
+	return r.claimed(now, e)
+}
+
+func (r *Recorder) releaseSeen(e Entry) []messenger.Effect {
+	h := r.holds[e.Key]
+	if h == nil || h.ended || h.claim != e.Claim {
+		return nil
+	}
+	delete(r.holds, e.Key)
+	return r.released(e.Key)
+}
+
+func (r *Recorder) outcomeSeen(e Entry) []messenger.Effect {
+	h := r.holds[e.Key]
+	if h == nil || h.ended || h.claim != e.Claim {
+		return nil
+	}
+	h.ended, h.end = true, e
+	return r.ended(e)
+}
+
+// claim appends the work's one claim. A work that waited for another's claim keeps the
+// id of its own, which lost.
+func (r *Recorder) claim(w *work) []messenger.Effect {
+	if w.claim == "" {
+		w.claim = r.nextID()
+	}
+	r.claims[w.claim] = w.request.Key
+	w.lost = 0
+	return r.appendClaim(w)
+}
+
+func (r *Recorder) appendClaim(w *work) []messenger.Effect {
+	e := Entry{Kind: EntryClaim, Key: w.request.Key, Fingerprint: w.request.Fingerprint, Owner: r.self}
+	effects := appendRecord(newRecord(w.claim, e), w.request.Deadline)
+	return append(effects, log(eventlogger.RecordClaimSent, e.Key, "claim", w.claim, "lost", w.lost))
+}
+
+// release gives a claim back that was not dispatched and will not be.
+func (r *Recorder) release(now time.Time, claimed Entry) []messenger.Effect {
+	e := Entry{Kind: EntryRelease, Key: claimed.Key, Claim: claimed.Claim, Owner: r.self}
+	effects := r.appendUntilSeen(now, e)
+	return append(effects, log(eventlogger.RecordReleased, e.Key, "claim", e.Claim))
+}
+
+func (r *Recorder) appendUntilSeen(now time.Time, e Entry) []messenger.Effect {
+	record := newRecord(r.nextID(), e)
+	r.pending[record.ID] = &unseen{record: record}
+	return appendRecord(record, now.Add(appendWait))
+}
+
+// appendAgain appends the records whose append failed and that the log has not shown since.
+func (r *Recorder) appendAgain(now time.Time) []messenger.Effect {
+	var due []*unseen
+	for _, u := range r.pending {
+		if !u.retryAt.IsZero() && !u.retryAt.After(now) {
+			due = append(due, u)
+		}
+	}
+	sort.Slice(due, func(i, j int) bool { return due[i].record.ID < due[j].record.ID })
+	var effects []messenger.Effect
+	for _, u := range due {
+		u.retryAt = time.Time{}
+		effects = append(effects, appendRecord(u.record, now.Add(appendWait))...)
+	}
+	return effects
+}
+
+// lost gives a claim that failed another try under the same id, or gives the request up:
+// a claim that takes effect after all is released.
+func (r *Recorder) lost(now time.Time, ev committer.Lost) []messenger.Effect {
+	if u, ok := r.pending[ev.ID]; ok {
+		u.retryAt = now.Add(appendPause)
+		return nil
+	}
+	key, ok := r.claims[ev.ID]
+	if !ok || r.holds[key] != nil {
+		return nil
+	}
+	w := r.works[key]
+	w.lost++
+	if ev.NotSent || w.lost >= claimAttempts || !r.downSince.IsZero() {
+		return r.finish(w, notRun(w.request, "log_unreachable", "the platform's log could not be reached"))
+	}
+	w.retryAt = now.Add(claimPause)
+	return nil
+}
+
+func (r *Recorder) nextID() string {
+	r.appended++
+	return fmt.Sprintf("%s-%d-%d", r.self.Node, r.self.Incarnation, r.appended)
+}
+
+func newRecord(id string, e Entry) platformcaller.Record {
+	// An entry holds nothing that JSON cannot.
+	body, _ := json.Marshal(e)
+	return platformcaller.Record{ID: id, Stream: Stream, Body: body}
+}
+
+func appendRecord(record platformcaller.Record, deadline time.Time) []messenger.Effect {
+	return []messenger.Effect{messenger.Raise{Event: committer.Append{Record: record, Deadline: deadline}}}
+}
--- a/entry/internal/recorder/messages.go
+++ b/entry/internal/recorder/messages.go
@@ -88,12 +88,16 @@
 
 // Entry is the body of one log record of the stream.
 type Entry struct {
-	Kind        EntryKind            `json:"kind"`
-	Key         identifier.RecordKey `json:"key"`
-	Fingerprint string               `json:"fingerprint,omitempty"`
-	Owner       Owner                `json:"owner"`
-	Outcome     responder.Outcome    `json:"outcome,omitempty"`
-	Status      int                  `json:"status,omitempty"`
-	Body        []byte               `json:"body,omitempty"`
-	ContentType string               `json:"content_type,omitempty"`
+	Kind EntryKind            `json:"kind"`
+	Key  identifier.RecordKey `json:"key"`
+	// Claim is the id of the claim's log record that a release or an outcome is about.
+	Claim       string            `json:"claim,omitempty"`
+	Fingerprint string            `json:"fingerprint,omitempty"`
+	Owner       Owner             `json:"owner"`
+	Outcome     responder.Outcome `json:"outcome,omitempty"`
+	Status      int               `json:"status,omitempty"`
+	Body        []byte            `json:"body,omitempty"`
+	ContentType string            `json:"content_type,omitempty"`
+	// Truncated says that the answer was too long to be kept.
+	Truncated bool `json:"truncated,omitempty"`
 }
--- a/entry/internal/recorder/recorder.go
+++ b/entry/internal/recorder/recorder.go
@@ -1,8 +1,7 @@
 package recorder
 
 import (
-	"encoding/json"
-	"fmt"
+	"sort"
 	"time"
 
 	"fuchsiabridge.example/common/eventlogger"
@@ -11,6 +10,7 @@
 	"fuchsiabridge.example/common/platformcaller"
 	"fuchsiabridge.example/common/responder"
 	"fuchsiabridge.example/entry/internal/committer"
+	"fuchsiabridge.example/entry/internal/heartbeater"
 	"fuchsiabridge.example/entry/internal/tailer"
 	"fuchsiabridge.example/entry/internal/watcher"
 )
@@ -18,159 +18,172 @@
 const (
 	// retryAfter is what callers are told to wait before they ask again.
 	retryAfter = time.Second
-	// answerLimit bounds the body of a recorded answer, in bytes.
-	answerLimit = 64 << 10
+	// claimAttempts bounds the appends of one claim; each has the same record id.
+	claimAttempts = 2
+	// claimPause is how long the log has to show a claim whose append failed before it is appended again.
+	claimPause = 100 * time.Millisecond
+	// outageGrace is how long the log may be unreachable before undecided requests are given up.
+	outageGrace = 250 * time.Millisecond
+	// absentGrace is how long a request waits for an owner that membership doesn't know.
+	absentGrace = 3 * time.Second
+	// probePause is the time between requests that try whether an unreachable log is back.
+	probePause = 250 * time.Millisecond
+	// frozenAfter is the time between two ticks from which this process counts as frozen.
+	frozenAfter = time.Second
 )
 
-type claimState int
-
-const (
-	claimNone claimState = iota
-	claimHeld
-	claimEnded
-)
-
-// key is what the log says of one key.
-type key struct {
-	state       claimState
-	owner       Owner
-	fingerprint string
-	end         Entry
+// work is a set of calls that wait at this node for one key. It appends at most one
+// claim, under one record id, and dispatches at most once, when that claim wins.
+type work struct {
+	request Requested
+	calls   []Requested
+	claim   string
+	lost    int
+	retryAt time.Time
+	since   time.Time
 }
 
-// work is what this node is doing for one key.
-type work struct {
-	request    Requested
-	calls      []Requested
-	dispatched bool
-	claimID    string
-	// abandoned says that the callers were told not_run; the claim must be released if it wins.
-	abandoned bool
+// flight is a dispatch of this node that has not ended.
+type flight struct {
+	claim       string
+	fingerprint string
 }
 
 // Recorder is the sub-reducer of requests that must not be repeated.
 type Recorder struct {
-	self     Owner
-	keys     map[identifier.RecordKey]*key
-	works    map[identifier.RecordKey]*work
-	targets  []watcher.Target
-	appended uint64
-	turn     int
+	self    Owner
+	holds   map[identifier.RecordKey]*hold
+	works   map[identifier.RecordKey]*work
+	claims  map[string]identifier.RecordKey
+	flights map[identifier.RecordKey]flight
+	// pending holds the releases and outcomes that the log has not shown yet, by record id.
+	pending   map[string]*unseen
+	peers     map[identifier.NodeID]heartbeater.Peer
+	targets   []watcher.Target
+	downSince time.Time
+	probeAt   time.Time
+	ticked    time.Time
+	appended  uint64
+	turn      int
 }
 
 // NewRecorder returns a recorder for the given incarnation of the node.
 func NewRecorder(self Owner) *Recorder {
-	return &Recorder{self: self, keys: map[identifier.RecordKey]*key{}, works: map[identifier.RecordKey]*work{}}
+	return &Recorder{
+		self:    self,
+		holds:   map[identifier.RecordKey]*hold{},
+		works:   map[identifier.RecordKey]*work{},
+		claims:  map[string]identifier.RecordKey{},
+		flights: map[identifier.RecordKey]flight{},
+		pending: map[string]*unseen{},
+		peers:   map[identifier.NodeID]heartbeater.Peer{},
+	}
 }
 
 // Apply takes one event and returns what to do.
 func (r *Recorder) Apply(now time.Time, event messenger.Event) []messenger.Effect {
 	switch ev := event.(type) {
 	case Requested:
-		return r.requested(ev)
+		return r.requested(now, ev)
 	case tailer.RecordSeen:
 		return r.seen(now, ev.Record)
+	case tailer.LogRead, committer.Appended:
+		r.downSince = time.Time{}
+	case tailer.ReadFailed:
+		r.readFailed(now)
 	case committer.Lost:
-		return r.lost(ev)
+		return r.lost(now, ev)
 	case ServiceAnswered:
 		return r.answered(now, ev)
 	case ServiceFailed:
 		return r.failed(now, ev)
 	case watcher.TargetsChanged:
 		r.targets = ev.Targets
+	case heartbeater.PeersChanged:
+		return r.peersChanged(ev)
 	case messenger.Tick:
-		return r.expire(now)
+		return r.tick(now)
 	}
 	return nil
 }
 
-func (r *Recorder) requested(ev Requested) []messenger.Effect {
-	k := r.key(ev.Key)
-	if k.state != claimNone && k.fingerprint != ev.Fingerprint {
-		return []messenger.Effect{reply(ev.Call, refusal(ev, "key_reused", "the key was used with another body"))}
-	}
-	if k.state == claimEnded {
-		return []messenger.Effect{reply(ev.Call, replay(ev, k.end))}
+func (r *Recorder) requested(now time.Time, ev Requested) []messenger.Effect {
+	h := r.holds[ev.Key]
+	switch {
+	case h != nil && h.fingerprint != ev.Fingerprint:
+		return r.end(ev, reused(ev))
+	case h != nil && h.ended:
+		return r.end(ev, replay(ev, h.end))
+	case h != nil && r.isGone(h.owner):
+		return r.end(ev, unknown(ev, "owner_gone"))
 	}
 	w, ok := r.works[ev.Key]
-	if ok && !w.abandoned {
-		if w.request.Fingerprint != ev.Fingerprint {
-			return []messenger.Effect{reply(ev.Call, refusal(ev, "key_reused", "the key is in use with another body"))}
-		}
-		w.calls = append(w.calls, ev)
-		return nil
+	if ok && w.request.Fingerprint != ev.Fingerprint {
+		return r.end(ev, reused(ev))
 	}
-	w = &work{request: ev, calls: []Requested{ev}}
-	r.works[ev.Key] = w
-	if k.state == claimHeld {
-		return nil
+	if ok || h != nil {
+		return r.join(now, ev)
 	}
+	if !r.downSince.IsZero() && now.Before(r.probeAt) {
+		return r.end(ev, notRun(ev, "log_unreachable", "the platform's log cannot be reached"))
+	}
+	r.probeAt = now.Add(probePause)
+	w = &work{request: ev, calls: []Requested{ev}, since: now}
+	r.works[ev.Key] = w
 	return r.claim(w)
 }
 
-func (r *Recorder) claim(w *work) []messenger.Effect {
-	e := Entry{Kind: EntryClaim, Key: w.request.Key, Fingerprint: w.request.Fingerprint, Owner: r.self}
-	effect, id := r.append(e, w.request.Deadline)
-	w.claimID = id
-	return effect
-}
-
-func (r *Recorder) append(e Entry, deadline time.Time) ([]messenger.Effect, string) {
-	body, err := json.Marshal(e)
-	if err != nil {
-		return nil, ""
+// join lets a request wait for what comes of its key.
+func (r *Recorder) join(now time.Time, ev Requested) []messenger.Effect {
+	w, ok := r.works[ev.Key]
+	if !ok {
+		w = &work{request: ev, since: now}
+		r.works[ev.Key] = w
+	}
+	w.calls = append(w.calls, ev)
+	if ev.Deadline.After(w.request.Deadline) {
+		w.request.Deadline = ev.Deadline
 	}
-	r.appended++
-	id := fmt.Sprintf("%s-%d-%d", r.self.Node, r.self.Incarnation, r.appended)
-	record := platformcaller.Record{ID: id, Stream: Stream, Body: body}
-	return []messenger.Effect{messenger.Raise{Event: committer.Append{Record: record, Deadline: deadline}}}, id
+	return []messenger.Effect{log(eventlogger.RecordJoined, ev.Key, "callers", len(w.calls))}
 }
 
-// seen applies one record of the log; every node does so in the same order.
-func (r *Recorder) seen(now time.Time, record platformcaller.Record) []messenger.Effect {
-	if record.Stream != Stream {
-		return nil
+// claimed dispatches when this node's own claim won and its callers still wait. A claim
+// of which the callers were told not_run is released, never dispatched.
+func (r *Recorder) claimed(now time.Time, e Entry) []messenger.Effect {
+	w, ok := r.works[e.Key]
+	if e.Owner != r.self {
+		return r.claimedByOther(w, e)
 	}
-	var e Entry
-	if err := json.Unmarshal(record.Body, &e); err != nil {
+	if r.flights[e.Key].claim == e.Claim {
 		return nil
 	}
-	k := r.key(e.Key)
-	switch {
-	case e.Kind == EntryClaim && k.state == claimNone:
-		*k = key{state: claimHeld, owner: e.Owner, fingerprint: e.Fingerprint}
-		return r.claimed(now, e)
-	case e.Kind == EntryRelease && k.state == claimHeld && k.owner == e.Owner:
-		*k = key{}
-		return r.released(e.Key)
-	case e.Kind == EntryOutcome && k.state == claimHeld && k.owner == e.Owner:
-		k.state, k.end = claimEnded, e
-		return r.ended(e)
+	if !ok || w.claim != e.Claim || !w.request.Deadline.After(now) {
+		return r.release(now, e)
 	}
-	return nil
+	return r.dispatch(now, w, e)
 }
 
-// claimed dispatches when this node's own claim won and its callers still wait.
-func (r *Recorder) claimed(now time.Time, e Entry) []messenger.Effect {
-	if e.Owner != r.self {
+func (r *Recorder) claimedByOther(w *work, e Entry) []messenger.Effect {
+	switch {
+	case w == nil:
 		return nil
+	case w.request.Fingerprint != e.Fingerprint:
+		return r.finish(w, reused(w.request))
+	case r.isGone(e.Owner):
+		return r.finish(w, unknown(w.request, "owner_gone"))
 	}
-	w, ok := r.works[e.Key]
-	if !ok || w.abandoned || !w.request.Deadline.After(now) {
-		return r.release(e.Key, now)
-	}
-	return r.dispatch(now, w)
+	return []messenger.Effect{log(eventlogger.RecordJoined, e.Key, "owner", e.Owner.Node, "callers", len(w.calls))}
 }
 
-func (r *Recorder) dispatch(now time.Time, w *work) []messenger.Effect {
+func (r *Recorder) dispatch(now time.Time, w *work, e Entry) []messenger.Effect {
 	target, ok := r.choose(w.request.Service)
 	if !ok {
-		effects := r.finish(w, Answer{Outcome: responder.NotRun, Problem: problem(w.request, "no_target", "no target of the service is up"), RetryAfter: retryAfter})
-		return append(effects, r.release(w.request.Key, now)...)
+		effects := r.release(now, e)
+		return append(effects, r.finish(w, notRun(w.request, "no_target", "no target of the service is up"))...)
 	}
-	w.dispatched = true
+	r.flights[e.Key] = flight{claim: e.Claim, fingerprint: e.Fingerprint}
 	return []messenger.Effect{
-		messenger.Log{Event: eventlogger.RecordClaimed, Subject: "request/" + string(w.request.Key), Values: []any{"target", target.ID}},
+		log(eventlogger.RecordClaimed, e.Key, "target", target.ID, "claim", e.Claim),
 		CallService{
 			Key: w.request.Key, Target: target.ID, Address: target.Address,
 			Method: w.request.Method, Path: w.request.Path, Body: w.request.Body, Header: w.request.Header,
@@ -193,35 +206,35 @@
 	return up[r.turn%len(up)], true
 }
 
-func (r *Recorder) release(id identifier.RecordKey, now time.Time) []messenger.Effect {
-	effects, _ := r.append(Entry{Kind: EntryRelease, Key: id, Owner: r.self}, now.Add(time.Hour))
-	return effects
-}
-
-// released lets callers that wait at this node claim the key anew.
+// released lets callers that wait at this node claim the key.
 func (r *Recorder) released(id identifier.RecordKey) []messenger.Effect {
 	w, ok := r.works[id]
-	if !ok || w.abandoned {
-		delete(r.works, id)
+	if !ok {
 		return nil
 	}
 	return r.claim(w)
 }
 
+// ended answers those who wait; a wait with another body got its refusal when the key was claimed.
 func (r *Recorder) ended(e Entry) []messenger.Effect {
 	w, ok := r.works[e.Key]
 	if !ok {
 		return nil
 	}
+	if w.request.Fingerprint != e.Fingerprint {
+		return r.finish(w, reused(w.request))
+	}
 	return r.finish(w, replay(w.request, e))
 }
 
+// answered replies before the outcome is in the log: an owner that dies in between
+// leaves the key unknown, which is true, and an outage holds back no answer in hand.
 func (r *Recorder) answered(now time.Time, ev ServiceAnswered) []messenger.Effect {
-	e := Entry{Kind: EntryOutcome, Key: ev.Key, Owner: r.self, Outcome: responder.Delivered, Status: ev.Status, ContentType: ev.ContentType}
-	if len(ev.Body) <= answerLimit {
-		e.Body = ev.Body
+	e := Entry{Outcome: responder.Delivered, Status: ev.Status, ContentType: ev.ContentType, Body: ev.Body}
+	effects, ok := r.conclude(now, ev.Key, e)
+	if !ok {
+		return nil
 	}
-	effects, _ := r.append(e, now.Add(time.Hour))
 	if w, ok := r.works[ev.Key]; ok {
 		a := Answer{Outcome: responder.Delivered, Status: ev.Status, Body: ev.Body, ContentType: ev.ContentType}
 		effects = append(effects, r.finish(w, a)...)
@@ -230,104 +243,196 @@
 }
 
 func (r *Recorder) failed(now time.Time, ev ServiceFailed) []messenger.Effect {
-	w, ok := r.works[ev.Key]
-	if ev.NotSent {
-		effects := r.release(ev.Key, now)
-		if ok {
-			p := problem(w.request, "not_sent", "the service could not be reached")
-			effects = append(effects, r.finish(w, Answer{Outcome: responder.NotRun, Problem: p, RetryAfter: retryAfter})...)
+	f, ok := r.flights[ev.Key]
+	if !ok {
+		return nil
+	}
+	w, waits := r.works[ev.Key]
+	if !ev.NotSent {
+		effects, _ := r.conclude(now, ev.Key, Entry{Outcome: responder.Unknown})
+		if waits {
+			effects = append(effects, r.finish(w, unknown(w.request, "no_answer"))...)
 		}
 		return effects
 	}
-	e := Entry{Kind: EntryOutcome, Key: ev.Key, Owner: r.self, Outcome: responder.Unknown}
-	effects, _ := r.append(e, now.Add(time.Hour))
-	if ok {
-		effects = append(effects, r.finish(w, unknown(w.request))...)
+	delete(r.flights, ev.Key)
+	effects := r.release(now, Entry{Key: ev.Key, Claim: f.claim})
+	if waits {
+		effects = append(effects, r.finish(w, notRun(w.request, "not_sent", "the service could not be reached"))...)
 	}
 	return effects
 }
 
-// lost ends work whose claim cannot have been appended; other losses wait for the log or the deadline.
-func (r *Recorder) lost(ev committer.Lost) []messenger.Effect {
-	if !ev.NotSent {
-		return nil
+// conclude appends what came of a flight; this node knows it from now on.
+func (r *Recorder) conclude(now time.Time, id identifier.RecordKey, e Entry) ([]messenger.Effect, bool) {
+	f, ok := r.flights[id]
+	if !ok {
+		return nil, false
 	}
-	for _, w := range r.works {
-		if w.claimID == ev.ID && !w.dispatched {
-			p := problem(w.request, "log_unreachable", "the platform's log could not be reached")
-			return r.finish(w, Answer{Outcome: responder.NotRun, Problem: p, RetryAfter: retryAfter})
-		}
+	delete(r.flights, id)
+	e.Kind, e.Key, e.Claim, e.Fingerprint, e.Owner = EntryOutcome, id, f.claim, f.fingerprint, r.self
+	if len(e.Body) > answerLimit {
+		e.Body, e.Truncated = nil, true
 	}
-	return nil
+	r.holds[id] = &hold{owner: r.self, claim: f.claim, fingerprint: f.fingerprint, ended: true, end: e}
+	return r.appendUntilSeen(now, e), true
 }
 
-// expire answers callers whose deadline passed: not_run when the node has not dispatched
-// and holds no other's claim, else unknown.
-func (r *Recorder) expire(now time.Time) []messenger.Effect {
+// peersChanged gives up waiting for owners that died or were restarted.
+func (r *Recorder) peersChanged(ev heartbeater.PeersChanged) []messenger.Effect {
+	for _, p := range ev.Peers {
+		r.peers[p.Node] = p
+	}
 	var effects []messenger.Effect
-	for id, w := range r.works {
-		if w.abandoned || w.request.Deadline.After(now) {
-			continue
-		}
-		k := r.key(id)
-		if w.dispatched || (k.state == claimHeld && k.owner != r.self) {
-			effects = append(effects, r.finish(w, unknown(w.request))...)
-			continue
-		}
-		p := problem(w.request, "deadline", "the deadline passed before the request could be claimed")
-		effects = append(effects, r.finish(w, Answer{Outcome: responder.NotRun, Problem: p, RetryAfter: retryAfter})...)
+	for _, w := range r.waiting(func(w *work) bool { h := r.holds[w.request.Key]; return h != nil && r.isGone(h.owner) }) {
+		effects = append(effects, r.finish(w, unknown(w.request, "owner_gone"))...)
 	}
 	return effects
 }
 
-// finish answers every caller that waits for the key at this node.
-func (r *Recorder) finish(w *work, a Answer) []messenger.Effect {
-	delete(r.works, w.request.Key)
-	if a.Outcome == responder.NotRun && w.claimID != "" && !w.dispatched && r.key(w.request.Key).state == claimNone {
-		w.abandoned = true
-		r.works[w.request.Key] = w
+// isGone reports whether an owner's process is believed to have ended. It may be
+// frozen instead, so that nothing but an answer "unknown" may follow from it.
+func (r *Recorder) isGone(o Owner) bool {
+	if o.Node == r.self.Node {
+		return o != r.self
 	}
-	effects := []messenger.Effect{messenger.Log{
-		Event: eventlogger.RecordEnded, Subject: "request/" + string(w.request.Key),
-		Values: []any{"outcome", a.Outcome, "status", a.Status, "reason", a.Problem.Code, "callers", len(w.calls)},
-	}}
-	for _, c := range w.calls {
-		effects = append(effects, reply(c.Call, a))
+	p, ok := r.peers[o.Node]
+	return ok && (p.State == heartbeater.StateDead || p.Incarnation > o.Incarnation)
+}
+
+func (r *Recorder) readFailed(now time.Time) {
+	if r.downSince.IsZero() {
+		r.downSince, r.probeAt = now, now.Add(probePause)
+	}
+}
+
+func (r *Recorder) tick(now time.Time) []messenger.Effect {
+	effects := r.appendAgain(now)
+	wasFrozen := !r.ticked.IsZero() && now.Sub(r.ticked) >= frozenAfter
+	r.ticked = now
+	isDue := func(w *work) bool {
+		return r.isOutOfTime(now, w) || r.isHopeless(now, w) || (!w.retryAt.IsZero() && !w.retryAt.After(now))
+	}
+	for _, w := range r.waiting(isDue) {
+		switch {
+		case r.isHopeless(now, w) && !wasFrozen:
+			effects = append(effects, r.giveUp(w)...)
+		case r.isOutOfTime(now, w):
+			effects = append(effects, r.expire(now, w, wasFrozen)...)
+		default:
+			w.retryAt = time.Time{}
+			if r.holds[w.request.Key] == nil {
+				effects = append(effects, r.appendClaim(w)...)
+			}
+		}
 	}
-	w.calls = nil
 	return effects
 }
 
-func (r *Recorder) key(id identifier.RecordKey) *key {
-	k, ok := r.keys[id]
-	if !ok {
-		k = &key{}
-		r.keys[id] = k
+// isOutOfTime reports whether the deadline of a call passed.
+func (r *Recorder) isOutOfTime(now time.Time, w *work) bool {
+	for _, c := range w.calls {
+		if !c.Deadline.After(now) {
+			return true
+		}
 	}
-	return k
+	return false
 }
 
-func reply(call identifier.CallID, a Answer) messenger.Effect {
-	return messenger.Reply{Call: call, Answer: a}
+// isHopeless reports whether waiting on can bring nothing: the log is unreachable, or
+// the key's owner is no member.
+func (r *Recorder) isHopeless(now time.Time, w *work) bool {
+	if _, ok := r.flights[w.request.Key]; ok {
+		return false
+	}
+	if !r.downSince.IsZero() && now.Sub(later(r.downSince, w.since)) >= outageGrace {
+		return true
+	}
+	h := r.holds[w.request.Key]
+	if h == nil || h.owner == r.self {
+		return false
+	}
+	_, known := r.peers[h.owner.Node]
+	return !known && now.Sub(w.since) >= absentGrace
 }
 
-func replay(ev Requested, e Entry) Answer {
-	if e.Outcome != responder.Delivered {
-		return unknown(ev)
+func (r *Recorder) giveUp(w *work) []messenger.Effect {
+	if r.mayRun(w.request.Key) {
+		return r.finish(w, unknown(w.request, "owner_unreachable"))
 	}
-	return Answer{Outcome: responder.Delivered, Status: e.Status, Body: e.Body, ContentType: e.ContentType, Replayed: true}
+	return r.finish(w, notRun(w.request, "log_unreachable", "the platform's log cannot be reached"))
 }
 
-func unknown(ev Requested) Answer {
-	p := problem(ev, "unknown", "the request may have run; ask again with the same key")
-	p.Key = string(ev.Key)
-	return Answer{Outcome: responder.Unknown, Problem: p, RetryAfter: retryAfter}
+// mayRun reports whether the key may run, or have run, as far as this node knows. If
+// not, not_run is true for its own callers: without them its claim is never dispatched.
+func (r *Recorder) mayRun(id identifier.RecordKey) bool {
+	if _, ok := r.flights[id]; ok {
+		return true
+	}
+	h := r.holds[id]
+	return h != nil && h.owner != r.self
 }
 
-func refusal(ev Requested, code, message string) Answer {
-	return Answer{Outcome: responder.Refused, Problem: problem(ev, code, message)}
+// expire answers the calls whose deadline passed. A process that was frozen doesn't
+// know what the log holds by now: another node may have run the key since.
+func (r *Recorder) expire(now time.Time, w *work, wasFrozen bool) []messenger.Effect {
+	var late, waiting []Requested
+	for _, c := range w.calls {
+		if c.Deadline.After(now) {
+			waiting = append(waiting, c)
+			continue
+		}
+		late = append(late, c)
+	}
+	a := notRun(w.request, "deadline", "the deadline passed before the request could be claimed")
+	// While another call of the key waits here, the key may still run.
+	if len(waiting) > 0 || wasFrozen || r.mayRun(w.request.Key) {
+		a = unknown(w.request, "deadline")
+	}
+	w.calls = late
+	effects := r.finish(w, a)
+	if len(waiting) > 0 {
+		w.calls = waiting
+		r.works[w.request.Key] = w
+		if w.claim != "" {
+			r.claims[w.claim] = w.request.Key
+		}
+	}
+	return effects
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// waiting returns the works for which the condition holds, in the order of their keys.
+func (r *Recorder) waiting(holds func(*work) bool) []*work {
+	var found []*work
+	for _, w := range r.works {
+		if holds(w) {
+			found = append(found, w)
+		}
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].request.Key < found[j].request.Key })
+	return found
+}
+
+// finish answers every caller that waits for the key at this node.
+func (r *Recorder) finish(w *work, a Answer) []messenger.Effect {
+	delete(r.works, w.request.Key)
+	delete(r.claims, w.claim)
+	effects := []messenger.Effect{ended(w.request.Key, a, len(w.calls))}
+	for _, c := range w.calls {
+		effects = append(effects, messenger.Reply{Call: c.Call, Answer: a})
+	}
+	w.calls = nil
+	return effects
 }
 
-func problem(ev Requested, code, message string) responder.Problem {
-	return responder.Problem{Code: code, Message: message, Place: "services/" + string(ev.Service)}
+// end answers one request that doesn't wait.
+func (r *Recorder) end(ev Requested, a Answer) []messenger.Effect {
+	return []messenger.Effect{ended(ev.Key, a, 1), messenger.Reply{Call: ev.Call, Answer: a}}
 }
