Isolate requests that crash targets

Cause: every draft of a target that died went on freely, so that a crashing request killed each target it was tried at.

Change: what a target ran when it died is suspect. A suspect runs alone at a target that has just shown a sign of life; nodes tell each other what they suspect, want to try, try, clear and convict, and the lowest rank of a target's wanted suspects goes first. A death under a trial convicts after 50 ms, unless a peer tried another suspect there: then both are tried again. Requests with a suspect's body are held before admission until the verdict; convicted ones are refused there at every node, and peers that come later are told.

Ruled out: trying suspects in groups costs a third target when the group holds a crash; a lease for each target from an arbiter node costs a round trip for each trial, while wants that stand while others run cost none.

No process test yet: it needs the drafts' side.

--- a/entry/internal/executor/executor.go
+++ b/entry/internal/executor/executor.go
@@ -23,6 +23,7 @@
 	"fuchsiabridge.example/entry/internal/composer"
 	"fuchsiabridge.example/entry/internal/counter"
 	"fuchsiabridge.example/entry/internal/drafter"
+	"fuchsiabridge.example/entry/internal/gatekeeper"
 	"fuchsiabridge.example/entry/internal/heartbeater"
 	"fuchsiabridge.example/entry/internal/isolator"
 	"fuchsiabridge.example/entry/internal/peercaller"
@@ -106,6 +107,7 @@
 		recorder.NewRecorder(owner),
 		retrier.NewRetrier(),
 		isolator.NewIsolator(),
+		gatekeeper.NewGatekeeper(),
 		admitter.NewAdmitter(cfg.DraftLimit),
 	), x.run)
 	for range cfg.Shards {
--- a/entry/internal/executor/records.go
+++ b/entry/internal/executor/records.go
@@ -2,21 +2,29 @@
 
 import (
 	"context"
+	"encoding/json"
 
 	"github.com/cockroachdb/errors"
 
 	"fuchsiabridge.example/common/httpcaller"
 	"fuchsiabridge.example/common/messenger"
+	"fuchsiabridge.example/entry/internal/isolator"
 	"fuchsiabridge.example/entry/internal/recorder"
 	"fuchsiabridge.example/entry/internal/retrier"
 	"fuchsiabridge.example/entry/internal/tracer"
 )
 
+const isolationMethod = "isolation"
+
 // runRecord carries out the effects of calls to plain services.
 func (x *Executor) runRecord(effect messenger.Effect) bool {
 	switch e := effect.(type) {
 	case recorder.CallService:
 		x.start(x.servicePool, func() { x.callService(e) }, recorder.ServiceFailed{Key: e.Key, Target: e.Target, NotSent: true})
+	case isolator.TellPeers:
+		for _, address := range e.Addresses {
+			x.start(x.controlPool, func() { x.tellPeer(address, e.Notice) }, nil)
+		}
 	case retrier.CallService:
 		x.start(x.servicePool, func() { x.callIdempotent(e) }, retrier.Failed{Call: e.Call, Target: e.Target})
 	default:
@@ -25,6 +33,24 @@
 	return true
 }
 
+// tellPeer gives a peer a notice; one that is lost costs a verdict its speed, not its truth.
+func (x *Executor) tellPeer(address string, notice isolator.Notice) {
+	ctx, cancel := context.WithTimeout(x.ctx, pollTimeout)
+	defer cancel()
+	notice.Node = x.self.Node
+	_ = x.peers.Call(ctx, address, isolationMethod, notice, nil)
+}
+
+// isolationHandler takes in a peer's notice.
+func (x *Executor) isolationHandler(_ context.Context, params json.RawMessage) (any, error) {
+	var notice isolator.Notice
+	if err := json.Unmarshal(params, &notice); err != nil {
+		return nil, errors.Wrap(err, "decoding a notice")
+	}
+	x.Submit(isolator.Heard{Notice: notice})
+	return struct{}{}, nil
+}
+
 // callService makes a call that must not be repeated, on a connection of its own.
 func (x *Executor) callService(e recorder.CallService) {
 	answer, err := x.call(e, true)
--- a/entry/internal/isolator/isolator.go
+++ b/entry/internal/isolator/isolator.go
@@ -1,24 +1,506 @@
 package isolator
 
 import (
+	"sort"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"fuchsiabridge.example/common/eventlogger"
+	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
+	"fuchsiabridge.example/entry/internal/heartbeater"
+	"fuchsiabridge.example/entry/internal/watcher"
+)
+
+const (
+	// suspectFor is how long a fingerprint stays suspect without a verdict.
+	suspectFor = 3 * time.Second
+	// trialLimit is how long a trial may last before its target is free for another.
+	trialLimit = 3 * time.Second
+	// convictedFor is how long a conviction is remembered, and convictedLimit how many are.
+	convictedFor   = 30 * time.Minute
+	convictedLimit = 4096
+	// judgeAfter is how long peers have to tell of suspects of theirs at a target that died.
+	judgeAfter = 50 * time.Millisecond
+	// aliveFor is how long a target counts as alive after it was heard.
+	aliveFor = 20 * time.Millisecond
+	// settleAfter is how long peers have to say that they want a target too.
+	settleAfter = 15 * time.Millisecond
+	// lostFor is how long a target that died is tried no more, unless it was heard since.
+	lostFor = 10 * time.Second
+	// freeLimit is how many targets a request may lose while there was none to try it at alone.
+	freeLimit = 3
+	// repeatEvery and repeatFor say how convictions are told again, so that a lost notice costs little.
+	repeatEvery = 250 * time.Millisecond
+	repeatFor   = time.Second
 )
 
 // Route is an effect that hands an event to the shard of its draft.
 type Route struct{ Event Ruling }
 
+type phase int
+
+const (
+	// probing waits for a sign that the target is alive, so that its death says something.
+	probing phase = iota
+	// queued waits until the suspects of peers leave the target to this one.
+	queued
+	running
+	// judging waits for peers to tell of suspects of theirs at the target, which died.
+	judging
+)
+
+// trial is the run of one suspect alone at one target.
+type trial struct {
+	lost  StageLost
+	phase phase
+	since time.Time
+	until time.Time
+}
+
+// remoteTrial is a trial of a peer, running or wanted.
+type remoteTrial struct {
+	fingerprint string
+	isRunning   bool
+	until       time.Time
+}
+
 // Isolator is the sub-reducer of crashing requests.
-type Isolator struct{}
+type Isolator struct {
+	waiting   []StageLost
+	trials    map[identifier.TargetID]*trial
+	remote    map[identifier.TargetID]map[identifier.NodeID]remoteTrial
+	suspects  map[string]time.Time
+	convicted map[string]time.Time
+	// freely counts the targets that a request lost while there was none to try it at.
+	freely  map[string]int
+	lostAt  map[identifier.TargetID]time.Time
+	aliveAt map[identifier.TargetID]time.Time
+	targets map[identifier.TargetID]watcher.Target
+	peers   map[identifier.NodeID]heartbeater.Peer
+
+	// repeatAt and repeatUntil say when the newest convictions are told again.
+	repeatAt, repeatUntil time.Time
+	notice                Notice
+}
 
 // NewIsolator returns an isolator that suspects no request.
-func NewIsolator() *Isolator { return &Isolator{} }
+func NewIsolator() *Isolator {
+	return &Isolator{
+		trials:    map[identifier.TargetID]*trial{},
+		remote:    map[identifier.TargetID]map[identifier.NodeID]remoteTrial{},
+		suspects:  map[string]time.Time{},
+		convicted: map[string]time.Time{},
+		freely:    map[string]int{},
+		lostAt:    map[identifier.TargetID]time.Time{},
+		aliveAt:   map[identifier.TargetID]time.Time{},
+		targets:   map[identifier.TargetID]watcher.Target{},
+		peers:     map[identifier.NodeID]heartbeater.Peer{},
+	}
+}
 
 // Apply takes one event and returns what to do.
-func (i *Isolator) Apply(_ time.Time, event messenger.Event) []messenger.Effect {
-	if ev, ok := event.(StageLost); ok {
-		return []messenger.Effect{Route{Event: Ruling{Draft: ev.Draft, Kind: RunFreely}}}
+func (i *Isolator) Apply(now time.Time, event messenger.Event) []messenger.Effect {
+	effects := i.decide(now, event)
+	effects = append(effects, i.schedule(now)...)
+	effects = append(effects, i.begin(now)...)
+	return append(effects, i.tell()...)
+}
+
+func (i *Isolator) decide(now time.Time, event messenger.Event) []messenger.Effect {
+	switch ev := event.(type) {
+	case StageLost:
+		return i.lost(now, ev)
+	case StagePassed:
+		return i.passed(now, ev)
+	case Heard:
+		return i.heard(now, ev.Notice)
+	case watcher.StatusRead:
+		i.probed(now, ev.Status.Target)
+	case watcher.StatusFailed:
+		i.probeFailed(now, ev.Target)
+	case watcher.TargetsChanged:
+		clear(i.targets)
+		for _, t := range ev.Targets {
+			i.targets[t.ID] = t
+		}
+	case heartbeater.PeersChanged:
+		return i.peersChanged(ev)
+	case messenger.Tick:
+		return i.tick(now)
 	}
 	return nil
 }
+
+// lost takes a draft whose target died. The death under a trial of it convicts it, after peers could speak.
+func (i *Isolator) lost(now time.Time, ev StageLost) []messenger.Effect {
+	i.targetLost(now, ev.Target)
+	if _, ok := i.convicted[ev.Fingerprint]; ok {
+		return []messenger.Effect{rule(ev, Refuse, "")}
+	}
+	effects := i.suspect(now, ev.Fingerprint)
+	effects = append(effects, log(eventlogger.RequestSuspected, ev.Draft, "target", ev.Target, "ruled", ev.Ruled, "candidates", len(ev.Candidates)))
+	t, ok := i.trials[ev.Target]
+	if ok && ev.Ruled && t.phase == running && t.lost.Draft == ev.Draft {
+		t.lost, t.phase, t.until = ev, judging, now.Add(judgeAfter)
+		return effects
+	}
+	i.waiting = append(i.waiting, ev)
+	return effects
+}
+
+// targetLost takes a target out of the choice; a trial that had not begun there goes elsewhere.
+func (i *Isolator) targetLost(now time.Time, target identifier.TargetID) {
+	i.lostAt[target] = now
+	delete(i.aliveAt, target)
+	if t, ok := i.trials[target]; ok && t.phase < running {
+		delete(i.trials, target)
+		i.waiting = append([]StageLost{t.lost}, i.waiting...)
+	}
+}
+
+func (i *Isolator) suspect(now time.Time, fingerprint string) []messenger.Effect {
+	_, known := i.suspects[fingerprint]
+	i.suspects[fingerprint] = now.Add(suspectFor)
+	if known {
+		return nil
+	}
+	i.notice.Suspected = append(i.notice.Suspected, fingerprint)
+	return []messenger.Effect{i.broadcastSuspects()}
+}
+
+// passed clears a suspect; others with the same body go on freely.
+func (i *Isolator) passed(now time.Time, ev StagePassed) []messenger.Effect {
+	i.aliveAt[ev.Target] = now
+	if t, ok := i.trials[ev.Target]; ok && t.lost.Draft == ev.Draft {
+		delete(i.trials, ev.Target)
+	}
+	i.dropWanted(ev.Fingerprint)
+	i.notice.Cleared = append(i.notice.Cleared, ev.Fingerprint)
+	effects := []messenger.Effect{log(eventlogger.RequestCleared, ev.Draft, "target", ev.Target)}
+	return append(effects, i.clear(ev.Fingerprint)...)
+}
+
+func (i *Isolator) clear(fingerprint string) []messenger.Effect {
+	delete(i.suspects, fingerprint)
+	delete(i.freely, fingerprint)
+	effects := []messenger.Effect{i.broadcastSuspects()}
+	return append(effects, i.ruleWaiting(fingerprint, RunFreely)...)
+}
+
+// judge convicts the suspect under which its target died, unless a peer tried another
+// there at the same time: then either may be innocent, and both are tried again.
+func (i *Isolator) judge(now time.Time, target identifier.TargetID, t *trial) []messenger.Effect {
+	delete(i.trials, target)
+	for _, r := range i.remote[target] {
+		if r.isRunning && r.fingerprint != t.lost.Fingerprint {
+			i.waiting = append(i.waiting, t.lost)
+			return []messenger.Effect{log(eventlogger.TrialVoid, t.lost.Draft, "target", target)}
+		}
+	}
+	effects := []messenger.Effect{log(eventlogger.RequestConvicted, t.lost.Draft, "target", target), rule(t.lost, Refuse, "")}
+	i.notice.Convicted = append(i.notice.Convicted, t.lost.Fingerprint)
+	i.repeatAt, i.repeatUntil = now.Add(repeatEvery), now.Add(repeatFor)
+	return append(effects, i.convict(now, t.lost.Fingerprint)...)
+}
+
+func (i *Isolator) convict(now time.Time, fingerprint string) []messenger.Effect {
+	if _, ok := i.convicted[fingerprint]; !ok && len(i.convicted) >= convictedLimit {
+		i.forgetOldest()
+	}
+	i.convicted[fingerprint] = now.Add(convictedFor)
+	i.dropWanted(fingerprint)
+	delete(i.suspects, fingerprint)
+	delete(i.freely, fingerprint)
+	effects := []messenger.Effect{messenger.Broadcast{Event: Convicted{Fingerprints: keys(i.convicted)}}, i.broadcastSuspects()}
+	return append(effects, i.ruleWaiting(fingerprint, Refuse)...)
+}
+
+func (i *Isolator) forgetOldest() {
+	oldest := ""
+	for _, f := range keys(i.convicted) {
+		if oldest == "" || i.convicted[f].Before(i.convicted[oldest]) {
+			oldest = f
+		}
+	}
+	delete(i.convicted, oldest)
+}
+
+// dropWanted puts the drafts of trials that have not begun back to those that wait.
+func (i *Isolator) dropWanted(fingerprint string) {
+	for _, target := range keys(i.trials) {
+		if t := i.trials[target]; t.lost.Fingerprint == fingerprint && t.phase < running {
+			delete(i.trials, target)
+			i.waiting = append(i.waiting, t.lost)
+		}
+	}
+}
+
+// ruleWaiting ends the wait of every draft with the fingerprint.
+func (i *Isolator) ruleWaiting(fingerprint string, kind RulingKind) []messenger.Effect {
+	var effects []messenger.Effect
+	var rest []StageLost
+	for _, l := range i.waiting {
+		if l.Fingerprint != fingerprint {
+			rest = append(rest, l)
+			continue
+		}
+		effects = append(effects, rule(l, kind, ""))
+	}
+	i.waiting = rest
+	return effects
+}
+
+// schedule begins a trial for each waiting draft for which there is a target free of suspects.
+func (i *Isolator) schedule(now time.Time) []messenger.Effect {
+	var effects []messenger.Effect
+	var rest []StageLost
+	waiting := i.waiting
+	i.waiting = nil
+	for _, l := range waiting {
+		target, isBusy := i.choose(now, l)
+		switch {
+		case i.isTried(now, l.Fingerprint) || isBusy:
+			rest = append(rest, l)
+		case target == "":
+			effects = append(effects, i.runFreely(now, l)...)
+		default:
+			effects = append(effects, i.try(now, l, target)...)
+		}
+	}
+	i.waiting = append(i.waiting, rest...)
+	return effects
+}
+
+// isTried reports whether a request with the same body is on trial, or about to be, here or at a peer.
+func (i *Isolator) isTried(now time.Time, fingerprint string) bool {
+	for _, t := range i.trials {
+		if t.lost.Fingerprint == fingerprint {
+			return true
+		}
+	}
+	for _, trials := range i.remote {
+		for _, r := range trials {
+			if r.fingerprint == fingerprint && r.until.After(now) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// choose returns the target at which to try the draft: of those alive and without a
+// trial of this node, one that no peer wants if there is any, and of these the one that
+// rendezvous hashing gives its fingerprint, the same at every node. It returns none,
+// and true, while this node tries others at all that are alive.
+func (i *Isolator) choose(now time.Time, l StageLost) (identifier.TargetID, bool) {
+	var best identifier.TargetID
+	var most uint64
+	isBusy, bestIsWanted := false, true
+	for _, t := range l.Candidates {
+		if i.isDead(now, t) {
+			continue
+		}
+		if i.trials[t] != nil {
+			isBusy = true
+			continue
+		}
+		isWanted := len(i.remote[t]) > 0
+		weight := rank(l.Fingerprint, t)
+		if best == "" || (bestIsWanted && !isWanted) || (bestIsWanted == isWanted && weight > most) {
+			best, most, bestIsWanted = t, weight, isWanted
+		}
+	}
+	return best, best == "" && isBusy
+}
+
+func rank(fingerprint string, t identifier.TargetID) uint64 {
+	return xxhash.Sum64String(fingerprint + "\x00" + string(t))
+}
+
+func (i *Isolator) isDead(now time.Time, t identifier.TargetID) bool {
+	at, ok := i.lostAt[t]
+	return ok && now.Sub(at) < lostFor && !i.aliveAt[t].After(at)
+}
+
+// isTurn reports whether no peer runs a suspect at the target, nor wants to run one of
+// a lower rank, and no peer tries a request with the same body elsewhere. Two nodes that don't hear each other may both think so; see judge.
+func (i *Isolator) isTurn(now time.Time, t *trial, target identifier.TargetID) bool {
+	if now.Sub(t.since) < settleAfter {
+		return false
+	}
+	for at, trials := range i.remote {
+		for _, r := range trials {
+			if r.until.After(now) && r.precedes(at, t, target) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// precedes reports whether a peer's trial at a target comes before ours at another or the same.
+func (r remoteTrial) precedes(at identifier.TargetID, t *trial, target identifier.TargetID) bool {
+	ours := t.lost.Fingerprint
+	switch {
+	case r.fingerprint == ours && at != target:
+		return r.isRunning || rank(ours, at) < rank(ours, target)
+	case r.fingerprint != ours && at == target:
+		return r.isRunning || rank(r.fingerprint, target) < rank(ours, target)
+	}
+	return false
+}
+
+// runFreely lets a draft go on for which there is no target to try it at; one that goes
+// on losing targets that way is convicted.
+func (i *Isolator) runFreely(now time.Time, l StageLost) []messenger.Effect {
+	i.freely[l.Fingerprint]++
+	if i.freely[l.Fingerprint] < freeLimit {
+		return []messenger.Effect{rule(l, RunFreely, "")}
+	}
+	i.notice.Convicted = append(i.notice.Convicted, l.Fingerprint)
+	effects := []messenger.Effect{log(eventlogger.RequestConvicted, l.Draft, "target", l.Target), rule(l, Refuse, "")}
+	return append(effects, i.convict(now, l.Fingerprint)...)
+}
+
+// try wants a trial; it begins when the target showed a sign of life and peers leave it to this suspect.
+func (i *Isolator) try(now time.Time, l StageLost, target identifier.TargetID) []messenger.Effect {
+	t := &trial{lost: l, since: now, until: now.Add(trialLimit)}
+	i.trials[target] = t
+	i.notice.Wanted = append(i.notice.Wanted, Trial{Fingerprint: l.Fingerprint, Target: target})
+	return i.probe(now, t, target)
+}
+
+func (i *Isolator) probe(now time.Time, t *trial, target identifier.TargetID) []messenger.Effect {
+	known, ok := i.targets[target]
+	if !ok || now.Sub(i.aliveAt[target]) < aliveFor {
+		t.phase = queued
+		return nil
+	}
+	t.phase = probing
+	return []messenger.Effect{watcher.ReadStatus{Target: target, Address: known.Address}}
+}
+
+// begin begins the trials whose turn it is.
+func (i *Isolator) begin(now time.Time) []messenger.Effect {
+	var effects []messenger.Effect
+	for _, target := range keys(i.trials) {
+		t := i.trials[target]
+		if t.phase != queued || !i.isTurn(now, t, target) {
+			continue
+		}
+		if effects = append(effects, i.probe(now, t, target)...); t.phase == queued {
+			effects = append(effects, i.run(now, t, target)...)
+		}
+	}
+	return effects
+}
+
+func (i *Isolator) run(now time.Time, t *trial, target identifier.TargetID) []messenger.Effect {
+	t.phase, t.until = running, now.Add(trialLimit)
+	i.notice.Trials = append(i.notice.Trials, Trial{Fingerprint: t.lost.Fingerprint, Target: target})
+	return []messenger.Effect{log(eventlogger.TrialStarted, t.lost.Draft, "target", target), rule(t.lost, RunAlone, target)}
+}
+
+func (i *Isolator) probed(now time.Time, target identifier.TargetID) {
+	i.aliveAt[target] = now
+	if t, ok := i.trials[target]; ok && t.phase == probing {
+		t.phase = queued
+	}
+}
+
+// probeFailed takes a target out of the choice; its death says nothing of the draft that was to be tried there.
+func (i *Isolator) probeFailed(now time.Time, target identifier.TargetID) {
+	if t, ok := i.trials[target]; !ok || t.phase != probing {
+		return
+	}
+	i.targetLost(now, target)
+}
+
+func (i *Isolator) tick(now time.Time) []messenger.Effect {
+	var effects []messenger.Effect
+	for _, target := range keys(i.trials) {
+		t := i.trials[target]
+		if t.until.After(now) {
+			continue
+		}
+		if t.phase == judging {
+			effects = append(effects, i.judge(now, target, t)...)
+			continue
+		}
+		delete(i.trials, target)
+		if t.phase != running {
+			i.waiting = append(i.waiting, t.lost)
+		}
+	}
+	for _, l := range i.waiting {
+		i.suspects[l.Fingerprint] = now.Add(suspectFor)
+	}
+	effects = append(effects, i.forget(now)...)
+	if !i.repeatAt.IsZero() && !i.repeatAt.After(now) {
+		i.repeatAt = now.Add(repeatEvery)
+		i.notice.Convicted = keys(i.convicted)
+		if !i.repeatUntil.After(now) {
+			i.repeatAt = time.Time{}
+		}
+	}
+	return effects
+}
+
+// forget drops what is too old to matter.
+func (i *Isolator) forget(now time.Time) []messenger.Effect {
+	var effects []messenger.Effect
+	if dropOld(i.suspects, now) {
+		effects = append(effects, i.broadcastSuspects())
+	}
+	if dropOld(i.convicted, now) {
+		effects = append(effects, messenger.Broadcast{Event: Convicted{Fingerprints: keys(i.convicted)}})
+	}
+	dropOld(i.lostAt, now.Add(-lostFor))
+	dropOld(i.aliveAt, now.Add(-lostFor))
+	for target, trials := range i.remote {
+		for node, r := range trials {
+			if !r.until.After(now) {
+				delete(trials, node)
+			}
+		}
+		if len(trials) == 0 {
+			delete(i.remote, target)
+		}
+	}
+	return effects
+}
+
+func (i *Isolator) broadcastSuspects() messenger.Effect {
+	return messenger.Broadcast{Event: Suspected{Fingerprints: keys(i.suspects)}}
+}
+
+// keys returns a map's keys in order.
+func keys[K ~string, V any](m map[K]V) []K {
+	found := make([]K, 0, len(m))
+	for k := range m {
+		found = append(found, k)
+	}
+	sort.Slice(found, func(a, b int) bool { return found[a] < found[b] })
+	return found
+}
+
+// dropOld removes the instants that have passed and reports whether there were any.
+func dropOld[K comparable](m map[K]time.Time, now time.Time) bool {
+	n := len(m)
+	for k, until := range m {
+		if !until.After(now) {
+			delete(m, k)
+		}
+	}
+	return len(m) < n
+}
+
+func rule(l StageLost, kind RulingKind, target identifier.TargetID) messenger.Effect {
+	return Route{Event: Ruling{Draft: l.Draft, Kind: kind, Target: target}}
+}
+
+func log(event eventlogger.Event, draft identifier.DraftID, values ...any) messenger.Effect {
+	return messenger.Log{Event: event, Subject: "request/" + string(draft), Values: values}
+}
--- a/entry/internal/isolator/messages.go
+++ b/entry/internal/isolator/messages.go
@@ -50,3 +50,32 @@
 
 // Convicted brings, to the admission of every node, the fingerprints that are refused.
 type Convicted struct{ Fingerprints []string }
+
+// Suspected brings, to the admission of this node, the fingerprints that wait for a verdict.
+type Suspected struct{ Fingerprints []string }
+
+// Trial is the run of a suspect alone at a target.
+type Trial struct {
+	Fingerprint string              `json:"fingerprint"`
+	Target      identifier.TargetID `json:"target"`
+}
+
+// Notice is what nodes tell each other of suspects. It may come twice or out of order.
+type Notice struct {
+	Node      identifier.NodeID `json:"node"`
+	Suspected []string          `json:"suspected,omitempty"`
+	// Wanted holds the trials that the node would begin when it is their turn.
+	Wanted    []Trial  `json:"wanted,omitempty"`
+	Trials    []Trial  `json:"trials,omitempty"`
+	Cleared   []string `json:"cleared,omitempty"`
+	Convicted []string `json:"convicted,omitempty"`
+}
+
+// Heard brings a peer's notice.
+type Heard struct{ Notice Notice }
+
+// TellPeers is the effect of one notice to each address; the shell sets its node.
+type TellPeers struct {
+	Addresses []string
+	Notice    Notice
+}
--- a/entry/internal/server/drafts.go
+++ b/entry/internal/server/drafts.go
@@ -13,9 +13,9 @@
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/common/responder"
-	"fuchsiabridge.example/entry/internal/admitter"
 	"fuchsiabridge.example/entry/internal/counter"
 	"fuchsiabridge.example/entry/internal/drafter"
+	"fuchsiabridge.example/entry/internal/gatekeeper"
 	"fuchsiabridge.example/entry/internal/tracer"
 )
 
@@ -87,7 +87,7 @@
 	arrived.Traceparent = traceparent
 	call, answers := s.node.Call(body.MaxTokens+2, func(id identifier.CallID) messenger.Event {
 		arrived.Call = id
-		return admitter.Requested{Arrived: arrived}
+		return gatekeeper.Requested{Arrived: arrived}
 	})
 	w := &draftWriter{server: s, request: r, arrived: arrived, call: call, answers: answers, end: end}
 	if body.Stream {
