Remember keys for a window beyond the log's; hedge silent lookups

Cause: the log forgets claims after some minutes, so that a node started later knew nothing of them and could run a key again. A lookup gave up after three attempts of half a second, whatever its deadline, and each attempt could take a silent pooled connection.

Change: the state of each key is appended again before the log drops it, in rounds that one node leads; a round's end says up to which offset it carried everything. A node that missed a part of the log claims nothing until a round has told it. A key is remembered for an hour from its claim, by the claim's own instant, so that every node decides alike; past that it is a new key. Keys and their answers are bounded. A lookup that is silent for 0.4 s gets a second attempt at another target on a new connection; a tenth of the calls may be hedged. Calls that never were sent end not_run.

--- a/common/eventlogger/records.go
+++ b/common/eventlogger/records.go
@@ -8,6 +8,7 @@
 	RecordClaimSent = Event{3003, "record claim sent"}
 	RecordReleased  = Event{3004, "record claim released"}
 	RecordJoined    = Event{3005, "record waits for the key's claim"}
+	RecordsCarried  = Event{3006, "records carried forward in the log"}
 )
 
 func recordsEvents() []Event {
@@ -17,5 +18,6 @@
 		RecordClaimSent,
 		RecordReleased,
 		RecordJoined,
+		RecordsCarried,
 	}
 }
--- /dev/null
+++ b/common/httpcaller/httpcaller_test.go
@@ -0,0 +1,119 @@
+package httpcaller_test
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	qt "github.com/frankban/quicktest"
+
+	"fuchsiabridge.example/common/httpcaller"
+)
+
+// server accepts connections, answers the first request of each when asked to, and then closes it.
+type server struct {
+	address  string
+	conns    atomic.Int64
+	requests atomic.Int64
+}
+
+func newServer(t *testing.T, answers bool) *server {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	s := &server{address: l.Addr().String()}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.conns.Add(1)
+			go s.serve(conn, answers)
+		}
+	}()
+	return s
+}
+
+func (s *server) serve(conn net.Conn, answers bool) {
+	defer func() { _ = conn.Close() }()
+	buf := make([]byte, 4096)
+	for {
+		if _, err := conn.Read(buf); err != nil {
+			return
+		}
+		s.requests.Add(1)
+		if !answers {
+			return
+		}
+		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+	}
+}
+
+// TestNothingIsSentTwice closes the connection after the request, without an answer:
+// no method is sent again, on a pooled connection or a fresh one.
+func TestNothingIsSentTwice(t *testing.T) {
+	for _, method := range []string{"GET", "HEAD", "PUT", "DELETE", "POST"} {
+		for _, fresh := range []bool{false, true} {
+			t.Run(method, func(t *testing.T) {
+				c := qt.New(t)
+				s := newServer(t, false)
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				defer cancel()
+				_, err := httpcaller.NewCaller().Do(ctx, httpcaller.Request{Method: method, URL: "http://" + s.address + "/x", Fresh: fresh})
+				c.Assert(err, qt.IsNotNil)
+				c.Assert(errors.Is(err, httpcaller.ErrNotSent), qt.IsFalse)
+				time.Sleep(50 * time.Millisecond)
+				c.Assert(s.requests.Load(), qt.Equals, int64(1))
+			})
+		}
+	}
+}
+
+// TestFreshCallsShareNoConnection makes calls in turn: pooled ones share one connection, fresh ones none.
+func TestFreshCallsShareNoConnection(t *testing.T) {
+	c := qt.New(t)
+	caller := httpcaller.NewCaller()
+	s := newServer(t, true)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	for range 3 {
+		_, err := caller.Do(ctx, httpcaller.Request{Method: "POST", URL: "http://" + s.address + "/x"})
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(s.conns.Load(), qt.Equals, int64(1))
+	for _, ctx := range []context.Context{ctx, httpcaller.WithFresh(ctx)} {
+		_, err := caller.Do(ctx, httpcaller.Request{Method: "POST", URL: "http://" + s.address + "/x", Fresh: true})
+		c.Assert(err, qt.IsNil)
+	}
+	_, err := caller.Do(httpcaller.WithFresh(ctx), httpcaller.Request{Method: "POST", URL: "http://" + s.address + "/x"})
+	c.Assert(err, qt.IsNil)
+	c.Assert(s.conns.Load(), qt.Equals, int64(4))
+}
+
+// TestNotSent dials where nothing listens, and calls after the deadline: neither can have been sent.
+func TestNotSent(t *testing.T) {
+	c := qt.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	address := l.Addr().String()
+	c.Assert(l.Close(), qt.IsNil)
+	for _, fresh := range []bool{false, true} {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		_, err := httpcaller.NewCaller().Do(ctx, httpcaller.Request{Method: "POST", URL: "http://" + address + "/x", Fresh: fresh})
+		cancel()
+		c.Assert(errors.Is(err, httpcaller.ErrNotSent), qt.IsTrue)
+	}
+	s := newServer(t, true)
+	past, cancel := context.WithDeadline(context.Background(), time.Now().Add(-time.Second))
+	defer cancel()
+	_, err = httpcaller.NewCaller().Do(past, httpcaller.Request{Method: "POST", URL: "http://" + s.address + "/x", Fresh: true})
+	c.Assert(errors.Is(err, httpcaller.ErrNotSent), qt.IsTrue)
+	c.Assert(s.conns.Load(), qt.Equals, int64(0))
+}
--- a/entry/internal/executor/records.go
+++ b/entry/internal/executor/records.go
@@ -26,7 +26,7 @@
 			x.start(x.controlPool, func() { x.tellPeer(address, e.Notice) }, nil)
 		}
 	case retrier.CallService:
-		x.start(x.servicePool, func() { x.callIdempotent(e) }, retrier.Failed{Call: e.Call, Target: e.Target})
+		x.start(x.servicePool, func() { x.callIdempotent(e) }, retrier.Failed{Call: e.Call, Target: e.Target, NotSent: true})
 	default:
 		return false
 	}
@@ -62,9 +62,9 @@
 }
 
 func (x *Executor) callIdempotent(e retrier.CallService) {
-	answer, err := x.call(e.CallService, false)
+	answer, err := x.call(e.CallService, e.Fresh)
 	if err != nil {
-		x.Submit(retrier.Failed{Call: e.Call, Target: e.Target})
+		x.Submit(retrier.Failed{Call: e.Call, Target: e.Target, NotSent: errors.Is(err, httpcaller.ErrNotSent)})
 		return
 	}
 	x.Submit(retrier.Answered{Call: e.Call, ServiceAnswered: answer})
--- a/entry/internal/isolator/isolator.go
+++ b/entry/internal/isolator/isolator.go
@@ -27,6 +27,8 @@
 	aliveFor = 20 * time.Millisecond
 	// settleAfter is how long peers have to say that they want a target too.
 	settleAfter = 15 * time.Millisecond
+	// voidPause is how long the second of two suspects waits after their target died.
+	voidPause = 300 * time.Millisecond
 	// lostFor is how long a target that died is tried no more, unless it was heard since.
 	lostFor = 10 * time.Second
 	// freeLimit is how many targets a request may lose while there was none to try it at alone.
@@ -68,9 +70,11 @@
 
 // Isolator is the sub-reducer of crashing requests.
 type Isolator struct {
-	waiting   []StageLost
-	trials    map[identifier.TargetID]*trial
-	remote    map[identifier.TargetID]map[identifier.NodeID]remoteTrial
+	waiting []StageLost
+	trials  map[identifier.TargetID]*trial
+	remote  map[identifier.TargetID]map[identifier.NodeID]remoteTrial
+	// notBefore holds the instants before which drafts are not tried.
+	notBefore map[identifier.DraftID]time.Time
 	suspects  map[string]time.Time
 	convicted map[string]time.Time
 	// freely counts the targets that a request lost while there was none to try it at.
@@ -90,6 +94,7 @@
 	return &Isolator{
 		trials:    map[identifier.TargetID]*trial{},
 		remote:    map[identifier.TargetID]map[identifier.NodeID]remoteTrial{},
+		notBefore: map[identifier.DraftID]time.Time{},
 		suspects:  map[string]time.Time{},
 		convicted: map[string]time.Time{},
 		freely:    map[string]int{},
@@ -195,6 +200,10 @@
 	delete(i.trials, target)
 	for _, r := range i.remote[target] {
 		if r.isRunning && r.fingerprint != t.lost.Fingerprint {
+			// One of the two goes first, however slow their nodes hear each other.
+			if r.fingerprint < t.lost.Fingerprint {
+				i.notBefore[t.lost.Draft] = now.Add(voidPause)
+			}
 			i.waiting = append(i.waiting, t.lost)
 			return []messenger.Effect{log(eventlogger.TrialVoid, t.lost.Draft, "target", target)}
 		}
@@ -261,7 +270,7 @@
 	for _, l := range waiting {
 		target, isBusy := i.choose(now, l)
 		switch {
-		case i.isTried(now, l.Fingerprint) || isBusy:
+		case i.isTried(now, l.Fingerprint) || isBusy || i.notBefore[l.Draft].After(now):
 			rest = append(rest, l)
 		case target == "":
 			effects = append(effects, i.runFreely(now, l)...)
@@ -457,6 +466,7 @@
 	if dropOld(i.convicted, now) {
 		effects = append(effects, messenger.Broadcast{Event: Convicted{Fingerprints: keys(i.convicted)}})
 	}
+	dropOld(i.notBefore, now)
 	dropOld(i.lostAt, now.Add(-lostFor))
 	dropOld(i.aliveAt, now.Add(-lostFor))
 	for target, trials := range i.remote {
--- a/entry/internal/isolator/isolator_test.go
+++ b/entry/internal/isolator/isolator_test.go
@@ -293,13 +293,13 @@
 // did not hear each other in time: neither is convicted by that death.
 func TestSuspectsOfTwoNodesAtOneTarget(t *testing.T) {
 	c := qt.New(t)
-	w := newWorld(3, func() time.Duration { return 2 * stepTime })
-	guilty, innocent := w.add(1, crashing, "t0"), w.add(0, "studio/a", "t0")
+	w := newWorld(4, func() time.Duration { return 2 * stepTime })
+	guilty, innocent := w.add(0, crashing, "t0"), w.add(1, "studio/a", "t0")
 	w.kill("t0")
-	// Both are tried at the same target, as t2 is believed dead.
-	w.alive["t2"] = false
-	w.pass(30 * time.Millisecond)
-	w.alive["t2"] = true
+	// Both are tried at t1, as the others are down for a while.
+	w.alive["t2"], w.alive["t3"] = false, false
+	w.pass(70 * time.Millisecond)
+	w.alive["t2"], w.alive["t3"] = true, true
 	w.pass(4 * time.Second)
 	c.Assert(innocent.refused, qt.IsFalse)
 	c.Assert(innocent.isDone, qt.IsTrue)
--- a/entry/internal/recorder/appender.go
+++ b/entry/internal/recorder/appender.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"fuchsiabridge.example/common/eventlogger"
+	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/common/platformcaller"
 	"fuchsiabridge.example/entry/internal/committer"
@@ -28,6 +29,11 @@
 	fingerprint string
 	ended       bool
 	end         Entry
+	// at is when the key was claimed, in milliseconds since the Unix epoch.
+	at int64
+	// seen and offset are when and where the newest record of the key was seen.
+	seen   time.Time
+	offset identifier.Offset
 }
 
 // unseen is a record that must get into the log; appending it twice is harmless.
@@ -49,55 +55,71 @@
 	switch e.Kind {
 	case EntryClaim:
 		e.Claim = record.ID
-		return r.claimSeen(now, e)
+		return r.claimSeen(now, e, record.Offset)
 	case EntryRelease:
-		return r.releaseSeen(e)
+		return r.releaseSeen(now, e)
 	case EntryOutcome:
-		return r.outcomeSeen(e)
+		return r.outcomeSeen(now, e, record.Offset)
+	case EntryCarry:
+		effects := r.carrySeen(now, e, record.Offset)
+		delete(r.carry.open, record.ID)
+		return append(effects, r.endRound(now)...)
+	case EntryRound:
+		r.roundSeen(e)
 	}
 	return nil
 }
 
-// claimSeen lets the first claim in log order win.
-func (r *Recorder) claimSeen(now time.Time, e Entry) []messenger.Effect {
-	if r.holds[e.Key] != nil {
+// claimSeen lets the first claim in log order win, or the first after the window of the last.
+func (r *Recorder) claimSeen(now time.Time, e Entry, offset identifier.Offset) []messenger.Effect {
+	if h := r.holds[e.Key]; h != nil && !r.isExpired(h, e.At) {
 		return nil
 	}
-	r.holds[e.Key] = &hold{owner: e.Owner, claim: e.Claim, fingerprint: e.Fingerprint}
+	r.hold(e.Key, &hold{owner: e.Owner, claim: e.Claim, fingerprint: e.Fingerprint, at: e.At, seen: now, offset: offset})
 	return r.claimed(now, e)
 }
 
-func (r *Recorder) releaseSeen(e Entry) []messenger.Effect {
+func (r *Recorder) releaseSeen(now time.Time, e Entry) []messenger.Effect {
 	h := r.holds[e.Key]
 	if h == nil || h.ended || h.claim != e.Claim {
 		return nil
 	}
-	delete(r.holds, e.Key)
-	return r.released(e.Key)
+	r.drop(e.Key)
+	return r.released(now, e.Key)
 }
 
-func (r *Recorder) outcomeSeen(e Entry) []messenger.Effect {
+// outcomeSeen ends a key. A node that missed its claim takes the outcome's word: only
+// a claim that won has one.
+func (r *Recorder) outcomeSeen(now time.Time, e Entry, offset identifier.Offset) []messenger.Effect {
 	h := r.holds[e.Key]
-	if h == nil || h.ended || h.claim != e.Claim {
+	if h == nil {
+		h = &hold{owner: e.Owner, claim: e.Claim, fingerprint: e.Fingerprint, at: e.At}
+		r.hold(e.Key, h)
+	}
+	if h.claim != e.Claim {
+		return nil
+	}
+	h.seen, h.offset = now, offset
+	if h.ended {
 		return nil
 	}
-	h.ended, h.end = true, e
+	r.conclusion(h, e)
 	return r.ended(e)
 }
 
 // claim appends the work's one claim. A work that waited for another's claim keeps the
 // id of its own, which lost.
-func (r *Recorder) claim(w *work) []messenger.Effect {
+func (r *Recorder) claim(now time.Time, w *work) []messenger.Effect {
 	if w.claim == "" {
 		w.claim = r.nextID()
 	}
 	r.claims[w.claim] = w.request.Key
 	w.lost = 0
-	return r.appendClaim(w)
+	return r.appendClaim(now, w)
 }
 
-func (r *Recorder) appendClaim(w *work) []messenger.Effect {
-	e := Entry{Kind: EntryClaim, Key: w.request.Key, Fingerprint: w.request.Fingerprint, Owner: r.self}
+func (r *Recorder) appendClaim(now time.Time, w *work) []messenger.Effect {
+	e := Entry{Kind: EntryClaim, Key: w.request.Key, Fingerprint: w.request.Fingerprint, Owner: r.self, At: now.UnixMilli()}
 	effects := appendRecord(newRecord(w.claim, e), w.request.Deadline)
 	return append(effects, log(eventlogger.RecordClaimSent, e.Key, "claim", w.claim, "lost", w.lost))
 }
@@ -154,6 +176,10 @@
 
 func (r *Recorder) nextID() string {
 	r.appended++
+	return r.lastID()
+}
+
+func (r *Recorder) lastID() string {
 	return fmt.Sprintf("%s-%d-%d", r.self.Node, r.self.Incarnation, r.appended)
 }
 
--- a/entry/internal/recorder/messages.go
+++ b/entry/internal/recorder/messages.go
@@ -78,6 +78,10 @@
 	EntryRelease EntryKind = "release"
 	// EntryOutcome holds what came of the dispatch.
 	EntryOutcome EntryKind = "outcome"
+	// EntryCarry tells a key's state again, before the log forgets it.
+	EntryCarry EntryKind = "carry"
+	// EntryRound ends a round of such records.
+	EntryRound EntryKind = "round"
 )
 
 // Owner names one incarnation of a node.
@@ -91,13 +95,19 @@
 	Kind EntryKind            `json:"kind"`
 	Key  identifier.RecordKey `json:"key"`
 	// Claim is the id of the claim's log record that a release or an outcome is about.
-	Claim       string            `json:"claim,omitempty"`
-	Fingerprint string            `json:"fingerprint,omitempty"`
-	Owner       Owner             `json:"owner"`
+	Claim       string `json:"claim,omitempty"`
+	Fingerprint string `json:"fingerprint,omitempty"`
+	Owner       Owner  `json:"owner"`
+	// At is when the key was claimed, by its owner's clock, in milliseconds since the Unix epoch.
+	At          int64             `json:"at_unix_ms,omitempty"`
 	Outcome     responder.Outcome `json:"outcome,omitempty"`
 	Status      int               `json:"status,omitempty"`
 	Body        []byte            `json:"body,omitempty"`
 	ContentType string            `json:"content_type,omitempty"`
 	// Truncated says that the answer was too long to be kept.
 	Truncated bool `json:"truncated,omitempty"`
+	// From and Low say of a round that each key whose newest record lay below the offset
+	// Low was told again at an offset of at least From.
+	From identifier.Offset `json:"from,omitempty"`
+	Low  identifier.Offset `json:"low,omitempty"`
 }
--- a/entry/internal/recorder/recorder.go
+++ b/entry/internal/recorder/recorder.go
@@ -47,11 +47,16 @@
 type flight struct {
 	claim       string
 	fingerprint string
+	at          int64
 }
 
 // Recorder is the sub-reducer of requests that must not be repeated.
 type Recorder struct {
-	self    Owner
+	self  Owner
+	cfg   Config
+	carry carrier
+	// bodies counts the bytes of the answers that are remembered.
+	bodies  int
 	holds   map[identifier.RecordKey]*hold
 	works   map[identifier.RecordKey]*work
 	claims  map[string]identifier.RecordKey
@@ -68,9 +73,13 @@
 }
 
 // NewRecorder returns a recorder for the given incarnation of the node.
-func NewRecorder(self Owner) *Recorder {
+func NewRecorder(self Owner) *Recorder { return NewRecorderWith(self, DefaultConfig()) }
+
+// NewRecorderWith is NewRecorder with a configuration.
+func NewRecorderWith(self Owner, cfg Config) *Recorder {
 	return &Recorder{
 		self:    self,
+		cfg:     cfg,
 		holds:   map[identifier.RecordKey]*hold{},
 		works:   map[identifier.RecordKey]*work{},
 		claims:  map[string]identifier.RecordKey{},
@@ -87,7 +96,10 @@
 		return r.requested(now, ev)
 	case tailer.RecordSeen:
 		return r.seen(now, ev.Record)
-	case tailer.LogRead, committer.Appended:
+	case tailer.LogRead:
+		r.downSince = time.Time{}
+		r.pageRead(ev.Page)
+	case committer.Appended:
 		r.downSince = time.Time{}
 	case tailer.ReadFailed:
 		r.readFailed(now)
@@ -108,6 +120,9 @@
 }
 
 func (r *Recorder) requested(now time.Time, ev Requested) []messenger.Effect {
+	if h := r.holds[ev.Key]; h != nil && r.isExpired(h, now.Add(-clockSkew).UnixMilli()) {
+		r.drop(ev.Key)
+	}
 	h := r.holds[ev.Key]
 	switch {
 	case h != nil && h.fingerprint != ev.Fingerprint:
@@ -124,13 +139,19 @@
 	if ok || h != nil {
 		return r.join(now, ev)
 	}
+	switch {
+	case !r.isWhole():
+		return r.end(ev, notRun(ev, "records_incomplete", "the node does not know yet which keys ran"))
+	case r.isFull():
+		return r.end(ev, notRun(ev, "busy", "the node remembers as many keys as it may"))
+	}
 	if !r.downSince.IsZero() && now.Before(r.probeAt) {
 		return r.end(ev, notRun(ev, "log_unreachable", "the platform's log cannot be reached"))
 	}
 	r.probeAt = now.Add(probePause)
 	w = &work{request: ev, calls: []Requested{ev}, since: now}
 	r.works[ev.Key] = w
-	return r.claim(w)
+	return r.claim(now, w)
 }
 
 // join lets a request wait for what comes of its key.
@@ -157,7 +178,7 @@
 	if r.flights[e.Key].claim == e.Claim {
 		return nil
 	}
-	if !ok || w.claim != e.Claim || !w.request.Deadline.After(now) {
+	if !ok || w.claim != e.Claim || !w.request.Deadline.After(now) || !r.isWhole() {
 		return r.release(now, e)
 	}
 	return r.dispatch(now, w, e)
@@ -181,7 +202,7 @@
 		effects := r.release(now, e)
 		return append(effects, r.finish(w, notRun(w.request, "no_target", "no target of the service is up"))...)
 	}
-	r.flights[e.Key] = flight{claim: e.Claim, fingerprint: e.Fingerprint}
+	r.flights[e.Key] = flight{claim: e.Claim, fingerprint: e.Fingerprint, at: e.At}
 	return []messenger.Effect{
 		log(eventlogger.RecordClaimed, e.Key, "target", target.ID, "claim", e.Claim),
 		CallService{
@@ -207,12 +228,12 @@
 }
 
 // released lets callers that wait at this node claim the key.
-func (r *Recorder) released(id identifier.RecordKey) []messenger.Effect {
+func (r *Recorder) released(now time.Time, id identifier.RecordKey) []messenger.Effect {
 	w, ok := r.works[id]
 	if !ok {
 		return nil
 	}
-	return r.claim(w)
+	return r.claim(now, w)
 }
 
 // ended answers those who wait; a wait with another body got its refusal when the key was claimed.
@@ -270,11 +291,17 @@
 		return nil, false
 	}
 	delete(r.flights, id)
-	e.Kind, e.Key, e.Claim, e.Fingerprint, e.Owner = EntryOutcome, id, f.claim, f.fingerprint, r.self
+	e.Kind, e.Key, e.Claim, e.Fingerprint, e.Owner, e.At = EntryOutcome, id, f.claim, f.fingerprint, r.self, f.at
 	if len(e.Body) > answerLimit {
 		e.Body, e.Truncated = nil, true
 	}
-	r.holds[id] = &hold{owner: r.self, claim: f.claim, fingerprint: f.fingerprint, ended: true, end: e}
+	h := &hold{owner: r.self, claim: f.claim, fingerprint: f.fingerprint, at: f.at, seen: now, offset: r.carry.next}
+	if known, ok := r.holds[id]; ok {
+		// The log's newest word is still the claim, which must be carried forward in time.
+		h.seen, h.offset = known.seen, known.offset
+	}
+	r.hold(id, h)
+	r.conclusion(h, e)
 	return r.appendUntilSeen(now, e), true
 }
 
@@ -307,7 +334,7 @@
 }
 
 func (r *Recorder) tick(now time.Time) []messenger.Effect {
-	effects := r.appendAgain(now)
+	effects := append(r.appendAgain(now), r.carryTick(now)...)
 	wasFrozen := !r.ticked.IsZero() && now.Sub(r.ticked) >= frozenAfter
 	r.ticked = now
 	isDue := func(w *work) bool {
@@ -322,7 +349,7 @@
 		default:
 			w.retryAt = time.Time{}
 			if r.holds[w.request.Key] == nil {
-				effects = append(effects, r.appendClaim(w)...)
+				effects = append(effects, r.appendClaim(now, w)...)
 			}
 		}
 	}
--- a/entry/internal/recorder/recorder_test.go
+++ b/entry/internal/recorder/recorder_test.go
@@ -21,8 +21,11 @@
 )
 
 const (
-	modelNodes   = 3
-	modelTick    = 50 * time.Millisecond
+	modelNodes = 3
+	modelTick  = 50 * time.Millisecond
+	carryAfter = time.Second
+	// kept is how long the model's log keeps a record.
+	kept         = 4 * carryAfter
 	longest      = 2 * time.Second
 	drainedAfter = 4 * longest
 )
@@ -38,7 +41,7 @@
 type modelNode struct {
 	rec     *recorder.Recorder
 	owner   recorder.Owner
-	read    int
+	next    identifier.Offset
 	frozen  bool
 	dead    bool
 	mailbox []messenger.Event
@@ -48,8 +51,11 @@
 
 // model holds several recorders, one log and one service that counts executions.
 type model struct {
-	now     time.Time
+	now time.Time
+	// log holds the records from the offset first on, and written when each was appended.
 	log     []platformcaller.Record
+	written []time.Time
+	first   identifier.Offset
 	delayed []platformcaller.Record
 	nodes   []*modelNode
 	callers []*caller
@@ -70,7 +76,7 @@
 func (m *model) start(n int) *modelNode {
 	m.started++
 	node := &modelNode{owner: recorder.Owner{Node: identifier.NodeID(fmt.Sprint("n", n)), Incarnation: m.started}}
-	node.rec = recorder.NewRecorder(node.owner)
+	node.rec = recorder.NewRecorderWith(node.owner, recorder.Config{Window: time.Hour, CarryAfter: carryAfter})
 	m.give(node, watcher.TargetsChanged{Targets: []watcher.Target{
 		{ID: "s1", Role: platformcaller.RoleService, Service: "ledger", State: watcher.StateUp},
 	}})
@@ -125,10 +131,10 @@
 	lost := committer.Lost{ID: a.Record.ID}
 	switch fate {
 	case "done":
-		m.log = append(m.log, a.Record)
+		m.write(a.Record)
 		m.give(n, committer.Appended{ID: a.Record.ID})
 	case "answer lost":
-		m.log = append(m.log, a.Record)
+		m.write(a.Record)
 		m.give(n, lost)
 	case "dropped":
 		m.give(n, lost)
@@ -162,14 +168,32 @@
 	m.give(n, failed)
 }
 
+func (m *model) write(records ...platformcaller.Record) {
+	for _, r := range records {
+		r.Offset = m.first + identifier.Offset(len(m.log))
+		m.log, m.written = append(m.log, r), append(m.written, m.now)
+	}
+}
+
+// forget drops the records that the log need no longer keep.
+func (m *model) forget() {
+	for len(m.log) > 0 && m.now.Sub(m.written[0]) > kept {
+		m.log, m.written = m.log[1:], m.written[1:]
+		m.first++
+	}
+}
+
 func (m *model) readLog(n *modelNode, most int) {
 	if n.dead || n.frozen {
 		return
 	}
-	m.give(n, tailer.LogRead{})
-	for ; most > 0 && n.read < len(m.log); most-- {
-		n.read++
-		m.give(n, tailer.RecordSeen{Record: m.log[n.read-1]})
+	n.next = max(n.next, m.first)
+	start := int(n.next - m.first)
+	records := m.log[start:min(len(m.log), start+most)]
+	n.next += identifier.Offset(len(records))
+	m.give(n, tailer.LogRead{Page: platformcaller.Page{First: m.first, Next: n.next}})
+	for _, r := range records {
+		m.give(n, tailer.RecordSeen{Record: r})
 	}
 }
 
@@ -209,7 +233,7 @@
 	n := m.nodes[i]
 	switch rapid.SampledFrom([]string{
 		"request", "request", "append", "append", "append", "read", "read", "read", "call", "call",
-		"late append", "pass", "freeze", "thaw", "kill", "peers", "log down",
+		"late append", "pass", "freeze", "thaw", "kill", "peers", "log down", "age",
 	}).Draw(t, "what") {
 	case "request":
 		key := rapid.SampledFrom([]string{"k1", "k2"}).Draw(t, "key")
@@ -228,7 +252,7 @@
 		}
 	case "late append":
 		if len(m.delayed) > 0 {
-			m.log = append(m.log, m.delayed[0])
+			m.write(m.delayed[0])
 			m.delayed = m.delayed[1:]
 		}
 	case "pass":
@@ -241,6 +265,9 @@
 		m.kill(i)
 	case "peers":
 		m.tellPeers(n, rapid.IntRange(-1, modelNodes-1).Draw(t, "believed dead"))
+	case "age":
+		m.pass(kept + modelTick)
+		m.forget()
 	case "log down":
 		m.give(n, tailer.ReadFailed{})
 	}
@@ -261,7 +288,7 @@
 				m.settleCall(n, "answered")
 			}
 		}
-		m.log = append(m.log, m.delayed...)
+		m.write(m.delayed...)
 		m.delayed = nil
 		m.pass(modelTick)
 	}
@@ -331,6 +358,57 @@
 	})
 }
 
+// live lets the nodes live for a while with a log that forgets.
+func (m *model) live(d time.Duration) {
+	for passed := time.Duration(0); passed < d; passed += modelTick {
+		for _, n := range m.nodes {
+			for len(n.appends) > 0 {
+				m.settleAppend(n, "done")
+			}
+			m.readLog(n, len(m.log))
+		}
+		m.pass(modelTick)
+		m.forget()
+	}
+}
+
+// TestKeysOutliveTheLog asks for a key long after the log forgot its claim, at a node
+// that started later: the recorded answer is replayed.
+func TestKeysOutliveTheLog(t *testing.T) {
+	c := qt.New(t)
+	m, _ := oneNode()
+	m.live(5 * kept)
+	m.kill(2)
+	fresh := m.nodes[2]
+	m.request(fresh, "k1", "a", longest)
+	m.live(2 * kept)
+	m.request(fresh, "k1", "a", longest)
+	m.request(fresh, "k2", "a", longest)
+	m.drain()
+	c.Assert(m.callers[2].answers, qt.HasLen, 1)
+	c.Assert(m.callers[2].answers[0].Outcome, qt.Equals, responder.Delivered)
+	c.Assert(m.callers[2].answers[0].Replayed, qt.IsTrue)
+	c.Assert(m.callers[3].answers[0].Outcome, qt.Equals, responder.Delivered)
+	c.Assert(m.findings(), qt.HasLen, 0)
+}
+
+// TestNodeThatMissedTheLogClaimsNothing starts a node after the log forgot a key that no
+// round has carried: until one has, the node runs nothing.
+func TestNodeThatMissedTheLogClaimsNothing(t *testing.T) {
+	c := qt.New(t)
+	m, n := oneNode()
+	m.settleAppend(n, "done")
+	m.now = m.now.Add(2 * kept)
+	m.forget()
+	m.kill(2)
+	fresh := m.nodes[2]
+	m.readLog(fresh, 1)
+	m.request(fresh, "k1", "a", longest)
+	c.Assert(m.callers[1].answers, qt.HasLen, 1)
+	c.Assert(m.callers[1].answers[0].Outcome, qt.Equals, responder.NotRun)
+	c.Assert(m.callers[1].answers[0].Problem.Code, qt.Equals, "records_incomplete")
+}
+
 // oneNode returns a model of which one node has dispatched key k1 and got its answer,
 // while the outcome is not in the log.
 func oneNode() (*model, *modelNode) {
--- /dev/null
+++ b/entry/internal/retrier/retrier_test.go
@@ -0,0 +1,102 @@
+package retrier_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/common/messenger"
+	"fuchsiabridge.example/common/platformcaller"
+	"fuchsiabridge.example/common/responder"
+	"fuchsiabridge.example/entry/internal/recorder"
+	"fuchsiabridge.example/entry/internal/retrier"
+	"fuchsiabridge.example/entry/internal/watcher"
+)
+
+var start = time.Unix(1000, 0)
+
+func twoTargets() *retrier.Retrier {
+	r := retrier.NewRetrier()
+	r.Apply(start, watcher.TargetsChanged{Targets: []watcher.Target{
+		{ID: "a", Role: platformcaller.RoleService, Service: "catalogue", State: watcher.StateUp},
+		{ID: "b", Role: platformcaller.RoleService, Service: "catalogue", State: watcher.StateUp},
+	}})
+	return r
+}
+
+func request(call identifier.CallID) retrier.Requested {
+	return retrier.Requested{Requested: recorder.Requested{Call: call, Service: "catalogue", Deadline: start.Add(5 * time.Second)}}
+}
+
+// attempt returns the attempt among the effects.
+func attempt(effects []messenger.Effect) (retrier.CallService, bool) {
+	for _, effect := range effects {
+		if e, ok := effect.(retrier.CallService); ok {
+			return e, true
+		}
+	}
+	return retrier.CallService{}, false
+}
+
+// outcome returns the end among the effects.
+func outcome(effects []messenger.Effect) responder.Outcome {
+	for _, effect := range effects {
+		if e, ok := effect.(messenger.Reply); ok {
+			return e.Answer.(recorder.Answer).Outcome
+		}
+	}
+	return ""
+}
+
+// TestSilentAttemptIsHedged leaves an attempt without an answer: another goes to the
+// other target on a new connection, while the first may still answer.
+func TestSilentAttemptIsHedged(t *testing.T) {
+	c := qt.New(t)
+	r := twoTargets()
+	first, _ := attempt(r.Apply(start, request(1)))
+	second, ok := attempt(r.Apply(start.Add(500*time.Millisecond), messenger.Tick{}))
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(second.Target, qt.Not(qt.Equals), first.Target)
+	c.Assert(second.Fresh, qt.IsTrue)
+	c.Assert(first.Deadline.Equal(start.Add(5*time.Second)), qt.IsTrue)
+	answered := r.Apply(start.Add(2*time.Second), retrier.Answered{Call: 1, ServiceAnswered: recorder.ServiceAnswered{Status: 200}})
+	c.Assert(outcome(answered), qt.Equals, responder.Delivered)
+}
+
+// TestHedgesAreBounded leaves many calls without an answer: few of them are sent twice.
+func TestHedgesAreBounded(t *testing.T) {
+	c := qt.New(t)
+	r := twoTargets()
+	const calls = 1000
+	for n := range calls {
+		r.Apply(start, request(identifier.CallID(n)))
+	}
+	hedges := 0
+	for _, effect := range r.Apply(start.Add(500*time.Millisecond), messenger.Tick{}) {
+		if _, ok := effect.(retrier.CallService); ok {
+			hedges++
+		}
+	}
+	c.Assert(hedges > 0 && hedges <= calls/10, qt.IsTrue, qt.Commentf("%d hedges", hedges))
+}
+
+// TestUnsentCallsWereNotRun fails every attempt before it was sent.
+func TestUnsentCallsWereNotRun(t *testing.T) {
+	c := qt.New(t)
+	r := twoTargets()
+	effects := r.Apply(start, request(1))
+	for e, ok := attempt(effects); ok; e, ok = attempt(effects) {
+		effects = r.Apply(start, retrier.Failed{Call: 1, Target: e.Target, NotSent: true})
+	}
+	c.Assert(outcome(effects), qt.Equals, responder.NotRun)
+}
+
+// TestDeadlineEndsTheCall answers at the deadline, also while an attempt is open.
+func TestDeadlineEndsTheCall(t *testing.T) {
+	c := qt.New(t)
+	r := twoTargets()
+	r.Apply(start, request(1))
+	c.Assert(outcome(r.Apply(start.Add(5*time.Second), messenger.Tick{})), qt.Equals, responder.Failed)
+}
--- a/entry/internal/server/services.go
+++ b/entry/internal/server/services.go
@@ -23,7 +23,7 @@
 	if !ok {
 		return
 	}
-	name, rest, _ := strings.Cut(strings.TrimPrefix(string(c.Path()), "/services/"), "/")
+	name, rest, _ := strings.Cut(strings.TrimPrefix(string(c.URI().PathOriginal()), "/services/"), "/")
 	service, ok := r.team.Services[identifier.ServiceID(name)]
 	if !ok {
 		s.refuse(c, fasthttp.StatusNotFound, "unknown_service", "the account's team has no such service", "path")
