--- /dev/null
+++ b/entry/internal/commander/options_test.go
@@ -0,0 +1,41 @@
+package commander_test
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"fuchsiabridge.example/common/configurer"
+	"fuchsiabridge.example/common/optionparser"
+	"fuchsiabridge.example/entry/internal/commander"
+)
+
+// TestSettingsPageMatchesTable compares docs/SETTINGS.md with the table of options and the table of paths.
+func TestSettingsPageMatchesTable(t *testing.T) {
+	c := qt.New(t)
+	page, err := os.ReadFile("../../../docs/SETTINGS.md")
+	c.Assert(err, qt.IsNil)
+	var rows []string
+	for _, o := range commander.Options() {
+		rows = append(rows, fmt.Sprintf("| `--%s` | `%s` | %s | %s |", o.Name, o.EnvName(), o.Default, o.Usage))
+	}
+	for _, r := range configurer.Rules() {
+		rows = append(rows, fmt.Sprintf("| `%s` | %s |", r.Pattern, r.Meaning))
+	}
+	for _, row := range rows {
+		c.Check(string(page), qt.Contains, row)
+	}
+	c.Assert(strings.Count(string(page), "\n| `"), qt.Equals, len(rows))
+}
+
+// TestWrongSettingsAreReportedTogether gives three wrong values and expects each by name.
+func TestWrongSettingsAreReportedTogether(t *testing.T) {
+	c := qt.New(t)
+	_, _, err := optionparser.Parse("entry", commander.Options(), []string{
+		"--node", "n", "--data-centre", "d", "--platform", "nowhere", "--shards", "0", "--operator-keys", "dakar=12",
+	})
+	c.Assert(err, qt.ErrorMatches, "(?s).*platform: .*operator-keys: .*shards: .*")
+}
