--- a/integration/launcher/launcher.go
+++ b/integration/launcher/launcher.go
@@ -153,13 +153,26 @@
 	if platform == "" {
 		platform = f.Platform.Address
 	}
+	p := f.startNode(id, platform, flags...)
+	f.Nodes = append(f.Nodes, p)
+	return p
+}
+
+// ReplaceNode starts a node with the same id at new addresses in the place of a killed one.
+func (f *Fleet) ReplaceNode(i int) *Process {
+	f.t.Helper()
+	f.Nodes[i] = f.startNode(f.Nodes[i].Name, f.Platform.Address)
+	return f.Nodes[i]
+}
+
+func (f *Fleet) startNode(id, platform string, flags ...string) *Process {
+	f.t.Helper()
 	address, peer := FreeAddress(f.t), FreeAddress(f.t)
 	args := append([]string{
 		"--node", id, "--data-centre", dataCentre, "--listen", address, "--peer-listen", peer, "--platform", platform,
 		"--operator-keys", Team + "=" + Hash(OperatorKey), "--balancer-lag", "300ms",
 	}, flags...)
 	p := f.start(id, "entry", address, args...)
-	f.Nodes = append(f.Nodes, p)
 	f.awaitURL("http://" + address + "/healthz")
 	f.ListVM(platformcaller.VM{ID: id, Role: platformcaller.RoleEntry, Address: peer, DataCentre: dataCentre})
 	return p
@@ -188,7 +201,12 @@
 	for _, n := range f.Nodes {
 		addresses = append(addresses, n.Address)
 	}
-	all := append([]string{command, "--nodes", strings.Join(addresses, ","), "--key", OperatorKey}, args...)
+	return f.CtlAt(strings.Join(addresses, ","), command, args...)
+}
+
+// CtlAt runs one command of fbctl against the given nodes, host:port by comma.
+func (f *Fleet) CtlAt(nodes, command string, args ...string) (string, int) {
+	all := append([]string{command, "--nodes", nodes, "--key", OperatorKey}, args...)
 	cmd := exec.Command(filepath.Join(f.bin, "fbctl"), all...)
 	out, _ := cmd.CombinedOutput()
 	return string(out), cmd.ProcessState.ExitCode()
@@ -253,7 +271,7 @@
 
 func (f *Fleet) start(name, program, address string, args ...string) *Process {
 	f.t.Helper()
-	log, err := os.Create(filepath.Join(f.dir, name+".log"))
+	log, err := os.OpenFile(filepath.Join(f.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		f.t.Fatal(err)
 	}
