Take up drafts of dead and frozen nodes; prove faults of stages, links and nodes

Cause: the property test over two drivers found two faults of the take-up. 1. Change: an engine tells the epoch that superseded a step, and a driver that no engine accepted yet goes above it. 2. A checkpoint older than a recovery names a last stage that never ran the newest tokens; asking it again for them ran it on empty input, and a wrong answer was delivered: the successor gave [w76c4 w760b ...] after 2 tokens of [wbcd9 w90e1 ...] Change: a step with `resume` set never runs; it is answered from kept results only.

A driver that takes a draft up asks the last stage for the tokens that its caller has and the checkpoint lacks. When that stage died too, the caller is told tokens_lost and may ask anew: tokens that ran again could differ from those it has.

--- a/common/enginecaller/enginecaller.go
+++ b/common/enginecaller/enginecaller.go
@@ -33,6 +33,8 @@
 	Priority int `json:"priority"`
 	// Last says that the step ends at the model's last layer and gives a token.
 	Last bool `json:"last"`
+	// Resume asks for a result that the engine has; without one it answers StepKVMissing and runs nothing.
+	Resume bool `json:"resume,omitempty"`
 }
 
 // StepCode says how a step ended.
@@ -57,6 +59,8 @@
 	Output []byte              `json:"output,omitempty"`
 	Token  string              `json:"token,omitempty"`
 	Have   identifier.Position `json:"have,omitempty"`
+	// Seen is the epoch that superseded the step's, if the engine tells it.
+	Seen identifier.Epoch `json:"seen,omitempty"`
 }
 
 // StepBatch is the body of POST /v1/steps.
--- /dev/null
+++ b/entry/internal/checkpointer/checkpointer_test.go
@@ -0,0 +1,59 @@
+package checkpointer_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fuchsiabridge.example/common/messenger"
+	"fuchsiabridge.example/entry/internal/checkpointer"
+)
+
+var now = time.Unix(1_800_000_000, 0)
+
+func find(k *checkpointer.Keeper) checkpointer.Checkpoint {
+	reply := k.Apply(now, checkpointer.Asked{Call: 1, Draft: "d"})[0].(messenger.Reply)
+	return reply.Answer.(checkpointer.Checkpoint)
+}
+
+// TestCheckpointsMerge gives a keeper changes in turn, late ones and ones after a gap.
+func TestCheckpointsMerge(t *testing.T) {
+	stages := []checkpointer.Stage{{Target: "engine-1"}}
+	for _, tc := range []struct {
+		name   string
+		then   checkpointer.Checkpoint
+		epoch  uint64
+		tokens []string
+	}{
+		{"more tokens", checkpointer.Checkpoint{Epoch: 2, From: 2, Tokens: []string{"c"}}, 2, []string{"a", "b", "c"}},
+		{"the same again", checkpointer.Checkpoint{Epoch: 2, From: 1, Tokens: []string{"b"}}, 2, []string{"a", "b"}},
+		{"after a gap", checkpointer.Checkpoint{Epoch: 2, From: 5, Tokens: []string{"f"}}, 2, []string{"a", "b"}},
+		{"an old epoch", checkpointer.Checkpoint{Epoch: 1, From: 0, Tokens: []string{"x"}}, 2, []string{"a", "b"}},
+		{"a new driver", checkpointer.Checkpoint{Epoch: 3, From: 0, Tokens: []string{"a"}}, 3, []string{"a"}},
+		{"an old end", checkpointer.Checkpoint{Epoch: 1, Ended: true}, 2, []string{"a", "b"}},
+		{"its end", checkpointer.Checkpoint{Epoch: 2, Ended: true}, 0, nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			k := checkpointer.NewKeeper()
+			first := checkpointer.Checkpoint{Draft: "d", Epoch: 2, Fingerprint: "f", Stages: stages, Tokens: []string{"a", "b"}}
+			tc.then.Draft = "d"
+			k.Apply(now, checkpointer.Received{Checkpoints: []checkpointer.Checkpoint{first, tc.then}})
+			got := find(k)
+			c.Assert(uint64(got.Epoch), qt.Equals, tc.epoch)
+			c.Assert(got.Tokens, qt.DeepEquals, tc.tokens)
+		})
+	}
+}
+
+// TestCheckpointsAreForgotten lets a checkpoint's time pass.
+func TestCheckpointsAreForgotten(t *testing.T) {
+	c := qt.New(t)
+	k := checkpointer.NewKeeper()
+	k.Apply(now, checkpointer.Received{Checkpoints: []checkpointer.Checkpoint{{Draft: "d", Epoch: 2}}})
+	k.Apply(now.Add(time.Minute), messenger.Tick{})
+	c.Assert(uint64(find(k).Epoch), qt.Equals, uint64(2))
+	k.Apply(now.Add(3*time.Minute), messenger.Tick{})
+	c.Assert(uint64(find(k).Epoch), qt.Equals, uint64(0))
+}
--- a/entry/internal/drafter/drafter.go
+++ b/entry/internal/drafter/drafter.go
@@ -82,6 +82,8 @@
 	exporting
 	// importing: for a replacement to take a KV cache.
 	importing
+	// recalling: for the last stage to tell tokens again that the checkpoint lacks.
+	recalling
 )
 
 // caller is one open call; it has the tokens up to number after.
@@ -114,7 +116,9 @@
 	recoveries int
 	// unkept says that the draft's stage inputs are not kept for replay.
 	unkept bool
-	bytes  int
+	// accepted says that an engine ran a step for this driver.
+	accepted bool
+	bytes    int
 
 	goneAt     time.Time
 	checkpoint checkpointed
@@ -164,8 +168,14 @@
 	case Arrived:
 		return d.arrived(now, ev)
 	case StepDone:
+		if dr, ok := d.recalls(ev.Target, ev.Result.StepName); ok {
+			return d.recalled(now, dr, ev)
+		}
 		return d.stepDone(now, ev)
 	case StepFailed:
+		if dr, ok := d.recalls(ev.Target, ev.Name); ok {
+			return d.goOn(now, dr)
+		}
 		return d.stepFailed(now, ev)
 	case KVExported:
 		return d.exported(now, ev)
@@ -240,7 +250,7 @@
 // start binds the draft to a pipeline and runs it from the prompt and the tokens so far.
 func (d *Drafter) start(now time.Time, dr *draft) []messenger.Effect {
 	if dr.lacksTokens() {
-		return d.fail(now, dr, codeTokensLost, "tokens that the caller has were lost with their node; ask again without Last-Event-ID")
+		return d.failTokensLost(now, dr)
 	}
 	whole := identifier.LayerRange{To: dr.request.Layers}
 	stages, ok := planner.Choose(d.targets, d.wanted(dr, whole, dr.avoid))
@@ -335,6 +345,10 @@
 	return d.finish(now, dr, End{Outcome: responder.Failed, Tokens: len(dr.tokens), Problem: p, RetryAfter: retryAfter})
 }
 
+func (d *Drafter) failTokensLost(now time.Time, dr *draft) []messenger.Effect {
+	return d.fail(now, dr, codeTokensLost, "tokens that the caller has were lost with their node; ask again without Last-Event-ID")
+}
+
 func (d *Drafter) cancel(dr *draft) []messenger.Effect {
 	var effects []messenger.Effect
 	for _, s := range dr.stages {
@@ -385,7 +399,7 @@
 		if dr.retryAt.Before(next) {
 			next = dr.retryAt
 		}
-	case stepping, exporting, importing:
+	case stepping, exporting, importing, recalling:
 		if overdue := dr.deadline.Add(shellGrace); overdue.Before(next) {
 			next = overdue
 		}
@@ -410,6 +424,8 @@
 		return d.exported(now, KVExported{Target: dr.stages[dr.stage].Target, Draft: dr.request.Draft, Epoch: dr.epoch, Failed: true})
 	case importing:
 		return d.imported(now, KVImported{Target: dr.stages[dr.stage].Target, Draft: dr.request.Draft, Epoch: dr.epoch, Failed: true})
+	case recalling:
+		return d.goOn(now, dr)
 	case idle, ruling:
 	}
 	return nil
--- a/entry/internal/drafter/drafter_test.go
+++ b/entry/internal/drafter/drafter_test.go
@@ -13,6 +13,7 @@
 	"fuchsiabridge.example/common/layerhasher"
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/common/responder"
+	"fuchsiabridge.example/entry/internal/checkpointer"
 	"fuchsiabridge.example/entry/internal/drafter"
 	"fuchsiabridge.example/entry/internal/heartbeater"
 	"fuchsiabridge.example/entry/internal/isolator"
@@ -41,15 +42,20 @@
 	calls  []messenger.Effect
 	events []messenger.Event
 	late   []drafter.StepDone
+	// keeper is the peer that keeps the checkpoints.
+	keeper *checkpointer.Keeper
 	epochs map[identifier.DraftID]identifier.Epoch
 	open   map[identifier.CallID]*answers
 	next   identifier.CallID
 }
 
-func newWorld(t *rapid.T, recovery drafter.Recovery) *world {
-	cfg := drafter.Config{Self: heartbeater.Heartbeat{Node: "node-1", Incarnation: 7}, Recovery: recovery, Shards: 1, HistoryBytes: rapid.SampledFrom([]int{0, 500, 1 << 20}).Draw(t, "history")}
+func newWorld(t *rapid.T, node identifier.NodeID, recovery drafter.Recovery) *world {
+	cfg := drafter.Config{
+		Self: heartbeater.Heartbeat{Node: node, Incarnation: 7}, Recovery: recovery, Shards: 1,
+		HistoryBytes: rapid.SampledFrom([]int{0, 500, 1 << 20}).Draw(t, "history"),
+	}
 	w := &world{
-		t: t, now: start, drafter: drafter.NewDrafter(cfg), twin: drafter.NewDrafter(cfg),
+		t: t, now: start, drafter: drafter.NewDrafter(cfg), twin: drafter.NewDrafter(cfg), keeper: checkpointer.NewKeeper(),
 		epochs: map[identifier.DraftID]identifier.Epoch{}, open: map[identifier.CallID]*answers{},
 	}
 	for i, from := range []identifier.Layer{0, 8, 16} {
@@ -77,6 +83,17 @@
 		w.calls = append(w.calls, e)
 	case drafter.CancelDraft, drafter.ExportKV, drafter.ImportKV:
 		w.calls = append(w.calls, e)
+	case drafter.SendCheckpoints:
+		if rapid.IntRange(0, 4).Draw(w.t, "checkpoint lost") > 0 {
+			w.keeper.Apply(w.now, checkpointer.Received{Checkpoints: e.Checkpoints})
+			return
+		}
+		for _, c := range e.Checkpoints {
+			w.events = append(w.events, drafter.CheckpointLost{Draft: c.Draft})
+		}
+	case drafter.FindCheckpoint:
+		reply := w.keeper.Apply(w.now, checkpointer.Asked{Draft: e.Draft})[0].(messenger.Reply)
+		w.events = append(w.events, drafter.CheckpointFound{Draft: e.Draft, Checkpoint: reply.Answer.(checkpointer.Checkpoint)})
 	case messenger.Reply:
 		w.reply(e)
 	case messenger.Raise:
@@ -240,11 +257,19 @@
 
 // settle mends everything and lets all drafts end.
 func (w *world) settle() {
+	w.mend()
+	w.drain()
+}
+
+func (w *world) mend() {
 	for i, e := range w.engines {
 		from := identifier.Layer(i / 2 * 8)
 		e.load(identifier.LayerRange{From: from, To: from + 8})
 	}
 	w.apply(w.engines.changed())
+}
+
+func (w *world) drain() {
 	for range 20_000 {
 		switch {
 		case len(w.late) > 0:
@@ -278,7 +303,7 @@
 	for _, recovery := range []drafter.Recovery{drafter.Replay, drafter.Import, drafter.Restart} {
 		t.Run(string(recovery), func(t *testing.T) {
 			rapid.Check(t, func(t *rapid.T) {
-				w := newWorld(t, recovery)
+				w := newWorld(t, "node-1", recovery)
 				drafts := rapid.IntRange(1, 4).Draw(t, "drafts")
 				for n := range drafts {
 					w.request(identifier.DraftID(fmt.Sprintf("draft-%d", n)), 0)
--- a/entry/internal/drafter/engines_test.go
+++ b/entry/internal/drafter/engines_test.go
@@ -80,7 +80,7 @@
 	}
 	d := e.draft(s.Draft)
 	if s.Epoch < d.epoch || (s.Epoch == d.epoch && d.canceled) {
-		refused.Code = enginecaller.StepSuperseded
+		refused.Code, refused.Seen = enginecaller.StepSuperseded, d.epoch
 		return refused
 	}
 	if s.Epoch > d.epoch {
@@ -95,7 +95,7 @@
 			return r
 		}
 	}
-	if s.Position != d.positions {
+	if s.Resume || s.Position != d.positions {
 		refused.Code, refused.Have = enginecaller.StepKVMissing, d.positions
 		return refused
 	}
--- a/entry/internal/drafter/recovery.go
+++ b/entry/internal/drafter/recovery.go
@@ -94,6 +94,9 @@
 // again when the inputs or the KV cache are kept; otherwise every stage starts again at its target.
 func (d *Drafter) recoverWith(now time.Time, dr *draft, chosen []planner.Stage, reason string) []messenger.Effect {
 	s := dr.stages[dr.stage]
+	if dr.lacksTokens() && !dr.mayReplay() && s.kv == nil {
+		return d.failTokensLost(now, dr)
+	}
 	if dr.recoveries++; dr.recoveries > mostRecoveries {
 		return d.fail(now, dr, codeRecoveries, "too many stages were lost")
 	}
--- a/entry/internal/drafter/stepper.go
+++ b/entry/internal/drafter/stepper.go
@@ -16,6 +16,8 @@
 	mostResends = 3
 	// mostMissing bounds how often in a row an engine may lack the KV cache of one step.
 	mostMissing = 2
+	// mostOvertakes bounds how often a new driver goes above an epoch it did not know.
+	mostOvertakes = 3
 )
 
 // step runs the current stage for the position after the tokens so far, and before it
@@ -143,6 +145,7 @@
 		}
 	}
 	s.have = dr.position() + 1
+	dr.accepted = true
 	dr.missing = 0
 	if dr.unkept {
 		d.forget(dr, s, s.have)
@@ -172,6 +175,9 @@
 	s := dr.stages[dr.stage]
 	switch r.Code {
 	case enginecaller.StepSuperseded:
+		if !dr.accepted && r.Seen > dr.epoch && dr.recoveries < mostOvertakes {
+			return d.overtake(now, dr, r.Seen)
+		}
 		return d.superseded(now, dr)
 	case enginecaller.StepKVMissing:
 		dr.missing++
@@ -188,6 +194,13 @@
 	return d.recover(now, dr, "target reloaded")
 }
 
+// overtake goes on above an epoch that the driver, which is the caller's newest, could not know.
+func (d *Drafter) overtake(now time.Time, dr *draft, seen identifier.Epoch) []messenger.Effect {
+	dr.recoveries++
+	dr.epoch = takeEpoch(now, d.cfg.Self, seen) + 1
+	return d.step(now, dr, false)
+}
+
 // refill gives an engine the positions its KV cache lacks. One that is ahead, without the
 // result of the step, starts over.
 func (d *Drafter) refill(now time.Time, dr *draft, s *stage, have identifier.Position) []messenger.Effect {
--- a/entry/internal/drafter/takeover.go
+++ b/entry/internal/drafter/takeover.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"fuchsiabridge.example/common/enginecaller"
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
@@ -247,20 +248,88 @@
 		Event: eventlogger.DraftTakenUp, Subject: subject(dr),
 		Values: []any{"epoch", dr.epoch, "before", c.Epoch, "tokens", len(c.Tokens)},
 	}}
-	effects = append(effects, dr.replayTokens()...)
+	dr.unkept = true
+	if stages, ok := d.rebuild(c); ok {
+		dr.epoch++
+		d.bind(dr, stages)
+	}
+	if recall, ok := d.recall(now, dr); ok {
+		return append(effects, recall)
+	}
+	return append(effects, d.goOn(now, dr)...)
+}
+
+// goOn gives the callers the tokens they lack and runs the next position, on the stages
+// of the checkpoint if they still stand.
+func (d *Drafter) goOn(now time.Time, dr *draft) []messenger.Effect {
+	dr.phase = idle
+	effects := dr.replayTokens()
 	if len(dr.tokens) >= dr.request.MaxTokens {
 		return append(effects, d.finish(now, dr, End{Outcome: responder.Delivered, Tokens: len(dr.tokens)})...)
 	}
-	stages, ok := d.rebuild(dr, c)
-	if !ok {
+	if len(dr.stages) == 0 {
 		return append(effects, d.start(now, dr)...)
 	}
-	dr.epoch++
-	dr.unkept = true
-	d.bind(dr, stages)
+	dr.stage = 0
+	for _, s := range dr.stages {
+		s.have, s.base = dr.position(), dr.position()
+	}
 	return append(effects, d.step(now, dr, false)...)
 }
 
+// recall asks the last stage for the tokens that a caller has and the checkpoint lacks; the
+// engine tells results that it kept, and runs nothing.
+func (d *Drafter) recall(now time.Time, dr *draft) (messenger.Effect, bool) {
+	if len(dr.stages) == 0 || !dr.lacksTokens() {
+		return nil, false
+	}
+	dr.stage = len(dr.stages) - 1
+	s := dr.stages[dr.stage]
+	var steps []enginecaller.Step
+	for p := dr.position(); int(p) < dr.wantedTokens(); p++ {
+		step := dr.makeStep(s, p, nil)
+		step.Last, step.Resume = true, true
+		steps = append(steps, step)
+	}
+	last := len(steps) - 1
+	dr.phase, dr.deadline = recalling, now.Add(freshGrace)
+	return SendStep{
+		Target: s.Target, Address: s.Address, Step: steps[last], Before: steps[:last:last],
+		Deadline: dr.deadline, Fresh: true, Traceparent: dr.request.Traceparent,
+	}, true
+}
+
+// wantedTokens returns the number of tokens that the callers have.
+func (dr *draft) wantedTokens() int {
+	n := 0
+	for _, c := range dr.callers {
+		n = max(n, min(c.after, dr.request.MaxTokens))
+	}
+	return n
+}
+
+// recalls returns the draft that waits for recalled tokens up to the named step, if any does.
+func (d *Drafter) recalls(target identifier.TargetID, name enginecaller.StepName) (*draft, bool) {
+	dr, ok := d.running[name.Draft]
+	if !ok || dr.phase != recalling || name.Epoch != dr.epoch || target != dr.stages[dr.stage].Target {
+		return nil, false
+	}
+	return dr, true
+}
+
+func (d *Drafter) recalled(now time.Time, dr *draft, ev StepDone) []messenger.Effect {
+	for _, r := range append(ev.Before, ev.Result) {
+		if r.Code == enginecaller.StepSuperseded {
+			return d.superseded(now, dr)
+		}
+		if r.Code != enginecaller.StepOK || r.Token == "" || r.Position != dr.position() {
+			break
+		}
+		dr.tokens = append(dr.tokens, r.Token)
+	}
+	return d.goOn(now, dr)
+}
+
 // replayTokens gives the callers the tokens they lack.
 func (dr *draft) replayTokens() []messenger.Effect {
 	var effects []messenger.Effect
@@ -273,7 +342,7 @@
 }
 
 // rebuild returns the stages of a checkpoint, if each target still is what it was.
-func (d *Drafter) rebuild(dr *draft, c checkpointer.Checkpoint) ([]*stage, bool) {
+func (d *Drafter) rebuild(c checkpointer.Checkpoint) ([]*stage, bool) {
 	var stages []*stage
 	for _, s := range c.Stages {
 		t, ok := d.byID[s.Target]
@@ -285,7 +354,6 @@
 				Target: t.ID, Address: t.Address, Generation: s.Generation, Layers: s.Layers,
 				LayerTime: time.Duration(t.Status.LayerMicros) * time.Microsecond,
 			},
-			have: dr.position(), base: dr.position(),
 		})
 	}
 	return stages, len(stages) > 0
--- a/fbstandin/internal/enginefaker/engine.go
+++ b/fbstandin/internal/enginefaker/engine.go
@@ -241,14 +241,14 @@
 	}
 	d := e.draft(s.Draft)
 	if s.Epoch < d.epoch || (s.Epoch == d.epoch && d.canceled) {
-		return refuse(enginecaller.StepSuperseded, 0)
+		return enginecaller.StepResult{StepName: s.StepName, Code: enginecaller.StepSuperseded, Seen: d.epoch}, nil
 	}
 	d.supersede(s)
 	d.used = time.Now()
 	if r, ok := d.result(s.StepName); ok {
 		return r, nil
 	}
-	if s.Position != d.positions {
+	if s.Resume || s.Position != d.positions {
 		return refuse(enginecaller.StepKVMissing, d.positions)
 	}
 	if e.cfg.CrashMark != "" && s.Position == 0 && strings.Contains(string(s.Input), e.cfg.CrashMark) {
--- a/integration/drafts_test.go
+++ b/integration/drafts_test.go
@@ -37,7 +37,18 @@
 }
 
 // draftFleet starts nodes before two engines for each of three ranges.
-func draftFleet(t *testing.T, nodes int, nodeFlags ...string) *launcher.Fleet {
+func draftFleet(t testing.TB, nodes int) *launcher.Fleet {
+	t.Helper()
+	f := engineFleet(t)
+	for n := range nodes {
+		f.AddNode(fmt.Sprintf("node-%d", n+1), "")
+	}
+	f.Configure(draftLayers)
+	return f
+}
+
+// engineFleet starts two engines for each of three ranges, and no node.
+func engineFleet(t testing.TB) *launcher.Fleet {
 	t.Helper()
 	f := launcher.NewFleet(t)
 	for i, from := range []int{0, 8, 16} {
@@ -45,10 +56,6 @@
 			f.AddEngine(fmt.Sprintf("engine-%d-%s", i, replica), from, from+8, "--layer-micros", "500")
 		}
 	}
-	for n := range nodes {
-		f.AddNode(fmt.Sprintf("node-%d", n+1), "", nodeFlags...)
-	}
-	f.Configure(draftLayers)
 	return f
 }
 
@@ -106,34 +113,50 @@
 }
 
 // killing streams a draft, kills the engine of the middle stage when the phase is reached,
-// and returns the longest time from the death to the next token.
+// and returns the longest time without a token from the death on.
 func killing(c *qt.C, f *launcher.Fleet, d requester.Draft, afterToken int) time.Duration {
 	c.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	var killed time.Time
+	died := make(chan time.Time, 1)
 	kill := func(target identifier.TargetID) {
 		f.Engines[string(target)].Kill()
-		killed = time.Now()
+		died <- time.Now()
 	}
 	if afterToken == 0 {
 		go func() {
-			launcher.Await(c, 5*time.Second, "the first stage ran the prompt", func() bool { return stageAt(f, d.ID, 0) != "" })
+			for stageAt(f, d.ID, 0) == "" && ctx.Err() == nil {
+				time.Sleep(time.Millisecond)
+			}
 			kill("engine-1-a")
 		}()
 	}
+	var middle identifier.TargetID
 	result, err := requester.NewRequester().Stream(ctx, d, func(n int, _ string) {
-		if n == afterToken {
-			kill(stageAt(f, d.ID, 8))
+		switch n {
+		case 1:
+			middle = stageAt(f, d.ID, 8)
+		case afterToken:
+			kill(middle)
 		}
 	})
 	c.Assert(err, qt.IsNil)
 	c.Assert(result.Problem, qt.Equals, responder.Problem{})
 	c.Assert(result.Whole, qt.IsTrue)
 	c.Assert(result.Tokens, qt.DeepEquals, layerhasher.Answer(draftLayers, requester.Prompt(d.Prompt), d.MaxTokens))
-	i := slices.IndexFunc(result.TokenAt, func(at time.Time) bool { return at.After(killed) })
-	c.Assert(i >= 0, qt.IsTrue)
-	return result.TokenAt[i].Sub(killed)
+	if afterToken == 0 {
+		return result.TokenAt[0].Sub(<-died)
+	}
+	return longestGap(result.TokenAt, afterToken)
+}
+
+// longestGap returns the longest time between two tokens after token n.
+func longestGap(at []time.Time, n int) time.Duration {
+	var longest time.Duration
+	for i := n; i < len(at); i++ {
+		longest = max(longest, at[i].Sub(at[i-1]))
+	}
+	return longest
 }
 
 // TestStageDiesAtEachPhase kills the middle stage with SIGKILL during the prompt, between
--- a/integration/launcher/launcher.go
+++ b/integration/launcher/launcher.go
@@ -188,7 +188,16 @@
 	for _, n := range f.Nodes {
 		addresses = append(addresses, n.Address)
 	}
-	all := append([]string{command, "--nodes", strings.Join(addresses, ","), "--key", OperatorKey}, args...)
+	return f.ctl(strings.Join(addresses, ","), command, args)
+}
+
+// CtlAt runs one command of fbctl against one node and returns its output and exit code.
+func (f *Fleet) CtlAt(node *Process, command string, args ...string) (string, int) {
+	return f.ctl(node.Address, command, args)
+}
+
+func (f *Fleet) ctl(nodes, command string, args []string) (string, int) {
+	all := append([]string{command, "--nodes", nodes, "--key", OperatorKey}, args...)
 	cmd := exec.Command(filepath.Join(f.bin, "fbctl"), all...)
 	out, _ := cmd.CombinedOutput()
 	return string(out), cmd.ProcessState.ExitCode()
