--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -269,7 +269,7 @@
 	var first string
 	launcher.Await(s.t, 8*time.Second, "every node has the same history", func() bool {
 		first = ""
-		for _, n := range s.nodes {
+		for _, n := range s.f.Nodes {
 			out, code := s.f.CtlAt(n, "history", "--team", launcher.Team)
 			if code != 0 || (first != "" && out != first) {
 				return false
