--- a/common/configurer/checker.go
+++ b/common/configurer/checker.go
@@ -14,6 +14,7 @@
 const (
 	maxPathsPerChange = 10_000
 	maxNameLength     = 64
+	maxChangeID       = 128
 	maxLayers         = 1_000
 	maxWeight         = 1_000
 	maxDeadlineMillis = 600_000
@@ -67,9 +68,22 @@
 
 // Check returns every finding on a change, whatever its expected revision.
 func Check(c Change) Findings {
+	findings := checkShape(c)
+	rules := Rules()
+	for path, value := range c.Set {
+		if err := checkPath(rules, path, value); err != nil {
+			findings = append(findings, Finding{path, err.Error()})
+		}
+	}
+	sort.Slice(findings, func(i, j int) bool { return findings[i].Path < findings[j].Path })
+	return findings
+}
+
+// checkShape finds what no version of the rules allows.
+func checkShape(c Change) Findings {
 	var findings Findings
-	if c.ID == "" {
-		findings = append(findings, Finding{"id", "must be set"})
+	if c.ID == "" || len(c.ID) > maxChangeID {
+		findings = append(findings, Finding{"id", fmt.Sprintf("must be 1 to %d bytes", maxChangeID)})
 	}
 	if !isName(string(c.Team)) {
 		findings = append(findings, Finding{"team", "must be 1 to 64 of a-z, 0-9, - and _"})
@@ -77,13 +91,6 @@
 	if len(c.Set) == 0 || len(c.Set) > maxPathsPerChange {
 		findings = append(findings, Finding{"set", fmt.Sprintf("must hold 1 to %d paths", maxPathsPerChange)})
 	}
-	rules := Rules()
-	for path, value := range c.Set {
-		if err := checkPath(rules, path, value); err != nil {
-			findings = append(findings, Finding{path, err.Error()})
-		}
-	}
-	sort.Slice(findings, func(i, j int) bool { return findings[i].Path < findings[j].Path })
 	return findings
 }
 
--- a/common/configurer/settings.go
+++ b/common/configurer/settings.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -39,11 +41,20 @@
 
 // Team is what one team's subtree says.
 type Team struct {
+	// Revision counts the accepted changes.
+	Revision  identifier.Revision
 	Models    map[identifier.ModelID]identifier.Layer
 	Services  map[identifier.ServiceID]Service
 	Classes   map[identifier.Class]Class
 	Operators map[string]string
 	Choice    string
+
+	accounts []keyedAccount
+}
+
+type keyedAccount struct {
+	key     string
+	account Account
 }
 
 // Settings is the typed, read-only view of a tree.
@@ -54,30 +65,59 @@
 	Teams    map[identifier.TeamID]*Team
 }
 
-// Settings returns the typed view of the tree; its values were checked when their change was accepted.
-func (t *Tree) Settings() *Settings {
+// Settings returns the typed view of the tree. Paths and values that this version's rules
+// refuse, as those of a newer version are, are left out. Teams that have not changed since
+// before, a view of the same tree or nil, are taken over from it.
+func (t *Tree) Settings(before *Settings) *Settings {
 	s := &Settings{
 		Offset:   t.Offset,
 		Accounts: map[string]Account{},
 		Teams:    map[identifier.TeamID]*Team{},
 	}
-	for id, sub := range t.Teams {
-		s.addTeam(id, sub)
+	rules := Rules()
+	for _, id := range slices.Sorted(maps.Keys(t.Teams)) {
+		team, ok := before.team(id)
+		if !ok || team.Revision != t.Teams[id].Revision {
+			team = newTeam(rules, id, t.Teams[id])
+		}
+		s.addTeam(id, team)
 	}
 	return s
 }
 
-func (s *Settings) addTeam(id identifier.TeamID, sub *Subtree) {
+func (s *Settings) team(id identifier.TeamID) (*Team, bool) {
+	if s == nil {
+		return nil, false
+	}
+	team, ok := s.Teams[id]
+	return team, ok
+}
+
+// addTeam adds a team. A key that stands twice belongs to the first account in the order
+// of teams and names, so that every node agrees.
+func (s *Settings) addTeam(id identifier.TeamID, team *Team) {
+	s.Teams[id] = team
+	for _, keyed := range team.accounts {
+		if _, ok := s.Accounts[keyed.key]; !ok {
+			s.Accounts[keyed.key] = keyed.account
+		}
+	}
+}
+
+func newTeam(rules []Rule, id identifier.TeamID, sub *Subtree) *Team {
 	team := &Team{
+		Revision:  sub.Revision,
 		Models:    map[identifier.ModelID]identifier.Layer{},
 		Services:  map[identifier.ServiceID]Service{},
 		Classes:   map[identifier.Class]Class{},
 		Operators: map[string]string{},
 		Choice:    DefaultChoice,
 	}
-	s.Teams[id] = team
 	accounts, keys := map[string]Account{}, map[string]string{}
 	for path, value := range sub.Values {
+		if checkPath(rules, path, value) != nil {
+			continue
+		}
 		parts := strings.Split(path, "/")
 		switch parts[0] {
 		case "accounts":
@@ -94,9 +134,10 @@
 			team.Choice = decode[string](value)
 		}
 	}
-	for name, key := range keys {
-		s.Accounts[key] = accounts[name]
+	for _, name := range slices.Sorted(maps.Keys(keys)) {
+		team.accounts = append(team.accounts, keyedAccount{keys[name], accounts[name]})
 	}
+	return team
 }
 
 func setAccount(accounts map[string]Account, keys map[string]string, team identifier.TeamID, parts []string, value json.RawMessage) {
--- a/common/configurer/tree.go
+++ b/common/configurer/tree.go
@@ -3,9 +3,13 @@
 package configurer
 
 import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"maps"
+	"slices"
 	"sort"
 
 	"fuchsiabridge.example/common/identifier"
@@ -14,8 +18,12 @@
 // Stream is the log stream that holds changes.
 const Stream = "config"
 
-// historyLimit bounds the verdicts remembered for each team.
-const historyLimit = 1000
+const (
+	// historyLimit bounds the verdicts remembered for each team.
+	historyLimit = 200
+	// fingerprintBytes is the length of a fingerprint.
+	fingerprintBytes = 16
+)
 
 // Change is one proposed change of a team's subtree.
 type Change struct {
@@ -28,6 +36,29 @@
 	Author string `json:"author,omitempty"`
 }
 
+// Fingerprint names the change's content; it is the same for every encoding of the same change.
+func (c Change) Fingerprint() string {
+	content := Change{ID: c.ID, Team: c.Team, Expected: c.Expected, Set: make(map[string]json.RawMessage, len(c.Set))}
+	for path, value := range c.Set {
+		content.Set[path] = compact(value)
+	}
+	// Marshal orders the paths; values that are no JSON cannot come out of a decoder.
+	raw, _ := json.Marshal(content)
+	sum := sha256.Sum256(raw)
+	return hex.EncodeToString(sum[:fingerprintBytes])
+}
+
+func compact(value json.RawMessage) json.RawMessage {
+	if isNull(value) {
+		return json.RawMessage("null")
+	}
+	var out bytes.Buffer
+	if json.Compact(&out, value) != nil {
+		return value
+	}
+	return out.Bytes()
+}
+
 // Verdict is how every reader of the log decides one change.
 type Verdict struct {
 	ID       identifier.ChangeID `json:"id"`
@@ -37,6 +68,8 @@
 	Revision identifier.Revision `json:"revision"`
 	Offset   identifier.Offset   `json:"offset"`
 	Author   string              `json:"author,omitempty"`
+	// Fingerprint tells another change under the same id apart.
+	Fingerprint string `json:"fingerprint"`
 }
 
 // Subtree is one team's part of the tree.
@@ -51,19 +84,28 @@
 	// Offset is the offset after the newest record applied; it only grows.
 	Offset identifier.Offset              `json:"offset"`
 	Teams  map[identifier.TeamID]*Subtree `json:"teams"`
+	// Lost lists the offsets that the log dropped before any node had read them, oldest first.
+	Lost []Span `json:"lost,omitempty"`
+}
+
+// Span is the half-open range of offsets From..To-1.
+type Span struct {
+	From identifier.Offset `json:"from"`
+	To   identifier.Offset `json:"to"`
 }
 
 // NewTree returns an empty tree.
 func NewTree() *Tree { return &Tree{Teams: map[identifier.TeamID]*Subtree{}} }
 
 // Decide applies the change found at offset and returns the verdict; a change
-// seen before keeps its first verdict and is not applied again.
+// seen before keeps its first verdict and is not applied again. The verdict depends
+// on the tree alone, not on the rules, so that nodes of different versions agree.
 func (t *Tree) Decide(offset identifier.Offset, c Change) Verdict {
 	sub := t.subtree(c.Team)
 	if v, ok := sub.find(c.ID); ok {
 		return v
 	}
-	v := Verdict{ID: c.ID, Team: c.Team, Offset: offset, Author: c.Author, Revision: sub.Revision}
+	v := Verdict{ID: c.ID, Team: c.Team, Offset: offset, Author: c.Author, Revision: sub.Revision, Fingerprint: c.Fingerprint()}
 	v.Reason = sub.objection(c)
 	if v.Reason == "" {
 		v.Accepted = true
@@ -93,12 +135,12 @@
 
 // Clone returns a copy that shares nothing which changes.
 func (t *Tree) Clone() *Tree {
-	c := &Tree{Offset: t.Offset, Teams: make(map[identifier.TeamID]*Subtree, len(t.Teams))}
+	c := &Tree{Offset: t.Offset, Teams: make(map[identifier.TeamID]*Subtree, len(t.Teams)), Lost: slices.Clone(t.Lost)}
 	for id, sub := range t.Teams {
 		c.Teams[id] = &Subtree{
 			Revision: sub.Revision,
 			Values:   maps.Clone(sub.Values),
-			History:  append([]Verdict(nil), sub.History...),
+			History:  slices.Clone(sub.History),
 		}
 	}
 	return c
@@ -124,14 +166,24 @@
 
 func (s *Subtree) objection(c Change) string {
 	if c.Expected != s.Revision {
-		return fmt.Sprintf("expected revision %d, but the subtree is at %d", c.Expected, s.Revision)
+		return fmt.Sprintf("expected revision %d, but the subtree is at %d%s", c.Expected, s.Revision, s.winner(c.Expected))
 	}
-	if findings := Check(c); len(findings) > 0 {
+	if findings := checkShape(c); len(findings) > 0 {
 		return findings.Error()
 	}
 	return ""
 }
 
+// winner names the change that was accepted at the revision, if it is remembered.
+func (s *Subtree) winner(at identifier.Revision) string {
+	for _, v := range s.History {
+		if v.Accepted && v.Revision == at+1 {
+			return fmt.Sprintf(": change %s at offset %d came first", v.ID, v.Offset)
+		}
+	}
+	return ""
+}
+
 func (s *Subtree) apply(c Change) {
 	for path, value := range c.Set {
 		if isNull(value) {
@@ -146,7 +198,7 @@
 func (s *Subtree) remember(v Verdict) {
 	s.History = append(s.History, v)
 	if len(s.History) > historyLimit {
-		s.History = s.History[len(s.History)-historyLimit:]
+		s.History = slices.Delete(s.History, 0, len(s.History)-historyLimit)
 	}
 }
 
--- /dev/null
+++ b/common/configurer/tree_test.go
@@ -0,0 +1,202 @@
+package configurer_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"pgregory.net/rapid"
+
+	"fuchsiabridge.example/common/configurer"
+	"fuchsiabridge.example/common/identifier"
+)
+
+const team = identifier.TeamID("dakar")
+
+func change(id string, expected identifier.Revision, set map[string]string) configurer.Change {
+	c := configurer.Change{ID: identifier.ChangeID(id), Team: team, Expected: expected, Set: map[string]json.RawMessage{}}
+	for path, value := range set {
+		c.Set[path] = json.RawMessage(value)
+	}
+	return c
+}
+
+// TestChangesAreComparedAndSet decides changes with few ids and revisions in any order:
+// each id gets one verdict, each accepted change moves the revision by one, and a
+// rejected one changes nothing.
+func TestChangesAreComparedAndSet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tree := configurer.NewTree()
+		verdicts := map[identifier.ChangeID]configurer.Verdict{}
+		for offset := range rapid.IntRange(1, 50).Draw(t, "changes") {
+			id := fmt.Sprint(rapid.IntRange(0, 20).Draw(t, "id"))
+			expected := identifier.Revision(rapid.IntRange(0, 8).Draw(t, "expected"))
+			before := tree.Clone().Get(team)
+			v := tree.Decide(identifier.Offset(offset), change(id, expected, map[string]string{"models/atlas/layers": fmt.Sprint(offset + 1)}))
+			after := tree.Get(team)
+			first, again := verdicts[v.ID]
+			if again && first != v {
+				t.Fatalf("change %s got %+v, then %+v", id, first, v)
+			}
+			verdicts[v.ID] = v
+			value, moved := string(after.Values["models/atlas/layers"]), after.Revision-before.Revision
+			isNew := !again && expected == before.Revision
+			if isNew != (moved == 1) || isNew != (value == fmt.Sprint(offset+1)) || moved > 1 {
+				t.Fatalf("change %s (new %t): revision %d to %d, value %s", id, isNew, before.Revision, after.Revision, value)
+			}
+			if !again && v.Accepted != isNew {
+				t.Fatalf("change %s: verdict %+v", id, v)
+			}
+		}
+	})
+}
+
+// TestForgottenIDIsNotAppliedAgain asks for an accepted change long after its verdict was forgotten.
+func TestForgottenIDIsNotAppliedAgain(t *testing.T) {
+	c := qt.New(t)
+	tree := configurer.NewTree()
+	for n := range 1100 {
+		v := tree.Decide(identifier.Offset(n), change(fmt.Sprint(n), identifier.Revision(n), map[string]string{"models/atlas/layers": "7"}))
+		c.Assert(v.Accepted, qt.IsTrue)
+	}
+	_, known := tree.Verdict(team, "0")
+	c.Assert(known, qt.IsFalse)
+	c.Assert(tree.Decide(1100, change("0", 0, map[string]string{"models/atlas/layers": "7"})).Accepted, qt.IsFalse)
+	c.Assert(tree.Get(team).Revision, qt.Equals, identifier.Revision(1100))
+}
+
+// TestVerdictIsTheSameForOtherRules accepts a path that this version does not know, as every
+// version must, and leaves it out of the settings.
+func TestVerdictIsTheSameForOtherRules(t *testing.T) {
+	c := qt.New(t)
+	tree := configurer.NewTree()
+	v := tree.Decide(0, change("a", 0, map[string]string{"policy/of_next_year": "1", "accounts/x": "2", "models/atlas/layers": `"many"`, "classes/bulk/priority": "3"}))
+	c.Assert(v.Accepted, qt.IsTrue)
+	settings := tree.Settings(nil).Teams[team]
+	c.Assert(settings.Models, qt.HasLen, 0)
+	c.Assert(settings.Classes["bulk"].Priority, qt.Equals, 3)
+}
+
+// TestKeyOfTwoAccounts gives a key that stands in two teams to the same account at every node.
+func TestKeyOfTwoAccounts(t *testing.T) {
+	c := qt.New(t)
+	tree := configurer.NewTree()
+	key := `"` + strings.Repeat("ab", 32) + `"`
+	for _, id := range []identifier.TeamID{"zarqa", "amman", "dakar"} {
+		ch := change("a", 0, map[string]string{"accounts/studio/key_sha256": key, "accounts/atelier/key_sha256": key})
+		ch.Team = id
+		c.Assert(tree.Decide(0, ch).Accepted, qt.IsTrue)
+	}
+	for range 20 {
+		c.Assert(tree.Settings(nil).Accounts[strings.Repeat("ab", 32)].ID, qt.Equals, identifier.AccountID("amman/atelier"))
+	}
+}
+
+// TestSettingsAfterAChange compares the view made from an older one with the one made anew.
+func TestSettingsAfterAChange(t *testing.T) {
+	c := qt.New(t)
+	tree := configurer.NewTree()
+	var before *configurer.Settings
+	for n := range 12 {
+		ch := change(fmt.Sprint(n), identifier.Revision(n/3), map[string]string{"accounts/studio/key_sha256": fmt.Sprintf(`"%064d"`, n), "accounts/studio/weight": fmt.Sprint(n + 1)})
+		ch.Team = []identifier.TeamID{"amman", "dakar", "zarqa"}[n%3]
+		c.Assert(tree.Decide(identifier.Offset(n), ch).Accepted, qt.IsTrue)
+		after := tree.Settings(before)
+		c.Assert(after.Accounts, qt.DeepEquals, tree.Settings(nil).Accounts)
+		c.Assert(after.Teams, qt.CmpEquals(cmpopts.IgnoreUnexported(configurer.Team{})), tree.Settings(nil).Teams)
+		before = after
+	}
+}
+
+// TestFindingsAreReportedTogether checks a change with four faults.
+func TestFindingsAreReportedTogether(t *testing.T) {
+	c := qt.New(t)
+	findings := configurer.Check(change("", 0, map[string]string{"nowhere/a": "1", "classes/bulk/priority": "10", "models/atlas/layers": "0", "classes/bulk/deadline_ms": "5"}))
+	var places []string
+	for _, f := range findings {
+		places = append(places, f.Path)
+	}
+	c.Assert(places, qt.DeepEquals, []string{"classes/bulk/priority", "id", "models/atlas/layers", "nowhere/a"})
+}
+
+// TestFingerprintIgnoresSpacing tells content apart, not its encoding or its author.
+func TestFingerprintIgnoresSpacing(t *testing.T) {
+	c := qt.New(t)
+	a := change("a", 1, map[string]string{"policy/choice": `[1, 2]`})
+	b := change("a", 1, map[string]string{"policy/choice": `[1,2]`})
+	b.Author = "amina"
+	c.Assert(a.Fingerprint(), qt.Equals, b.Fingerprint())
+	b.Expected = 2
+	c.Assert(a.Fingerprint(), qt.Not(qt.Equals), b.Fingerprint())
+}
+
+// largeTree has 1,900 client accounts in 20 teams with full memories of verdicts.
+func largeTree() *configurer.Tree {
+	tree := configurer.NewTree()
+	const teams, accounts, verdicts = 20, 95, 1000
+	for t := range teams {
+		for n := range verdicts {
+			c := configurer.Change{
+				ID: identifier.ChangeID(fmt.Sprintf("%024d", n)), Team: identifier.TeamID(fmt.Sprintf("team-%d", t)),
+				Expected: identifier.Revision(n), Set: map[string]json.RawMessage{}, Author: "operator@example",
+			}
+			account := fmt.Sprintf("accounts/account-%d/", n%accounts)
+			c.Set[account+"key_sha256"] = json.RawMessage(fmt.Sprintf(`"%064x"`, t*accounts+n%accounts))
+			c.Set[account+"weight"] = json.RawMessage(fmt.Sprint(1 + n%7))
+			c.Set[account+"requests_per_second"] = json.RawMessage("40")
+			tree.Decide(identifier.Offset(t*verdicts+n), c)
+		}
+	}
+	return tree
+}
+
+func BenchmarkDecide(b *testing.B) {
+	tree := largeTree()
+	revision := tree.Get("team-3").Revision
+	b.ReportAllocs()
+	for b.Loop() {
+		c := change(fmt.Sprintf("n-%d", revision), revision, map[string]string{"accounts/account-1/weight": "5"})
+		c.Team = "team-3"
+		if !tree.Decide(identifier.Offset(revision), c).Accepted {
+			b.Fatal("rejected")
+		}
+		revision++
+	}
+}
+
+func BenchmarkSettings(b *testing.B) {
+	tree := largeTree()
+	b.ReportAllocs()
+	for b.Loop() {
+		tree.Settings(nil)
+	}
+}
+
+// BenchmarkSettingsAfterOneChange takes over the 19 teams that have not changed.
+func BenchmarkSettingsAfterOneChange(b *testing.B) {
+	tree := largeTree()
+	before := tree.Settings(nil)
+	before.Teams["team-3"].Revision--
+	b.ReportAllocs()
+	for b.Loop() {
+		tree.Settings(before)
+	}
+}
+
+func BenchmarkSnapshot(b *testing.B) {
+	tree := largeTree()
+	size := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		raw, err := json.Marshal(configurer.Snapshot{Tree: tree, At: time.Unix(0, 0)})
+		if err != nil {
+			b.Fatal(err)
+		}
+		size = len(raw)
+	}
+	b.ReportMetric(float64(size), "bytes/snapshot")
+}
--- a/common/eventlogger/configuration.go
+++ b/common/eventlogger/configuration.go
@@ -2,10 +2,21 @@
 
 // Events of configuration and the log.
 var (
-	ChangeAccepted = Event{4001, "configuration change accepted"}
-	ChangeRejected = Event{4002, "configuration change rejected"}
-	LogUnreachable = Event{4003, "platform log unreachable"}
-	LogReached     = Event{4004, "platform log reached"}
+	ChangeAccepted   = Event{4001, "configuration change accepted"}
+	ChangeRejected   = Event{4002, "configuration change rejected"}
+	LogUnreachable   = Event{4003, "platform log unreachable"}
+	LogReached       = Event{4004, "platform log reached"}
+	ChangeProposed   = Event{4005, "configuration change sent to the log"}
+	AppendUncertain  = Event{4006, "answer to a configuration change's append lost"}
+	ChangeNotRun     = Event{4007, "configuration change not published"}
+	ChangeUnknown    = Event{4008, "configuration change's end unknown"}
+	ChangeIDReused   = Event{4009, "change id used for another change"}
+	RecordsLost      = Event{4010, "records dropped by the log before this node read them"}
+	StateInstalled   = Event{4011, "configuration state installed"}
+	SnapshotWritten  = Event{4012, "configuration snapshot sent to the log"}
+	SnapshotRefused  = Event{4013, "configuration state refused"}
+	RecordsPulled    = Event{4014, "log records pulled from a peer"}
+	RecordUnreadable = Event{4015, "log record unreadable"}
 )
 
 func configurationEvents() []Event {
@@ -14,5 +25,16 @@
 		ChangeRejected,
 		LogUnreachable,
 		LogReached,
+		ChangeProposed,
+		AppendUncertain,
+		ChangeNotRun,
+		ChangeUnknown,
+		ChangeIDReused,
+		RecordsLost,
+		StateInstalled,
+		SnapshotWritten,
+		SnapshotRefused,
+		RecordsPulled,
+		RecordUnreadable,
 	}
 }
--- a/common/platformcaller/platformcaller.go
+++ b/common/platformcaller/platformcaller.go
@@ -83,11 +83,20 @@
 	return out.First, err
 }
 
-// Read reads records from offset on, waiting up to wait for the first.
-func (c *Caller) Read(ctx context.Context, from identifier.Offset, wait time.Duration) (Page, error) {
+// ReadRequest asks for the records from an offset on.
+type ReadRequest struct {
+	From identifier.Offset
+	// Wait is how long the log may wait for the first record.
+	Wait time.Duration
+	// Fresh makes the read on a new connection.
+	Fresh bool
+}
+
+// Read reads one page of the log.
+func (c *Caller) Read(ctx context.Context, r ReadRequest) (Page, error) {
 	var out Page
-	u := fmt.Sprintf("http://%s/v1/log?from=%d&wait_ms=%d", c.address, from, wait.Milliseconds())
-	err := c.http.JSON(ctx, "GET", u, nil, &out)
+	u := fmt.Sprintf("http://%s/v1/log?from=%d&wait_ms=%d", c.address, r.From, r.Wait.Milliseconds())
+	err := c.http.JSONWith(ctx, httpcaller.Request{Method: "GET", URL: u, Fresh: r.Fresh}, nil, &out)
 	return out, err
 }
 
--- a/entry/internal/commander/commander.go
+++ b/entry/internal/commander/commander.go
@@ -83,6 +83,8 @@
 			DataCentre:  identifier.DataCentre(values.Text("data-centre")),
 		},
 		Platform:   values.Text("platform"),
+		LogKeep:    values.Duration("log-keep"),
+		Peers:      splitList(values.Text("peers")),
 		Shards:     values.Number("shards"),
 		DraftLimit: values.Number("draft-limit"),
 	})
--- a/entry/internal/commander/options.go
+++ b/entry/internal/commander/options.go
@@ -25,6 +25,8 @@
 		{Name: "peer-listen", Default: "127.0.0.1:8081", Usage: "address for the other nodes, host:port, as the VM list has it", Check: optionparser.IsAddress},
 		{Name: "platform", Usage: "address of the platform's log and VM list, host:port", Check: optionparser.IsAddress},
 		{Name: "operator-keys", Usage: "team=hex SHA-256 of a bearer key, several by comma; these operators need no configuration", Check: areKeys},
+		{Name: "peers", Usage: "peer addresses of other nodes, host:port by comma, to ask when the platform cannot be reached at the start", Check: areAddresses},
+		{Name: "log-keep", Default: "10m", Usage: "time for which the platform's log keeps records; snapshots are written by it", Check: optionparser.IsDuration},
 		{Name: "shards", Default: "4", Usage: "reducers that share the drafts, 1 to 64", Check: optionparser.IsNumber(1, maxShards)},
 		{Name: "draft-limit", Default: "2000", Usage: "drafts in progress at this node", Check: optionparser.IsNumber(1, maxDrafts)},
 		{Name: "balancer-lag", Default: "2s", Usage: "time for which a stopping node still accepts requests, so that the balancer can see it is unready", Check: optionparser.IsDuration},
@@ -34,6 +36,23 @@
 	}
 }
 
+func areAddresses(value string) error {
+	for _, address := range splitList(value) {
+		if err := optionparser.IsAddress(address); err != nil {
+			return errors.Wrapf(err, "%q", address)
+		}
+	}
+	return nil
+}
+
+// splitList splits a list by comma; an empty text is an empty list.
+func splitList(value string) []string {
+	if value == "" {
+		return nil
+	}
+	return strings.Split(value, ",")
+}
+
 func areKeys(value string) error {
 	_, err := parseKeys(value)
 	return err
--- a/entry/internal/executor/executor.go
+++ b/entry/internal/executor/executor.go
@@ -44,8 +44,12 @@
 
 // Config holds what the executor is made of.
 type Config struct {
-	Self       heartbeater.Heartbeat
-	Platform   string
+	Self     heartbeater.Heartbeat
+	Platform string
+	// LogKeep is how long the platform's log keeps a record.
+	LogKeep time.Duration
+	// Peers are addresses of nodes to ask before the VM list can be read.
+	Peers      []string
 	Shards     int
 	DraftLimit int
 }
@@ -100,7 +104,7 @@
 	owner := recorder.Owner{Node: cfg.Self.Node, Incarnation: cfg.Self.Incarnation}
 	x.control = newLoop(composer.NewControl(
 		committer.NewCommitter(),
-		tailer.NewTailer(),
+		tailer.NewTailer(tailer.Config{Node: cfg.Self.Node, LogKeep: cfg.LogKeep, Seeds: cfg.Peers}),
 		watcher.NewWatcher(),
 		heartbeater.NewHeartbeater(cfg.Self),
 		recorder.NewRecorder(owner),
--- a/entry/internal/executor/log.go
+++ b/entry/internal/executor/log.go
@@ -8,18 +8,17 @@
 
 	"fuchsiabridge.example/common/httpcaller"
 	"fuchsiabridge.example/common/messenger"
+	"fuchsiabridge.example/common/platformcaller"
 	"fuchsiabridge.example/entry/internal/committer"
 	"fuchsiabridge.example/entry/internal/counter"
-	"fuchsiabridge.example/entry/internal/heartbeater"
 	"fuchsiabridge.example/entry/internal/tailer"
 	"fuchsiabridge.example/entry/internal/tracer"
 )
 
 const (
-	// logWait is how long one read of the log waits for a record.
-	logWait         = 2 * time.Second
-	logReadTimeout  = logWait + 2*time.Second
 	tooManyRequests = 429
+	// appendTimeout bounds one append, as its connection may be silent for good.
+	appendTimeout = 5 * time.Second
 )
 
 // runLog carries out the effects of the platform's log.
@@ -29,6 +28,11 @@
 		x.start(x.platformPool, func() { x.appendLog(e) }, committer.AppendFailed{Records: e.Records, NotSent: true})
 	case tailer.ReadLog:
 		x.start(x.platformPool, func() { x.readLog(e) }, tailer.ReadFailed{Err: "no worker"})
+	case tailer.OffsetApplied:
+		x.offset.Store(int64(e.Offset))
+		counter.Offset.Set(int64(e.Offset))
+	case tailer.PullRecords:
+		x.start(x.controlPool, func() { x.pullRecords(e) }, tailer.PullFailed{Address: e.Address})
 	default:
 		return false
 	}
@@ -38,6 +42,8 @@
 func (x *Executor) appendLog(e committer.AppendLog) {
 	ctx, cancel := context.WithDeadline(x.ctx, e.Deadline)
 	defer cancel()
+	ctx, stop := context.WithTimeout(ctx, appendTimeout)
+	defer stop()
 	_, end := tracer.Start("", "platform.append")
 	first, err := x.platform.Append(ctx, e.Records)
 	end(err)
@@ -55,15 +61,12 @@
 }
 
 func (x *Executor) readLog(e tailer.ReadLog) {
-	ctx, cancel := context.WithTimeout(x.ctx, logReadTimeout)
+	ctx, cancel := context.WithDeadline(x.ctx, e.Deadline)
 	defer cancel()
-	page, err := x.platform.Read(ctx, e.From, logWait)
+	page, err := x.platform.Read(ctx, platformcaller.ReadRequest{From: e.From, Wait: e.Wait, Fresh: e.Fresh})
 	if err != nil {
 		x.Submit(tailer.ReadFailed{Err: err.Error()})
 		return
 	}
-	x.offset.Store(int64(page.Next))
-	counter.Offset.Set(int64(page.Next))
 	x.Submit(tailer.LogRead{Page: page})
-	x.Submit(heartbeater.OffsetApplied{Offset: page.Next})
 }
--- a/entry/internal/executor/members.go
+++ b/entry/internal/executor/members.go
@@ -67,6 +67,7 @@
 
 func (x *Executor) peerHandlers() map[string]peercaller.Handler {
 	return map[string]peercaller.Handler{
+		pullMethod: x.answerPull,
 		heartbeatMethod: func(_ context.Context, params json.RawMessage) (any, error) {
 			var beat heartbeater.Heartbeat
 			if err := json.Unmarshal(params, &beat); err != nil {
--- a/entry/internal/server/operators.go
+++ b/entry/internal/server/operators.go
@@ -32,6 +32,8 @@
 		s.tree(c)
 	case "/operator/changes":
 		s.change(c, teams)
+	case "/operator/begin":
+		s.begin(c)
 	default:
 		s.refuse(c, fasthttp.StatusNotFound, "unknown_path", "no such path", "path")
 	}
@@ -64,13 +66,42 @@
 	call, answers := s.node.Call(1, func(id identifier.CallID) messenger.Event { return tailer.TreeWanted{Call: id} })
 	defer s.node.Close(call)
 	select {
-	case tree := <-answers:
-		responder.JSON(c, fasthttp.StatusOK, tree)
+	case answer := <-answers:
+		if tree, ok := answer.(*configurer.Tree); ok && tree != nil {
+			responder.JSON(c, fasthttp.StatusOK, tree)
+			return
+		}
+		s.notRun(c, "unready", "the node has not read the log to its end")
+	case <-time.After(changeTimeout):
+		s.notRun(c, "no_answer", "the node did not answer")
+	}
+}
+
+// begin lets a node that found no state in the log begin from what it has.
+func (s *Server) begin(c *fasthttp.RequestCtx) {
+	if string(c.Method()) != fasthttp.MethodPost {
+		s.refuse(c, fasthttp.StatusMethodNotAllowed, "bad_method", "must be POST", "method")
+		return
+	}
+	call, answers := s.node.Call(1, func(id identifier.CallID) messenger.Event { return tailer.BeginWanted{Call: id} })
+	defer s.node.Close(call)
+	select {
+	case answer := <-answers:
+		if answer == true {
+			responder.JSON(c, fasthttp.StatusOK, map[string]bool{"begun": true})
+			return
+		}
+		s.refuse(c, fasthttp.StatusConflict, "not_needed", "the node has its state, or cannot reach the log", "log")
 	case <-time.After(changeTimeout):
-		s.refuse(c, fasthttp.StatusServiceUnavailable, "no_answer", "the node did not answer", "entry")
+		s.notRun(c, "no_answer", "the node did not answer")
 	}
 }
 
+func (s *Server) notRun(c *fasthttp.RequestCtx, code, message string) {
+	responder.Refuse(c, fasthttp.StatusServiceUnavailable, responder.NotRun,
+		responder.Problem{Code: code, Message: message, Place: "log"}, retryUnready)
+}
+
 func (s *Server) change(c *fasthttp.RequestCtx, teams map[identifier.TeamID]bool) {
 	var change configurer.Change
 	if err := responder.Decode(c, &change); err != nil {
@@ -85,6 +116,10 @@
 		s.refuse(c, fasthttp.StatusBadRequest, "bad_change", findings.Error(), "set")
 		return
 	}
+	if s.isBehind(change) {
+		s.notRun(c, "behind", "the change expects a revision that this node has not reached")
+		return
+	}
 	proposed := tailer.ChangeProposed{Change: change, Deadline: time.Now().Add(changeTimeout)}
 	call, answers := s.node.Call(1, func(id identifier.CallID) messenger.Event {
 		proposed.Call = id
@@ -100,15 +135,30 @@
 	s.answerChange(c, change, a)
 }
 
+// isBehind reports whether the node has not yet applied the revision that the change expects: it
+// cannot tell then whether the operator may still change the subtree.
+func (s *Server) isBehind(change configurer.Change) bool {
+	settings := s.node.Settings()
+	if settings == nil {
+		return true
+	}
+	team, ok := settings.Teams[change.Team]
+	return (ok && change.Expected > team.Revision) || (!ok && change.Expected > 0)
+}
+
 func (s *Server) answerChange(c *fasthttp.RequestCtx, change configurer.Change, a tailer.ChangeAnswer) {
 	switch a.Outcome {
 	case responder.Delivered:
 		responder.JSON(c, fasthttp.StatusOK, a.Verdict)
 	case responder.NotRun:
-		responder.Refuse(c, fasthttp.StatusServiceUnavailable, responder.NotRun,
-			responder.Problem{Code: "not_published", Message: "the change was not published", Place: "log"}, retryUnready)
+		s.notRun(c, "not_published", "the change was not published: "+a.Reason)
+	case responder.Refused:
+		s.refuse(c, fasthttp.StatusConflict, "change_id_reused", a.Reason, "id")
 	default:
-		responder.Refuse(c, fasthttp.StatusGatewayTimeout, responder.Unknown,
-			responder.Problem{Code: "unknown", Message: "ask again with the same change id", Place: "log", Key: string(change.ID)}, retryUnready)
+		p := responder.Problem{Code: "unknown", Message: "ask again with the same change id", Place: "log", Key: string(change.ID)}
+		if a.Reason != "" {
+			p.Message += ": " + a.Reason
+		}
+		responder.Refuse(c, fasthttp.StatusGatewayTimeout, responder.Unknown, p, retryUnready)
 	}
 }
--- a/entry/internal/tailer/tailer.go
+++ b/entry/internal/tailer/tailer.go
@@ -1,5 +1,6 @@
 // Package tailer follows the platform's log: it applies the changes of configuration
-// in log order and hands every other record on.
+// in log order, hands every other record on, and gets from peers or from a snapshot
+// what the log does not give.
 package tailer
 
 import (
@@ -11,197 +12,289 @@
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/common/platformcaller"
-	"fuchsiabridge.example/common/responder"
 	"fuchsiabridge.example/entry/internal/committer"
+	"fuchsiabridge.example/entry/internal/heartbeater"
 )
 
-// retryAfter is the pause after a read that failed.
-const retryAfter = 100 * time.Millisecond
-
-// ReadLog is the effect of one read of the log; LogRead or ReadFailed follows.
-type ReadLog struct{ From identifier.Offset }
-
-// LogRead brings one page of the log.
-type LogRead struct{ Page platformcaller.Page }
-
-// ReadFailed says that the log could not be read.
-type ReadFailed struct{ Err string }
-
-// RecordSeen hands on one record that is no change of configuration.
-type RecordSeen struct{ Record platformcaller.Record }
-
-// SettingsChanged brings the settings now in force.
-type SettingsChanged struct{ Settings *configurer.Settings }
-
-// CaughtUp says that the log was read to its end as of the read.
-type CaughtUp struct{ Offset identifier.Offset }
-
-// ChangeProposed is an operator's change; a ChangeAnswer is replied to Call.
-type ChangeProposed struct {
-	Call     identifier.CallID
-	Change   configurer.Change
-	Deadline time.Time
-}
+const (
+	// retryAfter is the pause after a read that failed.
+	retryAfter = 100 * time.Millisecond
+	// readWait is how long the log may wait for a record.
+	readWait = 2 * time.Second
+	// leastSlack and mostSlack bound the time that a read may take beyond its wait.
+	leastSlack = 2 * time.Second
+	mostSlack  = 32 * time.Second
+)
 
-// ChangeAnswer tells the operator how the change went.
-type ChangeAnswer struct {
-	// Outcome is Delivered when the verdict is known, else NotRun or Unknown.
-	Outcome responder.Outcome
-	Verdict configurer.Verdict
-}
+// logSubject is the subject of events about the log itself.
+const logSubject = "log"
 
-// TreeWanted asks for a copy of the tree, which is replied to Call as a *configurer.Tree.
-type TreeWanted struct{ Call identifier.CallID }
+// keyOffset is the key of an offset in events.
+const keyOffset = "offset"
 
-type proposal struct {
-	call     identifier.CallID
-	change   configurer.Change
-	deadline time.Time
+// Config holds what a tailer needs to know of its node.
+type Config struct {
+	Node identifier.NodeID
+	// LogKeep is how long the log keeps a record.
+	LogKeep time.Duration
+	// Seeds are addresses of peers to ask before any is known.
+	Seeds []string
 }
 
 // Tailer is the sub-reducer of the log and the configuration.
 type Tailer struct {
-	tree      *configurer.Tree
+	cfg  Config
+	tree *configurer.Tree
+	// next is the offset to read from; the tree is as of it while synced.
+	next   identifier.Offset
+	synced bool
+	// current says that the state once reached the end of the log or a peer's position.
+	current bool
+	// held has the configuration's records from heldFrom on while the tree is not synced.
+	held     []platformcaller.Record
+	heldFrom identifier.Offset
+	// handedOn is the offset after the newest record of another stream handed on.
+	handedOn identifier.Offset
+	// changed says that the tree changed since the settings were last broadcast.
+	changed bool
+	// settings is the view of the tree broadcast last, nil when another tree was installed since.
+	settings *configurer.Settings
+
 	reading   bool
 	reachable bool
-	notUntil  time.Time
-	proposals map[identifier.ChangeID][]proposal
+	// atEnd says that the newest page read from the log went to its end.
+	atEnd    bool
+	slack    time.Duration
+	notUntil time.Time
+
+	proposer    proposer
+	puller      puller
+	snapshotter snapshotter
+	keeper      keeper
 }
 
 // NewTailer returns a tailer that starts at the log's oldest record.
-func NewTailer() *Tailer {
-	return &Tailer{tree: configurer.NewTree(), reachable: true, proposals: map[identifier.ChangeID][]proposal{}}
+func NewTailer(cfg Config) *Tailer {
+	return &Tailer{
+		cfg: cfg, tree: configurer.NewTree(), synced: true, reachable: true, slack: leastSlack,
+		proposer: newProposer(), puller: newPuller(cfg.Node), snapshotter: newSnapshotter(cfg),
+	}
 }
 
 // Apply takes one event and returns what to do.
 func (t *Tailer) Apply(now time.Time, event messenger.Event) []messenger.Effect {
 	switch ev := event.(type) {
 	case LogRead:
-		return t.read(ev.Page)
+		return t.read(now, ev.Page)
 	case ReadFailed:
 		return t.readFailed(now, ev)
+	case RecordsPulled:
+		return t.pulled(now, ev)
+	case PullFailed:
+		t.puller.failed(now, ev.Address)
+	case PullWanted:
+		return []messenger.Effect{messenger.Reply{Call: ev.Call, Answer: t.answerPull(ev.From)}}
+	case heartbeater.Heard:
+		t.puller.heard(now, ev.Heartbeat)
 	case ChangeProposed:
 		return t.propose(ev)
 	case committer.Lost:
-		return t.lost(ev)
+		return t.lost(now, ev)
 	case TreeWanted:
-		return []messenger.Effect{messenger.Reply{Call: ev.Call, Answer: t.tree.Clone()}}
+		return []messenger.Effect{messenger.Reply{Call: ev.Call, Answer: t.copyOfTree()}}
+	case BeginWanted:
+		return t.begin(now, ev)
 	case messenger.Tick:
 		return t.tick(now)
 	}
 	return nil
 }
 
+func (t *Tailer) copyOfTree() *configurer.Tree {
+	if !t.current {
+		return nil
+	}
+	return t.tree.Clone()
+}
+
 func (t *Tailer) tick(now time.Time) []messenger.Effect {
-	effects := t.expire(now)
+	effects := t.tickProposals(now)
+	effects = append(effects, t.snapshot(now)...)
+	effects = append(effects, t.pull(now)...)
 	if t.reading || now.Before(t.notUntil) {
 		return effects
 	}
 	t.reading = true
-	return append(effects, ReadLog{From: t.tree.Offset})
+	return append(effects, t.readNext(now))
+}
+
+// readNext reads on, waiting for a record only where the end was seen; after a failure it
+// reads on a new connection and does not wait.
+func (t *Tailer) readNext(now time.Time) messenger.Effect {
+	r := ReadLog{From: t.next, Deadline: now.Add(t.slack), Fresh: !t.reachable}
+	if t.reachable && t.atEnd {
+		r.Wait = readWait
+		r.Deadline = r.Deadline.Add(readWait)
+	}
+	return r
 }
 
-func (t *Tailer) read(page platformcaller.Page) []messenger.Effect {
+func (t *Tailer) read(now time.Time, page platformcaller.Page) []messenger.Effect {
 	var effects []messenger.Effect
 	if !t.reachable {
 		t.reachable = true
-		effects = append(effects, messenger.Log{Event: eventlogger.LogReached, Subject: "log", Values: []any{"offset", page.Next}})
+		t.snapshotter.reached(now)
+		effects = append(effects, messenger.Log{Event: eventlogger.LogReached, Subject: logSubject, Values: []any{keyOffset, page.Next}})
 	}
-	changed := false
-	for _, r := range page.Records {
-		if r.Offset < t.tree.Offset {
-			continue
-		}
-		t.tree.Offset = r.Offset + 1
-		if r.Stream != configurer.Stream {
-			effects = append(effects, messenger.Raise{Event: RecordSeen{Record: r}})
-			continue
-		}
-		changed = true
-		effects = append(effects, t.decide(r)...)
+	effects = append(effects, t.take(now, page)...)
+	t.atEnd = t.next >= page.End
+	if t.atEnd {
+		t.puller.logEnd(now, t.synced)
+		effects = append(effects, t.settle(now)...)
+		effects = append(effects, messenger.Raise{Event: CaughtUp{Offset: t.next}})
 	}
-	t.tree.Offset = max(t.tree.Offset, page.Next)
-	if changed {
-		effects = append(effects, messenger.Broadcast{Event: SettingsChanged{Settings: t.tree.Settings()}})
+	effects = append(effects, t.publish()...)
+	t.reading = true
+	return append(effects, t.readNext(now))
+}
+
+// take applies the page's records that are new, in order.
+func (t *Tailer) take(now time.Time, page platformcaller.Page) []messenger.Effect {
+	var effects []messenger.Effect
+	if page.First > t.next {
+		effects = append(effects, t.lose(page.First)...)
 	}
-	if t.tree.Offset >= page.End {
-		effects = append(effects, messenger.Raise{Event: CaughtUp{Offset: t.tree.Offset}})
+	for _, r := range page.Records {
+		if r.Offset >= t.next {
+			effects = append(effects, t.apply(now, r)...)
+		}
 	}
-	return append(effects, ReadLog{From: t.tree.Offset})
+	t.next = max(t.next, page.Next)
+	return append(effects, t.advance()...)
 }
 
-func (t *Tailer) decide(r platformcaller.Record) []messenger.Effect {
-	var change configurer.Change
-	if err := json.Unmarshal(r.Body, &change); err != nil {
-		return []messenger.Effect{messenger.Log{Event: eventlogger.ChangeRejected, Subject: "change/" + r.ID, Values: []any{"reason", err.Error()}}}
+// advance tells the applied offset, which only grows.
+func (t *Tailer) advance() []messenger.Effect {
+	if !t.synced || t.tree.Offset >= t.next {
+		return nil
 	}
-	verdict := t.tree.Decide(r.Offset, change)
-	event := eventlogger.ChangeRejected
-	if verdict.Accepted {
-		event = eventlogger.ChangeAccepted
+	t.tree.Offset = t.next
+	return t.tellOffset()
+}
+
+func (t *Tailer) tellOffset() []messenger.Effect {
+	return []messenger.Effect{
+		OffsetApplied{Offset: t.tree.Offset},
+		messenger.Raise{Event: heartbeater.OffsetApplied{Offset: t.tree.Offset}},
 	}
+}
+
+// lose notes that the log dropped records up to first which this node has not read. The tree
+// stays in force; later changes are held until a state that saw the lost ones is found.
+func (t *Tailer) lose(first identifier.Offset) []messenger.Effect {
+	t.synced = false
+	t.held, t.heldFrom = nil, first
+	t.keeper.clear()
 	effects := []messenger.Effect{messenger.Log{
-		Event: event, Subject: "change/" + string(change.ID),
-		Values: []any{"team", change.Team, "revision", verdict.Revision, "offset", r.Offset, "reason", verdict.Reason},
+		Event: eventlogger.RecordsLost, Subject: logSubject, Values: []any{"from", t.next, "to", first},
 	}}
-	for _, p := range t.proposals[change.ID] {
-		effects = append(effects, messenger.Reply{Call: p.call, Answer: ChangeAnswer{Outcome: responder.Delivered, Verdict: verdict}})
-	}
-	delete(t.proposals, change.ID)
+	effects = append(effects, t.raiseGap(first)...)
+	t.next = first
 	return effects
 }
 
-func (t *Tailer) readFailed(now time.Time, ev ReadFailed) []messenger.Effect {
-	t.reading = false
-	t.notUntil = now.Add(retryAfter)
-	if !t.reachable {
+func (t *Tailer) raiseGap(to identifier.Offset) []messenger.Effect {
+	if to <= t.handedOn {
 		return nil
 	}
-	t.reachable = false
-	return []messenger.Effect{messenger.Log{Event: eventlogger.LogUnreachable, Subject: "log", Values: []any{"cause", ev.Err}}}
+	gap := GapFound{From: t.handedOn, To: to}
+	t.handedOn = to
+	return []messenger.Effect{messenger.Raise{Event: gap}}
 }
 
-func (t *Tailer) propose(ev ChangeProposed) []messenger.Effect {
-	if v, ok := t.tree.Verdict(ev.Change.Team, ev.Change.ID); ok {
-		return []messenger.Effect{messenger.Reply{Call: ev.Call, Answer: ChangeAnswer{Outcome: responder.Delivered, Verdict: v}}}
-	}
-	body, err := json.Marshal(ev.Change)
-	if err != nil {
-		return []messenger.Effect{messenger.Reply{Call: ev.Call, Answer: ChangeAnswer{Outcome: responder.NotRun}}}
+func (t *Tailer) apply(now time.Time, r platformcaller.Record) []messenger.Effect {
+	t.next = r.Offset + 1
+	t.keeper.keep(r)
+	switch r.Stream {
+	case configurer.Stream:
+		if !t.synced {
+			t.held = append(t.held, r)
+			return nil
+		}
+		return t.decide(now, r)
+	case configurer.SnapshotStream:
+		return t.seeSnapshot(now, r)
 	}
-	waiting := t.proposals[ev.Change.ID]
-	t.proposals[ev.Change.ID] = append(waiting, proposal{call: ev.Call, change: ev.Change, deadline: ev.Deadline})
-	if len(waiting) > 0 {
+	if r.Offset < t.handedOn {
 		return nil
 	}
-	r := platformcaller.Record{ID: string(ev.Change.ID), Stream: configurer.Stream, Body: body}
-	return []messenger.Effect{messenger.Raise{Event: committer.Append{Record: r, Deadline: ev.Deadline}}}
+	t.handedOn = t.next
+	return []messenger.Effect{messenger.Raise{Event: RecordSeen{Record: r}}}
+}
+
+func (t *Tailer) decide(now time.Time, r platformcaller.Record) []messenger.Effect {
+	var change configurer.Change
+	if err := json.Unmarshal(r.Body, &change); err != nil {
+		return unreadable(r, err)
+	}
+	if len(t.tree.Teams) == 0 {
+		t.snapshotter.first(now)
+	}
+	verdict := t.tree.Decide(r.Offset, change)
+	var effects []messenger.Effect
+	if verdict.Offset == r.Offset {
+		t.changed = t.changed || verdict.Accepted
+		effects = append(effects, logVerdict(verdict))
+	}
+	return append(effects, t.answerVerdict(verdict)...)
+}
+
+func unreadable(r platformcaller.Record, err error) []messenger.Effect {
+	return []messenger.Effect{messenger.Log{
+		Event: eventlogger.RecordUnreadable, Subject: logSubject, Values: []any{keyOffset, r.Offset, "cause", err.Error()},
+	}}
+}
+
+func logVerdict(v configurer.Verdict) messenger.Effect {
+	event := eventlogger.ChangeRejected
+	if v.Accepted {
+		event = eventlogger.ChangeAccepted
+	}
+	return messenger.Log{
+		Event: event, Subject: "change/" + string(v.ID),
+		Values: []any{"team", v.Team, "revision", v.Revision, keyOffset, v.Offset, "author", v.Author, "reason", v.Reason},
+	}
 }
 
-// lost answers proposals that cannot take effect; of others the log will tell, or the deadline.
-func (t *Tailer) lost(ev committer.Lost) []messenger.Effect {
-	if !ev.NotSent {
+// settle notes that the state reached the end of the log, or a peer's position.
+func (t *Tailer) settle(now time.Time) []messenger.Effect {
+	if !t.synced || t.current {
 		return nil
 	}
-	return t.answer(identifier.ChangeID(ev.ID), responder.NotRun)
+	t.current, t.changed = true, true
+	t.snapshotter.started(now, len(t.tree.Teams) > 0)
+	return t.tellOffset()
 }
 
-func (t *Tailer) expire(now time.Time) []messenger.Effect {
-	var effects []messenger.Effect
-	for id, waiting := range t.proposals {
-		if !waiting[0].deadline.After(now) {
-			effects = append(effects, t.answer(id, responder.Unknown)...)
-		}
+// publish broadcasts the settings when they changed; a node that has not come to the end
+// of the log once would show old ones.
+func (t *Tailer) publish() []messenger.Effect {
+	if !t.changed || !t.current {
+		return nil
 	}
-	return effects
+	t.changed = false
+	t.settings = t.tree.Settings(t.settings)
+	return []messenger.Effect{messenger.Broadcast{Event: SettingsChanged{Settings: t.settings}}}
 }
 
-func (t *Tailer) answer(id identifier.ChangeID, outcome responder.Outcome) []messenger.Effect {
-	var effects []messenger.Effect
-	for _, p := range t.proposals[id] {
-		v := configurer.Verdict{ID: id, Team: p.change.Team}
-		effects = append(effects, messenger.Reply{Call: p.call, Answer: ChangeAnswer{Outcome: outcome, Verdict: v}})
+func (t *Tailer) readFailed(now time.Time, ev ReadFailed) []messenger.Effect {
+	t.reading = false
+	t.notUntil = now.Add(retryAfter)
+	if !t.reachable {
+		t.slack = min(2*t.slack, mostSlack)
+		return nil
 	}
-	delete(t.proposals, id)
-	return effects
+	t.reachable = false
+	t.slack = leastSlack
+	return []messenger.Effect{messenger.Log{Event: eventlogger.LogUnreachable, Subject: logSubject, Values: []any{"cause", ev.Err}}}
 }
