--- a/common/configurer/snapshot.go
+++ b/common/configurer/snapshot.go
@@ -1,7 +1,10 @@
 package configurer
 
 import (
+	"bytes"
+	"compress/gzip"
 	"encoding/json"
+	"io"
 	"slices"
 	"time"
 
@@ -13,19 +16,59 @@
 // SnapshotStream is the log stream that holds snapshots of the tree.
 const SnapshotStream = "config_snapshot"
 
+// maxTreeBytes bounds a snapshot's tree once it is decompressed.
+const maxTreeBytes = 256 << 20
+
 // Snapshot is the tree as of its offset: all that decides later changes, the verdicts
 // remembered included. A reader that starts from it decides as one that read every record.
 type Snapshot struct {
-	Tree *Tree `json:"tree"`
+	Tree *Tree
 	// At is the writer's wall clock, a hint of the snapshot's age.
+	At time.Time
+}
+
+// snapshotBody is the body of a record of the snapshots' stream.
+type snapshotBody struct {
 	At time.Time `json:"at"`
+	// TreeGzip is the tree as compressed JSON.
+	TreeGzip []byte `json:"tree_gzip"`
+}
+
+// EncodeSnapshot returns the body of a snapshot's record.
+func EncodeSnapshot(s Snapshot) ([]byte, error) {
+	var packed bytes.Buffer
+	w, err := gzip.NewWriterLevel(&packed, gzip.BestSpeed)
+	if err != nil {
+		return nil, errors.Wrap(err, "compressing a snapshot")
+	}
+	if err := errors.CombineErrors(json.NewEncoder(w).Encode(s.Tree), w.Close()); err != nil {
+		return nil, errors.Wrap(err, "encoding a snapshot")
+	}
+	body, err := json.Marshal(snapshotBody{At: s.At, TreeGzip: packed.Bytes()})
+	return body, errors.Wrap(err, "encoding a snapshot")
+}
+
+// SnapshotTime returns when the snapshot was written, by its writer's clock.
+func SnapshotTime(body []byte) (time.Time, error) {
+	var b struct {
+		At time.Time `json:"at"`
+	}
+	return b.At, errors.Wrap(json.Unmarshal(body, &b), "decoding a snapshot")
 }
 
 // DecodeSnapshot reads the snapshot that stands at the given offset of the log.
 func DecodeSnapshot(at identifier.Offset, body []byte) (Snapshot, error) {
-	var s Snapshot
-	if err := json.Unmarshal(body, &s); err != nil {
-		return s, errors.Wrap(err, "decoding a snapshot")
+	var b snapshotBody
+	if err := json.Unmarshal(body, &b); err != nil {
+		return Snapshot{}, errors.Wrap(err, "decoding a snapshot")
+	}
+	s := Snapshot{At: b.At}
+	r, err := gzip.NewReader(bytes.NewReader(b.TreeGzip))
+	if err != nil {
+		return s, errors.Wrap(err, "decompressing a snapshot")
+	}
+	if err := json.NewDecoder(io.LimitReader(r, maxTreeBytes)).Decode(&s.Tree); err != nil {
+		return s, errors.Wrap(err, "decoding a snapshot's tree")
 	}
 	if s.Tree == nil || s.Tree.Offset > at || s.Tree.Offset < 0 {
 		return s, errors.New("a snapshot must hold a tree as of an offset before its own")
--- a/common/configurer/tree.go
+++ b/common/configurer/tree.go
@@ -20,9 +20,9 @@
 
 const (
 	// historyLimit bounds the verdicts remembered for each team.
-	historyLimit = 200
+	historyLimit = 1000
 	// fingerprintBytes is the length of a fingerprint.
-	fingerprintBytes = 16
+	fingerprintBytes = 8
 )
 
 // Change is one proposed change of a team's subtree.
--- a/common/configurer/tree_test.go
+++ b/common/configurer/tree_test.go
@@ -1,6 +1,8 @@
 package configurer_test
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"strings"
@@ -141,11 +143,11 @@
 	for t := range teams {
 		for n := range verdicts {
 			c := configurer.Change{
-				ID: identifier.ChangeID(fmt.Sprintf("%024d", n)), Team: identifier.TeamID(fmt.Sprintf("team-%d", t)),
+				ID: identifier.ChangeID(randomHex(12, "change", t, n)), Team: identifier.TeamID(fmt.Sprintf("team-%d", t)),
 				Expected: identifier.Revision(n), Set: map[string]json.RawMessage{}, Author: "operator@example",
 			}
 			account := fmt.Sprintf("accounts/account-%d/", n%accounts)
-			c.Set[account+"key_sha256"] = json.RawMessage(fmt.Sprintf(`"%064x"`, t*accounts+n%accounts))
+			c.Set[account+"key_sha256"] = json.RawMessage(`"` + randomHex(32, "key", t, n%accounts) + `"`)
 			c.Set[account+"weight"] = json.RawMessage(fmt.Sprint(1 + n%7))
 			c.Set[account+"requests_per_second"] = json.RawMessage("40")
 			tree.Decide(identifier.Offset(t*verdicts+n), c)
@@ -154,6 +156,12 @@
 	return tree
 }
 
+// randomHex returns digits that do not compress better than random ones.
+func randomHex(n int, of ...any) string {
+	sum := sha256.Sum256([]byte(fmt.Sprint(of...)))
+	return hex.EncodeToString(sum[:n])
+}
+
 func BenchmarkDecide(b *testing.B) {
 	tree := largeTree()
 	revision := tree.Get("team-3").Revision
@@ -192,7 +200,7 @@
 	size := 0
 	b.ReportAllocs()
 	for b.Loop() {
-		raw, err := json.Marshal(configurer.Snapshot{Tree: tree, At: time.Unix(0, 0)})
+		raw, err := configurer.EncodeSnapshot(configurer.Snapshot{Tree: tree, At: time.Unix(0, 0)})
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/entry/internal/composer/slopes_test.go
+++ b/entry/internal/composer/slopes_test.go
@@ -138,7 +138,7 @@
 }
 
 func configureAccounts(n int) subject {
-	tl := tailer.NewTailer()
+	tl := tailer.NewTailer(tailer.Config{})
 	change := func(i int) configurer.Change {
 		key, _ := json.Marshal(fmt.Sprintf("%064x", i))
 		return configurer.Change{
--- a/entry/internal/executor/log.go
+++ b/entry/internal/executor/log.go
@@ -31,6 +31,8 @@
 	case tailer.OffsetApplied:
 		x.offset.Store(int64(e.Offset))
 		counter.Offset.Set(int64(e.Offset))
+	case tailer.WriteSnapshot:
+		x.start(x.platformPool, func() { x.writeSnapshot(e) }, nil)
 	case tailer.PullRecords:
 		x.start(x.controlPool, func() { x.pullRecords(e) }, tailer.PullFailed{Address: e.Address})
 	default:
@@ -60,6 +62,13 @@
 	x.Submit(failed)
 }
 
+// writeSnapshot encodes the state away from the reducer, which then appends it.
+func (x *Executor) writeSnapshot(e tailer.WriteSnapshot) {
+	if r, err := e.Record(); err == nil {
+		x.Submit(committer.Append{Record: r, Deadline: e.Deadline})
+	}
+}
+
 func (x *Executor) readLog(e tailer.ReadLog) {
 	ctx, cancel := context.WithDeadline(x.ctx, e.Deadline)
 	defer cancel()
--- a/entry/internal/tailer/messages.go
+++ b/entry/internal/tailer/messages.go
@@ -42,6 +42,19 @@
 // OffsetApplied is the effect of a grown applied offset.
 type OffsetApplied struct{ Offset identifier.Offset }
 
+// WriteSnapshot is the effect of writing the state to the log.
+type WriteSnapshot struct {
+	ID       string
+	Snapshot configurer.Snapshot
+	Deadline time.Time
+}
+
+// Record returns the record of the snapshot.
+func (w WriteSnapshot) Record() (platformcaller.Record, error) {
+	body, err := configurer.EncodeSnapshot(w.Snapshot)
+	return platformcaller.Record{ID: w.ID, Stream: configurer.SnapshotStream, Body: body}, err
+}
+
 // PullRecords is the effect of asking a peer for records; RecordsPulled or PullFailed follows.
 type PullRecords struct {
 	Address string
--- a/entry/internal/tailer/snapshotter.go
+++ b/entry/internal/tailer/snapshotter.go
@@ -1,7 +1,6 @@
 package tailer
 
 import (
-	"encoding/json"
 	"fmt"
 	"time"
 
@@ -11,7 +10,6 @@
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/common/platformcaller"
-	"fuchsiabridge.example/entry/internal/committer"
 )
 
 const (
@@ -75,7 +73,7 @@
 	if !t.current || len(t.tree.Teams) == 0 || t.snapshotter.due.IsZero() || now.Before(t.snapshotter.due) {
 		return nil
 	}
-	return t.write(now, t.tree)
+	return t.write(now, t.tree.Clone())
 }
 
 func (t *Tailer) skipLost(now time.Time) []messenger.Effect {
@@ -109,28 +107,29 @@
 func (t *Tailer) write(now time.Time, tree *configurer.Tree) []messenger.Effect {
 	s := &t.snapshotter
 	s.due = now.Add(s.again)
-	body, err := json.Marshal(configurer.Snapshot{Tree: tree, At: now.Round(0)})
-	if err != nil {
-		return nil
-	}
 	s.written++
-	r := platformcaller.Record{
-		ID: fmt.Sprintf("snapshot/%s/%d", t.cfg.Node, s.written), Stream: configurer.SnapshotStream, Body: body,
-	}
 	return []messenger.Effect{
-		messenger.Log{Event: eventlogger.SnapshotWritten, Subject: logSubject, Values: []any{keyOffset, tree.Offset, "bytes", len(body)}},
-		messenger.Raise{Event: committer.Append{Record: r, Deadline: now.Add(appendTimeout)}},
+		messenger.Log{Event: eventlogger.SnapshotWritten, Subject: logSubject, Values: []any{keyOffset, tree.Offset}},
+		WriteSnapshot{
+			ID:       fmt.Sprintf("snapshot/%s/%d", t.cfg.Node, s.written),
+			Snapshot: configurer.Snapshot{Tree: tree, At: now.Round(0)},
+			Deadline: now.Add(appendTimeout),
+		},
 	}
 }
 
 func (t *Tailer) seeSnapshot(now time.Time, r platformcaller.Record) []messenger.Effect {
-	s, err := configurer.DecodeSnapshot(r.Offset, r.Body)
+	at, err := configurer.SnapshotTime(r.Body)
 	if err != nil {
 		return unreadable(r, err)
 	}
-	t.snapshotter.seen(now, s.At)
+	t.snapshotter.seen(now, at)
 	if t.synced {
 		return nil
 	}
+	s, err := configurer.DecodeSnapshot(r.Offset, r.Body)
+	if err != nil {
+		return unreadable(r, err)
+	}
 	return t.install(now, s.Tree, "snapshot")
 }
--- a/entry/internal/tailer/tailer.go
+++ b/entry/internal/tailer/tailer.go
@@ -23,7 +23,7 @@
 	readWait = 2 * time.Second
 	// leastSlack and mostSlack bound the time that a read may take beyond its wait.
 	leastSlack = 2 * time.Second
-	mostSlack  = 32 * time.Second
+	mostSlack  = 8 * time.Second
 )
 
 // logSubject is the subject of events about the log itself.
@@ -63,9 +63,10 @@
 	reading   bool
 	reachable bool
 	// atEnd says that the newest page read from the log went to its end.
-	atEnd    bool
-	slack    time.Duration
-	notUntil time.Time
+	atEnd     bool
+	slack     time.Duration
+	readUntil time.Time
+	notUntil  time.Time
 
 	proposer    proposer
 	puller      puller
@@ -136,6 +137,7 @@
 		r.Wait = readWait
 		r.Deadline = r.Deadline.Add(readWait)
 	}
+	t.readUntil = r.Deadline
 	return r
 }
 
@@ -291,10 +293,17 @@
 	t.reading = false
 	t.notUntil = now.Add(retryAfter)
 	if !t.reachable {
-		t.slack = min(2*t.slack, mostSlack)
+		t.slow(now)
 		return nil
 	}
 	t.reachable = false
 	t.slack = leastSlack
 	return []messenger.Effect{messenger.Log{Event: eventlogger.LogUnreachable, Subject: logSubject, Values: []any{"cause", ev.Err}}}
 }
+
+// slow gives the next read more time when this one used up its own.
+func (t *Tailer) slow(now time.Time) {
+	if !now.Before(t.readUntil) {
+		t.slack = min(2*t.slack, mostSlack)
+	}
+}
--- a/entry/internal/tailer/tailer_test.go
+++ b/entry/internal/tailer/tailer_test.go
@@ -52,9 +52,12 @@
 	seen    []identifier.Offset
 	applied identifier.Offset
 	from    identifier.Offset
+	read    tailer.ReadLog
 	pulls   []tailer.PullRecords
 	appends []committer.Append
-	shown   *configurer.Settings
+	// snapshots are those that the reader wants written.
+	snapshots []tailer.WriteSnapshot
+	shown     *configurer.Settings
 }
 
 func newReader(name string) *reader {
@@ -75,7 +78,9 @@
 func (r *reader) note(effect messenger.Effect) {
 	switch e := effect.(type) {
 	case tailer.ReadLog:
-		r.from = e.From
+		r.from, r.read = e.From, e
+	case tailer.WriteSnapshot:
+		r.snapshots = append(r.snapshots, e)
 	case tailer.PullRecords:
 		r.pulls = append(r.pulls, e)
 	case tailer.OffsetApplied:
@@ -179,7 +184,7 @@
 
 // appendSnapshot appends a snapshot, after changes that it does not hold.
 func (f *fleet) appendSnapshot(step int) {
-	body, _ := json.Marshal(configurer.Snapshot{Tree: f.whole.tree(), At: start})
+	body, _ := configurer.EncodeSnapshot(configurer.Snapshot{Tree: f.whole.tree(), At: start})
 	for range rapid.IntRange(0, 2).Draw(f.T, "between") {
 		f.log.append(record(change("dakar", fmt.Sprintf("b-%d", step), f.whole.tree().Get("dakar").Revision, step)))
 	}
@@ -270,7 +275,7 @@
 	fresh.do(tailer.LogRead{Page: l.page(0, 100)})
 	c.Assert(fresh.tree(), qt.IsNil)
 	c.Assert(fresh.shown, qt.IsNil)
-	body, err := json.Marshal(configurer.Snapshot{Tree: old.tree(), At: start})
+	body, err := configurer.EncodeSnapshot(configurer.Snapshot{Tree: old.tree(), At: start})
 	c.Assert(err, qt.IsNil)
 	l.append(platformcaller.Record{Stream: configurer.SnapshotStream, Body: body})
 	l.append(record(change("dakar", "a", 2, 9)))
@@ -281,6 +286,12 @@
 	c.Assert(fresh.shown.Offset, qt.Equals, identifier.Offset(4))
 }
 
+func written(c *qt.C, w tailer.WriteSnapshot) platformcaller.Record {
+	r, err := w.Record()
+	c.Assert(err, qt.IsNil)
+	return r
+}
+
 // TestSnapshotDue writes a snapshot before retention drops the state, once, and again when it is not read back.
 func TestSnapshotDue(t *testing.T) {
 	c := qt.New(t)
@@ -289,20 +300,19 @@
 	l.append(record(change("dakar", "a", 0, 3)))
 	r.do(tailer.LogRead{Page: l.page(0, 100)})
 	r.do(messenger.Tick{})
-	c.Assert(r.appends, qt.HasLen, 0)
+	c.Assert(r.snapshots, qt.HasLen, 0)
 	r.now = r.now.Add(keep/2 - time.Second)
 	r.do(messenger.Tick{})
 	r.do(messenger.Tick{})
-	c.Assert(r.appends, qt.HasLen, 1)
-	c.Assert(r.appends[0].Record.Stream, qt.Equals, configurer.SnapshotStream)
+	c.Assert(r.snapshots, qt.HasLen, 1)
 	r.now = r.now.Add(keep / 8)
 	r.do(messenger.Tick{})
-	c.Assert(r.appends, qt.HasLen, 2)
-	l.append(r.appends[1].Record)
+	c.Assert(r.snapshots, qt.HasLen, 2)
+	l.append(written(c, r.snapshots[1]))
 	r.do(tailer.LogRead{Page: l.page(1, 100)})
 	r.now = r.now.Add(keep / 8)
 	r.do(messenger.Tick{})
-	c.Assert(r.appends, qt.HasLen, 2)
+	c.Assert(r.snapshots, qt.HasLen, 2)
 }
 
 // TestNodeGoesOnAfterLoss loses records that nobody read: the settings stay in force, and
@@ -327,9 +337,9 @@
 			each.do(messenger.Tick{})
 		}
 	}
-	c.Assert(fresh.appends, qt.HasLen, 0)
-	c.Assert(len(r.appends) > 0, qt.IsTrue)
-	l.append(r.appends[0].Record)
+	c.Assert(fresh.snapshots, qt.HasLen, 0)
+	c.Assert(len(r.snapshots) > 0, qt.IsTrue)
+	l.append(written(c, r.snapshots[0]))
 	for _, each := range []*reader{r, fresh} {
 		each.do(tailer.LogRead{Page: l.page(each.from, 100)})
 	}
@@ -352,6 +362,28 @@
 	c.Assert(r.tree().Get("dakar").Revision, qt.Equals, identifier.Revision(2))
 }
 
+// TestReadsOfASlowLog gives reads more time only after reads that used theirs up, so that a
+// silent connection after an outage is noticed soon.
+func TestReadsOfASlowLog(t *testing.T) {
+	c := qt.New(t)
+	r := newReader("node")
+	patience := func(took time.Duration) time.Duration {
+		r.now = r.now.Add(took)
+		r.do(tailer.ReadFailed{Err: "failed"})
+		r.now = r.now.Add(time.Second)
+		r.do(messenger.Tick{})
+		c.Assert(r.read.Fresh, qt.IsTrue)
+		return r.read.Deadline.Sub(r.now)
+	}
+	for range 20 {
+		c.Assert(patience(time.Millisecond), qt.Equals, 2*time.Second)
+	}
+	c.Assert(patience(2*time.Second), qt.Equals, 4*time.Second)
+	for range 5 {
+		c.Assert(patience(8*time.Second) <= 8*time.Second, qt.IsTrue)
+	}
+}
+
 // TestAnswersToOperators asks under one id in many ways; what is said stays true.
 func TestAnswersToOperators(t *testing.T) {
 	c := qt.New(t)
--- a/integration/launcher/launcher.go
+++ b/integration/launcher/launcher.go
@@ -41,8 +41,10 @@
 type Process struct {
 	Name    string
 	Address string
-	cmd     *exec.Cmd
-	done    chan struct{}
+	// Peer is a node's address for the other nodes.
+	Peer string
+	cmd  *exec.Cmd
+	done chan struct{}
 }
 
 // Fleet is a set of started processes and the folder of their files.
@@ -159,9 +161,9 @@
 }
 
 // ReplaceNode starts a node with the same id at new addresses in the place of a killed one.
-func (f *Fleet) ReplaceNode(i int) *Process {
+func (f *Fleet) ReplaceNode(i int, flags ...string) *Process {
 	f.t.Helper()
-	f.Nodes[i] = f.startNode(f.Nodes[i].Name, f.Platform.Address)
+	f.Nodes[i] = f.startNode(f.Nodes[i].Name, f.Platform.Address, flags...)
 	return f.Nodes[i]
 }
 
@@ -173,6 +175,7 @@
 		"--operator-keys", Team + "=" + Hash(OperatorKey), "--balancer-lag", "300ms",
 	}, flags...)
 	p := f.start(id, "entry", address, args...)
+	p.Peer = peer
 	f.awaitURL("http://" + address + "/healthz")
 	f.ListVM(platformcaller.VM{ID: id, Role: platformcaller.RoleEntry, Address: peer, DataCentre: dataCentre})
 	return p
