--- a/entry/internal/composer/slopes_test.go
+++ b/entry/internal/composer/slopes_test.go
@@ -138,7 +138,7 @@
 }
 
 func configureAccounts(n int) subject {
-	tl := tailer.NewTailer()
+	tl := tailer.NewTailer(tailer.Config{})
 	change := func(i int) configurer.Change {
 		key, _ := json.Marshal(fmt.Sprintf("%064x", i))
 		return configurer.Change{
@@ -171,7 +171,7 @@
 }
 
 func holdDrafts(n int) subject {
-	d := drafter.NewDrafter()
+	d := drafter.NewDrafter(drafter.Config{Recovery: drafter.RecoveryReplay, Shards: 1, HistoryBytes: 64 << 20})
 	var targets []watcher.Target
 	for i := range 40 {
 		s := statusOf(i)
--- a/entry/internal/executor/members.go
+++ b/entry/internal/executor/members.go
@@ -69,6 +69,7 @@
 	return map[string]peercaller.Handler{
 		checkpointMethod:     x.takeCheckpoints,
 		findCheckpointMethod: x.answerFind,
+		pullMethod:           x.answerPull,
 		heartbeatMethod: func(_ context.Context, params json.RawMessage) (any, error) {
 			var beat heartbeater.Heartbeat
 			if err := json.Unmarshal(params, &beat); err != nil {
