--- a/entry/internal/composer/slopes_test.go
+++ b/entry/internal/composer/slopes_test.go
@@ -171,7 +171,7 @@
 }
 
 func holdDrafts(n int) subject {
-	d := drafter.NewDrafter(drafter.Config{Recovery: drafter.RecoveryReplay, Shards: 1, HistoryBytes: 64 << 20})
+	d := drafter.NewDrafter(drafter.Config{Recovery: drafter.Replay, Shards: 1, HistoryBytes: 64 << 20})
 	var targets []watcher.Target
 	for i := range 40 {
 		s := statusOf(i)
--- a/entry/internal/executor/log.go
+++ b/entry/internal/executor/log.go
@@ -46,6 +46,9 @@
 	defer cancel()
 	ctx, stop := context.WithTimeout(ctx, appendTimeout)
 	defer stop()
+	if e.Fresh {
+		ctx = httpcaller.WithFresh(ctx)
+	}
 	_, end := tracer.Start("", "platform.append")
 	first, err := x.platform.Append(ctx, e.Records)
 	end(err)
--- a/entry/internal/executor/members.go
+++ b/entry/internal/executor/members.go
@@ -70,6 +70,7 @@
 		checkpointMethod:     x.takeCheckpoints,
 		findCheckpointMethod: x.answerFind,
 		pullMethod:           x.answerPull,
+		isolationMethod:      x.isolationHandler,
 		heartbeatMethod: func(_ context.Context, params json.RawMessage) (any, error) {
 			var beat heartbeater.Heartbeat
 			if err := json.Unmarshal(params, &beat); err != nil {
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -221,10 +221,6 @@
 	}
 }
 
-type execution struct {
-	Key string `json:"key"`
-}
-
 // check counts what no fault may cause, and prints the whole count.
 func (s *soak) check() {
 	c := qt.New(s.t)
