Watch targets by observers, spread leaving at once, and stop nodes gracefully

Cause: every node polled every engine; leaving could be undone (a leaving engine that missed three polls became down, then up); a target that one VM list missed vanished; services had no health; a peer whose clock went back was never heard again; a node was ready before it had seen any target.

Change: three observers a target by rendezvous hashing (near ones first) poll and report; reports carry a sequence, leaving marks the engine's generation and only a later one lifts it. The vote of most counts, a node's own evidence first. Heartbeats: full mesh up to 10 peers, above it three a round with hearsay, suspicion and refutation. Services come back by a dial. A stopping node counts requests from their handler's start, asks callers to close their connections, and waits for records on their way to the log.

Ruled out: go-rendezvous, which gives only the first of the ranking; a report from every node about every target (over 50 KB/s at 16 nodes). Above the full mesh a report that is lost is not told again: not proved.

--- a/common/eventlogger/members.go
+++ b/common/eventlogger/members.go
@@ -4,11 +4,23 @@
 var (
 	PeerStateChanged  = Event{5001, "peer state changed"}
 	TargetStateChange = Event{5002, "target state changed"}
+	TargetReported    = Event{5003, "target reported leaving"}
+	LeaseChanged      = Event{5004, "lease changed"}
+	OrderDecided      = Event{5005, "order decided"}
+	OrderSent         = Event{5006, "order sent"}
+	OrderEnded        = Event{5007, "order ended"}
+	OrderNotSent      = Event{5008, "order not sent"}
 )
 
 func membersEvents() []Event {
 	return []Event{
 		PeerStateChanged,
 		TargetStateChange,
+		TargetReported,
+		LeaseChanged,
+		OrderDecided,
+		OrderSent,
+		OrderEnded,
+		OrderNotSent,
 	}
 }
--- a/entry/internal/commander/commander.go
+++ b/entry/internal/commander/commander.go
@@ -30,7 +30,6 @@
 	exitError = 1
 	exitUsage = 2
 
-	stopPoll = 20 * time.Millisecond
 	// traceGrace is how long the last spans may take to be sent.
 	traceGrace = 2 * time.Second
 )
@@ -103,8 +102,9 @@
 	if err != nil {
 		return err
 	}
+	g := &gate{}
 	s := &fasthttp.Server{
-		Handler:               server.NewServer(x, keys).Handle,
+		Handler:               g.wrap(server.NewServer(x, keys).Handle),
 		MaxRequestBodySize:    server.MaxBodyBytes,
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
@@ -115,12 +115,7 @@
 	go func() {
 		<-signals.Done()
 		eventlogger.Info(eventlogger.NodeStopping, "open_requests", x.Open())
-		x.Leave()
-		limit := time.Now().Add(values.Duration("stop-limit"))
-		time.Sleep(values.Duration("balancer-lag"))
-		for x.Open() > 0 && time.Now().Before(limit) {
-			time.Sleep(stopPoll)
-		}
+		g.stop(x, values.Duration("balancer-lag"), time.Now().Add(values.Duration("stop-limit")))
 		stopServing()
 	}()
 	err = responder.Serve(stopped, s, l, values.Duration("stop-limit"))
--- a/entry/internal/committer/committer.go
+++ b/entry/internal/committer/committer.go
@@ -38,6 +38,9 @@
 	NotSent bool
 }
 
+// UnwrittenWanted asks how many records wait or are in flight; the number is replied to Call.
+type UnwrittenWanted struct{ Call identifier.CallID }
+
 // AppendLog is the effect of one append; AppendDone or AppendFailed follows.
 type AppendLog struct {
 	Records  []platformcaller.Record
@@ -76,6 +79,8 @@
 		return c.done(now, ev)
 	case AppendFailed:
 		return c.failed(now, ev)
+	case UnwrittenWanted:
+		return []messenger.Effect{messenger.Reply{Call: ev.Call, Answer: len(c.queue) + len(c.inFlight)}}
 	case messenger.Tick:
 		return c.next(now)
 	}
--- a/entry/internal/executor/executor.go
+++ b/entry/internal/executor/executor.go
@@ -77,6 +77,7 @@
 	self      heartbeater.Heartbeat
 	offset    atomic.Int64
 	leaving   atomic.Bool
+	primed    atomic.Bool
 	explainer *explainer
 }
 
@@ -101,7 +102,7 @@
 	x.control = newLoop(composer.NewControl(
 		committer.NewCommitter(),
 		tailer.NewTailer(),
-		watcher.NewWatcher(),
+		watcher.NewWatcher(watcher.Observer{Node: cfg.Self.Node, DataCentre: cfg.Self.DataCentre}, cfg.Self.Incarnation),
 		heartbeater.NewHeartbeater(cfg.Self),
 		recorder.NewRecorder(owner),
 		retrier.NewRetrier(),
@@ -175,10 +176,10 @@
 // Offset returns the applied offset of the log.
 func (x *Executor) Offset() identifier.Offset { return identifier.Offset(x.offset.Load()) }
 
-// Ready reports whether the node has a configuration and is not leaving.
+// Ready reports whether the node has a configuration, has seen its targets and is not leaving.
 func (x *Executor) Ready() bool {
 	s := x.settings.Load()
-	return s != nil && len(s.Accounts) > 0 && !x.leaving.Load()
+	return s != nil && len(s.Accounts) > 0 && x.primed.Load() && !x.leaving.Load()
 }
 
 // Leave makes the node unready and tells its peers.
@@ -233,6 +234,7 @@
 		x.settings.Store(ev.Settings)
 	case watcher.TargetsChanged:
 		x.targets.Store(&ev.Targets)
+		x.prime(ev.Targets)
 	case heartbeater.PeersChanged:
 		x.peerList.Store(&ev.Peers)
 	}
--- a/entry/internal/executor/members.go
+++ b/entry/internal/executor/members.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
+	"fuchsiabridge.example/entry/internal/committer"
 	"fuchsiabridge.example/entry/internal/heartbeater"
 	"fuchsiabridge.example/entry/internal/peercaller"
 	"fuchsiabridge.example/entry/internal/tracer"
@@ -25,7 +28,9 @@
 	case watcher.ReadVMs:
 		x.start(x.controlPool, x.readVMs, nil)
 	case watcher.ReadStatus:
-		x.start(x.controlPool, func() { x.readStatus(e) }, watcher.StatusFailed{Target: e.Target})
+		x.start(x.controlPool, func() { x.readStatus(e) }, watcher.StatusFailed(e))
+	case watcher.ProbeService:
+		x.start(x.controlPool, func() { x.probeService(e) }, watcher.StatusFailed(e))
 	case heartbeater.SendHeartbeat:
 		x.start(x.controlPool, func() { x.sendHeartbeat(e) }, nil)
 	default:
@@ -47,10 +52,22 @@
 	defer cancel()
 	status, err := x.engine.Status(ctx, e.Address)
 	if err != nil || status.Target != e.Target {
-		x.Submit(watcher.StatusFailed{Target: e.Target})
+		x.Submit(watcher.StatusFailed(e))
 		return
 	}
-	x.Submit(watcher.StatusRead{Status: status})
+	x.Submit(watcher.StatusRead{Address: e.Address, Status: status})
+}
+
+// probeService dials a service; it sends nothing, as the service's calls may not be repeated.
+func (x *Executor) probeService(e watcher.ProbeService) {
+	dialer := net.Dialer{Timeout: pollTimeout}
+	conn, err := dialer.DialContext(x.ctx, "tcp", e.Address)
+	if err != nil {
+		x.Submit(watcher.StatusFailed(e))
+		return
+	}
+	_ = conn.Close()
+	x.Submit(watcher.ServiceReached(e))
 }
 
 func (x *Executor) sendHeartbeat(e heartbeater.SendHeartbeat) {
@@ -60,23 +77,61 @@
 	var answer heartbeater.Heartbeat
 	err := x.peers.Call(ctx, e.Address, heartbeatMethod, e.Heartbeat, &answer)
 	end(err)
-	if err == nil {
-		x.Submit(heartbeater.Heard{Heartbeat: answer})
+	if err != nil {
+		x.Submit(heartbeater.Unanswered{Address: e.Address})
+		return
 	}
+	x.Submit(heartbeater.Heard{Heartbeat: answer})
 }
 
 func (x *Executor) peerHandlers() map[string]peercaller.Handler {
 	return map[string]peercaller.Handler{
-		heartbeatMethod: func(_ context.Context, params json.RawMessage) (any, error) {
+		heartbeatMethod: func(ctx context.Context, params json.RawMessage) (any, error) {
 			var beat heartbeater.Heartbeat
 			if err := json.Unmarshal(params, &beat); err != nil {
 				return nil, errors.Wrap(err, "decoding a heartbeat")
 			}
-			x.Submit(heartbeater.Heard{Heartbeat: beat})
-			self := x.self
-			self.Leaving = x.leaving.Load()
-			self.Offset = x.Offset()
-			return self, nil
+			return x.ask(ctx, func(id identifier.CallID) messenger.Event {
+				return heartbeater.Asked{Call: id, Heartbeat: beat}
+			})
 		},
 	}
 }
+
+// prime notes that the node has seen the state of every target once, so that it may be given work.
+func (x *Executor) prime(targets []watcher.Target) {
+	for _, t := range targets {
+		if t.State == watcher.StateUnknown {
+			return
+		}
+	}
+	x.primed.Store(true)
+}
+
+// Unwritten returns the number of records that are still on their way to the log.
+func (x *Executor) Unwritten() int {
+	n, err := x.ask(x.ctx, func(id identifier.CallID) messenger.Event { return committer.UnwrittenWanted{Call: id} })
+	if err != nil {
+		return 1
+	}
+	count, _ := n.(int)
+	return count
+}
+
+// ask submits an event and waits for the one answer that is replied to its call. It
+// is no caller's request, so it does not count as open.
+func (x *Executor) ask(ctx context.Context, event func(identifier.CallID) messenger.Event) (any, error) {
+	id := identifier.CallID(x.nextCall.Add(1))
+	answers := make(chan any, 1)
+	x.calls.Store(id, answers)
+	defer x.calls.Delete(id)
+	x.Submit(event(id))
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	select {
+	case a := <-answers:
+		return a, nil
+	case <-ctx.Done():
+		return nil, errors.Wrap(ctx.Err(), "asking the reducer")
+	}
+}
--- a/entry/internal/watcher/watcher.go
+++ b/entry/internal/watcher/watcher.go
@@ -1,13 +1,12 @@
 // Package watcher keeps what is known of each target: what it holds, its reported
-// load, and whether it may be given work.
+// load, and whether it may be given work. Each target is polled by a few observer
+// nodes, which tell the others.
 package watcher
 
 import (
-	"reflect"
 	"sort"
 	"time"
 
-	"fuchsiabridge.example/common/enginecaller"
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
@@ -17,85 +16,76 @@
 const (
 	vmInterval     = 500 * time.Millisecond
 	statusInterval = 250 * time.Millisecond
+	probeInterval  = 250 * time.Millisecond
+	scanInterval   = 50 * time.Millisecond
 	// failuresToDown is the number of failed polls in a row that take a target out.
 	failuresToDown = 3
+	// pollsPerSecond bounds the polls of a node that observes many targets.
+	pollsPerSecond = 100
+	// unheardInterval is how often a node of many polls a target of which it has heard nothing.
+	unheardInterval = 5 * time.Second
+	// refreshInterval is how often an observer tells a target's state again, changed or not.
+	refreshInterval = time.Second
+	// fullMesh is the number of nodes up to which each hears every report of every other;
+	// above it a report counts as long as its observer lives.
+	fullMesh = 11
+	// staleAfter is how long a report counts; a node that has none younger polls the target itself.
+	staleAfter = 2500 * time.Millisecond
+	// missingGrace is how long a target that is missing from the VM list is kept.
+	missingGrace = 2 * time.Second
+	// markKept is how long a leaving mark waits for its target to be listed.
+	markKept = time.Minute
 )
 
-// State says whether a target may be given work.
-type State string
-
-// States of a target.
-const (
-	StateUnknown State = "unknown"
-	StateUp      State = "up"
-	StateLeaving State = "leaving"
-	StateDown    State = "down"
-)
-
-// Target is what is known of one target. It is replaced, never changed, once published.
-type Target struct {
-	ID         identifier.TargetID
-	Role       string
-	Service    identifier.ServiceID
-	Address    string
-	DataCentre identifier.DataCentre
-	State      State
-	// Status is an engine's last report; its load lags.
-	Status enginecaller.Status
-}
-
-// ReadVMs is the effect of reading the VM list; VMsRead follows if it succeeds.
-type ReadVMs struct{}
-
-// VMsRead brings the VM list.
-type VMsRead struct{ VMs []platformcaller.VM }
-
-// ReadStatus is the effect of polling an engine; StatusRead or StatusFailed follows.
-type ReadStatus struct {
-	Target  identifier.TargetID
-	Address string
+// Watcher is the sub-reducer of target health.
+type Watcher struct {
+	self      identifier.NodeID
+	observers []Observer
+	alive     map[identifier.NodeID]bool
+	entries   map[identifier.TargetID]*entry
+	// marks holds leaving marks of targets that the VM list has not shown yet.
+	marks    map[identifier.TargetID]waitingMark
+	sequence uint64
+	observed int
+	vmsRead  time.Time
+	// isListed says that a VM list was read at all.
+	isListed bool
+	scanned  time.Time
+	// order holds the entries' ids in order; it is nil when it must be made again.
+	order []identifier.TargetID
+	dirty bool
 }
 
-// StatusRead brings an engine's report.
-type StatusRead struct{ Status enginecaller.Status }
-
-// StatusFailed says that an engine did not answer its poll.
-type StatusFailed struct{ Target identifier.TargetID }
-
-// TargetFailed is evidence from work: a fresh connection to the target failed, or it timed out.
-type TargetFailed struct{ Target identifier.TargetID }
-
-// TargetsChanged brings all targets, in the order of their ids.
-type TargetsChanged struct{ Targets []Target }
-
-type entry struct {
-	target   Target
-	polled   time.Time
-	polling  bool
-	failures int
-	listed   bool
+type waitingMark struct {
+	report Report
+	until  time.Time
 }
 
-// Watcher is the sub-reducer of target health.
-type Watcher struct {
-	targets map[identifier.TargetID]*entry
-	vmsRead time.Time
+// NewWatcher returns a watcher that knows no target. Its reports are numbered from the node's incarnation on.
+func NewWatcher(self Observer, incarnation identifier.Incarnation) *Watcher {
+	return &Watcher{
+		self: self.Node, observers: []Observer{self}, sequence: uint64(incarnation),
+		alive: map[identifier.NodeID]bool{}, entries: map[identifier.TargetID]*entry{}, marks: map[identifier.TargetID]waitingMark{},
+	}
 }
 
-// NewWatcher returns a watcher that knows no target.
-func NewWatcher() *Watcher { return &Watcher{targets: map[identifier.TargetID]*entry{}} }
-
 // Apply takes one event and returns what to do.
 func (w *Watcher) Apply(now time.Time, event messenger.Event) []messenger.Effect {
 	switch ev := event.(type) {
 	case VMsRead:
-		return w.vms(ev.VMs)
+		return w.vms(now, ev.VMs)
 	case StatusRead:
-		return w.status(ev.Status)
+		return w.status(now, ev)
+	case ServiceReached:
+		return w.serviceReached(now, ev)
 	case StatusFailed:
-		return w.statusFailed(ev.Target)
+		return w.statusFailed(now, ev)
 	case TargetFailed:
-		return w.targetFailed(ev.Target)
+		return w.targetFailed(now, ev.Target)
+	case ReportsHeard:
+		return w.heard(now, ev.Reports)
+	case ObserversChanged:
+		w.assign(ev.Observers)
 	case messenger.Tick:
 		return w.tick(now)
 	}
@@ -108,116 +98,148 @@
 		w.vmsRead = now
 		effects = append(effects, ReadVMs{})
 	}
-	for _, e := range w.targets {
-		if e.target.Role != platformcaller.RoleEngine || e.polling || now.Sub(e.polled) < statusInterval {
-			continue
-		}
-		e.polled, e.polling = now, true
-		effects = append(effects, ReadStatus{Target: e.target.ID, Address: e.target.Address})
+	if now.Sub(w.scanned) < scanInterval {
+		return w.publish(effects)
 	}
-	return effects
+	w.scanned = now
+	return w.publish(append(effects, w.scan(now)...))
 }
 
-func (w *Watcher) vms(vms []platformcaller.VM) []messenger.Effect {
+// scan polls what is due and lets reports grow old.
+func (w *Watcher) scan(now time.Time) []messenger.Effect {
 	var effects []messenger.Effect
-	for _, e := range w.targets {
-		e.listed = false
-	}
-	for _, vm := range vms {
-		if vm.Role == platformcaller.RoleEntry {
-			continue
-		}
-		effects = append(effects, w.list(vm)...)
+	for _, e := range w.ordered() {
+		effects = append(effects, w.poll(now, e)...)
+		effects = append(effects, w.decide(now, e, "reports are too old")...)
 	}
-	for id, e := range w.targets {
-		if !e.listed {
-			delete(w.targets, id)
-			effects = append(effects, w.log(e.target, "gone"))
+	for id, m := range w.marks {
+		if now.After(m.until) {
+			delete(w.marks, id)
 		}
 	}
-	return w.publish(effects)
+	return effects
 }
 
-func (w *Watcher) list(vm platformcaller.VM) []messenger.Effect {
-	id := identifier.TargetID(vm.ID)
-	e, ok := w.targets[id]
-	if !ok {
-		e = &entry{target: Target{ID: id, State: StateUnknown}}
-		w.targets[id] = e
-		if vm.Role == platformcaller.RoleService {
-			e.target.State = StateUp
+// poll polls a target that this node observes, has evidence against, or hears nothing about.
+func (w *Watcher) poll(now time.Time, e *entry) []messenger.Effect {
+	if e.polling {
+		return nil
+	}
+	if e.target.Role == platformcaller.RoleService {
+		if e.failures == 0 || now.Sub(e.polled) < probeInterval {
+			return nil
 		}
+		e.polled, e.polling = now, true
+		return []messenger.Effect{ProbeService{Target: e.target.ID, Address: e.target.Address}}
 	}
-	e.listed = true
-	e.target.Role, e.target.Service, e.target.Address = vm.Role, vm.Service, vm.Address
-	e.target.DataCentre = vm.DataCentre
-	if vm.Leaving {
-		return w.move(e, StateLeaving)
+	if now.Sub(e.polled) < w.pollInterval(e) || (!e.observed && e.failures == 0 && w.isFresh(now, e)) {
+		return nil
 	}
-	return nil
+	e.polled, e.polling = now, true
+	return []messenger.Effect{ReadStatus{Target: e.target.ID, Address: e.target.Address}}
 }
 
-func (w *Watcher) status(s enginecaller.Status) []messenger.Effect {
-	e, ok := w.targets[s.Target]
-	if !ok {
+// pollInterval grows with the number of targets that the node observes, and for
+// targets of which it waits to hear.
+func (w *Watcher) pollInterval(e *entry) time.Duration {
+	if !e.observed && e.failures == 0 && len(w.observers) > fullMesh {
+		return unheardInterval
+	}
+	return max(statusInterval, time.Second*time.Duration(w.observed)/pollsPerSecond)
+}
+
+func (w *Watcher) status(now time.Time, ev StatusRead) []messenger.Effect {
+	s := ev.Status
+	e, ok := w.entries[s.Target]
+	if !ok || e.target.Address != ev.Address {
 		return nil
 	}
 	e.polling, e.failures = false, 0
-	before := e.target.Status
-	e.target.Status = s
-	var effects []messenger.Effect
-	switch {
-	case s.Leaving:
-		effects = w.move(e, StateLeaving)
-	case e.target.State != StateLeaving:
-		effects = w.move(e, StateUp)
-	}
-	if len(effects) == 0 && reflect.DeepEqual(before, s) {
+	e.views[w.self] = view{heard: now, status: s}
+	effects := w.leave(e, s.Leaving, s.Generation, "the engine says so")
+	effects = append(effects, w.decide(now, e, "answered a poll")...)
+	return w.publish(append(effects, w.tell(now, e)...))
+}
+
+func (w *Watcher) serviceReached(now time.Time, ev ServiceReached) []messenger.Effect {
+	e, ok := w.entries[ev.Target]
+	if !ok || e.target.Address != ev.Address {
 		return nil
 	}
-	return w.publish(effects)
+	e.polling, e.failures = false, 0
+	return w.publish(w.decide(now, e, "accepts connections"))
 }
 
-func (w *Watcher) statusFailed(id identifier.TargetID) []messenger.Effect {
-	e, ok := w.targets[id]
-	if !ok {
+func (w *Watcher) statusFailed(now time.Time, ev StatusFailed) []messenger.Effect {
+	e, ok := w.entries[ev.Target]
+	if !ok || e.target.Address != ev.Address {
 		return nil
 	}
 	e.polling = false
 	e.failures++
-	if e.failures < failuresToDown {
+	return w.publish(w.failed(now, e, "does not answer polls"))
+}
+
+// targetFailed takes the target out at this node until it answers a poll or probe of this node.
+func (w *Watcher) targetFailed(now time.Time, id identifier.TargetID) []messenger.Effect {
+	e, ok := w.entries[id]
+	if !ok {
 		return nil
 	}
-	return w.publish(w.move(e, StateDown))
+	e.failures = max(e.failures, failuresToDown)
+	return w.publish(w.failed(now, e, "work failed on a new connection"))
 }
 
-func (w *Watcher) targetFailed(id identifier.TargetID) []messenger.Effect {
-	e, ok := w.targets[id]
-	if !ok || e.target.Role != platformcaller.RoleEngine {
+func (w *Watcher) failed(now time.Time, e *entry, reason string) []messenger.Effect {
+	if e.failures < failuresToDown {
 		return nil
 	}
-	e.failures = failuresToDown
-	return w.publish(w.move(e, StateDown))
+	delete(e.views, w.self)
+	effects := w.decide(now, e, reason)
+	return append(effects, w.tell(now, e)...)
 }
 
-func (w *Watcher) move(e *entry, to State) []messenger.Effect {
+// move changes the state and says why.
+func (w *Watcher) move(e *entry, to State, reason string) []messenger.Effect {
 	if e.target.State == to {
 		return nil
 	}
 	from := e.target.State
 	e.target.State = to
-	return []messenger.Effect{w.log(e.target, string(from))}
+	w.dirty = true
+	return []messenger.Effect{w.explain(e, to, from, reason)}
 }
 
-func (w *Watcher) log(t Target, from string) messenger.Effect {
-	return messenger.Log{Event: eventlogger.TargetStateChange, Subject: "target/" + string(t.ID), Values: []any{"state", t.State, "before", from}}
+func (w *Watcher) explain(e *entry, to, from State, reason string) messenger.Effect {
+	return messenger.Log{
+		Event: eventlogger.TargetStateChange, Subject: "target/" + string(e.target.ID),
+		Values: []any{"state", to, "before", from, "reason", reason, "generation", e.target.Status.Generation},
+	}
 }
 
+// publish brings the targets to everyone when one has changed.
 func (w *Watcher) publish(effects []messenger.Effect) []messenger.Effect {
-	targets := make([]Target, 0, len(w.targets))
-	for _, e := range w.targets {
+	if !w.dirty {
+		return effects
+	}
+	w.dirty = false
+	targets := make([]Target, 0, len(w.entries))
+	for _, e := range w.ordered() {
 		targets = append(targets, e.target)
 	}
-	sort.Slice(targets, func(i, j int) bool { return targets[i].ID < targets[j].ID })
 	return append(effects, messenger.Broadcast{Event: TargetsChanged{Targets: targets}})
 }
+
+func (w *Watcher) ordered() []*entry {
+	if w.order == nil {
+		for id := range w.entries {
+			w.order = append(w.order, id)
+		}
+		sort.Slice(w.order, func(i, j int) bool { return w.order[i] < w.order[j] })
+	}
+	all := make([]*entry, 0, len(w.order))
+	for _, id := range w.order {
+		all = append(all, w.entries[id])
+	}
+	return all
+}
--- /dev/null
+++ b/entry/internal/watcher/watcher_test.go
@@ -0,0 +1,213 @@
+package watcher_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"fuchsiabridge.example/common/enginecaller"
+	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/common/messenger"
+	"fuchsiabridge.example/common/platformcaller"
+	"fuchsiabridge.example/entry/internal/watcher"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// shell applies events to one watcher and keeps what it published last.
+type shell struct {
+	watcher *watcher.Watcher
+	now     time.Time
+	targets []watcher.Target
+	polls   []messenger.Effect
+}
+
+func newShell() *shell {
+	return &shell{watcher: watcher.NewWatcher(watcher.Observer{Node: "self", DataCentre: "plateau"}, 1), now: start}
+}
+
+func (s *shell) apply(event messenger.Event) {
+	for _, effect := range s.watcher.Apply(s.now, event) {
+		switch e := effect.(type) {
+		case messenger.Broadcast:
+			s.targets = e.Event.(watcher.TargetsChanged).Targets
+		case watcher.ReadStatus, watcher.ProbeService:
+			s.polls = append(s.polls, e)
+		}
+	}
+}
+
+func (s *shell) state(id identifier.TargetID) watcher.State {
+	for _, t := range s.targets {
+		if t.ID == id {
+			return t.State
+		}
+	}
+	return ""
+}
+
+func vm(id, role, address string, leaving bool) platformcaller.VM {
+	return platformcaller.VM{ID: id, Role: role, Address: address, DataCentre: "plateau", Leaving: leaving}
+}
+
+// TestLeavingIsNeverUndone feeds VM lists, polls and reports of any age; once the node
+// saw a sign of leaving, the target gets no work until a later generation shows none.
+func TestLeavingIsNeverUndone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newShell()
+		s.apply(watcher.VMsRead{VMs: []platformcaller.VM{vm("e", platformcaller.RoleEngine, "a", false)}})
+		var marked, seen identifier.Generation
+		isMarked := false
+		sequence := uint64(1)
+		for range rapid.IntRange(1, 30).Draw(t, "events") {
+			generation := identifier.Generation(rapid.IntRange(1, 3).Draw(t, "generation"))
+			// The engine leaves in generation 2; what came before and after did not.
+			leaving := generation == 2 && rapid.Bool().Draw(t, "leaving")
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0:
+				s.apply(watcher.VMsRead{VMs: []platformcaller.VM{vm("e", platformcaller.RoleEngine, "a", false)}})
+				continue
+			case 1:
+				s.apply(watcher.StatusRead{Address: "a", Status: enginecaller.Status{Target: "e", Generation: generation, Leaving: leaving}})
+			case 2:
+				sequence++
+				status := enginecaller.Status{Target: "e", Generation: generation, Leaving: leaving}
+				s.apply(watcher.ReportsHeard{Reports: []watcher.Report{{
+					Target: "e", Observer: "peer", Sequence: sequence - uint64(rapid.IntRange(0, 2).Draw(t, "age")),
+					Leaving: leaving, Generation: generation, Status: &status,
+				}}})
+			case 3:
+				s.now = s.now.Add(100 * time.Millisecond)
+				s.apply(messenger.Tick{})
+				continue
+			}
+			seen = max(seen, generation)
+			if leaving {
+				isMarked, marked = true, generation
+			}
+			if isMarked && seen <= marked && s.state("e") == watcher.StateUp {
+				t.Fatalf("up in generation %d, which is leaving", seen)
+			}
+		}
+	})
+}
+
+// TestListedLeavingHolds checks a target that only the VM list calls leaving: a stale list does not undo it.
+func TestListedLeavingHolds(t *testing.T) {
+	c := qt.New(t)
+	s := newShell()
+	s.apply(watcher.VMsRead{VMs: []platformcaller.VM{vm("e", platformcaller.RoleEngine, "a", true)}})
+	s.apply(watcher.VMsRead{VMs: []platformcaller.VM{vm("e", platformcaller.RoleEngine, "a", false)}})
+	s.apply(watcher.StatusRead{Address: "a", Status: enginecaller.Status{Target: "e", Generation: 7}})
+	c.Assert(s.state("e"), qt.Equals, watcher.StateLeaving)
+	s.apply(watcher.StatusRead{Address: "a", Status: enginecaller.Status{Target: "e", Generation: 8}})
+	c.Assert(s.state("e"), qt.Equals, watcher.StateUp)
+}
+
+// TestReportBeforeList brings word of leaving of a target that the lagging list does not have yet.
+func TestReportBeforeList(t *testing.T) {
+	c := qt.New(t)
+	s := newShell()
+	s.apply(watcher.ReportsHeard{Reports: []watcher.Report{{Target: "e", Observer: "peer", Sequence: 1, Leaving: true, Generation: 7}}})
+	s.apply(watcher.VMsRead{VMs: []platformcaller.VM{vm("e", platformcaller.RoleEngine, "a", false)}})
+	s.apply(watcher.StatusRead{Address: "a", Status: enginecaller.Status{Target: "e", Generation: 7}})
+	c.Assert(s.state("e"), qt.Equals, watcher.StateLeaving)
+}
+
+// TestMissingFromList keeps a target over a gap in the list, and an empty list, but not for good.
+func TestMissingFromList(t *testing.T) {
+	c := qt.New(t)
+	s := newShell()
+	other := vm("other", platformcaller.RoleEngine, "b", false)
+	s.apply(watcher.VMsRead{VMs: []platformcaller.VM{vm("e", platformcaller.RoleEngine, "a", false), other}})
+	s.apply(watcher.StatusRead{Address: "a", Status: enginecaller.Status{Target: "e", Generation: 7}})
+	s.now = s.now.Add(time.Second)
+	s.apply(watcher.VMsRead{VMs: []platformcaller.VM{other}})
+	s.apply(messenger.Tick{})
+	c.Assert(s.state("e"), qt.Equals, watcher.StateUp)
+	s.now = s.now.Add(time.Second)
+	s.apply(watcher.VMsRead{})
+	s.apply(messenger.Tick{})
+	c.Assert(s.state("e"), qt.Equals, watcher.StateUp)
+	for range 30 {
+		s.now = s.now.Add(100 * time.Millisecond)
+		s.apply(watcher.VMsRead{VMs: []platformcaller.VM{other}})
+		s.apply(messenger.Tick{})
+	}
+	c.Assert(s.state("e"), qt.Equals, watcher.State(""))
+}
+
+// TestListOutage reads no VM list for a minute; the last one holds.
+func TestListOutage(t *testing.T) {
+	c := qt.New(t)
+	s := newShell()
+	s.apply(watcher.VMsRead{VMs: []platformcaller.VM{vm("e", platformcaller.RoleEngine, "a", false)}})
+	for range 600 {
+		s.now = s.now.Add(100 * time.Millisecond)
+		s.apply(messenger.Tick{})
+		s.apply(watcher.StatusRead{Address: "a", Status: enginecaller.Status{Target: "e", Generation: 7}})
+	}
+	c.Assert(s.state("e"), qt.Equals, watcher.StateUp)
+}
+
+// TestReusedVM gives a target's id to a VM with another role.
+func TestReusedVM(t *testing.T) {
+	c := qt.New(t)
+	s := newShell()
+	s.apply(watcher.VMsRead{VMs: []platformcaller.VM{vm("e", platformcaller.RoleEngine, "a", true)}})
+	s.apply(watcher.StatusRead{Address: "a", Status: enginecaller.Status{Target: "e", Generation: 7}})
+	s.apply(watcher.VMsRead{VMs: []platformcaller.VM{vm("e", platformcaller.RoleService, "b", false)}})
+	c.Assert(s.state("e"), qt.Equals, watcher.StateUp)
+	s.apply(watcher.StatusRead{Address: "a", Status: enginecaller.Status{Target: "e", Generation: 7}})
+	c.Assert(s.targets[0].Status, qt.Equals, enginecaller.Status{})
+}
+
+// TestServiceComesBack takes a service out on evidence from work and back once it can be dialled.
+func TestServiceComesBack(t *testing.T) {
+	c := qt.New(t)
+	s := newShell()
+	s.apply(watcher.VMsRead{VMs: []platformcaller.VM{vm("s", platformcaller.RoleService, "a", false)}})
+	c.Assert(s.state("s"), qt.Equals, watcher.StateUp)
+	s.apply(watcher.TargetFailed{Target: "s"})
+	c.Assert(s.state("s"), qt.Equals, watcher.StateDown)
+	s.now = s.now.Add(time.Second)
+	s.apply(messenger.Tick{})
+	c.Assert(s.polls, qt.DeepEquals, []messenger.Effect{watcher.ProbeService{Target: "s", Address: "a"}})
+	s.apply(watcher.ServiceReached{Target: "s", Address: "a"})
+	c.Assert(s.state("s"), qt.Equals, watcher.StateUp)
+}
+
+// TestObserversAreFewAndNear checks the choice of observers, and that one node's end moves only its own targets.
+func TestObserversAreFewAndNear(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		near := rapid.IntRange(1, 6).Draw(t, "near")
+		var nodes []watcher.Observer
+		for i := range 8 {
+			dataCentre := identifier.DataCentre("plateau")
+			if i >= near {
+				dataCentre = "almadies"
+			}
+			nodes = append(nodes, watcher.Observer{Node: identifier.NodeID(string(rune('a' + i))), DataCentre: dataCentre})
+		}
+		target := identifier.TargetID(rapid.StringN(1, 8, -1).Draw(t, "target"))
+		chosen := watcher.Observers(nodes, target, "plateau")
+		if len(chosen) != 3 {
+			t.Fatalf("%d observers", len(chosen))
+		}
+		for i, node := range chosen {
+			if isNear := int(node[0]-'a') < near; isNear != (i < near) {
+				t.Fatalf("%v of %d near ones", chosen, near)
+			}
+		}
+		// Only a target that the node "a" watched gets another observer when it ends.
+		after := watcher.Observers(nodes[1:], target, "plateau")
+		for _, node := range chosen {
+			if node != "a" && !slices.Contains(after, node) {
+				t.Fatalf("%v became %v", chosen, after)
+			}
+		}
+	})
+}
--- a/integration/launcher/launcher.go
+++ b/integration/launcher/launcher.go
@@ -165,6 +165,12 @@
 	return p
 }
 
+// Restart starts an ended process again, with the same settings.
+func (f *Fleet) Restart(p *Process) *Process {
+	f.t.Helper()
+	return f.start(p.Name, filepath.Base(p.cmd.Path), p.Address, p.cmd.Args[1:]...)
+}
+
 // Configure sets the account, the model of the given layers and the services, and waits until every node is ready.
 func (f *Fleet) Configure(layers int, more ...string) {
 	f.t.Helper()
