--- a/entry/internal/composer/slopes_test.go
+++ b/entry/internal/composer/slopes_test.go
@@ -95,7 +95,7 @@
 }
 
 func watchTargets(n int) subject {
-	w := watcher.NewWatcher()
+	w := watcher.NewWatcher(watcher.Observer{Node: "node-1", DataCentre: "plateau"}, 1)
 	var list watcher.VMsRead
 	for i := range n {
 		list.VMs = append(list.VMs, platformcaller.VM{
--- a/entry/internal/executor/executor.go
+++ b/entry/internal/executor/executor.go
@@ -87,6 +87,7 @@
 	self      heartbeater.Heartbeat
 	offset    atomic.Int64
 	leaving   atomic.Bool
+	primed    atomic.Bool
 	explainer *explainer
 }
 
@@ -112,7 +113,7 @@
 	x.control = newLoop(composer.NewControl(
 		committer.NewCommitter(),
 		tailer.NewTailer(tailer.Config{Node: cfg.Self.Node, LogKeep: cfg.LogKeep, Seeds: cfg.Peers}),
-		watcher.NewWatcher(),
+		watcher.NewWatcher(watcher.Observer{Node: cfg.Self.Node, DataCentre: cfg.Self.DataCentre}, cfg.Self.Incarnation),
 		heartbeater.NewHeartbeater(cfg.Self),
 		recorder.NewRecorder(owner),
 		retrier.NewRetrier(),
@@ -191,10 +192,10 @@
 // Offset returns the applied offset of the log.
 func (x *Executor) Offset() identifier.Offset { return identifier.Offset(x.offset.Load()) }
 
-// Ready reports whether the node has a configuration and is not leaving.
+// Ready reports whether the node has a configuration, has seen its targets and is not leaving.
 func (x *Executor) Ready() bool {
 	s := x.settings.Load()
-	return s != nil && len(s.Accounts) > 0 && !x.leaving.Load()
+	return s != nil && len(s.Accounts) > 0 && x.primed.Load() && !x.leaving.Load()
 }
 
 // Leave makes the node unready and tells its peers.
@@ -249,6 +250,7 @@
 		x.settings.Store(ev.Settings)
 	case watcher.TargetsChanged:
 		x.targets.Store(&ev.Targets)
+		x.prime(ev.Targets)
 	case heartbeater.PeersChanged:
 		x.peerList.Store(&ev.Peers)
 	}
--- a/integration/drafts_test.go
+++ b/integration/drafts_test.go
@@ -26,14 +26,16 @@
 
 // run is one line of an engine's ledger.
 type run struct {
-	Target   identifier.TargetID   `json:"target"`
-	Event    string                `json:"event"`
-	Draft    identifier.DraftID    `json:"draft"`
-	Epoch    identifier.Epoch      `json:"epoch"`
-	Position identifier.Position   `json:"position"`
-	Stage    int                   `json:"stage"`
-	Layers   identifier.LayerRange `json:"layers"`
-	Token    string                `json:"token"`
+	Target   identifier.TargetID      `json:"target"`
+	Event    string                   `json:"event"`
+	Draft    identifier.DraftID       `json:"draft"`
+	Epoch    identifier.Epoch         `json:"epoch"`
+	Position identifier.Position      `json:"position"`
+	Stage    int                      `json:"stage"`
+	Layers   identifier.LayerRange    `json:"layers"`
+	Token    string                   `json:"token"`
+	Fence    identifier.FencingNumber `json:"fence"`
+	At       int64                    `json:"at_unix_ms"`
 }
 
 // draftFleet starts nodes before two engines for each of three ranges.
