--- a/entry/internal/commander/options.go
+++ b/entry/internal/commander/options.go
@@ -13,6 +13,7 @@
 const (
 	maxShards  = 64
 	maxDrafts  = 1_000_000
+	maxHistory = 65_536
 	hashLength = 32
 )
 
@@ -25,8 +26,12 @@
 		{Name: "peer-listen", Default: "127.0.0.1:8081", Usage: "address for the other nodes, host:port, as the VM list has it", Check: optionparser.IsAddress},
 		{Name: "platform", Usage: "address of the platform's log and VM list, host:port", Check: optionparser.IsAddress},
 		{Name: "operator-keys", Usage: "team=hex SHA-256 of a bearer key, several by comma; these operators need no configuration", Check: areKeys},
+		{Name: "peers", Usage: "peer addresses of other nodes, host:port by comma, to ask when the platform cannot be reached at the start", Check: areAddresses},
+		{Name: "log-keep", Default: "10m", Usage: "time for which the platform's log keeps records; snapshots are written by it", Check: optionparser.IsDuration},
 		{Name: "shards", Default: "4", Usage: "reducers that share the drafts, 1 to 64", Check: optionparser.IsNumber(1, maxShards)},
 		{Name: "draft-limit", Default: "2000", Usage: "drafts in progress at this node", Check: optionparser.IsNumber(1, maxDrafts)},
+		{Name: "recovery", Default: "replay", Usage: "how a lost stage is recovered: replay its inputs, import its last exported KV cache, or restart the draft", Check: optionparser.IsOneOf("replay", "import", "restart")},
+		{Name: "history-megabytes", Default: "256", Usage: "memory for the inputs and KV caches that recovery uses", Check: optionparser.IsNumber(1, maxHistory)},
 		{Name: "balancer-lag", Default: "2s", Usage: "time for which a stopping node still accepts requests, so that the balancer can see it is unready", Check: optionparser.IsDuration},
 		{Name: "stop-limit", Default: "60s", Usage: "longest time a stopping node waits for requests in progress", Check: optionparser.IsDuration},
 		{Name: "trace-endpoint", Usage: "OTLP over HTTP endpoint for spans, host:port; none when empty"},
@@ -34,6 +39,23 @@
 	}
 }
 
+func areAddresses(value string) error {
+	for _, address := range splitList(value) {
+		if err := optionparser.IsAddress(address); err != nil {
+			return errors.Wrapf(err, "%q", address)
+		}
+	}
+	return nil
+}
+
+// splitList splits a list by comma; an empty text is an empty list.
+func splitList(value string) []string {
+	if value == "" {
+		return nil
+	}
+	return strings.Split(value, ",")
+}
+
 func areKeys(value string) error {
 	_, err := parseKeys(value)
 	return err
--- a/entry/internal/executor/executor.go
+++ b/entry/internal/executor/executor.go
@@ -19,6 +19,7 @@
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/common/platformcaller"
 	"fuchsiabridge.example/entry/internal/admitter"
+	"fuchsiabridge.example/entry/internal/checkpointer"
 	"fuchsiabridge.example/entry/internal/committer"
 	"fuchsiabridge.example/entry/internal/composer"
 	"fuchsiabridge.example/entry/internal/counter"
@@ -45,10 +46,17 @@
 
 // Config holds what the executor is made of.
 type Config struct {
-	Self       heartbeater.Heartbeat
-	Platform   string
+	Self     heartbeater.Heartbeat
+	Platform string
+	// LogKeep is how long the platform's log keeps a record.
+	LogKeep time.Duration
+	// Peers are addresses of nodes to ask before the VM list can be read.
+	Peers      []string
 	Shards     int
 	DraftLimit int
+	Recovery   drafter.Recovery
+	// HistoryBytes bounds what the node keeps of drafts for recovery.
+	HistoryBytes int
 }
 
 // Executor runs one node's reducers and their effects.
@@ -67,6 +75,7 @@
 	servicePool  pond.Pool
 	platformPool pond.Pool
 	controlPool  pond.Pool
+	askPool      pond.Pool
 
 	nextCall atomic.Uint64
 	calls    sync.Map
@@ -78,6 +87,7 @@
 	self      heartbeater.Heartbeat
 	offset    atomic.Int64
 	leaving   atomic.Bool
+	primed    atomic.Bool
 	explainer *explainer
 }
 
@@ -93,6 +103,7 @@
 		servicePool:  newPool(ctx, serviceWorkers),
 		platformPool: newPool(ctx, platformWorkers),
 		controlPool:  newPool(ctx, controlWorkers),
+		askPool:      newPool(ctx, controlWorkers),
 		self:         cfg.Self,
 		explainer:    newExplainer(),
 	}
@@ -101,17 +112,21 @@
 	owner := recorder.Owner{Node: cfg.Self.Node, Incarnation: cfg.Self.Incarnation}
 	x.control = newLoop(composer.NewControl(
 		committer.NewCommitter(),
-		tailer.NewTailer(),
-		watcher.NewWatcher(),
+		tailer.NewTailer(tailer.Config{Node: cfg.Self.Node, LogKeep: cfg.LogKeep, Seeds: cfg.Peers}),
+		watcher.NewWatcher(watcher.Observer{Node: cfg.Self.Node, DataCentre: cfg.Self.DataCentre}, cfg.Self.Incarnation),
 		heartbeater.NewHeartbeater(cfg.Self),
 		recorder.NewRecorder(owner),
 		retrier.NewRetrier(),
 		isolator.NewIsolator(),
 		gatekeeper.NewGatekeeper(),
 		admitter.NewAdmitter(cfg.DraftLimit),
+		checkpointer.NewKeeper(),
 	), x.run)
+	drafts := drafter.Config{
+		Self: cfg.Self, Recovery: cfg.Recovery, Shards: cfg.Shards, HistoryBytes: cfg.HistoryBytes / cfg.Shards,
+	}
 	for range cfg.Shards {
-		x.shards = append(x.shards, newLoop(composer.NewShard(drafter.NewDrafter()), x.run))
+		x.shards = append(x.shards, newLoop(composer.NewShard(drafter.NewDrafter(drafts)), x.run))
 	}
 	return x
 }
@@ -177,10 +192,10 @@
 // Offset returns the applied offset of the log.
 func (x *Executor) Offset() identifier.Offset { return identifier.Offset(x.offset.Load()) }
 
-// Ready reports whether the node has a configuration and is not leaving.
+// Ready reports whether the node has a configuration, has seen its targets and is not leaving.
 func (x *Executor) Ready() bool {
 	s := x.settings.Load()
-	return s != nil && len(s.Accounts) > 0 && !x.leaving.Load()
+	return s != nil && len(s.Accounts) > 0 && x.primed.Load() && !x.leaving.Load()
 }
 
 // Leave makes the node unready and tells its peers.
@@ -235,6 +250,7 @@
 		x.settings.Store(ev.Settings)
 	case watcher.TargetsChanged:
 		x.targets.Store(&ev.Targets)
+		x.prime(ev.Targets)
 	case heartbeater.PeersChanged:
 		x.peerList.Store(&ev.Peers)
 	}
--- a/entry/internal/executor/records.go
+++ b/entry/internal/executor/records.go
@@ -3,24 +3,31 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"fuchsiabridge.example/common/httpcaller"
 	"fuchsiabridge.example/common/messenger"
+	"fuchsiabridge.example/common/platformcaller"
 	"fuchsiabridge.example/entry/internal/isolator"
 	"fuchsiabridge.example/entry/internal/recorder"
 	"fuchsiabridge.example/entry/internal/retrier"
 	"fuchsiabridge.example/entry/internal/tracer"
 )
 
-const isolationMethod = "isolation"
+const (
+	isolationMethod = "isolation"
+	recordsTimeout  = 2 * time.Second
+)
 
 // runRecord carries out the effects of calls to plain services.
 func (x *Executor) runRecord(effect messenger.Effect) bool {
 	switch e := effect.(type) {
 	case recorder.CallService:
 		x.start(x.servicePool, func() { x.callService(e) }, recorder.ServiceFailed{Key: e.Key, Target: e.Target, NotSent: true})
+	case recorder.ReadRecords:
+		x.start(x.platformPool, func() { x.readRecords(e) }, recorder.RecordsRead{Failed: true})
 	case isolator.TellPeers:
 		for _, address := range e.Addresses {
 			x.start(x.controlPool, func() { x.tellPeer(address, e.Notice) }, nil)
@@ -33,6 +40,14 @@
 	return true
 }
 
+// readRecords reads a part of the log that the tailer skipped.
+func (x *Executor) readRecords(e recorder.ReadRecords) {
+	ctx, cancel := context.WithTimeout(x.ctx, recordsTimeout)
+	defer cancel()
+	page, err := x.platform.Read(ctx, platformcaller.ReadRequest{From: e.From, Fresh: true})
+	x.Submit(recorder.RecordsRead{Page: page, Failed: err != nil})
+}
+
 // tellPeer gives a peer a notice; one that is lost costs a verdict its speed, not its truth.
 func (x *Executor) tellPeer(address string, notice isolator.Notice) {
 	ctx, cancel := context.WithTimeout(x.ctx, pollTimeout)
--- a/entry/internal/recorder/appender.go
+++ b/entry/internal/recorder/appender.go
@@ -42,8 +42,18 @@
 	retryAt time.Time
 }
 
-// seen applies one record of the log; every node does so in the same order.
+// seen takes one record of the log.
 func (r *Recorder) seen(now time.Time, record platformcaller.Record) []messenger.Effect {
+	if r.fill != nil {
+		r.fill.held = append(r.fill.held, record)
+		return nil
+	}
+	return r.apply(now, record)
+}
+
+// apply applies one record of the log; every node does so in the same order.
+func (r *Recorder) apply(now time.Time, record platformcaller.Record) []messenger.Effect {
+	r.carry.next = max(r.carry.next, record.Offset+1)
 	if record.Stream != Stream {
 		return nil
 	}
--- a/entry/internal/recorder/carrier.go
+++ b/entry/internal/recorder/carrier.go
@@ -7,7 +7,6 @@
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
-	"fuchsiabridge.example/common/platformcaller"
 	"fuchsiabridge.example/entry/internal/heartbeater"
 )
 
@@ -33,7 +32,7 @@
 
 // carrier is the state of carrying keys forward in the log.
 type carrier struct {
-	// next is the offset after the newest page of the log.
+	// next is the offset after the newest record seen.
 	next identifier.Offset
 	// missing is the offset below which this node has not seen the log, or 0. A round
 	// that carried everything below it makes the node whole.
@@ -45,19 +44,16 @@
 	round *Entry
 }
 
-// pageRead notes what the log no longer holds. A node that missed a part of the log
-// forgets what it knew and claims nothing until a round has told it all of it again.
-func (r *Recorder) pageRead(page platformcaller.Page) {
-	if page.First > r.carry.next {
-		r.carry.missing = page.First
-		r.carry.round, r.carry.open = nil, nil
-		clear(r.holds)
-		r.bodies = 0
-	}
-	r.carry.next = max(r.carry.next, page.Next)
+// forgetAll forgets what this node knew, as it missed the log below the offset; it
+// claims nothing until a round has told it all again.
+func (r *Recorder) forgetAll(below identifier.Offset) {
+	r.carry.missing = below
+	r.carry.round, r.carry.open = nil, nil
+	clear(r.holds)
+	r.bodies = 0
 }
 
-func (r *Recorder) isWhole() bool { return r.carry.missing == 0 }
+func (r *Recorder) isWhole() bool { return r.carry.missing == 0 && r.fill == nil }
 
 // roundSeen makes a node whole that has seen the log since before the round began, and
 // of which the round carried all that it missed.
--- a/entry/internal/recorder/recorder.go
+++ b/entry/internal/recorder/recorder.go
@@ -55,6 +55,8 @@
 	self  Owner
 	cfg   Config
 	carry carrier
+	// fill is set while a part of the log that the tailer skipped is being read.
+	fill *filler
 	// bodies counts the bytes of the answers that are remembered.
 	bodies  int
 	holds   map[identifier.RecordKey]*hold
@@ -98,7 +100,10 @@
 		return r.seen(now, ev.Record)
 	case tailer.LogRead:
 		r.downSince = time.Time{}
-		r.pageRead(ev.Page)
+	case tailer.GapFound:
+		return r.gapFound(ev)
+	case RecordsRead:
+		return r.recordsRead(now, ev)
 	case committer.Appended:
 		r.downSince = time.Time{}
 	case tailer.ReadFailed:
@@ -335,6 +340,7 @@
 
 func (r *Recorder) tick(now time.Time) []messenger.Effect {
 	effects := append(r.appendAgain(now), r.carryTick(now)...)
+	effects = append(effects, r.fillTick(now)...)
 	wasFrozen := !r.ticked.IsZero() && now.Sub(r.ticked) >= frozenAfter
 	r.ticked = now
 	isDue := func(w *work) bool {
--- a/entry/internal/recorder/recorder_test.go
+++ b/entry/internal/recorder/recorder_test.go
@@ -102,6 +102,8 @@
 			m.callers[e.Call].answers = append(m.callers[e.Call].answers, e.Answer.(recorder.Answer))
 		case recorder.CallService:
 			n.calls = append(n.calls, e)
+		case recorder.ReadRecords:
+			m.give(n, recorder.RecordsRead{Page: m.page(e.From, len(m.log))})
 		}
 	}
 }
@@ -183,18 +185,35 @@
 	}
 }
 
+func (m *model) page(from identifier.Offset, most int) platformcaller.Page {
+	from = max(from, m.first)
+	start := int(from - m.first)
+	records := m.log[start:min(len(m.log), start+most)]
+	return platformcaller.Page{Records: records, First: m.first, Next: from + identifier.Offset(len(records))}
+}
+
 func (m *model) readLog(n *modelNode, most int) {
 	if n.dead || n.frozen {
 		return
 	}
-	n.next = max(n.next, m.first)
-	start := int(n.next - m.first)
-	records := m.log[start:min(len(m.log), start+most)]
-	n.next += identifier.Offset(len(records))
-	m.give(n, tailer.LogRead{Page: platformcaller.Page{First: m.first, Next: n.next}})
-	for _, r := range records {
+	page := m.page(n.next, most)
+	m.give(n, tailer.LogRead{Page: page})
+	if page.First > n.next {
+		m.give(n, tailer.GapFound{From: n.next, To: page.First})
+	}
+	for _, r := range page.Records {
 		m.give(n, tailer.RecordSeen{Record: r})
 	}
+	n.next = page.Next
+}
+
+// jump lets a node's tailer skip to the end of the log, with a state it got from a peer.
+func (m *model) jump(n *modelNode) {
+	end := m.first + identifier.Offset(len(m.log))
+	if n.next < end {
+		m.give(n, tailer.GapFound{From: n.next, To: end})
+		n.next = end
+	}
 }
 
 func (m *model) kill(i int) {
@@ -233,7 +252,7 @@
 	n := m.nodes[i]
 	switch rapid.SampledFrom([]string{
 		"request", "request", "append", "append", "append", "read", "read", "read", "call", "call",
-		"late append", "pass", "freeze", "thaw", "kill", "peers", "log down", "age",
+		"late append", "pass", "freeze", "thaw", "kill", "peers", "log down", "age", "jump",
 	}).Draw(t, "what") {
 	case "request":
 		key := rapid.SampledFrom([]string{"k1", "k2"}).Draw(t, "key")
@@ -265,6 +284,8 @@
 		m.kill(i)
 	case "peers":
 		m.tellPeers(n, rapid.IntRange(-1, modelNodes-1).Draw(t, "believed dead"))
+	case "jump":
+		m.jump(n)
 	case "age":
 		m.pass(kept + modelTick)
 		m.forget()
