Measure a fleet under open-loop load against its bound

Nothing told how much of what the engines can do reaches callers. fbload run draws arrivals with a fixed seed over both deployments' classes, keeps to the intended instants, comes back when an answer names a time, asks again for the rest of a cut stream, and counts each class by outcome against the stand-ins' ledgers. The bound is a linear program (gonum optimize/convex/lp) for the maximum flow over the layers' bounds; gonum graph/flow has no maximum flow. Written with equalities at the inner bounds, the program had more constraints than variables for a fleet of one engine ("lp: more equality constraints than variables", found by the property test); it is written with inequalities, so that each row has its own slack.

scripts/measure.sh starts the fleet for make measure and ends it by process ids.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SEED := 20261203
 PROGRAMS := entry fbctl fbload fbstandin
 
-.PHONY: build test lint format demo run ci
+.PHONY: build test lint format demo run ci measure
 
 build: ## build every program into .bin
 	@mkdir -p .bin
@@ -29,3 +29,6 @@
 
 ci: ## run what CI runs
 	@.ci/run
+
+measure: build ## run the experiments on a local fleet, alone on the machine: table, plots and reports/
+	@scripts/measure.sh $(SIZE)
--- a/fbload/internal/commander/commander.go
+++ b/fbload/internal/commander/commander.go
@@ -6,13 +6,18 @@
 	"flag"
 	"fmt"
 	"io"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/optionparser"
 	"fuchsiabridge.example/fbload/internal/demonstrator"
+	"fuchsiabridge.example/fbload/internal/experimenter"
+	"fuchsiabridge.example/fbload/internal/reporter"
+	"fuchsiabridge.example/fbload/internal/scheduler"
 )
 
 const (
@@ -21,29 +26,73 @@
 	exitUsage = 2
 
 	demoTimeout = 45 * time.Second
+	// runGrace is what a run may take beyond its length.
+	runGrace  = 30 * time.Second
+	mostSeeds = 1_000_000_000
 )
 
-const usage = `usage: fbload demo [flags]
+const usage = `usage: fbload demo|run|report [flags]
 
-  demo   run the demonstration against a running fleet; ends 0 only when all held
+  demo     run the demonstration against a running fleet; ends 0 only when all held
+  run      run one experiment against a running fleet and add its figures to a file
+  report   write the table and the plots of a file of runs
+
+"fbload COMMAND -h" lists the flags.
 `
 
-func options() []optionparser.Option {
-	return []optionparser.Option{
-		{Name: "nodes", Usage: "the nodes, host:port by comma; at least two", Check: optionparser.IsPresent},
-		{Name: "key", Usage: "a client account's bearer key", Check: optionparser.IsPresent},
-		{Name: "operator-key", Usage: "an operator's bearer key", Check: optionparser.IsPresent},
-		{Name: "ledgers", Usage: "folder of the stand-ins' ledgers", Check: optionparser.IsPresent},
+type command struct {
+	options []optionparser.Option
+	run     func(v optionparser.Values, out io.Writer) error
+}
+
+func commands() map[string]command {
+	nodes := optionparser.Option{Name: "nodes", Usage: "the nodes, host:port by comma", Check: optionparser.IsPresent}
+	ledgers := optionparser.Option{Name: "ledgers", Usage: "folder of the stand-ins' ledgers", Check: optionparser.IsPresent}
+	runs := optionparser.Option{Name: "runs", Default: "reports/runs.jsonl", Usage: "file of runs"}
+	return map[string]command{
+		"demo": {run: demo, options: []optionparser.Option{
+			nodes, ledgers,
+			{Name: "key", Usage: "a client account's bearer key", Check: optionparser.IsPresent},
+			{Name: "operator-key", Usage: "an operator's bearer key", Check: optionparser.IsPresent},
+		}},
+		"run": {run: run, options: []optionparser.Option{
+			nodes, ledgers, runs,
+			{Name: "experiment", Default: "run", Usage: "name of the experiment"},
+			{Name: "label", Usage: "what tells this run from others of the experiment"},
+			{Name: "choice", Default: "expected", Usage: "the policy in force, for the table"},
+			{Name: "mix", Default: "teranga", Usage: "deployment whose classes arrive", Check: optionparser.IsOneOf("teranga", "guild")},
+			{Name: "platform", Usage: "the platform, host:port", Check: optionparser.IsAddress},
+			{Name: "model", Default: "atlas", Usage: "model of the drafts"},
+			{Name: "layers", Default: "24", Usage: "layers of the model", Check: optionparser.IsNumber(1, mostSeeds)},
+			{Name: "accounts", Usage: "client accounts' bearer keys and shares, key=share by comma", Check: areAccounts},
+			{Name: "watched", Usage: "key of the account whose first tokens are counted apart; none when empty"},
+			{Name: "offered", Default: "1", Usage: "rate of drafts as a share of the bound", Check: isShare},
+			{Name: "seed", Default: "1", Usage: "seed of the arrivals", Check: optionparser.IsNumber(0, mostSeeds)},
+			{Name: "warm-up", Default: "2s", Usage: "time before the one that is counted", Check: optionparser.IsDuration},
+			{Name: "length", Default: "8s", Usage: "time that is counted", Check: optionparser.IsDuration},
+			{Name: "repeat", Default: "true", Usage: "whether callers come back when an answer tells them to", Check: optionparser.IsBool},
+			{Name: "fault-file", Usage: "file in which the instant of a fault is found after the run, Unix milliseconds; none when empty"},
+			{Name: "fault-target", Usage: "engine that the fault ended; a node when empty"},
+		}},
+		"report": {run: report, options: []optionparser.Option{
+			runs,
+			{Name: "folder", Default: "reports", Usage: "folder to write to"},
+		}},
 	}
 }
 
 // Run runs the command line and returns the exit code.
 func Run(args []string, stdout, stderr io.Writer) int {
-	if len(args) == 0 || args[0] != "demo" {
+	if len(args) == 0 {
+		fmt.Fprint(stderr, usage)
+		return exitUsage
+	}
+	cmd, ok := commands()[args[0]]
+	if !ok {
 		fmt.Fprint(stderr, usage)
 		return exitUsage
 	}
-	values, _, err := optionparser.Parse("fbload demo", options(), args[1:])
+	values, _, err := optionparser.Parse("fbload "+args[0], cmd.options, args[1:])
 	if errors.Is(err, flag.ErrHelp) {
 		return exitOK
 	}
@@ -51,15 +100,68 @@
 		fmt.Fprintln(stderr, err)
 		return exitUsage
 	}
+	if err := cmd.run(values, stdout); err != nil {
+		fmt.Fprintln(stderr, "fbload "+args[0]+":", err)
+		return exitError
+	}
+	return exitOK
+}
+
+func demo(v optionparser.Values, out io.Writer) error {
 	ctx, cancel := context.WithTimeout(context.Background(), demoTimeout)
 	defer cancel()
-	err = demonstrator.Run(ctx, demonstrator.Config{
-		Nodes: strings.Split(values.Text("nodes"), ","), Key: values.Text("key"),
-		OperatorKey: values.Text("operator-key"), Ledgers: values.Text("ledgers"),
-	}, stdout)
+	return demonstrator.Run(ctx, demonstrator.Config{
+		Nodes: strings.Split(v.Text("nodes"), ","), Key: v.Text("key"),
+		OperatorKey: v.Text("operator-key"), Ledgers: v.Text("ledgers"),
+	}, out)
+}
+
+func run(v optionparser.Values, out io.Writer) error {
+	accounts, err := scheduler.ParseAccounts(v.Text("accounts"))
 	if err != nil {
-		fmt.Fprintln(stderr, "fbload demo:", err)
-		return exitError
+		return err
 	}
-	return exitOK
+	offered, err := strconv.ParseFloat(v.Text("offered"), 64)
+	if err != nil {
+		return errors.Wrap(err, "reading the offered share")
+	}
+	cfg := experimenter.Config{
+		Experiment: v.Text("experiment"), Label: v.Text("label"), Choice: v.Text("choice"), MixName: v.Text("mix"),
+		Nodes: strings.Split(v.Text("nodes"), ","), Platform: v.Text("platform"),
+		Model: identifier.ModelID(v.Text("model")), Layers: identifier.Layer(v.Number("layers")),
+		Accounts: accounts, Watched: v.Text("watched"), Offered: offered, Seed: uint64(v.Number("seed")),
+		WarmUp: v.Duration("warm-up"), Length: v.Duration("length"), Repeat: v.Bool("repeat"), Ledgers: v.Text("ledgers"),
+		FaultFile: v.Text("fault-file"), FaultTarget: v.Text("fault-target"),
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), cfg.WarmUp+cfg.Length+runGrace)
+	defer cancel()
+	s, err := experimenter.Run(ctx, cfg)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "%s %s %s %s: offered %.2f, %.3f of the bound (%.0f tokens/s), in time %.3f, first token p95 %.0f ms, between p95 %.0f ms, late %d, lost %d, doubled %d, refused %d, not run %d, refusal p95 %.0f ms, CPU %.0f%%\n",
+		s.Experiment, s.Mix, s.Choice, s.Label, s.Offered, s.Share, s.Bound, s.WeightedInTime, s.FirstToken.P95, s.BetweenTokens.P95,
+		s.All.Late, s.All.Lost, s.All.Doubled, s.All.Refused, s.All.NotRun, s.Refusals.P95, 100*s.CPUShare)
+	return reporter.Append(v.Text("runs"), s)
+}
+
+func report(v optionparser.Values, out io.Writer) error {
+	runs, err := reporter.Read(v.Text("runs"))
+	if err != nil {
+		return err
+	}
+	reporter.Table(out, runs)
+	return reporter.Write(v.Text("folder"), runs)
+}
+
+func areAccounts(value string) error {
+	_, err := scheduler.ParseAccounts(value)
+	return err
+}
+
+func isShare(value string) error {
+	if share, err := strconv.ParseFloat(value, 64); err != nil || share <= 0 {
+		return errors.New("must be a number above 0")
+	}
+	return nil
 }
--- /dev/null
+++ b/scripts/measure.sh
@@ -0,0 +1,194 @@
+#!/usr/bin/env bash
+# The experiments: a fleet on loopback of 8 nodes, 40 engines of 5 speeds and the plain
+# services of both deployments, under the arrivals of fbload. usage: measure.sh [short|full|ONE]
+# short takes about 3 minutes, full about 8; ONE is policies, overload, flood or recovery.
+# The table goes to standard output and with its plots to reports/.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+size=${1:-short}
+case "$size" in
+  full) repeats=3; length=10s ;;
+  *) repeats=${MEASURE_REPEATS:-2}; length=${MEASURE_LENGTH:-6s} ;;
+esac
+
+bin=.bin
+run=$(mktemp -d "${TMPDIR:-/tmp}/measure.XXXXXX")
+base=${MEASURE_PORT:-13000}
+operator=measure-operator
+platform=127.0.0.1:$base
+reports=${MEASURE_REPORTS:-reports}
+runs=$reports/runs.jsonl
+node_count=8
+# Time of one layer for each of the 5 kinds of accelerators, microseconds. A batch takes 32 to
+# 128 ms, so that the stand-ins, not this machine's processor, bound the throughput.
+speeds=(4000 6000 8000 12000 16000)
+batch=4
+large="large-1 large-2"
+small="small-1 small-2 small-3 small-4 small-5 small-6 small-7 small-8"
+mixed=large-1=30,large-2=30
+for a in $small; do mixed=$mixed,$a=5; done
+
+sha() { printf %s "$1" | sha256sum | cut -d' ' -f1; }
+
+# start NAME COMMAND… starts a process and remembers its id.
+start() {
+  local name=$1
+  shift
+  "$@" >"$run/$name.out" 2>"$run/$name.log" &
+  echo $! >"$run/$name.pid"
+  disown $!
+}
+
+# end NAME SIGNAL ends one process that this script started.
+end() {
+  kill "-$2" "$(cat "$run/$1.pid")" 2>/dev/null || true
+  rm -f "$run/$1.pid"
+}
+
+down() {
+  local file
+  for file in "$run"/*.pid; do
+    [ -e "$file" ] && kill -9 "$(cat "$file")" 2>/dev/null || true
+  done
+  wait 2>/dev/null || true
+  if [ -n "${MEASURE_KEEP:-}" ]; then echo "files kept in $run" >&2; else rm -rf "$run"; fi
+}
+trap down EXIT
+
+wait_for() {
+  for _ in $(seq 400); do
+    if curl -fs -o /dev/null "$1"; then return 0; fi
+    sleep 0.05
+  done
+  echo "measure: $1 did not answer" >&2
+  return 1
+}
+
+list_vm() { curl -fs -X PUT "http://$platform/v1/vms" -d "$1"; }
+
+# engine NUMBER FROM TO starts one engine of the next kind.
+engine() {
+  local id=engine-$1 address=127.0.0.1:$((base + 100 + $1)) speed=${speeds[$(($1 % 5))]}
+  start "$id" $bin/fbstandin engine --id "$id" --listen "$address" --from "$2" --to "$3" \
+    --layer-micros "$speed" --batch-limit $batch --accelerator "kind-$speed" --ledger "$run/$id.ledger"
+  list_vm "{\"id\":\"$id\",\"role\":\"engine\",\"address\":\"$address\",\"data_centre\":\"plateau\"}"
+}
+
+# service NAME REPLICAS PORT starts the replicas of one plain service.
+service() {
+  local i id address
+  for i in $(seq "$2"); do
+    id=$1-$i address=127.0.0.1:$((base + $3 + i))
+    start "$id" $bin/fbstandin service --id "$id" --listen "$address" --ledger "$run/$id.ledger"
+    list_vm "{\"id\":\"$id\",\"role\":\"service\",\"service\":\"$1\",\"address\":\"$address\",\"data_centre\":\"plateau\"}"
+  done
+}
+
+node() {
+  local id=node-$1
+  start "$id" $bin/entry --node "$id" --data-centre "dc-$(($1 % 3))" --listen "127.0.0.1:$((base + $1))" \
+    --peer-listen "127.0.0.1:$((base + 50 + $1))" --platform "$platform" --operator-keys "dakar=$(sha $operator)" --balancer-lag 200ms
+  list_vm "{\"id\":\"$id\",\"role\":\"entry\",\"address\":\"127.0.0.1:$((base + 50 + $1))\",\"data_centre\":\"dc-$(($1 % 3))\"}"
+}
+
+nodes=
+for i in $(seq $node_count); do nodes=$nodes${nodes:+,}127.0.0.1:$((base + i)); done
+
+set_paths() { $bin/fbctl set --nodes "$nodes" --key $operator --team dakar "$@" >/dev/null; }
+
+up() {
+  local i from
+  start platform $bin/fbstandin platform --listen "$platform" --vm-lag 200ms
+  wait_for "http://$platform/v1/vms"
+  i=0
+  for from in 0 8 16; do
+    for _ in $(seq 12); do
+      i=$((i + 1))
+      engine $i $from $((from + 8))
+    done
+  done
+  # Ranges that overlap the others'.
+  engine 37 0 12
+  engine 38 12 24
+  engine 39 0 12
+  engine 40 12 24
+  service ledger 3 70
+  service desk 3 80
+  service catalogue 2 90
+  for i in $(seq $node_count); do node "$i"; done
+  for i in $(seq $node_count); do wait_for "http://127.0.0.1:$((base + i))/healthz"; done
+  for i in $(seq 40); do wait_for "http://127.0.0.1:$((base + 100 + i))/v1/status"; done
+  local paths=()
+  for a in $large $small; do paths+=("accounts/$a/key_sha256=$(sha "$a")"); done
+  set_paths "${paths[@]}" models/atlas/layers=24 services/ledger/idempotent=false services/desk/idempotent=false \
+    services/catalogue/idempotent=true classes/counter/priority=9 classes/counter/deadline_ms=4000 \
+    classes/bulk/priority=1 classes/bulk/deadline_ms=8000 classes/record/deadline_ms=5000 \
+    classes/claim/deadline_ms=5000 classes/lookup/deadline_ms=2000
+  for i in $(seq $node_count); do wait_for "http://127.0.0.1:$((base + i))/readyz"; done
+  sleep 1
+}
+
+# load FLAG… runs one experiment.
+load() {
+  $bin/fbload run --nodes "$nodes" --platform "$platform" --ledgers "$run" --runs "$runs" --length "$length" "$@"
+}
+
+# policies runs every policy in turn, as often as there are repeats, so that pairs stand close in time.
+policies() {
+  local mix choice i
+  for i in $(seq "$repeats"); do
+    for mix in teranga guild; do
+      for choice in expected random round_robin least_reported; do
+        set_paths policy/choice=$choice
+        load --experiment policies --mix $mix --choice $choice --accounts "$mixed" --offered 1 --seed "$i"
+      done
+    done
+  done
+  set_paths policy/choice=expected
+}
+
+overload() {
+  local offered i
+  for i in $(seq "$repeats"); do
+    for offered in 0.5 0.8 1.0 1.5 2.0; do
+      load --experiment overload --label "${offered}x" --accounts "$mixed" --offered $offered --seed "$i"
+    done
+  done
+}
+
+# flood compares a small account alone with the same arrivals beside a large account's.
+flood() {
+  local i
+  for i in $(seq "$repeats"); do
+    load --experiment flood --label alone --accounts small-1=1 --watched small-1 --offered 0.1 --seed "$i"
+    load --experiment flood --label flooded --accounts large-1=19,small-1=1 --watched small-1 --offered 2 --seed "$i"
+  done
+}
+
+# fault NAME… ends the processes at once, 3 s from now, and notes the instant.
+fault() {
+  local name
+  sleep 5
+  date +%s%3N >"$run/fault"
+  for name in "$@"; do end "$name" KILL; done
+}
+
+recovery() {
+  fault engine-1 &
+  load --experiment recovery --label "stage dies" --accounts "$mixed" --offered 0.6 --fault-file "$run/fault" --fault-target engine-1 --length 9s
+  wait $!
+  curl -fs -X DELETE "http://$platform/v1/vms?id=engine-1" || true
+  fault node-8 &
+  load --experiment recovery --label "node dies" --accounts "$mixed" --offered 0.6 --fault-file "$run/fault" --length 9s
+  wait $!
+}
+
+mkdir -p "$reports"
+rm -f "$runs"
+up
+case "$size" in
+  policies | overload | flood | recovery) $size ;;
+  *) policies; overload; flood; recovery ;;
+esac
+$bin/fbload report --runs "$runs" --folder "$reports"
