--- a/entry/internal/commander/options.go
+++ b/entry/internal/commander/options.go
@@ -25,7 +25,7 @@
 		{Name: "peer-listen", Default: "127.0.0.1:8081", Usage: "address for the other nodes, host:port, as the VM list has it", Check: optionparser.IsAddress},
 		{Name: "platform", Usage: "address of the platform's log and VM list, host:port", Check: optionparser.IsAddress},
 		{Name: "operator-keys", Usage: "team=hex SHA-256 of a bearer key, several by comma; these operators need no configuration", Check: areKeys},
-		{Name: "shards", Default: "4", Usage: "reducers that share the drafts, 1 to 64", Check: optionparser.IsNumber(1, maxShards)},
+		{Name: "shards", Default: "1", Usage: "reducers that share the drafts, 1 to 64; each knows only its own part of the load on targets", Check: optionparser.IsNumber(1, maxShards)},
 		{Name: "draft-limit", Default: "2000", Usage: "drafts in progress at this node", Check: optionparser.IsNumber(1, maxDrafts)},
 		{Name: "balancer-lag", Default: "2s", Usage: "time for which a stopping node still accepts requests, so that the balancer can see it is unready", Check: optionparser.IsDuration},
 		{Name: "stop-limit", Default: "60s", Usage: "longest time a stopping node waits for requests in progress", Check: optionparser.IsDuration},
--- a/entry/internal/drafter/drafter.go
+++ b/entry/internal/drafter/drafter.go
@@ -3,12 +3,16 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"fuchsiabridge.example/common/configurer"
 	"fuchsiabridge.example/common/enginecaller"
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/common/responder"
 	"fuchsiabridge.example/entry/internal/planner"
+	"fuchsiabridge.example/entry/internal/tailer"
 	"fuchsiabridge.example/entry/internal/watcher"
 )
 
@@ -47,6 +51,10 @@
 	drafts  map[identifier.DraftID]*draft
 	targets []watcher.Target
 	load    map[identifier.TargetID]int
+	// settings is nil until the first is read.
+	settings *configurer.Settings
+	// turn counts the pipelines that were wanted.
+	turn uint64
 }
 
 // NewDrafter returns a drafter with no draft.
@@ -67,6 +75,8 @@
 		return d.callerGone(ev)
 	case watcher.TargetsChanged:
 		d.targets = ev.Targets
+	case tailer.SettingsChanged:
+		d.settings = ev.Settings
 	case messenger.Tick:
 		return d.tick(now)
 	}
@@ -106,7 +116,7 @@
 // start binds the draft to a pipeline under a new epoch and runs it from the prompt.
 func (d *Drafter) start(now time.Time, dr *draft) []messenger.Effect {
 	whole := identifier.LayerRange{To: dr.request.Layers}
-	stages, ok := planner.Choose(d.targets, planner.Request{Model: dr.request.Model, Layers: whole, Load: d.load, Avoid: dr.avoid})
+	stages, ok := planner.Choose(d.targets, d.wanted(dr, whole, dr.avoid))
 	if !ok {
 		d.bind(dr, nil)
 		dr.retryAt = now.Add(waitForPipeline)
@@ -120,6 +130,19 @@
 	return []messenger.Effect{d.send(now, dr, false)}
 }
 
+// wanted says what pipeline the draft needs, chosen as its team's settings say.
+func (d *Drafter) wanted(dr *draft, layers identifier.LayerRange, avoid map[identifier.TargetID]bool) planner.Request {
+	d.turn++
+	r := planner.Request{
+		Model: dr.request.Model, Layers: layers, Load: d.load, Avoid: avoid,
+		Seed: xxhash.Sum64String(string(dr.request.Draft)) + uint64(dr.epoch), Turn: d.turn,
+	}
+	if d.settings != nil && d.settings.Teams[dr.request.Team] != nil {
+		r.Choice = planner.Choice(d.settings.Teams[dr.request.Team].Choice)
+	}
+	return r
+}
+
 func (d *Drafter) bind(dr *draft, stages []planner.Stage) {
 	for _, s := range dr.stages {
 		d.load[s.Target]--
--- a/entry/internal/planner/planner.go
+++ b/entry/internal/planner/planner.go
@@ -32,6 +32,12 @@
 	Load map[identifier.TargetID]int
 	// Avoid holds targets that must not be used.
 	Avoid map[identifier.TargetID]bool
+	// Choice is how to choose; the zero Choice is Expected.
+	Choice Choice
+	// Seed decides between targets of about equal cost; give each draft its own.
+	Seed uint64
+	// Turn counts the requests before this one, for RoundRobin.
+	Turn uint64
 }
 
 type edge struct {
@@ -39,10 +45,13 @@
 	stages []Stage
 }
 
-// Choose returns the pipeline of least expected time for one token, and false when
+// Choose returns the pipeline of least cost by the request's choice, and false when
 // the targets that are up do not cover the layers.
 func Choose(targets []watcher.Target, r Request) ([]Stage, bool) {
 	usable := usableTargets(targets, r)
+	if r.Choice != Expected && r.Choice != "" {
+		return chain(usable, r)
+	}
 	best := map[identifier.Layer]edge{r.Layers.From: {}}
 	for _, from := range bounds(usable, r.Layers) {
 		reached, ok := best[from]
@@ -63,20 +72,25 @@
 		return
 	}
 	layers := identifier.LayerRange{From: from, To: min(t.Status.Layers.To, r.Layers.To)}
-	cost := reached.cost + hopCost + stageTime(t, layers, r.Load[t.ID])
+	cost := reached.cost + r.expected(t, layers)
 	if known, ok := best[layers.To]; ok && known.cost <= cost {
 		return
 	}
-	stage := Stage{
+	best[layers.To] = edge{cost: cost, stages: append(append([]Stage(nil), reached.stages...), newStage(t, layers))}
+}
+
+func newStage(t watcher.Target, layers identifier.LayerRange) Stage {
+	return Stage{
 		Target: t.ID, Address: t.Address, Generation: t.Status.Generation, Layers: layers,
 		LayerTime: time.Duration(t.Status.LayerMicros) * time.Microsecond,
 	}
-	best[layers.To] = edge{cost: cost, stages: append(append([]Stage(nil), reached.stages...), stage)}
 }
 
-// stageTime is the expected time of one step: the batch before it, shared by the batch limit, and its own.
-func stageTime(t watcher.Target, layers identifier.LayerRange, load int) time.Duration {
-	own := time.Duration(layers.Len()*t.Status.LayerMicros) * time.Microsecond
+// stageTime is the expected time of one step: the batch before it, shared by the batch limit, and
+// its own. A step of fewer layers than the target holds shares its batch with steps of all of them,
+// so that the whole range counts.
+func stageTime(t watcher.Target, _ identifier.LayerRange, load int) time.Duration {
+	own := time.Duration(t.Status.Layers.Len()*t.Status.LayerMicros) * time.Microsecond
 	waiting := t.Status.Queued + load
 	return own + own*time.Duration(waiting)/time.Duration(max(1, t.Status.BatchLimit))
 }
--- a/entry/internal/server/drafts.go
+++ b/entry/internal/server/drafts.go
@@ -22,6 +22,9 @@
 const (
 	defaultMaxTokens = 64
 	mostTokens       = 4096
+	// mostOpen bounds the open requests of one node, and with it the events under way.
+	mostOpen  = 16_384
+	retryBusy = time.Second
 	// answerGrace is how long a handler waits beyond the deadline for the reducer's end.
 	answerGrace = time.Second
 	// streamPoll is how often an idle stream is probed for a caller that went away.
@@ -74,6 +77,12 @@
 	if !ok {
 		return
 	}
+	if s.node.Open() >= mostOpen {
+		p := responder.Problem{Code: "busy", Message: "the node has as many open requests as it may", Place: "entry", RequestID: string(r.id)}
+		count(r.class, responder.NotRun, r.deadline)
+		responder.Refuse(c, fasthttp.StatusServiceUnavailable, responder.NotRun, p, retryBusy)
+		return
+	}
 	var body completionRequest
 	if err := json.Unmarshal(c.PostBody(), &body); err != nil {
 		s.refuse(c, fasthttp.StatusBadRequest, "bad_json", err.Error(), "body")
@@ -85,7 +94,7 @@
 	}
 	traceparent, end := tracer.Start(string(c.Request.Header.Peek(tracer.Header)), "entry.draft", "request_id", string(r.id))
 	arrived.Traceparent = traceparent
-	call, answers := s.node.Call(body.MaxTokens+2, func(id identifier.CallID) messenger.Event {
+	call, answers := s.node.Call(arrived.MaxTokens+2, func(id identifier.CallID) messenger.Event {
 		arrived.Call = id
 		return admitter.Requested{Arrived: arrived}
 	})
--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -46,6 +46,7 @@
 	Close(id identifier.CallID)
 	Settings() *configurer.Settings
 	Ready() bool
+	Open() int64
 	Status() executor.Status
 	Explain(subject string) []executor.Explanation
 }
--- a/fbload/internal/commander/commander.go
+++ b/fbload/internal/commander/commander.go
@@ -68,7 +68,7 @@
 			{Name: "watched", Usage: "key of the account whose first tokens are counted apart; none when empty"},
 			{Name: "offered", Default: "1", Usage: "rate of drafts as a share of the bound", Check: isShare},
 			{Name: "seed", Default: "1", Usage: "seed of the arrivals", Check: optionparser.IsNumber(0, mostSeeds)},
-			{Name: "warm-up", Default: "2s", Usage: "time before the one that is counted", Check: optionparser.IsDuration},
+			{Name: "warm-up", Default: "4s", Usage: "time before the one that is counted", Check: optionparser.IsDuration},
 			{Name: "length", Default: "8s", Usage: "time that is counted", Check: optionparser.IsDuration},
 			{Name: "repeat", Default: "true", Usage: "whether callers come back when an answer tells them to", Check: optionparser.IsBool},
 			{Name: "fault-file", Usage: "file in which the instant of a fault is found after the run, Unix milliseconds; none when empty"},
--- a/fbload/internal/runner/runner.go
+++ b/fbload/internal/runner/runner.go
@@ -127,7 +127,7 @@
 	if answer.Outcome == responder.Delivered {
 		return 0, false
 	}
-	if len(answer.Tokens) == 0 {
+	if answer.Outcome == responder.NotRun || answer.Outcome == responder.Refused {
 		result.RefusedAfter = append(result.RefusedAfter, time.Since(asked))
 	}
 	return answer.RetryAfter, answer.RetryAfter > 0
--- a/fbload/internal/scheduler/scheduler.go
+++ b/fbload/internal/scheduler/scheduler.go
@@ -57,13 +57,13 @@
 	return map[string]Mix{
 		"teranga": {
 			{Name: "counter", Kind: Draft, Share: 40, LeastTokens: 4, MostTokens: 8, Weight: 5, Deadline: 4 * time.Second},
-			{Name: "bulk", Kind: Draft, Share: 40, LeastTokens: 6, MostTokens: 12, Weight: 1, Deadline: 8 * time.Second},
+			{Name: "bulk", Kind: Draft, Share: 40, LeastTokens: 6, MostTokens: 12, Weight: 1, Deadline: 12 * time.Second},
 			{Name: "record", Kind: Record, Share: 10, Service: "ledger", Weight: 10, Deadline: 5 * time.Second},
 			{Name: "lookup", Kind: Lookup, Share: 10, Service: "catalogue", Weight: 1, Deadline: 2 * time.Second},
 		},
 		"guild": {
 			{Name: "counter", Kind: Draft, Share: 10, LeastTokens: 4, MostTokens: 8, Weight: 5, Deadline: 4 * time.Second},
-			{Name: "bulk", Kind: Draft, Share: 75, LeastTokens: 6, MostTokens: 12, Weight: 1, Deadline: 8 * time.Second},
+			{Name: "bulk", Kind: Draft, Share: 75, LeastTokens: 6, MostTokens: 12, Weight: 1, Deadline: 12 * time.Second},
 			{Name: "claim", Kind: Record, Share: 5, Service: "desk", Weight: 10, Deadline: 5 * time.Second},
 			{Name: "lookup", Kind: Lookup, Share: 10, Service: "catalogue", Weight: 1, Deadline: 2 * time.Second},
 		},
--- /dev/null
+++ b/integration/load_test.go
@@ -0,0 +1,87 @@
+package integration_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fuchsiabridge.example/common/responder"
+	"fuchsiabridge.example/fbload/requester"
+	"fuchsiabridge.example/integration/launcher"
+)
+
+// TestOverloadIsShedAtOnce sends far more drafts than a node lets run and wait. Each has one
+// outcome; those that are shed are answered while the first still run, with a time to come
+// back; then all that were let in are delivered whole.
+func TestOverloadIsShedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	f := launcher.NewFleet(t)
+	// A draft of 4 tokens takes at least 4*3*8*10 ms, about a second.
+	f.AddEngine("engine-a", 0, 8, "--layer-micros", "10000")
+	f.AddEngine("engine-b", 8, 16, "--layer-micros", "10000")
+	f.AddEngine("engine-c", 16, 24, "--layer-micros", "10000")
+	f.AddNode("node-1", "", "--draft-limit", "4")
+	f.Configure(24)
+	r := requester.NewRequester()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	const drafts = 60
+	results := make([]requester.Result, drafts)
+	errs := make([]error, drafts)
+	var wg sync.WaitGroup
+	for i := range drafts {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			results[i], errs[i] = r.Stream(ctx, requester.Draft{
+				Node: f.Nodes[0].Address, Key: launcher.AccountKey, ID: fmt.Sprint("overload-", i), Class: "bulk",
+				Model: launcher.Model, Prompt: "a blurb", MaxTokens: 4,
+			}, nil)
+		}()
+	}
+	wg.Wait()
+	outcomes := map[responder.Outcome]int{}
+	var lastShed, firstDelivered time.Time
+	for i, result := range results {
+		c.Assert(errs[i], qt.IsNil)
+		outcomes[result.Outcome]++
+		switch result.Outcome {
+		case responder.Delivered:
+			c.Check(result.Whole, qt.IsTrue)
+			if firstDelivered.IsZero() || result.Finished.Before(firstDelivered) {
+				firstDelivered = result.Finished
+			}
+		case responder.NotRun:
+			c.Check(result.RetryAfter >= time.Second, qt.IsTrue)
+			if result.Finished.After(lastShed) {
+				lastShed = result.Finished
+			}
+		default:
+			c.Errorf("draft %d ended as %q: %+v", i, result.Outcome, result.Problem)
+		}
+	}
+	// Four run and sixteen wait.
+	c.Assert(outcomes, qt.DeepEquals, map[responder.Outcome]int{responder.Delivered: 20, responder.NotRun: 40})
+	c.Assert(lastShed.Before(firstDelivered), qt.IsTrue, qt.Commentf("a refusal came %v after the first draft ended", lastShed.Sub(firstDelivered)))
+}
+
+// TestAnswerOfDefaultLengthIsWhole leaves max_tokens open and asks twice under one id: the
+// second answer's tokens, all there already, must all find room.
+func TestAnswerOfDefaultLengthIsWhole(t *testing.T) {
+	c := qt.New(t)
+	f := smallFleet(t)
+	r := requester.NewRequester()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	draft := requester.Draft{Node: f.Nodes[0].Address, Key: launcher.AccountKey, ID: "default-length", Class: "counter", Model: launcher.Model, Prompt: "p"}
+	for range 2 {
+		result, err := r.Stream(ctx, draft, nil)
+		c.Assert(err, qt.IsNil)
+		c.Assert(result.Outcome, qt.Equals, responder.Delivered)
+		c.Assert(result.Whole, qt.IsTrue, qt.Commentf("%d tokens", len(result.Tokens)))
+	}
+}
