--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 KNOWN_RED := $(if $(wildcard KNOWN-RED.txt),-skip '^($(shell grep -o '^Test[A-Za-z0-9_/]*' KNOWN-RED.txt | paste -sd'|'))$$')
 PROGRAMS := entry fbctl fbload fbstandin
 
-.PHONY: build test lint format slopes soak demo run ci
+.PHONY: build test lint format slopes soak measure demo run ci
 
 build: ## build every program into .bin
 	@mkdir -p .bin
@@ -38,3 +38,6 @@
 
 ci: ## run what CI runs
 	@.ci/run
+
+measure: build ## run the experiments on a local fleet, alone on the machine: table, plots and reports/
+	@scripts/measure.sh $(SIZE)
