Tell peers all of a node's trials, so that notices may overtake each other

Ruled out: a lost verdict from the drafts' side; the events showed each trial's end.

Change: a notice holds all that a node suspects and tries, with a growing number, and the verdicts of the last second; it is told again four times a second while there is any. After a target died under several suspects they go 0.3 s apart.

--- a/entry/internal/isolator/isolator.go
+++ b/entry/internal/isolator/isolator.go
@@ -1,6 +1,7 @@
 package isolator
 
 import (
+	"maps"
 	"sort"
 	"time"
 
@@ -27,15 +28,14 @@
 	aliveFor = 20 * time.Millisecond
 	// settleAfter is how long peers have to say that they want a target too.
 	settleAfter = 15 * time.Millisecond
-	// voidPause is how long the second of two suspects waits after their target died.
+	// voidPause is the time between the suspects of a target that died under several.
 	voidPause = 300 * time.Millisecond
 	// lostFor is how long a target that died is tried no more, unless it was heard since.
 	lostFor = 10 * time.Second
 	// freeLimit is how many targets a request may lose while there was none to try it at alone.
 	freeLimit = 3
-	// repeatEvery and repeatFor say how convictions are told again, so that a lost notice costs little.
-	repeatEvery = 250 * time.Millisecond
-	repeatFor   = time.Second
+	// repeatFor is how long a verdict is told again, so that a lost notice costs little.
+	repeatFor = time.Second
 )
 
 // Route is an effect that hands an event to the shard of its draft.
@@ -59,20 +59,15 @@
 	phase phase
 	since time.Time
 	until time.Time
-}
-
-// remoteTrial is a trial of a peer, running or wanted.
-type remoteTrial struct {
-	fingerprint string
-	isRunning   bool
-	until       time.Time
+	// others holds the suspects that peers tried at the target when it died.
+	others map[string]bool
 }
 
 // Isolator is the sub-reducer of crashing requests.
 type Isolator struct {
 	waiting []StageLost
 	trials  map[identifier.TargetID]*trial
-	remote  map[identifier.TargetID]map[identifier.NodeID]remoteTrial
+	remote  map[identifier.NodeID]*remote
 	// notBefore holds the instants before which drafts are not tried.
 	notBefore map[identifier.DraftID]time.Time
 	suspects  map[string]time.Time
@@ -84,16 +79,18 @@
 	targets map[identifier.TargetID]watcher.Target
 	peers   map[identifier.NodeID]heartbeater.Peer
 
-	// repeatAt and repeatUntil say when the newest convictions are told again.
-	repeatAt, repeatUntil time.Time
-	notice                Notice
+	// cleared and newly hold the verdicts to be told, and until when, as notices overtake
+	// each other; sent is what was told last.
+	cleared, newly map[string]time.Time
+	sent           Notice
+	sentAt         time.Time
 }
 
 // NewIsolator returns an isolator that suspects no request.
 func NewIsolator() *Isolator {
 	return &Isolator{
 		trials:    map[identifier.TargetID]*trial{},
-		remote:    map[identifier.TargetID]map[identifier.NodeID]remoteTrial{},
+		remote:    map[identifier.NodeID]*remote{},
 		notBefore: map[identifier.DraftID]time.Time{},
 		suspects:  map[string]time.Time{},
 		convicted: map[string]time.Time{},
@@ -102,6 +99,8 @@
 		aliveAt:   map[identifier.TargetID]time.Time{},
 		targets:   map[identifier.TargetID]watcher.Target{},
 		peers:     map[identifier.NodeID]heartbeater.Peer{},
+		cleared:   map[string]time.Time{},
+		newly:     map[string]time.Time{},
 	}
 }
 
@@ -110,7 +109,7 @@
 	effects := i.decide(now, event)
 	effects = append(effects, i.schedule(now)...)
 	effects = append(effects, i.begin(now)...)
-	return append(effects, i.tell()...)
+	return append(effects, i.tell(now)...)
 }
 
 func (i *Isolator) decide(now time.Time, event messenger.Event) []messenger.Effect {
@@ -141,14 +140,19 @@
 // lost takes a draft whose target died. The death under a trial of it convicts it, after peers could speak.
 func (i *Isolator) lost(now time.Time, ev StageLost) []messenger.Effect {
 	i.targetLost(now, ev.Target)
+	t, ok := i.trials[ev.Target]
+	isTrial := ok && ev.Ruled && t.phase == running && t.lost.Draft == ev.Draft
 	if _, ok := i.convicted[ev.Fingerprint]; ok {
+		if isTrial {
+			delete(i.trials, ev.Target)
+		}
 		return []messenger.Effect{rule(ev, Refuse, "")}
 	}
 	effects := i.suspect(now, ev.Fingerprint)
 	effects = append(effects, log(eventlogger.RequestSuspected, ev.Draft, "target", ev.Target, "ruled", ev.Ruled, "candidates", len(ev.Candidates)))
-	t, ok := i.trials[ev.Target]
-	if ok && ev.Ruled && t.phase == running && t.lost.Draft == ev.Draft {
+	if isTrial {
 		t.lost, t.phase, t.until = ev, judging, now.Add(judgeAfter)
+		t.others = i.triedByPeers(ev.Target, ev.Fingerprint)
 		return effects
 	}
 	i.waiting = append(i.waiting, ev)
@@ -171,7 +175,6 @@
 	if known {
 		return nil
 	}
-	i.notice.Suspected = append(i.notice.Suspected, fingerprint)
 	return []messenger.Effect{i.broadcastSuspects()}
 }
 
@@ -182,7 +185,7 @@
 		delete(i.trials, ev.Target)
 	}
 	i.dropWanted(ev.Fingerprint)
-	i.notice.Cleared = append(i.notice.Cleared, ev.Fingerprint)
+	i.cleared[ev.Fingerprint] = now.Add(repeatFor)
 	effects := []messenger.Effect{log(eventlogger.RequestCleared, ev.Draft, "target", ev.Target)}
 	return append(effects, i.clear(ev.Fingerprint)...)
 }
@@ -198,19 +201,19 @@
 // there at the same time: then either may be innocent, and both are tried again.
 func (i *Isolator) judge(now time.Time, target identifier.TargetID, t *trial) []messenger.Effect {
 	delete(i.trials, target)
-	for _, r := range i.remote[target] {
-		if r.isRunning && r.fingerprint != t.lost.Fingerprint {
-			// One of the two goes first, however slow their nodes hear each other.
-			if r.fingerprint < t.lost.Fingerprint {
-				i.notBefore[t.lost.Draft] = now.Add(voidPause)
+	maps.Copy(t.others, i.triedByPeers(target, t.lost.Fingerprint))
+	if len(t.others) > 0 {
+		// They go one after the other now, however slow their nodes hear each other.
+		for f := range t.others {
+			if f < t.lost.Fingerprint {
+				i.notBefore[t.lost.Draft] = later(i.notBefore[t.lost.Draft], now).Add(voidPause)
 			}
-			i.waiting = append(i.waiting, t.lost)
-			return []messenger.Effect{log(eventlogger.TrialVoid, t.lost.Draft, "target", target)}
 		}
+		i.waiting = append(i.waiting, t.lost)
+		return []messenger.Effect{log(eventlogger.TrialVoid, t.lost.Draft, "target", target)}
 	}
 	effects := []messenger.Effect{log(eventlogger.RequestConvicted, t.lost.Draft, "target", target), rule(t.lost, Refuse, "")}
-	i.notice.Convicted = append(i.notice.Convicted, t.lost.Fingerprint)
-	i.repeatAt, i.repeatUntil = now.Add(repeatEvery), now.Add(repeatFor)
+	i.newly[t.lost.Fingerprint] = now.Add(repeatFor)
 	return append(effects, i.convict(now, t.lost.Fingerprint)...)
 }
 
@@ -289,11 +292,9 @@
 			return true
 		}
 	}
-	for _, trials := range i.remote {
-		for _, r := range trials {
-			if r.fingerprint == fingerprint && r.until.After(now) {
-				return true
-			}
+	for _, r := range i.remote {
+		if r.until.After(now) && r.tries(fingerprint) {
+			return true
 		}
 	}
 	return false
@@ -315,7 +316,7 @@
 			isBusy = true
 			continue
 		}
-		isWanted := len(i.remote[t]) > 0
+		isWanted := i.isWantedByPeer(now, t)
 		weight := rank(l.Fingerprint, t)
 		if best == "" || (bestIsWanted && !isWanted) || (bestIsWanted == isWanted && weight > most) {
 			best, most, bestIsWanted = t, weight, isWanted
@@ -339,28 +340,14 @@
 	if now.Sub(t.since) < settleAfter {
 		return false
 	}
-	for at, trials := range i.remote {
-		for _, r := range trials {
-			if r.until.After(now) && r.precedes(at, t, target) {
-				return false
-			}
+	for _, r := range i.remote {
+		if r.until.After(now) && r.precedes(t.lost.Fingerprint, target) {
+			return false
 		}
 	}
 	return true
 }
 
-// precedes reports whether a peer's trial at a target comes before ours at another or the same.
-func (r remoteTrial) precedes(at identifier.TargetID, t *trial, target identifier.TargetID) bool {
-	ours := t.lost.Fingerprint
-	switch {
-	case r.fingerprint == ours && at != target:
-		return r.isRunning || rank(ours, at) < rank(ours, target)
-	case r.fingerprint != ours && at == target:
-		return r.isRunning || rank(r.fingerprint, target) < rank(ours, target)
-	}
-	return false
-}
-
 // runFreely lets a draft go on for which there is no target to try it at; one that goes
 // on losing targets that way is convicted.
 func (i *Isolator) runFreely(now time.Time, l StageLost) []messenger.Effect {
@@ -368,7 +355,7 @@
 	if i.freely[l.Fingerprint] < freeLimit {
 		return []messenger.Effect{rule(l, RunFreely, "")}
 	}
-	i.notice.Convicted = append(i.notice.Convicted, l.Fingerprint)
+	i.newly[l.Fingerprint] = now.Add(repeatFor)
 	effects := []messenger.Effect{log(eventlogger.RequestConvicted, l.Draft, "target", l.Target), rule(l, Refuse, "")}
 	return append(effects, i.convict(now, l.Fingerprint)...)
 }
@@ -377,7 +364,6 @@
 func (i *Isolator) try(now time.Time, l StageLost, target identifier.TargetID) []messenger.Effect {
 	t := &trial{lost: l, since: now, until: now.Add(trialLimit)}
 	i.trials[target] = t
-	i.notice.Wanted = append(i.notice.Wanted, Trial{Fingerprint: l.Fingerprint, Target: target})
 	return i.probe(now, t, target)
 }
 
@@ -408,7 +394,6 @@
 
 func (i *Isolator) run(now time.Time, t *trial, target identifier.TargetID) []messenger.Effect {
 	t.phase, t.until = running, now.Add(trialLimit)
-	i.notice.Trials = append(i.notice.Trials, Trial{Fingerprint: t.lost.Fingerprint, Target: target})
 	return []messenger.Effect{log(eventlogger.TrialStarted, t.lost.Draft, "target", target), rule(t.lost, RunAlone, target)}
 }
 
@@ -447,13 +432,6 @@
 		i.suspects[l.Fingerprint] = now.Add(suspectFor)
 	}
 	effects = append(effects, i.forget(now)...)
-	if !i.repeatAt.IsZero() && !i.repeatAt.After(now) {
-		i.repeatAt = now.Add(repeatEvery)
-		i.notice.Convicted = keys(i.convicted)
-		if !i.repeatUntil.After(now) {
-			i.repeatAt = time.Time{}
-		}
-	}
 	return effects
 }
 
@@ -467,23 +445,29 @@
 		effects = append(effects, messenger.Broadcast{Event: Convicted{Fingerprints: keys(i.convicted)}})
 	}
 	dropOld(i.notBefore, now)
+	dropOld(i.cleared, now)
+	dropOld(i.newly, now)
 	dropOld(i.lostAt, now.Add(-lostFor))
 	dropOld(i.aliveAt, now.Add(-lostFor))
-	for target, trials := range i.remote {
-		for node, r := range trials {
-			if !r.until.After(now) {
-				delete(trials, node)
-			}
-		}
-		if len(trials) == 0 {
-			delete(i.remote, target)
-		}
-	}
+	effects = append(effects, i.forgetPeers(now)...)
 	return effects
 }
 
 func (i *Isolator) broadcastSuspects() messenger.Effect {
-	return messenger.Broadcast{Event: Suspected{Fingerprints: keys(i.suspects)}}
+	all := maps.Clone(i.suspects)
+	for _, r := range i.remote {
+		for _, f := range r.suspects {
+			all[f] = r.until
+		}
+	}
+	return messenger.Broadcast{Event: Suspected{Fingerprints: keys(all)}}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // keys returns a map's keys in order.
--- a/entry/internal/isolator/isolator_test.go
+++ b/entry/internal/isolator/isolator_test.go
@@ -45,17 +45,19 @@
 // and drafts of which some crash the target that runs them.
 type world struct {
 	start, now time.Time
-	nodes      []*isolator.Isolator
-	alive      map[identifier.TargetID]bool
-	kills      int
-	drafts     []*draft
-	agenda     []due
+	// step is how long a step takes.
+	step   time.Duration
+	nodes  []*isolator.Isolator
+	alive  map[identifier.TargetID]bool
+	kills  int
+	drafts []*draft
+	agenda []due
 	// jitter gives the delay of the next message.
 	jitter func() time.Duration
 }
 
 func newWorld(targets int, jitter func() time.Duration) *world {
-	w := &world{start: time.Unix(1000, 0), now: time.Unix(1000, 0), alive: map[identifier.TargetID]bool{}, jitter: jitter}
+	w := &world{start: time.Unix(1000, 0), now: time.Unix(1000, 0), step: stepTime, alive: map[identifier.TargetID]bool{}, jitter: jitter}
 	var known []watcher.Target
 	for i := range targets {
 		id := identifier.TargetID(fmt.Sprint("t", i))
@@ -139,7 +141,7 @@
 		w.after(w.jitter(), func() { w.lose(d) })
 		return
 	}
-	w.after(stepTime, func() {
+	w.after(w.step, func() {
 		if !w.alive[t] || d.target != t {
 			return
 		}
@@ -202,6 +204,7 @@
 	w := newWorld(rapid.IntRange(3, 5).Draw(t, "targets"), func() time.Duration {
 		return beat * time.Duration(rapid.IntRange(1, 8).Draw(t, "delay"))
 	})
+	w.step = rapid.SampledFrom([]time.Duration{2 * beat, stepTime}).Draw(t, "step")
 	for i := range rapid.IntRange(0, 20).Draw(t, "innocents") {
 		w.add(rapid.IntRange(0, modelNodes-1).Draw(t, "node"), fmt.Sprint("studio/", i), "t0")
 	}
@@ -269,6 +272,16 @@
 	})
 }
 
+// TestNoticesOvertakeEachOther kills one target; in whatever order notices come, every draft gets on within a second.
+func TestNoticesOvertakeEachOther(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := drawWorld(t)
+		w.kill("t0")
+		w.pass(time.Second)
+		checkInnocents(t, w)
+	})
+}
+
 // TestDeathCostsLittle measures how long a death holds up 20 drafts when two other
 // targets hold the layers: 95 in 100 get past their step within a second.
 func TestDeathCostsLittle(t *testing.T) {
--- a/entry/internal/isolator/messages.go
+++ b/entry/internal/isolator/messages.go
@@ -60,13 +60,17 @@
 	Target      identifier.TargetID `json:"target"`
 }
 
-// Notice is what nodes tell each other of suspects. It may come twice or out of order.
+// Notice is what nodes tell each other of suspects. It may come twice, out of order or not at all.
 type Notice struct {
-	Node      identifier.NodeID `json:"node"`
-	Suspected []string          `json:"suspected,omitempty"`
-	// Wanted holds the trials that the node would begin when it is their turn.
-	Wanted    []Trial  `json:"wanted,omitempty"`
-	Trials    []Trial  `json:"trials,omitempty"`
+	Node identifier.NodeID `json:"node"`
+	// Number grows with each notice of a node.
+	Number int64 `json:"number"`
+	// Suspects, Wanted and Trials are all of the node's as of the notice; wanted are the
+	// trials that it would begin when it is their turn.
+	Suspects []string `json:"suspects,omitempty"`
+	Wanted   []Trial  `json:"wanted,omitempty"`
+	Trials   []Trial  `json:"trials,omitempty"`
+	// Cleared and Convicted came up of late.
 	Cleared   []string `json:"cleared,omitempty"`
 	Convicted []string `json:"convicted,omitempty"`
 }
--- a/entry/internal/isolator/peers.go
+++ b/entry/internal/isolator/peers.go
@@ -1,6 +1,8 @@
 package isolator
 
 import (
+	"reflect"
+	"slices"
 	"time"
 
 	"fuchsiabridge.example/common/identifier"
@@ -8,74 +10,140 @@
 	"fuchsiabridge.example/entry/internal/heartbeater"
 )
 
-// heard takes in what a peer suspects, tries, clears and convicts.
-func (i *Isolator) heard(now time.Time, n Notice) []messenger.Effect {
-	for _, t := range n.Wanted {
-		i.note(n.Node, t, remoteTrial{fingerprint: t.Fingerprint, until: now.Add(trialLimit)})
+const (
+	// tellEvery is the time between two notices that say the same, and peerFor how long a
+	// peer's notice counts, so that one that is lost holds up nothing for longer.
+	tellEvery = 250 * time.Millisecond
+	peerFor   = time.Second
+)
+
+// remote is what a peer told last.
+type remote struct {
+	number   int64
+	until    time.Time
+	suspects []string
+	wanted   []Trial
+	trials   []Trial
+	// cleared holds the verdicts that were taken in, and until when they are told again.
+	cleared map[string]time.Time
+}
+
+func (r *remote) tries(fingerprint string) bool {
+	isSame := func(t Trial) bool { return t.Fingerprint == fingerprint }
+	return slices.ContainsFunc(r.wanted, isSame) || slices.ContainsFunc(r.trials, isSame)
+}
+
+// precedes reports whether a trial of the peer comes before one of the fingerprint at
+// the target: another at the same target, or the same at another.
+func (r *remote) precedes(fingerprint string, target identifier.TargetID) bool {
+	isOther := func(t Trial) bool { return (t.Fingerprint == fingerprint) != (t.Target == target) }
+	isBefore := func(t Trial) bool {
+		return isOther(t) && rank(t.Fingerprint, t.Target) < rank(fingerprint, target)
 	}
-	for _, t := range n.Trials {
-		i.note(n.Node, t, remoteTrial{fingerprint: t.Fingerprint, isRunning: true, until: now.Add(trialLimit)})
+	return slices.ContainsFunc(r.trials, isOther) || slices.ContainsFunc(r.wanted, isBefore)
+}
+
+func (i *Isolator) isWantedByPeer(now time.Time, target identifier.TargetID) bool {
+	isThere := func(t Trial) bool { return t.Target == target }
+	for _, r := range i.remote {
+		if r.until.After(now) && (slices.ContainsFunc(r.wanted, isThere) || slices.ContainsFunc(r.trials, isThere)) {
+			return true
+		}
 	}
-	var effects []messenger.Effect
-	for _, f := range n.Suspected {
-		i.suspects[f] = now.Add(suspectFor)
+	return false
+}
+
+// triedByPeers returns the other suspects that peers run at the target.
+func (i *Isolator) triedByPeers(target identifier.TargetID, fingerprint string) map[string]bool {
+	others := map[string]bool{}
+	for _, r := range i.remote {
+		for _, t := range r.trials {
+			if t.Target == target && t.Fingerprint != fingerprint {
+				others[t.Fingerprint] = true
+			}
+		}
 	}
-	if len(n.Suspected) > 0 {
-		effects = append(effects, i.broadcastSuspects())
+	return others
+}
+
+// heard takes in what a peer suspects, tries, clears and convicts. Verdicts count in any
+// order; of the rest the newest notice.
+func (i *Isolator) heard(now time.Time, n Notice) []messenger.Effect {
+	r, ok := i.remote[n.Node]
+	if !ok {
+		r = &remote{cleared: map[string]time.Time{}}
+		i.remote[n.Node] = r
 	}
+	var effects []messenger.Effect
 	for _, f := range n.Cleared {
-		i.endRemote(now, n.Node, f, true)
-		i.dropWanted(f)
-		effects = append(effects, i.clear(f)...)
+		effects = append(effects, i.clearedByPeer(now, r, f)...)
 	}
 	for _, f := range n.Convicted {
-		i.endRemote(now, n.Node, f, false)
-		if _, ok := i.convicted[f]; !ok {
-			effects = append(effects, i.convict(now, f)...)
-		}
+		effects = append(effects, i.convictedByPeer(now, r, f)...)
+	}
+	if n.Number <= r.number {
+		return effects
+	}
+	areNew := !slices.Equal(r.suspects, n.Suspects)
+	r.number, r.until = n.Number, now.Add(peerFor)
+	r.suspects, r.wanted, r.trials = n.Suspects, n.Wanted, n.Trials
+	if areNew {
+		effects = append(effects, i.broadcastSuspects())
 	}
 	return effects
 }
 
-// note keeps a peer's trial; a request is at one target of a peer at a time.
-func (i *Isolator) note(node identifier.NodeID, t Trial, r remoteTrial) {
-	for _, trials := range i.remote {
-		if trials[node].fingerprint == t.Fingerprint {
-			delete(trials, node)
+func (i *Isolator) convictedByPeer(now time.Time, r *remote, fingerprint string) []messenger.Effect {
+	if _, ok := i.convicted[fingerprint]; ok {
+		return nil
+	}
+	for _, t := range r.trials {
+		if t.Fingerprint == fingerprint {
+			i.targetLost(now, t.Target)
 		}
 	}
-	if i.remote[t.Target] == nil {
-		i.remote[t.Target] = map[identifier.NodeID]remoteTrial{}
+	return i.convict(now, fingerprint)
+}
+
+// clearedByPeer lets those with the same body go on freely. The verdict is told for a
+// while, but counts once: the request may become suspect again.
+func (i *Isolator) clearedByPeer(now time.Time, r *remote, fingerprint string) []messenger.Effect {
+	_, known := r.cleared[fingerprint]
+	r.cleared[fingerprint] = now.Add(2 * repeatFor)
+	if known {
+		return nil
 	}
-	i.remote[t.Target][node] = r
+	for _, t := range r.trials {
+		if t.Fingerprint == fingerprint {
+			i.aliveAt[t.Target] = now
+		}
+	}
+	i.dropWanted(fingerprint)
+	return i.clear(fingerprint)
 }
 
-// endRemote drops a peer's trial; its target is alive when the suspect passed, else dead.
-func (i *Isolator) endRemote(now time.Time, node identifier.NodeID, fingerprint string, passed bool) {
-	for target, trials := range i.remote {
-		r, ok := trials[node]
-		if !ok || r.fingerprint != fingerprint {
+// forgetPeers drops the notices of peers that have been silent.
+func (i *Isolator) forgetPeers(now time.Time) []messenger.Effect {
+	var effects []messenger.Effect
+	for _, id := range keys(i.remote) {
+		r := i.remote[id]
+		dropOld(r.cleared, now)
+		if r.until.After(now) {
 			continue
 		}
-		delete(trials, node)
-		switch {
-		case passed && r.isRunning:
-			i.aliveAt[target] = now
-		case r.isRunning:
-			i.targetLost(now, target)
+		had := len(r.suspects) > 0
+		r.suspects, r.wanted, r.trials = nil, nil, nil
+		if had {
+			effects = append(effects, i.broadcastSuspects())
 		}
 	}
+	return effects
 }
 
 // peersChanged tells peers that have just come what is convicted.
 func (i *Isolator) peersChanged(ev heartbeater.PeersChanged) []messenger.Effect {
 	var fresh []string
 	for _, p := range ev.Peers {
-		if p.State == heartbeater.StateDead {
-			for _, trials := range i.remote {
-				delete(trials, p.Node)
-			}
-		}
 		before, known := i.peers[p.Node]
 		i.peers[p.Node] = p
 		if p.State == heartbeater.StateAlive && (!known || before.State == heartbeater.StateDead || before.Incarnation != p.Incarnation) {
@@ -88,13 +156,19 @@
 	return []messenger.Effect{TellPeers{Addresses: fresh, Notice: Notice{Convicted: keys(i.convicted)}}}
 }
 
-// tell sends what came up in one event as one notice.
-func (i *Isolator) tell() []messenger.Effect {
-	if i.notice.isEmpty() {
+// tell sends what this node suspects and tries, and its newest verdicts, when it changed or was long ago.
+func (i *Isolator) tell(now time.Time) []messenger.Effect {
+	if len(i.suspects)+len(i.trials)+len(i.cleared)+len(i.newly)+len(i.sent.Suspects)+len(i.sent.Wanted)+len(i.sent.Trials) == 0 {
+		return nil
+	}
+	notice := i.state()
+	notice.Number = i.sent.Number
+	if reflect.DeepEqual(notice, i.sent) && now.Sub(i.sentAt) < tellEvery {
 		return nil
 	}
-	notice := i.notice
-	i.notice = Notice{}
+	// The clock keeps the numbers growing over a restart.
+	notice.Number = max(i.sent.Number+1, now.UnixNano())
+	i.sent, i.sentAt = notice, now
 	var addresses []string
 	for _, id := range keys(i.peers) {
 		if i.peers[id].State != heartbeater.StateDead {
@@ -107,6 +181,21 @@
 	return []messenger.Effect{TellPeers{Addresses: addresses, Notice: notice}}
 }
 
-func (n *Notice) isEmpty() bool {
-	return len(n.Suspected)+len(n.Wanted)+len(n.Trials)+len(n.Cleared)+len(n.Convicted) == 0
+func (i *Isolator) state() Notice {
+	var n Notice
+	if len(i.suspects) > 0 {
+		n.Suspects = keys(i.suspects)
+	}
+	if len(i.cleared)+len(i.newly) > 0 {
+		n.Cleared, n.Convicted = keys(i.cleared), keys(i.newly)
+	}
+	for _, target := range keys(i.trials) {
+		t := Trial{Fingerprint: i.trials[target].lost.Fingerprint, Target: target}
+		if i.trials[target].phase < running {
+			n.Wanted = append(n.Wanted, t)
+			continue
+		}
+		n.Trials = append(n.Trials, t)
+	}
+	return n
 }
