Let a node that starts in an outage take the VM list from its seeds

Cause: a node is ready only once it has seen its targets, and in an outage it asked for the list only the first seed that it had, once, and took an empty list for none. Ruled out: the configuration (pulled from the peer at once). Change: the heartbeater knows the seeds, asks every peer until one has told its list, and a list that is empty counts as read. Tests wait until each node has seen every listed target: a list that lags made a fresh node admit only the least number of drafts.

--- a/entry/internal/executor/executor.go
+++ b/entry/internal/executor/executor.go
@@ -114,7 +114,7 @@
 		committer.NewCommitter(),
 		tailer.NewTailer(tailer.Config{Node: cfg.Self.Node, LogKeep: cfg.LogKeep, Seeds: cfg.Peers}),
 		watcher.NewWatcher(watcher.Observer{Node: cfg.Self.Node, DataCentre: cfg.Self.DataCentre}, cfg.Self.Incarnation),
-		heartbeater.NewHeartbeater(cfg.Self),
+		heartbeater.NewHeartbeater(cfg.Self, cfg.Peers...),
 		recorder.NewRecorder(owner),
 		retrier.NewRetrier(),
 		isolator.NewIsolator(),
--- a/entry/internal/heartbeater/hearsay.go
+++ b/entry/internal/heartbeater/hearsay.go
@@ -14,7 +14,8 @@
 	for _, told := range beat.Members {
 		effects = append(effects, h.hear(now, told)...)
 	}
-	if len(beat.VMs) > 0 && h.vms == nil {
+	h.isTold = h.isTold || beat.Listed
+	if beat.Listed && h.vms == nil {
 		// The platform's list could not be read yet; a peer's is better than none.
 		effects = append(effects, messenger.Raise{Event: watcher.VMsRead{VMs: beat.VMs}})
 	}
--- a/entry/internal/heartbeater/heartbeater.go
+++ b/entry/internal/heartbeater/heartbeater.go
@@ -58,21 +58,29 @@
 	sent    time.Time
 	judged  time.Time
 	// turn holds the addresses still to be asked in this pass over all peers.
-	turn  []string
-	asked bool
+	turn []string
+	// isTold says that a peer has told its members and its VM list.
+	isTold bool
+	// isListed says that a VM list was read, be it an empty one.
+	isListed bool
 	// urgency is that of the most urgent report that waits.
 	urgency watcher.Urgency
 	dirty   bool
 }
 
 // NewHeartbeater returns a heartbeater for the node that self describes; its choice
-// of peers follows from the node's id and incarnation.
-func NewHeartbeater(self Heartbeat) *Heartbeater {
-	seed := rand.NewPCG(xxhash.Sum64String(string(self.Node)), uint64(self.Incarnation))
-	return &Heartbeater{
-		self: self, random: rand.New(seed),
+// of peers follows from the node's id and incarnation. The seeds are peers' addresses
+// that it asks until it has a VM list.
+func NewHeartbeater(self Heartbeat, seeds ...string) *Heartbeater {
+	random := rand.NewPCG(xxhash.Sum64String(string(self.Node)), uint64(self.Incarnation))
+	h := &Heartbeater{
+		self: self, random: rand.New(random),
 		listed: map[string]bool{}, members: map[identifier.NodeID]*member{}, outbox: newOutbox(),
 	}
+	for _, address := range seeds {
+		h.listed[address] = true
+	}
+	return h
 }
 
 // Apply takes one event and returns what to do.
@@ -113,6 +121,7 @@
 
 // list takes the VM list; an empty one is no news.
 func (h *Heartbeater) list(vms []platformcaller.VM) {
+	h.isListed = true
 	if len(vms) == 0 {
 		return
 	}
@@ -135,7 +144,7 @@
 	effects := h.heard(now, ev.Heartbeat)
 	beat := h.self
 	if ev.Heartbeat.AskAll {
-		beat.Members, beat.VMs = h.everyone(), h.vms
+		beat.Members, beat.Listed, beat.VMs = h.everyone(), h.isListed, h.vms
 	}
 	beat.Members = append(beat.Members, doubted...)
 	return append(effects, messenger.Reply{Call: ev.Call, Answer: beat})
@@ -159,7 +168,7 @@
 	}
 	h.dirty = h.dirty || m.peer.Offset != beat.Offset
 	m.heard, m.misses = now, 0
-	beat.AskAll, beat.VMs, beat.Members, beat.Reports = false, nil, nil, nil
+	beat.AskAll, beat.Listed, beat.VMs, beat.Members, beat.Reports = false, false, nil, nil, nil
 	m.peer.Heartbeat = beat
 	state := StateAlive
 	if beat.Leaving {
@@ -275,15 +284,14 @@
 		addresses = h.nextTurn(addresses)
 	}
 	beat := h.beat()
-	beat.AskAll = !h.asked && len(addresses) > 0
-	h.asked = h.asked || beat.AskAll
+	// Until one has answered with the list, every peer is asked: some may be gone, or have none.
+	beat.AskAll = !h.isTold
 	if !h.outbox.hasReports() {
 		h.urgency = watcher.Later
 	}
 	var effects []messenger.Effect
 	for _, a := range addresses {
 		effects = append(effects, SendHeartbeat{Address: a, Heartbeat: beat})
-		beat.AskAll = false
 	}
 	return effects
 }
--- a/entry/internal/heartbeater/messages.go
+++ b/entry/internal/heartbeater/messages.go
@@ -29,7 +29,9 @@
 	// Offset is the node's applied offset of the log.
 	Offset identifier.Offset `json:"offset"`
 	// AskAll asks for all members and the VM list in the answer; a node that has just started sets it.
-	AskAll  bool                `json:"ask_all,omitempty"`
+	AskAll bool `json:"ask_all,omitempty"`
+	// Listed says that VMs is the VM list that the node has, be it empty.
+	Listed  bool                `json:"listed,omitempty"`
 	VMs     []platformcaller.VM `json:"vms,omitempty"`
 	Members []Member            `json:"members,omitempty"`
 	Reports []watcher.Report    `json:"reports,omitempty"`
--- a/integration/launcher/launcher.go
+++ b/integration/launcher/launcher.go
@@ -34,7 +34,9 @@
 const (
 	startTimeout = 10 * time.Second
 	dataCentre   = "plateau"
-	poll         = 20 * time.Millisecond
+	// exitNotRun is how fbctl ends when a node that has just started says to come back.
+	exitNotRun = 5
+	poll       = 20 * time.Millisecond
 )
 
 // Process is one started process.
@@ -57,6 +59,8 @@
 	Engines  map[string]*Process
 	Services map[string]*Process
 	proxies  map[string]*Process
+	// targets holds the ids of the targets that were listed.
+	targets map[string]bool
 }
 
 // NewFleet starts a platform with the given extra flags; all its processes end with the test.
@@ -68,7 +72,7 @@
 	}
 	f := &Fleet{
 		t: t, dir: t.TempDir(), bin: bin,
-		Engines: map[string]*Process{}, Services: map[string]*Process{}, proxies: map[string]*Process{},
+		Engines: map[string]*Process{}, Services: map[string]*Process{}, proxies: map[string]*Process{}, targets: map[string]bool{},
 	}
 	address := FreeAddress(t)
 	flags := append([]string{"platform", "--listen", address, "--vm-lag", "200ms"}, platformFlags...)
@@ -195,15 +199,43 @@
 		"services/ledger/idempotent=false", "services/catalogue/idempotent=true",
 		"classes/counter/priority=9", "classes/bulk/priority=1",
 	}, more...)
-	out, code := f.Ctl("set", append([]string{"--team", Team}, args...)...)
-	if code != 0 {
-		f.t.Fatalf("configuring ended %d: %s", code, out)
-	}
+	Await(f.t, startTimeout, "the configuration is accepted", func() bool {
+		out, code := f.Ctl("set", append([]string{"--team", Team}, args...)...)
+		if code != 0 && code != exitNotRun {
+			f.t.Fatalf("configuring ended %d: %s", code, out)
+		}
+		return code == 0
+	})
 	for _, n := range f.Nodes {
 		f.awaitURL("http://" + n.Address + "/readyz")
+		Await(f.t, startTimeout, n.Name+" has seen every target", func() bool { return f.seesTargets(n) })
 	}
 }
 
+// seesTargets reports whether the node knows the state of every target that was listed.
+func (f *Fleet) seesTargets(n *Process) bool {
+	out, code := f.CtlAt(n, "status", "--output", "json")
+	var status struct {
+		Targets []struct {
+			ID    string `json:"id"`
+			State string `json:"state"`
+		} `json:"targets"`
+	}
+	if code != 0 || json.Unmarshal([]byte(out), &status) != nil {
+		return false
+	}
+	seen := map[string]bool{}
+	for _, t := range status.Targets {
+		seen[t.ID] = t.State != "unknown"
+	}
+	for id := range f.targets {
+		if !seen[id] {
+			return false
+		}
+	}
+	return true
+}
+
 // Ctl runs one command of fbctl against the fleet's nodes and returns its output and exit code.
 func (f *Fleet) Ctl(command string, args ...string) (string, int) {
 	addresses := make([]string, 0, len(f.Nodes))
@@ -249,6 +281,9 @@
 // ListVM writes one row of the VM list.
 func (f *Fleet) ListVM(vm platformcaller.VM) {
 	f.t.Helper()
+	if vm.Role != platformcaller.RoleEntry {
+		f.targets[vm.ID] = true
+	}
 	f.post(http.MethodPut, "http://"+f.Platform.Address+"/v1/vms", vm)
 }
 
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -34,6 +34,20 @@
 
 list_vm() { curl -fs -X PUT "http://$platform/v1/vms" -d "$1"; }
 
+# configure publishes the first settings; a node that has just started says to come back (5).
+configure() {
+  local code=0
+  for _ in $(seq 50); do
+    code=0
+    $bin/fbctl set --nodes "$nodes" --key $operator --team dakar "accounts/studio/key_sha256=$(sha $key)" \
+      models/atlas/layers=24 services/ledger/idempotent=false services/ledger/ask_path=/ran \
+      classes/counter/priority=9 classes/bulk/priority=1 || code=$?
+    [ $code -eq 5 ] || return $code
+    sleep 0.1
+  done
+  return $code
+}
+
 up() {
   mkdir -p "$run"
   rm -f "$run"/*.ledger "$run"/*.pid
@@ -58,9 +72,7 @@
     list_vm "{\"id\":\"node-$i\",\"role\":\"entry\",\"address\":\"127.0.0.1:$((base + 10 + i))\",\"data_centre\":\"plateau\"}"
   done
   wait_for "http://127.0.0.1:$((base + 1))/healthz"
-  $bin/fbctl set --nodes "$nodes" --key $operator --team dakar "accounts/studio/key_sha256=$(sha $key)" \
-    models/atlas/layers=24 services/ledger/idempotent=false services/ledger/ask_path=/ran \
-    classes/counter/priority=9 classes/bulk/priority=1
+  configure
   for i in 1 2 3; do wait_for "http://127.0.0.1:$((base + i))/readyz"; done
 }
 
