--- a/integration/drafts_faults_test.go
+++ b/integration/drafts_faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -204,11 +205,54 @@
 	checkLineage(c, runsOf(f, d.ID), d.MaxTokens, nothing)
 }
 
-// TestNodeDies kills the node that drives a draft; the caller goes on through another.
+// draftsOfNode is how many drafts run at a node when it dies.
+const draftsOfNode = 20
+
+// TestNodeDies kills a node that drives several drafts; each caller goes on through another
+// node, and no layer runs twice.
 func TestNodeDies(t *testing.T) {
 	c := qt.New(t)
 	f := draftFleet(t, 3)
-	takeOver(c, f, func() { f.Nodes[0].Kill() })
+	var kill sync.Once
+	var wg sync.WaitGroup
+	took := make([]time.Duration, draftsOfNode)
+	for n := range draftsOfNode {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			took[n] = goOnAfterDeath(c, f, n, &kill)
+		}()
+	}
+	wg.Wait()
+	slices.Sort(took)
+	t.Logf("next token after the node's death: median %v, most %v", took[draftsOfNode/2], took[draftsOfNode-1])
+	c.Assert(took[draftsOfNode*95/100] < takeoverBound, qt.IsTrue, qt.Commentf("%v", took))
+	for n := range draftsOfNode {
+		checkLineage(c, runsOf(f, fmt.Sprintf("draft-%d", n)), 60, nothing)
+	}
+}
+
+// goOnAfterDeath streams draft n through the first node until it is dead, goes on through
+// another, and returns the time between the last token before and the first one after.
+func goOnAfterDeath(c *qt.C, f *launcher.Fleet, n int, kill *sync.Once) time.Duration {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	d := draftOf(f, fmt.Sprintf("draft-%d", n), fmt.Sprintf("quote number %d", n))
+	d.MaxTokens = 60
+	first, _ := requester.NewRequester().Stream(ctx, d, func(number int, _ string) {
+		if number == faultAt {
+			kill.Do(f.Nodes[0].Kill)
+		}
+	})
+	c.Check(first.Whole, qt.IsFalse)
+	cut := time.Now()
+	d.Node, d.LastToken = f.Nodes[1+n%2].Address, len(first.Tokens)
+	rest, err := requester.NewRequester().Stream(ctx, d, nil)
+	c.Check(err, qt.IsNil)
+	c.Check(rest.Problem, qt.Equals, responder.Problem{})
+	c.Check(rest.Whole, qt.IsTrue)
+	c.Check(append(first.Tokens, rest.Tokens...), qt.DeepEquals, answerTo(d))
+	return rest.FirstToken.Sub(cut)
 }
 
 // TestFrozenNodeGivesWay pauses the driving node; the caller goes on through another, and
