--- a/entry/internal/composer/slopes_test.go
+++ b/entry/internal/composer/slopes_test.go
@@ -95,7 +95,7 @@
 }
 
 func watchTargets(n int) subject {
-	w := watcher.NewWatcher()
+	w := watcher.NewWatcher(watcher.Observer{Node: "node-1", DataCentre: "plateau"}, 1)
 	var list watcher.VMsRead
 	for i := range n {
 		list.VMs = append(list.VMs, platformcaller.VM{
@@ -138,7 +138,7 @@
 }
 
 func configureAccounts(n int) subject {
-	tl := tailer.NewTailer()
+	tl := tailer.NewTailer(tailer.Config{})
 	change := func(i int) configurer.Change {
 		key, _ := json.Marshal(fmt.Sprintf("%064x", i))
 		return configurer.Change{
@@ -171,7 +171,7 @@
 }
 
 func holdDrafts(n int) subject {
-	d := drafter.NewDrafter()
+	d := drafter.NewDrafter(drafter.Config{Recovery: drafter.Replay, Shards: 1, HistoryBytes: 64 << 20})
 	var targets []watcher.Target
 	for i := range 40 {
 		s := statusOf(i)
--- a/integration/drafts_faults_test.go
+++ b/integration/drafts_faults_test.go
@@ -263,7 +263,7 @@
 	takeOver(c, f, f.Nodes[0].Freeze)
 	f.Nodes[0].Thaw()
 	launcher.Await(t, 5*time.Second, "the first driver ended its draft", func() bool {
-		out, _ := f.CtlAt(f.Nodes[0].Address, "explain", "request/"+launcher.Team+"/studio/draft-1")
+		out, _ := f.CtlAt(f.Nodes[0], "explain", "request/"+launcher.Team+"/studio/draft-1")
 		return strings.Contains(out, "superseded")
 	})
 	checkLineage(c, runsOf(f, "draft-1"), 60, nothing)
--- a/integration/launcher/launcher.go
+++ b/integration/launcher/launcher.go
@@ -41,8 +41,10 @@
 type Process struct {
 	Name    string
 	Address string
-	cmd     *exec.Cmd
-	done    chan struct{}
+	// Peer is a node's address for the other nodes.
+	Peer string
+	cmd  *exec.Cmd
+	done chan struct{}
 }
 
 // Fleet is a set of started processes and the folder of their files.
@@ -159,9 +161,9 @@
 }
 
 // ReplaceNode starts a node with the same id at new addresses in the place of a killed one.
-func (f *Fleet) ReplaceNode(i int) *Process {
+func (f *Fleet) ReplaceNode(i int, flags ...string) *Process {
 	f.t.Helper()
-	f.Nodes[i] = f.startNode(f.Nodes[i].Name, f.Platform.Address)
+	f.Nodes[i] = f.startNode(f.Nodes[i].Name, f.Platform.Address, flags...)
 	return f.Nodes[i]
 }
 
@@ -173,11 +175,18 @@
 		"--operator-keys", Team + "=" + Hash(OperatorKey), "--balancer-lag", "300ms",
 	}, flags...)
 	p := f.start(id, "entry", address, args...)
+	p.Peer = peer
 	f.awaitURL("http://" + address + "/healthz")
 	f.ListVM(platformcaller.VM{ID: id, Role: platformcaller.RoleEntry, Address: peer, DataCentre: dataCentre})
 	return p
 }
 
+// Restart starts an ended process again, with the same settings.
+func (f *Fleet) Restart(p *Process) *Process {
+	f.t.Helper()
+	return f.start(p.Name, filepath.Base(p.cmd.Path), p.Address, p.cmd.Args[1:]...)
+}
+
 // Configure sets the account, the model of the given layers and the services, and waits until every node is ready.
 func (f *Fleet) Configure(layers int, more ...string) {
 	f.t.Helper()
@@ -201,11 +210,15 @@
 	for _, n := range f.Nodes {
 		addresses = append(addresses, n.Address)
 	}
-	return f.CtlAt(strings.Join(addresses, ","), command, args...)
+	return f.ctl(strings.Join(addresses, ","), command, args)
+}
+
+// CtlAt runs one command of fbctl against one node and returns its output and exit code.
+func (f *Fleet) CtlAt(node *Process, command string, args ...string) (string, int) {
+	return f.ctl(node.Address, command, args)
 }
 
-// CtlAt runs one command of fbctl against the given nodes, host:port by comma.
-func (f *Fleet) CtlAt(nodes, command string, args ...string) (string, int) {
+func (f *Fleet) ctl(nodes, command string, args []string) (string, int) {
 	all := append([]string{command, "--nodes", nodes, "--key", OperatorKey}, args...)
 	cmd := exec.Command(filepath.Join(f.bin, "fbctl"), all...)
 	out, _ := cmd.CombinedOutput()
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -221,10 +221,6 @@
 	}
 }
 
-type execution struct {
-	Key string `json:"key"`
-}
-
 // check counts what no fault may cause, and prints the whole count.
 func (s *soak) check() {
 	c := qt.New(s.t)
@@ -269,7 +265,7 @@
 	var first string
 	launcher.Await(s.t, 8*time.Second, "every node has the same history", func() bool {
 		first = ""
-		for _, n := range s.nodes {
+		for _, n := range s.f.Nodes {
 			out, code := s.f.CtlAt(n, "history", "--team", launcher.Team)
 			if code != 0 || (first != "" && out != first) {
 				return false
