Never take a replay's result or an empty engine's word for the draft's

Cause: the property test over two drivers, with engines that die and lose caches: -: a driver that took a draft up was given the kept result of a replay as the last stage's answer. Replays sample no token, so an empty token entered the draft: the successor gave [wa06b wc158 ...] after 3 tokens of [... wa06b w6408 ...] Change: such an answer restarts the draft from the tokens that are known. -: an engine that had lost its caches accepted the new driver's first step; the next one told a higher epoch and the new driver gave up at once: the successor gave [] after 0 tokens ... {failed 0 {superseded ... Change: a driver may go above an epoch it did not know until it has brought a token, unless it was frozen; a freeze is seen at the first event after it, not at the next tick.

--- a/entry/internal/drafter/drafter.go
+++ b/entry/internal/drafter/drafter.go
@@ -116,9 +116,9 @@
 	recoveries int
 	// unkept says that the draft's stage inputs are not kept for replay.
 	unkept bool
-	// accepted says that an engine ran a step for this driver.
-	accepted bool
-	bytes    int
+	// established says that the driver brought a token, or was frozen: another may have the draft by right.
+	established bool
+	bytes       int
 
 	goneAt     time.Time
 	checkpoint checkpointed
@@ -143,7 +143,8 @@
 	pace    pace
 	bytes   int
 	scanned time.Time
-	ticked  time.Time
+	// seen is the instant of the last event.
+	seen time.Time
 
 	checkpoints outbox
 }
@@ -164,6 +165,11 @@
 
 // Apply takes one event and returns what to do.
 func (d *Drafter) Apply(now time.Time, event messenger.Event) []messenger.Effect {
+	effects := d.confirm(now)
+	return append(effects, d.apply(now, event)...)
+}
+
+func (d *Drafter) apply(now time.Time, event messenger.Event) []messenger.Effect {
 	switch ev := event.(type) {
 	case Arrived:
 		return d.arrived(now, ev)
@@ -291,7 +297,7 @@
 // tokenDone gives the token to the callers and goes on.
 func (d *Drafter) tokenDone(now time.Time, dr *draft, token string) []messenger.Effect {
 	dr.tokens = append(dr.tokens, token)
-	dr.stage = 0
+	dr.stage, dr.established = 0, true
 	clear(dr.avoid)
 	var effects []messenger.Effect
 	for _, c := range dr.callers {
@@ -358,7 +364,7 @@
 }
 
 func (d *Drafter) tick(now time.Time) []messenger.Effect {
-	effects := d.confirm(now)
+	var effects []messenger.Effect
 	for len(d.ended) > 0 && !now.Before(d.ended[0].at) {
 		old := d.ended[0].draft
 		d.ended = d.ended[1:]
--- a/entry/internal/drafter/stepper.go
+++ b/entry/internal/drafter/stepper.go
@@ -124,6 +124,10 @@
 		return nil
 	}
 	d.settle(dr)
+	if dr.stage == len(dr.stages)-1 && ev.Result.Token == "" {
+		// The engine kept the result of a replay, which samples no token.
+		return d.restart(now, dr, "token not kept")
+	}
 	if len(ev.Before) == 0 && dr.position() > 0 {
 		d.pace.learn(ev.Target, now.Sub(dr.sent))
 	}
@@ -145,7 +149,6 @@
 		}
 	}
 	s.have = dr.position() + 1
-	dr.accepted = true
 	dr.missing = 0
 	if dr.unkept {
 		d.forget(dr, s, s.have)
@@ -175,7 +178,7 @@
 	s := dr.stages[dr.stage]
 	switch r.Code {
 	case enginecaller.StepSuperseded:
-		if !dr.accepted && r.Seen > dr.epoch && dr.recoveries < mostOvertakes {
+		if !dr.established && r.Seen > dr.epoch && dr.recoveries < mostOvertakes {
 			return d.overtake(now, dr, r.Seen)
 		}
 		return d.superseded(now, dr)
--- a/entry/internal/drafter/takeover.go
+++ b/entry/internal/drafter/takeover.go
@@ -24,7 +24,8 @@
 	askTimeout = 400 * time.Millisecond
 	// askedPeers bounds the peers that are asked for a checkpoint.
 	askedPeers = 8
-	// frozenAfter is the time between two ticks from which on the node counts as having been frozen.
+	// frozenAfter is the time between two events from which on the node counts as having been
+	// frozen; there is a tick far more often.
 	frozenAfter = time.Second
 
 	checkpointInterval = 100 * time.Millisecond
@@ -361,8 +362,8 @@
 
 // confirm asks, after the node was frozen, whether its drafts have another driver.
 func (d *Drafter) confirm(now time.Time) []messenger.Effect {
-	frozen := !d.ticked.IsZero() && now.Sub(d.ticked) >= frozenAfter
-	d.ticked = now
+	frozen := !d.seen.IsZero() && now.Sub(d.seen) >= frozenAfter
+	d.seen = now
 	if !frozen {
 		return nil
 	}
@@ -372,6 +373,7 @@
 	}
 	var effects []messenger.Effect
 	for _, dr := range sorted(drafts) {
+		dr.established = true
 		if addresses := d.askedAddresses(dr); len(addresses) > 0 {
 			effects = append(effects, FindCheckpoint{Draft: dr.request.Draft, Addresses: addresses, Deadline: now.Add(askTimeout)})
 		}
--- a/entry/internal/drafter/takeover_test.go
+++ b/entry/internal/drafter/takeover_test.go
@@ -40,6 +40,8 @@
 		}
 		has := len(first.open[1].tokens)
 		second.now = first.now.Add(time.Duration(rapid.IntRange(-5, 20).Draw(t, "clock")) * time.Second)
+		first.reviveDead()
+		second.apply(second.engines.changed())
 		second.apply(messenger.Tick{})
 		second.request(id, has)
 		frozenCalls := rapid.IntRange(0, len(first.calls)).Draw(t, "calls under way")
@@ -57,9 +59,11 @@
 	})
 }
 
-// actQuietly acts without faults of the engines, for a driver that dies before them.
+// actQuietly acts with few faults of the engines, for a driver that fails after them.
 func (w *world) actQuietly() {
 	switch {
+	case rapid.IntRange(0, 39).Draw(w.t, "fault") == 39:
+		w.breakOne()
 	case len(w.calls) > 0 && rapid.Bool().Draw(w.t, "carry"):
 		w.carry(0, rapid.IntRange(0, 9).Draw(w.t, "lose") == 0)
 	case len(w.events) > 0:
@@ -70,10 +74,36 @@
 	}
 }
 
+// breakOne lets an engine die, start again or lose its KV caches.
+func (w *world) breakOne() {
+	e := w.engines[rapid.IntRange(0, len(w.engines)-1).Draw(w.t, "engine")]
+	switch rapid.IntRange(0, 2).Draw(w.t, "kind") {
+	case 0:
+		e.alive = false
+	case 1:
+		e.load(e.layers)
+	case 2:
+		e.drafts = map[identifier.DraftID]*engineDraft{}
+	}
+	if rapid.Bool().Draw(w.t, "seen") {
+		w.apply(w.engines.changed())
+	}
+}
+
+// reviveDead starts the dead engines again, so that the draft can end.
+func (w *world) reviveDead() {
+	for _, e := range w.engines {
+		if !e.alive {
+			e.load(e.layers)
+		}
+	}
+}
+
 // wake lets a frozen driver see that time has passed.
 func (w *world) wake() {
 	w.now = w.now.Add(5 * time.Second)
 	w.apply(messenger.Tick{})
+	w.apply(w.engines.changed())
 	for range 3 {
 		w.now = w.now.Add(100 * time.Millisecond)
 		w.apply(messenger.Tick{})
