--- a/entry/internal/commander/options.go
+++ b/entry/internal/commander/options.go
@@ -28,7 +28,7 @@
 		{Name: "operator-keys", Usage: "team=hex SHA-256 of a bearer key, several by comma; these operators need no configuration", Check: areKeys},
 		{Name: "peers", Usage: "peer addresses of other nodes, host:port by comma, to ask when the platform cannot be reached at the start", Check: areAddresses},
 		{Name: "log-keep", Default: "10m", Usage: "time for which the platform's log keeps records; snapshots are written by it", Check: optionparser.IsDuration},
-		{Name: "shards", Default: "4", Usage: "reducers that share the drafts, 1 to 64", Check: optionparser.IsNumber(1, maxShards)},
+		{Name: "shards", Default: "1", Usage: "reducers that share the drafts, 1 to 64; each knows only its own part of the load on targets", Check: optionparser.IsNumber(1, maxShards)},
 		{Name: "draft-limit", Default: "2000", Usage: "drafts in progress at this node", Check: optionparser.IsNumber(1, maxDrafts)},
 		{Name: "recovery", Default: "replay", Usage: "how a lost stage is recovered: replay its inputs, import its last exported KV cache, or restart the draft", Check: optionparser.IsOneOf("replay", "import", "restart")},
 		{Name: "history-megabytes", Default: "256", Usage: "memory for the inputs and KV caches that recovery uses", Check: optionparser.IsNumber(1, maxHistory)},
--- a/entry/internal/commander/options_test.go
+++ b/entry/internal/commander/options_test.go
@@ -26,7 +26,7 @@
 		rows = append(rows, fmt.Sprintf("| `%s` | %s |", r.Pattern, r.Meaning))
 	}
 	for _, row := range rows {
-		c.Check(string(page), qt.Contains, row)
+		c.Check(strings.Contains(string(page), row), qt.IsTrue, qt.Commentf("the page lacks: %s", row))
 	}
 	c.Assert(strings.Count(string(page), "\n| `"), qt.Equals, len(rows))
 }
--- a/entry/internal/drafter/drafter.go
+++ b/entry/internal/drafter/drafter.go
@@ -5,6 +5,9 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"fuchsiabridge.example/common/configurer"
 	"fuchsiabridge.example/common/enginecaller"
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
@@ -13,6 +16,7 @@
 	"fuchsiabridge.example/entry/internal/heartbeater"
 	"fuchsiabridge.example/entry/internal/isolator"
 	"fuchsiabridge.example/entry/internal/planner"
+	"fuchsiabridge.example/entry/internal/tailer"
 	"fuchsiabridge.example/entry/internal/watcher"
 )
 
@@ -147,6 +151,10 @@
 	seen time.Time
 
 	checkpoints outbox
+	// settings is nil until the first is read.
+	settings *configurer.Settings
+	// turn counts the pipelines that were wanted.
+	turn uint64
 }
 
 // NewDrafter returns a drafter with no draft.
@@ -199,6 +207,8 @@
 		return d.targetsChanged(ev.Targets)
 	case heartbeater.PeersChanged:
 		d.checkpoints.peers = ev.Peers
+	case tailer.SettingsChanged:
+		d.settings = ev.Settings
 	case messenger.Tick:
 		return d.tick(now)
 	}
@@ -283,9 +293,17 @@
 	return false
 }
 
-// wanted returns the request for a pipeline over the layers, without the targets to avoid.
+// wanted says what pipeline the draft needs, chosen as its team's settings say.
 func (d *Drafter) wanted(dr *draft, layers identifier.LayerRange, avoid map[identifier.TargetID]bool) planner.Request {
-	return planner.Request{Model: dr.request.Model, Layers: layers, Load: d.load, Avoid: avoid}
+	d.turn++
+	r := planner.Request{
+		Model: dr.request.Model, Layers: layers, Load: d.load, Avoid: avoid,
+		Seed: xxhash.Sum64String(string(dr.request.Draft)) + uint64(dr.epoch), Turn: d.turn,
+	}
+	if d.settings != nil && d.settings.Teams[dr.request.Team] != nil {
+		r.Choice = planner.Choice(d.settings.Teams[dr.request.Team].Choice)
+	}
+	return r
 }
 
 func (dr *draft) position() identifier.Position { return identifier.Position(len(dr.tokens)) }
