Apply files, ask every node, and say what to do when an end is unknown

Cause: fbctl took the first node's word. With that node frozen and thawed, its old tree made a change be rejected; shown by TestCommandLineWhenThingsFail:

Ruled out: retrying a rejected change with the new revision (that would undo the other operator's change unseen).

--- /dev/null
+++ b/fbctl/internal/commander/views.go
@@ -0,0 +1,117 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"fuchsiabridge.example/common/configurer"
+	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/fbctl/internal/operatorcaller"
+	"fuchsiabridge.example/fbctl/internal/printer"
+)
+
+var errNoTeam = errors.New("--team must be set")
+
+func get(ctx context.Context, s session) (int, error) {
+	sub, err := s.subtree(ctx)
+	if err != nil {
+		return exitOf(err), err
+	}
+	prefix := ""
+	if len(s.args) > 0 {
+		prefix = s.args[0]
+	}
+	rows := printer.Rows{Header: []string{"path", "value"}}
+	for _, path := range sub.Paths() {
+		if strings.HasPrefix(path, prefix) {
+			rows.Add(path, string(sub.Values[path]))
+		}
+	}
+	return ExitOK, s.out.Print(rows)
+}
+
+func history(ctx context.Context, s session) (int, error) {
+	sub, err := s.subtree(ctx)
+	if err != nil {
+		return exitOf(err), err
+	}
+	rows := printer.Rows{Header: []string{"offset", "change", "accepted", "revision", "author", "reason"}}
+	for _, v := range sub.History {
+		rows.Add(fmt.Sprint(v.Offset), string(v.ID), fmt.Sprint(v.Accepted), fmt.Sprint(v.Revision), v.Author, v.Reason)
+	}
+	return ExitOK, s.out.Print(rows)
+}
+
+// status prints what every node says; nodes that give no answer have a row of their own.
+func status(ctx context.Context, s session) (int, error) {
+	answers := s.caller.Statuses(ctx)
+	if err := firstError(answers); err != nil {
+		return exitOf(err), err
+	}
+	return ExitOK, s.out.PrintStatuses(answers)
+}
+
+// explain prints what every node knows of a subject, and the verdict of a change.
+func explain(ctx context.Context, s session) (int, error) {
+	if len(s.args) != 1 {
+		return ExitUsage, errors.New("one subject is wanted, such as target/engine-1")
+	}
+	answers := s.caller.Explain(ctx, s.args[0])
+	if err := firstError(answers); err != nil {
+		return exitOf(err), err
+	}
+	for _, a := range answers {
+		if a.Err != nil {
+			fmt.Fprintf(s.stderr, "fbctl explain: node %s gave no answer: %v\n", a.Node, a.Err)
+		}
+	}
+	if id, ok := strings.CutPrefix(s.args[0], "change/"); ok {
+		s.explainVerdict(ctx, identifier.ChangeID(id))
+	}
+	return ExitOK, s.out.PrintExplanations(answers)
+}
+
+// explainVerdict prints the verdict that the configuration itself remembers, as the nodes
+// that logged it may be gone.
+func (s session) explainVerdict(ctx context.Context, id identifier.ChangeID) {
+	tree, err := s.caller.Tree(ctx)
+	if err != nil {
+		return
+	}
+	for team := range tree.Teams {
+		if v, ok := tree.Verdict(team, id); ok {
+			s.out.PrintSentence(sentence(v))
+		}
+	}
+}
+
+func sentence(v configurer.Verdict) string {
+	if v.Accepted {
+		return fmt.Sprintf("change %s of team %s was accepted at offset %d as revision %d", v.ID, v.Team, v.Offset, v.Revision)
+	}
+	return fmt.Sprintf("change %s of team %s was rejected at offset %d: %s", v.ID, v.Team, v.Offset, v.Reason)
+}
+
+// firstError returns an error when no node gave an answer.
+func firstError(answers []operatorcaller.Answer) error {
+	for _, a := range answers {
+		if a.Err == nil {
+			return nil
+		}
+	}
+	return answers[0].Err
+}
+
+func (s session) subtree(ctx context.Context) (configurer.Subtree, error) {
+	if s.values.Text("team") == "" {
+		return configurer.Subtree{}, errNoTeam
+	}
+	tree, err := s.caller.Tree(ctx)
+	if err != nil {
+		return configurer.Subtree{}, err
+	}
+	return tree.Get(identifier.TeamID(s.values.Text("team"))), nil
+}
--- a/fbctl/internal/printer/printer.go
+++ b/fbctl/internal/printer/printer.go
@@ -8,7 +8,6 @@
 	"sort"
 	"strings"
 	"text/tabwriter"
-	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -63,81 +62,21 @@
 	return errors.Wrap(json.NewEncoder(p.w).Encode(objects), "printing")
 }
 
-func (p *Printer) raw(raw json.RawMessage) error {
-	_, err := p.w.Write(append(raw, '\n'))
-	return errors.Wrap(err, "printing")
-}
-
-type layerRange struct{ From, To int }
-
-type status struct {
-	Node struct {
-		Node        string `json:"node"`
-		Incarnation uint64 `json:"incarnation"`
-	} `json:"node"`
-	Ready  bool  `json:"ready"`
-	Offset int64 `json:"offset"`
-	Open   int64 `json:"open_requests"`
-	Peers  []struct {
-		Node       string `json:"node"`
-		State      string `json:"state"`
-		DataCentre string `json:"data_centre"`
-		Offset     int64  `json:"offset"`
-	} `json:"peers"`
-	Targets []struct {
-		ID         string     `json:"id"`
-		Role       string     `json:"role"`
-		State      string     `json:"state"`
-		DataCentre string     `json:"data_centre"`
-		Model      string     `json:"model"`
-		Layers     layerRange `json:"layers"`
-		Queued     int        `json:"queued"`
-	} `json:"targets"`
-}
-
-// PrintStatus prints the fleet on one screen.
-func (p *Printer) PrintStatus(raw json.RawMessage) error {
-	if p.isJSON {
-		return p.raw(raw)
-	}
-	var s status
-	if err := json.Unmarshal(raw, &s); err != nil {
-		return errors.Wrap(err, "decoding the status")
+// PrintNote prints a table that is no result of its own: nothing in JSON.
+func (p *Printer) PrintNote(rows Rows) error {
+	if p.isJSON || len(rows.Cells) == 0 {
+		return nil
 	}
-	fmt.Fprintf(p.w, "node %s  ready %t  offset %d  open requests %d\n\n", s.Node.Node, s.Ready, s.Offset, s.Open)
-	peers := Rows{Header: []string{"peer", "state", "data centre", "offset"}}
-	for _, peer := range s.Peers {
-		peers.Add(peer.Node, peer.State, peer.DataCentre, fmt.Sprint(peer.Offset))
-	}
-	if err := p.Print(peers); err != nil {
+	if err := p.Print(rows); err != nil {
 		return err
 	}
 	fmt.Fprintln(p.w)
-	targets := Rows{Header: []string{"target", "role", "state", "data centre", "model", "layers", "queued"}}
-	for _, t := range s.Targets {
-		layers := fmt.Sprintf("%d-%d", t.Layers.From, t.Layers.To)
-		targets.Add(t.ID, t.Role, t.State, t.DataCentre, t.Model, layers, fmt.Sprint(t.Queued))
-	}
-	return p.Print(targets)
+	return nil
 }
 
-// PrintExplanations prints numbered events, oldest first.
-func (p *Printer) PrintExplanations(raw json.RawMessage) error {
-	if p.isJSON {
-		return p.raw(raw)
-	}
-	var events []struct {
-		At      time.Time `json:"at"`
-		Event   int       `json:"event"`
-		Message string    `json:"message"`
-		Details []string  `json:"details"`
-	}
-	if err := json.Unmarshal(raw, &events); err != nil {
-		return errors.Wrap(err, "decoding the events")
-	}
-	rows := Rows{Header: []string{"at", "event", "message", "details"}}
-	for _, e := range events {
-		rows.Add(e.At.Format(time.RFC3339Nano), fmt.Sprint(e.Event), e.Message, strings.Join(e.Details, " "))
+// PrintSentence prints a sentence before a table; nothing in JSON.
+func (p *Printer) PrintSentence(text string) {
+	if !p.isJSON {
+		fmt.Fprintln(p.w, text+"\n")
 	}
-	return p.Print(rows)
 }
--- a/integration/config_peers_test.go
+++ b/integration/config_peers_test.go
@@ -55,7 +55,7 @@
 		}
 		f.SetFault(proxy, map[string]any{})
 	}
-	c.Assert(eventsOf(cut, "log"), qt.Contains, eventlogger.RecordsPulled.Number)
+	c.Assert(logEventsOf(cut), qt.Contains, eventlogger.RecordsPulled.Number)
 	r := settled(t, []*launcher.Process{cut}, 0, weightChange("healed", revision, 30))
 	c.Assert(r.verdict.Accepted, qt.IsTrue)
 	for _, node := range f.Nodes {
--- a/integration/config_test.go
+++ b/integration/config_test.go
@@ -67,12 +67,12 @@
 	}
 }
 
-// eventsOf returns the numbers of a node's events about a subject.
-func eventsOf(node *launcher.Process, subject string) []int {
+// logEventsOf returns the numbers of a node's events about the log.
+func logEventsOf(node *launcher.Process) []int {
 	var events []struct {
 		Event int `json:"event"`
 	}
-	operate(node, http.MethodGet, "/operator/explain?subject="+subject, nil, &events)
+	operate(node, http.MethodGet, "/operator/explain?subject=log", nil, &events)
 	var numbers []int
 	for _, e := range events {
 		numbers = append(numbers, e.Event)
@@ -251,7 +251,7 @@
 	})
 	close(stop)
 	followers.Wait()
-	c.Assert(eventsOf(f.Nodes[7], "log"), qt.Contains, eventlogger.StateInstalled.Number)
+	c.Assert(logEventsOf(f.Nodes[7]), qt.Contains, eventlogger.StateInstalled.Number)
 	c.Assert(h.faults, qt.HasLen, 0)
 	checkVerdicts(c, f, accepted, rejected)
 	checkInForce(c, f, h, accepted)
--- a/integration/launcher/launcher.go
+++ b/integration/launcher/launcher.go
@@ -215,17 +215,19 @@
 // seesTargets reports whether the node knows the state of every target that was listed.
 func (f *Fleet) seesTargets(n *Process) bool {
 	out, code := f.CtlAt(n, "status", "--output", "json")
-	var status struct {
-		Targets []struct {
-			ID    string `json:"id"`
-			State string `json:"state"`
-		} `json:"targets"`
+	var nodes []struct {
+		Status struct {
+			Targets []struct {
+				ID    string `json:"id"`
+				State string `json:"state"`
+			} `json:"targets"`
+		} `json:"status"`
 	}
-	if code != 0 || json.Unmarshal([]byte(out), &status) != nil {
+	if code != 0 || json.Unmarshal([]byte(out), &nodes) != nil || len(nodes) != 1 {
 		return false
 	}
 	seen := map[string]bool{}
-	for _, t := range status.Targets {
+	for _, t := range nodes[0].Status.Targets {
 		seen[t.ID] = t.State != "unknown"
 	}
 	for id := range f.targets {
