Let a fresh node queue what it can't yet place; count what a priority overtakes

Cause: a node that had not heard of its engines let four drafts run and sixteen wait, and shed the rest of two hundred: TestManyDraftsAtOnce failed with code busy once admission and recovery met. A counter draft was sent to slow engines, as bulk steps before it counted although the engines run it first.

Shown failing first: --- FAIL: TestFreshNodeShedsNothing admitter_test.go:249: unexpected length, got int(180)

--- a/common/configurer/checker.go
+++ b/common/configurer/checker.go
@@ -18,11 +18,13 @@
 	maxLayers         = 1_000
 	maxWeight         = 1_000
 	maxDeadlineMillis = 600_000
-	maxPriority       = 9
 	maxRate           = 1_000_000
 	sha256Length      = 32
 )
 
+// MostPriority is the highest priority of a class.
+const MostPriority = 9
+
 // Finding is one thing wrong with a change, with its place.
 type Finding struct {
 	Path    string `json:"path"`
@@ -60,7 +62,7 @@
 		{"models/*/layers", "number of the model's layers", isWhole(1, maxLayers)},
 		{"services/*/idempotent", "whether calls may be repeated", isBool},
 		{"services/*/ask_path", "path that tells whether a key ran", isPath},
-		{"classes/*/priority", "0 to 9, higher first", isWhole(0, maxPriority)},
+		{"classes/*/priority", "0 to 9, higher first", isWhole(0, MostPriority)},
 		{"classes/*/deadline_ms", "time to the deadline in milliseconds", isWhole(1, maxDeadlineMillis)},
 		{"policy/choice", "how pipelines are chosen", isOneOf("expected", "random", "round_robin", "least_reported")},
 	}
--- a/entry/internal/admitter/admitter.go
+++ b/entry/internal/admitter/admitter.go
@@ -28,10 +28,11 @@
 	leastLimit = 4
 	// queueFactor is the number of requests that may wait for each draft that may run.
 	queueFactor = 4
+	// leastQueue is the least number of requests that may wait, unless the node's own limit
+	// on drafts is far lower: a node that has just started knows no engine.
+	leastQueue = 256
 	// queueBytes bounds the prompts that wait.
 	queueBytes = 16 << 20
-	// mostPriority is the highest priority of a class.
-	mostPriority = 9
 	// callsPerDraft bounds the callers that wait for one draft.
 	callsPerDraft = 8
 	// openGrace is how long after its deadline a draft that did not say that it ended is still counted.
@@ -145,6 +146,11 @@
 	return min(a.most, max(leastLimit, share))
 }
 
+// queueLimit is the number of requests that may wait at this node.
+func (a *Admitter) queueLimit() int {
+	return min(queueFactor*a.most, max(leastQueue, queueFactor*a.limit()))
+}
+
 func (a *Admitter) requested(now time.Time, ev drafter.Arrived) []messenger.Effect {
 	if a.convicted[ev.Fingerprint] {
 		return []messenger.Effect{messenger.Reply{Call: ev.Call, Answer: drafter.End{Outcome: responder.Refused, Problem: responder.Problem{
@@ -209,7 +215,9 @@
 	if len(a.open) < a.limit() {
 		return 0
 	}
-	return a.estimator.wait(ev.Priority, 1+a.queue.ahead(flowOf(ev)), mostRetryAfter)
+	wait := a.estimator.wait(ev.Priority, 1+a.queue.ahead(flowOf(ev)), mostRetryAfter)
+	// Requests that come later may overtake this one.
+	return time.Duration(margin * float64(wait))
 }
 
 // drainTime is the expected time until all that waits has begun.
@@ -237,7 +245,7 @@
 // trim sheds from the flow with the most waiting until the queue is within its bounds.
 func (a *Admitter) trim() []messenger.Effect {
 	var effects []messenger.Effect
-	for len(a.queue.waiting) > queueFactor*a.limit() || a.queue.bytes > queueBytes {
+	for len(a.queue.waiting) > a.queueLimit() || a.queue.bytes > queueBytes {
 		w := a.queue.longest()
 		a.queue.remove(w)
 		effects = append(effects, a.shedWaiter(w, codeBusy)...)
--- a/entry/internal/admitter/estimator.go
+++ b/entry/internal/admitter/estimator.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"fuchsiabridge.example/common/configurer"
 	"fuchsiabridge.example/entry/internal/drafter"
 )
 
@@ -15,14 +16,18 @@
 	window = time.Second
 	// leastShare is the part of all beginnings that a priority is taken to have at least.
 	leastShare = 0.05
-	// margin lengthens the mean time of a draft, as half of all take longer.
+	// margin lengthens the expected wait, as requests that come later may overtake.
 	margin = 1.5
+	// deviations is the number of mean deviations by which a draft may take longer than the mean.
+	deviations = 3
 )
 
 // estimator learns from drafts how long one takes and how many begin a second.
 type estimator struct {
 	// perToken holds the mean time of one token for each priority.
 	perToken map[int]time.Duration
+	// deviation holds the mean difference from it.
+	deviation map[int]time.Duration
 	// rates holds the mean number of drafts of each priority that begin in one window.
 	rates  map[int]float64
 	begins map[int]int
@@ -30,7 +35,10 @@
 }
 
 func newEstimator() *estimator {
-	return &estimator{perToken: map[int]time.Duration{}, rates: map[int]float64{}, begins: map[int]int{}}
+	return &estimator{
+		perToken: map[int]time.Duration{}, deviation: map[int]time.Duration{},
+		rates: map[int]float64{}, begins: map[int]int{},
+	}
 }
 
 func (e *estimator) began(priority int) { e.begins[priority]++ }
@@ -44,6 +52,8 @@
 	if !ok {
 		mean = sample
 	}
+	difference := (sample - mean).Abs()
+	e.deviation[priority] += time.Duration(newestShare * float64(difference-e.deviation[priority]))
 	e.perToken[priority] = mean + time.Duration(newestShare*float64(sample-mean))
 }
 
@@ -69,7 +79,7 @@
 
 // service is the time within which a draft is expected to end once it runs; zero as long as nothing was learnt.
 func (e *estimator) service(a drafter.Arrived) time.Duration {
-	return time.Duration(margin * float64(e.perToken[a.Priority]*time.Duration(a.MaxTokens)))
+	return (e.perToken[a.Priority] + deviations*e.deviation[a.Priority]) * time.Duration(a.MaxTokens)
 }
 
 // wait is the expected time until so many requests of a priority have begun, at most most.
@@ -91,7 +101,7 @@
 
 func (e *estimator) total() float64 {
 	sum := 0.0
-	for priority := range mostPriority + 1 {
+	for priority := range configurer.MostPriority + 1 {
 		sum += e.rates[priority]
 	}
 	return sum
--- a/entry/internal/drafter/drafter.go
+++ b/entry/internal/drafter/drafter.go
@@ -154,6 +154,8 @@
 	settings *configurer.Settings
 	// turn counts the pipelines that were wanted.
 	turn uint64
+	// bound counts the drafts that have a pipeline, by priority.
+	bound [configurer.MostPriority + 1]int
 }
 
 // NewDrafter returns a drafter with no draft.
@@ -293,6 +295,7 @@
 	r := planner.Request{
 		Model: dr.request.Model, Layers: layers, Load: d.load, Avoid: avoid,
 		Seed: xxhash.Sum64String(string(dr.request.Draft)) + uint64(dr.epoch), Turn: d.turn,
+		Overtaken: d.overtaken(dr.request.Priority),
 	}
 	if d.settings != nil && d.settings.Teams[dr.request.Team] != nil {
 		r.Choice = planner.Choice(d.settings.Teams[dr.request.Team].Choice)
--- a/entry/internal/drafter/stage.go
+++ b/entry/internal/drafter/stage.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"fuchsiabridge.example/common/configurer"
 	"fuchsiabridge.example/common/enginecaller"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/entry/internal/heartbeater"
@@ -69,15 +70,36 @@
 
 // bind makes stages the draft's pipeline.
 func (d *Drafter) bind(dr *draft, stages []*stage) {
+	d.countBound(dr, -1)
 	for _, s := range dr.stages {
 		d.release(dr, s)
 	}
 	dr.stages = stages
+	d.countBound(dr, 1)
 	for _, s := range stages {
 		d.load[s.Target]++
 	}
 }
 
+// countBound counts a draft in or out of those that have a pipeline.
+func (d *Drafter) countBound(dr *draft, n int) {
+	if len(dr.stages) > 0 {
+		d.bound[min(max(0, dr.request.Priority), configurer.MostPriority)] += n
+	}
+}
+
+// overtaken returns the part of the running drafts whose steps the engines run after those of the priority.
+func (d *Drafter) overtaken(priority int) float64 {
+	lower, all := 0, 0
+	for p, n := range d.bound {
+		all += n
+		if p < priority {
+			lower += n
+		}
+	}
+	return float64(lower) / float64(max(1, all))
+}
+
 // release takes a stage out of the draft's accounts.
 func (d *Drafter) release(dr *draft, s *stage) {
 	if d.load[s.Target]--; d.load[s.Target] <= 0 {
--- a/entry/internal/planner/choices.go
+++ b/entry/internal/planner/choices.go
@@ -27,7 +27,9 @@
 
 // expected is the stage's expected time, lengthened by the request's draw for the target.
 func (r Request) expected(t watcher.Target, layers identifier.LayerRange) time.Duration {
-	expected := hopCost + stageTime(t, layers, r.Load[t.ID])
+	t.Status.Queued = int((1 - r.Overtaken) * float64(t.Status.Queued))
+	load := int((1 - r.Overtaken) * float64(r.Load[t.ID]))
+	expected := hopCost + stageTime(t, layers, load)
 	return expected + time.Duration(expectedSpread*r.draw(t.ID)*float64(expected))
 }
 
--- a/entry/internal/planner/planner.go
+++ b/entry/internal/planner/planner.go
@@ -36,6 +36,9 @@
 	Choice Choice
 	// Seed decides between targets of about equal cost; give each draft its own.
 	Seed uint64
+	// Overtaken is the part of the waiting steps that the request's steps will overtake, as
+	// they have a higher priority.
+	Overtaken float64
 	// Turn counts the requests before this one, for RoundRobin.
 	Turn uint64
 }
--- a/fbload/internal/commander/commander.go
+++ b/fbload/internal/commander/commander.go
@@ -67,6 +67,7 @@
 			{Name: "accounts", Usage: "client accounts' bearer keys and shares, key=share by comma", Check: areAccounts},
 			{Name: "watched", Usage: "key of the account whose first tokens are counted apart; none when empty"},
 			{Name: "offered", Default: "1", Usage: "rate of drafts as a share of the bound", Check: isShare},
+			{Name: "rate", Default: "0", Usage: "requests a second; by offered when 0", Check: optionparser.IsNumber(0, mostSeeds)},
 			{Name: "seed", Default: "1", Usage: "seed of the arrivals", Check: optionparser.IsNumber(0, mostSeeds)},
 			{Name: "warm-up", Default: "4s", Usage: "time before the one that is counted", Check: optionparser.IsDuration},
 			{Name: "length", Default: "8s", Usage: "time that is counted", Check: optionparser.IsDuration},
@@ -129,7 +130,7 @@
 		Experiment: v.Text("experiment"), Label: v.Text("label"), Choice: v.Text("choice"), MixName: v.Text("mix"),
 		Nodes: strings.Split(v.Text("nodes"), ","), Platform: v.Text("platform"),
 		Model: identifier.ModelID(v.Text("model")), Layers: identifier.Layer(v.Number("layers")),
-		Accounts: accounts, Watched: v.Text("watched"), Offered: offered, Seed: uint64(v.Number("seed")),
+		Accounts: accounts, Watched: v.Text("watched"), Offered: offered, Rate: v.Number("rate"), Seed: uint64(v.Number("seed")),
 		WarmUp: v.Duration("warm-up"), Length: v.Duration("length"), Repeat: v.Bool("repeat"), Ledgers: v.Text("ledgers"),
 		FaultFile: v.Text("fault-file"), FaultTarget: v.Text("fault-target"),
 	}
--- a/fbload/internal/experimenter/experimenter.go
+++ b/fbload/internal/experimenter/experimenter.go
@@ -48,6 +48,8 @@
 	Watched    string
 	// Offered is the share of the bound at which drafts arrive.
 	Offered float64
+	// Rate is the requests a second; by Offered when 0.
+	Rate    int
 	Seed    uint64
 	WarmUp  time.Duration
 	Length  time.Duration
@@ -72,6 +74,10 @@
 	}
 	draftShare := float64(work.Drafts) / (sampleRate * sampleLength.Seconds())
 	plan.Rate = cfg.Offered * bound / draftShare
+	if cfg.Rate > 0 {
+		plan.Rate = float64(cfg.Rate)
+		cfg.Offered = plan.Rate * draftShare / bound
+	}
 	plan.Length = cfg.WarmUp + cfg.Length
 	name := fmt.Sprintf("%s-%d", cfg.Experiment, time.Now().UnixNano())
 	r := requester.NewRequester()
