--- a/entry/internal/executor/drafts.go
+++ b/entry/internal/executor/drafts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -18,6 +19,8 @@
 const (
 	checkpointMethod     = "checkpoint"
 	findCheckpointMethod = "find_checkpoint"
+	// settleTime is how long an answer waits for a newer one.
+	settleTime = 50 * time.Millisecond
 )
 
 // runDraft carries out the effects of drafts and admission.
@@ -80,15 +83,27 @@
 	for _, address := range e.Addresses {
 		group.Submit(func() { found <- x.askPeer(ctx, address, e.Draft) })
 	}
-	newest := checkpointer.Checkpoint{Draft: e.Draft}
-	for range len(e.Addresses) + 1 {
+	newest := newestOf(ctx, checkpointer.Checkpoint{Draft: e.Draft}, found, len(e.Addresses)+1)
+	x.Submit(drafter.CheckpointFound{Draft: e.Draft, Checkpoint: newest})
+}
+
+// newestOf returns the newest of n answers; once there is one, it waits only a little for the others.
+func newestOf(ctx context.Context, newest checkpointer.Checkpoint, found <-chan checkpointer.Checkpoint, n int) checkpointer.Checkpoint {
+	for range n {
 		select {
 		case c := <-found:
 			newest = newest.Newer(c)
 		case <-ctx.Done():
+			return newest
 		}
+		if newest.Epoch == 0 {
+			continue
+		}
+		soon, cancel := context.WithTimeout(ctx, settleTime)
+		defer cancel()
+		ctx = soon
 	}
-	x.Submit(drafter.CheckpointFound{Draft: e.Draft, Checkpoint: newest})
+	return newest
 }
 
 func (x *Executor) askPeer(ctx context.Context, address string, id identifier.DraftID) checkpointer.Checkpoint {
--- a/entry/internal/executor/records.go
+++ b/entry/internal/executor/records.go
@@ -3,36 +3,51 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"fuchsiabridge.example/common/httpcaller"
 	"fuchsiabridge.example/common/messenger"
+	"fuchsiabridge.example/common/platformcaller"
 	"fuchsiabridge.example/entry/internal/isolator"
 	"fuchsiabridge.example/entry/internal/recorder"
 	"fuchsiabridge.example/entry/internal/retrier"
 	"fuchsiabridge.example/entry/internal/tracer"
 )
 
-const isolationMethod = "isolation"
+const (
+	isolationMethod = "isolation"
+	recordsTimeout  = 2 * time.Second
+)
 
 // runRecord carries out the effects of calls to plain services.
 func (x *Executor) runRecord(effect messenger.Effect) bool {
 	switch e := effect.(type) {
 	case recorder.CallService:
 		x.start(x.servicePool, func() { x.callService(e) }, recorder.ServiceFailed{Key: e.Key, Target: e.Target, NotSent: true})
+	case recorder.ReadRecords:
+		x.start(x.platformPool, func() { x.readRecords(e) }, recorder.RecordsRead{Failed: true})
 	case isolator.TellPeers:
 		for _, address := range e.Addresses {
 			x.start(x.controlPool, func() { x.tellPeer(address, e.Notice) }, nil)
 		}
 	case retrier.CallService:
-		x.start(x.servicePool, func() { x.callIdempotent(e) }, retrier.Failed{Call: e.Call, Target: e.Target})
+		x.start(x.servicePool, func() { x.callIdempotent(e) }, retrier.Failed{Call: e.Call, Target: e.Target, NotSent: true})
 	default:
 		return false
 	}
 	return true
 }
 
+// readRecords reads a part of the log that the tailer skipped.
+func (x *Executor) readRecords(e recorder.ReadRecords) {
+	ctx, cancel := context.WithTimeout(x.ctx, recordsTimeout)
+	defer cancel()
+	page, err := x.platform.Read(ctx, platformcaller.ReadRequest{From: e.From, Fresh: true})
+	x.Submit(recorder.RecordsRead{Page: page, Failed: err != nil})
+}
+
 // tellPeer gives a peer a notice; one that is lost costs a verdict its speed, not its truth.
 func (x *Executor) tellPeer(address string, notice isolator.Notice) {
 	ctx, cancel := context.WithTimeout(x.ctx, pollTimeout)
@@ -62,9 +77,9 @@
 }
 
 func (x *Executor) callIdempotent(e retrier.CallService) {
-	answer, err := x.call(e.CallService, false)
+	answer, err := x.call(e.CallService, e.Fresh)
 	if err != nil {
-		x.Submit(retrier.Failed{Call: e.Call, Target: e.Target})
+		x.Submit(retrier.Failed{Call: e.Call, Target: e.Target, NotSent: errors.Is(err, httpcaller.ErrNotSent)})
 		return
 	}
 	x.Submit(retrier.Answered{Call: e.Call, ServiceAnswered: answer})
