--- a/entry/internal/commander/commander.go
+++ b/entry/internal/commander/commander.go
@@ -89,6 +89,7 @@
 		DraftLimit: values.Number("draft-limit"),
 
 		Recovery:     drafter.Recovery(values.Text("recovery")),
+		LogBatch:     values.Number("log-batch"),
 		HistoryBytes: values.Number("history-megabytes") << 20,
 	})
 	go x.Run()
--- a/entry/internal/commander/options.go
+++ b/entry/internal/commander/options.go
@@ -11,10 +11,11 @@
 )
 
 const (
-	maxShards  = 64
-	maxDrafts  = 1_000_000
-	maxHistory = 65_536
-	hashLength = 32
+	maxShards   = 64
+	maxDrafts   = 1_000_000
+	maxLogBatch = 1000
+	maxHistory  = 65_536
+	hashLength  = 32
 )
 
 // Options returns the table of the node's settings.
@@ -31,6 +32,7 @@
 		{Name: "shards", Default: "1", Usage: "reducers that share the drafts, 1 to 64; each knows only its own part of the load on targets", Check: optionparser.IsNumber(1, maxShards)},
 		{Name: "draft-limit", Default: "2000", Usage: "drafts in progress at this node", Check: optionparser.IsNumber(1, maxDrafts)},
 		{Name: "recovery", Default: "replay", Usage: "how a lost stage is recovered: replay its inputs, import its last exported KV cache, or restart the draft", Check: optionparser.IsOneOf("replay", "import", "restart")},
+		{Name: "log-batch", Default: "256", Usage: "records in one append to the log, 1 to 1000; 1 turns group commit off", Check: optionparser.IsNumber(1, maxLogBatch)},
 		{Name: "history-megabytes", Default: "256", Usage: "memory for the inputs and KV caches that recovery uses", Check: optionparser.IsNumber(1, maxHistory)},
 		{Name: "balancer-lag", Default: "2s", Usage: "time for which a stopping node still accepts requests, so that the balancer can see it is unready", Check: optionparser.IsDuration},
 		{Name: "stop-limit", Default: "60s", Usage: "longest time a stopping node waits for requests in progress", Check: optionparser.IsDuration},
--- a/entry/internal/committer/committer.go
+++ b/entry/internal/committer/committer.go
@@ -11,8 +11,6 @@
 )
 
 const (
-	// batchLimit bounds the records of one append.
-	batchLimit = 256
 	// queueLimit bounds the records that wait.
 	queueLimit = 8192
 	// inFlightLimit bounds the appends in flight, so that one on a silent connection doesn't hold up the rest.
@@ -74,9 +72,6 @@
 	BatchLimit int
 }
 
-// DefaultConfig returns the configuration of a node.
-func DefaultConfig() Config { return Config{BatchLimit: batchLimit} }
-
 // Committer is the sub-reducer of appends. Their order in the log is not the order
 // in which they were asked for.
 type Committer struct {
@@ -91,10 +86,7 @@
 }
 
 // NewCommitter returns a committer with nothing waiting.
-func NewCommitter() *Committer { return NewCommitterWith(DefaultConfig()) }
-
-// NewCommitterWith is NewCommitter with a configuration.
-func NewCommitterWith(cfg Config) *Committer {
+func NewCommitter(cfg Config) *Committer {
 	return &Committer{cfg: cfg, inFlight: map[string]Append{}}
 }
 
--- a/entry/internal/composer/slopes_test.go
+++ b/entry/internal/composer/slopes_test.go
@@ -155,7 +155,7 @@
 }
 
 func rememberKeys(n int) subject {
-	r := recorder.NewRecorder(recorder.Owner{Node: "node-1", Incarnation: 1})
+	r := recorder.NewRecorder(recorder.Owner{Node: "node-1", Incarnation: 1}, recorder.ConfigFor(10*time.Minute))
 	other := recorder.Owner{Node: "node-2", Incarnation: 1}
 	see := func(i int) {
 		key := identifier.RecordKey(fmt.Sprintf("team/account/ledger/payment-%08d", i))
--- a/entry/internal/executor/executor.go
+++ b/entry/internal/executor/executor.go
@@ -50,6 +50,8 @@
 	Platform string
 	// LogKeep is how long the platform's log keeps a record.
 	LogKeep time.Duration
+	// LogBatch bounds the records of one append.
+	LogBatch int
 	// Peers are addresses of nodes to ask before the VM list can be read.
 	Peers      []string
 	Shards     int
@@ -111,11 +113,11 @@
 	x.steps = stepsender.NewSender(ctx, x.engine, x.stepPool, x.Submit)
 	owner := recorder.Owner{Node: cfg.Self.Node, Incarnation: cfg.Self.Incarnation}
 	x.control = newLoop(composer.NewControl(
-		committer.NewCommitter(),
+		committer.NewCommitter(committer.Config{BatchLimit: cfg.LogBatch}),
 		tailer.NewTailer(tailer.Config{Node: cfg.Self.Node, LogKeep: cfg.LogKeep, Seeds: cfg.Peers}),
 		watcher.NewWatcher(watcher.Observer{Node: cfg.Self.Node, DataCentre: cfg.Self.DataCentre}, cfg.Self.Incarnation),
 		heartbeater.NewHeartbeater(cfg.Self, cfg.Peers...),
-		recorder.NewRecorder(owner),
+		recorder.NewRecorder(owner, recorder.ConfigFor(cfg.LogKeep)),
 		retrier.NewRetrier(),
 		isolator.NewIsolator(),
 		gatekeeper.NewGatekeeper(),
--- a/entry/internal/recorder/carrier.go
+++ b/entry/internal/recorder/carrier.go
@@ -27,8 +27,13 @@
 	CarryAfter time.Duration
 }
 
-// DefaultConfig returns the configuration of a node.
-func DefaultConfig() Config { return Config{Window: time.Hour, CarryAfter: 2 * time.Minute} }
+// carryShare is the part of the log's memory after which a key's newest record is carried forward.
+const carryShare = 5
+
+// ConfigFor returns the configuration of a node whose log keeps records for keep.
+func ConfigFor(keep time.Duration) Config {
+	return Config{Window: time.Hour, CarryAfter: keep / carryShare}
+}
 
 // carrier is the state of carrying keys forward in the log.
 type carrier struct {
--- a/entry/internal/recorder/recorder.go
+++ b/entry/internal/recorder/recorder.go
@@ -75,10 +75,7 @@
 }
 
 // NewRecorder returns a recorder for the given incarnation of the node.
-func NewRecorder(self Owner) *Recorder { return NewRecorderWith(self, DefaultConfig()) }
-
-// NewRecorderWith is NewRecorder with a configuration.
-func NewRecorderWith(self Owner, cfg Config) *Recorder {
+func NewRecorder(self Owner, cfg Config) *Recorder {
 	return &Recorder{
 		self:    self,
 		cfg:     cfg,
--- a/entry/internal/recorder/recorder_test.go
+++ b/entry/internal/recorder/recorder_test.go
@@ -76,7 +76,7 @@
 func (m *model) start(n int) *modelNode {
 	m.started++
 	node := &modelNode{owner: recorder.Owner{Node: identifier.NodeID(fmt.Sprint("n", n)), Incarnation: m.started}}
-	node.rec = recorder.NewRecorderWith(node.owner, recorder.Config{Window: time.Hour, CarryAfter: carryAfter})
+	node.rec = recorder.NewRecorder(node.owner, recorder.Config{Window: time.Hour, CarryAfter: carryAfter})
 	m.give(node, watcher.TargetsChanged{Targets: []watcher.Target{
 		{ID: "s1", Role: platformcaller.RoleService, Service: "ledger", State: watcher.StateUp},
 	}})
