Never use a released claim again; take a carried key over a later claim

A node that had missed the log saw a later claim for a key, ignored the key's carried state for it, and then its release left the key free:

TestMissedClaimStandsBeforeALaterOne: got []string{"k1 ran 2 times"}

A node that released a claim, being not whole, and lived on claimed again under the same id; the release came to the log after that claim had won:

Ruled out: a duplicate of the claim's own append; it is harmless without the release.

Change: such claims are doubtful until the node is whole; a work takes a new id after a release. A lost outcome or release goes back to the committer at once, so that a stopping node waits for it.

--- a/entry/internal/recorder/appender.go
+++ b/entry/internal/recorder/appender.go
@@ -18,7 +18,7 @@
 	answerLimit = 16 << 10
 	// appendWait is how long a release or an outcome may wait for one append.
 	appendWait = 10 * time.Second
-	// appendPause is the time between a failed append of a release or an outcome and the next.
+	// appendPause is the time until a release or an outcome that was not sent is appended again.
 	appendPause = 250 * time.Millisecond
 )
 
@@ -34,6 +34,8 @@
 	// seen and offset are when and where the newest record of the key was seen.
 	seen   time.Time
 	offset identifier.Offset
+	// doubtful says that an older claim may hold the key, which this node missed.
+	doubtful bool
 }
 
 // unseen is a record that must get into the log; appending it twice is harmless.
@@ -85,7 +87,7 @@
 	if h := r.holds[e.Key]; h != nil && !r.isExpired(h, e.At) {
 		return nil
 	}
-	r.hold(e.Key, &hold{owner: e.Owner, claim: e.Claim, fingerprint: e.Fingerprint, at: e.At, seen: now, offset: offset})
+	r.hold(e.Key, &hold{owner: e.Owner, claim: e.Claim, fingerprint: e.Fingerprint, at: e.At, seen: now, offset: offset, doubtful: r.carry.missing > 0})
 	return r.claimed(now, e)
 }
 
@@ -102,7 +104,7 @@
 // a claim that won has one.
 func (r *Recorder) outcomeSeen(now time.Time, e Entry, offset identifier.Offset) []messenger.Effect {
 	h := r.holds[e.Key]
-	if h == nil {
+	if h == nil || h.doubtful {
 		h = &hold{owner: e.Owner, claim: e.Claim, fingerprint: e.Fingerprint, at: e.At}
 		r.hold(e.Key, h)
 	}
@@ -168,6 +170,10 @@
 // a claim that takes effect after all is released.
 func (r *Recorder) lost(now time.Time, ev committer.Lost) []messenger.Effect {
 	if u, ok := r.pending[ev.ID]; ok {
+		if !ev.NotSent {
+			// It stays with the committer, which paces appends and which a stopping node waits for.
+			return appendRecord(u.record, now.Add(appendWait))
+		}
 		u.retryAt = now.Add(appendPause)
 		return nil
 	}
--- a/entry/internal/recorder/carrier.go
+++ b/entry/internal/recorder/carrier.go
@@ -65,6 +65,9 @@
 func (r *Recorder) roundSeen(e Entry) {
 	if e.From >= r.carry.missing && e.Low >= r.carry.missing {
 		r.carry.missing = 0
+		for _, h := range r.holds {
+			h.doubtful = false
+		}
 	}
 }
 
@@ -148,8 +151,8 @@
 func (r *Recorder) carrySeen(now time.Time, e Entry, offset identifier.Offset) []messenger.Effect {
 	h := r.holds[e.Key]
 	switch {
-	case h == nil || r.isExpired(h, e.At):
-		h = &hold{owner: e.Owner, claim: e.Claim, fingerprint: e.Fingerprint, at: e.At}
+	case h == nil || r.isExpired(h, e.At) || (h.doubtful && h.claim != e.Claim):
+		h = &hold{owner: e.Owner, claim: e.Claim, fingerprint: e.Fingerprint, at: e.At, doubtful: r.carry.missing > 0}
 		r.hold(e.Key, h)
 	case h.claim != e.Claim:
 		return nil
--- a/entry/internal/recorder/recorder.go
+++ b/entry/internal/recorder/recorder.go
@@ -181,11 +181,22 @@
 		return nil
 	}
 	if !ok || w.claim != e.Claim || !w.request.Deadline.After(now) || !r.isWhole() {
+		r.abandonClaim(w, e.Claim)
 		return r.release(now, e)
 	}
 	return r.dispatch(now, w, e)
 }
 
+// abandonClaim gives a work that lives on a new claim: the release of one may come to
+// the log late, and must not release what is dispatched under the same id.
+func (r *Recorder) abandonClaim(w *work, claim string) {
+	if w == nil || w.claim != claim {
+		return
+	}
+	delete(r.claims, claim)
+	w.claim, w.retryAt = "", time.Time{}
+}
+
 func (r *Recorder) claimedByOther(w *work, e Entry) []messenger.Effect {
 	switch {
 	case w == nil:
--- a/entry/internal/recorder/recorder_test.go
+++ b/entry/internal/recorder/recorder_test.go
@@ -430,6 +430,39 @@
 	c.Assert(m.callers[1].answers[0].Problem.Code, qt.Equals, "records_incomplete")
 }
 
+// settleAll lets a node's appends take effect, and lets it read them.
+func (m *model) settleAll(n *modelNode) {
+	for len(n.appends) > 0 {
+		m.settleAppend(n, "done")
+	}
+	m.readLog(n, len(m.log))
+}
+
+// TestMissedClaimStandsBeforeALaterOne lets a node that missed a key's claim see a later
+// one, then the key's state carried forward, then the later claim's release: the key stays ended.
+func TestMissedClaimStandsBeforeALaterOne(t *testing.T) {
+	c := qt.New(t)
+	m, owner := oneNode()
+	owner.frozen = true
+	m.now = m.now.Add(2 * kept)
+	m.forget()
+	other := m.nodes[1]
+	m.request(other, "k1", "a", longest)
+	m.settleAll(other)
+	m.thaw(owner)
+	m.readLog(owner, len(m.log))
+	for range 2 {
+		m.pass(carryAfter)
+		m.settleAll(owner)
+		m.settleAll(owner)
+	}
+	m.readLog(other, len(m.log))
+	m.settleAll(other)
+	m.request(other, "k1", "a", longest)
+	m.drain()
+	c.Assert(m.findings(), qt.HasLen, 0)
+}
+
 // oneNode returns a model of which one node has dispatched key k1 and got its answer,
 // while the outcome is not in the log.
 func oneNode() (*model, *modelNode) {
--- a/integration/records_test.go
+++ b/integration/records_test.go
@@ -187,6 +187,9 @@
 		c.Assert(again.Took < time.Second, qt.IsTrue)
 	}
 	c.Assert(executions(f)["dropped"], qt.Equals, 1)
+	why, _ := f.Ctl("explain", "request/"+launcher.Team+"/studio/ledger/dropped")
+	c.Assert(why, qt.Contains, "record claimed")
+	c.Assert(why, qt.Contains, "reason=no_answer")
 }
 
 // ownerFault is one way in which a key's owner fails; the fleet's first node is the owner.
