Let one choice and one report cost the same at any size of the fleet

Cause: each choice of a pipeline looked at every target, and each report of a target's load copied all of them to every shard. Ruled out: the shortest path itself (3 ranges; its cost is the scan over the targets). Change: an index by model and range, of which a choice looks at up to 32 targets of each range from a place that the draft's seed decides; loads alone are published at an interval that grows with the targets, changes of state still at once.

--- a/entry/internal/composer/slopes_test.go
+++ b/entry/internal/composer/slopes_test.go
@@ -49,17 +49,23 @@
 	event func(i int)
 }
 
-const eventsTimed = 300
+// Events are timed until so many ran or so much time has passed.
+const (
+	mostTimed = 1000
+	timedFor  = 400 * time.Millisecond
+)
 
 func slope(concern string, n int, build func(n int) subject, what string) {
 	before := heap()
 	s := build(n)
 	held := heap() - before
 	started := time.Now()
-	for i := range eventsTimed {
-		s.event(i)
+	timed := 0
+	for timed < mostTimed && time.Since(started) < timedFor {
+		s.event(timed)
+		timed++
 	}
-	each := time.Since(started) / eventsTimed
+	each := time.Since(started) / time.Duration(timed)
 	fmt.Printf("| %s | %d | %d | %d | %v | %s |\n", concern, n, held, held/int64(n), each, what)
 	runtime.KeepAlive(s)
 }
@@ -83,6 +89,8 @@
 const (
 	modelLayers = 24
 	rangeCount  = 3
+	// observedTargets is how many of its targets a node polls itself: three observers for each of 12,000, by 470 nodes.
+	observedTargets = 77
 )
 
 func statusOf(i int) enginecaller.Status {
@@ -94,19 +102,24 @@
 	}
 }
 
+func addressOf(i int) string { return fmt.Sprintf("10.0.%d.%d:9000", i/250, i%250) }
+
 func watchTargets(n int) subject {
 	w := watcher.NewWatcher(watcher.Observer{Node: "node-1", DataCentre: "plateau"}, 1)
 	var list watcher.VMsRead
 	for i := range n {
 		list.VMs = append(list.VMs, platformcaller.VM{
-			ID: string(statusOf(i).Target), Role: platformcaller.RoleEngine, Address: fmt.Sprintf("10.0.%d.%d:9000", i/250, i%250), DataCentre: "plateau",
+			ID: string(statusOf(i).Target), Role: platformcaller.RoleEngine, Address: addressOf(i), DataCentre: "plateau",
 		})
 	}
 	apply(w, list)
+	for i := range observedTargets {
+		apply(w, watcher.StatusRead{Status: statusOf(i), Address: addressOf(i)})
+	}
 	return subject{state: w, event: func(i int) {
-		s := statusOf(i)
+		s := statusOf(i % observedTargets)
 		s.Queued = i + 1
-		apply(w, watcher.StatusRead{Status: s})
+		apply(w, watcher.StatusRead{Status: s, Address: addressOf(i % observedTargets)}, messenger.Tick{})
 	}}
 }
 
@@ -117,8 +130,10 @@
 		targets = append(targets, watcher.Target{ID: s.Target, Role: platformcaller.RoleEngine, State: watcher.StateUp, Address: "10.0.0.1:9000", Status: s})
 	}
 	r := planner.Request{Model: "atlas", Layers: identifier.LayerRange{To: modelLayers}}
-	return subject{state: targets, event: func(int) {
-		if _, ok := planner.Choose(targets, r); !ok {
+	index := planner.NewIndex(targets)
+	return subject{state: index, event: func(i int) {
+		r.Seed = uint64(i) * 7919
+		if _, ok := planner.Choose(index.Sample(r), r); !ok {
 			panic("no pipeline")
 		}
 	}}
--- a/entry/internal/drafter/drafter.go
+++ b/entry/internal/drafter/drafter.go
@@ -142,6 +142,7 @@
 	// ended holds the ended drafts, first ended first.
 	ended   []dropping
 	targets []watcher.Target
+	index   *planner.Index
 	byID    map[identifier.TargetID]watcher.Target
 	load    map[identifier.TargetID]int
 	pace    pace
@@ -166,6 +167,7 @@
 		drafts:  map[identifier.DraftID]*draft{},
 		running: map[identifier.DraftID]*draft{},
 		byID:    map[identifier.TargetID]watcher.Target{},
+		index:   planner.NewIndex(nil),
 		load:    map[identifier.TargetID]int{},
 		pace:    newPace(),
 
@@ -271,7 +273,8 @@
 		return d.failTokensLost(now, dr)
 	}
 	whole := identifier.LayerRange{To: dr.request.Layers}
-	stages, ok := planner.Choose(d.targets, d.wanted(dr, whole, dr.avoid))
+	wanted := d.wanted(dr, whole, dr.avoid)
+	stages, ok := planner.Choose(d.index.Sample(wanted), wanted)
 	if !ok {
 		d.bind(dr, nil)
 		dr.phase, dr.retryAt = waiting, now.Add(waitForPipeline)
--- a/entry/internal/drafter/recovery.go
+++ b/entry/internal/drafter/recovery.go
@@ -273,7 +273,7 @@
 			down[t.ID] = true
 		}
 	}
-	d.targets, d.byID = targets, known
+	d.targets, d.byID, d.index = targets, known, planner.NewIndex(targets)
 	d.pace.forgetTargets(func(id identifier.TargetID) bool { _, ok := known[id]; return ok })
 	if len(down) == 0 {
 		return nil
--- /dev/null
+++ b/entry/internal/planner/index.go
@@ -0,0 +1,75 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+
+	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/common/platformcaller"
+	"fuchsiabridge.example/entry/internal/watcher"
+)
+
+// sampleSize bounds the targets of one layer range that one choice looks at, so that its
+// cost does not grow with the fleet.
+const sampleSize = 32
+
+type holding struct {
+	model  identifier.ModelID
+	layers identifier.LayerRange
+}
+
+// Index groups the targets that are up by what they hold.
+type Index struct {
+	groups map[holding][]watcher.Target
+	// order holds the groups' keys, so that a sample is the same each time.
+	order []holding
+}
+
+// NewIndex returns the index of the targets.
+func NewIndex(targets []watcher.Target) *Index {
+	x := &Index{groups: map[holding][]watcher.Target{}}
+	for _, t := range targets {
+		if t.Role != platformcaller.RoleEngine || t.State != watcher.StateUp {
+			continue
+		}
+		h := holding{t.Status.Model, t.Status.Layers}
+		if _, ok := x.groups[h]; !ok {
+			x.order = append(x.order, h)
+		}
+		x.groups[h] = append(x.groups[h], t)
+	}
+	slices.SortFunc(x.order, func(a, b holding) int {
+		return cmp.Or(cmp.Compare(a.model, b.model), cmp.Compare(a.layers.From, b.layers.From), cmp.Compare(a.layers.To, b.layers.To))
+	})
+	return x
+}
+
+// Sample returns the request's part of the targets: of each range at most sampleSize, from
+// a place that its seed decides, without those to avoid.
+func (x *Index) Sample(r Request) []watcher.Target {
+	var sample []watcher.Target
+	for _, h := range x.order {
+		if h.model == r.Model {
+			sample = append(sample, sampleOf(x.groups[h], r)...)
+		}
+	}
+	return sample
+}
+
+func sampleOf(group []watcher.Target, r Request) []watcher.Target {
+	if len(group) <= sampleSize {
+		return group
+	}
+	sample := make([]watcher.Target, 0, sampleSize)
+	start := int(r.Seed % uint64(len(group)))
+	for i := range group {
+		t := group[(start+i)%len(group)]
+		if !r.Avoid[t.ID] {
+			sample = append(sample, t)
+		}
+		if len(sample) == sampleSize {
+			break
+		}
+	}
+	return sample
+}
--- a/entry/internal/watcher/entries.go
+++ b/entry/internal/watcher/entries.go
@@ -174,12 +174,23 @@
 // decide brings the state and the status in line with what is known.
 func (w *Watcher) decide(now time.Time, e *entry, reason string) []messenger.Effect {
 	if s, ok := w.newest(now, e); ok && s != e.target.Status {
-		e.target.Status = s
-		w.dirty = true
+		w.renew(e, s)
 	}
 	return w.move(e, w.state(now, e), reason)
 }
 
+// renew takes a newer status; one in which only the load differs can wait to be published.
+func (w *Watcher) renew(e *entry, s enginecaller.Status) {
+	before := e.target.Status
+	before.Queued = s.Queued
+	if s == before {
+		w.loadChanged = true
+	} else {
+		w.dirty = true
+	}
+	e.target.Status = s
+}
+
 func (w *Watcher) state(now time.Time, e *entry) State {
 	if e.leaving {
 		return StateLeaving
--- a/entry/internal/watcher/watcher.go
+++ b/entry/internal/watcher/watcher.go
@@ -18,6 +18,10 @@
 	statusInterval = 250 * time.Millisecond
 	probeInterval  = 250 * time.Millisecond
 	scanInterval   = 50 * time.Millisecond
+	// loadInterval and loadPerTarget bound how often changed loads are published, as each
+	// time costs in proportion to the targets.
+	loadInterval  = 50 * time.Millisecond
+	loadPerTarget = 50 * time.Microsecond
 	// failuresToDown is the number of failed polls in a row that take a target out.
 	failuresToDown = 3
 	// pollsPerSecond bounds the polls of a node that observes many targets.
@@ -54,6 +58,9 @@
 	// order holds the entries' ids in order; it is nil when it must be made again.
 	order []identifier.TargetID
 	dirty bool
+	// loadChanged says that only loads have changed since published.
+	loadChanged bool
+	published   time.Time
 }
 
 type waitingMark struct {
@@ -98,6 +105,7 @@
 		w.vmsRead = now
 		effects = append(effects, ReadVMs{})
 	}
+	w.loadDue(now)
 	if now.Sub(w.scanned) < scanInterval {
 		return w.publish(effects)
 	}
@@ -217,12 +225,20 @@
 	}
 }
 
+// loadDue lets changed loads be published when the last time was long enough ago.
+func (w *Watcher) loadDue(now time.Time) {
+	interval := max(loadInterval, time.Duration(len(w.entries))*loadPerTarget)
+	if w.loadChanged && now.Sub(w.published) >= interval {
+		w.dirty, w.published = true, now
+	}
+}
+
 // publish brings the targets to everyone when one has changed.
 func (w *Watcher) publish(effects []messenger.Effect) []messenger.Effect {
 	if !w.dirty {
 		return effects
 	}
-	w.dirty = false
+	w.dirty, w.loadChanged = false, false
 	targets := make([]Target, 0, len(w.entries))
 	for _, e := range w.ordered() {
 		targets = append(targets, e.target)
