Prove that long prompts are no deaths

12 prompts of 800 words from another node hold up the engines' batches beyond the deadlines of 40 short drafts.

--- a/integration/drafts_faults_test.go
+++ b/integration/drafts_faults_test.go
@@ -368,4 +368,49 @@
 	for _, d := range drafts {
 		checkLineage(c, runs[d.ID], draftTokens, identifier.LayerRange{From: 8, To: 16})
 	}
+	checkNoneDown(c, f, "engine-1-a")
+}
+
+// checkNoneDown checks that no node ever called an engine down but the one that died.
+func checkNoneDown(c *qt.C, f *launcher.Fleet, dead string) {
+	c.Helper()
+	for name := range f.Engines {
+		for _, n := range f.Nodes {
+			out, _ := f.CtlAt(n, "explain", "target/"+name)
+			c.Assert(strings.Contains(out, "state=down") && name != dead, qt.IsFalse, qt.Commentf("%s of %s", out, n.Name))
+		}
+	}
+}
+
+const (
+	longPrompts  = 12
+	longWords    = 800
+	shortPrompts = 40
+)
+
+// TestLongPromptsAreNoDeaths runs short drafts at one node while another's long prompts hold
+// up the engines' batches: none of them is called dead.
+func TestLongPromptsAreNoDeaths(t *testing.T) {
+	c := qt.New(t)
+	f := draftFleet(t, 2)
+	ctx, cancel := context.WithTimeout(context.Background(), 25*time.Second)
+	defer cancel()
+	r := requester.NewRequester()
+	var wg sync.WaitGroup
+	for n := range longPrompts + shortPrompts {
+		d := draftOf(f, fmt.Sprintf("draft-%d", n), fmt.Sprintf("quote number %d", n))
+		if n < longPrompts {
+			d.Node, d.Prompt, d.MaxTokens = f.Nodes[1].Address, strings.Repeat(fmt.Sprintf("word-%d ", n), longWords), 4
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			result, err := r.Stream(ctx, d, nil)
+			c.Check(err, qt.IsNil)
+			c.Check(result.Problem, qt.Equals, responder.Problem{})
+			c.Check(result.Tokens, qt.DeepEquals, answerTo(d))
+		}()
+	}
+	wg.Wait()
+	checkNoneDown(c, f, "")
 }
