--- a/integration/drafts_bench_test.go
+++ b/integration/drafts_bench_test.go
@@ -25,7 +25,7 @@
 // BenchmarkRecovery measures, for each way of recovery in the same run, the time from the
 // middle stage's death to the next token, and the work that runs again.
 func BenchmarkRecovery(b *testing.B) {
-	f := engineFleet(b)
+	f := engineFleet(b, layerMicros)
 	ways := []string{"replay", "import", "restart"}
 	for _, way := range ways {
 		f.AddNode("node-"+way, "", "--recovery", way)
@@ -68,7 +68,7 @@
 	if err != nil || !result.Whole || !slices.Equal(result.Tokens, answerTo(d)) {
 		b.Fatalf("the answer is not whole: %v %v", err, result.Problem)
 	}
-	f.StartEngine(name, f.Engines[name].Address, 8, 16, "--layer-micros", "500")
+	f.StartEngine(name, f.Engines[name].Address, 8, 16, "--layer-micros", layerMicros)
 	time.Sleep(seenUpAfter)
 	return longestGap(result.TokenAt, killAfter)
 }
--- a/integration/drafts_faults_test.go
+++ b/integration/drafts_faults_test.go
@@ -119,10 +119,10 @@
 func proxiedFleet(t *testing.T) (f *launcher.Fleet, proxy *launcher.Process) {
 	t.Helper()
 	f = launcher.NewFleet(t)
-	f.AddEngine("engine-0-a", 0, 8, "--layer-micros", "500")
-	f.AddEngine("engine-2-a", 16, 24, "--layer-micros", "500")
+	f.AddEngine("engine-0-a", 0, 8, "--layer-micros", layerMicros)
+	f.AddEngine("engine-2-a", 16, 24, "--layer-micros", layerMicros)
 	address := launcher.FreeAddress(t)
-	f.StartEngine("engine-1-a", address, 8, 16, "--layer-micros", "500")
+	f.StartEngine("engine-1-a", address, 8, 16, "--layer-micros", layerMicros)
 	proxy = f.AddProxy("proxy-1", address)
 	f.ListVM(platformcaller.VM{ID: "engine-1-a", Role: platformcaller.RoleEngine, Address: proxy.Address, DataCentre: "plateau"})
 	f.AddEngine("engine-1-b", 8, 16, "--layer-micros", "700")
--- a/integration/drafts_test.go
+++ b/integration/drafts_test.go
@@ -20,6 +20,9 @@
 const (
 	draftLayers = 24
 	draftTokens = 40
+	// layerMicros is the engines' time of one layer; those with slowMicros are chosen last.
+	layerMicros = "500"
+	slowMicros  = "1000"
 	// recoveryBound is the stated bound on the time from a stage's death to the next token.
 	recoveryBound = time.Second
 )
@@ -41,7 +44,7 @@
 // draftFleet starts nodes before two engines for each of three ranges.
 func draftFleet(t testing.TB, nodes int) *launcher.Fleet {
 	t.Helper()
-	f := engineFleet(t)
+	f := engineFleet(t, layerMicros)
 	for n := range nodes {
 		f.AddNode(fmt.Sprintf("node-%d", n+1), "")
 	}
@@ -49,14 +52,14 @@
 	return f
 }
 
-// engineFleet starts two engines for each of three ranges, and no node.
-func engineFleet(t testing.TB) *launcher.Fleet {
+// engineFleet starts two engines for each of three ranges, and no node. The second of each
+// takes the given time for a layer.
+func engineFleet(t testing.TB, spareMicros string) *launcher.Fleet {
 	t.Helper()
 	f := launcher.NewFleet(t)
 	for i, from := range []int{0, 8, 16} {
-		for _, replica := range []string{"a", "b"} {
-			f.AddEngine(fmt.Sprintf("engine-%d-%s", i, replica), from, from+8, "--layer-micros", "500")
-		}
+		f.AddEngine(fmt.Sprintf("engine-%d-a", i), from, from+8, "--layer-micros", layerMicros)
+		f.AddEngine(fmt.Sprintf("engine-%d-b", i), from, from+8, "--layer-micros", spareMicros)
 	}
 	return f
 }
@@ -170,7 +173,9 @@
 	}{{"prefill", 0}, {"decode", draftTokens / 2}, {"last token", draftTokens - 1}} {
 		t.Run(tc.phase, func(t *testing.T) {
 			c := qt.New(t)
-			f := draftFleet(t, 1)
+			f := engineFleet(t, slowMicros)
+			f.AddNode("node-1", "")
+			f.Configure(draftLayers)
 			d := draftOf(f, "draft-1", strings.Repeat("a quote for a wedding ", 100))
 			took := killing(c, f, d, tc.afterToken)
 			t.Logf("%s: next token %v after the stage's death", tc.phase, took)
