Split the drafter: paces, holders of checkpoints, callers and deadlines

What a target's step should take is now `pacer`, the choice of a checkpoint's holder is in `checkpointer`; both have tests of their own. Behaviour is unchanged: the property tests and the process tests pass as before.

--- a/entry/internal/drafter/drafter.go
+++ b/entry/internal/drafter/drafter.go
@@ -15,6 +15,7 @@
 	"fuchsiabridge.example/common/responder"
 	"fuchsiabridge.example/entry/internal/heartbeater"
 	"fuchsiabridge.example/entry/internal/isolator"
+	"fuchsiabridge.example/entry/internal/pacer"
 	"fuchsiabridge.example/entry/internal/planner"
 	"fuchsiabridge.example/entry/internal/tailer"
 	"fuchsiabridge.example/entry/internal/watcher"
@@ -144,7 +145,7 @@
 	targets []watcher.Target
 	byID    map[identifier.TargetID]watcher.Target
 	load    map[identifier.TargetID]int
-	pace    pace
+	pace    *pacer.Pacer
 	bytes   int
 	scanned time.Time
 	// seen is the instant of the last event.
@@ -167,7 +168,7 @@
 		running: map[identifier.DraftID]*draft{},
 		byID:    map[identifier.TargetID]watcher.Target{},
 		load:    map[identifier.TargetID]int{},
-		pace:    newPace(),
+		pace:    pacer.NewPacer(cfg.Shards),
 
 		checkpoints: newOutbox(),
 	}
@@ -236,35 +237,6 @@
 	return append(effects, d.start(now, dr)...)
 }
 
-// mayRunAgain says whether a request starts the ended draft anew rather than joins it.
-func (dr *draft) mayRunAgain(ev Arrived) bool {
-	if dr.end == nil || dr.request.Fingerprint != ev.Fingerprint {
-		return false
-	}
-	switch dr.end.Problem.Code {
-	case codeSuperseded, codeCallerGone, codeTokensLost:
-		return true
-	}
-	return false
-}
-
-// join gives a caller what a running or ended draft has so far.
-func (d *Drafter) join(dr *draft, ev Arrived) []messenger.Effect {
-	if dr.request.Fingerprint != ev.Fingerprint {
-		p := responder.Problem{Code: "request_id_reused", Message: "the request id was used with another body", Place: "header X-Request-ID"}
-		return []messenger.Effect{messenger.Reply{Call: ev.Call, Answer: End{Outcome: responder.Refused, Problem: p}}}
-	}
-	var effects []messenger.Effect
-	for n := ev.LastToken; n < len(dr.tokens); n++ {
-		effects = append(effects, messenger.Reply{Call: ev.Call, Answer: Token{Number: n + 1, Text: dr.tokens[n]}})
-	}
-	if dr.end != nil {
-		return append(effects, messenger.Reply{Call: ev.Call, Answer: *dr.end})
-	}
-	dr.callers = append(dr.callers, caller{ev.Call, max(ev.LastToken, len(dr.tokens))})
-	return effects
-}
-
 // start binds the draft to a pipeline and runs it from the prompt and the tokens so far.
 func (d *Drafter) start(now time.Time, dr *draft) []messenger.Effect {
 	if dr.lacksTokens() {
@@ -284,17 +256,6 @@
 	return d.step(now, dr, false)
 }
 
-// lacksTokens says whether a caller has tokens that the driver does not know, and that
-// no engine can tell any more: run again they could come out otherwise.
-func (dr *draft) lacksTokens() bool {
-	for _, c := range dr.callers {
-		if c.after > len(dr.tokens) {
-			return true
-		}
-	}
-	return false
-}
-
 // wanted says what pipeline the draft needs, chosen as its team's settings say.
 func (d *Drafter) wanted(dr *draft, layers identifier.LayerRange, avoid map[identifier.TargetID]bool) planner.Request {
 	d.turn++
@@ -333,49 +294,6 @@
 	return append(effects, d.step(now, dr, false)...)
 }
 
-func (d *Drafter) callerGone(now time.Time, ev CallerGone) {
-	dr, ok := d.running[ev.Draft]
-	if !ok {
-		return
-	}
-	dr.callers = slices.DeleteFunc(dr.callers, func(c caller) bool { return c.call == ev.Call })
-	dr.goneAt = now.Add(reconnectTime)
-}
-
-func (d *Drafter) finish(now time.Time, dr *draft, end End) []messenger.Effect {
-	d.settle(dr)
-	effects := d.cancel(dr)
-	d.bind(dr, nil)
-	dr.end = &end
-	delete(d.running, dr.request.Draft)
-	d.ended = append(d.ended, dropping{dr, now.Add(keptAfterEnd)})
-	d.checkpoints.finish(dr)
-	for _, c := range dr.callers {
-		effects = append(effects, messenger.Reply{Call: c.call, Answer: end})
-	}
-	dr.callers, dr.avoid = nil, nil
-	dr.request.Prompt = ""
-	return append(effects,
-		messenger.Log{
-			Event: eventlogger.DraftEnded, Subject: subject(dr),
-			Values: []any{"outcome", end.Outcome, "tokens", end.Tokens, "reason", end.Problem.Code, "recoveries", dr.recoveries},
-		},
-		messenger.Raise{Event: Ended{
-			Draft: dr.request.Draft, Account: dr.request.Account, Class: dr.request.Class,
-			Outcome: end.Outcome, Late: now.After(dr.request.Deadline), Tokens: end.Tokens,
-		}})
-}
-
-// fail ends a draft that began and cannot be completed here.
-func (d *Drafter) fail(now time.Time, dr *draft, code, message string) []messenger.Effect {
-	p := responder.Problem{Code: code, Message: message, Place: "model/" + string(dr.request.Model)}
-	return d.finish(now, dr, End{Outcome: responder.Failed, Tokens: len(dr.tokens), Problem: p, RetryAfter: retryAfter})
-}
-
-func (d *Drafter) failTokensLost(now time.Time, dr *draft) []messenger.Effect {
-	return d.fail(now, dr, codeTokensLost, "tokens that the caller has were lost with their node; ask again without Last-Event-ID")
-}
-
 func (d *Drafter) cancel(dr *draft) []messenger.Effect {
 	var effects []messenger.Effect
 	for _, s := range dr.stages {
@@ -400,73 +318,6 @@
 	return append(effects, d.sendCheckpoints(now)...)
 }
 
-// scan looks at the deadlines of all running drafts.
-func (d *Drafter) scan(now time.Time) []messenger.Effect {
-	var due []*draft
-	for _, dr := range d.running {
-		if !now.Before(dr.nextDeadline()) {
-			due = append(due, dr)
-		}
-	}
-	var effects []messenger.Effect
-	for _, dr := range sorted(due) {
-		effects = append(effects, d.expire(now, dr)...)
-	}
-	return effects
-}
-
-// nextDeadline returns the next instant at which the draft must act by itself.
-func (dr *draft) nextDeadline() time.Time {
-	next := dr.request.Deadline
-	if len(dr.callers) == 0 && dr.goneAt.Before(next) {
-		next = dr.goneAt
-	}
-	switch dr.phase {
-	case waiting, asking:
-		if dr.retryAt.Before(next) {
-			next = dr.retryAt
-		}
-	case stepping, exporting, importing, recalling:
-		if overdue := dr.deadline.Add(shellGrace); overdue.Before(next) {
-			next = overdue
-		}
-	case idle, ruling:
-	}
-	return next
-}
-
-func (d *Drafter) expire(now time.Time, dr *draft) []messenger.Effect {
-	switch {
-	case !now.Before(dr.request.Deadline):
-		return d.giveUp(now, dr)
-	case len(dr.callers) == 0 && !now.Before(dr.goneAt):
-		return d.fail(now, dr, codeCallerGone, "no caller was connected")
-	}
-	switch dr.phase {
-	case waiting, asking:
-		return d.start(now, dr)
-	case stepping:
-		return d.stepFailed(now, StepFailed{Target: dr.stages[dr.stage].Target, Name: dr.stepName(), Fresh: dr.resends > 0, Alive: true})
-	case exporting:
-		return d.exported(now, KVExported{Target: dr.stages[dr.stage].Target, Draft: dr.request.Draft, Epoch: dr.epoch, Failed: true})
-	case importing:
-		return d.imported(now, KVImported{Target: dr.stages[dr.stage].Target, Draft: dr.request.Draft, Epoch: dr.epoch, Failed: true})
-	case recalling:
-		return d.goOn(now, dr)
-	case idle, ruling:
-	}
-	return nil
-}
-
-// giveUp ends a draft at its deadline; one that never got a pipeline was not run.
-func (d *Drafter) giveUp(now time.Time, dr *draft) []messenger.Effect {
-	if dr.epoch > 0 || dr.request.LastToken > 0 {
-		return d.fail(now, dr, codeDeadline, "the deadline passed before the draft was whole")
-	}
-	p := responder.Problem{Code: codeNoPipeline, Message: "no pipeline covers the model", Place: "model/" + string(dr.request.Model)}
-	return d.finish(now, dr, End{Outcome: responder.NotRun, Problem: p, RetryAfter: retryAfter})
-}
-
 func sorted(drafts []*draft) []*draft {
 	slices.SortFunc(drafts, func(a, b *draft) int { return cmp.Compare(a.request.Draft, b.request.Draft) })
 	return drafts
--- a/entry/internal/drafter/recovery.go
+++ b/entry/internal/drafter/recovery.go
@@ -274,7 +274,7 @@
 		}
 	}
 	d.targets, d.byID = targets, known
-	d.pace.forgetTargets(func(id identifier.TargetID) bool { _, ok := known[id]; return ok })
+	d.pace.Forget(known)
 	if len(down) == 0 {
 		return nil
 	}
--- a/entry/internal/drafter/stepper.go
+++ b/entry/internal/drafter/stepper.go
@@ -43,7 +43,7 @@
 	last := len(steps) - 1
 	dr.phase, dr.sent = stepping, now
 	dr.deadline = d.stepDeadline(now, dr, s)
-	d.pace.begin(s.Target, dr.prompt())
+	d.pace.Begin(s.Target, dr.prompt())
 	return []messenger.Effect{SendStep{
 		Target: s.Target, Address: s.Address, Step: steps[last], Before: steps[:last:last],
 		Deadline: dr.deadline, Fresh: fresh, Traceparent: dr.request.Traceparent,
@@ -53,7 +53,7 @@
 // settle ends the wait for the current step's answer.
 func (d *Drafter) settle(dr *draft) {
 	if dr.phase == stepping {
-		d.pace.end(dr.stages[dr.stage].Target, dr.prompt())
+		d.pace.End(dr.stages[dr.stage].Target, dr.prompt())
 	}
 	dr.phase = idle
 }
@@ -129,7 +129,7 @@
 		return d.restart(now, dr, "token not kept")
 	}
 	if len(ev.Before) == 0 && dr.position() > 0 {
-		d.pace.learn(ev.Target, now.Sub(dr.sent))
+		d.pace.Learn(ev.Target, now.Sub(dr.sent))
 	}
 	d.takeOutputs(dr, s, append(ev.Before, ev.Result))
 	effects := d.passed(dr, s)
--- a/entry/internal/drafter/takeover.go
+++ b/entry/internal/drafter/takeover.go
@@ -2,12 +2,9 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"fuchsiabridge.example/common/enginecaller"
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
@@ -61,41 +58,6 @@
 	}
 }
 
-// holders returns the live peers, first the one that holds the draft's checkpoint when self drives it:
-// by rendezvous hashing, those of another data centre before those of its own.
-func (o *outbox) holders(id identifier.DraftID, self identifier.DataCentre) []heartbeater.Peer {
-	type ranked struct {
-		peer heartbeater.Peer
-		near bool
-		rank uint64
-	}
-	var list []ranked
-	for _, p := range o.peers {
-		if p.State == heartbeater.StateAlive || p.State == heartbeater.StateSuspect {
-			list = append(list, ranked{p, p.DataCentre == self, rank(id, p.Node)})
-		}
-	}
-	slices.SortFunc(list, func(a, b ranked) int {
-		if a.near != b.near {
-			if a.near {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Compare(b.rank, a.rank)
-	})
-	peers := make([]heartbeater.Peer, 0, len(list))
-	for _, r := range list {
-		peers = append(peers, r.peer)
-	}
-	return peers
-}
-
-func rank(id identifier.DraftID, node identifier.NodeID) uint64 {
-	key := binary.BigEndian.AppendUint64([]byte(node), xxhash.Sum64String(string(id)))
-	return xxhash.Sum64(key)
-}
-
 // sendCheckpoints sends what changed, in batches by peer, within the rate.
 func (d *Drafter) sendCheckpoints(now time.Time) []messenger.Effect {
 	o := &d.checkpoints
@@ -117,7 +79,7 @@
 		if o.credit <= 0 {
 			break
 		}
-		holder := o.holders(dr.request.Draft, d.cfg.Self.DataCentre)
+		holder := checkpointer.Holders(o.peers, dr.request.Draft, d.cfg.Self.DataCentre)
 		if len(holder) == 0 {
 			break
 		}
@@ -218,7 +180,7 @@
 
 func (d *Drafter) askedAddresses(dr *draft) []string {
 	var addresses []string
-	for _, p := range d.checkpoints.holders(dr.request.Draft, "") {
+	for _, p := range checkpointer.Holders(d.checkpoints.peers, dr.request.Draft, "") {
 		if len(addresses) < askedPeers {
 			addresses = append(addresses, p.Address)
 		}
