Prove that a slow link loses nothing

100 ms each way on the middle stage's link outlast the first deadline of its steps: they are resumed, the first answers come late, nothing runs again and no target is called dead.

--- a/integration/drafts_faults_test.go
+++ b/integration/drafts_faults_test.go
@@ -31,6 +31,7 @@
 const faultAt = 20
 
 type proxyFault struct {
+	DelayMillis int  `json:"delay_ms"`
 	SilenceOpen bool `json:"silence_open"`
 	SilenceAll  bool `json:"silence_all"`
 }
@@ -157,6 +158,20 @@
 	checkLineage(c, runsOf(f, d.ID), draftTokens, identifier.LayerRange{From: 8, To: 16})
 }
 
+// TestLinkGetsSlow delays the link to the middle stage beyond its steps' first deadline: they
+// are resumed and their answers come late, and the stage stays, as its target is alive.
+func TestLinkGetsSlow(t *testing.T) {
+	c := qt.New(t)
+	f, proxy := proxiedFleet(t)
+	d := draftOf(f, "draft-1", "a quote")
+	d.MaxTokens = faultAt + 10
+	took := streamThrough(c, d, func() { f.SetFault(proxy, proxyFault{DelayMillis: 100}) })
+	t.Logf("longest gap %v", took)
+	c.Assert(took < recoveryBound, qt.IsTrue, qt.Commentf("longest gap %v", took))
+	checkLineage(c, runsOf(f, d.ID), d.MaxTokens, nothing)
+	checkNoneDown(c, f, "")
+}
+
 // cutAt streams a draft until the token after which its node fails, and returns the tokens
 // that came and the instant of the failure.
 func cutAt(c *qt.C, d requester.Draft, fail func()) ([]string, time.Time) {
