Give orders to engines under a lease in log order, and load spares

Cause: nothing ordered engines; a range that lost a replica stayed at one.

Change: a grant holds if no other lies between what its author had read and its place in the log. The holder appends an assignment, reads it back, looks at the lease's deadline on both clocks and orders under the grant's offset. It compares what engines hold with the assignments and orders again, which sets right engines that ignore fencing. A range that had two replicas and has one gets an idle engine, within the weight store's rate; no order takes a range's last replica. A gap in what was read ends the lease.

Ruled out: a count of terms and the offset of the replaced grant, which both fail when the log has dropped the old grants.

--- a/entry/internal/commander/commander.go
+++ b/entry/internal/commander/commander.go
@@ -90,6 +90,7 @@
 
 		Recovery:     drafter.Recovery(values.Text("recovery")),
 		HistoryBytes: values.Number("history-megabytes") << 20,
+		WeightRate:   values.Number("weight-layers-per-second"),
 	})
 	go x.Run()
 	go x.Peers().Serve(ctx, peerListener)
--- a/entry/internal/commander/options.go
+++ b/entry/internal/commander/options.go
@@ -15,6 +15,8 @@
 	maxDrafts  = 1_000_000
 	maxHistory = 65_536
 	hashLength = 32
+
+	maxLayerRate = 1_000_000
 )
 
 // Options returns the table of the node's settings.
@@ -32,6 +34,7 @@
 		{Name: "draft-limit", Default: "2000", Usage: "drafts in progress at this node", Check: optionparser.IsNumber(1, maxDrafts)},
 		{Name: "recovery", Default: "replay", Usage: "how a lost stage is recovered: replay its inputs, import its last exported KV cache, or restart the draft", Check: optionparser.IsOneOf("replay", "import", "restart")},
 		{Name: "history-megabytes", Default: "256", Usage: "memory for the inputs and KV caches that recovery uses", Check: optionparser.IsNumber(1, maxHistory)},
+		{Name: "weight-layers-per-second", Default: "100", Usage: "layers that the weight store gives out a second; loads are ordered no faster", Check: optionparser.IsNumber(1, maxLayerRate)},
 		{Name: "balancer-lag", Default: "2s", Usage: "time for which a stopping node still accepts requests, so that the balancer can see it is unready", Check: optionparser.IsDuration},
 		{Name: "stop-limit", Default: "60s", Usage: "longest time a stopping node waits for requests in progress", Check: optionparser.IsDuration},
 		{Name: "trace-endpoint", Usage: "OTLP over HTTP endpoint for spans, host:port; none when empty"},
--- a/entry/internal/executor/executor.go
+++ b/entry/internal/executor/executor.go
@@ -27,6 +27,8 @@
 	"fuchsiabridge.example/entry/internal/gatekeeper"
 	"fuchsiabridge.example/entry/internal/heartbeater"
 	"fuchsiabridge.example/entry/internal/isolator"
+	"fuchsiabridge.example/entry/internal/leaser"
+	"fuchsiabridge.example/entry/internal/orderer"
 	"fuchsiabridge.example/entry/internal/peercaller"
 	"fuchsiabridge.example/entry/internal/recorder"
 	"fuchsiabridge.example/entry/internal/retrier"
@@ -57,6 +59,8 @@
 	Recovery   drafter.Recovery
 	// HistoryBytes bounds what the node keeps of drafts for recovery.
 	HistoryBytes int
+	// WeightRate is the number of layers a second that the weight store gives out.
+	WeightRate int
 }
 
 // Executor runs one node's reducers and their effects.
@@ -115,6 +119,8 @@
 		tailer.NewTailer(tailer.Config{Node: cfg.Self.Node, LogKeep: cfg.LogKeep, Seeds: cfg.Peers}),
 		watcher.NewWatcher(watcher.Observer{Node: cfg.Self.Node, DataCentre: cfg.Self.DataCentre}, cfg.Self.Incarnation),
 		heartbeater.NewHeartbeater(cfg.Self, cfg.Peers...),
+		leaser.NewLeaser(cfg.Self.Node, cfg.Self.Incarnation),
+		orderer.NewOrderer(cfg.Self.Node, cfg.Self.Incarnation, cfg.WeightRate),
 		recorder.NewRecorder(owner),
 		retrier.NewRetrier(),
 		isolator.NewIsolator(),
--- a/entry/internal/executor/members.go
+++ b/entry/internal/executor/members.go
@@ -12,6 +12,8 @@
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/entry/internal/committer"
 	"fuchsiabridge.example/entry/internal/heartbeater"
+	"fuchsiabridge.example/entry/internal/leaser"
+	"fuchsiabridge.example/entry/internal/orderer"
 	"fuchsiabridge.example/entry/internal/peercaller"
 	"fuchsiabridge.example/entry/internal/tracer"
 	"fuchsiabridge.example/entry/internal/watcher"
@@ -33,6 +35,8 @@
 		x.start(x.controlPool, func() { x.probeService(e) }, watcher.StatusFailed(e))
 	case heartbeater.SendHeartbeat:
 		x.start(x.controlPool, func() { x.sendHeartbeat(e) }, nil)
+	case orderer.SendOrder:
+		x.start(x.controlPool, func() { x.sendOrder(e) }, orderer.OrderFailed{Target: e.Target, Fence: e.Order.Fence, NotSent: true, Reason: "no worker"})
 	default:
 		return false
 	}
@@ -102,6 +106,30 @@
 	}
 }
 
+// sendOrder gives an engine an order, after a last look at the lease's end: on the
+// monotonic clock, and on the wall clock for a VM whose monotonic clock stood still.
+func (x *Executor) sendOrder(e orderer.SendOrder) {
+	failed := orderer.OrderFailed{Target: e.Target, Fence: e.Order.Fence}
+	ctx, cancel := context.WithTimeout(x.ctx, leaser.LongestOrder)
+	defer cancel()
+	_, end := tracer.Start("", "engine.order", "target", string(e.Target))
+	now := time.Now()
+	if !now.Before(e.Until) || !now.Round(0).Before(e.Until.Round(0)) {
+		failed.NotSent, failed.Reason = true, "the lease lapsed"
+		end(errors.New(failed.Reason))
+		x.Submit(failed)
+		return
+	}
+	_, err := x.engine.Order(ctx, e.Address, e.Order)
+	end(err)
+	if err != nil {
+		failed.Reason = err.Error()
+		x.Submit(failed)
+		return
+	}
+	x.Submit(orderer.OrderDone{Target: e.Target, Fence: e.Order.Fence})
+}
+
 // prime notes that the node has seen the state of every target once, so that it may be given work.
 func (x *Executor) prime(targets []watcher.Target) {
 	for _, t := range targets {
