Let accounts well below their share go first

Change: an account with less than half of its share of the node's places, among the accounts that have requests there, begins at once, in a reserve of a quarter of the limit, and its steps go before those of every class. What such accounts run is so little that it may; a flooding account is soon far beyond.

--- a/entry/internal/admitter/admitter.go
+++ b/entry/internal/admitter/admitter.go
@@ -24,6 +24,10 @@
 const (
 	// headroom is the number of drafts a node lets run for each place in its part of the engines' batches.
 	headroom = 2
+	// reserve divides the limit into the places beyond it that only accounts well below their share may take.
+	reserve = 4
+	// raisedPriority lifts the steps of such an account above those of every class.
+	raisedPriority = configurer.MostPriority + 1
 	// leastLimit is the least number of drafts that may run, however few engines are known.
 	leastLimit = 4
 	// queueFactor is the number of requests that may wait for each draft that may run.
@@ -59,8 +63,9 @@
 
 // running is one draft that was let in.
 type running struct {
-	began  time.Time
-	dropAt time.Time
+	account identifier.AccountID
+	began   time.Time
+	dropAt  time.Time
 	// priority is that of the request's class.
 	priority int
 }
@@ -166,6 +171,9 @@
 	if wait := a.overRate(now, ev.Account); wait > 0 {
 		return a.shed(ev, codeRateLimited, wait)
 	}
+	if a.isWellBelowShare(ev.Account) && len(a.open) < a.limit()+a.limit()/reserve {
+		return []messenger.Effect{a.begin(now, ev)}
+	}
 	expected := a.expectedWait(ev)
 	if overdue := now.Add(expected + a.estimator.service(ev)).Sub(ev.Deadline); overdue > 0 && expected > 0 {
 		return a.shed(ev, codeLate, overdue)
@@ -205,9 +213,8 @@
 // weight is the flow's share: the account's, times the square of one more than the class's
 // priority, so that waiting counter classes come well before bulk ones and starve none.
 func (a *Admitter) weight(ev drafter.Arrived) float64 {
-	weight := max(configurer.DefaultWeight, a.accounts[ev.Account].Weight)
 	priority := float64(1 + ev.Priority)
-	return float64(weight) * priority * priority
+	return float64(a.accountWeight(ev.Account)) * priority * priority
 }
 
 // expectedWait is the expected time until the request begins.
@@ -233,15 +240,51 @@
 		if !ok {
 			break
 		}
-		a.estimator.began(w.first().Priority)
-		a.open[w.first().Draft] = running{began: now, dropAt: w.first().Deadline.Add(openGrace), priority: w.first().Priority}
-		for _, call := range w.calls {
+		effects = append(effects, a.begin(now, w.first()))
+		for _, call := range w.calls[1:] {
 			effects = append(effects, Begin{Arrived: call})
 		}
 	}
 	return effects
 }
 
+// begin lets a request's draft run.
+func (a *Admitter) begin(now time.Time, ev drafter.Arrived) messenger.Effect {
+	isRaised := a.isWellBelowShare(ev.Account)
+	a.estimator.began(ev.Priority)
+	a.open[ev.Draft] = running{account: ev.Account, began: now, dropAt: ev.Deadline.Add(openGrace), priority: ev.Priority}
+	if isRaised {
+		ev.Priority += raisedPriority
+	}
+	return Begin{Arrived: ev}
+}
+
+// isWellBelowShare reports whether the account has less than half of its share of the places,
+// among the accounts that have requests here, by weight. What such accounts run is so little
+// that it may go first; an account that floods the node gets far beyond.
+func (a *Admitter) isWellBelowShare(id identifier.AccountID) bool {
+	active := map[identifier.AccountID]bool{id: true}
+	own := 0
+	for _, r := range a.open {
+		active[r.account] = true
+		if r.account == id {
+			own++
+		}
+	}
+	for _, w := range a.queue.waiting {
+		active[w.flow.account] = true
+	}
+	weights := 0
+	for other := range active {
+		weights += a.accountWeight(other)
+	}
+	return len(active) > 1 && 2*own*weights < a.limit()*a.accountWeight(id)
+}
+
+func (a *Admitter) accountWeight(id identifier.AccountID) int {
+	return max(configurer.DefaultWeight, a.accounts[id].Weight)
+}
+
 // trim sheds from the flow with the most waiting until the queue is within its bounds.
 func (a *Admitter) trim() []messenger.Effect {
 	var effects []messenger.Effect
--- a/fbload/internal/summarizer/summarizer.go
+++ b/fbload/internal/summarizer/summarizer.go
@@ -114,7 +114,7 @@
 		if r.Tries == 0 {
 			continue
 		}
-		tokens += goodTokens(cfg, r)
+		tokens += goodTokens(cfg, r, ran)
 		if !cfg.Window.holds(r.Intended) {
 			s.count(cfg, r, ran, &Ledger{})
 			continue
@@ -136,9 +136,9 @@
 	return s
 }
 
-// goodTokens counts the tokens within the window of a draft that was delivered in time.
-func goodTokens(cfg Config, r runner.Result) int {
-	if r.Arrival.Class.Kind != scheduler.Draft || r.Outcome != responder.Delivered || r.Finished.After(r.Deadline) {
+// goodTokens counts the tokens within the window of a draft that was delivered whole and in time.
+func goodTokens(cfg Config, r runner.Result, ran ledgerreader.Ran) int {
+	if r.Arrival.Class.Kind != scheduler.Draft || r.Outcome != responder.Delivered || r.Finished.After(r.Deadline) || !isRight(cfg, r, ran) {
 		return 0
 	}
 	n := 0
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -195,6 +195,8 @@
   load --experiment recovery --label "stage dies" --accounts "$mixed" --offered 0.6 --fault-file "$run/fault" --fault-target engine-1 --length 9s
   wait $!
   curl -fs -X DELETE "http://$platform/v1/vms?id=engine-1" || true
+  # The VM list lags.
+  sleep 1
   fault node-8 &
   load --experiment recovery --label "node dies" --accounts "$mixed" --offered 0.6 --fault-file "$run/fault" --length 9s
   wait $!
