Raise only accounts below a quarter of their share; keep the plain margin

With ten accounts half of a share was two drafts a node, so that most small accounts were raised most of the time; and three mean deviations on the time of a draft shed counter drafts that would have been in time.

Change: a quarter of the share; the time of a draft is its mean with the margin again.

Flood: small account's p95 274 ms alone, 259 ms flooded.

--- a/entry/internal/admitter/admitter.go
+++ b/entry/internal/admitter/admitter.go
@@ -259,7 +259,7 @@
 	return Begin{Arrived: ev}
 }
 
-// isWellBelowShare reports whether the account has less than half of its share of the places,
+// isWellBelowShare reports whether the account has less than a quarter of its share of the places,
 // among the accounts that have requests here, by weight. What such accounts run is so little
 // that it may go first; an account that floods the node gets far beyond.
 func (a *Admitter) isWellBelowShare(id identifier.AccountID) bool {
@@ -278,7 +278,7 @@
 	for other := range active {
 		weights += a.accountWeight(other)
 	}
-	return len(active) > 1 && 2*own*weights < a.limit()*a.accountWeight(id)
+	return len(active) > 1 && 4*own*weights < a.limit()*a.accountWeight(id)
 }
 
 func (a *Admitter) accountWeight(id identifier.AccountID) int {
--- a/entry/internal/admitter/estimator.go
+++ b/entry/internal/admitter/estimator.go
@@ -18,8 +18,6 @@
 	leastShare = 0.05
 	// margin lengthens the expected wait, as requests that come later may overtake.
 	margin = 1.5
-	// deviations is the number of mean deviations by which a draft may take longer than the mean.
-	deviations = 3
 )
 
 // estimator learns from drafts how long one takes and how many begin a second.
@@ -79,7 +77,7 @@
 
 // service is the time within which a draft is expected to end once it runs; zero as long as nothing was learnt.
 func (e *estimator) service(a drafter.Arrived) time.Duration {
-	return (e.perToken[a.Priority] + deviations*e.deviation[a.Priority]) * time.Duration(a.MaxTokens)
+	return time.Duration(margin * float64(e.perToken[a.Priority]*time.Duration(a.MaxTokens)))
 }
 
 // wait is the expected time until so many requests of a priority have begun, at most most.
