--- a/entry/internal/commander/commander.go
+++ b/entry/internal/commander/commander.go
@@ -91,6 +91,7 @@
 		Recovery:     drafter.Recovery(values.Text("recovery")),
 		LogBatch:     values.Number("log-batch"),
 		HistoryBytes: values.Number("history-megabytes") << 20,
+		WeightRate:   values.Number("weight-layers-per-second"),
 	})
 	go x.Run()
 	go x.Peers().Serve(ctx, peerListener)
