Serve callers and peers over TLS where set; refuse large bodies in the one error shape

Cause: a body above the limit got its refusal while it was still being sent, and the closed connection reset before its sender could read it: 'write tcp: connection reset by peer' in TestBadInputIsRefused. Ruled out: the error handler alone (the answer was right, but never read). Change: bodies are streamed, the rest of a large one is dropped up to 16 MiB before the refusal; certificates from files for callers and, with one authority, between nodes; the libraries' own messages become numbered events.

--- a/common/eventlogger/process.go
+++ b/common/eventlogger/process.go
@@ -7,6 +7,8 @@
 	NodeStopped    = Event{1003, "node stopped"}
 	SettingsWrong  = Event{1004, "settings wrong"}
 	CallFailed     = Event{1005, "call failed"}
+	PeerBroken     = Event{1006, "peer connection broken"}
+	CallerBroken   = Event{1007, "caller connection broken"}
 	StandInStarted = Event{9001, "stand-in started"}
 )
 
@@ -17,6 +19,8 @@
 		NodeStopped,
 		SettingsWrong,
 		CallFailed,
+		PeerBroken,
+		CallerBroken,
 		StandInStarted,
 	}
 }
--- a/entry/internal/commander/commander.go
+++ b/entry/internal/commander/commander.go
@@ -31,6 +31,11 @@
 	exitError = 1
 	exitUsage = 2
 
+	// readTimeout is how long a caller may take to send one request.
+	readTimeout = 30 * time.Second
+	// idleTimeout is how long a connection without a request is kept.
+	idleTimeout = 90 * time.Second
+
 	// traceGrace is how long the last spans may take to be sent.
 	traceGrace = 2 * time.Second
 )
@@ -62,12 +67,15 @@
 	defer stop()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	var listen net.ListenConfig
-	listener, err := listen.Listen(ctx, "tcp", values.Text("listen"))
+	listener, err := listenForCallers(ctx, values)
 	if err != nil {
-		return errors.Wrap(err, "listening for callers")
+		return err
+	}
+	peers, err := peerTLS(values)
+	if err != nil {
+		return err
 	}
-	peerListener, err := listen.Listen(ctx, "tcp", values.Text("peer-listen"))
+	peerListener, err := listen(ctx, values.Text("peer-listen"), peers)
 	if err != nil {
 		return errors.Wrap(err, "listening for peers")
 	}
@@ -84,6 +92,7 @@
 		},
 		Platform:   values.Text("platform"),
 		LogKeep:    values.Duration("log-keep"),
+		PeerTLS:    peers,
 		Peers:      splitList(values.Text("peers")),
 		Shards:     values.Number("shards"),
 		DraftLimit: values.Number("draft-limit"),
@@ -113,10 +122,13 @@
 	g := &gate{}
 	s := &fasthttp.Server{
 		Handler:               g.wrap(server.NewServer(x, keys).Handle),
-		MaxRequestBodySize:    server.MaxBodyBytes,
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
-		StreamRequestBody:     false,
+		Logger:                eventlogger.Printer{Event: eventlogger.CallerBroken},
+		StreamRequestBody:     true,
+		ErrorHandler:          server.HandleError,
+		ReadTimeout:           readTimeout,
+		IdleTimeout:           idleTimeout,
 	}
 	stopped, stopServing := context.WithCancel(context.Background())
 	defer stopServing()
--- a/entry/internal/commander/options.go
+++ b/entry/internal/commander/options.go
@@ -39,6 +39,11 @@
 		{Name: "weight-layers-per-second", Default: "100", Usage: "layers that the weight store gives out a second; loads are ordered no faster", Check: optionparser.IsNumber(1, maxLayerRate)},
 		{Name: "balancer-lag", Default: "2s", Usage: "time for which a stopping node still accepts requests, so that the balancer can see it is unready", Check: optionparser.IsDuration},
 		{Name: "stop-limit", Default: "60s", Usage: "longest time a stopping node waits for requests in progress", Check: optionparser.IsDuration},
+		{Name: "tls-cert", Usage: "file of the certificate for callers, PEM; plain HTTP when empty; read again when it changes"},
+		{Name: "tls-key", Usage: "file of the key of tls-cert, PEM"},
+		{Name: "peer-ca", Usage: "file of the authority that signs the nodes' certificates, PEM; plain TCP between nodes when empty"},
+		{Name: "peer-cert", Usage: "file of this node's certificate for the name fuchsiabridge-node, PEM; read again when it changes"},
+		{Name: "peer-key", Usage: "file of the key of peer-cert, PEM"},
 		{Name: "trace-endpoint", Usage: "OTLP over HTTP endpoint for spans, host:port; none when empty"},
 		{Name: "check", Default: "false", Usage: "check the settings and stop", Check: optionparser.IsBool},
 	}
--- /dev/null
+++ b/entry/internal/commander/tls.go
@@ -0,0 +1,47 @@
+package commander
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+
+	"github.com/cockroachdb/errors"
+
+	"fuchsiabridge.example/common/certloader"
+	"fuchsiabridge.example/common/optionparser"
+)
+
+// listenForCallers listens for callers, with TLS when a certificate is set.
+func listenForCallers(ctx context.Context, values optionparser.Values) (net.Listener, error) {
+	var cfg *tls.Config
+	if values.Text("tls-cert") != "" {
+		loader, err := certloader.NewLoader(values.Text("tls-cert"), values.Text("tls-key"))
+		if err != nil {
+			return nil, err
+		}
+		cfg = loader.Server()
+	}
+	l, err := listen(ctx, values.Text("listen"), cfg)
+	return l, errors.Wrap(err, "listening for callers")
+}
+
+// peerTLS returns the configuration for connections between nodes, or nil when no authority is set.
+func peerTLS(values optionparser.Values) (*tls.Config, error) {
+	if values.Text("peer-ca") == "" {
+		return nil, nil
+	}
+	loader, err := certloader.NewLoader(values.Text("peer-cert"), values.Text("peer-key"))
+	if err != nil {
+		return nil, err
+	}
+	return loader.Peer(values.Text("peer-ca"))
+}
+
+func listen(ctx context.Context, address string, cfg *tls.Config) (net.Listener, error) {
+	var listener net.ListenConfig
+	l, err := listener.Listen(ctx, "tcp", address)
+	if err != nil || cfg == nil {
+		return l, err
+	}
+	return tls.NewListener(l, cfg), nil
+}
--- a/entry/internal/executor/executor.go
+++ b/entry/internal/executor/executor.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -54,6 +55,8 @@
 	LogKeep time.Duration
 	// LogBatch bounds the records of one append.
 	LogBatch int
+	// PeerTLS is for connections between nodes; nil makes them plain TCP.
+	PeerTLS *tls.Config
 	// Peers are addresses of nodes to ask before the VM list can be read.
 	Peers      []string
 	Shards     int
@@ -113,7 +116,7 @@
 		self:         cfg.Self,
 		explainer:    newExplainer(),
 	}
-	x.peers = peercaller.NewCaller(x.peerHandlers())
+	x.peers = peercaller.NewCaller(x.peerHandlers(), cfg.PeerTLS)
 	x.steps = stepsender.NewSender(ctx, x.engine, x.stepPool, x.Submit)
 	owner := recorder.Owner{Node: cfg.Self.Node, Incarnation: cfg.Self.Incarnation}
 	x.control = newLoop(composer.NewControl(
--- a/entry/internal/peercaller/peercaller.go
+++ b/entry/internal/peercaller/peercaller.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"net"
 	"sync"
@@ -10,6 +11,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"fuchsiabridge.example/common/eventlogger"
 )
 
 const dialTimeout = time.Second
@@ -17,17 +20,27 @@
 // Handler answers one method; its result is encoded as JSON.
 type Handler func(ctx context.Context, params json.RawMessage) (any, error)
 
+type dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
 // Caller calls peers over one kept connection each, and serves their calls.
 type Caller struct {
 	handlers map[string]Handler
+	dialer   dialer
 
 	mu    sync.Mutex
 	conns map[string]*jsonrpc2.Conn
 }
 
 // NewCaller returns a caller that answers the given methods.
-func NewCaller(handlers map[string]Handler) *Caller {
-	return &Caller{handlers: handlers, conns: map[string]*jsonrpc2.Conn{}}
+// It dials with TLS when a configuration is given.
+func NewCaller(handlers map[string]Handler, tlsConfig *tls.Config) *Caller {
+	c := &Caller{handlers: handlers, conns: map[string]*jsonrpc2.Conn{}, dialer: &net.Dialer{Timeout: dialTimeout}}
+	if tlsConfig != nil {
+		c.dialer = &tls.Dialer{NetDialer: &net.Dialer{Timeout: dialTimeout}, Config: tlsConfig}
+	}
+	return c
 }
 
 // Serve accepts peers' connections until ctx ends.
@@ -64,8 +77,7 @@
 	if ok {
 		return conn, nil
 	}
-	dialer := net.Dialer{Timeout: dialTimeout}
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+	raw, err := c.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "dialling %s", address)
 	}
@@ -82,7 +94,8 @@
 
 func (c *Caller) open(ctx context.Context, raw net.Conn) *jsonrpc2.Conn {
 	stream := jsonrpc2.NewBufferedStream(raw, jsonrpc2.VSCodeObjectCodec{})
-	return jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(c.handle)))
+	return jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(c.handle)),
+		jsonrpc2.SetLogger(eventlogger.Printer{Event: eventlogger.PeerBroken}))
 }
 
 func (c *Caller) handle(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
--- /dev/null
+++ b/entry/internal/server/body.go
@@ -0,0 +1,35 @@
+package server
+
+import (
+	"io"
+
+	"github.com/valyala/fasthttp"
+
+	"fuchsiabridge.example/common/responder"
+)
+
+// drainBytes is how much of a body that is too large is read and dropped, so that its
+// sender gets to read the refusal; a connection with more is closed.
+const drainBytes = 16 << 20
+
+// readBody takes the body into memory, or refuses one that is too large and returns false.
+func readBody(c *fasthttp.RequestCtx) bool {
+	if !c.Request.IsBodyStream() {
+		return true
+	}
+	stream := c.RequestBodyStream()
+	body, err := io.ReadAll(io.LimitReader(stream, MaxBodyBytes+1))
+	if err != nil {
+		HandleError(c, err)
+		return false
+	}
+	if len(body) > MaxBodyBytes {
+		_, _ = io.CopyN(io.Discard, stream, drainBytes)
+		responder.Refuse(c, fasthttp.StatusRequestEntityTooLarge, responder.Refused, responder.Problem{
+			Code: "body_too_large", Message: "at most 1 MiB", Place: "body", RequestID: string(c.Request.Header.Peek(headerRequestID)),
+		}, 0)
+		return false
+	}
+	c.Request.SetBody(body)
+	return true
+}
--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/expvarhandler"
 
@@ -63,8 +64,24 @@
 	return &Server{node: node, operators: operators}
 }
 
+// HandleError answers a request that could not be read in the one error shape.
+func HandleError(c *fasthttp.RequestCtx, err error) {
+	status, code := fasthttp.StatusBadRequest, "bad_request"
+	var tooLarge *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		status, code = fasthttp.StatusRequestEntityTooLarge, "body_too_large"
+	case errors.As(err, &tooLarge):
+		status, code = fasthttp.StatusRequestHeaderFieldsTooLarge, "header_too_large"
+	}
+	responder.Refuse(c, status, responder.Refused, responder.Problem{Code: code, Message: err.Error(), Place: "request"}, 0)
+}
+
 // Handle serves one request.
 func (s *Server) Handle(c *fasthttp.RequestCtx) {
+	if !readBody(c) {
+		return
+	}
 	path := string(c.Path())
 	switch {
 	case path == "/v1/chat/completions":
--- a/integration/path_test.go
+++ b/integration/path_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -54,10 +55,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	good := requester.Draft{Node: f.Nodes[0].Address, Key: launcher.AccountKey, ID: "bad", Model: launcher.Model, Prompt: "p", MaxTokens: 4}
-	unknownModel, wrongKey, tooMany, past := good, good, good, good
+	unknownModel, wrongKey, tooMany, past, tooLarge := good, good, good, good, good
 	unknownModel.Model = "none"
 	wrongKey.Key = "none"
 	tooMany.MaxTokens = 1_000_000
+	tooLarge.Prompt = strings.Repeat("word ", 1<<19)
 	past.Deadline = time.Now().Add(-time.Second)
 	for _, tc := range []struct {
 		name   string
@@ -69,6 +71,7 @@
 		{"wrong key", wrongKey, 401, "unauthorized"},
 		{"too many tokens", tooMany, 400, "bad_request"},
 		{"deadline past", past, 400, "deadline_past"},
+		{"too large a body", tooLarge, 413, "body_too_large"},
 	} {
 		c.Run(tc.name, func(c *qt.C) {
 			result, err := r.Stream(ctx, tc.draft, nil)
