--- a/entry/internal/tailer/tailer_test.go
+++ b/entry/internal/tailer/tailer_test.go
@@ -430,3 +430,130 @@
 	c.Assert(v.Accepted, qt.IsFalse)
 	c.Assert(strings.Contains(v.Reason, "change a at offset 7 came first"), qt.IsTrue, qt.Commentf(v.Reason))
 }
+
+// world has two nodes before one log whose appends fail in every way.
+type world struct {
+	*rapid.T
+	log   *log
+	nodes []*reader
+	// late holds records of appends that were given up on and may still take effect.
+	late []platformcaller.Record
+	told []toldOutcome
+}
+
+type toldOutcome struct {
+	node   *reader
+	call   identifier.CallID
+	change configurer.Change
+	first  bool
+}
+
+func (w *world) ask(asked map[identifier.ChangeID]bool) {
+	n := rapid.SampledFrom(w.nodes).Draw(w.T, "asked node")
+	id := fmt.Sprintf("c-%d", rapid.IntRange(0, 15).Draw(w.T, "id"))
+	expected := identifier.Revision(rapid.IntRange(0, int(n.tree().Get("dakar").Revision)).Draw(w.T, "expected"))
+	c := change("dakar", id, expected, rapid.IntRange(1, 3).Draw(w.T, "weight"))
+	w.told = append(w.told, toldOutcome{n, n.propose(c), c, !asked[c.ID]})
+	asked[c.ID] = true
+}
+
+// end ends one append of a node: done, answer lost after or before it took effect, or not sent.
+func (w *world) end() {
+	n := rapid.SampledFrom(w.nodes).Draw(w.T, "appending node")
+	if len(n.appends) == 0 {
+		return
+	}
+	r := n.appends[0].Record
+	n.appends = n.appends[1:]
+	switch rapid.IntRange(0, 4).Draw(w.T, "end") {
+	case 0, 1:
+		w.log.append(r)
+	case 2:
+		w.log.append(r)
+		n.do(committer.Lost{ID: r.ID})
+	case 3:
+		w.late = append(w.late, r)
+		n.do(committer.Lost{ID: r.ID})
+	default:
+		n.do(committer.Lost{ID: r.ID, NotSent: true})
+	}
+}
+
+func (w *world) pass() {
+	n := rapid.SampledFrom(w.nodes).Draw(w.T, "node")
+	if rapid.Bool().Draw(w.T, "outage") {
+		n.do(tailer.ReadFailed{Err: "outage"})
+	}
+	n.now = n.now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(w.T, "ms")) * time.Millisecond)
+	n.do(messenger.Tick{})
+}
+
+func (w *world) read(n *reader) { n.do(tailer.LogRead{Page: w.log.page(n.from, 100)}) }
+
+func (w *world) check(tree *configurer.Tree) {
+	for _, told := range w.told {
+		a, answered := told.node.answers[told.call].(tailer.ChangeAnswer)
+		if !answered {
+			w.Fatalf("change %s was not answered", told.change.ID)
+		}
+		v, known := tree.Verdict("dakar", told.change.ID)
+		isSame := known && v.Fingerprint == told.change.Fingerprint()
+		switch {
+		case a.Outcome == responder.Delivered && (!isSame || v != a.Verdict):
+			w.Fatalf("change %s: told %+v, decided %+v", told.change.ID, a.Verdict, v)
+		case a.Outcome == responder.NotRun && told.first && isSame && !w.askedAgain(told):
+			w.Fatalf("change %s: told not run, decided %+v", told.change.ID, v)
+		}
+	}
+}
+
+func (w *world) askedAgain(of toldOutcome) bool {
+	for _, told := range w.told {
+		if told.change.ID == of.change.ID && (told.node != of.node || told.call != of.call) {
+			return true
+		}
+	}
+	return false
+}
+
+// TestOperatorsAreToldTheTruth has operators ask, and ask again, through two nodes while
+// appends get lost before and after they take effect, take effect late and are not sent:
+// a verdict told is the verdict decided, and a change told not run does not take effect.
+func TestOperatorsAreToldTheTruth(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{T: t, log: &log{}, nodes: []*reader{newReader("n-1"), newReader("n-2")}}
+		for _, n := range w.nodes {
+			w.read(n)
+		}
+		asked := map[identifier.ChangeID]bool{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0, 1:
+				w.ask(asked)
+			case 2:
+				w.end()
+			case 3:
+				w.pass()
+			case 4:
+				w.read(rapid.SampledFrom(w.nodes).Draw(t, "reading node"))
+			default:
+				if len(w.late) > 0 {
+					w.log.append(w.late[0])
+					w.late = w.late[1:]
+				}
+			}
+		}
+		for _, r := range w.late {
+			w.log.append(r)
+		}
+		for _, n := range w.nodes {
+			w.read(n)
+			n.now = n.now.Add(time.Minute)
+			n.do(messenger.Tick{})
+		}
+		if a, b := encoded(w.nodes[0].tree()), encoded(w.nodes[1].tree()); a != b {
+			t.Fatalf("nodes differ:\n%s\n%s", a, b)
+		}
+		w.check(w.nodes[0].tree())
+	})
+}
--- a/integration/config_test.go
+++ b/integration/config_test.go
@@ -137,6 +137,13 @@
 	h.backAt[node.Address] = time.Now()
 }
 
+// showsOnAll reports whether every node was seen at the revision.
+func (h *history) showsOnAll(nodes []*launcher.Process, revision identifier.Revision) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !slices.ContainsFunc(nodes, func(n *launcher.Process) bool { return h.revisions[n.Address] != revision })
+}
+
 // took returns the time from a change's acceptance, or from when the node ran again, to the
 // change being in force on the node.
 func (h *history) took(c *qt.C, r told, node *launcher.Process) time.Duration {
@@ -243,12 +250,7 @@
 		c.Assert(accepted[revision].verdict.Accepted, qt.IsTrue, qt.Commentf("race %d has no winner", race))
 	}
 	f.SetFault(f.Platform, map[string]any{})
-	launcher.Await(t, inForceWithin, "the last change is in force on every node", func() bool {
-		return !slices.ContainsFunc(f.Nodes, func(n *launcher.Process) bool {
-			tree, ok := treeOf(n)
-			return !ok || tree.Get(launcher.Team).Revision != revision
-		})
-	})
+	launcher.Await(t, inForceWithin, "the last change is in force on every node", func() bool { return h.showsOnAll(f.Nodes, revision) })
 	close(stop)
 	followers.Wait()
 	c.Assert(logEventsOf(f.Nodes[7]), qt.Contains, eventlogger.StateInstalled.Number)
