--- a/integration/drafts_faults_test.go
+++ b/integration/drafts_faults_test.go
@@ -31,6 +31,7 @@
 const faultAt = 20
 
 type proxyFault struct {
+	DelayMillis int  `json:"delay_ms"`
 	SilenceOpen bool `json:"silence_open"`
 	SilenceAll  bool `json:"silence_all"`
 }
@@ -119,10 +120,10 @@
 func proxiedFleet(t *testing.T) (f *launcher.Fleet, proxy *launcher.Process) {
 	t.Helper()
 	f = launcher.NewFleet(t)
-	f.AddEngine("engine-0-a", 0, 8, "--layer-micros", "500")
-	f.AddEngine("engine-2-a", 16, 24, "--layer-micros", "500")
+	f.AddEngine("engine-0-a", 0, 8, "--layer-micros", layerMicros)
+	f.AddEngine("engine-2-a", 16, 24, "--layer-micros", layerMicros)
 	address := launcher.FreeAddress(t)
-	f.StartEngine("engine-1-a", address, 8, 16, "--layer-micros", "500")
+	f.StartEngine("engine-1-a", address, 8, 16, "--layer-micros", layerMicros)
 	proxy = f.AddProxy("proxy-1", address)
 	f.ListVM(platformcaller.VM{ID: "engine-1-a", Role: platformcaller.RoleEngine, Address: proxy.Address, DataCentre: "plateau"})
 	f.AddEngine("engine-1-b", 8, 16, "--layer-micros", "700")
@@ -157,6 +158,20 @@
 	checkLineage(c, runsOf(f, d.ID), draftTokens, identifier.LayerRange{From: 8, To: 16})
 }
 
+// TestLinkGetsSlow delays the link to the middle stage beyond its steps' first deadline: they
+// are resumed and their answers come late, and the stage stays, as its target is alive.
+func TestLinkGetsSlow(t *testing.T) {
+	c := qt.New(t)
+	f, proxy := proxiedFleet(t)
+	d := draftOf(f, "draft-1", "a quote")
+	d.MaxTokens = faultAt + 10
+	took := streamThrough(c, d, func() { f.SetFault(proxy, proxyFault{DelayMillis: 100}) })
+	t.Logf("longest gap %v", took)
+	c.Assert(took < recoveryBound, qt.IsTrue, qt.Commentf("longest gap %v", took))
+	checkLineage(c, runsOf(f, d.ID), d.MaxTokens, nothing)
+	checkNoneDown(c, f, "")
+}
+
 // cutAt streams a draft until the token after which its node fails, and returns the tokens
 // that came and the instant of the failure.
 func cutAt(c *qt.C, d requester.Draft, fail func()) ([]string, time.Time) {
@@ -368,4 +383,49 @@
 	for _, d := range drafts {
 		checkLineage(c, runs[d.ID], draftTokens, identifier.LayerRange{From: 8, To: 16})
 	}
+	checkNoneDown(c, f, "engine-1-a")
+}
+
+// checkNoneDown checks that no node ever called an engine down but the one that died.
+func checkNoneDown(c *qt.C, f *launcher.Fleet, dead string) {
+	c.Helper()
+	for name := range f.Engines {
+		for _, n := range f.Nodes {
+			out, _ := f.CtlAt(n, "explain", "target/"+name)
+			c.Assert(strings.Contains(out, "state=down") && name != dead, qt.IsFalse, qt.Commentf("%s of %s", out, n.Name))
+		}
+	}
+}
+
+const (
+	longPrompts  = 12
+	longWords    = 800
+	shortPrompts = 40
+)
+
+// TestLongPromptsAreNoDeaths runs short drafts at one node while another's long prompts hold
+// up the engines' batches: none of them is called dead.
+func TestLongPromptsAreNoDeaths(t *testing.T) {
+	c := qt.New(t)
+	f := draftFleet(t, 2)
+	ctx, cancel := context.WithTimeout(context.Background(), 25*time.Second)
+	defer cancel()
+	r := requester.NewRequester()
+	var wg sync.WaitGroup
+	for n := range longPrompts + shortPrompts {
+		d := draftOf(f, fmt.Sprintf("draft-%d", n), fmt.Sprintf("quote number %d", n))
+		if n < longPrompts {
+			d.Node, d.Prompt, d.MaxTokens = f.Nodes[1].Address, strings.Repeat(fmt.Sprintf("word-%d ", n), longWords), 4
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			result, err := r.Stream(ctx, d, nil)
+			c.Check(err, qt.IsNil)
+			c.Check(result.Problem, qt.Equals, responder.Problem{})
+			c.Check(result.Tokens, qt.DeepEquals, answerTo(d))
+		}()
+	}
+	wg.Wait()
+	checkNoneDown(c, f, "")
 }
