--- a/entry/internal/commander/commander.go
+++ b/entry/internal/commander/commander.go
@@ -89,7 +89,9 @@
 		DraftLimit: values.Number("draft-limit"),
 
 		Recovery:     drafter.Recovery(values.Text("recovery")),
+		LogBatch:     values.Number("log-batch"),
 		HistoryBytes: values.Number("history-megabytes") << 20,
+		WeightRate:   values.Number("weight-layers-per-second"),
 	})
 	go x.Run()
 	go x.Peers().Serve(ctx, peerListener)
--- a/entry/internal/executor/executor.go
+++ b/entry/internal/executor/executor.go
@@ -27,6 +27,8 @@
 	"fuchsiabridge.example/entry/internal/gatekeeper"
 	"fuchsiabridge.example/entry/internal/heartbeater"
 	"fuchsiabridge.example/entry/internal/isolator"
+	"fuchsiabridge.example/entry/internal/leaser"
+	"fuchsiabridge.example/entry/internal/orderer"
 	"fuchsiabridge.example/entry/internal/peercaller"
 	"fuchsiabridge.example/entry/internal/recorder"
 	"fuchsiabridge.example/entry/internal/retrier"
@@ -50,6 +52,8 @@
 	Platform string
 	// LogKeep is how long the platform's log keeps a record.
 	LogKeep time.Duration
+	// LogBatch bounds the records of one append.
+	LogBatch int
 	// Peers are addresses of nodes to ask before the VM list can be read.
 	Peers      []string
 	Shards     int
@@ -57,6 +61,8 @@
 	Recovery   drafter.Recovery
 	// HistoryBytes bounds what the node keeps of drafts for recovery.
 	HistoryBytes int
+	// WeightRate is the number of layers a second that the weight store gives out.
+	WeightRate int
 }
 
 // Executor runs one node's reducers and their effects.
@@ -111,11 +117,13 @@
 	x.steps = stepsender.NewSender(ctx, x.engine, x.stepPool, x.Submit)
 	owner := recorder.Owner{Node: cfg.Self.Node, Incarnation: cfg.Self.Incarnation}
 	x.control = newLoop(composer.NewControl(
-		committer.NewCommitter(),
+		committer.NewCommitter(committer.Config{BatchLimit: cfg.LogBatch}),
 		tailer.NewTailer(tailer.Config{Node: cfg.Self.Node, LogKeep: cfg.LogKeep, Seeds: cfg.Peers}),
 		watcher.NewWatcher(watcher.Observer{Node: cfg.Self.Node, DataCentre: cfg.Self.DataCentre}, cfg.Self.Incarnation),
 		heartbeater.NewHeartbeater(cfg.Self, cfg.Peers...),
-		recorder.NewRecorder(owner),
+		leaser.NewLeaser(cfg.Self.Node, cfg.Self.Incarnation),
+		orderer.NewOrderer(cfg.Self.Node, cfg.Self.Incarnation, cfg.WeightRate),
+		recorder.NewRecorder(owner, recorder.ConfigFor(cfg.LogKeep)),
 		retrier.NewRetrier(),
 		isolator.NewIsolator(),
 		gatekeeper.NewGatekeeper(),
