--- a/entry/internal/composer/slopes_test.go
+++ b/entry/internal/composer/slopes_test.go
@@ -29,6 +29,9 @@
 	for _, n := range []int{1500, 3000, 6000, 12000} {
 		slope("targets known", n, watchTargets, "one engine's report with a new load")
 	}
+	for _, n := range []int{1500, 3000, 6000, 12000} {
+		slope("targets published", n, publishTargets, "changed loads taken in by a shard")
+	}
 	for _, n := range []int{1500, 3000, 6000, 12000} {
 		slope("pipeline choice among targets", n, chooseAmong, "one choice over 3 ranges")
 	}
@@ -89,6 +92,7 @@
 const (
 	modelLayers = 24
 	rangeCount  = 3
+	engineCount = 40
 	// observedTargets is how many of its targets a node polls itself: three observers for each of 12,000, by 470 nodes.
 	observedTargets = 77
 )
@@ -123,12 +127,28 @@
 	}}
 }
 
-func chooseAmong(n int) subject {
+func enginesUp(n int) []watcher.Target {
 	var targets []watcher.Target
 	for i := range n {
 		s := statusOf(i)
-		targets = append(targets, watcher.Target{ID: s.Target, Role: platformcaller.RoleEngine, State: watcher.StateUp, Address: "10.0.0.1:9000", Status: s})
+		targets = append(targets, watcher.Target{ID: s.Target, Role: platformcaller.RoleEngine, State: watcher.StateUp, Address: addressOf(i), Status: s})
 	}
+	return targets
+}
+
+func publishTargets(n int) subject {
+	d := newDrafter()
+	targets := enginesUp(n)
+	apply(d, watcher.TargetsChanged{Targets: targets})
+	return subject{state: d, event: func(int) { apply(d, watcher.TargetsChanged{Targets: targets}) }}
+}
+
+func newDrafter() *drafter.Drafter {
+	return drafter.NewDrafter(drafter.Config{Recovery: drafter.Replay, Shards: 1, HistoryBytes: 64 << 20})
+}
+
+func chooseAmong(n int) subject {
+	targets := enginesUp(n)
 	r := planner.Request{Model: "atlas", Layers: identifier.LayerRange{To: modelLayers}}
 	index := planner.NewIndex(targets)
 	return subject{state: index, event: func(i int) {
@@ -186,13 +206,8 @@
 }
 
 func holdDrafts(n int) subject {
-	d := drafter.NewDrafter(drafter.Config{Recovery: drafter.Replay, Shards: 1, HistoryBytes: 64 << 20})
-	var targets []watcher.Target
-	for i := range 40 {
-		s := statusOf(i)
-		targets = append(targets, watcher.Target{ID: s.Target, Role: platformcaller.RoleEngine, State: watcher.StateUp, Address: "10.0.0.1:9000", Status: s})
-	}
-	apply(d, watcher.TargetsChanged{Targets: targets})
+	d := newDrafter()
+	apply(d, watcher.TargetsChanged{Targets: enginesUp(engineCount)})
 	var sent []drafter.SendStep
 	for i := range n {
 		for _, effect := range apply(d, drafter.Arrived{
--- a/entry/internal/heartbeater/hearsay.go
+++ b/entry/internal/heartbeater/gossip.go
@@ -8,8 +8,8 @@
 	"fuchsiabridge.example/entry/internal/watcher"
 )
 
-// hearsay takes what a peer tells of others.
-func (h *Heartbeater) hearsay(now time.Time, beat Heartbeat) []messenger.Effect {
+// gossip takes what a peer tells of others.
+func (h *Heartbeater) gossip(now time.Time, beat Heartbeat) []messenger.Effect {
 	var effects []messenger.Effect
 	for _, told := range beat.Members {
 		effects = append(effects, h.hear(now, told)...)
@@ -111,7 +111,7 @@
 	return members
 }
 
-// copies is in how many rounds a node tells a change, so that word of mouth reaches all.
+// copies is in how many rounds a node tells a change, so that gossip reaches all.
 func (h *Heartbeater) copies() int {
 	if h.isMesh() {
 		return 1
--- a/entry/internal/heartbeater/heartbeater.go
+++ b/entry/internal/heartbeater/heartbeater.go
@@ -1,5 +1,5 @@
 // Package heartbeater keeps the membership of the entry nodes by heartbeats: a full
-// mesh while they are few, a few peers a round and hearsay when they are many.
+// mesh while they are few, a few peers a round and gossip when they are many.
 package heartbeater
 
 import (
@@ -160,7 +160,7 @@
 	if beat.Incarnation < m.peer.Incarnation && m.peer.State != StateDead {
 		return nil
 	}
-	effects := h.hearsay(now, beat)
+	effects := h.gossip(now, beat)
 	if beat.Incarnation == m.peer.Incarnation {
 		beat.Leaving = beat.Leaving || m.peer.Leaving
 		beat.Offset = max(beat.Offset, m.peer.Offset)
@@ -216,7 +216,7 @@
 	if h.isMesh() {
 		return h.judgeMesh(now)
 	}
-	return h.judgeHearsay(now)
+	return h.judgeGossip(now)
 }
 
 // judgeMesh judges peers by how long they have been silent.
@@ -233,8 +233,8 @@
 	return effects
 }
 
-// judgeHearsay takes suspects for dead that have not denied it in time.
-func (h *Heartbeater) judgeHearsay(now time.Time) []messenger.Effect {
+// judgeGossip takes suspects for dead that have not denied it in time.
+func (h *Heartbeater) judgeGossip(now time.Time) []messenger.Effect {
 	var effects []messenger.Effect
 	for _, m := range h.ordered() {
 		if m.peer.State == StateSuspect && now.Sub(m.changed) >= deniableFor {
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # The experiments: a fleet on loopback of 8 nodes, 40 engines of 5 speeds and the plain
 # services of both deployments, under the arrivals of fbload. usage: measure.sh [short|full|ONE]
-# short takes about 5 minutes, full just under 10; ONE is cost, policies, overload, flood or recovery.
+# short takes about 9 minutes, full longer; ONE is cost, policies, overload, flood or recovery.
 # The table goes to standard output and with its plots to reports/.
 set -euo pipefail
 cd "$(dirname "$0")/.."
