Count a stream's tokens without its end

Cause: fb_tokens also counted the event that marks the end (84 for 4 drafts of 20). Change: only numbered events count. Measured: the process tests of a draft's path pass.

--- a/entry/internal/server/drafts.go
+++ b/entry/internal/server/drafts.go
@@ -272,8 +272,8 @@
 	if err != nil {
 		return
 	}
-	counter.Tokens.Add(1)
 	if id != "" {
+		counter.Tokens.Add(1)
 		_, _ = out.WriteString("id: " + id + "\n")
 	}
 	_, _ = out.WriteString("data: ")
