Join what stood twice: the later instant, and the scripts' functions

Cause: three sub-reducers each had the same function for the later of two instants, and the two scripts that start fleets had the same four functions. Change: messenger.Later serves the reducers; scripts/processes.sh serves the scripts. The tries for an answer stay 200 and 400. Behaviour, bounds and tests are as they were. Ruled out for now: the two loops of the heartbeater's outbox, alike but over other types.

--- a/common/messenger/messenger.go
+++ b/common/messenger/messenger.go
@@ -43,3 +43,11 @@
 	// Values holds keys and values in turn.
 	Values []any
 }
+
+// Later returns the later of two instants.
+func Later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/entry/internal/committer/committer.go
+++ b/entry/internal/committer/committer.go
@@ -162,7 +162,7 @@
 	batch := AppendLog{Deadline: now, Fresh: c.fresh}
 	for _, a := range c.queue[:n] {
 		batch.Records = append(batch.Records, a.Record)
-		batch.Deadline = maxTime(batch.Deadline, a.Deadline)
+		batch.Deadline = messenger.Later(batch.Deadline, a.Deadline)
 		c.inFlight[a.Record.ID] = a
 	}
 	if limit := now.Add(appendTimeout); batch.Deadline.After(limit) {
@@ -187,10 +187,3 @@
 	c.queue = kept
 	return effects
 }
-
-func maxTime(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/entry/internal/isolator/isolator.go
+++ b/entry/internal/isolator/isolator.go
@@ -204,7 +204,7 @@
 		// They go one after the other now, however slow their nodes hear each other.
 		for f := range t.others {
 			if f < t.lost.Fingerprint {
-				i.notBefore[t.lost.Draft] = later(i.notBefore[t.lost.Draft], now).Add(voidPause)
+				i.notBefore[t.lost.Draft] = messenger.Later(i.notBefore[t.lost.Draft], now).Add(voidPause)
 			}
 		}
 		i.waiting = append(i.waiting, t.lost)
@@ -313,13 +313,6 @@
 	return messenger.Broadcast{Event: Suspected{Fingerprints: keys(all)}}
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // keys returns a map's keys in order.
 func keys[K ~string, V any](m map[K]V) []K {
 	found := make([]K, 0, len(m))
--- a/entry/internal/recorder/deadlines.go
+++ b/entry/internal/recorder/deadlines.go
@@ -49,7 +49,7 @@
 	if _, ok := r.flights[w.request.Key]; ok {
 		return false
 	}
-	if !r.downSince.IsZero() && now.Sub(later(r.downSince, w.since)) >= outageGrace {
+	if !r.downSince.IsZero() && now.Sub(messenger.Later(r.downSince, w.since)) >= outageGrace {
 		return true
 	}
 	h := r.holds[w.request.Key]
@@ -133,13 +133,6 @@
 	}
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // waiting returns the works for which the condition holds, in the order of their keys.
 func (r *Recorder) waiting(holds func(*work) bool) []*work {
 	var found []*work
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -3,6 +3,7 @@
 # services and three nodes. usage: fleet.sh up|down|demo|run
 set -euo pipefail
 cd "$(dirname "$0")/.."
+. scripts/processes.sh
 
 bin=.bin
 run=${FLEET_DIR:-.run}
@@ -10,30 +11,9 @@
 key=demo-key
 operator=demo-operator
 platform=127.0.0.1:$base
+tries=200
 nodes=127.0.0.1:$((base + 1)),127.0.0.1:$((base + 2)),127.0.0.1:$((base + 3))
 
-sha() { printf %s "$1" | sha256sum | cut -d' ' -f1; }
-
-# start NAME COMMAND… starts a process and remembers its id.
-start() {
-  local name=$1
-  shift
-  "$@" >"$run/$name.out" 2>"$run/$name.log" &
-  echo $! >"$run/$name.pid"
-}
-
-# wait_for URL waits until the URL answers 2xx.
-wait_for() {
-  for _ in $(seq 200); do
-    if curl -fs -o /dev/null "$1"; then return 0; fi
-    sleep 0.05
-  done
-  echo "fleet: $1 did not answer" >&2
-  return 1
-}
-
-list_vm() { curl -fs -X PUT "http://$platform/v1/vms" -d "$1"; }
-
 # configure publishes the first settings; a node that has just started says to come back (5).
 configure() {
   local code=0
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -5,6 +5,7 @@
 # The table goes to standard output and with its plots to reports/.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+. scripts/processes.sh
 
 size=${1:-short}
 case "$size" in
@@ -17,6 +18,7 @@
 base=${MEASURE_PORT:-13000}
 operator=measure-operator
 platform=127.0.0.1:$base
+tries=400
 reports=${MEASURE_REPORTS:-reports}
 runs=$reports/runs.jsonl
 node_count=8
@@ -30,17 +32,6 @@
 mixed=large-1=30,large-2=30
 for a in $small; do mixed=$mixed,$a=5; done
 
-sha() { printf %s "$1" | sha256sum | cut -d' ' -f1; }
-
-# start NAME COMMAND… starts a process and remembers its id.
-start() {
-  local name=$1
-  shift
-  "$@" >"$run/$name.out" 2>"$run/$name.log" &
-  echo $! >"$run/$name.pid"
-  disown $!
-}
-
 # end NAME SIGNAL ends one process that this script started.
 end() {
   kill "-$2" "$(cat "$run/$1.pid")" 2>/dev/null || true
@@ -62,17 +53,6 @@
 }
 trap down EXIT
 
-wait_for() {
-  for _ in $(seq 400); do
-    if curl -fs -o /dev/null "$1"; then return 0; fi
-    sleep 0.05
-  done
-  echo "measure: $1 did not answer" >&2
-  return 1
-}
-
-list_vm() { curl -fs -X PUT "http://$platform/v1/vms" -d "$1"; }
-
 # engine NUMBER FROM TO starts one engine of the next kind.
 engine() {
   local id=engine-$1 address=127.0.0.1:$((base + 100 + $1)) speed=${speeds[$(($1 % 5))]}
