--- a/common/eventlogger/catalogue.go
+++ b/common/eventlogger/catalogue.go
@@ -4,10 +4,10 @@
 
 // Catalogue lists every event: 1xxx process, 2xxx drafts, 3xxx records, 4xxx configuration and
 // the log, 5xxx membership, targets and orders, 6xxx isolation of crashing requests,
-// 7xxx admission, 9xxx stand-ins.
+// 7xxx admission, 8xxx relaying, 9xxx stand-ins.
 func Catalogue() []Event {
 	return slices.Concat(
 		processEvents(), draftsEvents(), recordsEvents(), configurationEvents(),
-		membersEvents(), isolationEvents(), admissionEvents(),
+		membersEvents(), isolationEvents(), admissionEvents(), relayEvents(),
 	)
 }
--- a/common/identifier/identifier.go
+++ b/common/identifier/identifier.go
@@ -28,6 +28,10 @@
 	ChangeID string
 	// Class names one class of requests, such as "counter" or "bulk".
 	Class string
+	// RouteID names one route of the configuration.
+	RouteID string
+	// AcceleratorKind names one kind of accelerator.
+	AcceleratorKind string
 	// CallID names one open call of a caller at this node.
 	CallID uint64
 )
--- a/common/optionparser/optionparser.go
+++ b/common/optionparser/optionparser.go
@@ -108,6 +108,21 @@
 	}
 }
 
+// Share returns the value of an option checked by IsShare.
+func (v Values) Share(name string) float64 {
+	f, _ := strconv.ParseFloat(v.texts[name], 64)
+	return f
+}
+
+// IsShare refuses what is no number from 0 to 1.
+func IsShare(value string) error {
+	f, err := strconv.ParseFloat(value, 64)
+	if err != nil || f < 0 || f > 1 {
+		return errors.New("must be a number from 0 to 1")
+	}
+	return nil
+}
+
 // IsDuration refuses what is no positive duration.
 func IsDuration(value string) error {
 	d, err := time.ParseDuration(value)
--- /dev/null
+++ b/entry/internal/chainer/chainer.go
@@ -0,0 +1,228 @@
+// Package chainer finds chains of targets that together hold all layers of a model.
+package chainer
+
+import (
+	"math"
+	"slices"
+
+	"fuchsiabridge.example/common/describer"
+	"fuchsiabridge.example/common/identifier"
+)
+
+const (
+	// hopCost and crossingCost are what one more target, and one more change of the data
+	// centre, cost a chain, in milliseconds of a token step.
+	hopCost      = 0.5
+	crossingCost = 8.0
+	// useFactor is by how much each chain that already uses a target makes it dearer for the next.
+	useFactor = 1.0
+	// roomCost is divided by the streams that a part has room for, in milliseconds.
+	roomCost = 30.0
+	// maxParts is the longest chain that targets accept.
+	maxParts = 32
+
+	bytesPerMegabyte = 1e6
+)
+
+// Holder is a target with one range of layers that it holds.
+type Holder struct {
+	Target     identifier.TargetID
+	Address    string
+	DataCentre identifier.DataCentre
+	Layers     identifier.LayerRange
+	// LayerCost is the time of a token step through one layer, in milliseconds.
+	LayerCost float64
+	// FreeMegabytes is the memory that the weights leave for requests.
+	FreeMegabytes float64
+}
+
+// Chain is a way through all layers.
+type Chain struct {
+	Parts []describer.Part
+	// DataCentre is where the chain begins.
+	DataCentre identifier.DataCentre
+	// Crossings counts the changes of the data centre on the way.
+	Crossings int
+	// StepCost is the time of one token through the chain, in milliseconds.
+	StepCost float64
+	// Room is how many usual requests have room at the tightest part.
+	Room float64
+}
+
+// Planner plans the chains of one model.
+type Planner struct {
+	engine  *describer.Engine
+	holders []Holder
+	uses    []int
+	// bounds are the layers at which a part may begin or end.
+	bounds []identifier.Layer
+}
+
+// NewPlanner returns a planner over the holders, which must not change meanwhile.
+func NewPlanner(engine *describer.Engine, holders []Holder) *Planner {
+	p := &Planner{engine: engine, holders: holders, uses: make([]int, len(holders))}
+	p.bounds = []identifier.Layer{0, engine.Layers}
+	for _, h := range holders {
+		p.bounds = append(p.bounds, h.Layers.From, h.Layers.To)
+	}
+	slices.Sort(p.bounds)
+	p.bounds = slices.Compact(p.bounds)
+	return p
+}
+
+// Plan returns up to perCentre chains inside each data centre, and mixed ones in place of
+// those that a data centre lacks.
+func (p *Planner) Plan(perCentre int) []Chain {
+	var chains []Chain
+	for _, dc := range p.centres() {
+		for n := range perCentre {
+			chain, ok := p.find(func(h Holder) bool { return h.DataCentre == dc })
+			if !ok && n == 0 {
+				chain, ok = p.find(func(Holder) bool { return true })
+			}
+			if !ok || isKnown(chains, chain) {
+				break
+			}
+			chains = append(chains, chain)
+			p.note(chain)
+		}
+	}
+	return chains
+}
+
+func (p *Planner) centres() []identifier.DataCentre {
+	var out []identifier.DataCentre
+	for _, h := range p.holders {
+		out = append(out, h.DataCentre)
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+func isKnown(chains []Chain, c Chain) bool {
+	return slices.ContainsFunc(chains, func(o Chain) bool { return slices.Equal(o.Parts, c.Parts) })
+}
+
+func (p *Planner) note(c Chain) {
+	for _, part := range c.Parts {
+		for i, h := range p.holders {
+			if h.Target == part.Target {
+				p.uses[i]++
+			}
+		}
+	}
+}
+
+// step is the cheapest way to have run all layers before a bound with a holder as the last.
+type step struct {
+	cost     float64
+	from     int
+	previous int
+}
+
+// find returns the cheapest chain over the holders that may be used.
+func (p *Planner) find(may func(Holder) bool) (Chain, bool) {
+	usable := make([]int, 0, len(p.holders))
+	for i, h := range p.holders {
+		if may(h) {
+			usable = append(usable, i)
+		}
+	}
+	last := len(p.bounds) - 1
+	best := make([]map[int]step, last+1)
+	for i := range best {
+		best[i] = map[int]step{}
+	}
+	for from := range last {
+		if from > 0 && len(best[from]) == 0 {
+			continue
+		}
+		for _, i := range usable {
+			p.extend(best, from, i)
+		}
+	}
+	end, cost := -1, math.Inf(1)
+	for i, s := range best[last] {
+		if s.cost < cost || (s.cost == cost && i < end) {
+			end, cost = i, s.cost
+		}
+	}
+	if end < 0 {
+		return Chain{}, false
+	}
+	return p.trace(best, last, end)
+}
+
+// extend tries holder i from a bound on, up to each bound that it reaches.
+func (p *Planner) extend(best []map[int]step, from, i int) {
+	h := p.holders[i]
+	if p.bounds[from] < h.Layers.From || p.bounds[from] >= h.Layers.To {
+		return
+	}
+	before, previous := p.cheapest(best[from], h.DataCentre, from)
+	if math.IsInf(before, 1) {
+		return
+	}
+	for to := from + 1; to < len(p.bounds) && p.bounds[to] <= h.Layers.To; to++ {
+		cost := before + p.cost(i, int(p.bounds[to]-p.bounds[from]))
+		if old, ok := best[to][i]; !ok || cost < old.cost {
+			best[to][i] = step{cost: cost, from: from, previous: previous}
+		}
+	}
+}
+
+// cheapest returns the best way to a bound for a part in a data centre.
+func (p *Planner) cheapest(ways map[int]step, dc identifier.DataCentre, from int) (float64, int) {
+	if from == 0 {
+		return 0, -1
+	}
+	cost, previous := math.Inf(1), -1
+	for i, s := range ways {
+		c := s.cost
+		if p.holders[i].DataCentre != dc {
+			c += crossingCost
+		}
+		if c < cost || (c == cost && i < previous) {
+			cost, previous = c, i
+		}
+	}
+	return cost, previous
+}
+
+func (p *Planner) cost(i, layers int) float64 {
+	h := p.holders[i]
+	room := p.room(h, layers)
+	return hopCost + float64(layers)*h.LayerCost*(1+useFactor*float64(p.uses[i])) + roomCost/max(1, room)
+}
+
+// room is how many usual requests fit beside the weights when so many layers are run.
+func (p *Planner) room(h Holder, layers int) float64 {
+	perRequest := p.engine.UsualTokens * p.engine.TokenBytes / bytesPerMegabyte * float64(layers) / float64(p.engine.Layers)
+	if perRequest <= 0 {
+		return math.Inf(1)
+	}
+	return h.FreeMegabytes / perRequest
+}
+
+func (p *Planner) trace(best []map[int]step, last, end int) (Chain, bool) {
+	chain := Chain{Room: math.Inf(1)}
+	seen := map[identifier.TargetID]bool{}
+	for at, i := last, end; i >= 0; {
+		s, h := best[at][i], p.holders[i]
+		if seen[h.Target] || len(chain.Parts) >= maxParts {
+			return Chain{}, false
+		}
+		seen[h.Target] = true
+		layers := identifier.LayerRange{From: p.bounds[s.from], To: p.bounds[at]}
+		chain.Parts = append(chain.Parts, describer.Part{Target: h.Target, Address: h.Address, Layers: layers})
+		chain.StepCost += hopCost + float64(layers.Len())*h.LayerCost
+		chain.Room = min(chain.Room, p.room(h, layers.Len()))
+		chain.DataCentre = h.DataCentre
+		if s.previous >= 0 && p.holders[s.previous].DataCentre != h.DataCentre {
+			chain.Crossings++
+		}
+		at, i = s.from, s.previous
+	}
+	slices.Reverse(chain.Parts)
+	return chain, true
+}
--- a/entry/internal/commander/commander.go
+++ b/entry/internal/commander/commander.go
@@ -42,6 +42,9 @@
 
 // Run runs the command line and returns the exit code.
 func Run(args []string) int {
+	if len(args) > 0 && args[0] == relayCommand {
+		return runRelay(args[1:])
+	}
 	values, _, err := optionparser.Parse("entry", Options(), args)
 	if errors.Is(err, flag.ErrHelp) {
 		return exitOK
--- /dev/null
+++ b/entry/internal/commander/relay.go
@@ -0,0 +1,195 @@
+package commander
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/expvarhandler"
+	"k8s.io/klog/v2"
+
+	"fuchsiabridge.example/common/eventlogger"
+	"fuchsiabridge.example/common/httpcaller"
+	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/common/logwriter"
+	"fuchsiabridge.example/common/optionparser"
+	"fuchsiabridge.example/common/responder"
+	"fuchsiabridge.example/entry/internal/dispatcher"
+	"fuchsiabridge.example/entry/internal/follower"
+	"fuchsiabridge.example/entry/internal/receiver"
+	"fuchsiabridge.example/entry/internal/relayer"
+	"fuchsiabridge.example/platform/storecaller"
+)
+
+// relayCommand is the first argument of a node whose targets lead requests along chains themselves.
+const relayCommand = "relay"
+
+const (
+	maxRoom = 100_000
+	// stopMargin is left of the stop limit for what comes after the last request.
+	stopMargin = 500 * time.Millisecond
+	healthStop = time.Second
+)
+
+// RelayOptions returns the table of the settings of a relaying node.
+func RelayOptions() []optionparser.Option {
+	return []optionparser.Option{
+		{Name: "node", Usage: "id of this node", Check: optionparser.IsPresent},
+		{Name: "data-centre", Usage: "data centre of this node's VM", Check: optionparser.IsPresent},
+		{Name: "listen", Usage: "address for callers, host:port", Check: optionparser.IsAddress},
+		{Name: "health-listen", Usage: "address that tells the balancer whether the node is ready, host:port", Check: optionparser.IsAddress},
+		{Name: "metrics-listen", Usage: "address of counters and histograms, host:port", Check: optionparser.IsAddress},
+		{Name: "store", Usage: "address of the platform's store, host:port", Check: optionparser.IsAddress},
+		{Name: "revocation-limit", Default: "5s", Usage: "time after which a key that was taken away must not be used; 0s when a node may go on with what it last read", Check: optionparser.IsDuration},
+		{Name: "retry-ratio", Default: "0.2", Usage: "repeats as a share of requests, 0 to 1", Check: optionparser.IsShare},
+		{Name: "retry-window", Default: "10s", Usage: "window over which the retry ratio holds", Check: optionparser.IsDuration},
+		{Name: "room-requests", Default: "90", Usage: "usual requests for which each target of a chain should keep memory free, 1 to 100000", Check: optionparser.IsNumber(1, maxRoom)},
+		{Name: "balancer-lag", Default: "2600ms", Usage: "time for which a stopping node still accepts requests, so that the balancer can see it is unready", Check: optionparser.IsDuration},
+		{Name: "stop-limit", Default: "8s", Usage: "longest time a stopping node waits for requests in progress", Check: optionparser.IsDuration},
+		{Name: "check", Default: "false", Usage: "check the settings and stop", Check: optionparser.IsBool},
+	}
+}
+
+func runRelay(args []string) int {
+	values, _, err := optionparser.Parse("entry "+relayCommand, RelayOptions(), args)
+	if errors.Is(err, flag.ErrHelp) {
+		return exitOK
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	if values.Bool("check") {
+		fmt.Println("settings are right")
+		return exitOK
+	}
+	if err := relay(values); err != nil {
+		fmt.Fprintln(os.Stderr, "entry:", err)
+		return exitError
+	}
+	return exitOK
+}
+
+// logToStandardOutput makes the log bounded and keeps it from blocking; the function
+// that it returns writes what still waits.
+func logToStandardOutput() func() {
+	ctx, cancel := context.WithCancel(context.Background())
+	w := logwriter.NewWriter(os.Stdout)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.Run(ctx)
+	}()
+	klog.LogToStderr(false)
+	klog.SetOutput(w)
+	return func() {
+		klog.Flush()
+		cancel()
+		<-done
+	}
+}
+
+func relay(values optionparser.Values) error {
+	defer logToStandardOutput()()
+	signals, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	http := httpcaller.NewCaller()
+	x := relayer.NewRelayer(ctx, relayer.Config{
+		Dispatch: dispatcher.Config{
+			DataCentre:      identifier.DataCentre(values.Text("data-centre")),
+			RevocationLimit: values.Duration("revocation-limit"),
+			RetryRatio:      values.Share("retry-ratio"),
+			RetryWindow:     values.Duration("retry-window"),
+		},
+		RoomRequests: values.Number("room-requests"),
+	}, http)
+	node := identifier.NodeID(values.Text("node"))
+	f := follower.NewFollower(storecaller.NewCaller(http, values.Text("store")), node, x.Submit)
+	r := receiver.NewReceiver(x)
+	callers, err := listen(ctx, values.Text("listen"), nil)
+	if err != nil {
+		return errors.Wrap(err, "listening for callers")
+	}
+	if err := serveHealth(ctx, values, x); err != nil {
+		return err
+	}
+	following, stopFollowing := context.WithCancel(ctx)
+	defer stopFollowing()
+	leased := make(chan struct{})
+	go f.FollowConfiguration(ctx)
+	go f.FollowTargets(ctx)
+	go func() {
+		defer close(leased)
+		f.KeepLease(following)
+	}()
+	go x.Run(ctx)
+	go r.Serve(ctx, callers)
+	go logReloads(ctx)
+	eventlogger.Info(eventlogger.NodeStarted, "node", node, "listen", values.Text("listen"), "store", values.Text("store"))
+
+	<-signals.Done()
+	limit := time.Now().Add(values.Duration("stop-limit") - stopMargin)
+	eventlogger.Info(eventlogger.NodeStopping, "open_requests", r.Open())
+	x.Leave()
+	r.Leave()
+	stopFollowing()
+	time.Sleep(values.Duration("balancer-lag"))
+	r.CloseIdle()
+	await(limit, func() bool { return r.Open() == 0 })
+	callers.Close()
+	<-leased
+	eventlogger.Info(eventlogger.NodeStopped, "open_requests", r.Open())
+	return nil
+}
+
+// logReloads notes each signal that the settings have changed; this node's own need a restart.
+func logReloads(ctx context.Context) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			eventlogger.Info(eventlogger.SettingsRead, "outcome", "settings in force stay until the restart")
+		}
+	}
+}
+
+// serveHealth serves readiness and metrics until ctx ends.
+func serveHealth(ctx context.Context, values optionparser.Values, x *relayer.Relayer) error {
+	health := func(c *fasthttp.RequestCtx) {
+		if !x.IsReady() {
+			c.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		}
+	}
+	for name, handle := range map[string]fasthttp.RequestHandler{
+		"health-listen": health, "metrics-listen": expvarhandler.ExpvarHandler,
+	} {
+		l, err := listen(ctx, values.Text(name), nil)
+		if err != nil {
+			return errors.Wrapf(err, "listening for %s", name)
+		}
+		go serveSmall(ctx, l, handle)
+	}
+	return nil
+}
+
+func serveSmall(ctx context.Context, l net.Listener, handle fasthttp.RequestHandler) {
+	s := &fasthttp.Server{
+		Handler: handle, NoDefaultServerHeader: true, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+		Logger: eventlogger.Printer{Event: eventlogger.CallerBroken},
+	}
+	if err := responder.Serve(ctx, s, l, healthStop); err != nil {
+		eventlogger.Error(err, eventlogger.CallerBroken, "address", l.Addr().String())
+	}
+}
--- /dev/null
+++ b/entry/internal/connector/connector.go
@@ -0,0 +1,159 @@
+// Package connector keeps connections to targets and tells the dead ones apart.
+package connector
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	dialTimeout = 400 * time.Millisecond
+	// DefaultIdle is how long an idle connection is kept when the target does not say.
+	DefaultIdle = 4 * time.Second
+	// maxIdle bounds the idle connections to one target.
+	maxIdle = 32
+	// unackedLimit is how long sent bytes may stay unacknowledged before the connection counts as dead.
+	unackedLimit = 1500 * time.Millisecond
+	keepAlive    = time.Second
+	probes       = 2
+	bufferBytes  = 4096
+)
+
+// Conn is a connection to a target with its buffers.
+type Conn struct {
+	net.Conn
+	R       *bufio.Reader
+	W       *bufio.Writer
+	address string
+	// IsReused says that the connection has answered a request before.
+	IsReused bool
+	idleTill time.Time
+}
+
+// Connector pools connections by address.
+type Connector struct {
+	mu   sync.Mutex
+	idle map[string][]*Conn
+}
+
+// NewConnector returns a connector without connections.
+func NewConnector() *Connector { return &Connector{idle: map[string][]*Conn{}} }
+
+// Get returns a live idle connection, or a new one. A fresh one is always new.
+func (c *Connector) Get(ctx context.Context, address string, fresh bool) (*Conn, error) {
+	for !fresh {
+		conn := c.take(address)
+		if conn == nil {
+			break
+		}
+		if time.Now().Before(conn.idleTill) && conn.isQuiet() {
+			return conn, nil
+		}
+		conn.Close()
+	}
+	return c.dial(ctx, address)
+}
+
+func (c *Connector) take(address string) *Conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	idle := c.idle[address]
+	if len(idle) == 0 {
+		return nil
+	}
+	conn := idle[len(idle)-1]
+	c.idle[address] = idle[:len(idle)-1]
+	return conn
+}
+
+func (c *Connector) dial(ctx context.Context, address string) (*Conn, error) {
+	d := net.Dialer{
+		Timeout: dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAlive, Interval: keepAlive, Count: probes,
+		},
+		Control: limitUnacked,
+	}
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "dialling %s", address)
+	}
+	return &Conn{
+		Conn: conn, address: address,
+		R: bufio.NewReaderSize(conn, bufferBytes), W: bufio.NewWriterSize(conn, bufferBytes),
+	}, nil
+}
+
+func limitUnacked(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedLimit.Milliseconds()))
+	})
+	return errors.CombineErrors(err, failed)
+}
+
+// Put gives a connection back that may carry another request within the given time.
+func (c *Connector) Put(conn *Conn, idle time.Duration) {
+	if conn.R.Buffered() > 0 || conn.SetDeadline(time.Time{}) != nil {
+		conn.Close()
+		return
+	}
+	conn.IsReused = true
+	conn.idleTill = time.Now().Add(idle)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.idle[conn.address]) >= maxIdle {
+		conn.Close()
+		return
+	}
+	c.idle[conn.address] = append(c.idle[conn.address], conn)
+}
+
+// Sweep closes connections that were idle too long.
+func (c *Connector) Sweep(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, idle := range c.idle {
+		kept := idle[:0]
+		for _, conn := range idle {
+			if now.Before(conn.idleTill) {
+				kept = append(kept, conn)
+				continue
+			}
+			conn.Close()
+		}
+		if len(kept) == 0 {
+			delete(c.idle, address)
+			continue
+		}
+		c.idle[address] = kept
+	}
+}
+
+// isQuiet reports whether an idle connection is open and has nothing to read: bytes that
+// came after an answer belong to no request.
+func (c *Conn) isQuiet() bool {
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = control.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, peekErr := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = errors.Is(peekErr, unix.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/entry/internal/dispatcher/attempts.go
@@ -0,0 +1,215 @@
+package dispatcher
+
+import (
+	"net/http"
+	"time"
+
+	"fuchsiabridge.example/common/describer"
+	"fuchsiabridge.example/common/eventlogger"
+	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/common/messenger"
+	"fuchsiabridge.example/entry/internal/registrar"
+)
+
+// reported takes how an attempt stands, and decides what comes next.
+func (d *Dispatcher) reported(now time.Time, ev Reported) []messenger.Effect {
+	r, ok := d.requests[ev.Call]
+	if !ok {
+		return nil
+	}
+	d.learn(now, r, ev)
+	if ev.Outcome == Silent {
+		return d.silent(now, ev, r)
+	}
+	effects := []messenger.Effect{}
+	if ev.Outcome != Delivered {
+		effects = append(effects, d.logAttempt(now, r, ev))
+	}
+	effects = append(effects, d.blame(now, r, ev)...)
+	target := r.target
+	d.release(r)
+	switch ev.Outcome {
+	case Delivered:
+		r.runs++
+		return append(effects, d.end(now, ev.Call, ev.Status, "delivered")...)
+	case CallerGone:
+		return append(effects, d.end(now, ev.Call, 0, "caller gone")...)
+	case Expired:
+		return append(effects, d.refuse(now, ev.Call, http.StatusGatewayTimeout, 0, "deadline passed")...)
+	case NotSent, NotRun:
+		if d.maySend(now, r, false) {
+			return append(effects, d.send(now, ev.Call, r, ev.Seed)...)
+		}
+		return append(effects, d.giveUp(now, ev, r)...)
+	}
+	r.runs++
+	if d.mayRepeat(now, r) {
+		return append(effects, d.send(now, ev.Call, r, ev.Seed)...)
+	}
+	if ev.Outcome == Failed {
+		return append(append(effects, Deliver{}), d.end(now, ev.Call, ev.Status, "failed at "+string(target))...)
+	}
+	return append(effects, d.refuse(now, ev.Call, http.StatusBadGateway, 0, "attempt broke")...)
+}
+
+// giveUp ends a request that no attempt of ran: only where none of them may have run is it
+// refused as not run.
+func (d *Dispatcher) giveUp(now time.Time, ev Reported, r *request) []messenger.Effect {
+	if r.runs > 0 {
+		return d.refuse(now, ev.Call, http.StatusBadGateway, 0, "attempt broke, no other place")
+	}
+	return d.refuse(now, ev.Call, http.StatusServiceUnavailable, unreadyPause, "no target took the request")
+}
+
+// mayRepeat reports whether a request that may have run can run once more.
+func (d *Dispatcher) mayRepeat(now time.Time, r *request) bool {
+	return r.route.MayRepeat() && r.runs < r.route.MaxAttempts && d.maySend(now, r, true)
+}
+
+// maySend reports whether there is time and budget for another send.
+func (d *Dispatcher) maySend(now time.Time, r *request, isRepeat bool) bool {
+	if r.sends >= maxSends || !now.Before(r.deadline) {
+		return false
+	}
+	s := d.services[r.service]
+	return s != nil && s.budget.allows(now, d.cfg.RetryRatio)
+}
+
+// learn takes in what an attempt shows of its target.
+func (d *Dispatcher) learn(now time.Time, r *request, ev Reported) {
+	if r.target == "" || len(r.chain) > 0 {
+		return
+	}
+	switch ev.Outcome {
+	case Delivered:
+		d.record(r.target).learn(now.Sub(r.sent), false)
+	case Failed, Broken:
+		d.record(r.target).learn(0, true)
+	case Silent, Expired:
+		d.record(r.target).learn(now.Sub(r.sent), true)
+	}
+}
+
+// blame names the target that an attempt speaks against.
+func (d *Dispatcher) blame(now time.Time, r *request, ev Reported) []messenger.Effect {
+	address := ev.Fault
+	if address == "" {
+		address = d.address(r)
+	}
+	switch ev.Outcome {
+	case NotSent:
+		return d.doubt(now, r, d.address(r), ev.Reason)
+	case NotRun:
+		if len(r.chain) > 0 || ev.Status == http.StatusMisdirectedRequest {
+			return d.doubt(now, r, address, ev.Reason)
+		}
+	}
+	return nil
+}
+
+// doubt tells of a target in doubt; the next choice must not wait until that is taken in.
+func (d *Dispatcher) doubt(now time.Time, r *request, address, reason string) []messenger.Effect {
+	if s := d.services[r.service]; s != nil {
+		for i := range s.targets {
+			s.targets[i].IsDoubted = s.targets[i].IsDoubted || s.targets[i].Address == address
+		}
+		if s.engine != nil {
+			d.plan(now, s)
+		}
+	}
+	return []messenger.Effect{messenger.Raise{Event: registrar.Doubted{Address: address, Reason: reason}}}
+}
+
+// address returns the address of the target that the request was sent to.
+func (d *Dispatcher) address(r *request) string {
+	if len(r.chain) > 0 {
+		return r.chain[0].Address
+	}
+	for _, t := range d.targets {
+		if t.ID == r.target {
+			return t.Address
+		}
+	}
+	return ""
+}
+
+// silent decides on an attempt from which nothing comes.
+func (d *Dispatcher) silent(now time.Time, ev Reported, r *request) []messenger.Effect {
+	if len(r.chain) == 0 {
+		return d.silentPlain(now, ev, r)
+	}
+	if d.isDoubted(r.chain) {
+		return d.switchOver(now, ev.Call, r, "a target of the chain is in doubt", ev.Seed)
+	}
+	return []messenger.Effect{Probe{Address: r.chain[0].Address}}
+}
+
+func (d *Dispatcher) silentPlain(now time.Time, ev Reported, r *request) []messenger.Effect {
+	if !r.route.MayRepeat() {
+		return []messenger.Effect{Wait{Until: r.deadline}}
+	}
+	return d.switchOver(now, ev.Call, r, "no answer in time", ev.Seed)
+}
+
+// switchOver sends a silent request elsewhere, or goes on waiting where that is not allowed.
+func (d *Dispatcher) switchOver(now time.Time, call identifier.CallID, r *request, reason string, seed uint64) []messenger.Effect {
+	r.runs++
+	if !d.mayRepeat(now, r) || !d.hasOther(r) {
+		r.runs--
+		return []messenger.Effect{Wait{Until: r.deadline}}
+	}
+	log := d.logAttempt(now, r, Reported{Outcome: Silent, Reason: reason})
+	d.release(r)
+	return append([]messenger.Effect{log}, d.send(now, call, r, seed)...)
+}
+
+// hasOther reports whether there is a place that the request was not at.
+func (d *Dispatcher) hasOther(r *request) bool {
+	s := d.services[r.service]
+	if s == nil {
+		return false
+	}
+	if s.engine != nil {
+		return true
+	}
+	return d.chooseTarget(s, r.tried, 1) != nil
+}
+
+func (d *Dispatcher) isDoubted(chain []describer.Part) bool {
+	for _, p := range chain {
+		known := false
+		for _, t := range d.targets {
+			if t.ID == p.Target {
+				known = !t.IsDoubted
+			}
+		}
+		if !known {
+			return true
+		}
+	}
+	return false
+}
+
+// probed takes what the first target of a silent chain says.
+func (d *Dispatcher) probed(now time.Time, ev Probed) []messenger.Effect {
+	r, ok := d.requests[ev.Call]
+	if !ok {
+		return nil
+	}
+	fault := ev.Fault
+	if ev.IsUnanswered {
+		fault = d.address(r)
+	}
+	if fault == "" {
+		return []messenger.Effect{Wait{Until: now.Add(streamPatience)}}
+	}
+	effects := d.doubt(now, r, fault, "a request waits for it")
+	return append(effects, d.switchOver(now, ev.Call, r, "waits for "+fault, ev.Seed)...)
+}
+
+func (d *Dispatcher) logAttempt(now time.Time, r *request, ev Reported) messenger.Effect {
+	return messenger.Log{Event: eventlogger.AttemptEnded, Subject: "request/" + string(r.id), Values: []any{
+		"outcome", ev.Outcome, "target", r.target, "status", ev.Status, "reason", ev.Reason, "fault", ev.Fault,
+		"took_ms", now.Sub(r.sent).Milliseconds(), "events", ev.Events,
+	}}
+}
--- /dev/null
+++ b/entry/internal/dispatcher/choice.go
@@ -0,0 +1,151 @@
+package dispatcher
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"fuchsiabridge.example/common/describer"
+	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/entry/internal/chainer"
+	"fuchsiabridge.example/entry/internal/registrar"
+)
+
+const (
+	// chainsPerCentre is how many chains are kept ready in each data centre.
+	chainsPerCentre = 2
+	// replanInterval is the least time between two plans that nothing urgent asks for.
+	replanInterval = 100 * time.Millisecond
+	// foreignFactor is how much more a chain of another data centre must offer.
+	foreignFactor = 1.3
+	// fullRoom is the room from which on a chain counts as roomy.
+	fullRoom = 100.0
+	// errorCost is what a target's share of failures adds to its expected time.
+	errorCost = 500 * time.Millisecond
+	// foreignCost is what another data centre adds to a plain target's expected time.
+	foreignCost = 2 * time.Millisecond
+	// newestShare is the weight of the newest answer in a target's averages.
+	newestShare = 0.15
+	// trialShare is one request in so many that goes to a target by chance, so that a slow one can recover.
+	trialShare = 24
+)
+
+// service is what is known of the targets of one service.
+type service struct {
+	engine  *describer.Engine
+	targets []registrar.Target
+	chains  []chainer.Chain
+	planned time.Time
+	isStale bool
+	budget  *budget
+}
+
+// record is what the node's own requests have shown of a target.
+type record struct {
+	open   int
+	took   time.Duration
+	failed float64
+}
+
+func (r *record) learn(took time.Duration, hasFailed bool) {
+	share := 0.0
+	if hasFailed {
+		share = 1
+	}
+	r.failed += newestShare * (share - r.failed)
+	if took > 0 {
+		r.took += time.Duration(newestShare * float64(took-r.took))
+	}
+}
+
+// plan makes the chains of an engine's service anew.
+func (d *Dispatcher) plan(now time.Time, s *service) {
+	s.planned, s.isStale = now, false
+	var holders []chainer.Holder
+	for _, t := range s.targets {
+		if t.IsLeaving || t.IsDoubted || len(t.Layers) == 0 {
+			continue
+		}
+		accelerator := s.engine.Kinds[t.Kind]
+		factor := accelerator.StepFactor
+		if factor == 0 {
+			factor = 1
+		}
+		held := 0
+		for _, r := range t.Layers {
+			held += r.Len()
+		}
+		for _, r := range t.Layers {
+			holders = append(holders, chainer.Holder{
+				Target: t.ID, Address: t.Address, DataCentre: t.DataCentre, Layers: r,
+				LayerCost:     factor * milliseconds(s.engine.StepTime) / float64(s.engine.Layers),
+				FreeMegabytes: max(0, accelerator.Megabytes-float64(held)*s.engine.LayerMegabytes),
+			})
+		}
+	}
+	s.chains = chainer.NewPlanner(s.engine, holders).Plan(chainsPerCentre)
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// chooseChain returns the chain with the least load for its room and speed, nil when there is none.
+func (d *Dispatcher) chooseChain(now time.Time, s *service, avoid func(chainer.Chain) bool) *chainer.Chain {
+	if s.isStale && (now.Sub(s.planned) >= replanInterval || len(s.chains) == 0) {
+		d.plan(now, s)
+	}
+	var best *chainer.Chain
+	least := math.Inf(1)
+	for i := range s.chains {
+		c := &s.chains[i]
+		if avoid(*c) {
+			continue
+		}
+		if cost := d.chainCost(c); cost < least {
+			best, least = c, cost
+		}
+	}
+	return best
+}
+
+func (d *Dispatcher) chainCost(c *chainer.Chain) float64 {
+	open := 0
+	for _, p := range c.Parts {
+		open = max(open, d.record(p.Target).open)
+	}
+	weight := min(c.Room, fullRoom) / math.Sqrt(c.StepCost)
+	cost := float64(open+1) / max(weight, math.SmallestNonzeroFloat64)
+	if c.DataCentre != d.cfg.DataCentre {
+		cost *= foreignFactor
+	}
+	return cost
+}
+
+// chooseTarget returns the target of a plain service with the least expected time.
+func (d *Dispatcher) chooseTarget(s *service, avoid []identifier.TargetID, seed uint64) *registrar.Target {
+	var usable []*registrar.Target
+	for i := range s.targets {
+		t := &s.targets[i]
+		if !t.IsLeaving && !t.IsDoubted && !slices.Contains(avoid, t.ID) {
+			usable = append(usable, t)
+		}
+	}
+	if len(usable) == 0 {
+		return nil
+	}
+	if seed%trialShare == 0 {
+		return usable[(seed/trialShare)%uint64(len(usable))]
+	}
+	return slices.MinFunc(usable, func(a, b *registrar.Target) int {
+		return int(d.targetCost(a) - d.targetCost(b))
+	})
+}
+
+func (d *Dispatcher) targetCost(t *registrar.Target) time.Duration {
+	r := d.record(t.ID)
+	busy := 1 + float64(r.open)/float64(max(1, t.Slots))
+	cost := time.Duration(busy*float64(max(r.took, time.Millisecond)) + r.failed*float64(errorCost))
+	if t.DataCentre != d.cfg.DataCentre {
+		cost += foreignCost
+	}
+	return cost
+}
--- /dev/null
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -0,0 +1,338 @@
+package dispatcher
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"fuchsiabridge.example/common/describer"
+	"fuchsiabridge.example/common/eventlogger"
+	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/common/messenger"
+	"fuchsiabridge.example/entry/internal/chainer"
+	"fuchsiabridge.example/entry/internal/registrar"
+	"fuchsiabridge.example/entry/internal/router"
+)
+
+const (
+	// freshPart is the part of the revocation limit for which a confirmed configuration is relied on.
+	freshPart = 0.7
+	// streamPatience is how long a stream may be silent before its targets are asked.
+	streamPatience = 260 * time.Millisecond
+	// plainPatience is the part of a plain request's aim after which another target is tried.
+	plainPatience = 0.5
+	// maxSends bounds the sends of one request, of which those that did not run cost no attempt.
+	maxSends = 4
+	// unreadyPause is when a caller may come back after a refusal for want of a configuration or a target.
+	unreadyPause = time.Second
+	defaultLimit = 30 * time.Second
+)
+
+// Config holds what the dispatcher is made of.
+type Config struct {
+	DataCentre identifier.DataCentre
+	// RevocationLimit is how long a key may be used after it was taken away.
+	RevocationLimit time.Duration
+	// RetryRatio bounds the repeats as a share of the requests in RetryWindow.
+	RetryRatio  float64
+	RetryWindow time.Duration
+}
+
+// request is a request in progress.
+type request struct {
+	id       identifier.RequestID
+	route    *describer.Route
+	service  identifier.ServiceID
+	account  identifier.AccountID
+	arrived  time.Time
+	deadline time.Time
+	// sends counts all sends, runs those after which the request may have run.
+	sends int
+	runs  int
+	sent  time.Time
+	chain []describer.Part
+	tried []identifier.TargetID
+	// target is where the request is now, empty when it is nowhere.
+	target identifier.TargetID
+}
+
+// Dispatcher is the sub-reducer of requests.
+type Dispatcher struct {
+	cfg         Config
+	table       *router.Table
+	confirmedAt time.Time
+	isStale     bool
+	services    map[identifier.ServiceID]*service
+	targets     []registrar.Target
+	records     map[identifier.TargetID]*record
+	requests    map[identifier.CallID]*request
+}
+
+// NewDispatcher returns a dispatcher that knows no configuration.
+func NewDispatcher(cfg Config) *Dispatcher {
+	return &Dispatcher{
+		cfg: cfg, services: map[identifier.ServiceID]*service{},
+		records: map[identifier.TargetID]*record{}, requests: map[identifier.CallID]*request{},
+	}
+}
+
+// Apply takes one event and returns what to do.
+func (d *Dispatcher) Apply(now time.Time, event messenger.Event) []messenger.Effect {
+	switch ev := event.(type) {
+	case Arrived:
+		return d.arrived(now, ev)
+	case Reported:
+		return d.reported(now, ev)
+	case Probed:
+		return d.probed(now, ev)
+	case TableRead:
+		return d.tableRead(ev)
+	case Confirmed:
+		return d.confirmed(now, ev)
+	case registrar.TargetsChanged:
+		d.targetsChanged(ev)
+	case messenger.Tick:
+		return d.tick(now)
+	}
+	return nil
+}
+
+// IsReady reports whether the node can serve requests that carry keys.
+func (d *Dispatcher) IsReady(now time.Time) bool {
+	return d.table != nil && len(d.targets) > 0 && d.isFresh(now)
+}
+
+// Limits returns what the configuration in force allows callers.
+func (d *Dispatcher) Limits() describer.Limits {
+	if d.table == nil {
+		return describer.Limits{}
+	}
+	return d.table.Limits
+}
+
+func (d *Dispatcher) isFresh(now time.Time) bool {
+	limit := time.Duration(freshPart * float64(d.cfg.RevocationLimit))
+	return limit == 0 || now.Sub(d.confirmedAt) < limit
+}
+
+// tableRead takes a newer version only: a node never goes back.
+func (d *Dispatcher) tableRead(ev TableRead) []messenger.Effect {
+	former := int64(0)
+	if d.table != nil {
+		former = d.table.Version
+		if ev.Table.Version <= former {
+			return nil
+		}
+	}
+	d.table = ev.Table
+	for id, s := range ev.Table.Services {
+		known, ok := d.services[id]
+		if !ok {
+			known = &service{budget: newBudget(d.cfg.RetryWindow)}
+			d.services[id] = known
+		}
+		known.engine = s.Engine
+	}
+	d.sortTargets()
+	return []messenger.Effect{messenger.Log{
+		Event: eventlogger.ConfigurationChanged, Subject: "configuration",
+		Values: []any{"version", ev.Table.Version, "former", former, "routes", ev.Table.Size()},
+	}}
+}
+
+func (d *Dispatcher) confirmed(now time.Time, ev Confirmed) []messenger.Effect {
+	age := now.Sub(d.confirmedAt)
+	if ev.AsOf.After(d.confirmedAt) {
+		d.confirmedAt = ev.AsOf
+	}
+	if !d.isStale || !d.isFresh(now) {
+		return nil
+	}
+	d.isStale = false
+	return []messenger.Effect{messenger.Log{
+		Event: eventlogger.ConfigurationFresh, Subject: "configuration", Values: []any{"age_ms", age.Milliseconds()},
+	}}
+}
+
+func (d *Dispatcher) tick(now time.Time) []messenger.Effect {
+	if d.isStale || d.table == nil || d.isFresh(now) {
+		return nil
+	}
+	d.isStale = true
+	return []messenger.Effect{messenger.Log{
+		Event: eventlogger.ConfigurationStale, Subject: "configuration",
+		Values: []any{"version", d.table.Version, "age_ms", now.Sub(d.confirmedAt).Milliseconds()},
+	}}
+}
+
+func (d *Dispatcher) targetsChanged(ev registrar.TargetsChanged) {
+	d.targets = ev.Targets
+	d.sortTargets()
+	known := map[identifier.TargetID]bool{}
+	for _, t := range ev.Targets {
+		known[t.ID] = true
+	}
+	for id, r := range d.records {
+		if !known[id] && r.open == 0 {
+			delete(d.records, id)
+		}
+	}
+}
+
+func (d *Dispatcher) sortTargets() {
+	for _, s := range d.services {
+		s.targets, s.isStale = nil, true
+	}
+	for _, t := range d.targets {
+		if s, ok := d.services[t.Service]; ok {
+			s.targets = append(s.targets, t)
+		}
+	}
+}
+
+func (d *Dispatcher) record(id identifier.TargetID) *record {
+	r, ok := d.records[id]
+	if !ok {
+		r = &record{}
+		d.records[id] = r
+	}
+	return r
+}
+
+func (d *Dispatcher) arrived(now time.Time, ev Arrived) []messenger.Effect {
+	r := &request{id: ev.ID, arrived: now, deadline: ev.Deadline}
+	d.requests[ev.Call] = r
+	if d.table == nil {
+		return d.refuse(now, ev.Call, http.StatusServiceUnavailable, unreadyPause, "no configuration yet")
+	}
+	r.route = d.table.Route(ev.Host, ev.Path)
+	if r.route == nil {
+		return d.deny(now, ev.Call, http.StatusNotFound, "no route")
+	}
+	if !r.route.IsPublic && d.table.HasAccounts() {
+		account := d.table.Account(ev.Key)
+		if account == nil {
+			return d.deny(now, ev.Call, http.StatusUnauthorized, "unknown key")
+		}
+		if !d.isFresh(now) {
+			return d.refuse(now, ev.Call, http.StatusServiceUnavailable, unreadyPause, "configuration not confirmed")
+		}
+		r.account = account.ID
+	}
+	limit := r.route.Timeout
+	if limit <= 0 {
+		limit = defaultLimit
+	}
+	if byRoute := now.Add(limit); r.deadline.IsZero() || byRoute.Before(r.deadline) {
+		r.deadline = byRoute
+	}
+	r.service = router.Pick(r.route, ev.Seed)
+	return d.send(now, ev.Call, r, ev.Seed)
+}
+
+// deny refuses what the configuration does not allow; while that may be out of date the
+// request is refused as one that may come again.
+func (d *Dispatcher) deny(now time.Time, call identifier.CallID, status int, reason string) []messenger.Effect {
+	if !d.isFresh(now) {
+		return d.refuse(now, call, http.StatusServiceUnavailable, unreadyPause, "configuration not confirmed, "+reason)
+	}
+	return d.refuse(now, call, status, 0, reason)
+}
+
+// send sends a request to the best target or chain that it was not at yet.
+func (d *Dispatcher) send(now time.Time, call identifier.CallID, r *request, seed uint64) []messenger.Effect {
+	s := d.services[r.service]
+	if s == nil {
+		return d.refuse(now, call, http.StatusServiceUnavailable, unreadyPause, "unknown service")
+	}
+	out := Send{
+		Call: call, Account: r.account, Deadline: r.deadline,
+		IsStream: r.route.Kind == describer.Streaming, IsFresh: !r.route.MayRepeat(),
+	}
+	r.chain = nil
+	if s.engine != nil {
+		chain := d.chooseChain(now, s, func(c chainer.Chain) bool { return slices.Contains(r.tried, c.Parts[0].Target) })
+		if chain == nil {
+			chain = d.chooseChain(now, s, func(chainer.Chain) bool { return false })
+		}
+		if chain == nil {
+			return d.refuse(now, call, http.StatusServiceUnavailable, unreadyPause, "no chain holds all layers")
+		}
+		r.chain = chain.Parts
+		out.Target, out.Address, out.Chain = chain.Parts[0].Target, chain.Parts[0].Address, chain.Parts
+		out.Patience = now.Add(streamPatience)
+	} else {
+		t := d.chooseTarget(s, r.tried, seed)
+		if t == nil {
+			return d.refuse(now, call, http.StatusServiceUnavailable, unreadyPause, "no target")
+		}
+		out.Target, out.Address = t.ID, t.Address
+		out.Patience = r.deadline
+		if r.route.MayRepeat() && r.route.Aim > 0 {
+			out.Patience = now.Add(time.Duration(plainPatience * float64(r.route.Aim)))
+		}
+	}
+	if r.sends == 0 {
+		s.budget.noteFirst(now)
+	} else {
+		s.budget.noteAgain(now)
+	}
+	r.sends++
+	r.sent = now
+	d.occupy(r, out.Target)
+	return []messenger.Effect{out}
+}
+
+// occupy counts the request at its targets.
+func (d *Dispatcher) occupy(r *request, target identifier.TargetID) {
+	r.target = target
+	r.tried = append(r.tried, target)
+	for _, id := range r.places() {
+		d.record(id).open++
+	}
+}
+
+func (d *Dispatcher) release(r *request) {
+	if r.target == "" {
+		return
+	}
+	for _, id := range r.places() {
+		d.record(id).open--
+	}
+	r.target = ""
+}
+
+// places returns the targets that the request is at.
+func (r *request) places() []identifier.TargetID {
+	if len(r.chain) == 0 {
+		return []identifier.TargetID{r.target}
+	}
+	out := make([]identifier.TargetID, 0, len(r.chain))
+	for _, p := range r.chain {
+		out = append(out, p.Target)
+	}
+	return out
+}
+
+// refuse ends a request with an answer of the node's own.
+func (d *Dispatcher) refuse(now time.Time, call identifier.CallID, status int, after time.Duration, reason string) []messenger.Effect {
+	return append([]messenger.Effect{Refuse{Status: status, RetryAfter: after, Reason: reason}}, d.end(now, call, status, reason)...)
+}
+
+// end forgets a request and writes its closing line.
+func (d *Dispatcher) end(now time.Time, call identifier.CallID, status int, reason string) []messenger.Effect {
+	r, ok := d.requests[call]
+	if !ok {
+		return nil
+	}
+	d.release(r)
+	delete(d.requests, call)
+	values := []any{"status", status, "reason", reason, "took_ms", now.Sub(r.arrived).Milliseconds(), "sends", r.sends, "runs", r.runs}
+	if r.route != nil {
+		values = append(values, "route", r.route.ID, "account", r.account, "service", r.service)
+	}
+	if d.table != nil {
+		values = append(values, "version", d.table.Version, "confirmed_ms_ago", now.Sub(d.confirmedAt).Milliseconds())
+	}
+	return []messenger.Effect{messenger.Log{Event: eventlogger.RequestEnded, Subject: "request/" + string(r.id), Values: values}}
+}
--- /dev/null
+++ b/entry/internal/dispatcher/messages.go
@@ -0,0 +1,120 @@
+// Package dispatcher decides where each request goes, whether it goes again, and how it
+// ends when it cannot be served.
+package dispatcher
+
+import (
+	"time"
+
+	"fuchsiabridge.example/common/describer"
+	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/entry/internal/router"
+)
+
+// TableRead is the event that a version of the configuration was read.
+type TableRead struct{ Table *router.Table }
+
+// Confirmed is the event that the store has shown the newest configuration as of an instant.
+type Confirmed struct{ AsOf time.Time }
+
+// Arrived is the event that a request was read whole.
+type Arrived struct {
+	Call   identifier.CallID
+	ID     identifier.RequestID
+	Host   string
+	Path   string
+	Key    string
+	Tokens int
+	// Deadline is how long the caller waits; zero when it does not say.
+	Deadline time.Time
+	// Seed is a random number.
+	Seed uint64
+}
+
+// Outcome says how an attempt stands or ended.
+type Outcome int
+
+// Outcomes of an attempt.
+const (
+	// Delivered: the whole answer was handed to the caller.
+	Delivered Outcome = iota
+	// NotSent: no byte can have reached the target.
+	NotSent
+	// NotRun: a target said that the request did not run and never will.
+	NotRun
+	// Failed: the target answered with a failure, which is held back.
+	Failed
+	// Broken: the connection broke, or the answer was none or another request's.
+	Broken
+	// Silent: nothing came by the instant that the attempt was given.
+	Silent
+	// Expired: the request's deadline passed.
+	Expired
+	// CallerGone: the caller closed its connection.
+	CallerGone
+)
+
+var outcomeNames = [...]string{"delivered", "not_sent", "not_run", "failed", "broken", "silent", "expired", "caller_gone"}
+
+// String returns the outcome's name in logs.
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// Reported is the event that an attempt stands or ended so.
+type Reported struct {
+	Call    identifier.CallID
+	Outcome Outcome
+	// Status is what the target answered, 0 when it did not.
+	Status int
+	// Fault is the address that a target blames for a refusal.
+	Fault string
+	// Reason is for the logs.
+	Reason string
+	// Events counts the events that the caller was handed so far.
+	Events int
+	// FirstByte is the time from the send to the answer's first byte, 0 when none came.
+	FirstByte time.Duration
+	Seed      uint64
+}
+
+// Probed is the event that the first target of a silent stream's chain was asked.
+type Probed struct {
+	Call identifier.CallID
+	// Fault is the address of the target that the request waits for, empty when there is none.
+	Fault string
+	// IsUnanswered says that the first target itself gave no answer.
+	IsUnanswered bool
+	Events       int
+	Seed         uint64
+}
+
+// Send is the effect that sends a request to a target.
+type Send struct {
+	Call    identifier.CallID
+	Target  identifier.TargetID
+	Address string
+	// Chain is the way through the layers that the target leads the request on, empty for a plain service.
+	Chain   []describer.Part
+	Account identifier.AccountID
+	// Deadline ends the request, Patience is when silence is to be reported.
+	Deadline time.Time
+	Patience time.Time
+	IsStream bool
+	// IsFresh asks for a new connection, as the request must not run twice.
+	IsFresh bool
+}
+
+// Wait is the effect that goes on waiting for a silent attempt.
+type Wait struct{ Until time.Time }
+
+// Probe is the effect that asks a target which requests wait for whom.
+type Probe struct{ Address string }
+
+// Deliver is the effect that hands the caller the failure that was held back.
+type Deliver struct{}
+
+// Refuse is the effect that ends a request with an answer of the node's own; a stream that
+// has begun is broken off instead.
+type Refuse struct {
+	Status     int
+	RetryAfter time.Duration
+	Reason     string
+}
--- /dev/null
+++ b/entry/internal/follower/follower.go
@@ -0,0 +1,210 @@
+// Package follower follows what the store holds: the configuration, the targets and the lease.
+package follower
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"fuchsiabridge.example/common/bootclock"
+	"fuchsiabridge.example/common/describer"
+	"fuchsiabridge.example/common/eventlogger"
+	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/common/messenger"
+	"fuchsiabridge.example/entry/internal/dispatcher"
+	"fuchsiabridge.example/entry/internal/placer"
+	"fuchsiabridge.example/entry/internal/registrar"
+	"fuchsiabridge.example/entry/internal/router"
+	"fuchsiabridge.example/platform/storecaller"
+)
+
+const (
+	// callTime bounds a call beside the time that it may wait for news.
+	callTime = 700 * time.Millisecond
+	// configurationWait is how long a call waits for a new configuration; its end confirms the old one.
+	configurationWait = time.Second
+	targetsInterval   = 600 * time.Millisecond
+	// failurePause is the pause after a call that failed.
+	failurePause = 150 * time.Millisecond
+	// outageTime is how long calls must fail for the store to count as lost.
+	outageTime = time.Second
+
+	leaseTerm     = 2500 * time.Millisecond
+	leaseInterval = 700 * time.Millisecond
+	// leaseMargin ends a lease before others may take it.
+	leaseMargin = 400 * time.Millisecond
+)
+
+// Store is what the follower needs of the platform's store.
+type Store interface {
+	NewestConfiguration(ctx context.Context) (*describer.Configuration, identifier.Offset, error)
+	ReadConfiguration(ctx context.Context, from identifier.Offset, wait time.Duration) (*describer.Configuration, identifier.Offset, error)
+	NewestTargets(ctx context.Context) ([]describer.TargetChange, identifier.Offset, error)
+	ReadTargets(ctx context.Context, from identifier.Offset) ([]describer.TargetChange, identifier.Offset, error)
+	Join(ctx context.Context, member identifier.NodeID, last identifier.FencingNumber, term time.Duration) (storecaller.Membership, error)
+	Leave(ctx context.Context, member identifier.NodeID) error
+}
+
+// Follower turns what the store says into events.
+type Follower struct {
+	store  Store
+	node   identifier.NodeID
+	submit func(messenger.Event)
+}
+
+// NewFollower returns a follower that submits events.
+func NewFollower(store Store, node identifier.NodeID, submit func(messenger.Event)) *Follower {
+	return &Follower{store: store, node: node, submit: submit}
+}
+
+// outage notes when a kind of call began to fail.
+type outage struct {
+	what  string
+	since time.Time
+	isOut bool
+}
+
+// failed notes a failure and logs the loss once it has lasted.
+func (o *outage) failed(err error) {
+	now := bootclock.Now()
+	if o.since.IsZero() {
+		o.since = now
+	}
+	if o.isOut || now.Sub(o.since) < outageTime {
+		return
+	}
+	o.isOut = true
+	eventlogger.Error(err, eventlogger.StoreLost, "for", o.what, "failing_ms", now.Sub(o.since).Milliseconds())
+}
+
+// ended notes a success and reports whether it ended an outage.
+func (o *outage) ended() bool {
+	was, since := o.isOut, o.since
+	o.isOut, o.since = false, time.Time{}
+	if was {
+		eventlogger.Info(eventlogger.StoreRegained, "for", o.what, "lost_ms", bootclock.Now().Sub(since).Milliseconds())
+	}
+	return was
+}
+
+// pause waits, and reports whether ctx goes on.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// FollowConfiguration follows the configuration until ctx ends.
+func (f *Follower) FollowConfiguration(ctx context.Context) {
+	out := outage{what: "configuration"}
+	var next identifier.Offset
+	isStarted := false
+	for ctx.Err() == nil {
+		sent := bootclock.Now()
+		cfg, offset, err := f.configuration(ctx, isStarted, next)
+		if errors.Is(err, storecaller.ErrForgotten) {
+			isStarted = false
+			continue
+		}
+		if err != nil {
+			out.failed(err)
+			pause(ctx, failurePause)
+			continue
+		}
+		out.ended()
+		asOf := sent
+		if isStarted && offset == next {
+			// Nothing came during the whole wait.
+			asOf = sent.Add(configurationWait)
+		}
+		isStarted, next = true, offset
+		if cfg != nil {
+			table := router.NewTable(cfg)
+			f.submit(dispatcher.TableRead{Table: table})
+			f.submit(placer.TableChanged{Table: table})
+		}
+		f.submit(dispatcher.Confirmed{AsOf: asOf})
+	}
+}
+
+func (f *Follower) configuration(ctx context.Context, isStarted bool, from identifier.Offset) (*describer.Configuration, identifier.Offset, error) {
+	if !isStarted {
+		ctx, cancel := context.WithTimeout(ctx, callTime)
+		defer cancel()
+		return f.store.NewestConfiguration(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTime+configurationWait)
+	defer cancel()
+	return f.store.ReadConfiguration(ctx, from, configurationWait)
+}
+
+// FollowTargets follows the targets until ctx ends.
+func (f *Follower) FollowTargets(ctx context.Context) {
+	out := outage{what: "targets"}
+	var next identifier.Offset
+	isStarted := false
+	for ctx.Err() == nil {
+		changes, offset, err := f.targets(ctx, isStarted, next)
+		if errors.Is(err, storecaller.ErrForgotten) {
+			isStarted = false
+			continue
+		}
+		if err != nil {
+			out.failed(err)
+			pause(ctx, failurePause)
+			continue
+		}
+		if out.ended() {
+			f.submit(registrar.StoreRegained{})
+		}
+		f.submit(registrar.Read{Changes: changes, IsComplete: !isStarted})
+		isStarted, next = true, offset
+		pause(ctx, targetsInterval)
+	}
+}
+
+func (f *Follower) targets(ctx context.Context, isStarted bool, from identifier.Offset) ([]describer.TargetChange, identifier.Offset, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	if !isStarted {
+		return f.store.NewestTargets(ctx)
+	}
+	return f.store.ReadTargets(ctx, from)
+}
+
+// KeepLease takes part in the group whose members share the lease until ctx ends, then leaves it.
+func (f *Follower) KeepLease(ctx context.Context) {
+	var last identifier.FencingNumber
+	var until time.Time
+	for ctx.Err() == nil {
+		sent := bootclock.Now()
+		m, err := f.join(ctx, last)
+		switch {
+		case err == nil:
+			last = m.Generation
+			until = sent.Add(leaseTerm - leaseMargin)
+			f.submit(placer.LeaseChanged{IsHeld: m.HoldsLease, Fence: m.Generation, Until: until})
+		case !bootclock.Now().Before(until):
+			f.submit(placer.LeaseChanged{})
+		}
+		pause(ctx, leaseInterval)
+	}
+	f.submit(placer.LeaseChanged{})
+	leaving, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTime)
+	defer cancel()
+	if err := f.store.Leave(leaving, f.node); err != nil {
+		eventlogger.Error(err, eventlogger.LostLease, "doing", "leaving the group")
+	}
+}
+
+func (f *Follower) join(ctx context.Context, last identifier.FencingNumber) (storecaller.Membership, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	return f.store.Join(ctx, f.node, last, leaseTerm)
+}
--- /dev/null
+++ b/entry/internal/forwarder/forwarder.go
@@ -0,0 +1,426 @@
+// Package forwarder sends a request to a target and hands the answer to the caller.
+package forwarder
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http/httputil"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"fuchsiabridge.example/common/bootclock"
+	"fuchsiabridge.example/entry/internal/connector"
+	"fuchsiabridge.example/entry/internal/dispatcher"
+	"fuchsiabridge.example/platform/translator"
+)
+
+const (
+	// maxAnswerBytes bounds an answer that is read whole before it is handed on.
+	maxAnswerBytes = 16 << 20
+	// headerTime is how long the rest of a header may take after its first byte.
+	headerTime = time.Second
+	readBytes  = 8192
+	// idlePart is the part of a target's idle timeout within which a connection is used again.
+	idlePart = 0.7
+)
+
+// errMismatch says that an answer belongs to another request.
+var errMismatch = errors.New("answer of another request")
+
+// Caller is the caller's side of a request.
+type Caller interface {
+	// Header returns the request's header, to be copied, and Body its body.
+	Header() *fasthttp.RequestHeader
+	Body() []byte
+	// Answer writes a whole answer.
+	Answer(h *fasthttp.ResponseHeader, body []byte) error
+	// Begin writes the header of a stream, Events hands on whole events, Finish marks the end.
+	Begin(h *fasthttp.ResponseHeader) error
+	Events(whole []byte) error
+	Finish() error
+}
+
+// Exchange is one request on its way through attempts.
+type Exchange struct {
+	caller     Caller
+	request    translator.Request
+	translator translator.Translator
+	pool       *connector.Connector
+
+	send    dispatcher.Send
+	sentAt  time.Time
+	first   time.Duration
+	conn    *connector.Conn
+	stop    func() bool
+	resp    *fasthttp.Response
+	hasHead bool
+	body    io.Reader
+	buffer  []byte
+
+	// hasBegun says that the caller has the header of a stream.
+	hasBegun bool
+	events   eventCutter
+	isResume bool
+}
+
+// NewExchange returns an exchange for a caller's request.
+func NewExchange(caller Caller, r translator.Request, pool *connector.Connector) *Exchange {
+	x := &Exchange{caller: caller, request: r, pool: pool}
+	x.events.last = r.LastEvent
+	return x
+}
+
+// HasBegun reports whether the caller has seen a part of the answer.
+func (x *Exchange) HasBegun() bool { return x.hasBegun }
+
+// Attempt sends the request and waits for what comes of it.
+func (x *Exchange) Attempt(ctx context.Context, s dispatcher.Send) dispatcher.Reported {
+	x.Drop()
+	x.send, x.sentAt, x.first, x.hasHead, x.body = s, bootclock.Now(), 0, false, nil
+	x.isResume = x.hasBegun
+	x.events.pending = x.events.pending[:0]
+	conn, err := x.pool.Get(ctx, s.Address, s.IsFresh)
+	if err != nil {
+		return x.report(ctx, dispatcher.NotSent, err)
+	}
+	x.conn = conn
+	x.stop = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	if n, err := x.write(); err != nil {
+		x.Drop()
+		if n == 0 {
+			return x.report(ctx, dispatcher.NotSent, err)
+		}
+		return x.report(ctx, dispatcher.Broken, err)
+	}
+	return x.Await(ctx, s.Patience)
+}
+
+// write sends the request; the number tells whether any byte can have left.
+func (x *Exchange) write() (int, error) {
+	if err := x.conn.SetWriteDeadline(bootclock.Local(x.send.Deadline)); err != nil {
+		return 0, errors.Wrap(err, "setting a deadline")
+	}
+	var h fasthttp.RequestHeader
+	x.caller.Header().CopyTo(&h)
+	h.DisableNormalizing()
+	x.translator.WriteRequest(&h, translator.Send{
+		Target: x.send.Target, Account: x.send.Account, Left: x.send.Deadline.Sub(x.sentAt),
+		LastEvent: x.lastEvent(), Chain: x.send.Chain,
+	})
+	body := x.caller.Body()
+	if len(body) > 0 || h.IsPost() || h.IsPut() {
+		h.SetContentLength(len(body))
+	}
+	if _, err := h.WriteTo(x.conn.W); err != nil {
+		return 1, errors.Wrap(err, "writing a header")
+	}
+	if _, err := x.conn.W.Write(body); err != nil {
+		return 1, errors.Wrap(err, "writing a body")
+	}
+	before := x.conn.W.Buffered()
+	err := x.conn.W.Flush()
+	return before - x.conn.W.Buffered(), errors.Wrap(err, "writing a request")
+}
+
+func (x *Exchange) lastEvent() string {
+	if x.send.IsStream {
+		return x.events.last
+	}
+	return ""
+}
+
+// Await goes on until the attempt ends or is silent until patience.
+func (x *Exchange) Await(ctx context.Context, patience time.Time) dispatcher.Reported {
+	if !x.hasHead {
+		if r, ok := x.awaitHead(ctx, patience); !ok {
+			return r
+		}
+	}
+	return x.relay(ctx, patience)
+}
+
+// peek waits for a byte until patience or the deadline; its report says why none came.
+func (x *Exchange) peek(ctx context.Context, patience time.Time) (dispatcher.Reported, bool) {
+	until := patience
+	if x.send.Deadline.Before(until) {
+		until = x.send.Deadline
+	}
+	if err := x.conn.SetReadDeadline(bootclock.Local(until)); err != nil {
+		return x.fail(ctx, err), false
+	}
+	if ctx.Err() != nil {
+		return x.fail(ctx, ctx.Err()), false
+	}
+	_, err := x.conn.R.Peek(1)
+	if err == nil {
+		return dispatcher.Reported{}, true
+	}
+	if isTimeout(err) && ctx.Err() == nil && bootclock.Now().Before(x.send.Deadline) {
+		return x.report(ctx, dispatcher.Silent, err), false
+	}
+	return x.fail(ctx, err), false
+}
+
+func isTimeout(err error) bool {
+	var t interface{ Timeout() bool }
+	return errors.As(err, &t) && t.Timeout()
+}
+
+func (x *Exchange) awaitHead(ctx context.Context, patience time.Time) (dispatcher.Reported, bool) {
+	if r, ok := x.peek(ctx, patience); !ok {
+		return r, false
+	}
+	if x.first == 0 {
+		x.first = bootclock.Now().Sub(x.sentAt)
+	}
+	if err := x.conn.SetReadDeadline(bootclock.Local(earlier(x.send.Deadline, bootclock.Now().Add(headerTime)))); err != nil {
+		return x.fail(ctx, err), false
+	}
+	x.resp = &fasthttp.Response{}
+	if err := x.resp.Header.Read(x.conn.R); err != nil {
+		return x.fail(ctx, errors.Wrap(err, "reading a header")), false
+	}
+	x.hasHead = true
+	return dispatcher.Reported{}, true
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// relay hands the answer on: events one by one, all else whole.
+func (x *Exchange) relay(ctx context.Context, patience time.Time) dispatcher.Reported {
+	answer := x.translator.ReadAnswer(&x.resp.Header)
+	status := x.resp.StatusCode()
+	if answer.ID != x.request.ID && !answer.IsNotRun {
+		return x.fail(ctx, errMismatch)
+	}
+	if x.send.IsStream && status/100 == 2 && answer.IsSealed {
+		return x.relayEvents(ctx, patience)
+	}
+	if err := x.conn.SetReadDeadline(bootclock.Local(x.send.Deadline)); err != nil {
+		return x.fail(ctx, err)
+	}
+	x.resp.SkipBody = x.caller.Header().IsHead()
+	if err := x.resp.ReadBody(x.conn.R, maxAnswerBytes); err != nil {
+		return x.fail(ctx, errors.Wrap(err, "reading a body"))
+	}
+	x.keep()
+	if answer.IsNotRun {
+		r := x.report(ctx, dispatcher.NotRun, nil)
+		r.Fault = answer.Fault
+		return r
+	}
+	if !answer.IsSealed {
+		return x.report(ctx, dispatcher.Broken, errors.New("answer without a seal"))
+	}
+	if status >= fasthttp.StatusInternalServerError || x.hasBegun {
+		return x.report(ctx, dispatcher.Failed, nil)
+	}
+	return x.deliver(ctx)
+}
+
+// Deliver hands on the failure that was held back.
+func (x *Exchange) Deliver(ctx context.Context) dispatcher.Reported { return x.deliver(ctx) }
+
+func (x *Exchange) deliver(ctx context.Context) dispatcher.Reported {
+	x.translator.WriteAnswer(&x.resp.Header)
+	if err := x.caller.Answer(&x.resp.Header, x.resp.Body()); err != nil {
+		return x.report(ctx, dispatcher.CallerGone, err)
+	}
+	return x.report(ctx, dispatcher.Delivered, nil)
+}
+
+func (x *Exchange) relayEvents(ctx context.Context, patience time.Time) dispatcher.Reported {
+	if x.body == nil {
+		x.body = x.open()
+		x.buffer = make([]byte, readBytes)
+	}
+	if !x.hasBegun {
+		var h fasthttp.ResponseHeader
+		x.resp.Header.CopyTo(&h)
+		x.translator.WriteAnswer(&h)
+		if err := x.caller.Begin(&h); err != nil {
+			return x.report(ctx, dispatcher.CallerGone, err)
+		}
+		x.hasBegun = true
+	}
+	gap := patience.Sub(bootclock.Now())
+	if gap <= 0 {
+		gap = time.Millisecond
+	}
+	for {
+		if x.conn.R.Buffered() == 0 {
+			r, ok := x.peek(ctx, bootclock.Now().Add(max(gap, x.gap())))
+			if !ok && r.Outcome != dispatcher.Broken {
+				return r
+			}
+		}
+		n, err := x.body.Read(x.buffer)
+		if n > 0 {
+			if r, ok := x.handOn(ctx, x.buffer[:n]); !ok {
+				return r
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return x.finish(ctx)
+		}
+		if err != nil {
+			return x.fail(ctx, errors.Wrap(err, "reading a stream"))
+		}
+	}
+}
+
+// gap is the patience between two events.
+func (x *Exchange) gap() time.Duration { return x.send.Patience.Sub(x.sentAt) }
+
+// open returns the reader of a stream's body by its framing.
+func (x *Exchange) open() io.Reader {
+	switch n := x.resp.Header.ContentLength(); {
+	case n == -1:
+		return httputil.NewChunkedReader(x.conn.R)
+	case n >= 0:
+		return &exactReader{r: x.conn.R, left: n}
+	default:
+		return x.conn.R
+	}
+}
+
+// exactReader reads a body of a known length; an end before it is an error.
+type exactReader struct {
+	r    io.Reader
+	left int
+}
+
+func (r *exactReader) Read(b []byte) (int, error) {
+	if r.left == 0 {
+		return 0, io.EOF
+	}
+	n, err := r.r.Read(b[:min(len(b), r.left)])
+	r.left -= n
+	if errors.Is(err, io.EOF) && r.left > 0 {
+		return n, io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+func (x *Exchange) handOn(ctx context.Context, b []byte) (dispatcher.Reported, bool) {
+	last := x.events.last
+	whole := x.events.take(b)
+	if len(whole) == 0 {
+		return dispatcher.Reported{}, true
+	}
+	if id, ok := firstID(whole); ok && last != "" && !follows(id, last) {
+		x.events.last = last
+		return x.fail(ctx, errors.Newf("event %s came after %s", id, last)), false
+	}
+	if err := x.caller.Events(whole); err != nil {
+		return x.report(ctx, dispatcher.CallerGone, err), false
+	}
+	return dispatcher.Reported{}, true
+}
+
+// finish ends a stream that is complete.
+func (x *Exchange) finish(ctx context.Context) dispatcher.Reported {
+	if len(x.events.pending) > 0 {
+		return x.fail(ctx, errors.New("the stream ends inside an event"))
+	}
+	if x.resp.Header.ContentLength() == -1 {
+		if err := x.skipTrailer(); err != nil {
+			return x.fail(ctx, err)
+		}
+	}
+	x.keep()
+	if err := x.caller.Finish(); err != nil {
+		return x.report(ctx, dispatcher.CallerGone, err)
+	}
+	return x.report(ctx, dispatcher.Delivered, nil)
+}
+
+func (x *Exchange) skipTrailer() error {
+	for {
+		line, _, err := x.conn.R.ReadLine()
+		if err != nil {
+			return errors.Wrap(err, "reading a trailer")
+		}
+		if len(line) == 0 {
+			return nil
+		}
+	}
+}
+
+// keep gives the connection back when it may carry another request.
+func (x *Exchange) keep() {
+	if x.conn == nil || !x.stop() {
+		x.Drop()
+		return
+	}
+	idle := connector.DefaultIdle
+	if v := string(x.resp.Header.Peek("Keep-Alive")); v != "" {
+		idle = keepAliveTime(v)
+	}
+	conn := x.conn
+	x.conn = nil
+	if x.resp.ConnectionClose() || x.resp.Header.ContentLength() < -1 || idle <= 0 {
+		conn.Close()
+		return
+	}
+	x.pool.Put(conn, idle)
+}
+
+func keepAliveTime(v string) time.Duration {
+	for field := range strings.SplitSeq(v, ",") {
+		seconds, ok := strings.CutPrefix(strings.TrimSpace(field), "timeout=")
+		if n, err := strconv.Atoi(seconds); ok && err == nil {
+			return time.Duration(idlePart * float64(n) * float64(time.Second))
+		}
+	}
+	return connector.DefaultIdle
+}
+
+// Drop closes the connection, so that the target stops its work.
+func (x *Exchange) Drop() {
+	if x.conn == nil {
+		return
+	}
+	x.stop()
+	x.conn.Close()
+	x.conn = nil
+}
+
+// fail ends the attempt by the reason that goes before others: the caller left, the time is over.
+func (x *Exchange) fail(ctx context.Context, err error) dispatcher.Reported {
+	x.Drop()
+	switch {
+	case ctx.Err() != nil:
+		return x.report(ctx, dispatcher.CallerGone, err)
+	case !bootclock.Now().Before(x.send.Deadline):
+		return x.report(ctx, dispatcher.Expired, err)
+	}
+	return x.report(ctx, dispatcher.Broken, err)
+}
+
+func (x *Exchange) report(ctx context.Context, o dispatcher.Outcome, err error) dispatcher.Reported {
+	r := dispatcher.Reported{Call: x.send.Call, Outcome: o, Events: x.events.count, FirstByte: x.first}
+	if o == dispatcher.CallerGone {
+		x.Drop()
+	}
+	if x.hasHead && x.resp != nil {
+		r.Status = x.resp.StatusCode()
+	}
+	if ctx.Err() != nil {
+		r.Outcome = dispatcher.CallerGone
+	}
+	if err != nil {
+		r.Reason = fmt.Sprint(err)
+	}
+	return r
+}
--- /dev/null
+++ b/entry/internal/receiver/receiver.go
@@ -0,0 +1,317 @@
+// Package receiver takes requests off callers' connections and notices when a caller leaves.
+package receiver
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http/httputil"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"fuchsiabridge.example/common/describer"
+	"fuchsiabridge.example/common/eventlogger"
+)
+
+const (
+	bufferBytes = 8192
+	// writeTime is how long a caller may leave a part of an answer unread.
+	writeTime = 20 * time.Second
+
+	defaultHeaderTime = 5 * time.Second
+	defaultIdleTime   = 30 * time.Second
+	defaultBodyBytes  = 8 << 20
+	acceptPause       = 5 * time.Millisecond
+)
+
+// Handler serves one request; ctx ends when the caller leaves.
+type Handler interface {
+	Serve(ctx context.Context, c *Call)
+	Limits() describer.Limits
+}
+
+// Receiver serves callers' connections.
+type Receiver struct {
+	handler   Handler
+	isLeaving atomic.Bool
+	open      atomic.Int64
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+}
+
+// NewReceiver returns a receiver for a handler.
+func NewReceiver(h Handler) *Receiver { return &Receiver{handler: h, conns: map[*conn]struct{}{}} }
+
+// Open returns the number of requests in progress.
+func (r *Receiver) Open() int64 { return r.open.Load() }
+
+// Leave makes every further answer ask the caller to close its connection.
+func (r *Receiver) Leave() { r.isLeaving.Store(true) }
+
+// Serve accepts connections until the listener closes.
+func (r *Receiver) Serve(ctx context.Context, l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			eventlogger.Error(err, eventlogger.CallerBroken, "doing", "accepting")
+			time.Sleep(acceptPause)
+			continue
+		}
+		go r.serve(ctx, c)
+	}
+}
+
+// CloseIdle closes connections that carry no request.
+func (r *Receiver) CloseIdle() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		if !c.isBusy.Load() {
+			c.Close()
+		}
+	}
+}
+
+type conn struct {
+	net.Conn
+	r      *bufio.Reader
+	w      *bufio.Writer
+	isBusy atomic.Bool
+}
+
+func (r *Receiver) serve(ctx context.Context, nc net.Conn) {
+	c := &conn{Conn: nc, r: bufio.NewReaderSize(nc, bufferBytes), w: bufio.NewWriterSize(nc, bufferBytes)}
+	r.mu.Lock()
+	r.conns[c] = struct{}{}
+	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		delete(r.conns, c)
+		r.mu.Unlock()
+		c.Close()
+	}()
+	for r.serveOne(ctx, c) {
+	}
+}
+
+// serveOne serves the next request and reports whether the connection goes on.
+func (r *Receiver) serveOne(ctx context.Context, c *conn) bool {
+	if !r.awaitRequest(c) {
+		return false
+	}
+	c.isBusy.Store(true)
+	r.open.Add(1)
+	defer r.open.Add(-1)
+	defer c.isBusy.Store(false)
+	call := &Call{conn: c, receiver: r}
+	if err := r.read(c, call); err != nil {
+		r.reject(call, err)
+		return false
+	}
+	served, cancel := context.WithCancel(ctx)
+	gone := c.watch(cancel)
+	r.handler.Serve(served, call)
+	cancel()
+	gone()
+	return call.isWhole && !call.isLast
+}
+
+// awaitRequest waits for the first byte of a request, for as long as the idle timeout
+// in force at its end.
+func (r *Receiver) awaitRequest(c *conn) bool {
+	began := time.Now()
+	for {
+		limit := r.handler.Limits().IdleTimeout
+		if limit <= 0 {
+			limit = defaultIdleTime
+		}
+		if c.SetReadDeadline(began.Add(limit)) != nil {
+			return false
+		}
+		_, err := c.r.Peek(1)
+		if err == nil {
+			return true
+		}
+		var t net.Error
+		if !errors.As(err, &t) || !t.Timeout() || time.Since(began) >= r.handler.Limits().IdleTimeout {
+			return false
+		}
+	}
+}
+
+// errBadRequest marks a request that is none.
+var errBadRequest = errors.New("malformed request")
+
+func (r *Receiver) read(c *conn, call *Call) error {
+	limits := r.handler.Limits()
+	header, body := limits.HeaderTimeout, limits.BodyBytes
+	if header <= 0 {
+		header = defaultHeaderTime
+	}
+	if body <= 0 {
+		body = defaultBodyBytes
+	}
+	if err := c.SetReadDeadline(time.Now().Add(header)); err != nil {
+		return errors.Wrap(err, "setting a deadline")
+	}
+	call.request.Header.DisableNormalizing()
+	if err := call.request.Header.Read(c.r); err != nil {
+		return errors.Wrap(err, "reading a header")
+	}
+	h := &call.request.Header
+	if len(h.Peek(fasthttp.HeaderTransferEncoding)) > 0 && len(h.Peek(fasthttp.HeaderContentLength)) > 0 {
+		return errors.Wrap(errBadRequest, "a length beside chunks")
+	}
+	if call.request.MayContinue() {
+		if _, err := io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			return errors.Wrap(err, "asking for a body")
+		}
+	}
+	if err := call.request.ContinueReadBody(c.r, body, false); err != nil {
+		return errors.Wrap(err, "reading a body")
+	}
+	call.isLast = h.ConnectionClose()
+	return nil
+}
+
+// reject answers what is no request; a caller that merely left gets nothing.
+func (r *Receiver) reject(call *Call, err error) {
+	var t net.Error
+	switch {
+	case errors.Is(err, io.EOF), errors.Is(err, net.ErrClosed):
+		return
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		call.reject(fasthttp.StatusRequestEntityTooLarge)
+	case errors.As(err, &t) && t.Timeout():
+		call.reject(fasthttp.StatusRequestTimeout)
+	default:
+		call.reject(fasthttp.StatusBadRequest)
+	}
+	eventlogger.Error(err, eventlogger.CallerBroken, "remote", call.conn.RemoteAddr().String())
+}
+
+// watch calls leave when the caller closes its connection; the function that it returns
+// ends the watch. A next request that comes early stays in the buffer.
+func (c *conn) watch(leave func()) func() {
+	done := make(chan struct{})
+	if c.SetReadDeadline(time.Time{}) != nil {
+		leave()
+	}
+	go func() {
+		defer close(done)
+		if _, err := c.r.Peek(1); err != nil {
+			leave()
+		}
+	}()
+	return func() {
+		// An expired deadline wakes the reader; the next request sets its own.
+		if c.SetReadDeadline(time.Unix(1, 0)) != nil {
+			c.Close()
+		}
+		<-done
+	}
+}
+
+// Call is one request of a caller, and its answer.
+type Call struct {
+	conn     *conn
+	receiver *Receiver
+	request  fasthttp.Request
+	chunks   io.WriteCloser
+	// isLast says that the connection ends after the answer, isWhole that the answer was written whole.
+	isLast  bool
+	isWhole bool
+}
+
+// Header returns the request's header.
+func (c *Call) Header() *fasthttp.RequestHeader { return &c.request.Header }
+
+// Body returns the request's body.
+func (c *Call) Body() []byte { return c.request.Body() }
+
+// Answer writes a whole answer.
+func (c *Call) Answer(h *fasthttp.ResponseHeader, body []byte) error {
+	h.SetContentLength(len(body))
+	if err := c.head(h); err != nil {
+		return err
+	}
+	if !c.request.Header.IsHead() {
+		if _, err := c.conn.w.Write(body); err != nil {
+			return errors.Wrap(err, "writing a body")
+		}
+	}
+	return c.end()
+}
+
+// Begin writes the header of a stream.
+func (c *Call) Begin(h *fasthttp.ResponseHeader) error {
+	h.SetContentLength(-1)
+	if err := c.head(h); err != nil {
+		return err
+	}
+	c.chunks = httputil.NewChunkedWriter(c.conn.w)
+	return errors.Wrap(c.conn.w.Flush(), "writing a header")
+}
+
+// Events writes whole events at once.
+func (c *Call) Events(whole []byte) error {
+	if err := c.conn.SetWriteDeadline(time.Now().Add(writeTime)); err != nil {
+		return errors.Wrap(err, "setting a deadline")
+	}
+	if _, err := c.chunks.Write(whole); err != nil {
+		return errors.Wrap(err, "writing events")
+	}
+	return errors.Wrap(c.conn.w.Flush(), "writing events")
+}
+
+// Finish marks the end of a stream.
+func (c *Call) Finish() error {
+	if err := c.chunks.Close(); err != nil {
+		return errors.Wrap(err, "ending a stream")
+	}
+	if _, err := c.conn.w.WriteString("\r\n"); err != nil {
+		return errors.Wrap(err, "ending a stream")
+	}
+	return c.end()
+}
+
+func (c *Call) head(h *fasthttp.ResponseHeader) error {
+	if c.receiver.isLeaving.Load() {
+		c.isLast = true
+	}
+	if c.isLast {
+		h.SetConnectionClose()
+	}
+	if err := c.conn.SetWriteDeadline(time.Now().Add(writeTime)); err != nil {
+		return errors.Wrap(err, "setting a deadline")
+	}
+	h.SetNoDefaultContentType(true)
+	_, err := h.WriteTo(c.conn.w)
+	return errors.Wrap(err, "writing a header")
+}
+
+func (c *Call) end() error {
+	if err := c.conn.w.Flush(); err != nil {
+		return errors.Wrap(err, "writing an answer")
+	}
+	c.isWhole = true
+	return nil
+}
+
+func (c *Call) reject(status int) {
+	var h fasthttp.ResponseHeader
+	h.SetStatusCode(status)
+	c.isLast = true
+	if err := c.Answer(&h, nil); err != nil {
+		eventlogger.Error(err, eventlogger.CallerBroken, "doing", "rejecting")
+	}
+}
--- /dev/null
+++ b/entry/internal/relayer/relayer.go
@@ -0,0 +1,189 @@
+// Package relayer is the shell of a relaying node: it runs the reducer's effects and
+// feeds back what came of them.
+package relayer
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"github.com/cockroachdb/errors"
+
+	"fuchsiabridge.example/common/bootclock"
+	"fuchsiabridge.example/common/describer"
+	"fuchsiabridge.example/common/eventlogger"
+	"fuchsiabridge.example/common/httpcaller"
+	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/common/messenger"
+	"fuchsiabridge.example/entry/internal/composer"
+	"fuchsiabridge.example/entry/internal/connector"
+	"fuchsiabridge.example/entry/internal/dispatcher"
+	"fuchsiabridge.example/entry/internal/placer"
+	"fuchsiabridge.example/entry/internal/registrar"
+	"fuchsiabridge.example/platform/targetcaller"
+	"fuchsiabridge.example/platform/translator"
+)
+
+const (
+	tickInterval  = 50 * time.Millisecond
+	sweepInterval = time.Second
+	orderTime     = time.Second
+	probeTime     = 200 * time.Millisecond
+	// orderWorkers is how many calls to targets beside requests go on at once.
+	orderWorkers = 64
+)
+
+// Config holds what the relayer is made of.
+type Config struct {
+	Dispatch dispatcher.Config
+	// RoomRequests is how many usual requests the weights leave room for at each target.
+	RoomRequests int
+}
+
+// Relayer serves requests by the reducer's decisions.
+type Relayer struct {
+	ctx        context.Context
+	targets    *targetcaller.Caller
+	translator translator.Translator
+	pool       *connector.Connector
+	work       pond.Pool
+	nextCall   atomic.Uint64
+	isLeaving  atomic.Bool
+	limits     atomic.Pointer[describer.Limits]
+
+	mu       sync.Mutex
+	reducer  *composer.Composer
+	dispatch *dispatcher.Dispatcher
+}
+
+// NewRelayer returns a relayer whose work ends with ctx.
+func NewRelayer(ctx context.Context, cfg Config, http *httpcaller.Caller) *Relayer {
+	d := dispatcher.NewDispatcher(cfg.Dispatch)
+	return &Relayer{
+		ctx: ctx, targets: targetcaller.NewCaller(http), pool: connector.NewConnector(),
+		work:     pond.NewPool(orderWorkers, pond.WithContext(ctx)),
+		dispatch: d,
+		reducer:  composer.NewControl(registrar.NewRegistrar(), d, placer.NewPlacer(cfg.RoomRequests)),
+	}
+}
+
+// Run tells the reducer of the time until ctx ends.
+func (x *Relayer) Run(ctx context.Context) {
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	swept := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		x.Submit(messenger.Tick{})
+		if now := time.Now(); now.Sub(swept) >= sweepInterval {
+			swept = now
+			x.pool.Sweep(now)
+		}
+	}
+}
+
+// Submit applies an event that belongs to no request.
+func (x *Relayer) Submit(event messenger.Event) { x.apply(event) }
+
+// apply applies an event, runs the effects that concern no request and returns the others.
+func (x *Relayer) apply(event messenger.Event) []messenger.Effect {
+	x.mu.Lock()
+	effects := x.reducer.Apply(bootclock.Now(), event)
+	if _, ok := event.(dispatcher.TableRead); ok {
+		limits := x.dispatch.Limits()
+		x.limits.Store(&limits)
+	}
+	x.mu.Unlock()
+	var rest []messenger.Effect
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case messenger.Log:
+			eventlogger.Info(e.Event, append([]any{"subject", e.Subject}, e.Values...)...)
+		case placer.Place:
+			x.work.Go(func() { x.place(e) })
+		case placer.AskKind:
+			x.work.Go(func() { x.askKind(e) })
+		default:
+			rest = append(rest, effect)
+		}
+	}
+	return rest
+}
+
+// place gives an order, unless the lease has ended meanwhile.
+func (x *Relayer) place(e placer.Place) {
+	if !bootclock.Now().Before(e.Until) {
+		x.Submit(placer.Placed{Target: e.Target, Answer: placer.NotSent, Reason: "the lease has ended"})
+		return
+	}
+	ctx, cancel := context.WithTimeout(x.ctx, orderTime)
+	defer cancel()
+	err := x.targets.Place(ctx, e.Address, e.Layers, e.Fence, e.Orders)
+	placed := placer.Placed{Target: e.Target}
+	switch {
+	case err == nil:
+	case errors.Is(err, targetcaller.ErrUnknown):
+		placed.Answer = placer.Unknown
+	case errors.Is(err, targetcaller.ErrFenced):
+		placed.Answer = placer.Fenced
+	case errors.Is(err, targetcaller.ErrUnfit):
+		placed.Answer = placer.Unfit
+	default:
+		placed.Answer = placer.NotSent
+	}
+	if err != nil {
+		placed.Reason = err.Error()
+	}
+	x.Submit(placed)
+}
+
+func (x *Relayer) askKind(e placer.AskKind) {
+	ctx, cancel := context.WithTimeout(x.ctx, orderTime)
+	defer cancel()
+	report, err := x.targets.Report(ctx, e.Address)
+	if err != nil {
+		eventlogger.Error(err, eventlogger.ReportFailed, "target", e.Target)
+		return
+	}
+	x.Submit(registrar.Kinds{Target: e.Target, Kind: report.Kind})
+}
+
+// probe asks the first target of a chain for whom a request waits.
+func (x *Relayer) probe(ctx context.Context, address string, id identifier.RequestID) dispatcher.Probed {
+	ctx, cancel := context.WithTimeout(ctx, probeTime)
+	defer cancel()
+	report, err := x.targets.Report(ctx, address)
+	if err != nil {
+		eventlogger.Error(err, eventlogger.ReportFailed, "address", address, "request", id)
+		return dispatcher.Probed{IsUnanswered: true, Seed: rand.Uint64()}
+	}
+	return dispatcher.Probed{Fault: report.Stalled[id], Seed: rand.Uint64()}
+}
+
+// Limits returns what callers are allowed.
+func (x *Relayer) Limits() describer.Limits {
+	if l := x.limits.Load(); l != nil {
+		return *l
+	}
+	return describer.Limits{}
+}
+
+// Leave makes the node unready.
+func (x *Relayer) Leave() { x.isLeaving.Store(true) }
+
+// IsReady reports whether new callers should come here.
+func (x *Relayer) IsReady() bool {
+	if x.isLeaving.Load() {
+		return false
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.dispatch.IsReady(bootclock.Now())
+}
--- /dev/null
+++ b/entry/internal/relayer/serving.go
@@ -0,0 +1,88 @@
+package relayer
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"fuchsiabridge.example/common/bootclock"
+	"fuchsiabridge.example/common/eventlogger"
+	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/common/messenger"
+	"fuchsiabridge.example/entry/internal/dispatcher"
+	"fuchsiabridge.example/entry/internal/forwarder"
+	"fuchsiabridge.example/entry/internal/receiver"
+	"fuchsiabridge.example/platform/translator"
+)
+
+// serving is one request in the relayer's hands.
+type serving struct {
+	x        *Relayer
+	call     identifier.CallID
+	caller   *receiver.Call
+	request  translator.Request
+	exchange *forwarder.Exchange
+}
+
+// Serve serves one request; ctx ends when the caller leaves.
+func (x *Relayer) Serve(ctx context.Context, c *receiver.Call) {
+	h := c.Header()
+	request := x.translator.ReadRequest(h)
+	s := &serving{
+		x: x, call: identifier.CallID(x.nextCall.Add(1)), caller: c, request: request,
+		exchange: forwarder.NewExchange(c, request, x.pool),
+	}
+	defer s.exchange.Drop()
+	arrived := dispatcher.Arrived{
+		Call: s.call, ID: request.ID, Host: string(h.Host()), Path: string(h.RequestURI()),
+		Key: request.Key, Tokens: request.Tokens, Seed: rand.Uint64(),
+	}
+	if request.Left > 0 {
+		arrived.Deadline = bootclock.Now().Add(request.Left)
+	}
+	for effects := x.apply(arrived); len(effects) > 0; {
+		effects = s.run(ctx, effects[0])
+	}
+}
+
+// run carries out one effect and returns those that follow.
+func (s *serving) run(ctx context.Context, effect messenger.Effect) []messenger.Effect {
+	switch e := effect.(type) {
+	case dispatcher.Send:
+		return s.report(s.exchange.Attempt(ctx, e))
+	case dispatcher.Wait:
+		return s.report(s.exchange.Await(ctx, e.Until))
+	case dispatcher.Probe:
+		probed := s.x.probe(ctx, e.Address, s.request.ID)
+		probed.Call = s.call
+		return s.x.apply(probed)
+	case dispatcher.Deliver:
+		if s.exchange.HasBegun() {
+			return nil
+		}
+		return s.report(s.exchange.Deliver(ctx))
+	case dispatcher.Refuse:
+		s.refuse(e)
+	}
+	return nil
+}
+
+func (s *serving) report(r dispatcher.Reported) []messenger.Effect {
+	r.Seed = rand.Uint64()
+	return s.x.apply(r)
+}
+
+// refuse answers for the node; a stream that has begun is broken off instead.
+func (s *serving) refuse(e dispatcher.Refuse) {
+	if s.exchange.HasBegun() {
+		return
+	}
+	var h fasthttp.ResponseHeader
+	h.SetStatusCode(e.Status)
+	s.x.translator.WriteRefusal(&h, s.request.ID, e.RetryAfter.Round(time.Millisecond))
+	if err := s.caller.Answer(&h, nil); err != nil {
+		eventlogger.Error(err, eventlogger.CallerBroken, "request", s.request.ID)
+	}
+}
--- /dev/null
+++ b/entry/internal/router/router.go
@@ -0,0 +1,85 @@
+// Package router finds the route of a request and the client account of a key in one
+// version of the configuration.
+package router
+
+import (
+	"strings"
+
+	"fuchsiabridge.example/common/describer"
+	"fuchsiabridge.example/common/identifier"
+)
+
+// Table is one version of the configuration, made ready for look-ups; it never changes.
+type Table struct {
+	Version  int64
+	Limits   describer.Limits
+	Services map[identifier.ServiceID]describer.Service
+
+	routes   map[place]*describer.Route
+	accounts map[string]*describer.Account
+}
+
+type place struct{ host, prefix string }
+
+// NewTable makes a table of a configuration.
+func NewTable(cfg *describer.Configuration) *Table {
+	t := &Table{
+		Version: cfg.Version, Limits: cfg.Limits, Services: cfg.Services,
+		routes:   make(map[place]*describer.Route, len(cfg.Routes)),
+		accounts: map[string]*describer.Account{},
+	}
+	for i := range cfg.Routes {
+		r := &cfg.Routes[i]
+		t.routes[place{r.Host, r.Prefix}] = r
+	}
+	for i := range cfg.Accounts {
+		for _, key := range cfg.Accounts[i].Keys {
+			t.accounts[key] = &cfg.Accounts[i]
+		}
+	}
+	return t
+}
+
+// Route returns the route with the longest prefix of the path, nil when there is none.
+func (t *Table) Route(host, path string) *describer.Route {
+	host = strings.ToLower(host)
+	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+		host = host[:i]
+	}
+	path, _, _ = strings.Cut(path, "?")
+	for i := len(path) - 1; i >= 0; i-- {
+		if path[i] != '/' {
+			continue
+		}
+		if r, ok := t.routes[place{host, path[:i+1]}]; ok {
+			return r
+		}
+	}
+	return nil
+}
+
+// Account returns the client account that holds a key, nil when none does.
+func (t *Table) Account(key string) *describer.Account { return t.accounts[key] }
+
+// HasAccounts reports whether requests need keys at all.
+func (t *Table) HasAccounts() bool { return len(t.accounts) > 0 }
+
+// Pick returns one of a route's services by weight; seed is a random number.
+func Pick(r *describer.Route, seed uint64) identifier.ServiceID {
+	var sum float64
+	for _, s := range r.Services {
+		sum += s.Weight
+	}
+	const seedSteps = 1 << 20
+	point := sum * float64(seed%seedSteps) / seedSteps
+	for _, s := range r.Services {
+		if point < s.Weight {
+			return s.Service
+		}
+		point -= s.Weight
+	}
+	return r.Services[len(r.Services)-1].Service
+}
+
+// Size returns the number of routes.
+func (t *Table) Size() int { return len(t.routes) }
