Decode the one range of layers that an entry holds; ask for orders begun before ordering

Cause: an entry's sequence counts heartbeats, a report's counts orders, so every order expected the wrong count and was refused; layers are one object, not a list, so no entry with layers could be read.

--- a/common/describer/describer.go
+++ b/common/describer/describer.go
@@ -123,13 +123,11 @@
 	DataCentre identifier.DataCentre
 	IsLeaving  bool
 	// Born tells the starts of a target apart; a higher one is later.
-	Born int64
-	// Orders counts the orders that the target has begun since its start.
-	Orders int64
-	Slots  int
-	Kind   identifier.AcceleratorKind
+	Born  int64
+	Slots int
+	Kind  identifier.AcceleratorKind
 	// Layers holds the layers that the target serves; empty for a plain or an empty one.
-	Layers []identifier.LayerRange
+	Layers identifier.LayerRange
 }
 
 // TargetChange is a target's newest word, or that it is gone.
@@ -141,9 +139,12 @@
 
 // Report is a target's answer about its load.
 type Report struct {
-	Kind   identifier.AcceleratorKind
+	Kind identifier.AcceleratorKind
+	// Orders counts the orders that the target has begun since its start.
 	Orders int64
-	Layers []identifier.LayerRange
+	// IsBusy says that an order is being carried out.
+	IsBusy bool
+	Layers identifier.LayerRange
 	// Stalled maps a request that makes no progress to the address of the target it waits for.
 	Stalled map[identifier.RequestID]string
 }
--- a/entry/internal/dispatcher/choice.go
+++ b/entry/internal/dispatcher/choice.go
@@ -63,7 +63,7 @@
 	s.planned, s.isStale = now, false
 	var holders []chainer.Holder
 	for _, t := range s.targets {
-		if t.IsLeaving || t.IsDoubted || len(t.Layers) == 0 {
+		if t.IsLeaving || t.IsDoubted || t.Layers.Len() == 0 {
 			continue
 		}
 		accelerator := s.engine.Kinds[t.Kind]
@@ -71,17 +71,11 @@
 		if factor == 0 {
 			factor = 1
 		}
-		held := 0
-		for _, r := range t.Layers {
-			held += r.Len()
-		}
-		for _, r := range t.Layers {
-			holders = append(holders, chainer.Holder{
-				Target: t.ID, Address: t.Address, DataCentre: t.DataCentre, Layers: r,
-				LayerCost:     factor * milliseconds(s.engine.StepTime) / float64(s.engine.Layers),
-				FreeMegabytes: max(0, accelerator.Megabytes-float64(held)*s.engine.LayerMegabytes),
-			})
-		}
+		holders = append(holders, chainer.Holder{
+			Target: t.ID, Address: t.Address, DataCentre: t.DataCentre, Layers: t.Layers,
+			LayerCost:     factor * milliseconds(s.engine.StepTime) / float64(s.engine.Layers),
+			FreeMegabytes: max(0, accelerator.Megabytes-float64(t.Layers.Len())*s.engine.LayerMegabytes),
+		})
 	}
 	s.chains = chainer.NewPlanner(s.engine, holders).Plan(chainsPerCentre)
 }
--- a/entry/internal/placer/arranger.go
+++ b/entry/internal/placer/arranger.go
@@ -67,10 +67,8 @@
 		case t.IsLeaving:
 		case isPending:
 			counts.add(t.DataCentre, held)
-		case len(t.Layers) > 0:
-			for _, r := range t.Layers {
-				counts.add(t.DataCentre, r)
-			}
+		case t.Layers.Len() > 0:
+			counts.add(t.DataCentre, t.Layers)
 		case e.Kinds[t.Kind].Megabytes > 0:
 			empty = append(empty, t)
 		}
--- a/entry/internal/placer/placer.go
+++ b/entry/internal/placer/placer.go
@@ -20,6 +20,10 @@
 	unfitPause = 1500 * time.Millisecond
 	// decideInterval is the time between two looks at what lacks holders.
 	decideInterval = 200 * time.Millisecond
+	// toldTime is how long a target's answer for its state is relied on.
+	toldTime = 3 * time.Second
+	// askPause is the time for which an answer is waited for before the target is asked again.
+	askPause = 600 * time.Millisecond
 	// gatherTime is how long a node that knows no targets yet waits for all of them.
 	gatherTime = 1500 * time.Millisecond
 )
@@ -43,8 +47,8 @@
 	Until time.Time
 }
 
-// AskKind is the effect that asks a target for its accelerator kind.
-type AskKind struct {
+// AskState is the effect that asks an empty target for its kind and its orders.
+type AskState struct {
 	Target  identifier.TargetID
 	Address string
 }
@@ -73,11 +77,17 @@
 
 type pendingOrder struct {
 	layers identifier.LayerRange
-	orders int64
 	born   int64
 	until  time.Time
 }
 
+// told is a target's answer for its state.
+type told struct {
+	askedAt time.Time
+	at      time.Time
+	report  describer.Report
+}
+
 // Placer is the sub-reducer that orders empty targets to hold layers.
 type Placer struct {
 	// requests is how many usual requests a target should have room for.
@@ -88,6 +98,7 @@
 	targets   []registrar.Target
 	firstSeen time.Time
 	pending   map[identifier.TargetID]pendingOrder
+	told      map[identifier.TargetID]told
 	notUntil  map[identifier.TargetID]time.Time
 	decided   time.Time
 }
@@ -96,7 +107,7 @@
 func NewPlacer(requests int) *Placer {
 	return &Placer{
 		requests: float64(requests), engines: map[identifier.ServiceID]*describer.Engine{},
-		pending: map[identifier.TargetID]pendingOrder{}, notUntil: map[identifier.TargetID]time.Time{},
+		pending: map[identifier.TargetID]pendingOrder{}, told: map[identifier.TargetID]told{}, notUntil: map[identifier.TargetID]time.Time{},
 	}
 }
 
@@ -116,6 +127,10 @@
 			p.firstSeen = now
 		}
 		p.settle(now)
+	case registrar.StateTold:
+		t := p.told[ev.Target]
+		t.at, t.report = now, ev.Report
+		p.told[ev.Target] = t
 	case LeaseChanged:
 		return p.leaseChanged(ev)
 	case Placed:
@@ -147,7 +162,7 @@
 	}
 	for id, o := range p.pending {
 		t, ok := known[id]
-		if !ok || t.Born != o.born || len(t.Layers) > 0 || !now.Before(o.until) {
+		if !ok || t.Born != o.born || t.Layers.Len() > 0 || !now.Before(o.until) {
 			delete(p.pending, id)
 		}
 	}
@@ -195,32 +210,58 @@
 }
 
 func (p *Placer) order(now time.Time, service identifier.ServiceID, engine *describer.Engine) []messenger.Effect {
-	var effects []messenger.Effect
+	mine, effects, isComplete := p.candidates(now, service)
+	if !isComplete {
+		return effects
+	}
 	pending := map[identifier.TargetID]identifier.LayerRange{}
 	for id, o := range p.pending {
 		pending[id] = o.layers
 	}
-	var mine []registrar.Target
-	for _, t := range p.targets {
-		if t.Service != service || now.Before(p.notUntil[t.ID]) {
-			continue
-		}
-		if t.Kind == "" && !t.IsLeaving {
-			p.notUntil[t.ID] = now.Add(unfitPause)
-			effects = append(effects, AskKind{Target: t.ID, Address: t.Address})
-			continue
-		}
-		mine = append(mine, t)
-	}
 	for _, a := range Arrange(engine, mine, pending, p.requests) {
-		p.pending[a.Target.ID] = pendingOrder{layers: a.Layers, orders: a.Target.Orders, born: a.Target.Born, until: now.Add(lateTime)}
+		orders := p.told[a.Target.ID].report.Orders
+		delete(p.told, a.Target.ID)
+		p.pending[a.Target.ID] = pendingOrder{layers: a.Layers, born: a.Target.Born, until: now.Add(lateTime)}
 		effects = append(effects, Place{
-			Target: a.Target.ID, Address: a.Target.Address, Orders: a.Target.Orders,
+			Target: a.Target.ID, Address: a.Target.Address, Orders: orders,
 			Layers: a.Layers, Fence: p.lease.Fence, Until: p.lease.Until,
 		}, messenger.Log{
 			Event: eventlogger.PlacementOrdered, Subject: "target/" + string(a.Target.ID),
-			Values: []any{"from", a.Layers.From, "to", a.Layers.To, "fence", p.lease.Fence, "orders", a.Target.Orders, "kind", a.Target.Kind},
+			Values: []any{"from", a.Layers.From, "to", a.Layers.To, "fence", p.lease.Fence, "orders", orders, "kind", a.Target.Kind},
 		})
 	}
 	return effects
 }
+
+// candidates returns a service's targets without the empty ones that have not answered for
+// their state. It is complete once all have been asked, and none may answer yet.
+func (p *Placer) candidates(now time.Time, service identifier.ServiceID) ([]registrar.Target, []messenger.Effect, bool) {
+	var mine []registrar.Target
+	var effects []messenger.Effect
+	isComplete := true
+	for _, t := range p.targets {
+		if t.Service != service || t.IsLeaving || now.Before(p.notUntil[t.ID]) {
+			continue
+		}
+		_, isPending := p.pending[t.ID]
+		if t.Layers.Len() > 0 || isPending {
+			mine = append(mine, t)
+			continue
+		}
+		state := p.told[t.ID]
+		switch {
+		case now.Sub(state.at) < toldTime:
+			if !state.report.IsBusy && state.report.Layers.Len() == 0 {
+				mine = append(mine, t)
+			}
+		case now.Sub(state.askedAt) >= askPause:
+			isComplete = isComplete && !state.askedAt.IsZero()
+			state.askedAt = now
+			p.told[t.ID] = state
+			effects = append(effects, AskState{Target: t.ID, Address: t.Address})
+		default:
+			isComplete = false
+		}
+	}
+	return mine, effects, isComplete
+}
--- a/entry/internal/registrar/registrar.go
+++ b/entry/internal/registrar/registrar.go
@@ -40,10 +40,10 @@
 	Reason  string
 }
 
-// Kinds tells the accelerator kind of a target whose entry leaves it out.
-type Kinds struct {
+// StateTold is the event that a target answered for its state, of which entries leave parts out.
+type StateTold struct {
 	Target identifier.TargetID
-	Kind   identifier.AcceleratorKind
+	Report describer.Report
 }
 
 // Target is a target with what is believed of it.
@@ -89,10 +89,10 @@
 		r.graceUntil = now.Add(returnTime)
 	case Doubted:
 		return r.doubt(now, ev)
-	case Kinds:
-		r.kinds[ev.Target] = ev.Kind
+	case StateTold:
+		r.kinds[ev.Target] = ev.Report.Kind
 		if s, ok := r.states[ev.Target]; ok && s.target.Kind == "" {
-			s.target.Kind = ev.Kind
+			s.target.Kind = ev.Report.Kind
 			return r.changed(now)
 		}
 	case messenger.Tick:
--- a/entry/internal/relayer/relayer.go
+++ b/entry/internal/relayer/relayer.go
@@ -108,8 +108,8 @@
 			eventlogger.Info(e.Event, append([]any{"subject", e.Subject}, e.Values...)...)
 		case placer.Place:
 			x.work.Go(func() { x.place(e) })
-		case placer.AskKind:
-			x.work.Go(func() { x.askKind(e) })
+		case placer.AskState:
+			x.work.Go(func() { x.askState(e) })
 		default:
 			rest = append(rest, effect)
 		}
@@ -144,7 +144,7 @@
 	x.Submit(placed)
 }
 
-func (x *Relayer) askKind(e placer.AskKind) {
+func (x *Relayer) askState(e placer.AskState) {
 	ctx, cancel := context.WithTimeout(x.ctx, orderTime)
 	defer cancel()
 	report, err := x.targets.Report(ctx, e.Address)
@@ -152,7 +152,7 @@
 		eventlogger.Error(err, eventlogger.ReportFailed, "target", e.Target)
 		return
 	}
-	x.Submit(registrar.Kinds{Target: e.Target, Kind: report.Kind})
+	x.Submit(registrar.StateTold{Target: e.Target, Report: report})
 }
 
 // probe asks the first target of a chain for whom a request waits.
