--- a/entry/internal/chainer/chainer.go
+++ b/entry/internal/chainer/chainer.go
@@ -2,6 +2,7 @@
 package chainer
 
 import (
+	"fmt"
 	"math"
 	"slices"
 
@@ -15,7 +16,7 @@
 	hopCost      = 0.5
 	crossingCost = 8.0
 	// useFactor is by how much each chain that already uses a target makes it dearer for the next.
-	useFactor = 1.0
+	useFactor = 2.0
 	// roomCost is divided by the streams that a part has room for, in milliseconds.
 	roomCost = 30.0
 	// maxParts is the longest chain that targets accept.
@@ -49,6 +50,11 @@
 	Room float64
 }
 
+// String describes the chain for the logs.
+func (c Chain) String() string {
+	return fmt.Sprintf("%s parts=%d crossings=%d step_ms=%.1f room=%.0f", c.DataCentre, len(c.Parts), c.Crossings, c.StepCost, c.Room)
+}
+
 // Planner plans the chains of one model.
 type Planner struct {
 	engine  *describer.Engine
@@ -74,17 +80,26 @@
 // those that a data centre lacks.
 func (p *Planner) Plan(perCentre int) []Chain {
 	var chains []Chain
+	add := func(c Chain, ok bool) bool {
+		if !ok || isKnown(chains, c) {
+			return false
+		}
+		chains = append(chains, c)
+		p.note(c)
+		return true
+	}
+	lacking := 0
 	for _, dc := range p.centres() {
-		for n := range perCentre {
-			chain, ok := p.find(func(h Holder) bool { return h.DataCentre == dc })
-			if !ok && n == 0 {
-				chain, ok = p.find(func(Holder) bool { return true })
-			}
-			if !ok || isKnown(chains, chain) {
-				break
-			}
-			chains = append(chains, chain)
-			p.note(chain)
+		if !add(p.find(func(h Holder) bool { return h.DataCentre == dc })) {
+			lacking++
+		}
+	}
+	for range lacking {
+		add(p.find(func(Holder) bool { return true }))
+	}
+	for range perCentre - 1 {
+		for _, dc := range p.centres() {
+			add(p.find(func(h Holder) bool { return h.DataCentre == dc }))
 		}
 	}
 	return chains
--- a/entry/internal/commander/relay.go
+++ b/entry/internal/commander/relay.go
@@ -32,7 +32,6 @@
 const relayCommand = "relay"
 
 const (
-	maxRoom = 100_000
 	// stopMargin is left of the stop limit for what comes after the last request.
 	stopMargin = 500 * time.Millisecond
 	healthStop = time.Second
@@ -50,7 +49,7 @@
 		{Name: "revocation-limit", Default: "5s", Usage: "time after which a key that was taken away must not be used; 0s when a node may go on with what it last read", Check: optionparser.IsDuration},
 		{Name: "retry-ratio", Default: "0.2", Usage: "repeats as a share of requests, 0 to 1", Check: optionparser.IsShare},
 		{Name: "retry-window", Default: "10s", Usage: "window over which the retry ratio holds", Check: optionparser.IsDuration},
-		{Name: "room-requests", Default: "90", Usage: "usual requests for which each target of a chain should keep memory free, 1 to 100000", Check: optionparser.IsNumber(1, maxRoom)},
+		{Name: "heartbeat", Default: "1200ms", Usage: "how often a target tells the store that it is alive", Check: optionparser.IsDuration},
 		{Name: "balancer-lag", Default: "2600ms", Usage: "time for which a stopping node still accepts requests, so that the balancer can see it is unready", Check: optionparser.IsDuration},
 		{Name: "stop-limit", Default: "8s", Usage: "longest time a stopping node waits for requests in progress", Check: optionparser.IsDuration},
 		{Name: "check", Default: "false", Usage: "check the settings and stop", Check: optionparser.IsBool},
@@ -88,6 +87,11 @@
 		w.Run(ctx)
 	}()
 	klog.LogToStderr(false)
+	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(flags)
+	if err := flags.Set("one_output", "true"); err != nil {
+		eventlogger.Error(err, eventlogger.SettingsWrong, "doing", "setting up the log")
+	}
 	klog.SetOutput(w)
 	return func() {
 		klog.Flush()
@@ -110,7 +114,7 @@
 			RetryRatio:      values.Share("retry-ratio"),
 			RetryWindow:     values.Duration("retry-window"),
 		},
-		RoomRequests: values.Number("room-requests"),
+		Heartbeat: values.Duration("heartbeat"),
 	}, http)
 	node := identifier.NodeID(values.Text("node"))
 	f := follower.NewFollower(storecaller.NewCaller(http, values.Text("store")), node, x.Submit)
--- a/entry/internal/dispatcher/attempts.go
+++ b/entry/internal/dispatcher/attempts.go
@@ -98,26 +98,32 @@
 	}
 	switch ev.Outcome {
 	case NotSent:
-		return d.doubt(now, r, d.address(r), ev.Reason)
+		return d.doubt(now, r, d.address(r), registrar.Dead, ev.Reason)
 	case NotRun:
-		if len(r.chain) > 0 || ev.Status == http.StatusMisdirectedRequest {
-			return d.doubt(now, r, address, ev.Reason)
+		if ev.Status == http.StatusMisdirectedRequest {
+			return d.doubt(now, r, address, registrar.Unfit, "it says it holds other layers")
+		}
+		if len(r.chain) > 0 {
+			return d.doubt(now, r, address, registrar.Full, "it takes no more requests")
 		}
 	}
 	return nil
 }
 
 // doubt tells of a target in doubt; the next choice must not wait until that is taken in.
-func (d *Dispatcher) doubt(now time.Time, r *request, address, reason string) []messenger.Effect {
-	if s := d.services[r.service]; s != nil {
-		for i := range s.targets {
-			s.targets[i].IsDoubted = s.targets[i].IsDoubted || s.targets[i].Address == address
-		}
-		if s.engine != nil {
-			d.plan(now, s)
-		}
+func (d *Dispatcher) doubt(now time.Time, r *request, address string, doubt registrar.Doubt, reason string) []messenger.Effect {
+	effects := []messenger.Effect{messenger.Raise{Event: registrar.Doubted{Address: address, Doubt: doubt, Reason: reason}}}
+	s := d.services[r.service]
+	if s == nil {
+		return effects
+	}
+	for i := range s.targets {
+		s.targets[i].IsDoubted = s.targets[i].IsDoubted || s.targets[i].Address == address
+	}
+	if s.engine != nil {
+		effects = append(effects, d.plan(now, s))
 	}
-	return []messenger.Effect{messenger.Raise{Event: registrar.Doubted{Address: address, Reason: reason}}}
+	return effects
 }
 
 // address returns the address of the target that the request was sent to.
@@ -203,7 +209,7 @@
 	if fault == "" {
 		return []messenger.Effect{Wait{Until: now.Add(streamPatience)}}
 	}
-	effects := d.doubt(now, r, fault, "a request waits for it")
+	effects := d.doubt(now, r, fault, registrar.Dead, "a request waits for it")
 	return append(effects, d.switchOver(now, ev.Call, r, "waits for "+fault, ev.Seed)...)
 }
 
--- a/entry/internal/dispatcher/choice.go
+++ b/entry/internal/dispatcher/choice.go
@@ -3,10 +3,13 @@
 import (
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"fuchsiabridge.example/common/describer"
+	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/entry/internal/chainer"
 	"fuchsiabridge.example/entry/internal/registrar"
 )
@@ -59,11 +62,30 @@
 }
 
 // plan makes the chains of an engine's service anew.
-func (d *Dispatcher) plan(now time.Time, s *service) {
+func (d *Dispatcher) plan(now time.Time, s *service) messenger.Effect {
 	s.planned, s.isStale = now, false
+	holders := d.holders(s, false)
+	s.chains = chainer.NewPlanner(s.engine, holders).Plan(chainsPerCentre)
+	if len(s.chains) == 0 {
+		// A way over targets in doubt is better than none.
+		holders = d.holders(s, true)
+		s.chains = chainer.NewPlanner(s.engine, holders).Plan(chainsPerCentre)
+	}
+	var chains []string
+	for _, c := range s.chains {
+		chains = append(chains, c.String())
+	}
+	return messenger.Log{
+		Event: eventlogger.ChainsPlanned, Subject: "chains/" + string(s.engine.Model),
+		Values: []any{"holders", len(holders), "chains", strings.Join(chains, "; ")},
+	}
+}
+
+// holders returns the targets that may be parts of chains, also those in doubt if so asked.
+func (d *Dispatcher) holders(s *service, isDoubtful bool) []chainer.Holder {
 	var holders []chainer.Holder
 	for _, t := range s.targets {
-		if t.IsLeaving || t.IsDoubted || t.Layers.Len() == 0 {
+		if t.IsLeaving || (t.IsDoubted && !isDoubtful) || t.Layers.Len() == 0 {
 			continue
 		}
 		accelerator := s.engine.Kinds[t.Kind]
@@ -77,16 +99,21 @@
 			FreeMegabytes: max(0, accelerator.Megabytes-float64(t.Layers.Len())*s.engine.LayerMegabytes),
 		})
 	}
-	s.chains = chainer.NewPlanner(s.engine, holders).Plan(chainsPerCentre)
+	return holders
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
-// chooseChain returns the chain with the least load for its room and speed, nil when there is none.
-func (d *Dispatcher) chooseChain(now time.Time, s *service, avoid func(chainer.Chain) bool) *chainer.Chain {
-	if s.isStale && (now.Sub(s.planned) >= replanInterval || len(s.chains) == 0) {
-		d.plan(now, s)
+// refresh plans anew where targets have changed since the last plan.
+func (d *Dispatcher) refresh(now time.Time, s *service) []messenger.Effect {
+	if s.engine == nil || !s.isStale || (now.Sub(s.planned) < replanInterval && len(s.chains) > 0) {
+		return nil
 	}
+	return []messenger.Effect{d.plan(now, s)}
+}
+
+// chooseChain returns the chain with the least load for its room and speed, nil when there is none.
+func (d *Dispatcher) chooseChain(s *service, avoid func(chainer.Chain) bool) *chainer.Chain {
 	var best *chainer.Chain
 	least := math.Inf(1)
 	for i := range s.chains {
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -250,13 +250,14 @@
 		IsStream: r.route.Kind == describer.Streaming, IsFresh: !r.route.MayRepeat(),
 	}
 	r.chain = nil
+	effects := d.refresh(now, s)
 	if s.engine != nil {
-		chain := d.chooseChain(now, s, func(c chainer.Chain) bool { return slices.Contains(r.tried, c.Parts[0].Target) })
+		chain := d.chooseChain(s, func(c chainer.Chain) bool { return slices.Contains(r.tried, c.Parts[0].Target) })
 		if chain == nil {
-			chain = d.chooseChain(now, s, func(chainer.Chain) bool { return false })
+			chain = d.chooseChain(s, func(chainer.Chain) bool { return false })
 		}
 		if chain == nil {
-			return d.refuse(now, call, http.StatusServiceUnavailable, unreadyPause, "no chain holds all layers")
+			return append(d.refuse(now, call, http.StatusServiceUnavailable, unreadyPause, "no chain holds all layers"), effects...)
 		}
 		r.chain = chain.Parts
 		out.Target, out.Address, out.Chain = chain.Parts[0].Target, chain.Parts[0].Address, chain.Parts
@@ -280,7 +281,7 @@
 	r.sends++
 	r.sent = now
 	d.occupy(r, out.Target)
-	return []messenger.Effect{out}
+	return append([]messenger.Effect{out}, effects...)
 }
 
 // occupy counts the request at its targets.
--- a/entry/internal/follower/follower.go
+++ b/entry/internal/follower/follower.go
@@ -24,7 +24,9 @@
 	callTime = 700 * time.Millisecond
 	// configurationWait is how long a call waits for a new configuration; its end confirms the old one.
 	configurationWait = time.Second
-	targetsInterval   = 600 * time.Millisecond
+	// targetsWait is how long a call waits for news of targets, targetsPause gathers those that come together.
+	targetsWait  = 1500 * time.Millisecond
+	targetsPause = 100 * time.Millisecond
 	// failurePause is the pause after a call that failed.
 	failurePause = 150 * time.Millisecond
 	// outageTime is how long calls must fail for the store to count as lost.
@@ -41,7 +43,7 @@
 	NewestConfiguration(ctx context.Context) (*describer.Configuration, identifier.Offset, error)
 	ReadConfiguration(ctx context.Context, from identifier.Offset, wait time.Duration) (*describer.Configuration, identifier.Offset, error)
 	NewestTargets(ctx context.Context) ([]describer.TargetChange, identifier.Offset, error)
-	ReadTargets(ctx context.Context, from identifier.Offset) ([]describer.TargetChange, identifier.Offset, error)
+	ReadTargets(ctx context.Context, from identifier.Offset, wait time.Duration) ([]describer.TargetChange, identifier.Offset, error)
 	Join(ctx context.Context, member identifier.NodeID, last identifier.FencingNumber, term time.Duration) (storecaller.Membership, error)
 	Leave(ctx context.Context, member identifier.NodeID) error
 }
@@ -165,17 +167,19 @@
 		}
 		f.submit(registrar.Read{Changes: changes, IsComplete: !isStarted})
 		isStarted, next = true, offset
-		pause(ctx, targetsInterval)
+		pause(ctx, targetsPause)
 	}
 }
 
 func (f *Follower) targets(ctx context.Context, isStarted bool, from identifier.Offset) ([]describer.TargetChange, identifier.Offset, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTime)
-	defer cancel()
 	if !isStarted {
+		ctx, cancel := context.WithTimeout(ctx, callTime)
+		defer cancel()
 		return f.store.NewestTargets(ctx)
 	}
-	return f.store.ReadTargets(ctx, from)
+	ctx, cancel := context.WithTimeout(ctx, callTime+targetsWait)
+	defer cancel()
+	return f.store.ReadTargets(ctx, from, targetsWait)
 }
 
 // KeepLease takes part in the group whose members share the lease until ctx ends, then leaves it.
--- a/entry/internal/placer/arranger.go
+++ b/entry/internal/placer/arranger.go
@@ -55,10 +55,51 @@
 	Layers identifier.LayerRange
 }
 
+// room is what each data centre's targets leave free for requests: as much as lets them hold
+// all layers once with a margin, within bounds.
+type room struct {
+	byCentre map[identifier.DataCentre]float64
+}
+
+const (
+	leastRoom = 20.0
+	mostRoom  = 400.0
+	// roomStep is the factor between two sizes of room that are tried.
+	roomStep = 0.95
+	// coverMargin is by how much the targets of a data centre should hold more than all layers.
+	coverMargin = 1.04
+)
+
+// newRoom works the room out from all targets of a service, empty or not.
+func newRoom(e *describer.Engine, targets []registrar.Target) room {
+	kinds := map[identifier.DataCentre]map[identifier.AcceleratorKind]int{}
+	for _, t := range targets {
+		if kinds[t.DataCentre] == nil {
+			kinds[t.DataCentre] = map[identifier.AcceleratorKind]int{}
+		}
+		kinds[t.DataCentre][t.Kind]++
+	}
+	r := room{byCentre: map[identifier.DataCentre]float64{}}
+	for dc, counts := range kinds {
+		r.byCentre[dc] = leastRoom
+		for requests := mostRoom; requests >= leastRoom; requests *= roomStep {
+			held := identifier.Layer(0)
+			for kind, n := range counts {
+				held += identifier.Layer(n) * RangeLength(e, kind, requests)
+			}
+			if float64(held) >= coverMargin*float64(e.Layers) {
+				r.byCentre[dc] = requests
+				break
+			}
+		}
+	}
+	return r
+}
+
 // Arrange returns a range for each empty target: where its data centre has fewest
 // holders, and among those where the whole fleet has fewest. Pending holds the ranges
 // of orders that are under way.
-func Arrange(e *describer.Engine, targets []registrar.Target, pending map[identifier.TargetID]identifier.LayerRange, requests float64) []Assignment {
+func Arrange(e *describer.Engine, targets []registrar.Target, pending map[identifier.TargetID]identifier.LayerRange) []Assignment {
 	counts := newCoverage(e.Layers)
 	var empty []registrar.Target
 	for _, t := range targets {
@@ -81,8 +122,9 @@
 		)
 	})
 	var out []Assignment
+	free := newRoom(e, targets)
 	for _, t := range empty {
-		n := RangeLength(e, t.Kind, requests)
+		n := RangeLength(e, t.Kind, free.byCentre[t.DataCentre])
 		if n == 0 {
 			continue
 		}
--- a/entry/internal/placer/placer.go
+++ b/entry/internal/placer/placer.go
@@ -90,9 +90,6 @@
 
 // Placer is the sub-reducer that orders empty targets to hold layers.
 type Placer struct {
-	// requests is how many usual requests a target should have room for.
-	requests float64
-
 	lease     LeaseChanged
 	engines   map[identifier.ServiceID]*describer.Engine
 	targets   []registrar.Target
@@ -103,10 +100,10 @@
 	decided   time.Time
 }
 
-// NewPlacer returns a placer that leaves room for so many usual requests.
-func NewPlacer(requests int) *Placer {
+// NewPlacer returns a placer that knows no targets.
+func NewPlacer() *Placer {
 	return &Placer{
-		requests: float64(requests), engines: map[identifier.ServiceID]*describer.Engine{},
+		engines: map[identifier.ServiceID]*describer.Engine{},
 		pending: map[identifier.TargetID]pendingOrder{}, told: map[identifier.TargetID]told{}, notUntil: map[identifier.TargetID]time.Time{},
 	}
 }
@@ -218,7 +215,7 @@
 	for id, o := range p.pending {
 		pending[id] = o.layers
 	}
-	for _, a := range Arrange(engine, mine, pending, p.requests) {
+	for _, a := range Arrange(engine, mine, pending) {
 		orders := p.told[a.Target.ID].report.Orders
 		delete(p.told, a.Target.ID)
 		p.pending[a.Target.ID] = pendingOrder{layers: a.Layers, born: a.Target.Born, until: now.Add(lateTime)}
--- a/entry/internal/registrar/registrar.go
+++ b/entry/internal/registrar/registrar.go
@@ -17,11 +17,16 @@
 const (
 	// returnTime is how long entries that expired during an outage of the store may take to come back.
 	returnTime = 2 * time.Second
-	// firstDoubt is how long a target in doubt gets no requests; it doubles with each further doubt.
-	firstDoubt = 1500 * time.Millisecond
-	maxDoubt   = 12 * time.Second
+	// doubtBeats is how many heartbeats long a target in doubt gets no requests; the time
+	// doubles with each further doubt. A dead one's entry is gone by then.
+	doubtBeats = 3.5
+	maxDoubt   = 15 * time.Second
+	// fullDoubt and unfitDoubt are how long a target without room, or with other layers, gets no requests.
+	fullDoubt  = 250 * time.Millisecond
+	unfitDoubt = 1500 * time.Millisecond
 	// forgetDoubts is the time without a doubt after which the first one counts anew.
 	forgetDoubts = 20 * time.Second
+	maxDoublings = 4
 )
 
 // Read is the event that targets said something, or are gone.
@@ -34,9 +39,23 @@
 // StoreRegained is the event that the store answers again after an outage.
 type StoreRegained struct{}
 
+// Doubt says what a request has shown of a target.
+type Doubt int
+
+// Doubts, by how long they last.
+const (
+	// Full: the target had no room for the request.
+	Full Doubt = iota
+	// Unfit: the target does not hold the layers that its entry says.
+	Unfit
+	// Dead: the target does not answer, or others wait for it in vain.
+	Dead
+)
+
 // Doubted is the event that a target failed a request in a way that speaks against it.
 type Doubted struct {
 	Address string
+	Doubt   Doubt
 	Reason  string
 }
 
@@ -69,15 +88,16 @@
 
 // Registrar is the sub-reducer of targets.
 type Registrar struct {
-	states map[identifier.TargetID]*state
-	kinds  map[identifier.TargetID]identifier.AcceleratorKind
+	heartbeat time.Duration
+	states    map[identifier.TargetID]*state
+	kinds     map[identifier.TargetID]identifier.AcceleratorKind
 	// graceUntil is when entries that were missing after an outage count as gone.
 	graceUntil time.Time
 }
 
-// NewRegistrar returns a registrar that knows no target.
-func NewRegistrar() *Registrar {
-	return &Registrar{states: map[identifier.TargetID]*state{}, kinds: map[identifier.TargetID]identifier.AcceleratorKind{}}
+// NewRegistrar returns a registrar that knows no target; they write heartbeats at an interval.
+func NewRegistrar(heartbeat time.Duration) *Registrar {
+	return &Registrar{heartbeat: heartbeat, states: map[identifier.TargetID]*state{}, kinds: map[identifier.TargetID]identifier.AcceleratorKind{}}
 }
 
 // Apply takes one event and returns what to do.
@@ -168,22 +188,34 @@
 		if s.target.Address != ev.Address || now.Before(s.doubtUntil) {
 			continue
 		}
-		if now.Sub(s.doubtedAt) > forgetDoubts {
-			s.doubts = 0
-		}
-		s.doubtUntil = now.Add(min(maxDoubt, firstDoubt<<s.doubts))
-		s.doubtedAt = now
-		s.doubts = min(s.doubts+1, 4)
+		s.doubtUntil = now.Add(r.hold(now, s, ev.Doubt))
 		s.wasDoubtful = true
 		return append(r.changed(now), messenger.Log{
 			Event: eventlogger.TargetDoubted, Subject: subject(s.target.ID),
-			Values: []any{"address", ev.Address, "reason", ev.Reason, "entry_age_ms", now.Sub(s.heardAt).Milliseconds(), "doubts", s.doubts},
+			Values: []any{"address", ev.Address, "reason", ev.Reason, "entry_unchanged_ms", now.Sub(s.heardAt).Milliseconds(), "doubts", s.doubts},
 		})
 	}
 	return nil
 }
 
-// tick lets doubts and graces end. A target in doubt must have been heard of since.
+// hold returns how long a doubt lasts.
+func (r *Registrar) hold(now time.Time, s *state, d Doubt) time.Duration {
+	switch d {
+	case Full:
+		return fullDoubt
+	case Unfit:
+		return unfitDoubt
+	}
+	if now.Sub(s.doubtedAt) > forgetDoubts {
+		s.doubts = 0
+	}
+	hold := min(maxDoubt, time.Duration(doubtBeats*float64(r.heartbeat))<<s.doubts)
+	s.doubtedAt = now
+	s.doubts = min(s.doubts+1, maxDoublings)
+	return hold
+}
+
+// tick lets doubts and graces end.
 func (r *Registrar) tick(now time.Time) []messenger.Effect {
 	var effects []messenger.Effect
 	changed := false
@@ -208,7 +240,7 @@
 }
 
 func (s *state) isDoubted(now time.Time) bool {
-	return s.wasDoubtful && (now.Before(s.doubtUntil) || s.heardAt.Before(s.doubtedAt))
+	return s.wasDoubtful && now.Before(s.doubtUntil)
 }
 
 func (r *Registrar) changed(now time.Time) []messenger.Effect {
--- a/entry/internal/relayer/relayer.go
+++ b/entry/internal/relayer/relayer.go
@@ -39,8 +39,8 @@
 // Config holds what the relayer is made of.
 type Config struct {
 	Dispatch dispatcher.Config
-	// RoomRequests is how many usual requests the weights leave room for at each target.
-	RoomRequests int
+	// Heartbeat is how often targets write to the store that they are alive.
+	Heartbeat time.Duration
 }
 
 // Relayer serves requests by the reducer's decisions.
@@ -66,7 +66,7 @@
 		ctx: ctx, targets: targetcaller.NewCaller(http), pool: connector.NewConnector(),
 		work:     pond.NewPool(orderWorkers, pond.WithContext(ctx)),
 		dispatch: d,
-		reducer:  composer.NewControl(registrar.NewRegistrar(), d, placer.NewPlacer(cfg.RoomRequests)),
+		reducer:  composer.NewControl(registrar.NewRegistrar(cfg.Heartbeat), d, placer.NewPlacer()),
 	}
 }
 
