Place by holes: spares, movers and neighbours; refuse when a stopping node is past its lag

Cause: a released target's successor comes first and took another range, so the hole that the leaving one left was never filled and every chain crossed data centres; three crossings a request are several times what the links between data centres carry, so requests went silent for good. Change: an empty target stays a spare while its data centre holds all layers; a hole is filled by a spare, else a target whose layers others hold, else a neighbour; the first placement waits until no more targets come; a leaving target may take requests for 0.9 s at four times the cost; each crossing adds to a chain's load.

--- a/entry/internal/commander/relay.go
+++ b/entry/internal/commander/relay.go
@@ -143,7 +143,7 @@
 	<-signals.Done()
 	limit := time.Now().Add(values.Duration("stop-limit") - stopMargin)
 	eventlogger.Info(eventlogger.NodeStopping, "open_requests", r.Open())
-	x.Leave()
+	x.Leave(values.Duration("balancer-lag"))
 	r.Leave()
 	stopFollowing()
 	time.Sleep(values.Duration("balancer-lag"))
--- a/entry/internal/dispatcher/choice.go
+++ b/entry/internal/dispatcher/choice.go
@@ -23,6 +23,10 @@
 	foreignFactor = 1.3
 	// fullRoom is the room from which on a chain counts as roomy.
 	fullRoom = 100.0
+	// closingFactor is how much dearer a leaving target is.
+	closingFactor = 4.0
+	// crossingFactor is by how much each change of the data centre adds to a chain's load.
+	crossingFactor = 1.0
 	// errorCost is what a target's share of failures adds to its expected time.
 	errorCost = 500 * time.Millisecond
 	// foreignCost is what another data centre adds to a plain target's expected time.
@@ -85,7 +89,7 @@
 func (d *Dispatcher) holders(s *service, isDoubtful bool) []chainer.Holder {
 	var holders []chainer.Holder
 	for _, t := range s.targets {
-		if t.IsLeaving || (t.IsDoubted && !isDoubtful) || t.Layers.Len() == 0 {
+		if (t.IsLeaving && !t.IsClosing) || (t.IsDoubted && !isDoubtful) || t.Layers.Len() == 0 {
 			continue
 		}
 		accelerator := s.engine.Kinds[t.Kind]
@@ -93,6 +97,9 @@
 		if factor == 0 {
 			factor = 1
 		}
+		if t.IsClosing {
+			factor *= closingFactor
+		}
 		holders = append(holders, chainer.Holder{
 			Target: t.ID, Address: t.Address, DataCentre: t.DataCentre, Layers: t.Layers,
 			LayerCost:     factor * milliseconds(s.engine.StepTime) / float64(s.engine.Layers),
@@ -138,7 +145,7 @@
 	if c.DataCentre != d.cfg.DataCentre {
 		cost *= foreignFactor
 	}
-	return cost
+	return cost * (1 + crossingFactor*float64(c.Crossings))
 }
 
 // chooseTarget returns the target of a plain service with the least expected time.
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -25,7 +25,9 @@
 	maxSends = 4
 	// unreadyPause is when a caller may come back after a refusal for want of a configuration or a target.
 	unreadyPause = time.Second
-	defaultLimit = 30 * time.Second
+	// stoppingPause is when a caller may come back that met a node that stops: another takes it.
+	stoppingPause = 100 * time.Millisecond
+	defaultLimit  = 30 * time.Second
 )
 
 // Config holds what the dispatcher is made of.
@@ -62,10 +64,12 @@
 	table       *router.Table
 	confirmedAt time.Time
 	isStale     bool
-	services    map[identifier.ServiceID]*service
-	targets     []registrar.Target
-	records     map[identifier.TargetID]*record
-	requests    map[identifier.CallID]*request
+	// refuseAt is when a node that stops takes no more requests, zero for one that does not.
+	refuseAt time.Time
+	services map[identifier.ServiceID]*service
+	targets  []registrar.Target
+	records  map[identifier.TargetID]*record
+	requests map[identifier.CallID]*request
 }
 
 // NewDispatcher returns a dispatcher that knows no configuration.
@@ -89,6 +93,8 @@
 		return d.tableRead(ev)
 	case Confirmed:
 		return d.confirmed(now, ev)
+	case Stopping:
+		d.refuseAt = ev.RefuseAt
 	case registrar.TargetsChanged:
 		d.targetsChanged(ev)
 	case messenger.Tick:
@@ -205,6 +211,9 @@
 	if d.table == nil {
 		return d.refuse(now, ev.Call, http.StatusServiceUnavailable, unreadyPause, "no configuration yet")
 	}
+	if !d.refuseAt.IsZero() && !now.Before(d.refuseAt) {
+		return d.refuse(now, ev.Call, http.StatusServiceUnavailable, stoppingPause, "this node stops")
+	}
 	r.route = d.table.Route(ev.Host, ev.Path)
 	if r.route == nil {
 		return d.deny(now, ev.Call, http.StatusNotFound, "no route")
--- a/entry/internal/dispatcher/messages.go
+++ b/entry/internal/dispatcher/messages.go
@@ -30,6 +30,9 @@
 	Seed uint64
 }
 
+// Stopping is the event that the node will stop; from the instant RefuseAt it takes no more requests.
+type Stopping struct{ RefuseAt time.Time }
+
 // Outcome says how an attempt stands or ended.
 type Outcome int
 
--- a/entry/internal/placer/arranger.go
+++ b/entry/internal/placer/arranger.go
@@ -1,4 +1,4 @@
-// Package placer decides which layers empty targets are ordered to hold.
+// Package placer decides which layers targets are ordered to hold.
 package placer
 
 import (
@@ -10,35 +10,17 @@
 	"fuchsiabridge.example/entry/internal/registrar"
 )
 
-const bytesPerMegabyte = 1e6
-
-// coverage counts the holders of each layer, in one data centre and in all.
-type coverage struct {
-	layers identifier.Layer
-	local  map[identifier.DataCentre][]int
-	all    []int
-}
-
-func newCoverage(layers identifier.Layer) *coverage {
-	return &coverage{layers: layers, local: map[identifier.DataCentre][]int{}, all: make([]int, layers)}
-}
-
-func (c *coverage) in(dc identifier.DataCentre) []int {
-	counts, ok := c.local[dc]
-	if !ok {
-		counts = make([]int, c.layers)
-		c.local[dc] = counts
-	}
-	return counts
-}
+const (
+	bytesPerMegabyte = 1e6
 
-func (c *coverage) add(dc identifier.DataCentre, r identifier.LayerRange) {
-	local := c.in(dc)
-	for l := max(0, r.From); l < min(r.To, c.layers); l++ {
-		local[l]++
-		c.all[l]++
-	}
-}
+	// leastRoom and mostRoom bound the usual requests for which a target leaves memory free.
+	leastRoom = 30.0
+	mostRoom  = 400.0
+	// roomStep is the factor between two sizes of room that are tried.
+	roomStep = 0.95
+	// coverMargin is by how much the targets of a data centre should hold more than all layers.
+	coverMargin = 1.04
+)
 
 // RangeLength returns how many layers a target of a kind can hold with room for so many usual requests.
 func RangeLength(e *describer.Engine, kind identifier.AcceleratorKind, requests float64) identifier.Layer {
@@ -55,95 +37,237 @@
 	Layers identifier.LayerRange
 }
 
-// room is what each data centre's targets leave free for requests: as much as lets them hold
-// all layers once with a margin, within bounds.
-type room struct {
-	byCentre map[identifier.DataCentre]float64
+// Arrange returns the orders that bring each data centre to hold all layers by itself.
+// Pending holds the ranges of orders that are under way. Targets that a data centre does
+// not need stay empty, as spares for the next that leaves.
+func Arrange(e *describer.Engine, targets []registrar.Target, pending map[identifier.TargetID]identifier.LayerRange) []Assignment {
+	all := make([]int, e.Layers)
+	byCentre := map[identifier.DataCentre]*centre{}
+	var names []identifier.DataCentre
+	for _, t := range targets {
+		if t.IsLeaving || e.Kinds[t.Kind].Megabytes <= 0 {
+			continue
+		}
+		c, ok := byCentre[t.DataCentre]
+		if !ok {
+			c = &centre{engine: e, counts: make([]int, e.Layers), all: all}
+			byCentre[t.DataCentre] = c
+			names = append(names, t.DataCentre)
+		}
+		layers, isPending := pending[t.ID]
+		if !isPending {
+			layers = t.Layers
+		}
+		if layers.Len() == 0 {
+			c.empty = append(c.empty, t)
+			continue
+		}
+		c.hold(holding{target: t, layers: layers, isPending: isPending})
+	}
+	slices.Sort(names)
+	var out []Assignment
+	for _, name := range names {
+		out = append(out, byCentre[name].arrange()...)
+	}
+	return out
 }
 
-const (
-	leastRoom = 20.0
-	mostRoom  = 400.0
-	// roomStep is the factor between two sizes of room that are tried.
-	roomStep = 0.95
-	// coverMargin is by how much the targets of a data centre should hold more than all layers.
-	coverMargin = 1.04
-)
+// holding is a target with the range that it holds, or will.
+type holding struct {
+	target    registrar.Target
+	layers    identifier.LayerRange
+	isPending bool
+}
 
-// newRoom works the room out from all targets of a service, empty or not.
-func newRoom(e *describer.Engine, targets []registrar.Target) room {
-	kinds := map[identifier.DataCentre]map[identifier.AcceleratorKind]int{}
-	for _, t := range targets {
-		if kinds[t.DataCentre] == nil {
-			kinds[t.DataCentre] = map[identifier.AcceleratorKind]int{}
-		}
-		kinds[t.DataCentre][t.Kind]++
+// centre is one data centre's targets of a service.
+type centre struct {
+	engine *describer.Engine
+	held   []holding
+	empty  []registrar.Target
+	// counts holds the holders of each layer here, all those in every data centre.
+	counts []int
+	all    []int
+}
+
+func (c *centre) hold(h holding) {
+	c.held = append(c.held, h)
+	c.count(h.layers, 1)
+}
+
+func (c *centre) count(r identifier.LayerRange, n int) {
+	for l := max(0, r.From); l < min(r.To, c.engine.Layers); l++ {
+		c.counts[l] += n
+		c.all[l] += n
+	}
+}
+
+func (c *centre) arrange() []Assignment {
+	if len(c.held) == 0 {
+		return c.pack()
 	}
-	r := room{byCentre: map[identifier.DataCentre]float64{}}
-	for dc, counts := range kinds {
-		r.byCentre[dc] = leastRoom
-		for requests := mostRoom; requests >= leastRoom; requests *= roomStep {
-			held := identifier.Layer(0)
-			for kind, n := range counts {
-				held += identifier.Layer(n) * RangeLength(e, kind, requests)
-			}
-			if float64(held) >= coverMargin*float64(e.Layers) {
-				r.byCentre[dc] = requests
-				break
-			}
+	var out []Assignment
+	for from := identifier.Layer(0); ; {
+		hole := c.hole(from)
+		if hole.Len() == 0 {
+			return out
+		}
+		a, ok := c.fill(hole)
+		if !ok {
+			from = hole.To
+			continue
 		}
+		out = append(out, a)
 	}
-	return r
 }
 
-// Arrange returns a range for each empty target: where its data centre has fewest
-// holders, and among those where the whole fleet has fewest. Pending holds the ranges
-// of orders that are under way.
-func Arrange(e *describer.Engine, targets []registrar.Target, pending map[identifier.TargetID]identifier.LayerRange) []Assignment {
-	counts := newCoverage(e.Layers)
-	var empty []registrar.Target
-	for _, t := range targets {
-		held, isPending := pending[t.ID]
-		switch {
-		case t.IsLeaving:
-		case isPending:
-			counts.add(t.DataCentre, held)
-		case t.Layers.Len() > 0:
-			counts.add(t.DataCentre, t.Layers)
-		case e.Kinds[t.Kind].Megabytes > 0:
-			empty = append(empty, t)
-		}
-	}
-	slices.SortStableFunc(empty, func(a, b registrar.Target) int {
-		return cmp.Or(
-			cmp.Compare(a.DataCentre, b.DataCentre),
-			-cmp.Compare(e.Kinds[a.Kind].Megabytes, e.Kinds[b.Kind].Megabytes),
-			cmp.Compare(a.ID, b.ID),
-		)
+// pack spreads empty targets over all layers, the largest first, with as much room as lets
+// them hold every layer.
+func (c *centre) pack() []Assignment {
+	slices.SortStableFunc(c.empty, func(a, b registrar.Target) int {
+		return cmp.Or(-cmp.Compare(c.megabytes(a), c.megabytes(b)), cmp.Compare(a.ID, b.ID))
 	})
+	requests, isWhole := c.roomFor(c.empty)
 	var out []Assignment
-	free := newRoom(e, targets)
-	for _, t := range empty {
-		n := RangeLength(e, t.Kind, free.byCentre[t.DataCentre])
+	for _, t := range c.empty {
+		n := RangeLength(c.engine, t.Kind, requests)
 		if n == 0 {
 			continue
 		}
-		r := counts.gap(t.DataCentre, n)
-		counts.add(t.DataCentre, r)
+		from := c.leastHeld()
+		if isWhole && c.counts[from] > 0 {
+			break
+		}
+		from = min(from, c.engine.Layers-n)
+		r := identifier.LayerRange{From: from, To: from + n}
+		c.hold(holding{target: t, layers: r, isPending: true})
 		out = append(out, Assignment{Target: t, Layers: r})
 	}
 	return out
 }
 
-// gap returns the range of n layers that begins at the first of the least held layers.
-func (c *coverage) gap(dc identifier.DataCentre, n identifier.Layer) identifier.LayerRange {
-	local := c.in(dc)
-	from := identifier.Layer(0)
-	for l := identifier.Layer(1); l < c.layers; l++ {
-		if cmp.Or(cmp.Compare(local[l], local[from]), cmp.Compare(c.all[l], c.all[from])) < 0 {
-			from = l
+func (c *centre) megabytes(t registrar.Target) float64 { return c.engine.Kinds[t.Kind].Megabytes }
+
+// roomFor returns the most room with which targets hold all layers, and whether they can at all.
+func (c *centre) roomFor(targets []registrar.Target) (float64, bool) {
+	for requests := mostRoom; requests >= leastRoom; requests *= roomStep {
+		held := identifier.Layer(0)
+		for _, t := range targets {
+			held += RangeLength(c.engine, t.Kind, requests)
+		}
+		if float64(held) >= coverMargin*float64(c.engine.Layers) {
+			return requests, true
+		}
+	}
+	return leastRoom, false
+}
+
+// leastHeld returns the first layer with the fewest holders here, and among those in all.
+func (c *centre) leastHeld() identifier.Layer {
+	least := identifier.Layer(0)
+	for l := identifier.Layer(1); l < c.engine.Layers; l++ {
+		if cmp.Or(cmp.Compare(c.counts[l], c.counts[least]), cmp.Compare(c.all[l], c.all[least])) < 0 {
+			least = l
+		}
+	}
+	return least
+}
+
+// hole returns the first run of layers from a layer on that nobody holds here.
+func (c *centre) hole(from identifier.Layer) identifier.LayerRange {
+	for from < c.engine.Layers && c.counts[from] > 0 {
+		from++
+	}
+	to := from
+	for to < c.engine.Layers && c.counts[to] == 0 {
+		to++
+	}
+	return identifier.LayerRange{From: from, To: to}
+}
+
+// fill has a target hold the hole, or its first part: an empty one, else one whose layers
+// others hold too, else a neighbour that has memory for more.
+func (c *centre) fill(hole identifier.LayerRange) (Assignment, bool) {
+	if i := c.bestFit(len(c.empty), hole, func(i int) registrar.Target { return c.empty[i] }); i >= 0 {
+		t := c.empty[i]
+		c.empty = slices.Delete(c.empty, i, i+1)
+		return c.assign(t, c.clip(t, hole)), true
+	}
+	i := c.bestFit(len(c.held), hole, func(i int) registrar.Target {
+		if c.held[i].isPending || !c.isSpare(c.held[i].layers) {
+			return registrar.Target{}
+		}
+		return c.held[i].target
+	})
+	if i >= 0 {
+		h := c.held[i]
+		c.drop(i)
+		return c.assign(h.target, c.clip(h.target, hole)), true
+	}
+	return c.extend(hole)
+}
+
+// bestFit returns the smallest target that can hold the hole, else the largest; -1 when there is none.
+func (c *centre) bestFit(n int, hole identifier.LayerRange, at func(int) registrar.Target) int {
+	best, bestLength := -1, identifier.Layer(0)
+	for i := range n {
+		length := RangeLength(c.engine, at(i).Kind, leastRoom)
+		if length == 0 {
+			continue
+		}
+		fits, bestFits := length >= identifier.Layer(hole.Len()), bestLength >= identifier.Layer(hole.Len())
+		isBetter := best < 0 || (fits && !bestFits) || (fits && length < bestLength) || (!bestFits && length > bestLength)
+		if isBetter {
+			best, bestLength = i, length
+		}
+	}
+	return best
+}
+
+func (c *centre) clip(t registrar.Target, hole identifier.LayerRange) identifier.LayerRange {
+	return identifier.LayerRange{From: hole.From, To: min(hole.To, hole.From+RangeLength(c.engine, t.Kind, leastRoom))}
+}
+
+// isSpare reports whether others here hold all of a range too.
+func (c *centre) isSpare(r identifier.LayerRange) bool {
+	for l := r.From; l < min(r.To, c.engine.Layers); l++ {
+		if c.counts[l] < 2 {
+			return false
 		}
 	}
-	from = min(from, c.layers-n)
-	return identifier.LayerRange{From: from, To: from + n}
+	return true
+}
+
+func (c *centre) drop(i int) {
+	c.count(c.held[i].layers, -1)
+	c.held = slices.Delete(c.held, i, i+1)
+}
+
+func (c *centre) assign(t registrar.Target, r identifier.LayerRange) Assignment {
+	c.hold(holding{target: t, layers: r, isPending: true})
+	return Assignment{Target: t, Layers: r}
+}
+
+// extend has a neighbour of a hole hold a part of it beside its own layers.
+func (c *centre) extend(hole identifier.LayerRange) (Assignment, bool) {
+	best, most := -1, identifier.Layer(0)
+	for i, h := range c.held {
+		if h.isPending || (h.layers.To != hole.From && h.layers.From != hole.To) {
+			continue
+		}
+		if more := RangeLength(c.engine, h.target.Kind, leastRoom) - identifier.Layer(h.layers.Len()); more > most {
+			best, most = i, more
+		}
+	}
+	if best < 0 {
+		return Assignment{}, false
+	}
+	h := c.held[best]
+	r := h.layers
+	if r.To == hole.From {
+		r.To = min(hole.To, r.To+most)
+	} else {
+		r.From = max(hole.From, r.From-most)
+	}
+	c.drop(best)
+	return c.assign(h.target, r), true
 }
--- a/entry/internal/placer/placer.go
+++ b/entry/internal/placer/placer.go
@@ -18,14 +18,18 @@
 	lateTime = 13 * time.Second
 	// unfitPause is the pause after an order that did not fit the target's state.
 	unfitPause = 1500 * time.Millisecond
+	// unansweredPause is the pause after a target did not answer for its state.
+	unansweredPause = 2 * time.Second
 	// decideInterval is the time between two looks at what lacks holders.
 	decideInterval = 200 * time.Millisecond
 	// toldTime is how long a target's answer for its state is relied on.
 	toldTime = 3 * time.Second
 	// askPause is the time for which an answer is waited for before the target is asked again.
 	askPause = 600 * time.Millisecond
-	// gatherTime is how long a node that knows no targets yet waits for all of them.
-	gatherTime = 1500 * time.Millisecond
+	// gatherTime is how long no further target must have come before the first placement, and
+	// gatherLimit how long that may take.
+	gatherTime  = 1600 * time.Millisecond
+	gatherLimit = 6 * time.Second
 )
 
 // LeaseChanged tells whether this node may give orders: until the instant Until, under Fence.
@@ -47,12 +51,21 @@
 	Until time.Time
 }
 
-// AskState is the effect that asks an empty target for its kind and its orders.
+// AskState is the effect that asks a target for its state before it is given an order.
 type AskState struct {
 	Target  identifier.TargetID
 	Address string
 }
 
+// StateTold is the event that a target answered for its state.
+type StateTold struct {
+	Target identifier.TargetID
+	Report describer.Report
+}
+
+// Unanswered is the event that a target did not answer for its state.
+type Unanswered struct{ Target identifier.TargetID }
+
 // Answer tells how an order ended.
 type Answer int
 
@@ -79,6 +92,8 @@
 	layers identifier.LayerRange
 	born   int64
 	until  time.Time
+	// isUnknown says that no answer came: the order may be carried out late.
+	isUnknown bool
 }
 
 // told is a target's answer for its state.
@@ -90,10 +105,13 @@
 
 // Placer is the sub-reducer that orders empty targets to hold layers.
 type Placer struct {
-	lease     LeaseChanged
-	engines   map[identifier.ServiceID]*describer.Engine
-	targets   []registrar.Target
+	lease   LeaseChanged
+	engines map[identifier.ServiceID]*describer.Engine
+	targets []registrar.Target
+	// firstSeen and grown are when the first target, and the most targets so far, were seen.
 	firstSeen time.Time
+	grown     time.Time
+	most      int
 	pending   map[identifier.TargetID]pendingOrder
 	told      map[identifier.TargetID]told
 	notUntil  map[identifier.TargetID]time.Time
@@ -120,14 +138,14 @@
 		}
 	case registrar.TargetsChanged:
 		p.targets = ev.Targets
-		if p.firstSeen.IsZero() && len(p.targets) > 0 {
-			p.firstSeen = now
-		}
+		p.gather(now, len(ev.Targets))
 		p.settle(now)
-	case registrar.StateTold:
+	case StateTold:
 		t := p.told[ev.Target]
 		t.at, t.report = now, ev.Report
 		p.told[ev.Target] = t
+	case Unanswered:
+		p.notUntil[ev.Target] = now.Add(unansweredPause)
 	case LeaseChanged:
 		return p.leaseChanged(ev)
 	case Placed:
@@ -151,6 +169,30 @@
 	return []messenger.Effect{messenger.Log{Event: event, Subject: "lease/orders", Values: []any{"fence", ev.Fence, "former_fence", was.Fence}}}
 }
 
+// gather notes when the number of targets last grew.
+func (p *Placer) gather(now time.Time, n int) {
+	if n <= p.most {
+		return
+	}
+	if p.most == 0 {
+		p.firstSeen = now
+	}
+	p.most, p.grown = n, now
+}
+
+// isGathered reports whether the targets are known well enough for a first placement.
+func (p *Placer) isGathered(now time.Time) bool {
+	if p.most == 0 {
+		return false
+	}
+	for _, t := range p.targets {
+		if t.Layers.Len() > 0 {
+			return now.Sub(p.firstSeen) >= gatherTime
+		}
+	}
+	return now.Sub(p.grown) >= gatherTime || now.Sub(p.firstSeen) >= gatherLimit
+}
+
 // settle drops pending orders whose target has begun an order since, or started anew.
 func (p *Placer) settle(now time.Time) {
 	known := map[identifier.TargetID]registrar.Target{}
@@ -159,7 +201,7 @@
 	}
 	for id, o := range p.pending {
 		t, ok := known[id]
-		if !ok || t.Born != o.born || t.Layers.Len() > 0 || !now.Before(o.until) {
+		if !ok || t.Born != o.born || (t.Layers == o.layers && !o.isUnknown) || !now.Before(o.until) {
 			delete(p.pending, id)
 		}
 	}
@@ -175,7 +217,7 @@
 		o.until = now.Add(settleTime)
 		p.pending[ev.Target] = o
 	case Unknown:
-		o.until = now.Add(lateTime)
+		o.until, o.isUnknown = now.Add(lateTime), true
 		p.pending[ev.Target] = o
 	case NotSent, Unfit:
 		delete(p.pending, ev.Target)
@@ -195,7 +237,7 @@
 		return nil
 	}
 	p.decided = now
-	if !p.lease.IsHeld || !now.Before(p.lease.Until) || p.firstSeen.IsZero() || now.Sub(p.firstSeen) < gatherTime {
+	if !p.lease.IsHeld || !now.Before(p.lease.Until) || !p.isGathered(now) {
 		return nil
 	}
 	p.settle(now)
@@ -207,16 +249,18 @@
 }
 
 func (p *Placer) order(now time.Time, service identifier.ServiceID, engine *describer.Engine) []messenger.Effect {
-	mine, effects, isComplete := p.candidates(now, service)
-	if !isComplete {
-		return effects
-	}
 	pending := map[identifier.TargetID]identifier.LayerRange{}
 	for id, o := range p.pending {
 		pending[id] = o.layers
 	}
-	for _, a := range Arrange(engine, mine, pending) {
-		orders := p.told[a.Target.ID].report.Orders
+	var effects []messenger.Effect
+	for _, a := range Arrange(engine, p.candidates(now, service), pending) {
+		state, ok := p.state(now, a.Target)
+		if !ok {
+			effects = append(effects, p.ask(now, a.Target)...)
+			continue
+		}
+		orders := state.Orders
 		delete(p.told, a.Target.ID)
 		p.pending[a.Target.ID] = pendingOrder{layers: a.Layers, born: a.Target.Born, until: now.Add(lateTime)}
 		effects = append(effects, Place{
@@ -224,41 +268,41 @@
 			Layers: a.Layers, Fence: p.lease.Fence, Until: p.lease.Until,
 		}, messenger.Log{
 			Event: eventlogger.PlacementOrdered, Subject: "target/" + string(a.Target.ID),
-			Values: []any{"from", a.Layers.From, "to", a.Layers.To, "fence", p.lease.Fence, "orders", orders, "kind", a.Target.Kind},
+			Values: []any{"from", a.Layers.From, "to", a.Layers.To, "held_from", a.Target.Layers.From, "held_to", a.Target.Layers.To, "fence", p.lease.Fence, "orders", orders, "kind", a.Target.Kind},
 		})
 	}
 	return effects
 }
 
-// candidates returns a service's targets without the empty ones that have not answered for
-// their state. It is complete once all have been asked, and none may answer yet.
-func (p *Placer) candidates(now time.Time, service identifier.ServiceID) ([]registrar.Target, []messenger.Effect, bool) {
-	var mine []registrar.Target
-	var effects []messenger.Effect
-	isComplete := true
+// candidates returns the targets of a service without the empty ones that take no order for now.
+func (p *Placer) candidates(now time.Time, service identifier.ServiceID) []registrar.Target {
+	var out []registrar.Target
 	for _, t := range p.targets {
-		if t.Service != service || t.IsLeaving || now.Before(p.notUntil[t.ID]) {
-			continue
-		}
 		_, isPending := p.pending[t.ID]
-		if t.Layers.Len() > 0 || isPending {
-			mine = append(mine, t)
-			continue
-		}
-		state := p.told[t.ID]
-		switch {
-		case now.Sub(state.at) < toldTime:
-			if !state.report.IsBusy && state.report.Layers.Len() == 0 {
-				mine = append(mine, t)
-			}
-		case now.Sub(state.askedAt) >= askPause:
-			isComplete = isComplete && !state.askedAt.IsZero()
-			state.askedAt = now
-			p.told[t.ID] = state
-			effects = append(effects, AskState{Target: t.ID, Address: t.Address})
-		default:
-			isComplete = false
+		isHeldUp := t.Layers.Len() == 0 && !isPending && (t.IsDoubted || now.Before(p.notUntil[t.ID]))
+		if t.Service == service && !isHeldUp {
+			out = append(out, t)
 		}
 	}
-	return mine, effects, isComplete
+	return out
+}
+
+// state returns a target's recent answer for its state, if that is what its entry says.
+func (p *Placer) state(now time.Time, t registrar.Target) (describer.Report, bool) {
+	state, ok := p.told[t.ID]
+	if !ok || now.Sub(state.at) >= toldTime || state.report.IsBusy || state.report.Layers != t.Layers {
+		return describer.Report{}, false
+	}
+	return state.report, true
+}
+
+// ask asks a target for its state, unless an answer is waited for.
+func (p *Placer) ask(now time.Time, t registrar.Target) []messenger.Effect {
+	state := p.told[t.ID]
+	if now.Sub(state.askedAt) < askPause || now.Before(p.notUntil[t.ID]) {
+		return nil
+	}
+	state.askedAt = now
+	p.told[t.ID] = state
+	return []messenger.Effect{AskState{Target: t.ID, Address: t.Address}}
 }
--- a/entry/internal/registrar/registrar.go
+++ b/entry/internal/registrar/registrar.go
@@ -17,6 +17,8 @@
 const (
 	// returnTime is how long entries that expired during an outage of the store may take to come back.
 	returnTime = 2 * time.Second
+	// closingTime is how long a leaving target may still take requests.
+	closingTime = 900 * time.Millisecond
 	// doubtBeats is how many heartbeats long a target in doubt gets no requests; the time
 	// doubles with each further doubt. A dead one's entry is gone by then.
 	doubtBeats = 3.5
@@ -59,17 +61,13 @@
 	Reason  string
 }
 
-// StateTold is the event that a target answered for its state, of which entries leave parts out.
-type StateTold struct {
-	Target identifier.TargetID
-	Report describer.Report
-}
-
 // Target is a target with what is believed of it.
 type Target struct {
 	describer.Target
 	// IsDoubted says that requests should go elsewhere for now.
 	IsDoubted bool
+	// IsClosing says that the target is leaving, but may still take requests where no other can.
+	IsClosing bool
 }
 
 // TargetsChanged is raised when targets, or beliefs about them, have changed.
@@ -78,11 +76,14 @@
 type state struct {
 	target describer.Target
 	// gone is set by the instant at which a missing target counts as gone.
-	goneAt      time.Time
-	doubtUntil  time.Time
-	doubtedAt   time.Time
-	doubts      int
-	heardAt     time.Time
+	goneAt     time.Time
+	doubtUntil time.Time
+	doubtedAt  time.Time
+	doubts     int
+	heardAt    time.Time
+	// leavingAt is when the target was first known to be leaving.
+	leavingAt   time.Time
+	wasClosing  bool
 	wasDoubtful bool
 }
 
@@ -97,7 +98,7 @@
 
 // NewRegistrar returns a registrar that knows no target; they write heartbeats at an interval.
 func NewRegistrar(heartbeat time.Duration) *Registrar {
-	return &Registrar{heartbeat: heartbeat, states: map[identifier.TargetID]*state{}, kinds: map[identifier.TargetID]identifier.AcceleratorKind{}}
+	return &Registrar{heartbeat: heartbeat, states: map[identifier.TargetID]*state{}}
 }
 
 // Apply takes one event and returns what to do.
@@ -109,12 +110,6 @@
 		r.graceUntil = now.Add(returnTime)
 	case Doubted:
 		return r.doubt(now, ev)
-	case StateTold:
-		r.kinds[ev.Target] = ev.Report.Kind
-		if s, ok := r.states[ev.Target]; ok && s.target.Kind == "" {
-			s.target.Kind = ev.Report.Kind
-			return r.changed(now)
-		}
 	case messenger.Tick:
 		return r.tick(now)
 	}
@@ -147,9 +142,6 @@
 
 // take stores a target's word; a target that was leaving stays so until it starts anew.
 func (r *Registrar) take(now time.Time, t describer.Target) bool {
-	if t.Kind == "" {
-		t.Kind = r.kinds[t.ID]
-	}
 	s, ok := r.states[t.ID]
 	if !ok {
 		r.states[t.ID] = &state{target: t, heardAt: now}
@@ -163,6 +155,9 @@
 		return true
 	}
 	t.IsLeaving = t.IsLeaving || s.target.IsLeaving
+	if t.IsLeaving && s.leavingAt.IsZero() {
+		s.leavingAt = now
+	}
 	changed := !reflect.DeepEqual(t, s.target) || !s.goneAt.IsZero()
 	s.target, s.heardAt, s.goneAt = t, now, time.Time{}
 	return changed
@@ -225,6 +220,10 @@
 			changed = true
 			continue
 		}
+		if s.wasClosing && !s.isClosing(now) {
+			s.wasClosing = false
+			changed = true
+		}
 		if s.wasDoubtful && !s.isDoubted(now) {
 			s.wasDoubtful = false
 			changed = true
@@ -243,11 +242,16 @@
 	return s.wasDoubtful && now.Before(s.doubtUntil)
 }
 
+func (s *state) isClosing(now time.Time) bool {
+	return !s.leavingAt.IsZero() && now.Sub(s.leavingAt) < closingTime
+}
+
 func (r *Registrar) changed(now time.Time) []messenger.Effect {
 	ev := TargetsChanged{Targets: make([]Target, 0, len(r.states))}
 	leaving, doubted := 0, 0
 	for _, s := range r.states {
-		t := Target{Target: s.target, IsDoubted: s.isDoubted(now)}
+		s.wasClosing = s.isClosing(now)
+		t := Target{Target: s.target, IsDoubted: s.isDoubted(now), IsClosing: s.wasClosing}
 		if t.IsLeaving {
 			leaving++
 		}
--- a/entry/internal/relayer/relayer.go
+++ b/entry/internal/relayer/relayer.go
@@ -150,9 +150,10 @@
 	report, err := x.targets.Report(ctx, e.Address)
 	if err != nil {
 		eventlogger.Error(err, eventlogger.ReportFailed, "target", e.Target)
+		x.Submit(placer.Unanswered{Target: e.Target})
 		return
 	}
-	x.Submit(registrar.StateTold{Target: e.Target, Report: report})
+	x.Submit(placer.StateTold{Target: e.Target, Report: report})
 }
 
 // probe asks the first target of a chain for whom a request waits.
@@ -175,8 +176,11 @@
 	return describer.Limits{}
 }
 
-// Leave makes the node unready.
-func (x *Relayer) Leave() { x.isLeaving.Store(true) }
+// Leave makes the node unready; after the lag it takes no more requests.
+func (x *Relayer) Leave(lag time.Duration) {
+	x.isLeaving.Store(true)
+	x.Submit(dispatcher.Stopping{RefuseAt: bootclock.Now().Add(lag)})
+}
 
 // IsReady reports whether new callers should come here.
 func (x *Relayer) IsReady() bool {
