--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := common entry fbctl fbload fbstandin platform integration
+MODULES := common entry fbctl fbload fbstandin integration platform
 SEED := 20261203
 
 # Tests that KNOWN-RED.txt lists, by the first word of an entry's first line, are passed over.
--- a/entry/internal/dispatcher/attempts.go
+++ b/entry/internal/dispatcher/attempts.go
@@ -37,10 +37,11 @@
 	case Expired:
 		return append(effects, d.refuse(now, ev.Call, http.StatusGatewayTimeout, 0, "deadline passed")...)
 	case NotSent, NotRun:
-		if d.maySend(now, r, false) {
+		if d.maySend(now, r) {
 			return append(effects, d.send(now, ev.Call, r, ev.Seed)...)
 		}
 		return append(effects, d.giveUp(now, ev, r)...)
+	default:
 	}
 	r.runs++
 	if d.mayRepeat(now, r) {
@@ -63,11 +64,11 @@
 
 // mayRepeat reports whether a request that may have run can run once more.
 func (d *Dispatcher) mayRepeat(now time.Time, r *request) bool {
-	return r.route.MayRepeat() && r.runs < r.route.MaxAttempts && d.maySend(now, r, true)
+	return r.route.MayRepeat() && r.runs < r.route.MaxAttempts && d.maySend(now, r)
 }
 
 // maySend reports whether there is time and budget for another send.
-func (d *Dispatcher) maySend(now time.Time, r *request, isRepeat bool) bool {
+func (d *Dispatcher) maySend(now time.Time, r *request) bool {
 	if r.sends >= maxSends || !now.Before(r.deadline) {
 		return false
 	}
@@ -87,6 +88,7 @@
 		d.record(r.target).learn(0, true)
 	case Silent, Expired:
 		d.record(r.target).learn(now.Sub(r.sent), true)
+	default:
 	}
 }
 
@@ -106,6 +108,7 @@
 		if len(r.chain) > 0 {
 			return d.doubt(now, r, address, registrar.Full, "it takes no more requests")
 		}
+	default:
 	}
 	return nil
 }
--- a/entry/internal/follower/follower.go
+++ b/entry/internal/follower/follower.go
@@ -90,15 +90,13 @@
 	return was
 }
 
-// pause waits, and reports whether ctx goes on.
-func pause(ctx context.Context, d time.Duration) bool {
+// pause waits, or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
-		return false
 	case <-t.C:
-		return true
 	}
 }
 
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -65,7 +65,6 @@
 	// hasBegun says that the caller has the header of a stream.
 	hasBegun bool
 	events   eventCutter
-	isResume bool
 }
 
 // NewExchange returns an exchange for a caller's request.
@@ -82,7 +81,6 @@
 func (x *Exchange) Attempt(ctx context.Context, s dispatcher.Send) dispatcher.Reported {
 	x.Drop()
 	x.send, x.sentAt, x.first, x.hasHead, x.body = s, bootclock.Now(), 0, false, nil
-	x.isResume = x.hasBegun
 	x.events.pending = x.events.pending[:0]
 	conn, err := x.pool.Get(ctx, s.Address, s.IsFresh)
 	if err != nil {
@@ -244,14 +242,8 @@
 		x.body = x.open()
 		x.buffer = make([]byte, readBytes)
 	}
-	if !x.hasBegun {
-		var h fasthttp.ResponseHeader
-		x.resp.Header.CopyTo(&h)
-		x.translator.WriteAnswer(&h)
-		if err := x.caller.Begin(&h); err != nil {
-			return x.report(ctx, dispatcher.CallerGone, err)
-		}
-		x.hasBegun = true
+	if err := x.begin(); err != nil {
+		return x.report(ctx, dispatcher.CallerGone, err)
 	}
 	gap := patience.Sub(bootclock.Now())
 	if gap <= 0 {
@@ -279,6 +271,21 @@
 	}
 }
 
+// begin hands on the header of the first target that streams; a later one's stays here.
+func (x *Exchange) begin() error {
+	if x.hasBegun {
+		return nil
+	}
+	var h fasthttp.ResponseHeader
+	x.resp.Header.CopyTo(&h)
+	x.translator.WriteAnswer(&h)
+	if err := x.caller.Begin(&h); err != nil {
+		return errors.Wrap(err, "beginning a stream")
+	}
+	x.hasBegun = true
+	return nil
+}
+
 // gap is the patience between two events.
 func (x *Exchange) gap() time.Duration { return x.send.Patience.Sub(x.sentAt) }
 
--- a/entry/internal/receiver/receiver.go
+++ b/entry/internal/receiver/receiver.go
@@ -76,11 +76,14 @@
 	defer r.mu.Unlock()
 	for c := range r.conns {
 		if !c.isBusy.Load() {
-			c.Close()
+			c.drop()
 		}
 	}
 }
 
+// drop closes a connection; a caller that has left already makes no difference.
+func (c *conn) drop() { _ = c.Close() }
+
 type conn struct {
 	net.Conn
 	r      *bufio.Reader
@@ -97,7 +100,7 @@
 		r.mu.Lock()
 		delete(r.conns, c)
 		r.mu.Unlock()
-		c.Close()
+		c.drop()
 	}()
 	for r.serveOne(ctx, c) {
 	}
@@ -215,7 +218,7 @@
 	return func() {
 		// An expired deadline wakes the reader; the next request sets its own.
 		if c.SetReadDeadline(time.Unix(1, 0)) != nil {
-			c.Close()
+			c.drop()
 		}
 		<-done
 	}
--- a/entry/internal/registrar/registrar.go
+++ b/entry/internal/registrar/registrar.go
@@ -91,7 +91,6 @@
 type Registrar struct {
 	heartbeat time.Duration
 	states    map[identifier.TargetID]*state
-	kinds     map[identifier.TargetID]identifier.AcceleratorKind
 	// graceUntil is when entries that were missing after an outage count as gone.
 	graceUntil time.Time
 }
@@ -200,6 +199,7 @@
 		return fullDoubt
 	case Unfit:
 		return unfitDoubt
+	case Dead:
 	}
 	if now.Sub(s.doubtedAt) > forgetDoubts {
 		s.doubts = 0
--- a/entry/internal/relayer/relayer.go
+++ b/entry/internal/relayer/relayer.go
@@ -107,9 +107,9 @@
 		case messenger.Log:
 			eventlogger.Info(e.Event, append([]any{"subject", e.Subject}, e.Values...)...)
 		case placer.Place:
-			x.work.Go(func() { x.place(e) })
+			x.start(func() { x.place(e) })
 		case placer.AskState:
-			x.work.Go(func() { x.askState(e) })
+			x.start(func() { x.askState(e) })
 		default:
 			rest = append(rest, effect)
 		}
@@ -117,6 +117,13 @@
 	return rest
 }
 
+// start runs a call beside the requests; the pool refuses only when the node ends.
+func (x *Relayer) start(call func()) {
+	if err := x.work.Go(call); err != nil {
+		eventlogger.Error(err, eventlogger.CallFailed, "doing", "starting a call")
+	}
+}
+
 // place gives an order, unless the lease has ended meanwhile.
 func (x *Relayer) place(e placer.Place) {
 	if !bootclock.Now().Before(e.Until) {
