Share the layers around a hole anew, leave silent chains at once, share out the retry slack

Cause: a neighbour that took a whole hole beside its own layers had room for 31 requests and refused most of its chain's; a silent chain was left only after a probe per request, so every stream through it was late; a node's repeats ran out during one break. Change: the smallest run of targets around a hole that leaves room for 90 requests shares its layers; three requests that get nothing from a chain for 100 ms leave it, and its first target is asked for the fault 250 ms later; the slack of the retry budget is shared by the parts of the group's topic; a stream whose connection ends is judged by its framing.

--- a/entry/internal/commander/relay.go
+++ b/entry/internal/commander/relay.go
@@ -32,6 +32,10 @@
 const relayCommand = "relay"
 
 const (
+	maxSlack = 1_000_000
+	maxParts = 1000
+	// sharedSlack is the part of the retry slack that is given out; the rest covers nodes that come and go.
+	sharedSlack = 0.7
 	// stopMargin is left of the stop limit for what comes after the last request.
 	stopMargin = 500 * time.Millisecond
 	healthStop = time.Second
@@ -48,6 +52,8 @@
 		{Name: "store", Usage: "address of the platform's store, host:port", Check: optionparser.IsAddress},
 		{Name: "revocation-limit", Default: "5s", Usage: "time after which a key that was taken away must not be used; 0s when a node may go on with what it last read", Check: optionparser.IsDuration},
 		{Name: "retry-ratio", Default: "0.2", Usage: "repeats as a share of requests, 0 to 1", Check: optionparser.IsShare},
+		{Name: "retry-slack", Default: "0", Usage: "repeats that all nodes together may send in a window beyond the ratio, 0 to 1000000", Check: optionparser.IsNumber(0, maxSlack)},
+		{Name: "store-parts", Default: "12", Usage: "parts of a topic of the store, 1 to 1000; they share out the retry slack", Check: optionparser.IsNumber(1, maxParts)},
 		{Name: "retry-window", Default: "10s", Usage: "window over which the retry ratio holds", Check: optionparser.IsDuration},
 		{Name: "heartbeat", Default: "1200ms", Usage: "how often a target tells the store that it is alive", Check: optionparser.IsDuration},
 		{Name: "balancer-lag", Default: "2600ms", Usage: "time for which a stopping node still accepts requests, so that the balancer can see it is unready", Check: optionparser.IsDuration},
@@ -117,7 +123,10 @@
 		Heartbeat: values.Duration("heartbeat"),
 	}, http)
 	node := identifier.NodeID(values.Text("node"))
-	f := follower.NewFollower(storecaller.NewCaller(http, values.Text("store")), node, x.Submit)
+	f := follower.NewFollower(storecaller.NewCaller(http, values.Text("store")), follower.Config{
+		Node: node, StoreParts: values.Number("store-parts"),
+		RetrySlack: int(sharedSlack * float64(values.Number("retry-slack"))),
+	}, x.Submit)
 	r := receiver.NewReceiver(x)
 	callers, err := listen(ctx, values.Text("listen"), nil)
 	if err != nil {
--- a/entry/internal/dispatcher/attempts.go
+++ b/entry/internal/dispatcher/attempts.go
@@ -2,12 +2,14 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
+	"fuchsiabridge.example/entry/internal/chainer"
 	"fuchsiabridge.example/entry/internal/registrar"
 )
 
@@ -73,7 +75,7 @@
 		return false
 	}
 	s := d.services[r.service]
-	return s != nil && s.budget.allows(now, d.cfg.RetryRatio)
+	return s != nil && s.budget.allows(now, d.cfg.RetryRatio, d.repeats)
 }
 
 // learn takes in what an attempt shows of its target.
@@ -100,13 +102,13 @@
 	}
 	switch ev.Outcome {
 	case NotSent:
-		return d.doubt(now, r, d.address(r), registrar.Dead, ev.Reason)
+		return d.doubt(now, d.services[r.service], d.address(r), registrar.Dead, ev.Reason)
 	case NotRun:
 		if ev.Status == http.StatusMisdirectedRequest {
-			return d.doubt(now, r, address, registrar.Unfit, "it says it holds other layers")
+			return d.doubt(now, d.services[r.service], address, registrar.Unfit, "it says it holds other layers")
 		}
 		if len(r.chain) > 0 {
-			return d.doubt(now, r, address, registrar.Full, "it takes no more requests")
+			d.avoided[address] = now.Add(fullTime)
 		}
 	default:
 	}
@@ -114,9 +116,8 @@
 }
 
 // doubt tells of a target in doubt; the next choice must not wait until that is taken in.
-func (d *Dispatcher) doubt(now time.Time, r *request, address string, doubt registrar.Doubt, reason string) []messenger.Effect {
+func (d *Dispatcher) doubt(now time.Time, s *service, address string, doubt registrar.Doubt, reason string) []messenger.Effect {
 	effects := []messenger.Effect{messenger.Raise{Event: registrar.Doubted{Address: address, Doubt: doubt, Reason: reason}}}
-	s := d.services[r.service]
 	if s == nil {
 		return effects
 	}
@@ -150,7 +151,57 @@
 	if d.isDoubted(r.chain) {
 		return d.switchOver(now, ev.Call, r, "a target of the chain is in doubt", ev.Seed)
 	}
-	return []messenger.Effect{Probe{Address: r.chain[0].Address}}
+	entrance := r.chain[0]
+	if ev.ChainQuiet >= streamPatience && d.record(entrance.Target).open >= witnesses {
+		return d.leaveSilent(now, ev, r)
+	}
+	if ev.ChainQuiet >= probePatience {
+		return []messenger.Effect{Probe{Address: entrance.Address}}
+	}
+	return []messenger.Effect{Wait{Until: now.Add(streamPatience)}}
+}
+
+// leaveSilent leaves a chain from which no request gets anything, before it is known which of its targets is at fault.
+func (d *Dispatcher) leaveSilent(now time.Time, ev Reported, r *request) []messenger.Effect {
+	address := r.chain[0].Address
+	var effects []messenger.Effect
+	if !now.Before(d.avoided[address]) {
+		d.avoided[address] = now.Add(suspectTime)
+		effects = append(effects, Examine{Address: address})
+	}
+	if !d.hasOtherChain(now, r) {
+		return append([]messenger.Effect{Wait{Until: now.Add(streamPatience)}}, effects...)
+	}
+	return append(d.switchOver(now, ev.Call, r, "nothing comes from the chain", ev.Seed), effects...)
+}
+
+// hasOtherChain reports whether a chain is known that is not to be avoided.
+func (d *Dispatcher) hasOtherChain(now time.Time, r *request) bool {
+	s := d.services[r.service]
+	return s != nil && slices.ContainsFunc(s.chains, func(c chainer.Chain) bool { return !d.isAvoided(now, c.Parts) })
+}
+
+// examined takes for whom the requests at a silent chain's first target wait.
+func (d *Dispatcher) examined(now time.Time, ev Examined) []messenger.Effect {
+	faults := ev.Faults
+	if ev.IsUnanswered {
+		faults = []string{ev.Address}
+	}
+	var effects []messenger.Effect
+	for _, address := range faults {
+		effects = append(effects, d.doubt(now, d.serviceAt(address), address, registrar.Dead, "requests wait for it")...)
+	}
+	return effects
+}
+
+// serviceAt returns the service of the target at an address, nil when there is none.
+func (d *Dispatcher) serviceAt(address string) *service {
+	for _, t := range d.targets {
+		if t.Address == address {
+			return d.services[t.Service]
+		}
+	}
+	return nil
 }
 
 func (d *Dispatcher) silentPlain(now time.Time, ev Reported, r *request) []messenger.Effect {
@@ -165,6 +216,9 @@
 	r.runs++
 	if !d.mayRepeat(now, r) || !d.hasOther(r) {
 		r.runs--
+		if len(r.chain) > 0 {
+			return []messenger.Effect{Wait{Until: now.Add(probePatience)}}
+		}
 		return []messenger.Effect{Wait{Until: r.deadline}}
 	}
 	log := d.logAttempt(now, r, Reported{Outcome: Silent, Reason: reason})
@@ -212,7 +266,7 @@
 	if fault == "" {
 		return []messenger.Effect{Wait{Until: now.Add(streamPatience)}}
 	}
-	effects := d.doubt(now, r, fault, registrar.Dead, "a request waits for it")
+	effects := d.doubt(now, d.services[r.service], fault, registrar.Dead, "a request waits for it")
 	return append(effects, d.switchOver(now, ev.Call, r, "waits for "+fault, ev.Seed)...)
 }
 
--- a/entry/internal/dispatcher/choice.go
+++ b/entry/internal/dispatcher/choice.go
@@ -135,6 +135,14 @@
 	return best
 }
 
+// isAvoided reports whether a chain leads over a target that is to be avoided for now.
+func (d *Dispatcher) isAvoided(now time.Time, chain []describer.Part) bool {
+	if len(d.avoided) == 0 {
+		return false
+	}
+	return slices.ContainsFunc(chain, func(p describer.Part) bool { return now.Before(d.avoided[p.Address]) })
+}
+
 func (d *Dispatcher) chainCost(c *chainer.Chain) float64 {
 	open := 0
 	for _, p := range c.Parts {
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -17,8 +17,16 @@
 const (
 	// freshPart is the part of the revocation limit for which a confirmed configuration is relied on.
 	freshPart = 0.7
-	// streamPatience is how long a stream may be silent before its targets are asked.
-	streamPatience = 260 * time.Millisecond
+	// streamPatience is how long a stream may be silent before its chain is looked at.
+	streamPatience = 100 * time.Millisecond
+	// probePatience is how long a single stream may be silent before its targets are asked.
+	probePatience = 260 * time.Millisecond
+	// witnesses is how many requests must be at a silent chain for it to be left without asking.
+	witnesses = 3
+	// suspectTime is how long a silent chain is avoided until its targets have answered.
+	suspectTime = 600 * time.Millisecond
+	// fullTime is how long a target that had no room is avoided.
+	fullTime = 250 * time.Millisecond
 	// plainPatience is the part of a plain request's aim after which another target is tried.
 	plainPatience = 0.5
 	// maxSends bounds the sends of one request, of which those that did not run cost no attempt.
@@ -70,13 +78,17 @@
 	targets  []registrar.Target
 	records  map[identifier.TargetID]*record
 	requests map[identifier.CallID]*request
+	// avoided holds until when chains over a target's address are a last resort.
+	avoided map[string]time.Time
+	// repeats is this node's part of the repeats beyond the ratio.
+	repeats int
 }
 
 // NewDispatcher returns a dispatcher that knows no configuration.
 func NewDispatcher(cfg Config) *Dispatcher {
 	return &Dispatcher{
 		cfg: cfg, services: map[identifier.ServiceID]*service{},
-		records: map[identifier.TargetID]*record{}, requests: map[identifier.CallID]*request{},
+		records: map[identifier.TargetID]*record{}, requests: map[identifier.CallID]*request{}, avoided: map[string]time.Time{},
 	}
 }
 
@@ -93,6 +105,10 @@
 		return d.tableRead(ev)
 	case Confirmed:
 		return d.confirmed(now, ev)
+	case Examined:
+		return d.examined(now, ev)
+	case BudgetShared:
+		d.repeats = ev.Repeats
 	case Stopping:
 		d.refuseAt = ev.RefuseAt
 	case registrar.TargetsChanged:
@@ -161,6 +177,11 @@
 }
 
 func (d *Dispatcher) tick(now time.Time) []messenger.Effect {
+	for address, until := range d.avoided {
+		if !now.Before(until) {
+			delete(d.avoided, address)
+		}
+	}
 	if d.isStale || d.table == nil || d.isFresh(now) {
 		return nil
 	}
@@ -261,7 +282,12 @@
 	r.chain = nil
 	effects := d.refresh(now, s)
 	if s.engine != nil {
-		chain := d.chooseChain(s, func(c chainer.Chain) bool { return slices.Contains(r.tried, c.Parts[0].Target) })
+		chain := d.chooseChain(s, func(c chainer.Chain) bool {
+			return slices.Contains(r.tried, c.Parts[0].Target) || d.isAvoided(now, c.Parts)
+		})
+		if chain == nil {
+			chain = d.chooseChain(s, func(c chainer.Chain) bool { return d.isAvoided(now, c.Parts) })
+		}
 		if chain == nil {
 			chain = d.chooseChain(s, func(chainer.Chain) bool { return false })
 		}
--- a/entry/internal/dispatcher/messages.go
+++ b/entry/internal/dispatcher/messages.go
@@ -73,11 +73,28 @@
 	Reason string
 	// Events counts the events that the caller was handed so far.
 	Events int
+	// ChainQuiet is how long no request of this node got anything from the first target.
+	ChainQuiet time.Duration
 	// FirstByte is the time from the send to the answer's first byte, 0 when none came.
 	FirstByte time.Duration
 	Seed      uint64
 }
 
+// BudgetShared is the event that this node's part of the repeats that are allowed beyond the ratio changed.
+type BudgetShared struct{ Repeats int }
+
+// Examined is the event that the first target of a silent chain was asked for whom its requests wait.
+type Examined struct {
+	Address string
+	// Faults are the addresses of the targets waited for.
+	Faults []string
+	// IsUnanswered says that the first target itself gave no answer.
+	IsUnanswered bool
+}
+
+// Examine is the effect that asks the first target of a silent chain, once its report can show the silence.
+type Examine struct{ Address string }
+
 // Probed is the event that the first target of a silent stream's chain was asked.
 type Probed struct {
 	Call identifier.CallID
--- a/entry/internal/follower/follower.go
+++ b/entry/internal/follower/follower.go
@@ -44,20 +44,30 @@
 	ReadConfiguration(ctx context.Context, from identifier.Offset, wait time.Duration) (*describer.Configuration, identifier.Offset, error)
 	NewestTargets(ctx context.Context) ([]describer.TargetChange, identifier.Offset, error)
 	ReadTargets(ctx context.Context, from identifier.Offset, wait time.Duration) ([]describer.TargetChange, identifier.Offset, error)
-	Join(ctx context.Context, member identifier.NodeID, last identifier.FencingNumber, term time.Duration) (storecaller.Membership, error)
+	Join(ctx context.Context, member identifier.NodeID, last identifier.FencingNumber, term time.Duration, parts int) (storecaller.Membership, error)
 	Leave(ctx context.Context, member identifier.NodeID) error
 }
 
 // Follower turns what the store says into events.
 type Follower struct {
 	store  Store
+	cfg    Config
 	node   identifier.NodeID
 	submit func(messenger.Event)
 }
 
+// Config holds what the follower is made of.
+type Config struct {
+	Node identifier.NodeID
+	// StoreParts is how many parts a topic of the store has.
+	StoreParts int
+	// RetrySlack is how many repeats all nodes together may send beyond the ratio.
+	RetrySlack int
+}
+
 // NewFollower returns a follower that submits events.
-func NewFollower(store Store, node identifier.NodeID, submit func(messenger.Event)) *Follower {
-	return &Follower{store: store, node: node, submit: submit}
+func NewFollower(store Store, cfg Config, submit func(messenger.Event)) *Follower {
+	return &Follower{store: store, cfg: cfg, node: cfg.Node, submit: submit}
 }
 
 // outage notes when a kind of call began to fail.
@@ -192,8 +202,10 @@
 			last = m.Generation
 			until = sent.Add(leaseTerm - leaseMargin)
 			f.submit(placer.LeaseChanged{IsHeld: m.HoldsLease, Fence: m.Generation, Until: until})
+			f.submit(dispatcher.BudgetShared{Repeats: int(m.Share * float64(f.cfg.RetrySlack))})
 		case !bootclock.Now().Before(until):
 			f.submit(placer.LeaseChanged{})
+			f.submit(dispatcher.BudgetShared{})
 		}
 		pause(ctx, leaseInterval)
 	}
@@ -208,5 +220,5 @@
 func (f *Follower) join(ctx context.Context, last identifier.FencingNumber) (storecaller.Membership, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
-	return f.store.Join(ctx, f.node, last, leaseTerm)
+	return f.store.Join(ctx, f.node, last, leaseTerm, f.cfg.StoreParts)
 }
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -8,6 +8,7 @@
 	"net/http/httputil"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -45,12 +46,38 @@
 	Finish() error
 }
 
+// Witness notes when a target was last heard of by any request.
+type Witness struct {
+	mu    sync.Mutex
+	heard map[string]time.Time
+}
+
+// NewWitness returns a witness that has heard of no target.
+func NewWitness() *Witness { return &Witness{heard: map[string]time.Time{}} }
+
+func (w *Witness) hear(address string, now time.Time) {
+	w.mu.Lock()
+	w.heard[address] = now
+	w.mu.Unlock()
+}
+
+// quiet returns for how long a target was not heard of, at most since an instant.
+func (w *Witness) quiet(address string, since, now time.Time) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if heard := w.heard[address]; heard.After(since) {
+		return now.Sub(heard)
+	}
+	return now.Sub(since)
+}
+
 // Exchange is one request on its way through attempts.
 type Exchange struct {
 	caller     Caller
 	request    translator.Request
 	translator translator.Translator
 	pool       *connector.Connector
+	witness    *Witness
 
 	send    dispatcher.Send
 	sentAt  time.Time
@@ -68,8 +95,8 @@
 }
 
 // NewExchange returns an exchange for a caller's request.
-func NewExchange(caller Caller, r translator.Request, pool *connector.Connector) *Exchange {
-	x := &Exchange{caller: caller, request: r, pool: pool}
+func NewExchange(caller Caller, r translator.Request, pool *connector.Connector, w *Witness) *Exchange {
+	x := &Exchange{caller: caller, request: r, pool: pool, witness: w}
 	x.events.last = r.LastEvent
 	return x
 }
@@ -156,6 +183,11 @@
 	}
 	_, err := x.conn.R.Peek(1)
 	if err == nil {
+		x.witness.hear(x.send.Address, bootclock.Now())
+		return dispatcher.Reported{}, true
+	}
+	if errors.Is(err, io.EOF) && x.body != nil {
+		// The body's reader knows by its framing whether this is the end.
 		return dispatcher.Reported{}, true
 	}
 	if isTimeout(err) && ctx.Err() == nil && bootclock.Now().Before(x.send.Deadline) {
@@ -252,7 +284,7 @@
 	for {
 		if x.conn.R.Buffered() == 0 {
 			r, ok := x.peek(ctx, bootclock.Now().Add(max(gap, x.gap())))
-			if !ok && r.Outcome != dispatcher.Broken {
+			if !ok {
 				return r
 			}
 		}
@@ -417,6 +449,9 @@
 
 func (x *Exchange) report(ctx context.Context, o dispatcher.Outcome, err error) dispatcher.Reported {
 	r := dispatcher.Reported{Call: x.send.Call, Outcome: o, Events: x.events.count, FirstByte: x.first}
+	if o == dispatcher.Silent {
+		r.ChainQuiet = x.witness.quiet(x.send.Address, x.sentAt, bootclock.Now())
+	}
 	if o == dispatcher.CallerGone {
 		x.Drop()
 	}
--- a/entry/internal/placer/arranger.go
+++ b/entry/internal/placer/arranger.go
@@ -16,6 +16,8 @@
 	// leastRoom and mostRoom bound the usual requests for which a target leaves memory free.
 	leastRoom = 30.0
 	mostRoom  = 400.0
+	// enoughRoom is the room for which it is not worth moving more targets.
+	enoughRoom = 90.0
 	// roomStep is the factor between two sizes of room that are tried.
 	roomStep = 0.95
 	// coverMargin is by how much the targets of a data centre should hold more than all layers.
@@ -111,12 +113,12 @@
 		if hole.Len() == 0 {
 			return out
 		}
-		a, ok := c.fill(hole)
-		if !ok {
+		filled := c.fill(hole)
+		if len(filled) == 0 {
 			from = hole.To
 			continue
 		}
-		out = append(out, a)
+		out = append(out, filled...)
 	}
 }
 
@@ -150,11 +152,7 @@
 // roomFor returns the most room with which targets hold all layers, and whether they can at all.
 func (c *centre) roomFor(targets []registrar.Target) (float64, bool) {
 	for requests := mostRoom; requests >= leastRoom; requests *= roomStep {
-		held := identifier.Layer(0)
-		for _, t := range targets {
-			held += RangeLength(c.engine, t.Kind, requests)
-		}
-		if float64(held) >= coverMargin*float64(c.engine.Layers) {
+		if float64(c.length(targets, requests)) >= coverMargin*float64(c.engine.Layers) {
 			return requests, true
 		}
 	}
@@ -184,47 +182,30 @@
 	return identifier.LayerRange{From: from, To: to}
 }
 
-// fill has a target hold the hole, or its first part: an empty one, else one whose layers
-// others hold too, else a neighbour that has memory for more.
-func (c *centre) fill(hole identifier.LayerRange) (Assignment, bool) {
-	if i := c.bestFit(len(c.empty), hole, func(i int) registrar.Target { return c.empty[i] }); i >= 0 {
-		t := c.empty[i]
-		c.empty = slices.Delete(c.empty, i, i+1)
-		return c.assign(t, c.clip(t, hole)), true
+// fill returns the assignments that close a hole: by a spare alone where that leaves room
+// enough, else by the targets around it too, which then share what they hold anew.
+func (c *centre) fill(hole identifier.LayerRange) []Assignment {
+	spares := c.spares()
+	if i := c.bestFit(spares, hole); i >= 0 {
+		t := c.release(spares[i])
+		return []Assignment{c.assign(t, hole)}
 	}
-	i := c.bestFit(len(c.held), hole, func(i int) registrar.Target {
-		if c.held[i].isPending || !c.isSpare(c.held[i].layers) {
-			return registrar.Target{}
-		}
-		return c.held[i].target
-	})
-	if i >= 0 {
-		h := c.held[i]
-		c.drop(i)
-		return c.assign(h.target, c.clip(h.target, hole)), true
+	w := c.bestWindow(hole, spares)
+	if w == nil {
+		return nil
 	}
-	return c.extend(hole)
+	return c.share(w)
 }
 
-// bestFit returns the smallest target that can hold the hole, else the largest; -1 when there is none.
-func (c *centre) bestFit(n int, hole identifier.LayerRange, at func(int) registrar.Target) int {
-	best, bestLength := -1, identifier.Layer(0)
-	for i := range n {
-		length := RangeLength(c.engine, at(i).Kind, leastRoom)
-		if length == 0 {
-			continue
-		}
-		fits, bestFits := length >= identifier.Layer(hole.Len()), bestLength >= identifier.Layer(hole.Len())
-		isBetter := best < 0 || (fits && !bestFits) || (fits && length < bestLength) || (!bestFits && length > bestLength)
-		if isBetter {
-			best, bestLength = i, length
+// spares returns the targets that are empty, or whose layers others here hold too.
+func (c *centre) spares() []registrar.Target {
+	out := slices.Clone(c.empty)
+	for _, h := range c.held {
+		if !h.isPending && c.isSpare(h.layers) {
+			out = append(out, h.target)
 		}
 	}
-	return best
-}
-
-func (c *centre) clip(t registrar.Target, hole identifier.LayerRange) identifier.LayerRange {
-	return identifier.LayerRange{From: hole.From, To: min(hole.To, hole.From+RangeLength(c.engine, t.Kind, leastRoom))}
+	return out
 }
 
 // isSpare reports whether others here hold all of a range too.
@@ -237,9 +218,32 @@
 	return true
 }
 
-func (c *centre) drop(i int) {
-	c.count(c.held[i].layers, -1)
-	c.held = slices.Delete(c.held, i, i+1)
+// bestFit returns the smallest target that can hold a hole with room enough, -1 when none can.
+func (c *centre) bestFit(spares []registrar.Target, hole identifier.LayerRange) int {
+	best := -1
+	for i, t := range spares {
+		if RangeLength(c.engine, t.Kind, enoughRoom) < identifier.Layer(hole.Len()) {
+			continue
+		}
+		if best < 0 || c.megabytes(t) < c.megabytes(spares[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+// release takes a target out of what is held or empty here.
+func (c *centre) release(t registrar.Target) registrar.Target {
+	isSame := func(o registrar.Target) bool { return o.ID == t.ID }
+	c.empty = slices.DeleteFunc(c.empty, isSame)
+	for i, h := range c.held {
+		if isSame(h.target) {
+			c.count(h.layers, -1)
+			c.held = slices.Delete(c.held, i, i+1)
+			break
+		}
+	}
+	return t
 }
 
 func (c *centre) assign(t registrar.Target, r identifier.LayerRange) Assignment {
@@ -247,27 +251,93 @@
 	return Assignment{Target: t, Layers: r}
 }
 
-// extend has a neighbour of a hole hold a part of it beside its own layers.
-func (c *centre) extend(hole identifier.LayerRange) (Assignment, bool) {
-	best, most := -1, identifier.Layer(0)
-	for i, h := range c.held {
-		if h.isPending || (h.layers.To != hole.From && h.layers.From != hole.To) {
-			continue
+// window is a run of targets around a hole that share the layers between their neighbours.
+type window struct {
+	targets []registrar.Target
+	layers  identifier.LayerRange
+	room    float64
+}
+
+// bestWindow returns the smallest window that leaves room enough, else the one that leaves
+// most; nil when no window can hold its layers.
+func (c *centre) bestWindow(hole identifier.LayerRange, spares []registrar.Target) *window {
+	var before, after []holding
+	for _, h := range c.held {
+		switch {
+		case slices.ContainsFunc(spares, func(t registrar.Target) bool { return t.ID == h.target.ID }):
+		case h.layers.To <= hole.From:
+			before = append(before, h)
+		case h.layers.From >= hole.To:
+			after = append(after, h)
+		}
+	}
+	slices.SortStableFunc(before, func(a, b holding) int { return -cmp.Compare(a.layers.To, b.layers.To) })
+	slices.SortStableFunc(after, func(a, b holding) int { return cmp.Compare(a.layers.From, b.layers.From) })
+	var best *window
+	for size := 0; size <= len(before)+len(after); size++ {
+		for n := max(0, size-len(after)); n <= min(size, len(before)); n++ {
+			w := c.window(hole, spares, before[:n], after[:size-n])
+			if w != nil && (best == nil || w.room > best.room) {
+				best = w
+			}
 		}
-		if more := RangeLength(c.engine, h.target.Kind, leastRoom) - identifier.Layer(h.layers.Len()); more > most {
-			best, most = i, more
+		if best != nil && best.room >= enoughRoom {
+			return best
 		}
 	}
-	if best < 0 {
-		return Assignment{}, false
+	return best
+}
+
+// window returns the window of the given targets, nil when they cannot hold its layers or
+// one of them has an order under way.
+func (c *centre) window(hole identifier.LayerRange, spares []registrar.Target, before, after []holding) *window {
+	w := &window{layers: hole}
+	for _, h := range slices.Backward(before) {
+		w.targets = append(w.targets, h.target)
+		w.layers.From = min(w.layers.From, h.layers.From)
+	}
+	w.targets = append(w.targets, spares...)
+	for _, h := range after {
+		w.targets = append(w.targets, h.target)
+		w.layers.To = max(w.layers.To, h.layers.To)
+	}
+	isPending := func(h holding) bool { return h.isPending }
+	if slices.ContainsFunc(before, isPending) || slices.ContainsFunc(after, isPending) {
+		return nil
 	}
-	h := c.held[best]
-	r := h.layers
-	if r.To == hole.From {
-		r.To = min(hole.To, r.To+most)
-	} else {
-		r.From = max(hole.From, r.From-most)
+	for w.room = mostRoom; w.room >= leastRoom; w.room *= roomStep {
+		if c.length(w.targets, w.room) >= identifier.Layer(w.layers.Len()) {
+			return w
+		}
 	}
-	c.drop(best)
-	return c.assign(h.target, r), true
+	return nil
+}
+
+func (c *centre) length(targets []registrar.Target, requests float64) identifier.Layer {
+	sum := identifier.Layer(0)
+	for _, t := range targets {
+		sum += RangeLength(c.engine, t.Kind, requests)
+	}
+	return sum
+}
+
+// share gives each target of a window its part, in their order.
+func (c *centre) share(w *window) []Assignment {
+	var out []Assignment
+	from := w.layers.From
+	for _, t := range w.targets {
+		to := min(w.layers.To, from+RangeLength(c.engine, t.Kind, w.room))
+		if from >= to {
+			break
+		}
+		r := identifier.LayerRange{From: from, To: to}
+		from = to
+		c.release(t)
+		if r == t.Layers {
+			c.hold(holding{target: t, layers: r})
+			continue
+		}
+		out = append(out, c.assign(t, r))
+	}
+	return out
 }
--- a/entry/internal/registrar/registrar.go
+++ b/entry/internal/registrar/registrar.go
@@ -23,8 +23,7 @@
 	// doubles with each further doubt. A dead one's entry is gone by then.
 	doubtBeats = 3.5
 	maxDoubt   = 15 * time.Second
-	// fullDoubt and unfitDoubt are how long a target without room, or with other layers, gets no requests.
-	fullDoubt  = 250 * time.Millisecond
+	// unfitDoubt is how long a target with other layers gets no requests.
 	unfitDoubt = 1500 * time.Millisecond
 	// forgetDoubts is the time without a doubt after which the first one counts anew.
 	forgetDoubts = 20 * time.Second
@@ -46,10 +45,8 @@
 
 // Doubts, by how long they last.
 const (
-	// Full: the target had no room for the request.
-	Full Doubt = iota
 	// Unfit: the target does not hold the layers that its entry says.
-	Unfit
+	Unfit Doubt = iota
 	// Dead: the target does not answer, or others wait for it in vain.
 	Dead
 )
@@ -195,8 +192,6 @@
 // hold returns how long a doubt lasts.
 func (r *Registrar) hold(now time.Time, s *state, d Doubt) time.Duration {
 	switch d {
-	case Full:
-		return fullDoubt
 	case Unfit:
 		return unfitDoubt
 	case Dead:
--- a/entry/internal/relayer/relayer.go
+++ b/entry/internal/relayer/relayer.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +23,7 @@
 	"fuchsiabridge.example/entry/internal/composer"
 	"fuchsiabridge.example/entry/internal/connector"
 	"fuchsiabridge.example/entry/internal/dispatcher"
+	"fuchsiabridge.example/entry/internal/forwarder"
 	"fuchsiabridge.example/entry/internal/placer"
 	"fuchsiabridge.example/entry/internal/registrar"
 	"fuchsiabridge.example/platform/targetcaller"
@@ -32,6 +35,8 @@
 	sweepInterval = time.Second
 	orderTime     = time.Second
 	probeTime     = 200 * time.Millisecond
+	// reportLag is how long a target's report may lag behind its state.
+	reportLag = 250 * time.Millisecond
 	// orderWorkers is how many calls to targets beside requests go on at once.
 	orderWorkers = 64
 )
@@ -49,6 +54,7 @@
 	targets    *targetcaller.Caller
 	translator translator.Translator
 	pool       *connector.Connector
+	witness    *forwarder.Witness
 	work       pond.Pool
 	nextCall   atomic.Uint64
 	isLeaving  atomic.Bool
@@ -63,7 +69,7 @@
 func NewRelayer(ctx context.Context, cfg Config, http *httpcaller.Caller) *Relayer {
 	d := dispatcher.NewDispatcher(cfg.Dispatch)
 	return &Relayer{
-		ctx: ctx, targets: targetcaller.NewCaller(http), pool: connector.NewConnector(),
+		ctx: ctx, targets: targetcaller.NewCaller(http), pool: connector.NewConnector(), witness: forwarder.NewWitness(),
 		work:     pond.NewPool(orderWorkers, pond.WithContext(ctx)),
 		dispatch: d,
 		reducer:  composer.NewControl(registrar.NewRegistrar(cfg.Heartbeat), d, placer.NewPlacer()),
@@ -108,6 +114,8 @@
 			eventlogger.Info(e.Event, append([]any{"subject", e.Subject}, e.Values...)...)
 		case placer.Place:
 			x.start(func() { x.place(e) })
+		case dispatcher.Examine:
+			x.start(func() { x.examine(e.Address) })
 		case placer.AskState:
 			x.start(func() { x.askState(e) })
 		default:
@@ -175,6 +183,30 @@
 	return dispatcher.Probed{Fault: report.Stalled[id], Seed: rand.Uint64()}
 }
 
+// examine asks the first target of a silent chain for whom its requests wait.
+func (x *Relayer) examine(address string) {
+	wait := time.NewTimer(reportLag)
+	defer wait.Stop()
+	select {
+	case <-x.ctx.Done():
+		return
+	case <-wait.C:
+	}
+	ctx, cancel := context.WithTimeout(x.ctx, probeTime)
+	defer cancel()
+	report, err := x.targets.Report(ctx, address)
+	if err != nil {
+		eventlogger.Error(err, eventlogger.ReportFailed, "address", address)
+		x.Submit(dispatcher.Examined{Address: address, IsUnanswered: true})
+		return
+	}
+	faults := map[string]bool{}
+	for _, fault := range report.Stalled {
+		faults[fault] = true
+	}
+	x.Submit(dispatcher.Examined{Address: address, Faults: slices.Sorted(maps.Keys(faults))})
+}
+
 // Limits returns what callers are allowed.
 func (x *Relayer) Limits() describer.Limits {
 	if l := x.limits.Load(); l != nil {
--- a/entry/internal/relayer/serving.go
+++ b/entry/internal/relayer/serving.go
@@ -32,7 +32,7 @@
 	request := x.translator.ReadRequest(h)
 	s := &serving{
 		x: x, call: identifier.CallID(x.nextCall.Add(1)), caller: c, request: request,
-		exchange: forwarder.NewExchange(c, request, x.pool),
+		exchange: forwarder.NewExchange(c, request, x.pool, x.witness),
 	}
 	defer s.exchange.Drop()
 	arrived := dispatcher.Arrived{
