Judge a chain's silence by its usual pause; bound shared repeats by the least part held

Change: the least part during a whole window counts; looks every 25 ms after 70 ms; a chain whose first events come late counts as loaded; longer waits at the store.

--- a/entry/internal/commander/relay.go
+++ b/entry/internal/commander/relay.go
@@ -34,8 +34,8 @@
 const (
 	maxSlack = 1_000_000
 	maxParts = 1000
-	// sharedSlack is the part of the retry slack that is given out; the rest covers nodes that come and go.
-	sharedSlack = 0.7
+	// sharedSlack is the part of the retry slack that is given out; the rest covers each node's floor.
+	sharedSlack = 0.85
 	// stopMargin is left of the stop limit for what comes after the last request.
 	stopMargin = 500 * time.Millisecond
 	healthStop = time.Second
--- a/entry/internal/dispatcher/attempts.go
+++ b/entry/internal/dispatcher/attempts.go
@@ -20,6 +20,7 @@
 		return nil
 	}
 	d.learn(now, r, ev)
+	r.first, r.gap, r.events = ev.FirstByte, ev.LongestGap, ev.Events
 	if ev.Outcome == Silent {
 		return d.silent(now, ev, r)
 	}
@@ -75,12 +76,18 @@
 		return false
 	}
 	s := d.services[r.service]
-	return s != nil && s.budget.allows(now, d.cfg.RetryRatio, d.repeats)
+	return s != nil && s.budget.allows(now, d.cfg.RetryRatio, d.allotment.repeats(now))
 }
 
 // learn takes in what an attempt shows of its target.
 func (d *Dispatcher) learn(now time.Time, r *request, ev Reported) {
-	if r.target == "" || len(r.chain) > 0 {
+	if r.target == "" {
+		return
+	}
+	if len(r.chain) > 0 {
+		if r.first == 0 && ev.FirstByte > 0 {
+			d.record(r.target).learnFirst(now, ev.FirstByte)
+		}
 		return
 	}
 	switch ev.Outcome {
@@ -152,13 +159,14 @@
 		return d.switchOver(now, ev.Call, r, "a target of the chain is in doubt", ev.Seed)
 	}
 	entrance := r.chain[0]
-	if ev.ChainQuiet >= streamPatience && d.record(entrance.Target).open >= witnesses {
+	isQuiet := ev.ChainQuiet >= min(mostQuiet, max(leastQuiet, quietPauses*ev.ChainPace))
+	if isQuiet && d.record(entrance.Target).open >= witnesses {
 		return d.leaveSilent(now, ev, r)
 	}
 	if ev.ChainQuiet >= probePatience {
 		return []messenger.Effect{Probe{Address: entrance.Address}}
 	}
-	return []messenger.Effect{Wait{Until: now.Add(streamPatience)}}
+	return []messenger.Effect{Wait{Until: now.Add(lookInterval)}}
 }
 
 // leaveSilent leaves a chain from which no request gets anything, before it is known which of its targets is at fault.
@@ -170,7 +178,7 @@
 		effects = append(effects, Examine{Address: address})
 	}
 	if !d.hasOtherChain(now, r) {
-		return append([]messenger.Effect{Wait{Until: now.Add(streamPatience)}}, effects...)
+		return append([]messenger.Effect{Wait{Until: now.Add(lookInterval)}}, effects...)
 	}
 	return append(d.switchOver(now, ev.Call, r, "nothing comes from the chain", ev.Seed), effects...)
 }
--- a/entry/internal/dispatcher/budget.go
+++ b/entry/internal/dispatcher/budget.go
@@ -3,9 +3,10 @@
 import "time"
 
 const (
-	budgetBuckets = 10
+	// budgetBuckets cover the window and the bucket that has just begun.
+	budgetBuckets = 11
 	// budgetFloor is how many repeats a node may send in a window whatever its requests and share.
-	budgetFloor = 3
+	budgetFloor = 2
 )
 
 // budget counts the requests of a service in a sliding window, and how many were sent again.
@@ -16,7 +17,7 @@
 	again  [budgetBuckets]int
 }
 
-func newBudget(window time.Duration) *budget { return &budget{bucket: window / budgetBuckets} }
+func newBudget(window time.Duration) *budget { return &budget{bucket: window / (budgetBuckets - 1)} }
 
 func (b *budget) slot(now time.Time) int {
 	at := now.UnixNano() / int64(b.bucket)
@@ -45,3 +46,39 @@
 	}
 	return float64(again+1) <= ratio*float64(first)+float64(max(budgetFloor, share))
 }
+
+// allotment is this node's part of the repeats that all nodes share. Parts move between
+// nodes; what counts is the least that the node had during a whole window, so that the
+// sum over all nodes never exceeds what is shared.
+type allotment struct {
+	window time.Duration
+	held   []holding
+}
+
+type holding struct {
+	since   time.Time
+	repeats int
+}
+
+func (a *allotment) set(now time.Time, repeats int) {
+	if n := len(a.held); n > 0 && a.held[n-1].repeats == repeats {
+		return
+	}
+	a.held = append(a.held, holding{since: now, repeats: repeats})
+}
+
+// repeats returns the least part during the window that ends now.
+func (a *allotment) repeats(now time.Time) int {
+	from := now.Add(-a.window)
+	for len(a.held) > 1 && !a.held[1].since.After(from) {
+		a.held = a.held[1:]
+	}
+	if len(a.held) == 0 || a.held[0].since.After(from) {
+		return 0
+	}
+	least := a.held[0].repeats
+	for _, h := range a.held {
+		least = min(least, h.repeats)
+	}
+	return least
+}
--- a/entry/internal/dispatcher/choice.go
+++ b/entry/internal/dispatcher/choice.go
@@ -27,6 +27,12 @@
 	closingFactor = 4.0
 	// crossingFactor is by how much each change of the data centre adds to a chain's load.
 	crossingFactor = 1.0
+	// usualFirst is the time to a first event from which on a chain counts as loaded.
+	usualFirst = 120 * time.Millisecond
+	// firstShare is the weight of the newest time to a first event, forgetFirst the time in which an old one halves.
+	firstShare  = 0.25
+	forgetFirst = 2 * time.Second
+	maxHalvings = 10
 	// errorCost is what a target's share of failures adds to its expected time.
 	errorCost = 500 * time.Millisecond
 	// foreignCost is what another data centre adds to a plain target's expected time.
@@ -52,6 +58,25 @@
 	open   int
 	took   time.Duration
 	failed float64
+	// first is the time to the first event of the chains that begin here, as of firstAt.
+	first   time.Duration
+	firstAt time.Time
+}
+
+// learnFirst takes in the time to a first event.
+func (r *record) learnFirst(now time.Time, first time.Duration) {
+	r.first = r.expectFirst(now)
+	r.first += time.Duration(firstShare * float64(first-r.first))
+	r.firstAt = now
+}
+
+// expectFirst returns the expected time to the first event; what was seen long ago counts little.
+func (r *record) expectFirst(now time.Time) time.Duration {
+	age := now.Sub(r.firstAt)
+	if age > forgetFirst*maxHalvings {
+		return 0
+	}
+	return time.Duration(float64(r.first) * math.Exp2(-float64(age)/float64(forgetFirst)))
 }
 
 func (r *record) learn(took time.Duration, hasFailed bool) {
@@ -120,7 +145,7 @@
 }
 
 // chooseChain returns the chain with the least load for its room and speed, nil when there is none.
-func (d *Dispatcher) chooseChain(s *service, avoid func(chainer.Chain) bool) *chainer.Chain {
+func (d *Dispatcher) chooseChain(now time.Time, s *service, avoid func(chainer.Chain) bool) *chainer.Chain {
 	var best *chainer.Chain
 	least := math.Inf(1)
 	for i := range s.chains {
@@ -128,7 +153,7 @@
 		if avoid(*c) {
 			continue
 		}
-		if cost := d.chainCost(c); cost < least {
+		if cost := d.chainCost(now, c); cost < least {
 			best, least = c, cost
 		}
 	}
@@ -143,7 +168,7 @@
 	return slices.ContainsFunc(chain, func(p describer.Part) bool { return now.Before(d.avoided[p.Address]) })
 }
 
-func (d *Dispatcher) chainCost(c *chainer.Chain) float64 {
+func (d *Dispatcher) chainCost(now time.Time, c *chainer.Chain) float64 {
 	open := 0
 	for _, p := range c.Parts {
 		open = max(open, d.record(p.Target).open)
@@ -153,7 +178,8 @@
 	if c.DataCentre != d.cfg.DataCentre {
 		cost *= foreignFactor
 	}
-	return cost * (1 + crossingFactor*float64(c.Crossings))
+	first := d.record(c.Parts[0].Target).expectFirst(now)
+	return cost * (1 + crossingFactor*float64(c.Crossings)) * max(1, float64(first)/float64(usualFirst))
 }
 
 // chooseTarget returns the target of a plain service with the least expected time.
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -16,9 +16,16 @@
 
 const (
 	// freshPart is the part of the revocation limit for which a confirmed configuration is relied on.
-	freshPart = 0.7
+	freshPart = 0.85
 	// streamPatience is how long a stream may be silent before its chain is looked at.
-	streamPatience = 100 * time.Millisecond
+	streamPatience = 70 * time.Millisecond
+	// lookInterval is the time between two looks at a silent chain.
+	lookInterval = 25 * time.Millisecond
+	// leastQuiet and mostQuiet bound the silence at which a chain is left; between them it is
+	// quietPauses usual pauses.
+	leastQuiet  = 80 * time.Millisecond
+	mostQuiet   = 400 * time.Millisecond
+	quietPauses = 3
 	// probePatience is how long a single stream may be silent before its targets are asked.
 	probePatience = 260 * time.Millisecond
 	// witnesses is how many requests must be at a silent chain for it to be left without asking.
@@ -64,6 +71,10 @@
 	tried []identifier.TargetID
 	// target is where the request is now, empty when it is nowhere.
 	target identifier.TargetID
+	// first and gap are the time to the first byte of the last attempt, and the longest pause between events.
+	first  time.Duration
+	gap    time.Duration
+	events int
 }
 
 // Dispatcher is the sub-reducer of requests.
@@ -80,14 +91,14 @@
 	requests map[identifier.CallID]*request
 	// avoided holds until when chains over a target's address are a last resort.
 	avoided map[string]time.Time
-	// repeats is this node's part of the repeats beyond the ratio.
-	repeats int
+	// allotment is this node's part of the repeats beyond the ratio.
+	allotment allotment
 }
 
 // NewDispatcher returns a dispatcher that knows no configuration.
 func NewDispatcher(cfg Config) *Dispatcher {
 	return &Dispatcher{
-		cfg: cfg, services: map[identifier.ServiceID]*service{},
+		cfg: cfg, allotment: allotment{window: cfg.RetryWindow}, services: map[identifier.ServiceID]*service{},
 		records: map[identifier.TargetID]*record{}, requests: map[identifier.CallID]*request{}, avoided: map[string]time.Time{},
 	}
 }
@@ -108,7 +119,7 @@
 	case Examined:
 		return d.examined(now, ev)
 	case BudgetShared:
-		d.repeats = ev.Repeats
+		d.allotment.set(now, ev.Repeats)
 	case Stopping:
 		d.refuseAt = ev.RefuseAt
 	case registrar.TargetsChanged:
@@ -282,14 +293,14 @@
 	r.chain = nil
 	effects := d.refresh(now, s)
 	if s.engine != nil {
-		chain := d.chooseChain(s, func(c chainer.Chain) bool {
+		chain := d.chooseChain(now, s, func(c chainer.Chain) bool {
 			return slices.Contains(r.tried, c.Parts[0].Target) || d.isAvoided(now, c.Parts)
 		})
 		if chain == nil {
-			chain = d.chooseChain(s, func(c chainer.Chain) bool { return d.isAvoided(now, c.Parts) })
+			chain = d.chooseChain(now, s, func(c chainer.Chain) bool { return d.isAvoided(now, c.Parts) })
 		}
 		if chain == nil {
-			chain = d.chooseChain(s, func(chainer.Chain) bool { return false })
+			chain = d.chooseChain(now, s, func(chainer.Chain) bool { return false })
 		}
 		if chain == nil {
 			return append(d.refuse(now, call, http.StatusServiceUnavailable, unreadyPause, "no chain holds all layers"), effects...)
@@ -363,7 +374,8 @@
 	}
 	d.release(r)
 	delete(d.requests, call)
-	values := []any{"status", status, "reason", reason, "took_ms", now.Sub(r.arrived).Milliseconds(), "sends", r.sends, "runs", r.runs}
+	values := []any{"status", status, "reason", reason, "took_ms", now.Sub(r.arrived).Milliseconds(), "sends", r.sends, "runs", r.runs,
+		"first_ms", r.first.Milliseconds(), "longest_gap_ms", r.gap.Milliseconds(), "events", r.events}
 	if r.route != nil {
 		values = append(values, "route", r.route.ID, "account", r.account, "service", r.service)
 	}
--- a/entry/internal/dispatcher/messages.go
+++ b/entry/internal/dispatcher/messages.go
@@ -75,9 +75,13 @@
 	Events int
 	// ChainQuiet is how long no request of this node got anything from the first target.
 	ChainQuiet time.Duration
+	// ChainPace is the usual pause between two events of a request there.
+	ChainPace time.Duration
 	// FirstByte is the time from the send to the answer's first byte, 0 when none came.
 	FirstByte time.Duration
-	Seed      uint64
+	// LongestGap is the longest pause so far between two events that the caller was handed.
+	LongestGap time.Duration
+	Seed       uint64
 }
 
 // BudgetShared is the event that this node's part of the repeats that are allowed beyond the ratio changed.
--- a/entry/internal/follower/follower.go
+++ b/entry/internal/follower/follower.go
@@ -23,9 +23,9 @@
 	// callTime bounds a call beside the time that it may wait for news.
 	callTime = 700 * time.Millisecond
 	// configurationWait is how long a call waits for a new configuration; its end confirms the old one.
-	configurationWait = time.Second
+	configurationWait = 2 * time.Second
 	// targetsWait is how long a call waits for news of targets, targetsPause gathers those that come together.
-	targetsWait  = 1500 * time.Millisecond
+	targetsWait  = 3 * time.Second
 	targetsPause = 100 * time.Millisecond
 	// failurePause is the pause after a call that failed.
 	failurePause = 150 * time.Millisecond
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -8,7 +8,6 @@
 	"net/http/httputil"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -46,31 +45,6 @@
 	Finish() error
 }
 
-// Witness notes when a target was last heard of by any request.
-type Witness struct {
-	mu    sync.Mutex
-	heard map[string]time.Time
-}
-
-// NewWitness returns a witness that has heard of no target.
-func NewWitness() *Witness { return &Witness{heard: map[string]time.Time{}} }
-
-func (w *Witness) hear(address string, now time.Time) {
-	w.mu.Lock()
-	w.heard[address] = now
-	w.mu.Unlock()
-}
-
-// quiet returns for how long a target was not heard of, at most since an instant.
-func (w *Witness) quiet(address string, since, now time.Time) time.Duration {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if heard := w.heard[address]; heard.After(since) {
-		return now.Sub(heard)
-	}
-	return now.Sub(since)
-}
-
 // Exchange is one request on its way through attempts.
 type Exchange struct {
 	caller     Caller
@@ -92,6 +66,9 @@
 	// hasBegun says that the caller has the header of a stream.
 	hasBegun bool
 	events   eventCutter
+	// handedAt is when the caller was last handed events, longest the longest pause between them.
+	handedAt time.Time
+	longest  time.Duration
 }
 
 // NewExchange returns an exchange for a caller's request.
@@ -364,6 +341,12 @@
 	if err := x.caller.Events(whole); err != nil {
 		return x.report(ctx, dispatcher.CallerGone, err), false
 	}
+	now := bootclock.Now()
+	if !x.handedAt.IsZero() {
+		x.longest = max(x.longest, now.Sub(x.handedAt))
+		x.witness.pace(x.send.Address, now.Sub(x.handedAt))
+	}
+	x.handedAt = now
 	return dispatcher.Reported{}, true
 }
 
@@ -448,9 +431,9 @@
 }
 
 func (x *Exchange) report(ctx context.Context, o dispatcher.Outcome, err error) dispatcher.Reported {
-	r := dispatcher.Reported{Call: x.send.Call, Outcome: o, Events: x.events.count, FirstByte: x.first}
+	r := dispatcher.Reported{Call: x.send.Call, Outcome: o, Events: x.events.count, FirstByte: x.first, LongestGap: x.longest}
 	if o == dispatcher.Silent {
-		r.ChainQuiet = x.witness.quiet(x.send.Address, x.sentAt, bootclock.Now())
+		r.ChainQuiet, r.ChainPace = x.witness.quiet(x.send.Address, x.sentAt, bootclock.Now())
 	}
 	if o == dispatcher.CallerGone {
 		x.Drop()
