Pack the fastest targets first with bounded room; let the rest hold copies

Cause: a data centre's chain used every target, with more room than its load needs, so a token took 15 to 18 ms and any loss broke the chain. Change: fastest first with room for 130 requests; what is left holds second copies.

--- a/entry/internal/placer/arranger.go
+++ b/entry/internal/placer/arranger.go
@@ -16,8 +16,10 @@
 	// leastRoom and mostRoom bound the usual requests for which a target leaves memory free.
 	leastRoom = 30.0
 	mostRoom  = 400.0
+	// wantedRoom is the room with which targets are packed where they are enough.
+	wantedRoom = 130.0
 	// enoughRoom is the room for which it is not worth moving more targets.
-	enoughRoom = 90.0
+	enoughRoom = 100.0
 	// roomStep is the factor between two sizes of room that are tried.
 	roomStep = 0.95
 	// coverMargin is by how much the targets of a data centre should hold more than all layers.
@@ -122,13 +124,17 @@
 	}
 }
 
-// pack spreads empty targets over all layers, the largest first, with as much room as lets
-// them hold every layer.
+// pack spreads empty targets over all layers, the fastest first: the shorter a request's
+// way, the fewer are under way at once, and the less room they need. Targets beyond one
+// holder a layer hold copies, as spares that need no load.
 func (c *centre) pack() []Assignment {
 	slices.SortStableFunc(c.empty, func(a, b registrar.Target) int {
-		return cmp.Or(-cmp.Compare(c.megabytes(a), c.megabytes(b)), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(
+			cmp.Compare(c.engine.Kinds[a.Kind].StepFactor, c.engine.Kinds[b.Kind].StepFactor),
+			-cmp.Compare(c.megabytes(a), c.megabytes(b)), cmp.Compare(a.ID, b.ID),
+		)
 	})
-	requests, isWhole := c.roomFor(c.empty)
+	requests := min(wantedRoom, c.roomFor(c.empty))
 	var out []Assignment
 	for _, t := range c.empty {
 		n := RangeLength(c.engine, t.Kind, requests)
@@ -136,9 +142,6 @@
 			continue
 		}
 		from := c.leastHeld()
-		if isWhole && c.counts[from] > 0 {
-			break
-		}
 		from = min(from, c.engine.Layers-n)
 		r := identifier.LayerRange{From: from, To: from + n}
 		c.hold(holding{target: t, layers: r, isPending: true})
@@ -149,14 +152,14 @@
 
 func (c *centre) megabytes(t registrar.Target) float64 { return c.engine.Kinds[t.Kind].Megabytes }
 
-// roomFor returns the most room with which targets hold all layers, and whether they can at all.
-func (c *centre) roomFor(targets []registrar.Target) (float64, bool) {
+// roomFor returns the most room with which targets hold all layers, the least there is when they cannot.
+func (c *centre) roomFor(targets []registrar.Target) float64 {
 	for requests := mostRoom; requests >= leastRoom; requests *= roomStep {
 		if float64(c.length(targets, requests)) >= coverMargin*float64(c.engine.Layers) {
-			return requests, true
+			return requests
 		}
 	}
-	return leastRoom, false
+	return leastRoom
 }
 
 // leastHeld returns the first layer with the fewest holders here, and among those in all.
