--- a/common/describer/describer.go
+++ b/common/describer/describer.go
@@ -21,6 +21,9 @@
 	Streaming
 )
 
+// String returns the kind's name in metrics.
+func (k Kind) String() string { return [...]string{"idempotent", "non_idempotent", "streaming"}[k] }
+
 // Configuration is one version of what operators published, whole.
 type Configuration struct {
 	Version  int64
--- a/common/eventlogger/relay.go
+++ b/common/eventlogger/relay.go
@@ -20,6 +20,7 @@
 	LostLease            = Event{8016, "lease for orders lost"}
 	ReportFailed         = Event{8017, "report of a target failed"}
 	SettingsRead         = Event{8018, "settings file changed"}
+	RequestRerouted      = Event{8019, "running request led another way"}
 )
 
 func relayEvents() []Event {
@@ -42,5 +43,6 @@
 		LostLease,
 		ReportFailed,
 		SettingsRead,
+		RequestRerouted,
 	}
 }
--- a/entry/internal/chainer/chainer.go
+++ b/entry/internal/chainer/chainer.go
@@ -16,9 +16,11 @@
 	hopCost      = 0.5
 	crossingCost = 8.0
 	// useFactor is by how much each chain that already uses a target makes it dearer for the next.
-	useFactor = 2.0
+	useFactor = 1.0
 	// roomCost is divided by the streams that a part has room for, in milliseconds.
 	roomCost = 30.0
+	// foreignFactor is how much dearer targets elsewhere are for a chain of one data centre.
+	foreignFactor = 6.0
 	// maxParts is the longest chain that targets accept.
 	maxParts = 32
 
@@ -60,6 +62,10 @@
 	engine  *describer.Engine
 	holders []Holder
 	uses    []int
+	// first is the part with which a chain must begin, without a target for any.
+	first describer.Part
+	// home is the data centre whose targets a mixed chain should use, empty for none.
+	home identifier.DataCentre
 	// bounds are the layers at which a part may begin or end.
 	bounds []identifier.Layer
 }
@@ -88,13 +94,21 @@
 		p.note(c)
 		return true
 	}
-	lacking := 0
+	var lacking []identifier.DataCentre
 	for _, dc := range p.centres() {
 		if !add(p.find(func(h Holder) bool { return h.DataCentre == dc })) {
-			lacking++
+			lacking = append(lacking, dc)
 		}
 	}
-	for range lacking {
+	for _, dc := range lacking {
+		if p.held(dc) < int(p.engine.Layers)/2 {
+			continue
+		}
+		p.home = dc
+		add(p.find(func(Holder) bool { return true }))
+		p.home = ""
+	}
+	if len(chains) == 0 {
 		add(p.find(func(Holder) bool { return true }))
 	}
 	for range perCentre - 1 {
@@ -114,6 +128,27 @@
 	return slices.Compact(out)
 }
 
+// Continue returns the cheapest chain that begins with a given part.
+func (p *Planner) Continue(first describer.Part) (Chain, bool) {
+	p.first = first
+	defer func() { p.first = describer.Part{} }()
+	return p.find(func(Holder) bool { return true })
+}
+
+// held returns how many layers a data centre's targets hold at least once.
+func (p *Planner) held(dc identifier.DataCentre) int {
+	layers := map[identifier.Layer]bool{}
+	for _, h := range p.holders {
+		if h.DataCentre != dc {
+			continue
+		}
+		for l := h.Layers.From; l < h.Layers.To; l++ {
+			layers[l] = true
+		}
+	}
+	return len(layers)
+}
+
 func isKnown(chains []Chain, c Chain) bool {
 	return slices.ContainsFunc(chains, func(o Chain) bool { return slices.Equal(o.Parts, c.Parts) })
 }
@@ -174,11 +209,17 @@
 	if p.bounds[from] < h.Layers.From || p.bounds[from] >= h.Layers.To {
 		return
 	}
+	if from == 0 && p.first.Target != "" && p.first.Target != h.Target {
+		return
+	}
 	before, previous := p.cheapest(best[from], h.DataCentre, from)
 	if math.IsInf(before, 1) {
 		return
 	}
 	for to := from + 1; to < len(p.bounds) && p.bounds[to] <= h.Layers.To; to++ {
+		if from == 0 && p.first.Target != "" && p.bounds[to] != p.first.Layers.To {
+			continue
+		}
 		cost := before + p.cost(i, int(p.bounds[to]-p.bounds[from]))
 		if old, ok := best[to][i]; !ok || cost < old.cost {
 			best[to][i] = step{cost: cost, from: from, previous: previous}
@@ -207,7 +248,11 @@
 func (p *Planner) cost(i, layers int) float64 {
 	h := p.holders[i]
 	room := p.room(h, layers)
-	return hopCost + float64(layers)*h.LayerCost*(1+useFactor*float64(p.uses[i])) + roomCost/max(1, room)
+	cost := hopCost + float64(layers)*h.LayerCost*(1+useFactor*float64(p.uses[i])) + roomCost/max(1, room)
+	if p.home != "" && h.DataCentre != p.home {
+		cost *= foreignFactor
+	}
+	return cost
 }
 
 // room is how many usual requests fit beside the weights when so many layers are run.
--- a/entry/internal/commander/options_test.go
+++ b/entry/internal/commander/options_test.go
@@ -19,7 +19,7 @@
 	page, err := os.ReadFile("../../../docs/SETTINGS.md")
 	c.Assert(err, qt.IsNil)
 	var rows []string
-	for _, o := range commander.Options() {
+	for _, o := range append(commander.Options(), commander.RelayOptions()...) {
 		rows = append(rows, fmt.Sprintf("| `--%s` | `%s` | %s | %s |", o.Name, o.EnvName(), o.Default, o.Usage))
 	}
 	for _, r := range configurer.Rules() {
@@ -31,6 +31,16 @@
 	c.Assert(strings.Count(string(page), "\n| `"), qt.Equals, len(rows))
 }
 
+// TestWrongRelaySettingsAreReportedTogether gives wrong values and expects each by name, and
+// those that are missing.
+func TestWrongRelaySettingsAreReportedTogether(t *testing.T) {
+	c := qt.New(t)
+	_, _, err := optionparser.Parse("entry relay", commander.RelayOptions(), []string{
+		"--node", "n", "--listen", "nowhere", "--retry-ratio", "2", "--heartbeat", "soon",
+	})
+	c.Assert(err, qt.ErrorMatches, "(?s).*data-centre: .*listen: .*store: .*retry-ratio: .*heartbeat: .*")
+}
+
 // TestWrongSettingsAreReportedTogether gives three wrong values and expects each by name.
 func TestWrongSettingsAreReportedTogether(t *testing.T) {
 	c := qt.New(t)
--- a/entry/internal/commander/relay.go
+++ b/entry/internal/commander/relay.go
@@ -23,6 +23,7 @@
 	"fuchsiabridge.example/common/responder"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/follower"
+	"fuchsiabridge.example/entry/internal/meter"
 	"fuchsiabridge.example/entry/internal/receiver"
 	"fuchsiabridge.example/entry/internal/relayer"
 	"fuchsiabridge.example/platform/storecaller"
@@ -34,7 +35,7 @@
 const (
 	maxSlack = 1_000_000
 	maxParts = 1000
-	// sharedSlack is the part of the retry slack that is given out; the rest covers each node's floor.
+	// sharedSlack is the part of the retry slack that is given out; the rest covers what rounds up.
 	sharedSlack = 0.85
 	// stopMargin is left of the stop limit for what comes after the last request.
 	stopMargin = 500 * time.Millisecond
@@ -113,7 +114,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	http := httpcaller.NewCaller()
+	requests := meter.NewMeter()
+	requests.Publish("requests")
 	x := relayer.NewRelayer(ctx, relayer.Config{
+		Meter: requests,
 		Dispatch: dispatcher.Config{
 			DataCentre:      identifier.DataCentre(values.Text("data-centre")),
 			RevocationLimit: values.Duration("revocation-limit"),
@@ -158,7 +162,9 @@
 	time.Sleep(values.Duration("balancer-lag"))
 	r.CloseIdle()
 	await(limit, func() bool { return r.Open() == 0 })
-	callers.Close()
+	if err := callers.Close(); err != nil {
+		eventlogger.Error(err, eventlogger.CallerBroken, "doing", "closing the listener")
+	}
 	<-leased
 	eventlogger.Info(eventlogger.NodeStopped, "open_requests", r.Open())
 	return nil
--- a/entry/internal/connector/connector.go
+++ b/entry/internal/connector/connector.go
@@ -56,7 +56,7 @@
 		if time.Now().Before(conn.idleTill) && conn.isQuiet() {
 			return conn, nil
 		}
-		conn.drop()
+		conn.Drop()
 	}
 	return c.dial(ctx, address)
 }
@@ -102,7 +102,7 @@
 // Put gives a connection back that may carry another request within the given time.
 func (c *Connector) Put(conn *Conn, idle time.Duration) {
 	if conn.R.Buffered() > 0 || conn.SetDeadline(time.Time{}) != nil {
-		conn.drop()
+		conn.Drop()
 		return
 	}
 	conn.IsReused = true
@@ -110,7 +110,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.idle[conn.address]) >= maxIdle {
-		conn.drop()
+		conn.Drop()
 		return
 	}
 	c.idle[conn.address] = append(c.idle[conn.address], conn)
@@ -127,7 +127,7 @@
 				kept = append(kept, conn)
 				continue
 			}
-			conn.drop()
+			conn.Drop()
 		}
 		if len(kept) == 0 {
 			delete(c.idle, address)
@@ -137,8 +137,8 @@
 	}
 }
 
-// drop closes a connection that is of no more use; nothing depends on how that ends.
-func (c *Conn) drop() { _ = c.Close() }
+// Drop closes a connection that is of no more use; nothing depends on how that ends.
+func (c *Conn) Drop() { _ = c.Close() }
 
 // isQuiet reports whether an idle connection is open and has nothing to read: bytes that
 // came after an answer belong to no request.
--- a/entry/internal/dispatcher/attempts.go
+++ b/entry/internal/dispatcher/attempts.go
@@ -43,11 +43,11 @@
 		if d.maySend(now, r) {
 			return append(effects, d.send(now, ev.Call, r, ev.Seed)...)
 		}
-		return append(effects, d.giveUp(now, ev, r)...)
+		return append(effects, d.giveUp(now, ev.Call, r, "no target took the request")...)
 	default:
 	}
 	r.runs++
-	if d.mayRepeat(now, r) {
+	if d.mayRepeat(now, r) && d.hasOther(r) {
 		return append(effects, d.send(now, ev.Call, r, ev.Seed)...)
 	}
 	if ev.Outcome == Failed {
@@ -56,13 +56,13 @@
 	return append(effects, d.refuse(now, ev.Call, http.StatusBadGateway, 0, "attempt broke")...)
 }
 
-// giveUp ends a request that no attempt of ran: only where none of them may have run is it
-// refused as not run.
-func (d *Dispatcher) giveUp(now time.Time, ev Reported, r *request) []messenger.Effect {
+// giveUp ends a request that has no place to go: only where no attempt of it may have run
+// is it refused as not run.
+func (d *Dispatcher) giveUp(now time.Time, call identifier.CallID, r *request, reason string) []messenger.Effect {
 	if r.runs > 0 {
-		return d.refuse(now, ev.Call, http.StatusBadGateway, 0, "attempt broke, no other place")
+		return d.refuse(now, call, http.StatusBadGateway, 0, "attempt broke, "+reason)
 	}
-	return d.refuse(now, ev.Call, http.StatusServiceUnavailable, unreadyPause, "no target took the request")
+	return d.refuse(now, call, http.StatusServiceUnavailable, unreadyPause, reason)
 }
 
 // mayRepeat reports whether a request that may have run can run once more.
@@ -128,8 +128,10 @@
 	if s == nil {
 		return effects
 	}
-	for i := range s.targets {
-		s.targets[i].IsDoubted = s.targets[i].IsDoubted || s.targets[i].Address == address
+	for _, known := range [][]registrar.Target{s.targets, d.targets} {
+		for i := range known {
+			known[i].IsDoubted = known[i].IsDoubted || known[i].Address == address
+		}
 	}
 	if s.engine != nil {
 		effects = append(effects, d.plan(now, s))
@@ -225,7 +227,7 @@
 	if !d.mayRepeat(now, r) || !d.hasOther(r) {
 		r.runs--
 		if len(r.chain) > 0 {
-			return []messenger.Effect{Wait{Until: now.Add(probePatience)}}
+			return d.leadElsewhere(now, r)
 		}
 		return []messenger.Effect{Wait{Until: r.deadline}}
 	}
@@ -234,6 +236,42 @@
 	return append([]messenger.Effect{log}, d.send(now, call, r, seed)...)
 }
 
+// leadElsewhere has a request that must not be sent again go on along another chain after
+// its first target, where one of its other targets is in doubt.
+func (d *Dispatcher) leadElsewhere(now time.Time, r *request) []messenger.Effect {
+	wait := []messenger.Effect{Wait{Until: now.Add(probePatience)}}
+	s := d.services[r.service]
+	if s == nil || s.engine == nil || r.reroutes >= maxReroutes || !d.isDoubted(r.chain) || d.isDoubted(r.chain[:1]) {
+		return wait
+	}
+	chain, ok := chainer.NewPlanner(s.engine, d.holders(s, false)).Continue(r.chain[0])
+	if !ok {
+		return wait
+	}
+	r.reroutes++
+	return []messenger.Effect{Reroute{Address: r.chain[0].Address, Chain: chain.Parts}}
+}
+
+// rerouted takes whether a running request goes on along another chain.
+func (d *Dispatcher) rerouted(now time.Time, ev Rerouted) []messenger.Effect {
+	r, ok := d.requests[ev.Call]
+	if !ok {
+		return nil
+	}
+	if ev.IsTaken {
+		target := r.target
+		d.release(r)
+		r.chain, r.target = ev.Chain, target
+		for _, id := range r.places() {
+			d.record(id).open++
+		}
+	}
+	return []messenger.Effect{Wait{Until: now.Add(probePatience)}, messenger.Log{
+		Event: eventlogger.RequestRerouted, Subject: "request/" + string(r.id),
+		Values: []any{"taken", ev.IsTaken, "reason", ev.Reason, "parts", len(ev.Chain)},
+	}}
+}
+
 // hasOther reports whether there is a place that the request was not at.
 func (d *Dispatcher) hasOther(r *request) bool {
 	s := d.services[r.service]
--- a/entry/internal/dispatcher/budget.go
+++ b/entry/internal/dispatcher/budget.go
@@ -2,12 +2,8 @@
 
 import "time"
 
-const (
-	// budgetBuckets cover the window and the bucket that has just begun.
-	budgetBuckets = 11
-	// budgetFloor is how many repeats a node may send in a window whatever its requests and share.
-	budgetFloor = 2
-)
+// budgetBuckets cover the window and the bucket that has just begun.
+const budgetBuckets = 11
 
 // budget counts the requests of a service in a sliding window, and how many were sent again.
 type budget struct {
@@ -44,7 +40,7 @@
 		first += b.first[i]
 		again += b.again[i]
 	}
-	return float64(again+1) <= ratio*float64(first)+float64(max(budgetFloor, share))
+	return float64(again+1) <= ratio*float64(first)+float64(share)
 }
 
 // allotment is this node's part of the repeats that all nodes share. Parts move between
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -10,6 +10,7 @@
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/entry/internal/chainer"
+	"fuchsiabridge.example/entry/internal/meter"
 	"fuchsiabridge.example/entry/internal/registrar"
 	"fuchsiabridge.example/entry/internal/router"
 )
@@ -32,6 +33,8 @@
 	witnesses = 3
 	// suspectTime is how long a silent chain is avoided until its targets have answered.
 	suspectTime = 600 * time.Millisecond
+	// maxReroutes bounds how often one request is led another way.
+	maxReroutes = 2
 	// fullTime is how long a target that had no room is avoided.
 	fullTime = 250 * time.Millisecond
 	// plainPatience is the part of a plain request's aim after which another target is tried.
@@ -69,6 +72,8 @@
 	sent  time.Time
 	chain []describer.Part
 	tried []identifier.TargetID
+	// reroutes counts how often the request was led another way.
+	reroutes int
 	// target is where the request is now, empty when it is nowhere.
 	target identifier.TargetID
 	// first and gap are the time to the first byte of the last attempt, and the longest pause between events.
@@ -116,6 +121,8 @@
 		return d.tableRead(ev)
 	case Confirmed:
 		return d.confirmed(now, ev)
+	case Rerouted:
+		return d.rerouted(now, ev)
 	case Examined:
 		return d.examined(now, ev)
 	case BudgetShared:
@@ -284,7 +291,7 @@
 func (d *Dispatcher) send(now time.Time, call identifier.CallID, r *request, seed uint64) []messenger.Effect {
 	s := d.services[r.service]
 	if s == nil {
-		return d.refuse(now, call, http.StatusServiceUnavailable, unreadyPause, "unknown service")
+		return d.giveUp(now, call, r, "unknown service")
 	}
 	out := Send{
 		Call: call, Account: r.account, Deadline: r.deadline,
@@ -303,7 +310,7 @@
 			chain = d.chooseChain(now, s, func(chainer.Chain) bool { return false })
 		}
 		if chain == nil {
-			return append(d.refuse(now, call, http.StatusServiceUnavailable, unreadyPause, "no chain holds all layers"), effects...)
+			return append(d.giveUp(now, call, r, "no chain holds all layers"), effects...)
 		}
 		r.chain = chain.Parts
 		out.Target, out.Address, out.Chain = chain.Parts[0].Target, chain.Parts[0].Address, chain.Parts
@@ -311,7 +318,7 @@
 	} else {
 		t := d.chooseTarget(s, r.tried, seed)
 		if t == nil {
-			return d.refuse(now, call, http.StatusServiceUnavailable, unreadyPause, "no target")
+			return d.giveUp(now, call, r, "no target")
 		}
 		out.Target, out.Address = t.ID, t.Address
 		out.Patience = r.deadline
@@ -366,6 +373,15 @@
 	return append([]messenger.Effect{Refuse{Status: status, RetryAfter: after, Reason: reason}}, d.end(now, call, status, reason)...)
 }
 
+// sample returns what is counted of a request that has ended.
+func (r *request) sample(now time.Time, status int) meter.Sample {
+	s := meter.Sample{Kind: "none", Account: string(r.account), Status: status, Took: now.Sub(r.arrived), First: r.first}
+	if r.route != nil {
+		s.Kind = r.route.Kind.String()
+	}
+	return s
+}
+
 // end forgets a request and writes its closing line.
 func (d *Dispatcher) end(now time.Time, call identifier.CallID, status int, reason string) []messenger.Effect {
 	r, ok := d.requests[call]
@@ -382,5 +398,8 @@
 	if d.table != nil {
 		values = append(values, "version", d.table.Version, "confirmed_ms_ago", now.Sub(d.confirmedAt).Milliseconds())
 	}
-	return []messenger.Effect{messenger.Log{Event: eventlogger.RequestEnded, Subject: "request/" + string(r.id), Values: values}}
+	return []messenger.Effect{
+		messenger.Log{Event: eventlogger.RequestEnded, Subject: "request/" + string(r.id), Values: values},
+		Measured{Sample: r.sample(now, status)},
+	}
 }
--- a/entry/internal/dispatcher/messages.go
+++ b/entry/internal/dispatcher/messages.go
@@ -7,6 +7,7 @@
 
 	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/entry/internal/meter"
 	"fuchsiabridge.example/entry/internal/router"
 )
 
@@ -132,9 +133,27 @@
 // Probe is the effect that asks a target which requests wait for whom.
 type Probe struct{ Address string }
 
+// Reroute is the effect that has the first target of a running request lead it along
+// another chain, which begins with the same part.
+type Reroute struct {
+	Address string
+	Chain   []describer.Part
+}
+
+// Rerouted is the event that a reroute was taken, or refused for a reason.
+type Rerouted struct {
+	Call    identifier.CallID
+	Chain   []describer.Part
+	IsTaken bool
+	Reason  string
+}
+
 // Deliver is the effect that hands the caller the failure that was held back.
 type Deliver struct{}
 
+// Measured is the effect that counts a request that has ended.
+type Measured struct{ Sample meter.Sample }
+
 // Refuse is the effect that ends a request with an answer of the node's own; a stream that
 // has begun is broken off instead.
 type Refuse struct {
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -392,7 +392,7 @@
 	conn := x.conn
 	x.conn = nil
 	if x.resp.ConnectionClose() || x.resp.Header.ContentLength() < -1 || idle <= 0 {
-		conn.Close()
+		conn.Drop()
 		return
 	}
 	x.pool.Put(conn, idle)
@@ -414,7 +414,7 @@
 		return
 	}
 	x.stop()
-	x.conn.Close()
+	x.conn.Drop()
 	x.conn = nil
 }
 
--- a/entry/internal/receiver/receiver.go
+++ b/entry/internal/receiver/receiver.go
@@ -3,6 +3,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -171,8 +172,8 @@
 		return errors.Wrap(err, "reading a header")
 	}
 	h := &call.request.Header
-	if len(h.Peek(fasthttp.HeaderTransferEncoding)) > 0 && len(h.Peek(fasthttp.HeaderContentLength)) > 0 {
-		return errors.Wrap(errBadRequest, "a length beside chunks")
+	if framings(h.RawHeaders()) > 1 {
+		return errors.Wrap(errBadRequest, "more than one length")
 	}
 	if call.request.MayContinue() {
 		if _, err := io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
@@ -186,6 +187,20 @@
 	return nil
 }
 
+// framings counts the fields of a raw header that say where the body ends. The library
+// keeps one of them; which one the caller means is not known.
+func framings(raw []byte) int {
+	n := 0
+	for line := range bytes.SplitSeq(raw, []byte("\n")) {
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		name = bytes.TrimSpace(name)
+		if bytes.EqualFold(name, []byte(fasthttp.HeaderContentLength)) || bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding)) {
+			n++
+		}
+	}
+	return n
+}
+
 // reject answers what is no request; a caller that merely left gets nothing.
 func (r *Receiver) reject(call *Call, err error) {
 	var t net.Error
--- /dev/null
+++ b/entry/internal/receiver/receiver_test.go
@@ -0,0 +1,144 @@
+package receiver_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/valyala/fasthttp"
+
+	"fuchsiabridge.example/common/describer"
+	"fuchsiabridge.example/entry/internal/receiver"
+)
+
+const (
+	idleTimeout = 300 * time.Millisecond
+	waitLimit   = 3 * time.Second
+)
+
+// handler answers every request with its path, or waits for the caller to leave.
+type handler struct {
+	served chan string
+	left   chan struct{}
+}
+
+func (h *handler) Limits() describer.Limits {
+	return describer.Limits{IdleTimeout: idleTimeout, HeaderTimeout: idleTimeout, BodyBytes: 100}
+}
+
+func (h *handler) Serve(ctx context.Context, c *receiver.Call) {
+	path := string(c.Header().RequestURI())
+	h.served <- path
+	if path == "/wait" {
+		<-ctx.Done()
+		h.left <- struct{}{}
+		return
+	}
+	var header fasthttp.ResponseHeader
+	if c.Answer(&header, []byte(path+string(c.Body()))) != nil {
+		h.left <- struct{}{}
+	}
+}
+
+func start(t *testing.T) (*qt.C, *handler, *receiver.Receiver, net.Conn) {
+	t.Helper()
+	c := qt.New(t)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	h := &handler{served: make(chan string, 10), left: make(chan struct{}, 10)}
+	r := receiver.NewReceiver(h)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(func() { cancel(); _ = l.Close() })
+	go r.Serve(ctx, l)
+	conn, err := net.Dial("tcp4", l.Addr().String())
+	c.Assert(err, qt.IsNil)
+	t.Cleanup(func() { _ = conn.Close() })
+	c.Assert(conn.SetDeadline(time.Now().Add(waitLimit)), qt.IsNil)
+	return c, h, r, conn
+}
+
+func write(c *qt.C, conn net.Conn, raw string) {
+	_, err := io.WriteString(conn, raw)
+	c.Assert(err, qt.IsNil)
+}
+
+// answer is an answer that was read whole.
+type answer struct {
+	status int
+	isLast bool
+	body   string
+}
+
+func read(c *qt.C, r *bufio.Reader) answer {
+	resp, err := http.ReadResponse(r, nil)
+	c.Assert(err, qt.IsNil)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	c.Assert(err, qt.IsNil)
+	return answer{resp.StatusCode, resp.Close, string(body)}
+}
+
+// TestOneConnectionManyRequests serves requests that come one after the other, and two at
+// once, each with its own answer.
+func TestOneConnectionManyRequests(t *testing.T) {
+	c, _, _, conn := start(t)
+	r := bufio.NewReader(conn)
+	write(c, conn, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nPOST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nxy")
+	c.Assert(read(c, r).body, qt.Equals, "/1")
+	c.Assert(read(c, r).body, qt.Equals, "/2xy")
+	write(c, conn, "POST /3 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n")
+	c.Assert(read(c, r).body, qt.Equals, "/3ab")
+}
+
+// TestSmuggledRequestIsRefused refuses a length beside chunks, and serves nothing of it.
+func TestSmuggledRequestIsRefused(t *testing.T) {
+	c, h, _, conn := start(t)
+	write(c, conn, "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+	resp := read(c, bufio.NewReader(conn))
+	c.Assert(resp.status, qt.Equals, http.StatusBadRequest)
+	c.Assert(h.served, qt.HasLen, 0)
+}
+
+// TestLargeBodyIsRefused answers 413 for a body over the limit.
+func TestLargeBodyIsRefused(t *testing.T) {
+	c, _, _, conn := start(t)
+	write(c, conn, "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n")
+	resp := read(c, bufio.NewReader(conn))
+	c.Assert(resp.status, qt.Equals, http.StatusRequestEntityTooLarge)
+}
+
+// TestCallerThatLeavesIsNoticed ends a request's context when its caller closes the connection.
+func TestCallerThatLeavesIsNoticed(t *testing.T) {
+	c, h, _, conn := start(t)
+	write(c, conn, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-h.served
+	c.Assert(conn.Close(), qt.IsNil)
+	select {
+	case <-h.left:
+	case <-time.After(500 * time.Millisecond):
+		c.Fatal("not noticed within half a second")
+	}
+}
+
+// TestIdleConnectionIsClosed closes a connection without a request after the idle timeout, not before.
+func TestIdleConnectionIsClosed(t *testing.T) {
+	c, _, _, conn := start(t)
+	began := time.Now()
+	_, err := conn.Read(make([]byte, 1))
+	c.Assert(err, qt.Equals, io.EOF)
+	c.Assert(time.Since(began) >= idleTimeout, qt.IsTrue)
+}
+
+// TestLeavingNodeAsksToClose marks each answer of a leaving node as its connection's last.
+func TestLeavingNodeAsksToClose(t *testing.T) {
+	c, _, r, conn := start(t)
+	r.Leave()
+	write(c, conn, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
+	resp := read(c, bufio.NewReader(conn))
+	c.Assert(resp.isLast, qt.IsTrue)
+}
--- a/entry/internal/relayer/relayer.go
+++ b/entry/internal/relayer/relayer.go
@@ -24,6 +24,7 @@
 	"fuchsiabridge.example/entry/internal/connector"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/forwarder"
+	"fuchsiabridge.example/entry/internal/meter"
 	"fuchsiabridge.example/entry/internal/placer"
 	"fuchsiabridge.example/entry/internal/registrar"
 	"fuchsiabridge.example/platform/targetcaller"
@@ -43,6 +44,7 @@
 
 // Config holds what the relayer is made of.
 type Config struct {
+	Meter    *meter.Meter
 	Dispatch dispatcher.Config
 	// Heartbeat is how often targets write to the store that they are alive.
 	Heartbeat time.Duration
@@ -55,6 +57,7 @@
 	translator translator.Translator
 	pool       *connector.Connector
 	witness    *forwarder.Witness
+	meter      *meter.Meter
 	work       pond.Pool
 	nextCall   atomic.Uint64
 	isLeaving  atomic.Bool
@@ -69,7 +72,7 @@
 func NewRelayer(ctx context.Context, cfg Config, http *httpcaller.Caller) *Relayer {
 	d := dispatcher.NewDispatcher(cfg.Dispatch)
 	return &Relayer{
-		ctx: ctx, targets: targetcaller.NewCaller(http), pool: connector.NewConnector(), witness: forwarder.NewWitness(),
+		ctx: ctx, targets: targetcaller.NewCaller(http), pool: connector.NewConnector(), witness: forwarder.NewWitness(), meter: cfg.Meter,
 		work:     pond.NewPool(orderWorkers, pond.WithContext(ctx)),
 		dispatch: d,
 		reducer:  composer.NewControl(registrar.NewRegistrar(cfg.Heartbeat), d, placer.NewPlacer()),
@@ -112,6 +115,8 @@
 		switch e := effect.(type) {
 		case messenger.Log:
 			eventlogger.Info(e.Event, append([]any{"subject", e.Subject}, e.Values...)...)
+		case dispatcher.Measured:
+			x.meter.Add(e.Sample)
 		case placer.Place:
 			x.start(func() { x.place(e) })
 		case dispatcher.Examine:
--- a/entry/internal/relayer/serving.go
+++ b/entry/internal/relayer/serving.go
@@ -58,6 +58,8 @@
 		probed := s.x.probe(ctx, e.Address, s.request.ID)
 		probed.Call = s.call
 		return s.x.apply(probed)
+	case dispatcher.Reroute:
+		return s.x.apply(s.reroute(ctx, e))
 	case dispatcher.Deliver:
 		if s.exchange.HasBegun() {
 			return nil
@@ -69,6 +71,17 @@
 	return nil
 }
 
+// reroute asks the first target of the request's chain to go on along another one.
+func (s *serving) reroute(ctx context.Context, e dispatcher.Reroute) dispatcher.Rerouted {
+	ctx, cancel := context.WithTimeout(ctx, probeTime)
+	defer cancel()
+	rerouted := dispatcher.Rerouted{Call: s.call, Chain: e.Chain, IsTaken: true}
+	if err := s.x.targets.Reroute(ctx, e.Address, s.request.ID, e.Chain); err != nil {
+		rerouted.IsTaken, rerouted.Reason = false, err.Error()
+	}
+	return rerouted
+}
+
 func (s *serving) report(r dispatcher.Reported) []messenger.Effect {
 	r.Seed = rand.Uint64()
 	return s.x.apply(r)
--- a/integration/launcher/launcher.go
+++ b/integration/launcher/launcher.go
@@ -63,15 +63,21 @@
 	targets map[string]bool
 }
 
-// NewFleet starts a platform with the given extra flags; all its processes end with the test.
-func NewFleet(t testing.TB, platformFlags ...string) *Fleet {
+// binaries returns the folder of the programs.
+func binaries(t testing.TB) string {
 	t.Helper()
 	bin, err := filepath.Abs("../.bin")
 	if err != nil {
 		t.Fatal(err)
 	}
+	return bin
+}
+
+// NewFleet starts a platform with the given extra flags; all its processes end with the test.
+func NewFleet(t testing.TB, platformFlags ...string) *Fleet {
+	t.Helper()
 	f := &Fleet{
-		t: t, dir: t.TempDir(), bin: bin,
+		t: t, dir: t.TempDir(), bin: binaries(t),
 		Engines: map[string]*Process{}, Services: map[string]*Process{}, proxies: map[string]*Process{}, targets: map[string]bool{},
 	}
 	address := FreeAddress(t)
