Keep chains apart and choose among them by chance with their weight

Cause: at 79 nodes each sees a few requests of its own, so all took the same fastest chain while most targets stood idle (8,995 of 17,338 sends refused for lack of memory). Change: as many chains as there are targets for, each mostly over targets of its own, with its part of the room; a node takes the least loaded one by an exponential race, so that unused chains are taken in proportion to their weight.

--- a/entry/internal/chainer/chainer.go
+++ b/entry/internal/chainer/chainer.go
@@ -15,12 +15,14 @@
 	// centre, cost a chain, in milliseconds of a token step.
 	hopCost      = 0.5
 	crossingCost = 8.0
-	// useFactor is by how much each chain that already uses a target makes it dearer for the next.
-	useFactor = 1.0
+	// useCost is what each layer at a target costs for each chain that already uses it, in milliseconds.
+	useCost = 0.6
 	// roomCost is divided by the streams that a part has room for, in milliseconds.
 	roomCost = 30.0
 	// foreignFactor is how much dearer targets elsewhere are for a chain of one data centre.
 	foreignFactor = 6.0
+	// maxReuse is the share of layers at targets of earlier chains from which on a further chain is the last.
+	maxReuse = 0.3
 	// maxParts is the longest chain that targets accept.
 	maxParts = 32
 
@@ -82,8 +84,8 @@
 	return p
 }
 
-// Plan returns up to perCentre chains inside each data centre, and mixed ones in place of
-// those that a data centre lacks.
+// Plan returns chains inside each data centre, up to perCentre and as long as they bring in
+// further targets, and mixed ones in place of those that a data centre lacks.
 func (p *Planner) Plan(perCentre int) []Chain {
 	var chains []Chain
 	add := func(c Chain, ok bool) bool {
@@ -111,14 +113,50 @@
 	if len(chains) == 0 {
 		add(p.find(func(Holder) bool { return true }))
 	}
-	for range perCentre - 1 {
-		for _, dc := range p.centres() {
-			add(p.find(func(h Holder) bool { return h.DataCentre == dc }))
+	for _, dc := range p.centres() {
+		for range perCentre - 1 {
+			c, ok := p.find(func(h Holder) bool { return h.DataCentre == dc })
+			isOld := !ok || p.reused(c) > maxReuse
+			if !add(c, ok) || isOld {
+				break
+			}
 		}
 	}
+	p.shareRoom(chains)
 	return chains
 }
 
+// shareRoom gives each chain its part of the room at targets that several chains use.
+func (p *Planner) shareRoom(chains []Chain) {
+	uses := map[identifier.TargetID]int{}
+	for i, h := range p.holders {
+		uses[h.Target] = p.uses[i]
+	}
+	holders := map[identifier.TargetID]Holder{}
+	for _, h := range p.holders {
+		holders[h.Target] = h
+	}
+	for i := range chains {
+		c := &chains[i]
+		for _, part := range c.Parts {
+			c.Room = min(c.Room, p.room(holders[part.Target], part.Layers.Len())/float64(max(1, uses[part.Target])))
+		}
+	}
+}
+
+// reused returns the share of a chain's layers that targets of earlier chains run.
+func (p *Planner) reused(c Chain) float64 {
+	n := 0
+	for _, part := range c.Parts {
+		for i, h := range p.holders {
+			if h.Target == part.Target && p.uses[i] > 0 {
+				n += part.Layers.Len()
+			}
+		}
+	}
+	return float64(n) / float64(p.engine.Layers)
+}
+
 func (p *Planner) centres() []identifier.DataCentre {
 	var out []identifier.DataCentre
 	for _, h := range p.holders {
@@ -248,7 +286,7 @@
 func (p *Planner) cost(i, layers int) float64 {
 	h := p.holders[i]
 	room := p.room(h, layers)
-	cost := hopCost + float64(layers)*h.LayerCost*(1+useFactor*float64(p.uses[i])) + roomCost/max(1, room)
+	cost := hopCost + float64(layers)*(h.LayerCost+useCost*float64(p.uses[i])) + roomCost/max(1, room)
 	if p.home != "" && h.DataCentre != p.home {
 		cost *= foreignFactor
 	}
--- a/entry/internal/dispatcher/choice.go
+++ b/entry/internal/dispatcher/choice.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -15,8 +16,8 @@
 )
 
 const (
-	// chainsPerCentre is how many chains are kept ready in each data centre.
-	chainsPerCentre = 2
+	// chainsPerCentre is how many chains are kept ready in each data centre at most.
+	chainsPerCentre = 8
 	// replanInterval is the least time between two plans that nothing urgent asks for.
 	replanInterval = 100 * time.Millisecond
 	// foreignFactor is how much more a chain of another data centre must offer.
@@ -144,8 +145,10 @@
 	return []messenger.Effect{d.plan(now, s)}
 }
 
-// chooseChain returns the chain with the least load for its room and speed, nil when there is none.
-func (d *Dispatcher) chooseChain(now time.Time, s *service, avoid func(chainer.Chain) bool) *chainer.Chain {
+// chooseChain returns the chain with the least load for its room and speed, nil when there is
+// none. A node of many sees few requests of its own: of chains that it does not use it
+// takes one by chance, so that all nodes together load each by its weight.
+func (d *Dispatcher) chooseChain(now time.Time, s *service, seed uint64, avoid func(chainer.Chain) bool) *chainer.Chain {
 	var best *chainer.Chain
 	least := math.Inf(1)
 	for i := range s.chains {
@@ -153,7 +156,8 @@
 		if avoid(*c) {
 			continue
 		}
-		if cost := d.chainCost(now, c); cost < least {
+		chance := rand.New(rand.NewPCG(seed, uint64(i))).ExpFloat64()
+		if cost := d.chainCost(now, c, chance); cost < least {
 			best, least = c, cost
 		}
 	}
@@ -168,13 +172,14 @@
 	return slices.ContainsFunc(chain, func(p describer.Part) bool { return now.Before(d.avoided[p.Address]) })
 }
 
-func (d *Dispatcher) chainCost(now time.Time, c *chainer.Chain) float64 {
+// chainCost returns the load of a chain for its weight, with chance in place of one more request.
+func (d *Dispatcher) chainCost(now time.Time, c *chainer.Chain, chance float64) float64 {
 	open := 0
 	for _, p := range c.Parts {
 		open = max(open, d.record(p.Target).open)
 	}
-	weight := min(c.Room, fullRoom) / math.Sqrt(c.StepCost)
-	cost := float64(open+1) / max(weight, math.SmallestNonzeroFloat64)
+	weight := min(c.Room, fullRoom) / c.StepCost
+	cost := (float64(open) + chance) / max(weight, math.SmallestNonzeroFloat64)
 	if c.DataCentre != d.cfg.DataCentre {
 		cost *= foreignFactor
 	}
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -300,14 +300,14 @@
 	r.chain = nil
 	effects := d.refresh(now, s)
 	if s.engine != nil {
-		chain := d.chooseChain(now, s, func(c chainer.Chain) bool {
+		chain := d.chooseChain(now, s, seed, func(c chainer.Chain) bool {
 			return slices.Contains(r.tried, c.Parts[0].Target) || d.isAvoided(now, c.Parts)
 		})
 		if chain == nil {
-			chain = d.chooseChain(now, s, func(c chainer.Chain) bool { return d.isAvoided(now, c.Parts) })
+			chain = d.chooseChain(now, s, seed, func(c chainer.Chain) bool { return d.isAvoided(now, c.Parts) })
 		}
 		if chain == nil {
-			chain = d.chooseChain(now, s, func(chainer.Chain) bool { return false })
+			chain = d.chooseChain(now, s, seed, func(chainer.Chain) bool { return false })
 		}
 		if chain == nil {
 			return append(d.giveUp(now, call, r, "no chain holds all layers"), effects...)
--- a/entry/internal/follower/follower.go
+++ b/entry/internal/follower/follower.go
@@ -26,7 +26,7 @@
 	configurationWait = 2 * time.Second
 	// targetsWait is how long a call waits for news of targets, targetsPause gathers those that come together.
 	targetsWait  = 3 * time.Second
-	targetsPause = 100 * time.Millisecond
+	targetsPause = 400 * time.Millisecond
 	// failurePause is the pause after a call that failed.
 	failurePause = 150 * time.Millisecond
 	// outageTime is how long calls must fail for the store to count as lost.
