--- a/entry/internal/follower/follower.go
+++ b/entry/internal/follower/follower.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,10 +24,14 @@
 	// callTime bounds a call beside the time that it may wait for news.
 	callTime = 700 * time.Millisecond
 	// configurationWait is how long a call waits for a new configuration; its end confirms the old one.
-	configurationWait = 2 * time.Second
-	// targetsWait is how long a call waits for news of targets, targetsPause gathers those that come together.
-	targetsWait  = 3 * time.Second
-	targetsPause = 400 * time.Millisecond
+	configurationWait = 2500 * time.Millisecond
+	// targetsWait is how long a call waits for news of targets.
+	targetsWait = 4 * time.Second
+	// News that come together are gathered for a pause that grows with the targets there are,
+	// as their news do.
+	pausePerTarget = 8 * time.Millisecond
+	leastPause     = 200 * time.Millisecond
+	mostPause      = time.Second
 	// failurePause is the pause after a call that failed.
 	failurePause = 150 * time.Millisecond
 	// outageTime is how long calls must fail for the store to count as lost.
@@ -115,14 +120,17 @@
 	out := outage{what: "configuration"}
 	var next identifier.Offset
 	isStarted := false
+	// wait is zero after a failure: what is in force must be confirmed soon.
+	wait := time.Duration(0)
 	for ctx.Err() == nil {
 		sent := bootclock.Now()
-		cfg, offset, err := f.configuration(ctx, isStarted, next)
+		cfg, offset, err := f.configuration(ctx, isStarted, next, wait)
 		if errors.Is(err, storecaller.ErrForgotten) {
 			isStarted = false
 			continue
 		}
 		if err != nil {
+			wait = 0
 			out.failed(err)
 			pause(ctx, failurePause)
 			continue
@@ -131,9 +139,9 @@
 		asOf := sent
 		if isStarted && offset == next {
 			// Nothing came during the whole wait.
-			asOf = sent.Add(configurationWait)
+			asOf = sent.Add(wait)
 		}
-		isStarted, next = true, offset
+		isStarted, next, wait = true, offset, configurationWait
 		if cfg != nil {
 			table := router.NewTable(cfg)
 			f.submit(dispatcher.TableRead{Table: table})
@@ -143,20 +151,21 @@
 	}
 }
 
-func (f *Follower) configuration(ctx context.Context, isStarted bool, from identifier.Offset) (*describer.Configuration, identifier.Offset, error) {
+func (f *Follower) configuration(ctx context.Context, isStarted bool, from identifier.Offset, wait time.Duration) (*describer.Configuration, identifier.Offset, error) {
 	if !isStarted {
 		ctx, cancel := context.WithTimeout(ctx, callTime)
 		defer cancel()
 		return f.store.NewestConfiguration(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTime+configurationWait)
+	ctx, cancel := context.WithTimeout(ctx, callTime+wait)
 	defer cancel()
-	return f.store.ReadConfiguration(ctx, from, configurationWait)
+	return f.store.ReadConfiguration(ctx, from, wait)
 }
 
 // FollowTargets follows the targets until ctx ends.
 func (f *Follower) FollowTargets(ctx context.Context) {
 	out := outage{what: "targets"}
+	known := map[identifier.TargetID]bool{}
 	var next identifier.Offset
 	isStarted := false
 	for ctx.Err() == nil {
@@ -175,7 +184,11 @@
 		}
 		f.submit(registrar.Read{Changes: changes, IsComplete: !isStarted})
 		isStarted, next = true, offset
-		pause(ctx, targetsPause)
+		for _, c := range changes {
+			known[c.ID] = c.Target != nil
+		}
+		maps.DeleteFunc(known, func(_ identifier.TargetID, isThere bool) bool { return !isThere })
+		pause(ctx, min(mostPause, max(leastPause, pausePerTarget*time.Duration(len(known)))))
 	}
 }
 
