Let the last requests at a silent chain leave as the first did; write each log line once

Cause: a node's requests leave a silent chain once three see nothing; those that were left then waited for a probe, 400 ms more. Error lines were written to two outputs.

--- a/entry/internal/commander/relay.go
+++ b/entry/internal/commander/relay.go
@@ -96,8 +96,11 @@
 	klog.LogToStderr(false)
 	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
 	klog.InitFlags(flags)
-	if err := flags.Set("one_output", "true"); err != nil {
-		eventlogger.Error(err, eventlogger.SettingsWrong, "doing", "setting up the log")
+	// Each line is written once, and to standard output alone.
+	for name, value := range map[string]string{"one_output": "true", "stderrthreshold": "FATAL"} {
+		if err := flags.Set(name, value); err != nil {
+			eventlogger.Error(err, eventlogger.SettingsWrong, "doing", "setting up the log", "flag", name)
+		}
 	}
 	klog.SetOutput(w)
 	return func() {
--- a/entry/internal/dispatcher/attempts.go
+++ b/entry/internal/dispatcher/attempts.go
@@ -162,7 +162,8 @@
 	}
 	entrance := r.chain[0]
 	isQuiet := ev.ChainQuiet >= min(mostQuiet, max(leastQuiet, quietPauses*ev.ChainPace))
-	if isQuiet && d.record(entrance.Target).open >= witnesses {
+	isLeft := now.Before(d.quietUntil[entrance.Address])
+	if isQuiet && (isLeft || d.record(entrance.Target).open >= witnesses) {
 		return d.leaveSilent(now, ev, r)
 	}
 	if ev.ChainQuiet >= probePatience {
@@ -175,7 +176,8 @@
 func (d *Dispatcher) leaveSilent(now time.Time, ev Reported, r *request) []messenger.Effect {
 	address := r.chain[0].Address
 	var effects []messenger.Effect
-	if !now.Before(d.avoided[address]) {
+	if !now.Before(d.quietUntil[address]) {
+		d.quietUntil[address] = now.Add(suspectTime)
 		d.avoided[address] = now.Add(suspectTime)
 		effects = append(effects, Examine{Address: address})
 	}
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"maps"
 	"net/http"
 	"slices"
 	"time"
@@ -96,6 +97,9 @@
 	requests map[identifier.CallID]*request
 	// avoided holds until when chains over a target's address are a last resort.
 	avoided map[string]time.Time
+	// quietUntil holds until when a chain's first target counts as silent: the last requests there
+	// leave as the first did.
+	quietUntil map[string]time.Time
 	// allotment is this node's part of the repeats beyond the ratio.
 	allotment allotment
 }
@@ -104,7 +108,7 @@
 func NewDispatcher(cfg Config) *Dispatcher {
 	return &Dispatcher{
 		cfg: cfg, allotment: allotment{window: cfg.RetryWindow}, services: map[identifier.ServiceID]*service{},
-		records: map[identifier.TargetID]*record{}, requests: map[identifier.CallID]*request{}, avoided: map[string]time.Time{},
+		records: map[identifier.TargetID]*record{}, requests: map[identifier.CallID]*request{}, avoided: map[string]time.Time{}, quietUntil: map[string]time.Time{},
 	}
 }
 
@@ -195,11 +199,9 @@
 }
 
 func (d *Dispatcher) tick(now time.Time) []messenger.Effect {
-	for address, until := range d.avoided {
-		if !now.Before(until) {
-			delete(d.avoided, address)
-		}
-	}
+	isOver := func(_ string, until time.Time) bool { return !now.Before(until) }
+	maps.DeleteFunc(d.avoided, isOver)
+	maps.DeleteFunc(d.quietUntil, isOver)
 	if d.isStale || d.table == nil || d.isFresh(now) {
 		return nil
 	}
--- a/entry/internal/dispatcher/dispatcher_test.go
+++ b/entry/internal/dispatcher/dispatcher_test.go
@@ -184,6 +184,7 @@
 func TestSilentChainIsLeftBeforeItsFaultIsKnown(t *testing.T) {
 	c := qt.New(t)
 	d := readyDesk()
+	d.apply(-2*retryWindow, dispatcher.BudgetShared{Repeats: 100})
 	first := map[identifier.TargetID][]identifier.CallID{}
 	for range 30 {
 		call, e := d.arrive(0, "/draft/", "key")
@@ -198,6 +199,14 @@
 	c.Assert(ok, qt.IsTrue, qt.Commentf("%T", e))
 	c.Assert(moved.Target, qt.Not(qt.Equals), silent)
 	c.Assert(d.doubts, qt.HasLen, 0)
+	for _, call := range first[silent][1:] {
+		e = d.apply(100*time.Millisecond, dispatcher.Reported{
+			Call: call, Outcome: dispatcher.Silent, Events: 5, ChainQuiet: 100 * time.Millisecond, ChainPace: 20 * time.Millisecond,
+		})
+		moved, ok = e.(dispatcher.Send)
+		c.Assert(ok, qt.IsTrue, qt.Commentf("the last ones stay behind: %T", e))
+		c.Assert(moved.Target, qt.Not(qt.Equals), silent)
+	}
 	for range 10 {
 		_, e = d.arrive(100*time.Millisecond, "/draft/", "key")
 		c.Check(e.(dispatcher.Send).Target, qt.Not(qt.Equals), silent)
