--- a/entry/internal/chainer/chainer.go
+++ b/entry/internal/chainer/chainer.go
@@ -21,8 +21,8 @@
 	roomCost = 30.0
 	// foreignFactor is how much dearer targets elsewhere are for a chain of one data centre.
 	foreignFactor = 6.0
-	// maxReuse is the share of layers at targets of earlier chains from which on a further chain is the last.
-	maxReuse = 0.3
+	// maxReuse is the most that a further chain may share with earlier ones, as a part of the layers.
+	maxReuse = 0.5
 	// maxParts is the longest chain that targets accept.
 	maxParts = 32
 
@@ -116,8 +116,7 @@
 	for _, dc := range p.centres() {
 		for range perCentre - 1 {
 			c, ok := p.find(func(h Holder) bool { return h.DataCentre == dc })
-			isOld := !ok || p.reused(c) > maxReuse
-			if !add(c, ok) || isOld {
+			if !ok || p.reused(c) > maxReuse || !add(c, ok) {
 				break
 			}
 		}
--- a/integration/launcher/relay.go
+++ b/integration/launcher/relay.go
@@ -18,7 +18,7 @@
 // NewRelays returns a fleet without processes, for relays.
 func NewRelays(t testing.TB) *Fleet {
 	t.Helper()
-	return &Fleet{t: t, dir: t.TempDir(), bin: binaries(t)}
+	return &Fleet{t: t, dir: t.TempDir(), bin: binaries(t), proxies: map[string]*Process{}}
 }
 
 // AddRelay starts a relaying node.
