--- a/entry/internal/commander/relay.go
+++ b/entry/internal/commander/relay.go
@@ -26,6 +26,7 @@
 	"fuchsiabridge.example/entry/internal/meter"
 	"fuchsiabridge.example/entry/internal/receiver"
 	"fuchsiabridge.example/entry/internal/relayer"
+	"fuchsiabridge.example/entry/internal/tracer"
 	"fuchsiabridge.example/platform/storecaller"
 )
 
@@ -59,6 +60,7 @@
 		{Name: "heartbeat", Default: "1200ms", Usage: "how often a target tells the store that it is alive", Check: optionparser.IsDuration},
 		{Name: "balancer-lag", Default: "2600ms", Usage: "time for which a stopping node still accepts requests, so that the balancer can see it is unready", Check: optionparser.IsDuration},
 		{Name: "stop-limit", Default: "8s", Usage: "longest time a stopping node waits for requests in progress", Check: optionparser.IsDuration},
+		{Name: "trace-endpoint", Usage: "OTLP over HTTP endpoint for spans, host:port; none when empty"},
 		{Name: "check", Default: "false", Usage: "check the settings and stop", Check: optionparser.IsBool},
 	}
 }
@@ -116,6 +118,11 @@
 	defer stop()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	flush, err := tracer.SetUp(ctx, values.Text("trace-endpoint"), values.Text("node"))
+	if err != nil {
+		return err
+	}
+	defer flushTraces(flush)
 	http := httpcaller.NewCaller()
 	requests := meter.NewMeter()
 	requests.Publish("requests")
@@ -173,6 +180,15 @@
 	return nil
 }
 
+// flushTraces sends the spans that are left.
+func flushTraces(flush func(context.Context) error) {
+	ctx, cancel := context.WithTimeout(context.Background(), traceGrace)
+	defer cancel()
+	if err := flush(ctx); err != nil {
+		eventlogger.Error(err, eventlogger.CallFailed, "doing", "sending spans")
+	}
+}
+
 // logReloads notes each signal that the settings have changed; this node's own need a restart.
 func logReloads(ctx context.Context) {
 	hangups := make(chan os.Signal, 1)
--- a/entry/internal/relayer/serving.go
+++ b/entry/internal/relayer/serving.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"fuchsiabridge.example/common/bootclock"
@@ -14,6 +16,7 @@
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/forwarder"
 	"fuchsiabridge.example/entry/internal/receiver"
+	"fuchsiabridge.example/entry/internal/tracer"
 	"fuchsiabridge.example/platform/translator"
 )
 
@@ -24,6 +27,8 @@
 	caller   *receiver.Call
 	request  translator.Request
 	exchange *forwarder.Exchange
+	// trace is the context under which the spans of attempts stand.
+	trace string
 }
 
 // Serve serves one request; ctx ends when the caller leaves.
@@ -35,6 +40,9 @@
 		exchange: forwarder.NewExchange(c, request, x.pool, x.witness),
 	}
 	defer s.exchange.Drop()
+	trace, end := tracer.Start(string(h.Peek(tracer.Header)), "request", "request", string(request.ID))
+	defer end(nil)
+	s.trace = trace
 	arrived := dispatcher.Arrived{
 		Call: s.call, ID: request.ID, Host: string(h.Host()), Path: string(h.RequestURI()),
 		Key: request.Key, Tokens: request.Tokens, Seed: rand.Uint64(),
@@ -51,7 +59,7 @@
 func (s *serving) run(ctx context.Context, effect messenger.Effect) []messenger.Effect {
 	switch e := effect.(type) {
 	case dispatcher.Send:
-		return s.report(s.exchange.Attempt(ctx, e))
+		return s.report(s.attempt(ctx, e))
 	case dispatcher.Wait:
 		return s.report(s.exchange.Await(ctx, e.Until))
 	case dispatcher.Probe:
@@ -71,6 +79,18 @@
 	return nil
 }
 
+// attempt sends the request, under a span of its own.
+func (s *serving) attempt(ctx context.Context, e dispatcher.Send) dispatcher.Reported {
+	_, end := tracer.Start(s.trace, "attempt", "target", string(e.Target), "parts", strconv.Itoa(len(e.Chain)))
+	r := s.exchange.Attempt(ctx, e)
+	if r.Outcome == dispatcher.Delivered {
+		end(nil)
+		return r
+	}
+	end(errors.Newf("%s: %s", r.Outcome, r.Reason))
+	return r
+}
+
 // reroute asks the first target of the request's chain to go on along another one.
 func (s *serving) reroute(ctx context.Context, e dispatcher.Reroute) dispatcher.Rerouted {
 	ctx, cancel := context.WithTimeout(ctx, probeTime)
