--- a/entry/internal/dispatcher/attempts.go
+++ b/entry/internal/dispatcher/attempts.go
@@ -2,14 +2,11 @@
 
 import (
 	"net/http"
-	"slices"
 	"time"
 
-	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
-	"fuchsiabridge.example/entry/internal/chainer"
 	"fuchsiabridge.example/entry/internal/registrar"
 )
 
@@ -75,8 +72,7 @@
 	if r.sends >= maxSends || !now.Before(r.deadline) {
 		return false
 	}
-	s := d.services[r.service]
-	return s != nil && s.budget.allows(now, d.cfg.RetryRatio, d.quota.repeats(now))
+	return d.budget(r.service).Allows(now, d.cfg.RetryRatio, d.quota.Repeats(now))
 }
 
 // learn takes in what an attempt shows of its target.
@@ -86,17 +82,17 @@
 	}
 	if len(r.chain) > 0 {
 		if r.first == 0 && ev.FirstByte > 0 {
-			d.record(r.target).learnFirst(now, ev.FirstByte)
+			d.chooser.LearnFirst(now, r.target, ev.FirstByte)
 		}
 		return
 	}
 	switch ev.Outcome {
 	case Delivered:
-		d.record(r.target).learn(now.Sub(r.sent), false)
+		d.chooser.Learn(r.target, now.Sub(r.sent), false)
 	case Failed, Broken:
-		d.record(r.target).learn(0, true)
+		d.chooser.Learn(r.target, 0, true)
 	case Silent, Expired:
-		d.record(r.target).learn(now.Sub(r.sent), true)
+		d.chooser.Learn(r.target, now.Sub(r.sent), true)
 	default:
 	}
 }
@@ -109,13 +105,13 @@
 	}
 	switch ev.Outcome {
 	case NotSent:
-		return d.doubt(now, d.services[r.service], d.address(r), registrar.Dead, ev.Reason)
+		return d.doubt(now, d.address(r), registrar.Dead, ev.Reason)
 	case NotRun:
 		if ev.Status == http.StatusMisdirectedRequest {
-			return d.doubt(now, d.services[r.service], address, registrar.Unfit, "it says it holds other layers")
+			return d.doubt(now, address, registrar.Unfit, "it says it holds other layers")
 		}
 		if len(r.chain) > 0 {
-			d.avoided[address] = now.Add(fullTime)
+			d.chooser.Avoid(address, now.Add(fullTime))
 		}
 	default:
 	}
@@ -123,20 +119,9 @@
 }
 
 // doubt tells of a target in doubt; the next choice must not wait until that is taken in.
-func (d *Dispatcher) doubt(now time.Time, s *service, address string, doubt registrar.Doubt, reason string) []messenger.Effect {
-	effects := []messenger.Effect{messenger.Raise{Event: registrar.Doubted{Address: address, Doubt: doubt, Reason: reason}}}
-	if s == nil {
-		return effects
-	}
-	for _, known := range [][]registrar.Target{s.targets, d.targets} {
-		for i := range known {
-			known[i].IsDoubted = known[i].IsDoubted || known[i].Address == address
-		}
-	}
-	if s.engine != nil {
-		effects = append(effects, d.plan(now, s))
-	}
-	return effects
+func (d *Dispatcher) doubt(now time.Time, address string, doubt registrar.Doubt, reason string) []messenger.Effect {
+	raised := messenger.Raise{Event: registrar.Doubted{Address: address, Doubt: doubt, Reason: reason}}
+	return append([]messenger.Effect{raised}, d.chooser.Doubt(now, address)...)
 }
 
 // address returns the address of the target that the request was sent to.
@@ -144,12 +129,7 @@
 	if len(r.chain) > 0 {
 		return r.chain[0].Address
 	}
-	for _, t := range d.targets {
-		if t.ID == r.target {
-			return t.Address
-		}
-	}
-	return ""
+	return d.chooser.Address(r.target)
 }
 
 // silent decides on an attempt from which nothing comes.
@@ -157,13 +137,13 @@
 	if len(r.chain) == 0 {
 		return d.silentPlain(now, ev, r)
 	}
-	if d.isDoubted(r.chain) {
+	if d.chooser.IsDoubted(r.chain) {
 		return d.switchOver(now, ev.Call, r, "a target of the chain is in doubt", ev.Seed)
 	}
 	entrance := r.chain[0]
 	isQuiet := ev.ChainQuiet >= min(mostQuiet, max(leastQuiet, quietPauses*ev.ChainPace))
-	isLeft := now.Before(d.quietUntil[entrance.Address])
-	if isQuiet && (isLeft || d.record(entrance.Target).open >= witnesses) {
+	isLeft := d.chooser.IsSilent(now, entrance.Address)
+	if isQuiet && (isLeft || d.chooser.Open(entrance.Target) >= witnesses) {
 		return d.leaveSilent(now, ev, r)
 	}
 	if ev.ChainQuiet >= probePatience {
@@ -176,23 +156,15 @@
 func (d *Dispatcher) leaveSilent(now time.Time, ev Reported, r *request) []messenger.Effect {
 	address := r.chain[0].Address
 	var effects []messenger.Effect
-	if !now.Before(d.quietUntil[address]) {
-		d.quietUntil[address] = now.Add(suspectTime)
-		d.avoided[address] = now.Add(suspectTime)
+	if d.chooser.Silence(now, address, now.Add(suspectTime)) {
 		effects = append(effects, Examine{Address: address})
 	}
-	if !d.hasOtherChain(now, r) {
+	if !d.chooser.HasOtherChain(now, r.service) {
 		return append([]messenger.Effect{Wait{Until: now.Add(lookInterval)}}, effects...)
 	}
 	return append(d.switchOver(now, ev.Call, r, "nothing comes from the chain", ev.Seed), effects...)
 }
 
-// hasOtherChain reports whether a chain is known that is not to be avoided.
-func (d *Dispatcher) hasOtherChain(now time.Time, r *request) bool {
-	s := d.services[r.service]
-	return s != nil && slices.ContainsFunc(s.chains, func(c chainer.Chain) bool { return !d.isAvoided(now, c.Parts) })
-}
-
 // examined takes for whom the requests at a silent chain's first target wait.
 func (d *Dispatcher) examined(now time.Time, ev Examined) []messenger.Effect {
 	faults := ev.Faults
@@ -201,21 +173,11 @@
 	}
 	var effects []messenger.Effect
 	for _, address := range faults {
-		effects = append(effects, d.doubt(now, d.serviceAt(address), address, registrar.Dead, "requests wait for it")...)
+		effects = append(effects, d.doubt(now, address, registrar.Dead, "requests wait for it")...)
 	}
 	return effects
 }
 
-// serviceAt returns the service of the target at an address, nil when there is none.
-func (d *Dispatcher) serviceAt(address string) *service {
-	for _, t := range d.targets {
-		if t.Address == address {
-			return d.services[t.Service]
-		}
-	}
-	return nil
-}
-
 func (d *Dispatcher) silentPlain(now time.Time, ev Reported, r *request) []messenger.Effect {
 	if !r.route.MayRepeat() {
 		return []messenger.Effect{Wait{Until: r.deadline}}
@@ -242,11 +204,10 @@
 // its first target, where one of its other targets is in doubt.
 func (d *Dispatcher) leadElsewhere(now time.Time, r *request) []messenger.Effect {
 	wait := []messenger.Effect{Wait{Until: now.Add(probePatience)}}
-	s := d.services[r.service]
-	if s == nil || s.engine == nil || r.reroutes >= maxReroutes || !d.isDoubted(r.chain) || d.isDoubted(r.chain[:1]) {
+	if r.reroutes >= maxReroutes || !d.chooser.IsDoubted(r.chain) || d.chooser.IsDoubted(r.chain[:1]) {
 		return wait
 	}
-	chain, ok := chainer.NewPlanner(s.engine, d.holders(s, false)).Continue(r.chain[0])
+	chain, ok := d.chooser.Continue(r.service, r.chain[0])
 	if !ok {
 		return wait
 	}
@@ -264,9 +225,7 @@
 		target := r.target
 		d.release(r)
 		r.chain, r.target = ev.Chain, target
-		for _, id := range r.places() {
-			d.record(id).open++
-		}
+		d.chooser.Occupy(r.places())
 	}
 	return []messenger.Effect{Wait{Until: now.Add(probePatience)}, messenger.Log{
 		Event: eventlogger.RequestRerouted, Subject: "request/" + string(r.id),
@@ -276,29 +235,7 @@
 
 // hasOther reports whether there is a place that the request was not at.
 func (d *Dispatcher) hasOther(r *request) bool {
-	s := d.services[r.service]
-	if s == nil {
-		return false
-	}
-	if s.engine != nil {
-		return true
-	}
-	return d.chooseTarget(s, r.tried, 1) != nil
-}
-
-func (d *Dispatcher) isDoubted(chain []describer.Part) bool {
-	for _, p := range chain {
-		known := false
-		for _, t := range d.targets {
-			if t.ID == p.Target {
-				known = !t.IsDoubted
-			}
-		}
-		if !known {
-			return true
-		}
-	}
-	return false
+	return d.chooser.IsChained(r.service) || d.chooser.Target(r.service, r.tried, 1) != nil
 }
 
 // probed takes what the first target of a silent chain says.
@@ -314,7 +251,7 @@
 	if fault == "" {
 		return []messenger.Effect{Wait{Until: now.Add(streamPatience)}}
 	}
-	effects := d.doubt(now, d.services[r.service], fault, registrar.Dead, "a request waits for it")
+	effects := d.doubt(now, fault, registrar.Dead, "a request waits for it")
 	return append(effects, d.switchOver(now, ev.Call, r, "waits for "+fault, ev.Seed)...)
 }
 
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -1,16 +1,15 @@
 package dispatcher
 
 import (
-	"maps"
 	"net/http"
-	"slices"
 	"time"
 
 	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
-	"fuchsiabridge.example/entry/internal/chainer"
+	"fuchsiabridge.example/entry/internal/budgeter"
+	"fuchsiabridge.example/entry/internal/chooser"
 	"fuchsiabridge.example/entry/internal/meter"
 	"fuchsiabridge.example/entry/internal/registrar"
 	"fuchsiabridge.example/entry/internal/router"
@@ -91,24 +90,18 @@
 	isStale     bool
 	// refuseAt is when a node that stops takes no more requests, zero for one that does not.
 	refuseAt time.Time
-	services map[identifier.ServiceID]*service
-	targets  []registrar.Target
-	records  map[identifier.TargetID]*record
+	chooser  *chooser.Chooser
 	requests map[identifier.CallID]*request
-	// avoided holds until when chains over a target's address are a last resort.
-	avoided map[string]time.Time
-	// quietUntil holds until when a chain's first target counts as silent: the last requests there
-	// leave as the first did.
-	quietUntil map[string]time.Time
+	budgets  map[identifier.ServiceID]*budgeter.Budget
 	// quota is this node's part of the repeats beyond the ratio.
-	quota quota
+	quota *budgeter.Quota
 }
 
 // NewDispatcher returns a dispatcher that knows no configuration.
 func NewDispatcher(cfg Config) *Dispatcher {
 	return &Dispatcher{
-		cfg: cfg, quota: quota{window: cfg.RetryWindow}, services: map[identifier.ServiceID]*service{},
-		records: map[identifier.TargetID]*record{}, requests: map[identifier.CallID]*request{}, avoided: map[string]time.Time{}, quietUntil: map[string]time.Time{},
+		cfg: cfg, chooser: chooser.NewChooser(cfg.DataCentre), requests: map[identifier.CallID]*request{},
+		budgets: map[identifier.ServiceID]*budgeter.Budget{}, quota: budgeter.NewQuota(cfg.RetryWindow),
 	}
 }
 
@@ -130,11 +123,11 @@
 	case Examined:
 		return d.examined(now, ev)
 	case BudgetShared:
-		d.quota.set(now, ev.Repeats)
+		d.quota.Set(now, ev.Repeats)
 	case Stopping:
 		d.refuseAt = ev.RefuseAt
 	case registrar.TargetsChanged:
-		d.targetsChanged(ev)
+		d.chooser.SetTargets(ev.Targets)
 	case messenger.Tick:
 		return d.tick(now)
 	}
@@ -143,7 +136,7 @@
 
 // IsReady reports whether the node can serve requests that carry keys.
 func (d *Dispatcher) IsReady(now time.Time) bool {
-	return d.table != nil && len(d.targets) > 0 && d.isFresh(now)
+	return d.table != nil && d.chooser.HasTargets() && d.isFresh(now)
 }
 
 // Limits returns what the configuration in force allows callers.
@@ -169,15 +162,7 @@
 		}
 	}
 	d.table = ev.Table
-	for id, s := range ev.Table.Services {
-		known, ok := d.services[id]
-		if !ok {
-			known = &service{budget: newBudget(d.cfg.RetryWindow)}
-			d.services[id] = known
-		}
-		known.engine = s.Engine
-	}
-	d.sortTargets()
+	d.chooser.SetServices(ev.Table.Services)
 	return []messenger.Effect{messenger.Log{
 		Event: eventlogger.ConfigurationChanged, Subject: "configuration",
 		Values: []any{"version", ev.Table.Version, "former", former, "routes", ev.Table.Size()},
@@ -199,9 +184,7 @@
 }
 
 func (d *Dispatcher) tick(now time.Time) []messenger.Effect {
-	isOver := func(_ string, until time.Time) bool { return !now.Before(until) }
-	maps.DeleteFunc(d.avoided, isOver)
-	maps.DeleteFunc(d.quietUntil, isOver)
+	d.chooser.Tick(now)
 	if d.isStale || d.table == nil || d.isFresh(now) {
 		return nil
 	}
@@ -212,40 +195,6 @@
 	}}
 }
 
-func (d *Dispatcher) targetsChanged(ev registrar.TargetsChanged) {
-	d.targets = ev.Targets
-	d.sortTargets()
-	known := map[identifier.TargetID]bool{}
-	for _, t := range ev.Targets {
-		known[t.ID] = true
-	}
-	for id, r := range d.records {
-		if !known[id] && r.open == 0 {
-			delete(d.records, id)
-		}
-	}
-}
-
-func (d *Dispatcher) sortTargets() {
-	for _, s := range d.services {
-		s.targets, s.isStale = nil, true
-	}
-	for _, t := range d.targets {
-		if s, ok := d.services[t.Service]; ok {
-			s.targets = append(s.targets, t)
-		}
-	}
-}
-
-func (d *Dispatcher) record(id identifier.TargetID) *record {
-	r, ok := d.records[id]
-	if !ok {
-		r = &record{}
-		d.records[id] = r
-	}
-	return r
-}
-
 func (d *Dispatcher) arrived(now time.Time, ev Arrived) []messenger.Effect {
 	r := &request{id: ev.ID, arrived: now, deadline: ev.Deadline}
 	d.requests[ev.Call] = r
@@ -291,70 +240,71 @@
 
 // send sends a request to the best target or chain that it was not at yet.
 func (d *Dispatcher) send(now time.Time, call identifier.CallID, r *request, seed uint64) []messenger.Effect {
-	s := d.services[r.service]
-	if s == nil {
+	if !d.chooser.IsKnown(r.service) {
 		return d.giveUp(now, call, r, "unknown service")
 	}
 	out := Send{
 		Call: call, Account: r.account, Deadline: r.deadline,
 		IsStream: r.route.Kind == describer.Streaming, IsFresh: !r.route.MayRepeat(),
 	}
+	effects := d.chooser.Refresh(now, r.service)
+	reason := d.place(now, r, &out, seed)
+	if reason != "" {
+		return append(d.giveUp(now, call, r, reason), effects...)
+	}
+	budget := d.budget(r.service)
+	if r.sends == 0 {
+		budget.NoteFirst(now)
+	} else {
+		budget.NoteAgain(now)
+	}
+	r.sends++
+	r.sent = now
+	r.target = out.Target
+	r.tried = append(r.tried, out.Target)
+	d.chooser.Occupy(r.places())
+	return append([]messenger.Effect{out}, effects...)
+}
+
+// place chooses where a request goes; it returns the reason where there is no place.
+func (d *Dispatcher) place(now time.Time, r *request, out *Send, seed uint64) string {
 	r.chain = nil
-	effects := d.refresh(now, s)
-	if s.engine != nil {
-		chain := d.chooseChain(now, s, seed, func(c chainer.Chain) bool {
-			return slices.Contains(r.tried, c.Parts[0].Target) || d.isAvoided(now, c.Parts)
-		})
+	if d.chooser.IsChained(r.service) {
+		chain := d.chooser.Chain(now, r.service, seed, r.tried)
 		if chain == nil {
-			chain = d.chooseChain(now, s, seed, func(c chainer.Chain) bool { return d.isAvoided(now, c.Parts) })
-		}
-		if chain == nil {
-			chain = d.chooseChain(now, s, seed, func(chainer.Chain) bool { return false })
-		}
-		if chain == nil {
-			return append(d.giveUp(now, call, r, "no chain holds all layers"), effects...)
+			return "no chain holds all layers"
 		}
 		r.chain = chain.Parts
 		out.Target, out.Address, out.Chain = chain.Parts[0].Target, chain.Parts[0].Address, chain.Parts
 		out.Patience = now.Add(streamPatience)
-	} else {
-		t := d.chooseTarget(s, r.tried, seed)
-		if t == nil {
-			return d.giveUp(now, call, r, "no target")
-		}
-		out.Target, out.Address = t.ID, t.Address
-		out.Patience = r.deadline
-		if r.route.MayRepeat() && r.route.Aim > 0 {
-			out.Patience = now.Add(time.Duration(plainPatience * float64(r.route.Aim)))
-		}
+		return ""
 	}
-	if r.sends == 0 {
-		s.budget.noteFirst(now)
-	} else {
-		s.budget.noteAgain(now)
+	t := d.chooser.Target(r.service, r.tried, seed)
+	if t == nil {
+		return "no target"
 	}
-	r.sends++
-	r.sent = now
-	d.occupy(r, out.Target)
-	return append([]messenger.Effect{out}, effects...)
+	out.Target, out.Address, out.Patience = t.ID, t.Address, r.deadline
+	if r.route.MayRepeat() && r.route.Aim > 0 {
+		out.Patience = now.Add(time.Duration(plainPatience * float64(r.route.Aim)))
+	}
+	return ""
 }
 
-// occupy counts the request at its targets.
-func (d *Dispatcher) occupy(r *request, target identifier.TargetID) {
-	r.target = target
-	r.tried = append(r.tried, target)
-	for _, id := range r.places() {
-		d.record(id).open++
+func (d *Dispatcher) budget(id identifier.ServiceID) *budgeter.Budget {
+	b, ok := d.budgets[id]
+	if !ok {
+		b = budgeter.NewBudget(d.cfg.RetryWindow)
+		d.budgets[id] = b
 	}
+	return b
 }
 
+// release takes the request off its targets.
 func (d *Dispatcher) release(r *request) {
 	if r.target == "" {
 		return
 	}
-	for _, id := range r.places() {
-		d.record(id).open--
-	}
+	d.chooser.Release(r.places())
 	r.target = ""
 }
 
--- a/entry/internal/dispatcher/dispatcher_test.go
+++ b/entry/internal/dispatcher/dispatcher_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -34,9 +36,11 @@
 	next       identifier.CallID
 }
 
-func newDesk() *desk {
+func newDesk() *desk { return deskWith(retryRatio) }
+
+func deskWith(ratio float64) *desk {
 	return &desk{dispatcher: dispatcher.NewDispatcher(dispatcher.Config{
-		DataCentre: "a", RevocationLimit: revocationLimit, RetryRatio: retryRatio, RetryWindow: retryWindow,
+		DataCentre: "a", RevocationLimit: revocationLimit, RetryRatio: ratio, RetryWindow: retryWindow,
 	})}
 }
 
@@ -84,8 +88,9 @@
 }
 
 // readyDesk returns a desk that knows a configuration with one key, and the targets.
-func readyDesk() *desk {
-	d := newDesk()
+func readyDesk() *desk { return readied(newDesk()) }
+
+func readied(d *desk) *desk {
 	d.apply(0, dispatcher.TableRead{Table: router.NewTable(configuration(1, "key"))})
 	d.apply(0, dispatcher.Confirmed{AsOf: start})
 	d.apply(0, registrar.TargetsChanged{Targets: targets()})
@@ -313,3 +318,37 @@
 	}
 	return n
 }
+
+// TestQuotaIsTheLeastPartHeld allows no more repeats than the least part of the shared slack
+// that the node held during a whole window, however much it holds now.
+func TestQuotaIsTheLeastPartHeld(t *testing.T) {
+	for _, row := range []struct {
+		name  string
+		parts map[time.Duration]int
+		want  int
+	}{
+		{"held throughout", map[time.Duration]int{-2 * retryWindow: 5}, 5},
+		{"held for less than a window", map[time.Duration]int{-retryWindow / 2: 5}, 0},
+		{"less meanwhile", map[time.Duration]int{-2 * retryWindow: 9, -retryWindow / 2: 3, -retryWindow / 4: 9}, 3},
+		{"lost", map[time.Duration]int{-2 * retryWindow: 9, -time.Second: 0}, 0},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			c := qt.New(t)
+			d := readied(deskWith(0))
+			for _, at := range slices.Sorted(maps.Keys(row.parts)) {
+				d.apply(at, dispatcher.BudgetShared{Repeats: row.parts[at]})
+			}
+			repeats := 0
+			for range 20 {
+				call, e := d.arrive(0, "/view/", "key")
+				if _, ok := e.(dispatcher.Send); !ok {
+					t.Fatalf("%T", e)
+				}
+				if _, ok := d.apply(0, dispatcher.Reported{Call: call, Outcome: dispatcher.Failed, Status: 500}).(dispatcher.Send); ok {
+					repeats++
+				}
+			}
+			c.Assert(repeats, qt.Equals, row.want)
+		})
+	}
+}
