--- a/entry/internal/follower/follower.go
+++ b/entry/internal/follower/follower.go
@@ -32,8 +32,9 @@
 	pausePerTarget = 8 * time.Millisecond
 	leastPause     = 200 * time.Millisecond
 	mostPause      = time.Second
-	// failurePause is the pause after a call that failed.
-	failurePause = 150 * time.Millisecond
+	// leastFailurePause is the pause after a call that failed; it doubles with each further one.
+	leastFailurePause = 150 * time.Millisecond
+	mostFailurePause  = 800 * time.Millisecond
 	// outageTime is how long calls must fail for the store to count as lost.
 	outageTime = time.Second
 
@@ -78,12 +79,19 @@
 // outage notes when a kind of call began to fail.
 type outage struct {
 	what  string
+	pause time.Duration
 	since time.Time
 	isOut bool
 }
 
-// failed notes a failure and logs the loss once it has lasted.
-func (o *outage) failed(err error) {
+// failed notes a failure, logs the loss once it has lasted, and waits before the next call.
+func (o *outage) failed(ctx context.Context, err error) {
+	o.note(err)
+	o.pause = min(mostFailurePause, max(leastFailurePause, 2*o.pause))
+	pause(ctx, o.pause)
+}
+
+func (o *outage) note(err error) {
 	now := bootclock.Now()
 	if o.since.IsZero() {
 		o.since = now
@@ -98,7 +106,7 @@
 // ended notes a success and reports whether it ended an outage.
 func (o *outage) ended() bool {
 	was, since := o.isOut, o.since
-	o.isOut, o.since = false, time.Time{}
+	o.isOut, o.since, o.pause = false, time.Time{}, 0
 	if was {
 		eventlogger.Info(eventlogger.StoreRegained, "for", o.what, "lost_ms", bootclock.Now().Sub(since).Milliseconds())
 	}
@@ -131,8 +139,7 @@
 		}
 		if err != nil {
 			wait = 0
-			out.failed(err)
-			pause(ctx, failurePause)
+			out.failed(ctx, err)
 			continue
 		}
 		out.ended()
@@ -175,8 +182,7 @@
 			continue
 		}
 		if err != nil {
-			out.failed(err)
-			pause(ctx, failurePause)
+			out.failed(ctx, err)
 			continue
 		}
 		if out.ended() {
--- /dev/null
+++ b/entry/internal/follower/follower_test.go
@@ -0,0 +1,98 @@
+package follower_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fuchsiabridge.example/common/httpcaller"
+	"fuchsiabridge.example/common/messenger"
+	"fuchsiabridge.example/entry/internal/dispatcher"
+	"fuchsiabridge.example/entry/internal/follower"
+	"fuchsiabridge.example/entry/internal/registrar"
+	"fuchsiabridge.example/platform/storecaller"
+	"fuchsiabridge.example/platform/storefaker"
+)
+
+const waitLimit = 5 * time.Second
+
+// events keeps what a follower submits.
+type events struct {
+	mu   sync.Mutex
+	seen []messenger.Event
+}
+
+func (e *events) submit(ev messenger.Event) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.seen = append(e.seen, ev)
+}
+
+// await waits until an event of a kind came after the first n, and returns how many there are.
+func await[T any](c *qt.C, e *events, n int) int {
+	for until := time.Now().Add(waitLimit); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+		e.mu.Lock()
+		for i := n; i < len(e.seen); i++ {
+			if _, ok := e.seen[i].(T); ok {
+				defer e.mu.Unlock()
+				return len(e.seen)
+			}
+		}
+		e.mu.Unlock()
+	}
+	c.Fatalf("no %T within %v", *new(T), waitLimit)
+	return 0
+}
+
+func start(t *testing.T) (*qt.C, *storefaker.Store, *events) {
+	t.Helper()
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	store, err := storefaker.NewStore(ctx)
+	c.Assert(err, qt.IsNil)
+	c.Assert(store.PutConfiguration(storefaker.Sample(1, "key")), qt.IsNil)
+	e := &events{}
+	f := follower.NewFollower(storecaller.NewCaller(httpcaller.NewCaller(), store.Address()), follower.Config{Node: "n", StoreParts: 1}, e.submit)
+	go f.FollowConfiguration(ctx)
+	go f.FollowTargets(ctx)
+	return c, store, e
+}
+
+// TestRefusingStoreIsNotPressed plays the pattern of a store that refuses for seconds: calls
+// become few, and the first news after it come within a second.
+func TestRefusingStoreIsNotPressed(t *testing.T) {
+	c, store, e := start(t)
+	await[dispatcher.Confirmed](c, e, 0)
+	store.SetFault(storefaker.Busy)
+	time.Sleep(500 * time.Millisecond)
+	before := store.Calls()
+	time.Sleep(2 * time.Second)
+	c.Assert(store.Calls()-before <= 8, qt.IsTrue, qt.Commentf("%d calls in two seconds", store.Calls()-before))
+	n := len(e.seen)
+	back := time.Now()
+	store.SetFault(storefaker.None)
+	await[dispatcher.Confirmed](c, e, n)
+	c.Assert(time.Since(back) < time.Second, qt.IsTrue)
+}
+
+// TestForgottenHistoryIsReadAnew reads everything anew, as complete, when the store has
+// dropped what was not read.
+func TestForgottenHistoryIsReadAnew(t *testing.T) {
+	c, store, e := start(t)
+	n := await[registrar.Read](c, e, 0)
+	store.SetFault(storefaker.Busy)
+	time.Sleep(50 * time.Millisecond)
+	c.Assert(store.PutTarget("t", map[string]any{"service": "s", "address": "a:1", "zone": "z", "state": "ready"}), qt.IsNil)
+	store.Forget()
+	store.SetFault(storefaker.None)
+	for {
+		n = await[registrar.Read](c, e, n)
+		if read, ok := e.seen[n-1].(registrar.Read); ok && read.IsComplete {
+			return
+		}
+	}
+}
--- a/entry/internal/placer/arranger.go
+++ b/entry/internal/placer/arranger.go
@@ -17,7 +17,7 @@
 	leastRoom = 30.0
 	mostRoom  = 400.0
 	// wantedRoom is the room with which targets are packed where they are enough.
-	wantedRoom = 130.0
+	wantedRoom = 180.0
 	// enoughRoom is the room for which it is not worth moving more targets.
 	enoughRoom = 100.0
 	// roomStep is the factor between two sizes of room that are tried.
