--- a/common/describer/describer.go
+++ b/common/describer/describer.go
@@ -69,10 +69,7 @@
 
 // Service is a group of targets that do the same work.
 type Service struct {
-	ID         identifier.ServiceID
-	HealthPath string
-	// MaxConnections is what one target accepts from all callers together.
-	MaxConnections int
+	ID identifier.ServiceID
 	// Engine describes the model that the targets run; nil for a plain service.
 	Engine *Engine
 }
@@ -87,8 +84,6 @@
 	TokenBytes float64
 	// StepTime is one token step through all layers at factor 1.
 	StepTime time.Duration
-	// LoadTime is the load of all layers.
-	LoadTime time.Duration
 	// UsualTokens is the mean of prompt and answer of a request.
 	UsualTokens float64
 	Kinds       map[identifier.AcceleratorKind]Accelerator
--- a/entry/internal/commander/commander.go
+++ b/entry/internal/commander/commander.go
@@ -43,9 +43,15 @@
 // Run runs the command line and returns the exit code.
 func Run(args []string) int {
 	if len(args) > 0 && args[0] == relayCommand {
-		return runRelay(args[1:])
+		return run("entry "+relayCommand, RelayOptions(), args[1:], relay)
 	}
-	values, _, err := optionparser.Parse("entry", Options(), args)
+	defer klog.Flush()
+	return run("entry", Options(), args, serve)
+}
+
+// run checks the settings and serves with them, unless only the check was asked for.
+func run(program string, options []optionparser.Option, args []string, serve func(optionparser.Values) error) int {
+	values, _, err := optionparser.Parse(program, options, args)
 	if errors.Is(err, flag.ErrHelp) {
 		return exitOK
 	}
@@ -57,7 +63,6 @@
 		fmt.Println("settings are right")
 		return exitOK
 	}
-	defer klog.Flush()
 	if err := serve(values); err != nil {
 		fmt.Fprintln(os.Stderr, "entry:", err)
 		return exitError
--- a/entry/internal/commander/relay.go
+++ b/entry/internal/commander/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"flag"
-	"fmt"
 	"net"
 	"os"
 	"os/signal"
@@ -65,26 +64,6 @@
 	}
 }
 
-func runRelay(args []string) int {
-	values, _, err := optionparser.Parse("entry "+relayCommand, RelayOptions(), args)
-	if errors.Is(err, flag.ErrHelp) {
-		return exitOK
-	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitUsage
-	}
-	if values.Bool("check") {
-		fmt.Println("settings are right")
-		return exitOK
-	}
-	if err := relay(values); err != nil {
-		fmt.Fprintln(os.Stderr, "entry:", err)
-		return exitError
-	}
-	return exitOK
-}
-
 // logToStandardOutput makes the log bounded and keeps it from blocking; the function
 // that it returns writes what still waits.
 func logToStandardOutput() func() {
--- a/entry/internal/dispatcher/messages.go
+++ b/entry/internal/dispatcher/messages.go
@@ -19,12 +19,11 @@
 
 // Arrived is the event that a request was read whole.
 type Arrived struct {
-	Call   identifier.CallID
-	ID     identifier.RequestID
-	Host   string
-	Path   string
-	Key    string
-	Tokens int
+	Call identifier.CallID
+	ID   identifier.RequestID
+	Host string
+	Path string
+	Key  string
 	// Deadline is how long the caller waits; zero when it does not say.
 	Deadline time.Time
 	// Seed is a random number.
@@ -107,7 +106,6 @@
 	Fault string
 	// IsUnanswered says that the first target itself gave no answer.
 	IsUnanswered bool
-	Events       int
 	Seed         uint64
 }
 
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -199,7 +199,8 @@
 func (x *Exchange) relay(ctx context.Context, patience time.Time) dispatcher.Reported {
 	answer := x.translator.ReadAnswer(&x.resp.Header)
 	status := x.resp.StatusCode()
-	if answer.ID != x.request.ID && !answer.IsNotRun {
+	// Only a refusal may lack an id: a target that did not read the request knows none.
+	if answer.ID != x.request.ID && (answer.ID != "" || !answer.IsNotRun) {
 		return x.fail(ctx, errMismatch)
 	}
 	if x.send.IsStream && status/100 == 2 && answer.IsSealed {
--- a/entry/internal/forwarder/forwarder_test.go
+++ b/entry/internal/forwarder/forwarder_test.go
@@ -143,6 +143,8 @@
 		"no answer":          {"nonsense\r\n\r\n|", dispatcher.Broken},
 		"no seal":            {answerfaker.Unsealed(id, "x"), dispatcher.Broken},
 		"not run":            {answerfaker.NotRun(), dispatcher.NotRun},
+		"not run, by id":     {answerfaker.NotRunFor(id), dispatcher.NotRun},
+		"another's refusal":  {answerfaker.NotRunFor("r0"), dispatcher.Broken},
 		"other instance":     {answerfaker.OtherInstance(), dispatcher.NotRun},
 		"until the end":      {answerfaker.Unframed(id, "body") + "|", dispatcher.Delivered},
 		"silence":            {"~", dispatcher.Silent},
--- a/entry/internal/placer/placer.go
+++ b/entry/internal/placer/placer.go
@@ -103,7 +103,7 @@
 	report  describer.Report
 }
 
-// Placer is the sub-reducer that orders empty targets to hold layers.
+// Placer is the sub-reducer that orders targets to hold layers.
 type Placer struct {
 	lease   LeaseChanged
 	engines map[identifier.ServiceID]*describer.Engine
--- a/entry/internal/relayer/serving.go
+++ b/entry/internal/relayer/serving.go
@@ -45,7 +45,7 @@
 	s.trace = trace
 	arrived := dispatcher.Arrived{
 		Call: s.call, ID: request.ID, Host: string(h.Host()), Path: string(h.RequestURI()),
-		Key: request.Key, Tokens: request.Tokens, Seed: rand.Uint64(),
+		Key: request.Key, Seed: rand.Uint64(),
 	}
 	if request.Left > 0 {
 		arrived.Deadline = bootclock.Now().Add(request.Left)
--- a/integration/launcher/launcher.go
+++ b/integration/launcher/launcher.go
@@ -91,7 +91,9 @@
 // connection takes an address between its choice and its use.
 const (
 	firstPort = 20_000
-	portCount = 12_000
+	// portStride keeps test processes that run side by side, whose process ids are close, apart.
+	portStride = 211
+	portCount  = 12_000
 )
 
 var nextPort atomic.Int64
@@ -99,7 +101,7 @@
 // FreeAddress returns a loopback address that nothing listens on.
 func FreeAddress(t testing.TB) string {
 	t.Helper()
-	nextPort.CompareAndSwap(0, int64(os.Getpid()))
+	nextPort.CompareAndSwap(0, int64(os.Getpid())*portStride)
 	for range portCount {
 		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portCount)
 		l, err := net.Listen("tcp", address)
