--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -147,11 +147,7 @@
 
 // peek waits for a byte until patience or the deadline; its report says why none came.
 func (x *Exchange) peek(ctx context.Context, patience time.Time) (dispatcher.Reported, bool) {
-	until := patience
-	if x.send.Deadline.Before(until) {
-		until = x.send.Deadline
-	}
-	if err := x.conn.SetReadDeadline(bootclock.Local(until)); err != nil {
+	if err := x.conn.SetReadDeadline(bootclock.Local(earlier(patience, x.send.Deadline))); err != nil {
 		return x.fail(ctx, err), false
 	}
 	if ctx.Err() != nil {
@@ -225,13 +221,11 @@
 	if status >= fasthttp.StatusInternalServerError || x.hasBegun {
 		return x.report(ctx, dispatcher.Failed, nil)
 	}
-	return x.deliver(ctx)
+	return x.Deliver(ctx)
 }
 
-// Deliver hands on the failure that was held back.
-func (x *Exchange) Deliver(ctx context.Context) dispatcher.Reported { return x.deliver(ctx) }
-
-func (x *Exchange) deliver(ctx context.Context) dispatcher.Reported {
+// Deliver hands on the answer that was read, also a failure that was held back.
+func (x *Exchange) Deliver(ctx context.Context) dispatcher.Reported {
 	x.translator.WriteAnswer(&x.resp.Header)
 	if err := x.caller.Answer(&x.resp.Header, x.resp.Body()); err != nil {
 		return x.report(ctx, dispatcher.CallerGone, err)
--- a/entry/internal/relayer/relayer.go
+++ b/entry/internal/relayer/relayer.go
@@ -178,14 +178,21 @@
 
 // probe asks the first target of a chain for whom a request waits.
 func (x *Relayer) probe(ctx context.Context, address string, id identifier.RequestID) dispatcher.Probed {
+	stalled, ok := x.stalled(ctx, address, "request", id)
+	return dispatcher.Probed{Fault: stalled[id], IsUnanswered: !ok, Seed: rand.Uint64()}
+}
+
+// stalled asks a target which requests wait for whom; false when it does not answer, which
+// is logged with the given keys and values.
+func (x *Relayer) stalled(ctx context.Context, address string, keysAndValues ...any) (map[identifier.RequestID]string, bool) {
 	ctx, cancel := context.WithTimeout(ctx, probeTime)
 	defer cancel()
 	report, err := x.targets.Report(ctx, address)
 	if err != nil {
-		eventlogger.Error(err, eventlogger.ReportFailed, "address", address, "request", id)
-		return dispatcher.Probed{IsUnanswered: true, Seed: rand.Uint64()}
+		eventlogger.Error(err, eventlogger.ReportFailed, append([]any{"address", address}, keysAndValues...)...)
+		return nil, false
 	}
-	return dispatcher.Probed{Fault: report.Stalled[id], Seed: rand.Uint64()}
+	return report.Stalled, true
 }
 
 // examine asks the first target of a silent chain for whom its requests wait.
@@ -197,19 +204,9 @@
 		return
 	case <-wait.C:
 	}
-	ctx, cancel := context.WithTimeout(x.ctx, probeTime)
-	defer cancel()
-	report, err := x.targets.Report(ctx, address)
-	if err != nil {
-		eventlogger.Error(err, eventlogger.ReportFailed, "address", address)
-		x.Submit(dispatcher.Examined{Address: address, IsUnanswered: true})
-		return
-	}
-	faults := map[string]bool{}
-	for _, fault := range report.Stalled {
-		faults[fault] = true
-	}
-	x.Submit(dispatcher.Examined{Address: address, Faults: slices.Sorted(maps.Keys(faults))})
+	stalled, ok := x.stalled(x.ctx, address)
+	faults := slices.Compact(slices.Sorted(maps.Values(stalled)))
+	x.Submit(dispatcher.Examined{Address: address, Faults: faults, IsUnanswered: !ok})
 }
 
 // Limits returns what callers are allowed.
