Let a mark of leaving outlive a load that nobody saw

Cause: TestViewsConverge. Traced: the target left at generation 101, came back at 102 and died 51 ms later; no node was told 102 by it (polls are 250 ms apart), so its mark stays, and no request goes there either way. The check asked for 'down' there. Change: the check takes 'leaving' where the target told no node of a later load; the target's newest told generation is part of the fleet. A test plays the case and that the mark ends once a later load is seen.

--- a/entry/internal/heartbeater/fleet_test.go
+++ b/entry/internal/heartbeater/fleet_test.go
@@ -27,6 +27,8 @@
 type engine struct {
 	status enginecaller.Status
 	dead   bool
+	// shown is the newest generation that the target has told any node.
+	shown identifier.Generation
 }
 
 // node is one node's reducers and what they published last.
@@ -139,6 +141,7 @@
 			f.deliver(n, timeout, watcher.StatusFailed(e))
 			return
 		}
+		target.shown = target.status.Generation
 		f.deliver(n, delay, watcher.StatusRead{Address: e.Address, Status: target.status})
 	case heartbeater.SendHeartbeat:
 		f.send(n, e)
--- a/entry/internal/heartbeater/heartbeater_test.go
+++ b/entry/internal/heartbeater/heartbeater_test.go
@@ -59,8 +59,9 @@
 func (f *fleet) assertView(t *rapid.T, n *node, got watcher.Target, e *engine) {
 	want := watcher.StateUp
 	switch {
-	case e.dead && e.status.Leaving && got.State == watcher.StateLeaving:
-		// A dead engine whose leaving was seen before stays marked.
+	case e.dead && (e.status.Leaving || e.shown < e.status.Generation) && got.State == watcher.StateLeaving:
+		// A dead engine whose leaving was seen before stays marked, also one that died
+		// before it could tell any node of a later load.
 		want = watcher.StateLeaving
 	case e.dead:
 		want = watcher.StateDown
@@ -68,13 +69,38 @@
 		want = watcher.StateLeaving
 	}
 	if got.State != want {
-		t.Fatalf("%s has %s as %s, not %s", n.id, e.status.Target, got.State, want)
+		t.Fatalf("%s has %s as %s, not %s; generation %d, told %d", n.id, e.status.Target, got.State, want, e.status.Generation, e.shown)
 	}
 	if want == watcher.StateUp && got.Status != e.status && len(f.nodes) <= fullMesh {
 		t.Fatalf("%s has the status %+v of %s, not %+v", n.id, got.Status, e.status.Target, e.status)
 	}
 }
 
+// TestMarkOutlivesAnUnseenLoad plays what rapid's seed 11199347725459832758 found: a target
+// that left comes back and dies before any node has asked it. It stays marked as leaving,
+// and is up again once a node sees a later load.
+func TestMarkOutlivesAnUnseenLoad(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(12, 5)
+	f.run(2 * time.Second)
+	e := f.engines["engine-003"]
+	e.status.Leaving = true
+	f.run(911 * time.Millisecond)
+	e.status.Leaving = false
+	e.status.Generation++
+	e.dead = true
+	f.run(12 * time.Second)
+	c.Assert(e.shown < e.status.Generation, qt.IsTrue)
+	for _, n := range f.nodes {
+		c.Assert(n.targets["engine-003"].State, qt.Equals, watcher.StateLeaving)
+	}
+	e.dead = false
+	f.run(12 * time.Second)
+	for _, n := range f.nodes {
+		c.Assert(n.targets["engine-003"].State, qt.Equals, watcher.StateUp)
+	}
+}
+
 // TestLeavingReachesAllAtOnce counts the time from an engine's word to every node's view, at 8 nodes.
 func TestLeavingReachesAllAtOnce(t *testing.T) {
 	c := qt.New(t)
