Keep a silent attempt until another target has taken the request

A silence is no reason to end an answer. Change: the silent attempt stays open beside the next one, until that one has handed on an event. Where the next one is refused, breaks or finds no place, the request goes back to the silent attempt and waits for what comes of it; event 8020 says so. The property test of requests knows kept attempts: one that was left for good may have run, one that was gone back to is in hand. Result: TestSilentStreamOutlivesRefusals and TestSilentAttemptIsGoneBackTo play the load and the wire; neither can pass before (a refusal broke the stream off).

--- a/common/eventlogger/relay.go
+++ b/common/eventlogger/relay.go
@@ -21,6 +21,7 @@
 	ReportFailed         = Event{8017, "report of a target failed"}
 	SettingsRead         = Event{8018, "settings file changed"}
 	RequestRerouted      = Event{8019, "running request led another way"}
+	RequestWentBack      = Event{8020, "request went back to its silent attempt"}
 )
 
 func relayEvents() []Event {
@@ -44,5 +45,6 @@
 		ReportFailed,
 		SettingsRead,
 		RequestRerouted,
+		RequestWentBack,
 	}
 }
--- a/entry/internal/dispatcher/attempts.go
+++ b/entry/internal/dispatcher/attempts.go
@@ -17,6 +17,9 @@
 		return nil
 	}
 	d.learn(now, r, ev)
+	if ev.Events > r.events {
+		r.former = nil
+	}
 	r.first, r.gap, r.events = ev.FirstByte, ev.LongestGap, ev.Events
 	if ev.Outcome == Silent {
 		return d.silent(now, ev, r)
@@ -47,6 +50,9 @@
 	if d.mayRepeat(now, r) && d.hasOther(r) {
 		return append(effects, d.send(now, ev.Call, r, ev.Seed)...)
 	}
+	if r.former != nil && (ev.Outcome != Failed || r.events > 0) {
+		return append(effects, d.goBack(now, r)...)
+	}
 	if ev.Outcome == Failed {
 		return append(append(effects, Deliver{}), d.end(now, ev.Call, ev.Status, "failed at "+string(target))...)
 	}
@@ -56,12 +62,26 @@
 // giveUp ends a request that has no place to go: only where no attempt of it may have run
 // is it refused as not run.
 func (d *Dispatcher) giveUp(now time.Time, call identifier.CallID, r *request, reason string) []messenger.Effect {
+	if r.former != nil {
+		return d.goBack(now, r)
+	}
 	if r.runs > 0 {
 		return d.refuse(now, call, http.StatusBadGateway, 0, "attempt broke, "+reason)
 	}
 	return d.refuse(now, call, http.StatusServiceUnavailable, unreadyPause, reason)
 }
 
+// goBack waits again for the silent attempt that was kept, as no other place took the request.
+func (d *Dispatcher) goBack(now time.Time, r *request) []messenger.Effect {
+	r.place, r.former = *r.former, nil
+	r.runs--
+	d.chooser.Occupy(r.targets())
+	return []messenger.Effect{GoBack{Until: now.Add(fullTime)}, messenger.Log{
+		Event: eventlogger.RequestWentBack, Subject: "request/" + string(r.id),
+		Values: []any{"target", r.target, "silent_ms", now.Sub(r.sent).Milliseconds(), "sends", r.sends, "runs", r.runs},
+	}}
+}
+
 // mayRepeat reports whether a request that may have run can run once more.
 func (d *Dispatcher) mayRepeat(now time.Time, r *request) bool {
 	return r.route.MayRepeat() && r.runs < r.route.MaxAttempts && d.maySend(now, r)
@@ -195,9 +215,11 @@
 		}
 		return []messenger.Effect{Wait{Until: r.deadline}}
 	}
-	log := d.logAttempt(now, r, Reported{Outcome: Silent, Reason: reason})
+	log := d.logAttempt(now, r, Reported{Outcome: Silent, Reason: reason, Events: r.events})
+	silent := r.place
+	r.former = &silent
 	d.release(r)
-	return append([]messenger.Effect{log}, d.send(now, call, r, seed)...)
+	return append([]messenger.Effect{log}, d.sendBeside(now, call, r, seed, true)...)
 }
 
 // leadElsewhere has a request that must not be sent again go on along another chain after
@@ -225,7 +247,7 @@
 		target := r.target
 		d.release(r)
 		r.chain, r.target = ev.Chain, target
-		d.chooser.Occupy(r.places())
+		d.chooser.Occupy(r.targets())
 	}
 	return []messenger.Effect{Wait{Until: now.Add(probePatience)}, messenger.Log{
 		Event: eventlogger.RequestRerouted, Subject: "request/" + string(r.id),
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -69,19 +69,26 @@
 	// sends counts all sends, runs those after which the request may have run.
 	sends int
 	runs  int
-	sent  time.Time
-	chain []describer.Part
 	tried []identifier.TargetID
 	// reroutes counts how often the request was led another way.
 	reroutes int
-	// target is where the request is now, empty when it is nowhere.
-	target identifier.TargetID
+	place
+	// former is where a silent attempt is that is kept until a later one has shown something.
+	former *place
 	// first and gap are the time to the first byte of the last attempt, and the longest pause between events.
 	first  time.Duration
 	gap    time.Duration
 	events int
 }
 
+// place is where an attempt of a request is.
+type place struct {
+	// target is empty when the attempt is nowhere.
+	target identifier.TargetID
+	chain  []describer.Part
+	sent   time.Time
+}
+
 // Dispatcher is the sub-reducer of requests.
 type Dispatcher struct {
 	cfg         Config
@@ -240,15 +247,20 @@
 
 // send sends a request to the best target or chain that it was not at yet.
 func (d *Dispatcher) send(now time.Time, call identifier.CallID, r *request, seed uint64) []messenger.Effect {
+	return d.sendBeside(now, call, r, seed, false)
+}
+
+// sendBeside sends a request again, where so asked beside the silent attempt in hand.
+func (d *Dispatcher) sendBeside(now time.Time, call identifier.CallID, r *request, seed uint64, isKept bool) []messenger.Effect {
 	if !d.chooser.IsKnown(r.service) {
 		return d.giveUp(now, call, r, "unknown service")
 	}
 	out := Send{
-		Call: call, Account: r.account, Deadline: r.deadline,
+		Call: call, Account: r.account, Deadline: r.deadline, KeepsSilent: isKept,
 		IsStream: r.route.Kind == describer.Streaming, IsFresh: !r.route.MayRepeat(),
 	}
 	effects := d.chooser.Refresh(now, r.service)
-	reason := d.place(now, r, &out, seed)
+	reason := d.choose(now, r, &out, seed)
 	if reason != "" {
 		return append(d.giveUp(now, call, r, reason), effects...)
 	}
@@ -262,12 +274,12 @@
 	r.sent = now
 	r.target = out.Target
 	r.tried = append(r.tried, out.Target)
-	d.chooser.Occupy(r.places())
+	d.chooser.Occupy(r.targets())
 	return append([]messenger.Effect{out}, effects...)
 }
 
-// place chooses where a request goes; it returns the reason where there is no place.
-func (d *Dispatcher) place(now time.Time, r *request, out *Send, seed uint64) string {
+// choose chooses where a request goes; it returns the reason where there is no place.
+func (d *Dispatcher) choose(now time.Time, r *request, out *Send, seed uint64) string {
 	r.chain = nil
 	if d.chooser.IsChained(r.service) {
 		chain := d.chooser.Chain(now, r.service, seed, r.tried)
@@ -304,17 +316,17 @@
 	if r.target == "" {
 		return
 	}
-	d.chooser.Release(r.places())
+	d.chooser.Release(r.targets())
 	r.target = ""
 }
 
-// places returns the targets that the request is at.
-func (r *request) places() []identifier.TargetID {
-	if len(r.chain) == 0 {
-		return []identifier.TargetID{r.target}
+// targets returns the targets that the attempt is at.
+func (p *place) targets() []identifier.TargetID {
+	if len(p.chain) == 0 {
+		return []identifier.TargetID{p.target}
 	}
-	out := make([]identifier.TargetID, 0, len(r.chain))
-	for _, p := range r.chain {
+	out := make([]identifier.TargetID, 0, len(p.chain))
+	for _, p := range p.chain {
 		out = append(out, p.Target)
 	}
 	return out
--- a/entry/internal/dispatcher/dispatcher_test.go
+++ b/entry/internal/dispatcher/dispatcher_test.go
@@ -221,6 +221,39 @@
 	c.Assert(d.doubts[0].Address, qt.Equals, "draft-a1")
 }
 
+// TestSilentStreamOutlivesRefusals plays the pattern of a begun stream that falls silent
+// while no chain has room for it: each refusal leads it back to its silent attempt, which is
+// given up for nothing but the deadline.
+func TestSilentStreamOutlivesRefusals(t *testing.T) {
+	c := qt.New(t)
+	d := readyDesk()
+	d.apply(-2*retryWindow, dispatcher.BudgetShared{Repeats: 100})
+	var calls []identifier.CallID
+	for range 30 {
+		call, _ := d.arrive(0, "/draft/", "key")
+		calls = append(calls, call)
+	}
+	at := time.Duration(0)
+	backs := 0
+	for range 20 {
+		at += 500 * time.Millisecond
+		e := d.apply(at, dispatcher.Reported{Call: calls[0], Outcome: dispatcher.Silent, Events: 5, ChainQuiet: 500 * time.Millisecond})
+		for isSend := true; isSend; {
+			if _, isSend = e.(dispatcher.Send); isSend {
+				e = d.apply(at, dispatcher.Reported{Call: calls[0], Outcome: dispatcher.NotRun, Status: 503, Events: 5})
+			}
+		}
+		switch e.(type) {
+		case dispatcher.GoBack:
+			backs++
+		case dispatcher.Wait, dispatcher.Probe:
+		default:
+			c.Fatalf("%T", e)
+		}
+	}
+	c.Assert(backs > 0, qt.IsTrue)
+}
+
 // TestOneSlowStreamIsNoSilentChain goes on waiting for a stream while others at its chain get events.
 func TestOneSlowStreamIsNoSilentChain(t *testing.T) {
 	c := qt.New(t)
@@ -261,18 +294,22 @@
 func follow(t *rapid.T, d *desk, at time.Duration, path string) int {
 	d.logs = nil
 	call, effect := d.arrive(at, path, "key")
-	sends, mayHaveRun, isWaiting := 0, false, false
+	sends, mayHaveRun, isWaiting, isKept := 0, false, false, false
 	for effect != nil {
 		switch e := effect.(type) {
 		case dispatcher.Send:
-			// A silent attempt that is left for another may have run.
-			mayHaveRun = mayHaveRun || isWaiting
-			if mayHaveRun && (path == "/post/" || path == "/once/") {
+			// A silent attempt that is left for another may have run, unless it is gone back to.
+			if e.KeepsSilent != isWaiting {
+				t.Fatalf("a silent attempt is not kept beside the next one")
+			}
+			mayHaveRun = mayHaveRun || (isKept && isWaiting)
+			isKept = isKept || isWaiting
+			if (mayHaveRun || isKept) && (path == "/post/" || path == "/once/") {
 				t.Fatalf("%s sent again after it may have run", path)
 			}
 			sends++
 		case dispatcher.Refuse:
-			if mayHaveRun && e.Status == 503 {
+			if (mayHaveRun || isKept) && e.Status == 503 {
 				t.Fatalf("%s refused as not run after it may have run", path)
 			}
 			effect = nil
@@ -280,6 +317,11 @@
 		case dispatcher.Deliver:
 			effect = nil
 			continue
+		case dispatcher.GoBack:
+			if !isKept && !isWaiting {
+				t.Fatalf("went back to no attempt")
+			}
+			isKept = false
 		case dispatcher.Probe:
 			effect = d.apply(at, dispatcher.Probed{Call: call})
 			continue
--- a/entry/internal/dispatcher/messages.go
+++ b/entry/internal/dispatcher/messages.go
@@ -121,6 +121,8 @@
 	Deadline time.Time
 	Patience time.Time
 	IsStream bool
+	// KeepsSilent asks that the silent attempt in hand be kept until this one hands on something.
+	KeepsSilent bool
 	// IsFresh asks for a new connection, as the request must not run twice.
 	IsFresh bool
 }
@@ -128,6 +130,9 @@
 // Wait is the effect that goes on waiting for a silent attempt.
 type Wait struct{ Until time.Time }
 
+// GoBack is the effect that ends the attempt and waits again for the silent one that was kept.
+type GoBack struct{ Until time.Time }
+
 // Probe is the effect that asks a target which requests wait for whom.
 type Probe struct{ Address string }
 
--- a/entry/internal/forwarder/events.go
+++ b/entry/internal/forwarder/events.go
@@ -5,9 +5,8 @@
 	"strconv"
 )
 
-// eventCutter cuts a stream of server-sent events into whole events.
+// eventCutter cuts a stream of server-sent events into whole events, and knows the last of them.
 type eventCutter struct {
-	pending []byte
 	// last is the id of the last whole event, and count the number of whole events.
 	last  string
 	count int
@@ -16,23 +15,20 @@
 // separator ends an event.
 var separator = []byte("\n\n")
 
-// take adds bytes and returns those that make up whole events; they are valid until the next call.
-func (c *eventCutter) take(b []byte) []byte {
-	c.pending = append(c.pending, b...)
-	end := bytes.LastIndex(c.pending, separator)
+// take cuts bytes into those that make up whole events, and the rest.
+func (c *eventCutter) take(b []byte) (whole, rest []byte) {
+	end := bytes.LastIndex(b, separator)
 	if end < 0 {
-		return nil
+		return nil, b
 	}
-	end += len(separator)
-	whole := append([]byte(nil), c.pending[:end]...)
-	c.pending = append(c.pending[:0], c.pending[end:]...)
-	for event := range bytes.SplitSeq(whole[:len(whole)-len(separator)], separator) {
+	whole, rest = b[:end+len(separator)], append([]byte(nil), b[end+len(separator):]...)
+	for event := range bytes.SplitSeq(whole[:end], separator) {
 		c.count++
 		if id, ok := eventID(event); ok {
 			c.last = id
 		}
 	}
-	return whole
+	return whole, rest
 }
 
 // firstID returns the id of the first event of whole events.
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -44,14 +44,8 @@
 	Finish() error
 }
 
-// Exchange is one request on its way through attempts.
-type Exchange struct {
-	caller     Caller
-	request    translator.Request
-	translator translator.Translator
-	pool       *connector.Connector
-	witness    *Witness
-
+// attempt is one send of a request and what came of it so far.
+type attempt struct {
 	send    dispatcher.Send
 	sentAt  time.Time
 	first   time.Duration
@@ -61,6 +55,31 @@
 	hasHead bool
 	body    io.Reader
 	buffer  []byte
+	// pending is the begin of an event of which the rest has not come yet.
+	pending []byte
+}
+
+// drop closes the connection, so that the target stops its work.
+func (a *attempt) drop() {
+	if a.conn == nil {
+		return
+	}
+	a.stop()
+	a.conn.Drop()
+	a.conn = nil
+}
+
+// Exchange is one request on its way through attempts.
+type Exchange struct {
+	caller     Caller
+	request    translator.Request
+	translator translator.Translator
+	pool       *connector.Connector
+	witness    *Witness
+
+	attempt
+	// former is a silent attempt that is kept until a later one has handed on something.
+	former *attempt
 
 	// hasBegun says that the caller has the header of a stream.
 	hasBegun bool
@@ -82,9 +101,11 @@
 
 // Attempt sends the request and waits for what comes of it.
 func (x *Exchange) Attempt(ctx context.Context, s dispatcher.Send) dispatcher.Reported {
-	x.Drop()
-	x.send, x.sentAt, x.first, x.hasHead, x.body = s, bootclock.Now(), 0, false, nil
-	x.events.pending = x.events.pending[:0]
+	if s.KeepsSilent {
+		x.keepFormer()
+	}
+	x.drop()
+	x.attempt = attempt{send: s, sentAt: bootclock.Now()}
 	conn, err := x.pool.Get(ctx, s.Address, s.IsFresh)
 	if err != nil {
 		return x.report(ctx, dispatcher.NotSent, err)
@@ -92,7 +113,7 @@
 	x.conn = conn
 	x.stop = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	if n, err := x.write(); err != nil {
-		x.Drop()
+		x.drop()
 		if n == 0 {
 			return x.report(ctx, dispatcher.NotSent, err)
 		}
@@ -301,7 +322,8 @@
 
 func (x *Exchange) handOn(ctx context.Context, b []byte) (dispatcher.Reported, bool) {
 	last := x.events.last
-	whole := x.events.take(b)
+	var whole []byte
+	whole, x.pending = x.events.take(append(x.pending, b...))
 	if len(whole) == 0 {
 		return dispatcher.Reported{}, true
 	}
@@ -309,6 +331,7 @@
 		x.events.last = last
 		return x.fail(ctx, errors.Newf("event %s came after %s", id, last)), false
 	}
+	x.dropFormer()
 	if err := x.caller.Events(whole); err != nil {
 		return x.report(ctx, dispatcher.CallerGone, err), false
 	}
@@ -323,7 +346,7 @@
 
 // finish ends a stream that is complete.
 func (x *Exchange) finish(ctx context.Context) dispatcher.Reported {
-	if len(x.events.pending) > 0 {
+	if len(x.pending) > 0 {
 		return x.fail(ctx, errors.New("the stream ends inside an event"))
 	}
 	x.keep()
@@ -336,7 +359,7 @@
 // keep gives the connection back when it may carry another request.
 func (x *Exchange) keep() {
 	if x.conn == nil || !x.stop() {
-		x.Drop()
+		x.drop()
 		return
 	}
 	idle := connector.DefaultIdle
@@ -362,19 +385,42 @@
 	return connector.DefaultIdle
 }
 
-// Drop closes the connection, so that the target stops its work.
+// Drop ends all attempts.
 func (x *Exchange) Drop() {
-	if x.conn == nil {
+	x.drop()
+	x.dropFormer()
+}
+
+// keepFormer sets the attempt aside, so that it can be gone back to.
+func (x *Exchange) keepFormer() {
+	x.dropFormer()
+	former := x.attempt
+	x.former, x.attempt = &former, attempt{}
+}
+
+func (x *Exchange) dropFormer() {
+	if x.former == nil {
 		return
 	}
-	x.stop()
-	x.conn.Drop()
-	x.conn = nil
+	x.former.drop()
+	x.former = nil
+}
+
+// GoBack ends the attempt and waits again for what comes of the one that was kept.
+func (x *Exchange) GoBack(ctx context.Context, patience time.Time) dispatcher.Reported {
+	if x.former != nil {
+		x.drop()
+		x.attempt, x.former = *x.former, nil
+	}
+	if x.conn == nil {
+		return x.fail(ctx, errors.New("no attempt is left"))
+	}
+	return x.Await(ctx, patience)
 }
 
 // fail ends the attempt by the reason that goes before others: the caller left, the time is over.
 func (x *Exchange) fail(ctx context.Context, err error) dispatcher.Reported {
-	x.Drop()
+	x.drop()
 	switch {
 	case ctx.Err() != nil:
 		return x.report(ctx, dispatcher.CallerGone, err)
--- a/entry/internal/forwarder/forwarder_test.go
+++ b/entry/internal/forwarder/forwarder_test.go
@@ -101,6 +101,32 @@
 	}
 }
 
+// serveLater answers one connection with raw bytes, and with what is sent to it later.
+func serveLater(t *testing.T, first string) (string, chan<- string) {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	later := make(chan string, 1)
+	t.Cleanup(func() {
+		_ = l.Close()
+		close(later)
+	})
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		_, _ = conn.Write([]byte(first))
+		for more := range later {
+			_, _ = conn.Write([]byte(more))
+		}
+	}()
+	return l.Addr().String(), later
+}
+
 func event(n int) string { return fmt.Sprintf("id: %d\ndata: t%d\n\n", n, n) }
 
 // desk is one exchange with what it needs.
@@ -212,6 +238,44 @@
 	d.Assert(d.caller.isEnded, qt.IsFalse)
 }
 
+// TestSilentAttemptIsGoneBackTo keeps a silent attempt, inside an event, beside one that is
+// refused, and goes on with what comes of it after all.
+func TestSilentAttemptIsGoneBackTo(t *testing.T) {
+	d := newDesk(t)
+	address, later := serveLater(t, answerfaker.Stream(id, event(1), "id: 2\nda"))
+	got := d.attempt(context.Background(), address, true)
+	d.Assert(got.Outcome, qt.Equals, dispatcher.Silent)
+	now := bootclock.Now()
+	got = d.exchange.Attempt(context.Background(), dispatcher.Send{
+		Target: "i-2", Address: serve(t, answerfaker.NotRunFor(id)), IsStream: true, KeepsSilent: true,
+		Deadline: now.Add(deadline), Patience: now.Add(patience),
+	})
+	d.Assert(got.Outcome, qt.Equals, dispatcher.NotRun)
+	later <- answerfaker.Chunk("ta: t2\n\n") + answerfaker.Chunk(event(3)) + "0\r\n\r\n"
+	got = d.exchange.GoBack(context.Background(), bootclock.Now().Add(patience))
+	d.Assert(got.Outcome, qt.Equals, dispatcher.Delivered, qt.Commentf("%s", got.Reason))
+	d.Assert(d.caller.received, qt.Equals, event(1)+event(2)+event(3))
+}
+
+// TestSilentAttemptEndsOnceAnotherShowsSomething closes the connection of the kept attempt
+// with the first event of the next, not before.
+func TestSilentAttemptEndsOnceAnotherShowsSomething(t *testing.T) {
+	d := newDesk(t)
+	address, later := serveLater(t, answerfaker.Stream(id, event(1)))
+	d.Assert(d.attempt(context.Background(), address, true).Outcome, qt.Equals, dispatcher.Silent)
+	now := bootclock.Now()
+	got := d.exchange.Attempt(context.Background(), dispatcher.Send{
+		Target: "i-2", Address: serve(t, answerfaker.Stream(id, event(2))+"~"), IsStream: true, KeepsSilent: true,
+		Deadline: now.Add(deadline), Patience: now.Add(patience),
+	})
+	d.Assert(got.Outcome, qt.Equals, dispatcher.Silent)
+	d.Assert(got.Events, qt.Equals, 2)
+	later <- answerfaker.Chunk(event(2)) + "0\r\n\r\n"
+	got = d.exchange.GoBack(context.Background(), bootclock.Now().Add(patience))
+	d.Assert(got.Outcome, qt.Equals, dispatcher.Silent)
+	d.Assert(d.caller.received, qt.Equals, event(1)+event(2))
+}
+
 // TestCallerLeaves ends an attempt at once when the caller has left.
 func TestCallerLeaves(t *testing.T) {
 	d := newDesk(t)
--- a/entry/internal/relayer/serving.go
+++ b/entry/internal/relayer/serving.go
@@ -62,6 +62,8 @@
 		return s.report(s.attempt(ctx, e))
 	case dispatcher.Wait:
 		return s.report(s.exchange.Await(ctx, e.Until))
+	case dispatcher.GoBack:
+		return s.report(s.exchange.GoBack(ctx, e.Until))
 	case dispatcher.Probe:
 		probed := s.x.probe(ctx, e.Address, s.request.ID)
 		probed.Call = s.call
