Let a few nodes read the store for their peers

Change: holders of parts 0 to 3 of the group's topic read; the other nodes ask one of them over jsonrpc2 and wait there for news (sharer, follower). A confirmation is counted from when the question came in, so it is never taken for younger than it is. Peers that are silent, cut off or no longer read are left; without news for two seconds a node reads alone. The group's holder of a part is named with its address.

--- a/common/describer/describer.go
+++ b/common/describer/describer.go
@@ -115,24 +115,24 @@
 
 // Target is what is known of one target's own word.
 type Target struct {
-	ID         identifier.TargetID
-	Service    identifier.ServiceID
-	Address    string
-	DataCentre identifier.DataCentre
-	IsLeaving  bool
+	ID         identifier.TargetID   `json:"id"`
+	Service    identifier.ServiceID  `json:"service"`
+	Address    string                `json:"address"`
+	DataCentre identifier.DataCentre `json:"data_centre"`
+	IsLeaving  bool                  `json:"is_leaving,omitempty"`
 	// Born tells the starts of a target apart; a higher one is later.
-	Born  int64
-	Slots int
-	Kind  identifier.AcceleratorKind
+	Born  int64                      `json:"born"`
+	Slots int                        `json:"slots"`
+	Kind  identifier.AcceleratorKind `json:"kind,omitempty"`
 	// Layers holds the layers that the target serves; empty for a plain or an empty one.
-	Layers identifier.LayerRange
+	Layers identifier.LayerRange `json:"layers"`
 }
 
 // TargetChange is a target's newest word, or that it is gone.
 type TargetChange struct {
-	ID identifier.TargetID
+	ID identifier.TargetID `json:"id"`
 	// Target is nil when the target is gone.
-	Target *Target
+	Target *Target `json:"target,omitempty"`
 }
 
 // Report is a target's answer about its load.
--- a/common/eventlogger/relay.go
+++ b/common/eventlogger/relay.go
@@ -22,6 +22,8 @@
 	SettingsRead         = Event{8018, "settings file changed"}
 	RequestRerouted      = Event{8019, "running request led another way"}
 	RequestWentBack      = Event{8020, "request went back to its silent attempt"}
+	PeerFollowed         = Event{8021, "news of the store come from a peer"}
+	PeerNotFollowed      = Event{8022, "news of the store no longer come from a peer"}
 )
 
 func relayEvents() []Event {
@@ -46,5 +48,7 @@
 		SettingsRead,
 		RequestRerouted,
 		RequestWentBack,
+		PeerFollowed,
+		PeerNotFollowed,
 	}
 }
--- a/common/optionparser/optionparser.go
+++ b/common/optionparser/optionparser.go
@@ -148,6 +148,14 @@
 	return nil
 }
 
+// IsOptionalAddress refuses what is neither empty nor host:port.
+func IsOptionalAddress(value string) error {
+	if value == "" {
+		return nil
+	}
+	return IsAddress(value)
+}
+
 // IsOneOf returns a check for one of the given words.
 func IsOneOf(words ...string) func(string) error {
 	return func(value string) error {
--- a/entry/internal/commander/relay.go
+++ b/entry/internal/commander/relay.go
@@ -23,8 +23,10 @@
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/follower"
 	"fuchsiabridge.example/entry/internal/meter"
+	"fuchsiabridge.example/entry/internal/peercaller"
 	"fuchsiabridge.example/entry/internal/receiver"
 	"fuchsiabridge.example/entry/internal/relayer"
+	"fuchsiabridge.example/entry/internal/sharer"
 	"fuchsiabridge.example/entry/internal/tracer"
 	"fuchsiabridge.example/platform/storecaller"
 )
@@ -49,6 +51,7 @@
 		{Name: "data-centre", Usage: "data centre of this node's VM", Check: optionparser.IsPresent},
 		{Name: "listen", Usage: "address for callers, host:port", Check: optionparser.IsAddress},
 		{Name: "health-listen", Usage: "address that tells the balancer whether the node is ready, host:port", Check: optionparser.IsAddress},
+		{Name: "peer-listen", Usage: "address for other nodes, which share what they read from the store, host:port; none when empty: the node reads alone", Check: optionparser.IsOptionalAddress},
 		{Name: "metrics-listen", Usage: "address of counters and histograms, host:port", Check: optionparser.IsAddress},
 		{Name: "store", Usage: "address of the platform's store, host:port", Check: optionparser.IsAddress},
 		{Name: "revocation-limit", Default: "5s", Usage: "time after which a key that was taken away must not be used; 0s when a node may go on with what it last read", Check: optionparser.IsDuration},
@@ -116,8 +119,11 @@
 		Heartbeat: values.Duration("heartbeat"),
 	}, http)
 	node := identifier.NodeID(values.Text("node"))
-	f := follower.NewFollower(storecaller.NewCaller(http, values.Text("store")), follower.Config{
-		Node: node, StoreParts: values.Number("store-parts"),
+	news := sharer.NewSharer()
+	peers := peercaller.NewCaller(map[string]peercaller.Handler{sharer.Method: news.Serve}, nil)
+	f := follower.NewFollower(storecaller.NewCaller(http, values.Text("store")), peers, news, follower.Config{
+		Self:       storecaller.Member{Node: node, DataCentre: identifier.DataCentre(values.Text("data-centre")), Address: values.Text("peer-listen")},
+		StoreParts: values.Number("store-parts"),
 		RetrySlack: int(sharedSlack * float64(values.Number("retry-slack"))),
 	}, x.Submit)
 	r := receiver.NewReceiver(x)
@@ -128,11 +134,17 @@
 	if err := serveHealth(ctx, values, x); err != nil {
 		return err
 	}
+	if err := servePeers(ctx, values.Text("peer-listen"), peers); err != nil {
+		return err
+	}
 	following, stopFollowing := context.WithCancel(ctx)
 	defer stopFollowing()
 	leased := make(chan struct{})
 	go f.FollowConfiguration(ctx)
 	go f.FollowTargets(ctx)
+	if values.Text("peer-listen") != "" {
+		go f.FollowPeers(ctx)
+	}
 	go func() {
 		defer close(leased)
 		f.KeepLease(following)
@@ -182,6 +194,19 @@
 	}
 }
 
+// servePeers answers other nodes until ctx ends, where an address is set.
+func servePeers(ctx context.Context, address string, peers *peercaller.Caller) error {
+	if address == "" {
+		return nil
+	}
+	l, err := listen(ctx, address, nil)
+	if err != nil {
+		return errors.Wrap(err, "listening for peers")
+	}
+	go peers.Serve(ctx, l)
+	return nil
+}
+
 // serveHealth serves readiness and metrics until ctx ends.
 func serveHealth(ctx context.Context, values optionparser.Values, x *relayer.Relayer) error {
 	health := func(c *fasthttp.RequestCtx) {
--- a/entry/internal/follower/follower.go
+++ b/entry/internal/follower/follower.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"maps"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,6 +18,7 @@
 	"fuchsiabridge.example/entry/internal/placer"
 	"fuchsiabridge.example/entry/internal/registrar"
 	"fuchsiabridge.example/entry/internal/router"
+	"fuchsiabridge.example/entry/internal/sharer"
 	"fuchsiabridge.example/platform/storecaller"
 )
 
@@ -24,24 +26,21 @@
 	// callTime bounds a call beside the time that it may wait for news.
 	callTime = 700 * time.Millisecond
 	// configurationWait is how long a call waits for a new configuration; its end confirms the old one.
-	configurationWait = 2500 * time.Millisecond
+	configurationWait = 1500 * time.Millisecond
 	// targetsWait is how long a call waits for news of targets.
-	targetsWait = 4 * time.Second
+	targetsWait = 1500 * time.Millisecond
 	// News that come together are gathered for a pause that grows with the targets there are,
 	// as their news do.
-	pausePerTarget = 8 * time.Millisecond
+	pausePerTarget = 4 * time.Millisecond
 	leastPause     = 200 * time.Millisecond
 	mostPause      = time.Second
 	// leastFailurePause is the pause after a call that failed; it doubles with each further one.
 	leastFailurePause = 150 * time.Millisecond
 	mostFailurePause  = 800 * time.Millisecond
+	// A node that does not read the store for its peers presses it less.
+	mostIdlePause = 2 * time.Second
 	// outageTime is how long calls must fail for the store to count as lost.
 	outageTime = time.Second
-
-	leaseTerm     = 2500 * time.Millisecond
-	leaseInterval = 700 * time.Millisecond
-	// leaseMargin ends a lease before others may take it.
-	leaseMargin = 400 * time.Millisecond
 )
 
 // Store is what the follower needs of the platform's store.
@@ -50,30 +49,38 @@
 	ReadConfiguration(ctx context.Context, from identifier.Offset, wait time.Duration) (*describer.Configuration, identifier.Offset, error)
 	NewestTargets(ctx context.Context) ([]describer.TargetChange, identifier.Offset, error)
 	ReadTargets(ctx context.Context, from identifier.Offset, wait time.Duration) ([]describer.TargetChange, identifier.Offset, error)
-	Join(ctx context.Context, member identifier.NodeID, last identifier.FencingNumber, term time.Duration, parts int) (storecaller.Membership, error)
-	Leave(ctx context.Context, member identifier.NodeID) error
+	Join(ctx context.Context, m storecaller.Member, last identifier.FencingNumber, term time.Duration) (storecaller.Membership, error)
+	Leave(ctx context.Context, m storecaller.Member) error
+	Owners(ctx context.Context) (map[int]storecaller.Member, error)
 }
 
-// Follower turns what the store says into events.
+// Follower turns what the store says, and what peers tell of it, into events.
 type Follower struct {
 	store  Store
+	peers  Peers
+	sharer *sharer.Sharer
 	cfg    Config
-	node   identifier.NodeID
+	duty   *duty
 	submit func(messenger.Event)
+
+	mu sync.Mutex
+	// next is the offset up to which configurations are known.
+	next identifier.Offset
 }
 
 // Config holds what the follower is made of.
 type Config struct {
-	Node identifier.NodeID
+	// Self is this node as it names itself in the group.
+	Self storecaller.Member
 	// StoreParts is how many parts a topic of the store has.
 	StoreParts int
 	// RetrySlack is how many repeats all nodes together may send beyond the ratio.
 	RetrySlack int
 }
 
-// NewFollower returns a follower that submits events.
-func NewFollower(store Store, cfg Config, submit func(messenger.Event)) *Follower {
-	return &Follower{store: store, cfg: cfg, node: cfg.Node, submit: submit}
+// NewFollower returns a follower that submits events, and shares what it reads.
+func NewFollower(store Store, peers Peers, share *sharer.Sharer, cfg Config, submit func(messenger.Event)) *Follower {
+	return &Follower{store: store, peers: peers, sharer: share, cfg: cfg, duty: newDuty(), submit: submit}
 }
 
 // outage notes when a kind of call began to fail.
@@ -85,9 +92,9 @@
 }
 
 // failed notes a failure, logs the loss once it has lasted, and waits before the next call.
-func (o *outage) failed(ctx context.Context, err error) {
+func (o *outage) failed(ctx context.Context, err error, most time.Duration) {
 	o.note(err)
-	o.pause = min(mostFailurePause, max(leastFailurePause, 2*o.pause))
+	o.pause = min(most, max(leastFailurePause, 2*o.pause))
 	pause(ctx, o.pause)
 }
 
@@ -123,7 +130,7 @@
 	}
 }
 
-// FollowConfiguration follows the configuration until ctx ends.
+// FollowConfiguration follows the configuration in the store until ctx ends, while peers do not tell of it.
 func (f *Follower) FollowConfiguration(ctx context.Context) {
 	out := outage{what: "configuration"}
 	var next identifier.Offset
@@ -131,6 +138,10 @@
 	// wait is zero after a failure: what is in force must be confirmed soon.
 	wait := time.Duration(0)
 	for ctx.Err() == nil {
+		if f.duty.awaitTurn(ctx) {
+			isStarted = false
+			continue
+		}
 		sent := bootclock.Now()
 		cfg, offset, err := f.configuration(ctx, isStarted, next, wait)
 		if errors.Is(err, storecaller.ErrForgotten) {
@@ -139,7 +150,7 @@
 		}
 		if err != nil {
 			wait = 0
-			out.failed(ctx, err)
+			out.failed(ctx, err, f.mostPause())
 			continue
 		}
 		out.ended()
@@ -149,15 +160,33 @@
 			asOf = sent.Add(wait)
 		}
 		isStarted, next, wait = true, offset, configurationWait
-		if cfg != nil {
-			table := router.NewTable(cfg)
-			f.submit(dispatcher.TableRead{Table: table})
-			f.submit(placer.TableChanged{Table: table})
-		}
+		f.takeConfiguration(cfg, offset)
+		f.sharer.NoteConfiguration(offset, asOf)
 		f.submit(dispatcher.Confirmed{AsOf: asOf})
 	}
 }
 
+// takeConfiguration takes in a configuration, if there is a new one, and the offset up to which they are known.
+func (f *Follower) takeConfiguration(cfg *describer.Configuration, next identifier.Offset) {
+	f.mu.Lock()
+	f.next = max(f.next, next)
+	f.mu.Unlock()
+	if cfg == nil {
+		return
+	}
+	table := router.NewTable(cfg)
+	f.submit(dispatcher.TableRead{Table: table})
+	f.submit(placer.TableChanged{Table: table})
+}
+
+// mostPause returns the longest pause after calls that failed.
+func (f *Follower) mostPause() time.Duration {
+	if isReader, _, _ := f.duty.reads(); isReader || f.cfg.Self.Address == "" {
+		return mostFailurePause
+	}
+	return mostIdlePause
+}
+
 func (f *Follower) configuration(ctx context.Context, isStarted bool, from identifier.Offset, wait time.Duration) (*describer.Configuration, identifier.Offset, error) {
 	if !isStarted {
 		ctx, cancel := context.WithTimeout(ctx, callTime)
@@ -169,25 +198,31 @@
 	return f.store.ReadConfiguration(ctx, from, wait)
 }
 
-// FollowTargets follows the targets until ctx ends.
+// FollowTargets follows the targets in the store until ctx ends, while peers do not tell of them.
 func (f *Follower) FollowTargets(ctx context.Context) {
 	out := outage{what: "targets"}
 	known := map[identifier.TargetID]bool{}
 	var next identifier.Offset
 	isStarted := false
 	for ctx.Err() == nil {
+		if f.duty.awaitTurn(ctx) {
+			isStarted = false
+			continue
+		}
 		changes, offset, err := f.targets(ctx, isStarted, next)
 		if errors.Is(err, storecaller.ErrForgotten) {
 			isStarted = false
 			continue
 		}
 		if err != nil {
-			out.failed(ctx, err)
+			out.failed(ctx, err, f.mostPause())
 			continue
 		}
 		if out.ended() {
+			f.sharer.NoteOutage()
 			f.submit(registrar.StoreRegained{})
 		}
+		f.sharer.NoteTargets(changes, !isStarted)
 		f.submit(registrar.Read{Changes: changes, IsComplete: !isStarted})
 		isStarted, next = true, offset
 		for _, c := range changes {
@@ -208,36 +243,3 @@
 	defer cancel()
 	return f.store.ReadTargets(ctx, from, targetsWait)
 }
-
-// KeepLease takes part in the group whose members share the lease until ctx ends, then leaves it.
-func (f *Follower) KeepLease(ctx context.Context) {
-	var last identifier.FencingNumber
-	var until time.Time
-	for ctx.Err() == nil {
-		sent := bootclock.Now()
-		m, err := f.join(ctx, last)
-		switch {
-		case err == nil:
-			last = m.Generation
-			until = sent.Add(leaseTerm - leaseMargin)
-			f.submit(placer.LeaseChanged{IsHeld: m.HoldsLease, Fence: m.Generation, Until: until})
-			f.submit(dispatcher.BudgetShared{Repeats: int(m.Share * float64(f.cfg.RetrySlack))})
-		case !bootclock.Now().Before(until):
-			f.submit(placer.LeaseChanged{})
-			f.submit(dispatcher.BudgetShared{})
-		}
-		pause(ctx, leaseInterval)
-	}
-	f.submit(placer.LeaseChanged{})
-	leaving, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTime)
-	defer cancel()
-	if err := f.store.Leave(leaving, f.node); err != nil {
-		eventlogger.Error(err, eventlogger.LostLease, "doing", "leaving the group")
-	}
-}
-
-func (f *Follower) join(ctx context.Context, last identifier.FencingNumber) (storecaller.Membership, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTime)
-	defer cancel()
-	return f.store.Join(ctx, f.node, last, leaseTerm, f.cfg.StoreParts)
-}
--- a/entry/internal/follower/follower_test.go
+++ b/entry/internal/follower/follower_test.go
@@ -13,6 +13,7 @@
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/follower"
 	"fuchsiabridge.example/entry/internal/registrar"
+	"fuchsiabridge.example/entry/internal/sharer"
 	"fuchsiabridge.example/platform/storecaller"
 	"fuchsiabridge.example/platform/storefaker"
 )
@@ -31,6 +32,12 @@
 	e.seen = append(e.seen, ev)
 }
 
+func (e *events) count() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.seen)
+}
+
 // await waits until an event of a kind came after the first n, and returns how many there are.
 func await[T any](c *qt.C, e *events, n int) int {
 	for until := time.Now().Add(waitLimit); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
@@ -56,7 +63,8 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(store.PutConfiguration(storefaker.Sample(1, "key")), qt.IsNil)
 	e := &events{}
-	f := follower.NewFollower(storecaller.NewCaller(httpcaller.NewCaller(), store.Address()), follower.Config{Node: "n", StoreParts: 1}, e.submit)
+	f := follower.NewFollower(storecaller.NewCaller(httpcaller.NewCaller(), store.Address()), nil, sharer.NewSharer(),
+		follower.Config{Self: storecaller.Member{Node: "n"}, StoreParts: storefaker.Parts}, e.submit)
 	go f.FollowConfiguration(ctx)
 	go f.FollowTargets(ctx)
 	return c, store, e
@@ -72,7 +80,7 @@
 	before := store.Calls()
 	time.Sleep(2 * time.Second)
 	c.Assert(store.Calls()-before <= 8, qt.IsTrue, qt.Commentf("%d calls in two seconds", store.Calls()-before))
-	n := len(e.seen)
+	n := e.count()
 	back := time.Now()
 	store.SetFault(storefaker.None)
 	await[dispatcher.Confirmed](c, e, n)
--- /dev/null
+++ b/entry/internal/follower/peers_test.go
@@ -0,0 +1,176 @@
+package follower_test
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	qt "github.com/frankban/quicktest"
+
+	"fuchsiabridge.example/common/describer"
+	"fuchsiabridge.example/common/httpcaller"
+	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/entry/internal/dispatcher"
+	"fuchsiabridge.example/entry/internal/follower"
+	"fuchsiabridge.example/entry/internal/peercaller"
+	"fuchsiabridge.example/entry/internal/registrar"
+	"fuchsiabridge.example/entry/internal/sharer"
+	"fuchsiabridge.example/platform/storecaller"
+	"fuchsiabridge.example/platform/storefaker"
+)
+
+// link is one node's way to the store; it counts reads and can be cut.
+type link struct {
+	follower.Store
+	reads atomic.Int64
+	isCut atomic.Bool
+}
+
+var errCut = errors.New("cut off")
+
+func (l *link) ReadConfiguration(ctx context.Context, from identifier.Offset, wait time.Duration) (*describer.Configuration, identifier.Offset, error) {
+	l.reads.Add(1)
+	if l.isCut.Load() {
+		return nil, 0, errCut
+	}
+	return l.Store.ReadConfiguration(ctx, from, wait)
+}
+
+func (l *link) ReadTargets(ctx context.Context, from identifier.Offset, wait time.Duration) ([]describer.TargetChange, identifier.Offset, error) {
+	l.reads.Add(1)
+	if l.isCut.Load() {
+		return nil, 0, errCut
+	}
+	return l.Store.ReadTargets(ctx, from, wait)
+}
+
+func (l *link) NewestTargets(ctx context.Context) ([]describer.TargetChange, identifier.Offset, error) {
+	l.reads.Add(1)
+	if l.isCut.Load() {
+		return nil, 0, errCut
+	}
+	return l.Store.NewestTargets(ctx)
+}
+
+func (l *link) Join(ctx context.Context, m storecaller.Member, last identifier.FencingNumber, term time.Duration) (storecaller.Membership, error) {
+	if l.isCut.Load() {
+		return storecaller.Membership{}, errCut
+	}
+	return l.Store.Join(ctx, m, last, term)
+}
+
+// node is one follower with its link and what it submits.
+type node struct {
+	*events
+	link *link
+	stop context.CancelFunc
+}
+
+func startNode(t *testing.T, store *storefaker.Store, id string) *node {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	share := sharer.NewSharer()
+	peers := peercaller.NewCaller(map[string]peercaller.Handler{sharer.Method: share.Serve}, nil)
+	go peers.Serve(ctx, l)
+	n := &node{events: &events{}, stop: cancel, link: &link{Store: storecaller.NewCaller(httpcaller.NewCaller(), store.Address())}}
+	f := follower.NewFollower(n.link, peers, share, follower.Config{
+		Self:       storecaller.Member{Node: identifier.NodeID(id), DataCentre: "a", Address: l.Addr().String()},
+		StoreParts: storefaker.Parts,
+	}, n.submit)
+	go f.FollowConfiguration(ctx)
+	go f.FollowTargets(ctx)
+	go f.FollowPeers(ctx)
+	go f.KeepLease(ctx)
+	return n
+}
+
+// startTwo starts a node that reads the store and one that the first feeds.
+func startTwo(t *testing.T) (*qt.C, *storefaker.Store, *node, *node) {
+	t.Helper()
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	store, err := storefaker.NewStore(ctx)
+	c.Assert(err, qt.IsNil)
+	c.Assert(store.PutConfiguration(storefaker.Sample(1, "key")), qt.IsNil)
+	first := startNode(t, store, "first")
+	await[dispatcher.Confirmed](c, first.events, 0)
+	second := startNode(t, store, "second")
+	await[dispatcher.Confirmed](c, second.events, 0)
+	// Parts above 5 fall to the second node, those that make readers stay with the first.
+	c.Assert(becomesIdle(second.link), qt.IsTrue)
+	return c, store, first, second
+}
+
+// becomesIdle reports whether a node stops reading the store within the limit.
+func becomesIdle(l *link) bool {
+	const quiet = 2500 * time.Millisecond
+	for until := time.Now().Add(2 * waitLimit); time.Now().Before(until); {
+		before := l.reads.Load()
+		time.Sleep(quiet)
+		if l.reads.Load() == before {
+			return true
+		}
+	}
+	return false
+}
+
+// awaitTarget waits until a node knows of a target.
+func awaitTarget(c *qt.C, n *node, id identifier.TargetID, limit time.Duration) {
+	for until := time.Now().Add(limit); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+		n.mu.Lock()
+		for _, ev := range n.seen {
+			if read, ok := ev.(registrar.Read); ok {
+				for _, change := range read.Changes {
+					if change.ID == id && change.Target != nil {
+						n.mu.Unlock()
+						return
+					}
+				}
+			}
+		}
+		n.mu.Unlock()
+	}
+	c.Fatalf("target %s is not known within %v", id, limit)
+}
+
+func plainTarget() map[string]any {
+	return map[string]any{"service": "s", "address": "a:1", "zone": "z", "state": "ready"}
+}
+
+// TestPeersReadForEachOther plays the pattern of a fleet of which few nodes read the store:
+// the others know targets, configurations and confirmations no later, and read nothing.
+func TestPeersReadForEachOther(t *testing.T) {
+	c, store, _, second := startTwo(t)
+	before := second.link.reads.Load()
+	n := second.count()
+	c.Assert(store.PutTarget("t", plainTarget()), qt.IsNil)
+	awaitTarget(c, second, "t", time.Second)
+	c.Assert(store.PutConfiguration(storefaker.Sample(2, "other")), qt.IsNil)
+	await[dispatcher.TableRead](c, second.events, n)
+	await[dispatcher.Confirmed](c, second.events, second.count())
+	c.Assert(second.link.reads.Load(), qt.Equals, before)
+}
+
+// TestNodeReadsAloneWithoutPeers lets the node that reads end or lose the store: the other
+// one reads for itself within the time that confirmations last.
+func TestNodeReadsAloneWithoutPeers(t *testing.T) {
+	for name, fail := range map[string]func(*node){
+		"ended":   func(n *node) { n.stop() },
+		"cut off": func(n *node) { n.link.isCut.Store(true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c, store, first, second := startTwo(t)
+			fail(first)
+			c.Assert(store.PutTarget("t", plainTarget()), qt.IsNil)
+			awaitTarget(c, second, "t", waitLimit)
+		})
+	}
+}
--- /dev/null
+++ b/entry/internal/sharer/sharer_test.go
@@ -0,0 +1,166 @@
+package sharer_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"fuchsiabridge.example/common/bootclock"
+	"fuchsiabridge.example/common/describer"
+	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/entry/internal/sharer"
+)
+
+const (
+	wait = 50 * time.Millisecond
+	// limit bounds what should come at once.
+	limit = 2 * time.Second
+)
+
+func change(id int, isLeaving bool) describer.TargetChange {
+	name := identifier.TargetID(fmt.Sprint(id))
+	return describer.TargetChange{ID: name, Target: &describer.Target{ID: name, IsLeaving: isLeaving}}
+}
+
+func gone(id int) describer.TargetChange {
+	return describer.TargetChange{ID: identifier.TargetID(fmt.Sprint(id))}
+}
+
+func reading() *sharer.Sharer {
+	s := sharer.NewSharer()
+	s.SetReading(true)
+	s.NoteTargets(nil, true)
+	s.NoteConfiguration(1, bootclock.Now())
+	return s
+}
+
+// ask asks as a peer would: by the wire's form.
+func ask(t testing.TB, s *sharer.Sharer, q sharer.Query) (sharer.News, error) {
+	raw, err := json.Marshal(q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	answer, err := s.Serve(context.Background(), raw)
+	if err != nil {
+		return sharer.News{}, err
+	}
+	raw, err = json.Marshal(answer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var n sharer.News
+	if err := json.Unmarshal(raw, &n); err != nil {
+		t.Fatal(err)
+	}
+	return n, nil
+}
+
+// TestPeersViewFollows lets peers that ask at odd times, and miss any number of changes,
+// always come to the view of the node that reads.
+func TestPeersViewFollows(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := reading()
+		want := map[identifier.TargetID]bool{}
+		peers := [2]map[identifier.TargetID]bool{{}, {}}
+		var queries [2]sharer.Query
+		for range rapid.IntRange(1, 30).Draw(rt, "steps") {
+			id := rapid.IntRange(0, 4).Draw(rt, "target")
+			switch rapid.IntRange(0, 3).Draw(rt, "step") {
+			case 0:
+				leaving := rapid.Bool().Draw(rt, "leaving")
+				s.NoteTargets([]describer.TargetChange{change(id, leaving)}, false)
+				want[change(id, false).ID] = leaving
+			case 1:
+				s.NoteTargets([]describer.TargetChange{gone(id)}, false)
+				delete(want, gone(id).ID)
+			case 2:
+				s.NoteTargets([]describer.TargetChange{change(id, false)}, true)
+				clear(want)
+				want[change(id, false).ID] = false
+			case 3:
+				p := rapid.IntRange(0, 1).Draw(rt, "peer")
+				n, err := ask(t, s, queries[p])
+				if err != nil {
+					rt.Fatal(err)
+				}
+				queries[p].Sharer, queries[p].Revision = n.Sharer, n.Revision
+				follow(peers[p], n)
+				if fmt.Sprint(peers[p]) != fmt.Sprint(want) {
+					rt.Fatalf("the peer knows %v, not %v", peers[p], want)
+				}
+			}
+		}
+	})
+}
+
+func follow(view map[identifier.TargetID]bool, n sharer.News) {
+	if n.IsComplete {
+		clear(view)
+	}
+	for _, c := range n.Changes {
+		if c.Target == nil {
+			delete(view, c.ID)
+			continue
+		}
+		view[c.ID] = c.Target.IsLeaving
+	}
+}
+
+// TestNewsComeAtOnce answers a waiting question with a change, and one without news when its wait is over.
+func TestNewsComeAtOnce(t *testing.T) {
+	c := qt.New(t)
+	s := reading()
+	n, err := ask(t, s, sharer.Query{})
+	c.Assert(err, qt.IsNil)
+	q := sharer.Query{Sharer: n.Sharer, Revision: n.Revision, Configuration: n.Configuration, WaitMS: wait.Milliseconds()}
+	_, err = ask(t, s, q)
+	c.Assert(err, qt.IsNil)
+	q.WaitMS = limit.Milliseconds()
+	for _, tell := range []func(){
+		func() { s.NoteTargets([]describer.TargetChange{change(1, false)}, false) },
+		func() { s.NoteConfiguration(2, bootclock.Now()) },
+	} {
+		start := time.Now()
+		time.AfterFunc(wait, tell)
+		_, err = ask(t, s, q)
+		c.Assert(err, qt.IsNil)
+		c.Assert(time.Since(start) < limit, qt.IsTrue)
+	}
+}
+
+// TestConfirmationIsNeverTooYoung tells how long before the question the store confirmed the
+// configuration, so that a peer that counts from when it asked never takes it for younger.
+func TestConfirmationIsNeverTooYoung(t *testing.T) {
+	c := qt.New(t)
+	s := sharer.NewSharer()
+	s.SetReading(true)
+	s.NoteTargets(nil, true)
+	confirmed := bootclock.Now().Add(-time.Second)
+	s.NoteConfiguration(3, confirmed)
+	asked := bootclock.Now()
+	n, err := ask(t, s, sharer.Query{})
+	c.Assert(err, qt.IsNil)
+	c.Assert(asked.Add(time.Duration(n.ConfirmedMS)*time.Millisecond).After(confirmed), qt.IsFalse)
+}
+
+// TestOnlyReadersAnswer refuses a question where the store is not read, was not read yet, or is no longer.
+func TestOnlyReadersAnswer(t *testing.T) {
+	c := qt.New(t)
+	s := sharer.NewSharer()
+	_, err := ask(t, s, sharer.Query{})
+	c.Assert(err, qt.ErrorIs, sharer.ErrNotReading)
+	s.SetReading(true)
+	_, err = ask(t, s, sharer.Query{})
+	c.Assert(err, qt.ErrorIs, sharer.ErrNotReading)
+	s = reading()
+	n, err := ask(t, s, sharer.Query{})
+	c.Assert(err, qt.IsNil)
+	time.AfterFunc(wait, func() { s.SetReading(false) })
+	_, err = ask(t, s, sharer.Query{Sharer: n.Sharer, Revision: n.Revision, Configuration: n.Configuration, WaitMS: limit.Milliseconds()})
+	c.Assert(err, qt.ErrorIs, sharer.ErrNotReading)
+}
