--- a/entry/internal/dispatcher/dispatcher_test.go
+++ b/entry/internal/dispatcher/dispatcher_test.go
@@ -290,53 +290,78 @@
 	})
 }
 
+// tale is what one request has been through.
+type tale struct {
+	sends int
+	// mayHaveRun says that an attempt that has ended may have run.
+	mayHaveRun bool
+	// isWaiting says that the attempt in hand is silent, isKept that another one is kept beside it.
+	isWaiting bool
+	isKept    bool
+}
+
+// sent takes in a send; a silent attempt that is left for good may have run, one that is kept may too.
+func (x *tale) sent(t *rapid.T, e dispatcher.Send, path string) {
+	if e.KeepsSilent != x.isWaiting {
+		t.Fatalf("a silent attempt is not kept beside the next one")
+	}
+	x.mayHaveRun = x.mayHaveRun || (x.isKept && x.isWaiting)
+	x.isKept = x.isKept || x.isWaiting
+	if (x.mayHaveRun || x.isKept) && (path == "/post/" || path == "/once/") {
+		t.Fatalf("%s sent again after it may have run", path)
+	}
+	x.sends++
+}
+
+func (x *tale) wentBack(t *rapid.T) {
+	if !x.isKept && !x.isWaiting {
+		t.Fatalf("went back to no attempt")
+	}
+	x.isKept = false
+}
+
+func (x *tale) came(outcome dispatcher.Outcome) {
+	x.isWaiting = outcome == dispatcher.Silent
+	if outcome != dispatcher.NotSent && outcome != dispatcher.NotRun && !x.isWaiting {
+		x.mayHaveRun = true
+	}
+}
+
 // follow plays one request to its end and returns the number of its sends.
 func follow(t *rapid.T, d *desk, at time.Duration, path string) int {
 	d.logs = nil
 	call, effect := d.arrive(at, path, "key")
-	sends, mayHaveRun, isWaiting, isKept := 0, false, false, false
-	for effect != nil {
+	var x tale
+	for isOngoing(effect) {
 		switch e := effect.(type) {
 		case dispatcher.Send:
-			// A silent attempt that is left for another may have run, unless it is gone back to.
-			if e.KeepsSilent != isWaiting {
-				t.Fatalf("a silent attempt is not kept beside the next one")
-			}
-			mayHaveRun = mayHaveRun || (isKept && isWaiting)
-			isKept = isKept || isWaiting
-			if (mayHaveRun || isKept) && (path == "/post/" || path == "/once/") {
-				t.Fatalf("%s sent again after it may have run", path)
-			}
-			sends++
-		case dispatcher.Refuse:
-			if (mayHaveRun || isKept) && e.Status == 503 {
-				t.Fatalf("%s refused as not run after it may have run", path)
-			}
-			effect = nil
-			continue
-		case dispatcher.Deliver:
-			effect = nil
-			continue
+			x.sent(t, e, path)
 		case dispatcher.GoBack:
-			if !isKept && !isWaiting {
-				t.Fatalf("went back to no attempt")
-			}
-			isKept = false
+			x.wentBack(t)
 		case dispatcher.Probe:
 			effect = d.apply(at, dispatcher.Probed{Call: call})
 			continue
 		}
 		outcome := drawOutcome(t, effect)
-		isWaiting = outcome == dispatcher.Silent
-		if outcome != dispatcher.NotSent && outcome != dispatcher.NotRun && !isWaiting {
-			mayHaveRun = true
-		}
+		x.came(outcome)
 		effect = d.apply(at, dispatcher.Reported{Call: call, Outcome: outcome, Status: 503, ChainQuiet: time.Second})
 	}
-	if n := d.closingLines(); sends > 4 || n != 1 {
-		t.Fatalf("%d sends, %d closing lines", sends, n)
+	if (x.mayHaveRun || x.isKept) && status(effect) == 503 {
+		t.Fatalf("%s refused as not run after it may have run", path)
+	}
+	if n := d.closingLines(); x.sends > 4 || n != 1 {
+		t.Fatalf("%d sends, %d closing lines", x.sends, n)
+	}
+	return x.sends
+}
+
+// isOngoing reports whether an effect goes on with a request.
+func isOngoing(effect messenger.Effect) bool {
+	switch effect.(type) {
+	case dispatcher.Send, dispatcher.Wait, dispatcher.GoBack, dispatcher.Probe:
+		return true
 	}
-	return sends
+	return false
 }
 
 // drawOutcome draws how an attempt stands; what was sent once cannot turn out not sent.
