Rebuild copies of layers after losses

The room of all chains fell from 1542 to some 800 streams, and first events took 1.1 to 1.6 s from then on. Change: where no layer is missing, empty targets, and those that hold half of what they could at most, hold copies of the layers that fewest targets hold, three loads at a time.

--- a/entry/internal/placer/arranger.go
+++ b/entry/internal/placer/arranger.go
@@ -22,6 +22,11 @@
 	enoughRoom = 100.0
 	// roomStep is the factor between two sizes of room that are tried.
 	roomStep = 0.95
+	// copiesAtOnce bounds the loads that go on at once where no layer is missing: more would
+	// slow down the repair of the next loss.
+	copiesAtOnce = 3
+	// thinPart is the part of what a target could hold up to which it is given more.
+	thinPart = 0.5
 	// coverMargin is by how much the targets of a data centre should hold more than all layers.
 	coverMargin = 1.04
 )
@@ -41,9 +46,9 @@
 	Layers identifier.LayerRange
 }
 
-// Arrange returns the orders that bring each data centre to hold all layers by itself.
-// Pending holds the ranges of orders that are under way. Targets that a data centre does
-// not need stay empty, as spares for the next that leaves.
+// Arrange returns the orders that bring each data centre to hold all layers by itself, and
+// then, a few at a time, those that make copies of the layers that fewest targets hold.
+// Pending holds the ranges of orders that are under way.
 func Arrange(e *describer.Engine, targets []registrar.Target, pending map[identifier.TargetID]identifier.LayerRange) []Assignment {
 	all := make([]int, e.Layers)
 	byCentre := map[identifier.DataCentre]*centre{}
@@ -73,6 +78,13 @@
 	for _, name := range names {
 		out = append(out, byCentre[name].arrange()...)
 	}
+	for loads := len(pending) + len(out); loads < copiesAtOnce; loads++ {
+		best := bestCopy(names, byCentre)
+		if best == nil {
+			break
+		}
+		out = append(out, best.make())
+	}
 	return out
 }
 
@@ -128,24 +140,16 @@
 // way, the fewer are under way at once, and the less room they need. Targets beyond one
 // holder a layer hold copies, as spares that need no load.
 func (c *centre) pack() []Assignment {
-	slices.SortStableFunc(c.empty, func(a, b registrar.Target) int {
-		return cmp.Or(
-			cmp.Compare(c.engine.Kinds[a.Kind].StepFactor, c.engine.Kinds[b.Kind].StepFactor),
-			-cmp.Compare(c.megabytes(a), c.megabytes(b)), cmp.Compare(a.ID, b.ID),
-		)
-	})
+	c.sortBySpeed(c.empty)
 	requests := min(wantedRoom, c.roomFor(c.empty))
 	var out []Assignment
-	for _, t := range c.empty {
+	for _, t := range slices.Clone(c.empty) {
 		n := RangeLength(c.engine, t.Kind, requests)
 		if n == 0 {
 			continue
 		}
-		from := c.leastHeld()
-		from = min(from, c.engine.Layers-n)
-		r := identifier.LayerRange{From: from, To: from + n}
-		c.hold(holding{target: t, layers: r, isPending: true})
-		out = append(out, Assignment{Target: t, Layers: r})
+		from := min(c.leastHeld(), c.engine.Layers-n)
+		out = append(out, c.assign(c.release(t), identifier.LayerRange{From: from, To: from + n}))
 	}
 	return out
 }
