Soak peers, late orders, lost and extra answers, a store that deals its parts anew

Change: targets that obey late, lose answers or send an extra one; a store that does and does not answer, and that takes all parts from their holders at once; the soak draws them, its nodes share news, and it checks that no target is ordered to hold more than its memory. Refused streams may come back after 1.5 to 2.5 s, plain requests after 0.2 to 0.4 s, each at another instant.

--- a/entry/internal/chooser/chooser.go
+++ b/entry/internal/chooser/chooser.go
@@ -21,8 +21,8 @@
 	replanInterval = 100 * time.Millisecond
 	// foreignFactor is how much more a chain of another data centre must offer.
 	foreignFactor = 1.3
-	// fullRoom is the room from which on a chain counts as roomy.
-	fullRoom = 100.0
+	// fullRoom is the room, in requests, from which on a chain counts as roomy.
+	fullRoom = 200.0
 	// closingFactor is how much dearer a leaving target is.
 	closingFactor = 4.0
 	// crossingFactor is by how much each change of the data centre adds to a chain's load.
--- a/entry/internal/chooser/chooser_test.go
+++ b/entry/internal/chooser/chooser_test.go
@@ -24,6 +24,8 @@
 			Layers: layers, LayerMegabytes: 1000, TokenBytes: 400_000, UsualTokens: 900, StepTime: time.Millisecond,
 			Kinds: map[identifier.AcceleratorKind]describer.Accelerator{
 				"fast": {Megabytes: 60_000, StepFactor: 1}, "slow": {Megabytes: 60_000, StepFactor: 4},
+				// Beside the weights there is room for some 90 and 180 usual requests.
+				"tight": {Megabytes: 72_400, StepFactor: 1}, "roomy": {Megabytes: 104_800, StepFactor: 1},
 			},
 		}},
 	}
@@ -110,3 +112,20 @@
 	c.Assert(x.Target("ledger", []identifier.TargetID{"good"}, 1).ID, qt.Not(qt.Equals), identifier.TargetID("good"))
 	c.Assert(fmt.Sprint(x.Target("none", nil, 1)), qt.Equals, "<nil>")
 }
+
+// TestChainsFillEvenly plays the pattern of a fleet at its limit: of two chains that are
+// equally fast, the one with twice the room gets twice the requests, so that none is full
+// while another has room.
+func TestChainsFillEvenly(t *testing.T) {
+	c := qt.New(t)
+	x := newChooser(chained("tight", "a", "tight"), chained("roomy", "a", "roomy"))
+	taken := map[identifier.TargetID]int{}
+	const requests = 240
+	for seed := range uint64(requests) {
+		id := x.Chain(now, "draft", seed, nil).Parts[0].Target
+		taken[id]++
+		x.Occupy([]identifier.TargetID{id})
+	}
+	share := float64(taken["roomy"]) / requests
+	c.Assert(share > 0.6 && share < 0.73, qt.IsTrue, qt.Commentf("the roomy chain takes %.2f; by its room two thirds", share))
+}
--- a/entry/internal/dispatcher/attempts.go
+++ b/entry/internal/dispatcher/attempts.go
@@ -1,9 +1,11 @@
 package dispatcher
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"time"
 
+	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
@@ -68,7 +70,17 @@
 	if r.runs > 0 {
 		return d.refuse(now, call, http.StatusBadGateway, 0, "attempt broke, "+reason)
 	}
-	return d.refuse(now, call, http.StatusServiceUnavailable, unreadyPause, reason)
+	return d.refuse(now, call, http.StatusServiceUnavailable, r.pause(), reason)
+}
+
+// pause returns when the caller of a request that found no room may come back.
+func (r *request) pause() time.Duration {
+	usual := plainPause
+	if r.route.Kind == describer.Streaming {
+		usual = streamPause
+	}
+	spread := pauseSpread * rand.New(rand.NewPCG(r.seed, 0)).Float64()
+	return time.Duration((1 - pauseSpread/2 + spread) * float64(usual))
 }
 
 // goBack waits again for the silent attempt that was kept, as no other place took the request.
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -41,8 +41,14 @@
 	plainPatience = 0.5
 	// maxSends bounds the sends of one request, of which those that did not run cost no attempt.
 	maxSends = 4
-	// unreadyPause is when a caller may come back after a refusal for want of a configuration or a target.
+	// unreadyPause is when a caller may come back after a refusal for want of a configuration.
 	unreadyPause = time.Second
+	// plainPause and streamPause are when a caller may come back that found no target or chain
+	// with room: a plain request's place is free soon, a stream's once others have ended or a
+	// chain is repaired. Pauses differ by up to pauseSpread of them, so that callers come one by one.
+	plainPause  = 300 * time.Millisecond
+	streamPause = 2 * time.Second
+	pauseSpread = 0.5
 	// stoppingPause is when a caller may come back that met a node that stops: another takes it.
 	stoppingPause = 100 * time.Millisecond
 	defaultLimit  = 30 * time.Second
@@ -66,6 +72,8 @@
 	account  identifier.AccountID
 	arrived  time.Time
 	deadline time.Time
+	// seed is a random number.
+	seed uint64
 	// sends counts all sends, runs those after which the request may have run.
 	sends int
 	runs  int
@@ -203,7 +211,7 @@
 }
 
 func (d *Dispatcher) arrived(now time.Time, ev Arrived) []messenger.Effect {
-	r := &request{id: ev.ID, arrived: now, deadline: ev.Deadline}
+	r := &request{id: ev.ID, arrived: now, deadline: ev.Deadline, seed: ev.Seed}
 	d.requests[ev.Call] = r
 	if d.table == nil {
 		return d.refuse(now, ev.Call, http.StatusServiceUnavailable, unreadyPause, "no configuration yet")
--- a/entry/internal/dispatcher/dispatcher_test.go
+++ b/entry/internal/dispatcher/dispatcher_test.go
@@ -254,6 +254,27 @@
 	c.Assert(backs > 0, qt.IsTrue)
 }
 
+// TestRefusedCallersComeBackOneByOne plays the pattern of a fleet without room: streams come
+// back when others may have ended, plain requests sooner, and not all at the same instant.
+func TestRefusedCallersComeBackOneByOne(t *testing.T) {
+	for path, most := range map[string]time.Duration{"/draft/": 3 * time.Second, "/post/": 500 * time.Millisecond} {
+		t.Run(path, func(t *testing.T) {
+			c := qt.New(t)
+			d := readyDesk()
+			d.apply(0, registrar.TargetsChanged{})
+			pauses := map[time.Duration]bool{}
+			for range 40 {
+				_, e := d.arrive(0, path, "key")
+				c.Assert(status(e), qt.Equals, 503)
+				pause := e.(dispatcher.Refuse).RetryAfter
+				c.Assert(pause > 0 && pause <= most, qt.IsTrue, qt.Commentf("%v", pause))
+				pauses[pause.Round(most/60)] = true
+			}
+			c.Assert(len(pauses) > 8, qt.IsTrue, qt.Commentf("%d instants", len(pauses)))
+		})
+	}
+}
+
 // TestOneSlowStreamIsNoSilentChain goes on waiting for a stream while others at its chain get events.
 func TestOneSlowStreamIsNoSilentChain(t *testing.T) {
 	c := qt.New(t)
--- a/integration/launcher/relay.go
+++ b/integration/launcher/relay.go
@@ -28,7 +28,7 @@
 	address := FreeAddress(f.t)
 	args := append([]string{
 		"relay", "--node", id, "--data-centre", dc, "--listen", address, "--health-listen", r.Health,
-		"--metrics-listen", r.Metrics, "--store", store, "--store-parts", "1",
+		"--metrics-listen", r.Metrics, "--store", store, "--peer-listen", FreeAddress(f.t),
 	}, flags...)
 	r.Process = f.start(id, "entry", address, args...)
 	return r
--- a/integration/relay_soak_test.go
+++ b/integration/relay_soak_test.go
@@ -179,7 +179,7 @@
 func (s *relaySoak) fault(n int) {
 	i := s.rnd.IntN(len(s.nodes))
 	dc := string(rune('a' + s.rnd.IntN(3)))
-	kind := s.rnd.IntN(9)
+	kind := s.rnd.IntN(11)
 	s.t.Logf("%s fault %d at node %d, data centre %s", time.Now().Format("05.000"), kind, i, dc)
 	switch kind {
 	case 0:
@@ -202,13 +202,17 @@
 	case 5:
 		s.f.SetFault(s.proxies[i], map[string]any{})
 	case 6:
-		s.store.SetFault(storefaker.Fault(1 + s.rnd.IntN(2)))
+		s.store.SetFault(storefaker.Fault(1 + s.rnd.IntN(3)))
 		time.AfterFunc(time.Duration(s.rnd.IntN(6000))*time.Millisecond, func() { s.store.SetFault(storefaker.None) })
 	case 7:
 		s.store.Forget()
 		s.store.SetFault(storefaker.None)
 	case 8:
 		s.replace(n, dc)
+	case 9:
+		s.store.Rebalance()
+	case 10:
+		s.trouble(dc)
 	}
 }
 
@@ -238,6 +242,15 @@
 	s.Assert(s.store.PutTarget(id, nil), qt.IsNil)
 }
 
+// trouble makes a target of a data centre misbehave, or do well again.
+func (s *relaySoak) trouble(dc string) {
+	service := []string{"drafting", "ledger"}[s.rnd.IntN(2)]
+	id := s.fleet.Any(dc, service, s.rnd.IntN(3))
+	if id != "" {
+		s.fleet.SetTrouble(id, targetfaker.Trouble(s.rnd.IntN(int(targetfaker.Troubles))))
+	}
+}
+
 // heal ends all faults and waits until each node serves again.
 func (s *relaySoak) heal() {
 	s.store.SetFault(storefaker.None)
@@ -293,7 +306,8 @@
 	}
 }
 
-// checkOrders checks that no target took an order of a lower fencing number after a higher one.
+// checkOrders checks that no target took an order of a lower fencing number after a higher
+// one, or one for more layers than it has memory for.
 func (s *relaySoak) checkOrders() {
 	highest := map[string]int64{}
 	for _, o := range s.fleet.Orders() {
@@ -301,5 +315,8 @@
 			s.t.Errorf("%s took an order under %d after %d", o.Target, o.Fence, highest[o.Target])
 		}
 		highest[o.Target] = o.Fence
+		if o.To-o.From > storefaker.MostLayers {
+			s.t.Errorf("%s was ordered to hold %d to %d, more than its memory", o.Target, o.From, o.To)
+		}
 	}
 }
