Hand the configuration on to peers that the store turns away

Change: where the store does not tell, the peer does: its text as it was read, by a call of its own.

--- a/common/describer/describer.go
+++ b/common/describer/describer.go
@@ -31,6 +31,8 @@
 	Services map[identifier.ServiceID]Service
 	Accounts []Account
 	Limits   Limits
+	// Source is the text that it was decoded from, which nodes hand on to peers.
+	Source []byte
 }
 
 // Route leads requests of one host and path prefix to services.
--- a/entry/internal/commander/relay.go
+++ b/entry/internal/commander/relay.go
@@ -120,7 +120,9 @@
 	}, http)
 	node := identifier.NodeID(values.Text("node"))
 	news := sharer.NewSharer()
-	peers := peercaller.NewCaller(map[string]peercaller.Handler{sharer.Method: news.Serve}, nil)
+	peers := peercaller.NewCaller(map[string]peercaller.Handler{
+		sharer.WatchMethod: news.ServeWatch, sharer.ConfigurationMethod: news.ServeConfiguration,
+	}, nil)
 	f := follower.NewFollower(storecaller.NewCaller(http, values.Text("store")), peers, news, follower.Config{
 		Self:       storecaller.Member{Node: node, DataCentre: identifier.DataCentre(values.Text("data-centre")), Address: values.Text("peer-listen")},
 		StoreParts: values.Number("store-parts"),
--- a/entry/internal/follower/follower.go
+++ b/entry/internal/follower/follower.go
@@ -161,7 +161,11 @@
 		}
 		isStarted, next, wait = true, offset, configurationWait
 		f.takeConfiguration(cfg, offset)
-		f.sharer.NoteConfiguration(offset, asOf)
+		var source []byte
+		if cfg != nil {
+			source = cfg.Source
+		}
+		f.sharer.NoteConfiguration(offset, asOf, source)
 		f.submit(dispatcher.Confirmed{AsOf: asOf})
 	}
 }
--- a/entry/internal/follower/peers.go
+++ b/entry/internal/follower/peers.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"fuchsiabridge.example/common/bootclock"
+	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/entry/internal/dispatcher"
@@ -22,6 +23,8 @@
 	peerWait = time.Second
 	// peerTime bounds a call beside that.
 	peerTime = 500 * time.Millisecond
+	// configurationTime bounds a call for a configuration, which may be large.
+	configurationTime = 2 * time.Second
 	// fedTime is how long news suffice.
 	fedTime = peerWait + 2*peerTime
 	// mostConfirmedAge is the age of a peer's newest confirmation from which on it counts as cut off from the store.
@@ -141,7 +144,7 @@
 		}
 		outages, q.Sharer, q.Revision = news.Outages, news.Sharer, news.Revision
 		f.submit(registrar.Read{Changes: news.Changes, IsComplete: news.IsComplete})
-		if err := f.catchUp(ctx, news, &q); err != nil {
+		if err := f.catchUp(ctx, address, news, &q); err != nil {
 			return err
 		}
 		f.submit(dispatcher.Confirmed{AsOf: confirmed})
@@ -155,19 +158,17 @@
 	ctx, cancel := context.WithTimeout(ctx, peerWait+peerTime)
 	defer cancel()
 	var news sharer.News
-	err := f.peers.Call(ctx, address, sharer.Method, q, &news)
+	err := f.peers.Call(ctx, address, sharer.WatchMethod, q, &news)
 	return news, err
 }
 
-// catchUp reads the newest configuration where a peer knows of one that this node does not.
-func (f *Follower) catchUp(ctx context.Context, news sharer.News, q *sharer.Query) error {
+// catchUp takes in the newest configuration where a peer knows of one that this node does not.
+func (f *Follower) catchUp(ctx context.Context, address string, news sharer.News, q *sharer.Query) error {
 	f.mu.Lock()
 	known := f.next
 	f.mu.Unlock()
 	if news.Configuration > known {
-		ctx, cancel := context.WithTimeout(ctx, callTime)
-		defer cancel()
-		cfg, next, err := f.store.NewestConfiguration(ctx)
+		cfg, next, err := f.newest(ctx, address)
 		if err != nil {
 			return err
 		}
@@ -177,3 +178,22 @@
 	q.Configuration = known
 	return nil
 }
+
+// newest asks the store for the newest configuration, and the peer where the store does not say.
+func (f *Follower) newest(ctx context.Context, address string) (*describer.Configuration, identifier.Offset, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTime+configurationTime)
+	defer cancel()
+	atStore, stop := context.WithTimeout(ctx, callTime)
+	defer stop()
+	cfg, next, err := f.store.NewestConfiguration(atStore)
+	if err == nil {
+		return cfg, next, nil
+	}
+	eventlogger.Error(err, eventlogger.CallFailed, "doing", "reading the configuration that a peer knows of", "instead_from", address)
+	var told sharer.Configuration
+	if err := f.peers.Call(ctx, address, sharer.ConfigurationMethod, struct{}{}, &told); err != nil {
+		return nil, 0, err
+	}
+	cfg, err = storecaller.ReadSource(told.Source)
+	return cfg, told.Next, err
+}
--- a/entry/internal/follower/peers_test.go
+++ b/entry/internal/follower/peers_test.go
@@ -39,6 +39,13 @@
 	return l.Store.ReadConfiguration(ctx, from, wait)
 }
 
+func (l *link) NewestConfiguration(ctx context.Context) (*describer.Configuration, identifier.Offset, error) {
+	if l.isCut.Load() {
+		return nil, 0, errCut
+	}
+	return l.Store.NewestConfiguration(ctx)
+}
+
 func (l *link) ReadTargets(ctx context.Context, from identifier.Offset, wait time.Duration) ([]describer.TargetChange, identifier.Offset, error) {
 	l.reads.Add(1)
 	if l.isCut.Load() {
@@ -76,7 +83,9 @@
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	share := sharer.NewSharer()
-	peers := peercaller.NewCaller(map[string]peercaller.Handler{sharer.Method: share.Serve}, nil)
+	peers := peercaller.NewCaller(map[string]peercaller.Handler{
+		sharer.WatchMethod: share.ServeWatch, sharer.ConfigurationMethod: share.ServeConfiguration,
+	}, nil)
 	go peers.Serve(ctx, l)
 	n := &node{events: &events{}, stop: cancel, link: &link{Store: storecaller.NewCaller(httpcaller.NewCaller(), store.Address())}}
 	f := follower.NewFollower(n.link, peers, share, follower.Config{
@@ -174,3 +183,14 @@
 		})
 	}
 }
+
+// TestPeerTellsTheConfiguration plays the pattern of a store that turns some nodes away while
+// keys are taken: a node that is turned away gets the new configuration from its peer, and goes on.
+func TestPeerTellsTheConfiguration(t *testing.T) {
+	c, store, _, second := startTwo(t)
+	second.link.isCut.Store(true)
+	n := second.count()
+	c.Assert(store.PutConfiguration(storefaker.Sample(2, "other")), qt.IsNil)
+	n = await[dispatcher.TableRead](c, second.events, n)
+	await[dispatcher.Confirmed](c, second.events, n)
+}
--- a/entry/internal/sharer/sharer.go
+++ b/entry/internal/sharer/sharer.go
@@ -17,8 +17,11 @@
 	"fuchsiabridge.example/common/identifier"
 )
 
-// Method is the name under which peers ask for news.
-const Method = "watch"
+// Names of the calls with which peers ask for news, and for the configuration that is in force.
+const (
+	WatchMethod         = "watch"
+	ConfigurationMethod = "configuration"
+)
 
 const (
 	// mostWait bounds how long a question waits for news.
@@ -81,6 +84,7 @@
 	gone          int
 	outages       int
 	configuration identifier.Offset
+	source        []byte
 	confirmedAt   time.Time
 	// changed is closed with each change, and replaced.
 	changed chan struct{}
@@ -164,10 +168,14 @@
 	s.gone, s.floor = 0, s.revision
 }
 
-// NoteConfiguration takes in up to which offset configurations are known, as of an instant.
-func (s *Sharer) NoteConfiguration(next identifier.Offset, asOf time.Time) {
+// NoteConfiguration takes in up to which offset configurations are known, as of an instant,
+// and the text of the newest, nil where it has not changed.
+func (s *Sharer) NoteConfiguration(next identifier.Offset, asOf time.Time, source []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if source != nil {
+		s.source = source
+	}
 	if asOf.After(s.confirmedAt) {
 		s.confirmedAt = asOf
 	}
@@ -189,8 +197,14 @@
 	s.changed = make(chan struct{})
 }
 
-// Serve answers a peer's encoded query.
-func (s *Sharer) Serve(ctx context.Context, params json.RawMessage) (any, error) {
+// Configuration is the text of a configuration and the offset up to which there is none newer.
+type Configuration struct {
+	Next   identifier.Offset `json:"next"`
+	Source []byte            `json:"source"`
+}
+
+// ServeWatch answers a peer's encoded query.
+func (s *Sharer) ServeWatch(ctx context.Context, params json.RawMessage) (any, error) {
 	var q Query
 	if err := json.Unmarshal(params, &q); err != nil {
 		return nil, errors.Wrap(err, "decoding a query")
@@ -198,6 +212,16 @@
 	return s.Watch(ctx, q)
 }
 
+// ServeConfiguration answers a peer that the store does not tell the configuration.
+func (s *Sharer) ServeConfiguration(context.Context, json.RawMessage) (any, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.isReading || s.source == nil {
+		return nil, ErrNotReading
+	}
+	return Configuration{Next: s.configuration, Source: s.source}, nil
+}
+
 // Watch returns what the peer does not know, at once if there is any, else when there is or the wait is over.
 func (s *Sharer) Watch(ctx context.Context, q Query) (News, error) {
 	arrived := bootclock.Now()
--- a/entry/internal/sharer/sharer_test.go
+++ b/entry/internal/sharer/sharer_test.go
@@ -35,7 +35,7 @@
 	s := sharer.NewSharer()
 	s.SetReading(true)
 	s.NoteTargets(nil, true)
-	s.NoteConfiguration(1, bootclock.Now())
+	s.NoteConfiguration(1, bootclock.Now(), nil)
 	return s
 }
 
@@ -45,7 +45,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	answer, err := s.Serve(context.Background(), raw)
+	answer, err := s.ServeWatch(context.Background(), raw)
 	if err != nil {
 		return sharer.News{}, err
 	}
@@ -123,7 +123,7 @@
 	q.WaitMS = limit.Milliseconds()
 	for _, tell := range []func(){
 		func() { s.NoteTargets([]describer.TargetChange{change(1, false)}, false) },
-		func() { s.NoteConfiguration(2, bootclock.Now()) },
+		func() { s.NoteConfiguration(2, bootclock.Now(), nil) },
 	} {
 		start := time.Now()
 		time.AfterFunc(wait, tell)
@@ -141,7 +141,7 @@
 	s.SetReading(true)
 	s.NoteTargets(nil, true)
 	confirmed := bootclock.Now().Add(-time.Second)
-	s.NoteConfiguration(3, confirmed)
+	s.NoteConfiguration(3, confirmed, nil)
 	asked := bootclock.Now()
 	n, err := ask(t, s, sharer.Query{})
 	c.Assert(err, qt.IsNil)
