--- a/entry/internal/commander/relay.go
+++ b/entry/internal/commander/relay.go
@@ -94,82 +94,120 @@
 	}
 }
 
-func relay(values optionparser.Values) error {
-	defer logToStandardOutput()()
-	signals, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	flush, err := tracer.SetUp(ctx, values.Text("trace-endpoint"), values.Text("node"))
-	if err != nil {
-		return err
-	}
-	defer flushTraces(flush)
+// relayNode is one relaying node with all that it is made of.
+type relayNode struct {
+	values   optionparser.Values
+	id       identifier.NodeID
+	relayer  *relayer.Relayer
+	receiver *receiver.Receiver
+	follower *follower.Follower
+	peers    *peercaller.Caller
+}
+
+// newRelayNode returns a node whose calls end with ctx.
+func newRelayNode(ctx context.Context, values optionparser.Values) *relayNode {
 	http := httpcaller.NewCaller()
 	requests := meter.NewMeter()
 	requests.Publish("requests")
-	x := relayer.NewRelayer(ctx, relayer.Config{
+	n := &relayNode{values: values, id: identifier.NodeID(values.Text("node"))}
+	dc := identifier.DataCentre(values.Text("data-centre"))
+	n.relayer = relayer.NewRelayer(ctx, relayer.Config{
 		Meter: requests,
 		Dispatch: dispatcher.Config{
-			DataCentre:      identifier.DataCentre(values.Text("data-centre")),
+			DataCentre:      dc,
 			RevocationLimit: values.Duration("revocation-limit"),
 			RetryRatio:      values.Share("retry-ratio"),
 			RetryWindow:     values.Duration("retry-window"),
 		},
 		Heartbeat: values.Duration("heartbeat"),
 	}, http)
-	node := identifier.NodeID(values.Text("node"))
+	n.receiver = receiver.NewReceiver(n.relayer)
 	news := sharer.NewSharer()
-	peers := peercaller.NewCaller(map[string]peercaller.Handler{
+	n.peers = peercaller.NewCaller(map[string]peercaller.Handler{
 		sharer.WatchMethod: news.ServeWatch, sharer.ConfigurationMethod: news.ServeConfiguration,
 	}, nil)
-	f := follower.NewFollower(storecaller.NewCaller(http, values.Text("store")), peers, news, follower.Config{
-		Self:       storecaller.Member{Node: node, DataCentre: identifier.DataCentre(values.Text("data-centre")), Address: values.Text("peer-listen")},
+	n.follower = follower.NewFollower(storecaller.NewCaller(http, values.Text("store")), n.peers, news, follower.Config{
+		Self:       storecaller.Member{Node: n.id, DataCentre: dc, Address: values.Text("peer-listen")},
 		StoreParts: values.Number("store-parts"),
 		RetrySlack: int(sharedSlack * float64(values.Number("retry-slack"))),
-	}, x.Submit)
-	r := receiver.NewReceiver(x)
-	callers, err := listen(ctx, values.Text("listen"), nil)
+	}, n.relayer.Submit)
+	return n
+}
+
+// listen opens all listeners, serves all but callers until ctx ends, and returns the callers' one.
+func (n *relayNode) listen(ctx context.Context) (net.Listener, error) {
+	callers, err := listen(ctx, n.values.Text("listen"), nil)
 	if err != nil {
-		return errors.Wrap(err, "listening for callers")
-	}
-	if err := serveHealth(ctx, values, x); err != nil {
-		return err
+		return nil, errors.Wrap(err, "listening for callers")
 	}
-	if err := servePeers(ctx, values.Text("peer-listen"), peers); err != nil {
-		return err
+	if err := serveHealth(ctx, n.values, n.relayer); err != nil {
+		return nil, err
 	}
-	following, stopFollowing := context.WithCancel(ctx)
-	defer stopFollowing()
-	leased := make(chan struct{})
-	go f.FollowConfiguration(ctx)
-	go f.FollowTargets(ctx)
-	if values.Text("peer-listen") != "" {
-		go f.FollowPeers(ctx)
+	return callers, servePeers(ctx, n.values.Text("peer-listen"), n.peers)
+}
+
+// start starts the node's work until ctx ends; the function that it returns leaves the
+// group of the nodes and waits until that is done.
+func (n *relayNode) start(ctx context.Context, callers net.Listener) (leave func()) {
+	go n.follower.FollowConfiguration(ctx)
+	go n.follower.FollowTargets(ctx)
+	if n.values.Text("peer-listen") != "" {
+		go n.follower.FollowPeers(ctx)
 	}
+	joined, stop := context.WithCancel(ctx)
+	left := make(chan struct{})
 	go func() {
-		defer close(leased)
-		f.KeepLease(following)
+		defer close(left)
+		n.follower.KeepLease(joined)
 	}()
-	go x.Run(ctx)
-	go r.Serve(ctx, callers)
+	go n.relayer.Run(ctx)
+	go n.receiver.Serve(ctx, callers)
 	go logReloads(ctx)
-	eventlogger.Info(eventlogger.NodeStarted, "node", node, "listen", values.Text("listen"), "store", values.Text("store"))
+	return func() {
+		stop()
+		<-left
+	}
+}
 
-	<-signals.Done()
-	limit := time.Now().Add(values.Duration("stop-limit") - stopMargin)
-	eventlogger.Info(eventlogger.NodeStopping, "open_requests", r.Open())
-	x.Leave(values.Duration("balancer-lag"))
-	r.Leave()
-	stopFollowing()
-	time.Sleep(values.Duration("balancer-lag"))
-	r.CloseIdle()
-	await(limit, func() bool { return r.Open() == 0 })
+// stop finishes what is open, as long as the stop limit allows.
+func (n *relayNode) stop(callers net.Listener, leave func()) {
+	limit := time.Now().Add(n.values.Duration("stop-limit") - stopMargin)
+	lag := n.values.Duration("balancer-lag")
+	eventlogger.Info(eventlogger.NodeStopping, "open_requests", n.receiver.Open())
+	n.relayer.Leave(lag)
+	n.receiver.Leave()
+	unnoticed := time.NewTimer(lag)
+	defer unnoticed.Stop()
+	leave()
+	<-unnoticed.C
+	n.receiver.CloseIdle()
+	await(limit, func() bool { return n.receiver.Open() == 0 })
 	if err := callers.Close(); err != nil {
 		eventlogger.Error(err, eventlogger.CallerBroken, "doing", "closing the listener")
 	}
-	<-leased
-	eventlogger.Info(eventlogger.NodeStopped, "open_requests", r.Open())
+	eventlogger.Info(eventlogger.NodeStopped, "open_requests", n.receiver.Open())
+}
+
+func relay(values optionparser.Values) error {
+	defer logToStandardOutput()()
+	signals, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	flush, err := tracer.SetUp(ctx, values.Text("trace-endpoint"), values.Text("node"))
+	if err != nil {
+		return err
+	}
+	defer flushTraces(flush)
+	n := newRelayNode(ctx, values)
+	callers, err := n.listen(ctx)
+	if err != nil {
+		return err
+	}
+	leave := n.start(ctx, callers)
+	eventlogger.Info(eventlogger.NodeStarted, "node", n.id, "listen", values.Text("listen"), "store", values.Text("store"))
+	<-signals.Done()
+	n.stop(callers, leave)
 	return nil
 }
 
