Leave an outage of the store to the nodes that read it; hand configurations on

Change: a configuration comes from the peer, compressed, from the store only where the peer does not say. Peers with old news are asked again every 0.25 to 0.4 s; while the store is away for them and for this node too, the node does not press it. Callers refused for an unconfirmed configuration come back after the same pauses as others.

--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -229,7 +229,7 @@
 			return d.deny(now, ev.Call, http.StatusUnauthorized, "unknown key")
 		}
 		if !d.isFresh(now) {
-			return d.refuse(now, ev.Call, http.StatusServiceUnavailable, unreadyPause, "configuration not confirmed")
+			return d.refuse(now, ev.Call, http.StatusServiceUnavailable, r.pause(), "configuration not confirmed")
 		}
 		r.account = account.ID
 	}
--- a/entry/internal/follower/peers.go
+++ b/entry/internal/follower/peers.go
@@ -24,14 +24,17 @@
 	// peerTime bounds a call beside that.
 	peerTime = 500 * time.Millisecond
 	// configurationTime bounds a call for a configuration, which may be large.
-	configurationTime = 2 * time.Second
+	configurationTime = time.Second
 	// fedTime is how long news suffice.
 	fedTime = peerWait + 2*peerTime
 	// mostConfirmedAge is the age of a peer's newest confirmation from which on it counts as cut off from the store.
 	mostConfirmedAge = 2500 * time.Millisecond
-	// shunTime is how long a peer that gave no news is not asked.
-	shunTime = time.Second
-	// leastSeekPause and mostSeekPause bound the time between two looks for peers that read the store.
+	// shunTime is how long a peer that gave no news is not asked, staleTime one whose news are old.
+	shunTime  = time.Second
+	staleTime = 400 * time.Millisecond
+	// idlePause is the time between two looks at the peers that are known.
+	idlePause = 250 * time.Millisecond
+	// leastSeekPause and mostSeekPause bound the time between two questions to the store for peers that read it.
 	leastSeekPause = time.Second
 	mostSeekPause  = 4 * time.Second
 )
@@ -50,7 +53,13 @@
 type readers struct {
 	known   []storecaller.Member
 	shunned map[string]time.Time
-	pause   time.Duration
+	// answeredAt is when one of them last answered, be it with old news.
+	answeredAt time.Time
+	// seekAt is when the store may be asked for them again, after a pause that doubles until one has given news.
+	seekAt time.Time
+	pause  time.Duration
+	// isStoreAway says that the store did not answer when it was asked last.
+	isStoreAway bool
 }
 
 // FollowPeers takes what peers have read from the store, while this node does not read it for them, until ctx ends.
@@ -60,14 +69,27 @@
 		f.duty.awaitPeers(ctx)
 		peer, ok := r.pick(f.cfg.Self.DataCentre)
 		if !ok {
-			f.seek(ctx, &r)
+			f.idle(ctx, &r)
 			continue
 		}
-		eventlogger.Info(eventlogger.PeerFollowed, "peer", peer.Node, "address", peer.Address)
-		err := f.followPeer(ctx, peer.Address, &r)
-		eventlogger.Error(err, eventlogger.PeerNotFollowed, "peer", peer.Node, "address", peer.Address)
-		r.shunned[peer.Address] = bootclock.Now().Add(shunTime)
+		hold := shunTime
+		if err := f.followPeer(ctx, peer, &r); errors.Is(err, errCutOff) {
+			hold = staleTime
+		}
+		r.shunned[peer.Address] = bootclock.Now().Add(hold)
+	}
+}
+
+// idle looks for peers that read the store where those that are known give no news.
+func (f *Follower) idle(ctx context.Context, r *readers) {
+	if !bootclock.Now().Before(r.seekAt) {
+		f.seek(ctx, r)
+	}
+	if now := bootclock.Now(); r.isStoreAway && now.Sub(r.answeredAt) < fedTime {
+		// The store is away for the peers that read it and for this node: they will tell when it is back.
+		f.duty.feed(now.Add(fedTime))
 	}
+	pause(ctx, idlePause)
 }
 
 // pick returns a peer that reads the store, by chance, one of this data centre if there is any.
@@ -91,18 +113,14 @@
 	return all[rand.IntN(len(all))], true
 }
 
-// rest pauses, each time longer until a peer has given news.
-func (r *readers) rest(ctx context.Context) {
-	r.pause = min(mostSeekPause, max(leastSeekPause, 2*r.pause))
-	pause(ctx, r.pause)
-}
-
 // seek asks the store which peers read it.
 func (f *Follower) seek(ctx context.Context, r *readers) {
 	owners, err := f.owners(ctx)
+	r.pause = min(mostSeekPause, max(leastSeekPause, 2*r.pause))
+	r.seekAt = bootclock.Now().Add(r.pause)
+	r.isStoreAway = err != nil
 	if err != nil {
 		eventlogger.Error(err, eventlogger.CallFailed, "doing", "seeking peers that read the store")
-		r.rest(ctx)
 		return
 	}
 	r.known = nil
@@ -111,9 +129,6 @@
 			r.known = append(r.known, m)
 		}
 	}
-	if _, ok := r.pick(f.cfg.Self.DataCentre); !ok {
-		r.rest(ctx)
-	}
 }
 
 func (f *Follower) owners(ctx context.Context) (map[int]storecaller.Member, error) {
@@ -123,43 +138,55 @@
 }
 
 // followPeer takes a peer's news until it gives none, or this node reads the store itself.
-func (f *Follower) followPeer(ctx context.Context, address string, r *readers) error {
+func (f *Follower) followPeer(ctx context.Context, peer storecaller.Member, r *readers) error {
 	q := sharer.Query{WaitMS: peerWait.Milliseconds()}
 	outages := -1
 	for ctx.Err() == nil {
-		if isReader, _, _ := f.duty.reads(); isReader {
-			return errReads
-		}
-		asked := bootclock.Now()
-		news, err := f.ask(ctx, address, q)
+		news, confirmed, err := f.ask(ctx, peer.Address, q, r)
 		if err != nil {
+			if outages >= 0 {
+				eventlogger.Error(err, eventlogger.PeerNotFollowed, "peer", peer.Node, "address", peer.Address)
+			}
 			return err
 		}
-		confirmed := asked.Add(time.Duration(news.ConfirmedMS) * time.Millisecond)
-		if bootclock.Now().Sub(confirmed) > mostConfirmedAge {
-			return errCutOff
-		}
-		if outages >= 0 && news.Outages > outages {
+		switch {
+		case outages < 0:
+			eventlogger.Info(eventlogger.PeerFollowed, "peer", peer.Node, "address", peer.Address,
+				"targets", len(news.Changes), "confirmed_ms_ago", bootclock.Now().Sub(confirmed).Milliseconds())
+		case news.Outages > outages:
 			f.submit(registrar.StoreRegained{})
 		}
 		outages, q.Sharer, q.Revision = news.Outages, news.Sharer, news.Revision
 		f.submit(registrar.Read{Changes: news.Changes, IsComplete: news.IsComplete})
-		if err := f.catchUp(ctx, address, news, &q); err != nil {
+		if err := f.catchUp(ctx, peer.Address, news, &q); err != nil {
+			eventlogger.Error(err, eventlogger.PeerNotFollowed, "peer", peer.Node, "address", peer.Address)
 			return err
 		}
 		f.submit(dispatcher.Confirmed{AsOf: confirmed})
 		f.duty.feed(bootclock.Now().Add(fedTime))
-		r.pause = 0
+		r.pause, r.isStoreAway = 0, false
 	}
 	return errors.Wrap(ctx.Err(), "following a peer")
 }
 
-func (f *Follower) ask(ctx context.Context, address string, q sharer.Query) (sharer.News, error) {
+// ask asks a peer for news, and returns when the store confirmed the configuration to it.
+func (f *Follower) ask(ctx context.Context, address string, q sharer.Query, r *readers) (sharer.News, time.Time, error) {
+	if isReader, _, _ := f.duty.reads(); isReader {
+		return sharer.News{}, time.Time{}, errReads
+	}
 	ctx, cancel := context.WithTimeout(ctx, peerWait+peerTime)
 	defer cancel()
+	asked := bootclock.Now()
 	var news sharer.News
-	err := f.peers.Call(ctx, address, sharer.WatchMethod, q, &news)
-	return news, err
+	if err := f.peers.Call(ctx, address, sharer.WatchMethod, q, &news); err != nil {
+		return sharer.News{}, time.Time{}, err
+	}
+	r.answeredAt = bootclock.Now()
+	confirmed := asked.Add(time.Duration(news.ConfirmedMS) * time.Millisecond)
+	if r.answeredAt.Sub(confirmed) > mostConfirmedAge {
+		return sharer.News{}, time.Time{}, errCutOff
+	}
+	return news, confirmed, nil
 }
 
 // catchUp takes in the newest configuration where a peer knows of one that this node does not.
@@ -179,21 +206,29 @@
 	return nil
 }
 
-// newest asks the store for the newest configuration, and the peer where the store does not say.
+// newest asks the peer for the newest configuration, and the store where the peer does not say.
 func (f *Follower) newest(ctx context.Context, address string) (*describer.Configuration, identifier.Offset, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTime+configurationTime)
-	defer cancel()
-	atStore, stop := context.WithTimeout(ctx, callTime)
-	defer stop()
-	cfg, next, err := f.store.NewestConfiguration(atStore)
+	cfg, next, err := f.newestOfPeer(ctx, address)
 	if err == nil {
 		return cfg, next, nil
 	}
-	eventlogger.Error(err, eventlogger.CallFailed, "doing", "reading the configuration that a peer knows of", "instead_from", address)
+	eventlogger.Error(err, eventlogger.CallFailed, "doing", "asking a peer for the configuration", "address", address)
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	return f.store.NewestConfiguration(ctx)
+}
+
+func (f *Follower) newestOfPeer(ctx context.Context, address string) (*describer.Configuration, identifier.Offset, error) {
+	ctx, cancel := context.WithTimeout(ctx, configurationTime)
+	defer cancel()
 	var told sharer.Configuration
 	if err := f.peers.Call(ctx, address, sharer.ConfigurationMethod, struct{}{}, &told); err != nil {
 		return nil, 0, err
 	}
-	cfg, err = storecaller.ReadSource(told.Source)
+	source, err := told.Source()
+	if err != nil {
+		return nil, 0, err
+	}
+	cfg, err := storecaller.ReadSource(source)
 	return cfg, told.Next, err
 }
--- a/entry/internal/follower/peers_test.go
+++ b/entry/internal/follower/peers_test.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
 
+	"fuchsiabridge.example/common/bootclock"
 	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/httpcaller"
 	"fuchsiabridge.example/common/identifier"
@@ -40,12 +41,18 @@
 }
 
 func (l *link) NewestConfiguration(ctx context.Context) (*describer.Configuration, identifier.Offset, error) {
+	l.reads.Add(1)
 	if l.isCut.Load() {
 		return nil, 0, errCut
 	}
 	return l.Store.NewestConfiguration(ctx)
 }
 
+func (l *link) Owners(ctx context.Context) (map[int]storecaller.Member, error) {
+	l.reads.Add(1)
+	return l.Store.Owners(ctx)
+}
+
 func (l *link) ReadTargets(ctx context.Context, from identifier.Offset, wait time.Duration) ([]describer.TargetChange, identifier.Offset, error) {
 	l.reads.Add(1)
 	if l.isCut.Load() {
@@ -194,3 +201,36 @@
 	n = await[dispatcher.TableRead](c, second.events, n)
 	await[dispatcher.Confirmed](c, second.events, n)
 }
+
+// TestOutageIsLeftToReaders plays the pattern of a store that is away: a node that a peer feeds
+// leaves it to that peer to press the store, and is back within a second and a half of its return.
+func TestOutageIsLeftToReaders(t *testing.T) {
+	const outage = 5 * time.Second
+	c, store, _, second := startTwo(t)
+	before := second.link.reads.Load()
+	store.SetFault(storefaker.Busy)
+	time.Sleep(outage)
+	pressed := second.link.reads.Load() - before
+	c.Assert(pressed <= 4, qt.IsTrue, qt.Commentf("%d calls in %v", pressed, outage))
+	n := second.count()
+	back := bootclock.Now()
+	store.SetFault(storefaker.None)
+	for isFresh := false; !isFresh; {
+		n = await[dispatcher.Confirmed](c, second.events, n)
+		isFresh = second.confirmed().After(back)
+	}
+	c.Assert(bootclock.Now().Sub(back) < 1500*time.Millisecond, qt.IsTrue)
+}
+
+// confirmed returns the newest confirmation that was submitted.
+func (e *events) confirmed() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var at time.Time
+	for _, ev := range e.seen {
+		if confirmed, ok := ev.(dispatcher.Confirmed); ok && confirmed.AsOf.After(at) {
+			at = confirmed.AsOf
+		}
+	}
+	return at
+}
--- a/entry/internal/sharer/sharer.go
+++ b/entry/internal/sharer/sharer.go
@@ -84,8 +84,9 @@
 	gone          int
 	outages       int
 	configuration identifier.Offset
-	source        []byte
-	confirmedAt   time.Time
+	// packed is the compressed text of the newest configuration.
+	packed      []byte
+	confirmedAt time.Time
 	// changed is closed with each change, and replaced.
 	changed chan struct{}
 }
@@ -174,7 +175,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if source != nil {
-		s.source = source
+		s.packed = pack(source)
 	}
 	if asOf.After(s.confirmedAt) {
 		s.confirmedAt = asOf
@@ -197,12 +198,6 @@
 	s.changed = make(chan struct{})
 }
 
-// Configuration is the text of a configuration and the offset up to which there is none newer.
-type Configuration struct {
-	Next   identifier.Offset `json:"next"`
-	Source []byte            `json:"source"`
-}
-
 // ServeWatch answers a peer's encoded query.
 func (s *Sharer) ServeWatch(ctx context.Context, params json.RawMessage) (any, error) {
 	var q Query
@@ -212,16 +207,6 @@
 	return s.Watch(ctx, q)
 }
 
-// ServeConfiguration answers a peer that the store does not tell the configuration.
-func (s *Sharer) ServeConfiguration(context.Context, json.RawMessage) (any, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.isReading || s.source == nil {
-		return nil, ErrNotReading
-	}
-	return Configuration{Next: s.configuration, Source: s.source}, nil
-}
-
 // Watch returns what the peer does not know, at once if there is any, else when there is or the wait is over.
 func (s *Sharer) Watch(ctx context.Context, q Query) (News, error) {
 	arrived := bootclock.Now()
