Show on one screen what relaying nodes believe

fbctl relays asks metrics addresses for readiness, version and its age, targets, lease, repeats and chains; no key is needed there. TestRelaysTellsWhatNodesBelieve plays it with a node that gives no answer.

--- a/entry/internal/chooser/chains.go
+++ b/entry/internal/chooser/chains.go
@@ -1,6 +1,7 @@
 package chooser
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -146,3 +147,22 @@
 	first := c.record(chain.Parts[0].Target).expectFirst(now)
 	return cost * (1 + crossingFactor*float64(chain.Crossings)) * max(1, float64(first)/float64(usualFirst))
 }
+
+// Chains describes the chains that are planned.
+func (c *Chooser) Chains() []describer.ChainStatus {
+	out := []describer.ChainStatus{}
+	for _, id := range slices.Sorted(maps.Keys(c.services)) {
+		for _, chain := range c.services[id].chains {
+			status := describer.ChainStatus{
+				Service: id, DataCentre: chain.DataCentre, Crossings: chain.Crossings, StepMS: chain.StepCost, Room: chain.Room,
+			}
+			for _, p := range chain.Parts {
+				status.Targets = append(status.Targets, p.Target)
+				status.Layers = append(status.Layers, p.Layers)
+				status.Open = max(status.Open, c.record(p.Target).open)
+			}
+			out = append(out, status)
+		}
+	}
+	return out
+}
--- a/entry/internal/chooser/chooser.go
+++ b/entry/internal/chooser/chooser.go
@@ -115,6 +115,19 @@
 // HasTargets reports whether any target is known.
 func (c *Chooser) HasTargets() bool { return len(c.targets) > 0 }
 
+// Counts returns how many targets are known, leaving and in doubt.
+func (c *Chooser) Counts() (known, leaving, doubted int) {
+	for _, t := range c.targets {
+		if t.IsLeaving {
+			leaving++
+		}
+		if t.IsDoubted {
+			doubted++
+		}
+	}
+	return len(c.targets), leaving, doubted
+}
+
 // IsKnown reports whether a service is known.
 func (c *Chooser) IsKnown(id identifier.ServiceID) bool { return c.services[id] != nil }
 
--- a/entry/internal/commander/relay.go
+++ b/entry/internal/commander/relay.go
@@ -26,6 +26,7 @@
 	"fuchsiabridge.example/entry/internal/peercaller"
 	"fuchsiabridge.example/entry/internal/receiver"
 	"fuchsiabridge.example/entry/internal/relayer"
+	"fuchsiabridge.example/entry/internal/server"
 	"fuchsiabridge.example/entry/internal/sharer"
 	"fuchsiabridge.example/entry/internal/tracer"
 	"fuchsiabridge.example/platform/storecaller"
@@ -121,6 +122,11 @@
 		},
 		Heartbeat: values.Duration("heartbeat"),
 	}, http)
+	server.Publish("relay", func() any {
+		status := n.relayer.Status()
+		status.Node = n.id
+		return status
+	})
 	n.receiver = receiver.NewReceiver(n.relayer)
 	news := sharer.NewSharer()
 	n.peers = peercaller.NewCaller(map[string]peercaller.Handler{
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -154,6 +154,18 @@
 	return d.table != nil && d.chooser.HasTargets() && d.isFresh(now)
 }
 
+// Status returns what the dispatcher believes and does.
+func (d *Dispatcher) Status(now time.Time) describer.RelayStatus {
+	s := describer.RelayStatus{
+		IsReady: d.IsReady(now), ConfirmedMSAgo: -1, Open: len(d.requests), Repeats: d.quota.Repeats(now), Chains: d.chooser.Chains(),
+	}
+	s.Targets, s.Leaving, s.Doubted = d.chooser.Counts()
+	if d.table != nil {
+		s.Version, s.ConfirmedMSAgo = d.table.Version, now.Sub(d.confirmedAt).Milliseconds()
+	}
+	return s
+}
+
 // Limits returns what the configuration in force allows callers.
 func (d *Dispatcher) Limits() describer.Limits {
 	if d.table == nil {
--- a/entry/internal/placer/placer.go
+++ b/entry/internal/placer/placer.go
@@ -156,6 +156,11 @@
 	return nil
 }
 
+// Lease returns whether the node gives orders at an instant, and under which fencing number.
+func (p *Placer) Lease(now time.Time) (bool, identifier.FencingNumber) {
+	return p.lease.IsHeld && now.Before(p.lease.Until), p.lease.Fence
+}
+
 func (p *Placer) leaseChanged(ev LeaseChanged) []messenger.Effect {
 	was := p.lease
 	p.lease = ev
--- a/entry/internal/relayer/relayer.go
+++ b/entry/internal/relayer/relayer.go
@@ -66,16 +66,18 @@
 	mu       sync.Mutex
 	reducer  *composer.Composer
 	dispatch *dispatcher.Dispatcher
+	placer   *placer.Placer
 }
 
 // NewRelayer returns a relayer whose work ends with ctx.
 func NewRelayer(ctx context.Context, cfg Config, http *httpcaller.Caller) *Relayer {
 	d := dispatcher.NewDispatcher(cfg.Dispatch)
+	p := placer.NewPlacer()
 	return &Relayer{
 		ctx: ctx, targets: targetcaller.NewCaller(http), pool: connector.NewConnector(), witness: forwarder.NewWitness(), meter: cfg.Meter,
 		work:     pond.NewPool(orderWorkers, pond.WithContext(ctx)),
-		dispatch: d,
-		reducer:  composer.NewControl(registrar.NewRegistrar(cfg.Heartbeat), d, placer.NewPlacer()),
+		dispatch: d, placer: p,
+		reducer: composer.NewControl(registrar.NewRegistrar(cfg.Heartbeat), d, p),
 	}
 }
 
@@ -217,6 +219,17 @@
 	return describer.Limits{}
 }
 
+// Status returns what the node believes and does.
+func (x *Relayer) Status() describer.RelayStatus {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now := bootclock.Now()
+	s := x.dispatch.Status(now)
+	s.IsReady = s.IsReady && !x.isLeaving.Load()
+	s.HoldsLease, s.Fence = x.placer.Lease(now)
+	return s
+}
+
 // Leave makes the node unready; after the lag it takes no more requests.
 func (x *Relayer) Leave(lag time.Duration) {
 	x.isLeaving.Store(true)
--- a/fbctl/internal/commander/commander.go
+++ b/fbctl/internal/commander/commander.go
@@ -42,6 +42,8 @@
                         difference first; --dry-run stops there
   history               print the verdicts on the team's changes
   status                print every node and target on one screen
+  relays                print what relaying nodes believe: their configuration, targets and
+                        chains; --nodes holds their metrics addresses, no key is needed
   explain SUBJECT       print why change/ID, request/ID, target/ID, peer/ID or the log went
                         as it did, from every node's events
   begin                 let the first node begin from the state it has, when the log has
@@ -76,7 +78,7 @@
 func commands() map[string]command {
 	return map[string]command{
 		"get": get, "set": set, "diff": diff, "apply": apply, "history": history,
-		"status": status, "explain": explain, "begin": begin,
+		"status": status, "relays": relays, "explain": explain, "begin": begin,
 	}
 }
 
@@ -93,6 +95,17 @@
 	}
 }
 
+// optionsOf returns the options of a command; relays needs no key.
+func optionsOf(command string) []optionparser.Option {
+	all := options()
+	for i := range all {
+		if command == "relays" && all[i].Name == "key" {
+			all[i].Check = nil
+		}
+	}
+	return all
+}
+
 // Run runs the command line and returns the exit code.
 func Run(args []string, stdout, stderr io.Writer) int {
 	if len(args) == 0 {
@@ -118,7 +131,7 @@
 			args[i] = "--dry-run=true"
 		}
 	}
-	values, rest, err := optionparser.Parse("fbctl "+args[0], options(), args[1:])
+	values, rest, err := optionparser.Parse("fbctl "+args[0], optionsOf(args[0]), args[1:])
 	if errors.Is(err, flag.ErrHelp) {
 		return ExitOK
 	}
--- a/fbctl/internal/commander/views.go
+++ b/fbctl/internal/commander/views.go
@@ -74,6 +74,14 @@
 	return ExitOK, s.out.PrintExplanations(answers)
 }
 
+func relays(ctx context.Context, s session) (int, error) {
+	answers := s.caller.Relays(ctx)
+	if err := firstError(answers); err != nil {
+		return exitOf(err), err
+	}
+	return ExitOK, s.out.PrintRelays(answers)
+}
+
 // explainVerdict prints the verdict that the configuration itself remembers, as the nodes
 // that logged it may be gone.
 func (s session) explainVerdict(ctx context.Context, id identifier.ChangeID) {
--- a/fbctl/internal/operatorcaller/operatorcaller.go
+++ b/fbctl/internal/operatorcaller/operatorcaller.go
@@ -200,6 +200,9 @@
 	return c.all(ctx, "/operator/explain?"+url.Values{"subject": {subject}}.Encode())
 }
 
+// Relays asks relaying nodes, at their metrics addresses, what they believe.
+func (c *Caller) Relays(ctx context.Context) []Answer { return c.all(ctx, "/") }
+
 func (c *Caller) all(ctx context.Context, path string) []Answer {
 	answers := make([]Answer, len(c.nodes))
 	var wg sync.WaitGroup
--- /dev/null
+++ b/fbctl/internal/printer/relays.go
@@ -0,0 +1,58 @@
+package printer
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"fuchsiabridge.example/common/describer"
+	"fuchsiabridge.example/fbctl/internal/operatorcaller"
+)
+
+// PrintRelays prints every relaying node, and the chains as the first that answered has planned them.
+func (p *Printer) PrintRelays(answers []operatorcaller.Answer) error {
+	if p.isJSON {
+		return p.encode(nodeAnswers(answers))
+	}
+	nodes := Rows{Header: []string{"node", "address", "ready", "version", "confirmed ms ago", "targets", "leaving", "doubted", "open", "repeats", "gives orders"}}
+	var seen *describer.RelayStatus
+	for _, a := range answers {
+		var vars struct {
+			Relay *describer.RelayStatus `json:"relay"`
+		}
+		if a.Err != nil || json.Unmarshal(a.Body, &vars) != nil || vars.Relay == nil {
+			nodes.Add("-", a.Node, "no answer", "-", "-", "-", "-", "-", "-", "-", "-")
+			continue
+		}
+		s := vars.Relay
+		if seen == nil {
+			seen = s
+		}
+		nodes.Add(string(s.Node), a.Node, fmt.Sprint(s.IsReady), fmt.Sprint(s.Version), fmt.Sprint(s.ConfirmedMSAgo), fmt.Sprint(s.Targets),
+			fmt.Sprint(s.Leaving), fmt.Sprint(s.Doubted), fmt.Sprint(s.Open), fmt.Sprint(s.Repeats), orders(s))
+	}
+	if err := p.Print(nodes); err != nil || seen == nil {
+		return err
+	}
+	fmt.Fprintln(p.w)
+	return p.Print(chainRows(seen.Chains))
+}
+
+func orders(s *describer.RelayStatus) string {
+	if !s.HoldsLease {
+		return "no"
+	}
+	return fmt.Sprintf("yes, fence %d", s.Fence)
+}
+
+func chainRows(chains []describer.ChainStatus) Rows {
+	rows := Rows{Header: []string{"service", "data centre", "parts", "crossings", "step ms", "room", "open here", "way"}}
+	for _, c := range chains {
+		way := ""
+		for i, t := range c.Targets {
+			way += fmt.Sprintf(" %s=%d-%d", t, c.Layers[i].From, c.Layers[i].To)
+		}
+		rows.Add(string(c.Service), string(c.DataCentre), fmt.Sprint(len(c.Targets)), fmt.Sprint(c.Crossings),
+			fmt.Sprintf("%.1f", c.StepMS), fmt.Sprintf("%.0f", c.Room), fmt.Sprint(c.Open), way)
+	}
+	return rows
+}
--- a/integration/launcher/relay.go
+++ b/integration/launcher/relay.go
@@ -2,6 +2,9 @@
 
 import (
 	"net/http"
+	"os/exec"
+	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 )
@@ -44,3 +47,17 @@
 	_ = resp.Body.Close()
 	return resp.StatusCode == http.StatusOK
 }
+
+// Relays runs fbctl relays against some relaying nodes, without a key, and returns its output and exit code.
+func (f *Fleet) Relays(nodes ...*Relay) (string, int) {
+	var addresses []string
+	for _, n := range nodes {
+		addresses = append(addresses, n.Metrics)
+	}
+	cmd := exec.Command(filepath.Join(f.bin, "fbctl"), "relays", "--nodes", strings.Join(addresses, ","))
+	out, _ := cmd.CombinedOutput()
+	return string(out), cmd.ProcessState.ExitCode()
+}
+
+// Fleet returns the fleet that the node belongs to.
+func (r *Relay) Fleet() *Fleet { return r.fleet }
--- a/integration/relay_test.go
+++ b/integration/relay_test.go
@@ -189,3 +189,15 @@
 	b.Assert(ended, qt.IsTrue)
 	b.Assert(code, qt.Equals, 0)
 }
+
+// TestRelaysTellsWhatNodesBelieve prints a node's configuration, targets, lease and chains on
+// one screen, and which address gives no answer.
+func TestRelaysTellsWhatNodesBelieve(t *testing.T) {
+	b := newBridge(t)
+	gone := &launcher.Relay{Metrics: launcher.FreeAddress(t)}
+	out, code := b.node.Fleet().Relays(b.node, gone)
+	b.Assert(code, qt.Equals, 0, qt.Commentf("%s", out))
+	for _, want := range []string{`node-1 +127\S+ +true +1 `, `yes, fence`, `drafting +a `, `drafting +b `, `no answer`, `draft-a\d=0-`} {
+		b.Check(out, qt.Matches, `(?s).*`+want+`.*`)
+	}
+}
