Deal the retry slack out to all nodes; say why a request was not sent on

The slack was shared by the 12 parts of one topic, so 67 of 79 nodes had none of it, and the 12 could not use theirs. The closing line did not tell. Change: the group deals out the parts of 16 topics, by the same call; each brings an equal part of the slack. The first topic's parts give the lease and the reading as before. The refusal's reason names what barred another send: repeats, sends or the deadline.

--- a/entry/internal/dispatcher/attempts.go
+++ b/entry/internal/dispatcher/attempts.go
@@ -42,10 +42,10 @@
 	case Expired:
 		return append(effects, d.refuse(now, ev.Call, http.StatusGatewayTimeout, 0, "deadline passed")...)
 	case NotSent, NotRun:
-		if d.maySend(now, r) {
-			return append(effects, d.send(now, ev.Call, r, ev.Seed)...)
+		if reason := d.bars(now, r); reason != "" {
+			return append(effects, d.giveUp(now, ev.Call, r, "no target took the request, "+reason)...)
 		}
-		return append(effects, d.giveUp(now, ev.Call, r, "no target took the request")...)
+		return append(effects, d.send(now, ev.Call, r, ev.Seed)...)
 	default:
 	}
 	r.runs++
@@ -96,15 +96,20 @@
 
 // mayRepeat reports whether a request that may have run can run once more.
 func (d *Dispatcher) mayRepeat(now time.Time, r *request) bool {
-	return r.route.MayRepeat() && r.runs < r.route.MaxAttempts && d.maySend(now, r)
+	return r.route.MayRepeat() && r.runs < r.route.MaxAttempts && d.bars(now, r) == ""
 }
 
-// maySend reports whether there is time and budget for another send.
-func (d *Dispatcher) maySend(now time.Time, r *request) bool {
-	if r.sends >= maxSends || !now.Before(r.deadline) {
-		return false
-	}
-	return d.budget(r.service).Allows(now, d.cfg.RetryRatio, d.quota.Repeats(now))
+// bars returns what bars another send, empty when nothing does.
+func (d *Dispatcher) bars(now time.Time, r *request) string {
+	switch {
+	case r.sends >= maxSends:
+		return "all sends used"
+	case !now.Before(r.deadline):
+		return "deadline passed"
+	case !d.budget(r.service).Allows(now, d.cfg.RetryRatio, d.quota.Repeats(now)):
+		return "no repeats left"
+	}
+	return ""
 }
 
 // learn takes in what an attempt shows of its target.
--- a/entry/internal/follower/follower.go
+++ b/entry/internal/follower/follower.go
@@ -49,7 +49,7 @@
 	ReadConfiguration(ctx context.Context, from identifier.Offset, wait time.Duration) (*describer.Configuration, identifier.Offset, error)
 	NewestTargets(ctx context.Context) ([]describer.TargetChange, identifier.Offset, error)
 	ReadTargets(ctx context.Context, from identifier.Offset, wait time.Duration) ([]describer.TargetChange, identifier.Offset, error)
-	Join(ctx context.Context, m storecaller.Member, last identifier.FencingNumber, term time.Duration) (storecaller.Membership, error)
+	Join(ctx context.Context, m storecaller.Member, last identifier.FencingNumber, term time.Duration, topics int) (storecaller.Membership, error)
 	Leave(ctx context.Context, m storecaller.Member) error
 	Owners(ctx context.Context) (map[int]storecaller.Member, error)
 }
--- a/entry/internal/follower/lease.go
+++ b/entry/internal/follower/lease.go
@@ -20,6 +20,9 @@
 	leaseMargin = 400 * time.Millisecond
 	// leasePart is the part whose holder holds the lease.
 	leasePart = 0
+	// topics is how many topics' parts the group deals out: enough for each of many nodes to hold
+	// some, as each part brings an equal part of the retry slack.
+	topics = 16
 	// readerParts is how many parts make their holders read the store for their peers.
 	readerParts = 4
 )
@@ -56,7 +59,7 @@
 func (f *Follower) hold(m storecaller.Membership, until time.Time) {
 	f.setReader(slices.ContainsFunc(m.Parts, isReaderPart))
 	f.submit(placer.LeaseChanged{IsHeld: slices.Contains(m.Parts, leasePart), Fence: m.Generation, Until: until})
-	share := float64(len(m.Parts)) / float64(f.cfg.StoreParts)
+	share := float64(m.Held) / float64(topics*f.cfg.StoreParts)
 	f.submit(dispatcher.BudgetShared{Repeats: int(share * float64(f.cfg.RetrySlack))})
 }
 
@@ -70,5 +73,5 @@
 func (f *Follower) join(ctx context.Context, last identifier.FencingNumber) (storecaller.Membership, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
-	return f.store.Join(ctx, f.cfg.Self, last, leaseTerm)
+	return f.store.Join(ctx, f.cfg.Self, last, leaseTerm, topics)
 }
--- a/entry/internal/follower/peers_test.go
+++ b/entry/internal/follower/peers_test.go
@@ -69,11 +69,11 @@
 	return l.Store.NewestTargets(ctx)
 }
 
-func (l *link) Join(ctx context.Context, m storecaller.Member, last identifier.FencingNumber, term time.Duration) (storecaller.Membership, error) {
+func (l *link) Join(ctx context.Context, m storecaller.Member, last identifier.FencingNumber, term time.Duration, topics int) (storecaller.Membership, error) {
 	if l.isCut.Load() {
 		return storecaller.Membership{}, errCut
 	}
-	return l.Store.Join(ctx, m, last, term)
+	return l.Store.Join(ctx, m, last, term, topics)
 }
 
 // node is one follower with its link and what it submits.
