--- a/common/eventlogger/relay.go
+++ b/common/eventlogger/relay.go
@@ -24,6 +24,7 @@
 	RequestWentBack      = Event{8020, "request went back to its silent attempt"}
 	PeerFollowed         = Event{8021, "news of the store come from a peer"}
 	PeerNotFollowed      = Event{8022, "news of the store no longer come from a peer"}
+	RequestAccused       = Event{8023, "a target crashed under a request"}
 )
 
 func relayEvents() []Event {
@@ -50,5 +51,6 @@
 		RequestWentBack,
 		PeerFollowed,
 		PeerNotFollowed,
+		RequestAccused,
 	}
 }
--- a/common/identifier/identifier.go
+++ b/common/identifier/identifier.go
@@ -56,6 +56,9 @@
 	FencingNumber int64
 )
 
+// Fingerprint is a hash of what makes two requests the same: route, caller and body.
+type Fingerprint uint64
+
 // LayerRange is the half-open range of layers From..To-1.
 type LayerRange struct {
 	From Layer `json:"from"`
--- a/entry/internal/commander/relay.go
+++ b/entry/internal/commander/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"flag"
 	"net"
 	"os"
@@ -20,6 +21,7 @@
 	"fuchsiabridge.example/common/logwriter"
 	"fuchsiabridge.example/common/optionparser"
 	"fuchsiabridge.example/common/responder"
+	"fuchsiabridge.example/entry/internal/accuser"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/follower"
 	"fuchsiabridge.example/entry/internal/meter"
@@ -120,6 +122,7 @@
 			RetryRatio:      values.Share("retry-ratio"),
 			RetryWindow:     values.Duration("retry-window"),
 		},
+		Accuse:    func(crashes []accuser.Crash) { n.follower.Accuse(crashes) },
 		Heartbeat: values.Duration("heartbeat"),
 	}, http)
 	server.Publish("relay", func() any {
@@ -131,6 +134,9 @@
 	news := sharer.NewSharer()
 	n.peers = peercaller.NewCaller(map[string]peercaller.Handler{
 		sharer.WatchMethod: news.ServeWatch, sharer.ConfigurationMethod: news.ServeConfiguration,
+		sharer.AccuseMethod: func(ctx context.Context, params json.RawMessage) (any, error) {
+			return n.follower.ServeAccuse(ctx, params)
+		},
 	}, nil)
 	n.follower = follower.NewFollower(storecaller.NewCaller(http, values.Text("store")), n.peers, news, follower.Config{
 		Self:       storecaller.Member{Node: n.id, DataCentre: dc, Address: values.Text("peer-listen")},
@@ -159,6 +165,7 @@
 	go n.follower.FollowTargets(ctx)
 	if n.values.Text("peer-listen") != "" {
 		go n.follower.FollowPeers(ctx)
+		go n.follower.TellCrashes(ctx)
 	}
 	joined, stop := context.WithCancel(ctx)
 	left := make(chan struct{})
--- a/entry/internal/dispatcher/attempts.go
+++ b/entry/internal/dispatcher/attempts.go
@@ -23,6 +23,13 @@
 		r.former = nil
 	}
 	r.first, r.gap, r.events = ev.FirstByte, ev.LongestGap, ev.Events
+	switch ev.Outcome {
+	case Broken:
+		d.suspect(now, r)
+	case Delivered:
+		d.accuser.Clear(r.fingerprint)
+	default:
+	}
 	if ev.Outcome == Silent {
 		return d.silent(now, ev, r)
 	}
@@ -106,6 +113,8 @@
 		return "all sends used"
 	case !now.Before(r.deadline):
 		return "deadline passed"
+	case d.accuser.IsGuilty(now, r.fingerprint):
+		return "it crashes targets"
 	case !d.budget(r.service).Allows(now, d.cfg.RetryRatio, d.quota.Repeats(now)):
 		return "no repeats left"
 	}
@@ -233,6 +242,7 @@
 		return []messenger.Effect{Wait{Until: r.deadline}}
 	}
 	log := d.logAttempt(now, r, Reported{Outcome: Silent, Reason: reason, Events: r.events})
+	d.suspect(now, r)
 	silent := r.place
 	r.former = &silent
 	d.release(r)
--- /dev/null
+++ b/entry/internal/dispatcher/crashes.go
@@ -0,0 +1,45 @@
+package dispatcher
+
+import (
+	"time"
+
+	"fuchsiabridge.example/common/eventlogger"
+	"fuchsiabridge.example/common/messenger"
+	"fuchsiabridge.example/entry/internal/accuser"
+)
+
+// suspect notes a run that ended before it showed anything: it may have crashed a target.
+func (d *Dispatcher) suspect(now time.Time, r *request) {
+	if r.first == 0 && r.target != "" {
+		d.accuser.Suspect(now, r.fingerprint, r.targets())
+	}
+}
+
+// accuse logs crashes that this node has seen, and tells other nodes.
+func (d *Dispatcher) accuse(crashes []accuser.Crash) []messenger.Effect {
+	if len(crashes) == 0 {
+		return nil
+	}
+	effects := []messenger.Effect{Accused{Crashes: crashes}}
+	for _, c := range crashes {
+		effects = append(effects, crashLog(c, "this node"))
+	}
+	return effects
+}
+
+func (d *Dispatcher) crashesTold(now time.Time, ev CrashesTold) []messenger.Effect {
+	var effects []messenger.Effect
+	for _, c := range ev.Crashes {
+		if d.accuser.Tell(now, c) {
+			effects = append(effects, crashLog(c, "a peer"))
+		}
+	}
+	return effects
+}
+
+func crashLog(c accuser.Crash, seenBy string) messenger.Effect {
+	return messenger.Log{
+		Event: eventlogger.RequestAccused, Subject: "target/" + string(c.Target),
+		Values: []any{"fingerprint", c.Request, "born", c.Born, "seen_by", seenBy},
+	}
+}
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -8,6 +8,7 @@
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
+	"fuchsiabridge.example/entry/internal/accuser"
 	"fuchsiabridge.example/entry/internal/budgeter"
 	"fuchsiabridge.example/entry/internal/chooser"
 	"fuchsiabridge.example/entry/internal/meter"
@@ -66,12 +67,13 @@
 
 // request is a request in progress.
 type request struct {
-	id       identifier.RequestID
-	route    *describer.Route
-	service  identifier.ServiceID
-	account  identifier.AccountID
-	arrived  time.Time
-	deadline time.Time
+	id          identifier.RequestID
+	route       *describer.Route
+	service     identifier.ServiceID
+	account     identifier.AccountID
+	arrived     time.Time
+	deadline    time.Time
+	fingerprint identifier.Fingerprint
 	// seed is a random number.
 	seed uint64
 	// sends counts all sends, runs those after which the request may have run.
@@ -106,6 +108,7 @@
 	// refuseAt is when a node that stops takes no more requests, zero for one that does not.
 	refuseAt time.Time
 	chooser  *chooser.Chooser
+	accuser  *accuser.Accuser
 	requests map[identifier.CallID]*request
 	budgets  map[identifier.ServiceID]*budgeter.Budget
 	// quota is this node's part of the repeats beyond the ratio.
@@ -115,7 +118,7 @@
 // NewDispatcher returns a dispatcher that knows no configuration.
 func NewDispatcher(cfg Config) *Dispatcher {
 	return &Dispatcher{
-		cfg: cfg, chooser: chooser.NewChooser(cfg.DataCentre), requests: map[identifier.CallID]*request{},
+		cfg: cfg, chooser: chooser.NewChooser(cfg.DataCentre), accuser: accuser.NewAccuser(), requests: map[identifier.CallID]*request{},
 		budgets: map[identifier.ServiceID]*budgeter.Budget{}, quota: budgeter.NewQuota(cfg.RetryWindow),
 	}
 }
@@ -143,6 +146,9 @@
 		d.refuseAt = ev.RefuseAt
 	case registrar.TargetsChanged:
 		d.chooser.SetTargets(ev.Targets)
+		return d.accuse(d.accuser.SetTargets(now, ev.Targets))
+	case CrashesTold:
+		return d.crashesTold(now, ev)
 	case messenger.Tick:
 		return d.tick(now)
 	}
@@ -223,7 +229,7 @@
 }
 
 func (d *Dispatcher) arrived(now time.Time, ev Arrived) []messenger.Effect {
-	r := &request{id: ev.ID, arrived: now, deadline: ev.Deadline, seed: ev.Seed}
+	r := &request{id: ev.ID, arrived: now, deadline: ev.Deadline, fingerprint: ev.Fingerprint, seed: ev.Seed}
 	d.requests[ev.Call] = r
 	if d.table == nil {
 		return d.refuse(now, ev.Call, http.StatusServiceUnavailable, unreadyPause, "no configuration yet")
@@ -245,6 +251,9 @@
 		}
 		r.account = account.ID
 	}
+	if d.accuser.IsGuilty(now, r.fingerprint) {
+		return d.refuse(now, ev.Call, http.StatusBadGateway, 0, "it crashes targets")
+	}
 	limit := r.route.Timeout
 	if limit <= 0 {
 		limit = defaultLimit
--- a/entry/internal/dispatcher/dispatcher_test.go
+++ b/entry/internal/dispatcher/dispatcher_test.go
@@ -14,6 +14,7 @@
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
+	"fuchsiabridge.example/entry/internal/accuser"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/registrar"
 	"fuchsiabridge.example/entry/internal/router"
@@ -221,6 +222,44 @@
 	c.Assert(d.doubts[0].Address, qt.Equals, "draft-a1")
 }
 
+// TestRequestThatCrashesTargetsIsRefused plays a request that comes again and again and
+// crashes each target that runs it: after three crashes, here or at other nodes, it runs no
+// more, while others do.
+func TestRequestThatCrashesTargetsIsRefused(t *testing.T) {
+	c := qt.New(t)
+	d := readyDesk()
+	at := time.Duration(0)
+	for crashed := range 3 {
+		at += time.Second
+		d.next++
+		e := d.apply(at, dispatcher.Arrived{Call: d.next, ID: "poison", Host: "h", Path: "/post/", Key: "key", Fingerprint: 7})
+		send, ok := e.(dispatcher.Send)
+		c.Assert(ok, qt.IsTrue, qt.Commentf("after %d crashes: %T", crashed, e))
+		d.apply(at, dispatcher.Reported{Call: d.next, Outcome: dispatcher.Broken})
+		fallen := targets()
+		for i := range fallen {
+			fallen[i].Born = int64(crashed)
+			fallen[i].IsDoubted = fallen[i].ID == send.Target
+		}
+		if crashed < 2 {
+			d.apply(at, registrar.TargetsChanged{Targets: fallen})
+			restarted := targets()
+			for i := range restarted {
+				restarted[i].Born = int64(crashed + 1)
+			}
+			d.apply(at, registrar.TargetsChanged{Targets: restarted})
+			continue
+		}
+		told := accuser.Crash{Request: 7, Target: "elsewhere"}
+		d.apply(at, dispatcher.CrashesTold{Crashes: []accuser.Crash{told, told}})
+	}
+	for fingerprint, want := range map[identifier.Fingerprint]int{7: 502, 8: 0} {
+		d.next++
+		e := d.apply(at, dispatcher.Arrived{Call: d.next, ID: "again", Host: "h", Path: "/post/", Key: "key", Fingerprint: fingerprint})
+		c.Check(status(e), qt.Equals, want)
+	}
+}
+
 // TestSilentStreamOutlivesRefusals plays the pattern of a begun stream that falls silent
 // while no chain has room for it: each refusal leads it back to its silent attempt, which is
 // given up for nothing but the deadline.
--- a/entry/internal/dispatcher/messages.go
+++ b/entry/internal/dispatcher/messages.go
@@ -7,6 +7,7 @@
 
 	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/entry/internal/accuser"
 	"fuchsiabridge.example/entry/internal/meter"
 	"fuchsiabridge.example/entry/internal/router"
 )
@@ -26,10 +27,18 @@
 	Key  string
 	// Deadline is how long the caller waits; zero when it does not say.
 	Deadline time.Time
+	// Fingerprint tells requests with the same route, caller and body.
+	Fingerprint identifier.Fingerprint
 	// Seed is a random number.
 	Seed uint64
 }
 
+// CrashesTold is the event that other nodes have seen requests crash targets.
+type CrashesTold struct{ Crashes []accuser.Crash }
+
+// Accused is the effect that tells other nodes of crashes that this one has seen.
+type Accused struct{ Crashes []accuser.Crash }
+
 // Stopping is the event that the node will stop; from the instant RefuseAt it takes no more requests.
 type Stopping struct{ RefuseAt time.Time }
 
--- a/entry/internal/follower/follower.go
+++ b/entry/internal/follower/follower.go
@@ -14,6 +14,7 @@
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
+	"fuchsiabridge.example/entry/internal/accuser"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/placer"
 	"fuchsiabridge.example/entry/internal/registrar"
@@ -62,10 +63,14 @@
 	cfg    Config
 	duty   *duty
 	submit func(messenger.Event)
+	// crashes wait to be told to peers.
+	crashes chan accuser.Crash
 
 	mu sync.Mutex
 	// next is the offset up to which configurations are known.
 	next identifier.Offset
+	// readers are the other nodes that were known last to read the store.
+	readers []storecaller.Member
 }
 
 // Config holds what the follower is made of.
@@ -80,7 +85,10 @@
 
 // NewFollower returns a follower that submits events, and shares what it reads.
 func NewFollower(store Store, peers Peers, share *sharer.Sharer, cfg Config, submit func(messenger.Event)) *Follower {
-	return &Follower{store: store, peers: peers, sharer: share, cfg: cfg, duty: newDuty(), submit: submit}
+	return &Follower{
+		store: store, peers: peers, sharer: share, cfg: cfg, duty: newDuty(), submit: submit,
+		crashes: make(chan accuser.Crash, mostWaitingCrashes),
+	}
 }
 
 // outage notes when a kind of call began to fail.
--- a/entry/internal/follower/peers.go
+++ b/entry/internal/follower/peers.go
@@ -115,7 +115,7 @@
 
 // seek asks the store which peers read it.
 func (f *Follower) seek(ctx context.Context, r *readers) {
-	owners, err := f.owners(ctx)
+	known, err := f.seekReaders(ctx)
 	r.pause = min(mostSeekPause, max(leastSeekPause, 2*r.pause))
 	r.seekAt = bootclock.Now().Add(r.pause)
 	r.isStoreAway = err != nil
@@ -123,18 +123,27 @@
 		eventlogger.Error(err, eventlogger.CallFailed, "doing", "seeking peers that read the store")
 		return
 	}
-	r.known = nil
-	for part, m := range owners {
-		if isReaderPart(part) && m.Address != "" && m != f.cfg.Self && !slices.Contains(r.known, m) {
-			r.known = append(r.known, m)
-		}
-	}
+	r.known = known
 }
 
-func (f *Follower) owners(ctx context.Context) (map[int]storecaller.Member, error) {
+// seekReaders asks the store for the other nodes that read it.
+func (f *Follower) seekReaders(ctx context.Context) ([]storecaller.Member, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
-	return f.store.Owners(ctx)
+	owners, err := f.store.Owners(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var known []storecaller.Member
+	for part, m := range owners {
+		if isReaderPart(part) && m.Address != "" && m != f.cfg.Self && !slices.Contains(known, m) {
+			known = append(known, m)
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.readers = known
+	return known, nil
 }
 
 // followPeer takes a peer's news until it gives none, or this node reads the store itself.
@@ -158,6 +167,9 @@
 		}
 		outages, q.Sharer, q.Revision = news.Outages, news.Sharer, news.Revision
 		f.submit(registrar.Read{Changes: news.Changes, IsComplete: news.IsComplete})
+		if len(news.Crashes) > 0 {
+			f.submit(dispatcher.CrashesTold{Crashes: news.Crashes})
+		}
 		if err := f.catchUp(ctx, peer.Address, news, &q); err != nil {
 			eventlogger.Error(err, eventlogger.PeerNotFollowed, "peer", peer.Node, "address", peer.Address)
 			return err
--- a/entry/internal/follower/peers_test.go
+++ b/entry/internal/follower/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -14,6 +15,7 @@
 	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/httpcaller"
 	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/entry/internal/accuser"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/follower"
 	"fuchsiabridge.example/entry/internal/peercaller"
@@ -79,8 +81,9 @@
 // node is one follower with its link and what it submits.
 type node struct {
 	*events
-	link *link
-	stop context.CancelFunc
+	follower *follower.Follower
+	link     *link
+	stop     context.CancelFunc
 }
 
 func startNode(t *testing.T, store *storefaker.Store, id string) *node {
@@ -90,15 +93,20 @@
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	share := sharer.NewSharer()
+	n := &node{events: &events{}, stop: cancel, link: &link{Store: storecaller.NewCaller(httpcaller.NewCaller(), store.Address())}}
 	peers := peercaller.NewCaller(map[string]peercaller.Handler{
 		sharer.WatchMethod: share.ServeWatch, sharer.ConfigurationMethod: share.ServeConfiguration,
+		sharer.AccuseMethod: func(ctx context.Context, params json.RawMessage) (any, error) {
+			return n.follower.ServeAccuse(ctx, params)
+		},
 	}, nil)
-	go peers.Serve(ctx, l)
-	n := &node{events: &events{}, stop: cancel, link: &link{Store: storecaller.NewCaller(httpcaller.NewCaller(), store.Address())}}
 	f := follower.NewFollower(n.link, peers, share, follower.Config{
 		Self:       storecaller.Member{Node: identifier.NodeID(id), DataCentre: "a", Address: l.Addr().String()},
 		StoreParts: storefaker.Parts,
 	}, n.submit)
+	n.follower = f
+	go peers.Serve(ctx, l)
+	go f.TellCrashes(ctx)
 	go f.FollowConfiguration(ctx)
 	go f.FollowTargets(ctx)
 	go f.FollowPeers(ctx)
@@ -234,3 +242,24 @@
 	}
 	return at
 }
+
+// TestCrashesReachAllNodes tells a crash that one node has seen to the other, from the node
+// that reads the store and to it.
+func TestCrashesReachAllNodes(t *testing.T) {
+	c, _, first, second := startTwo(t)
+	for request, way := range [][2]*node{{first, second}, {second, first}} {
+		n := way[1].count()
+		crash := accuser.Crash{Request: identifier.Fingerprint(request + 1), Target: "t", Born: 7}
+		way[0].follower.Accuse([]accuser.Crash{crash})
+		n = await[dispatcher.CrashesTold](c, way[1].events, n)
+		way[1].mu.Lock()
+		var told []accuser.Crash
+		for _, ev := range way[1].seen {
+			if x, ok := ev.(dispatcher.CrashesTold); ok {
+				told = append(told, x.Crashes...)
+			}
+		}
+		way[1].mu.Unlock()
+		c.Assert(told[len(told)-1], qt.Equals, crash, qt.Commentf("of %d events", n))
+	}
+}
--- a/entry/internal/relayer/relayer.go
+++ b/entry/internal/relayer/relayer.go
@@ -20,6 +20,7 @@
 	"fuchsiabridge.example/common/httpcaller"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
+	"fuchsiabridge.example/entry/internal/accuser"
 	"fuchsiabridge.example/entry/internal/composer"
 	"fuchsiabridge.example/entry/internal/connector"
 	"fuchsiabridge.example/entry/internal/dispatcher"
@@ -46,6 +47,8 @@
 type Config struct {
 	Meter    *meter.Meter
 	Dispatch dispatcher.Config
+	// Accuse tells other nodes of requests that crash targets.
+	Accuse func([]accuser.Crash)
 	// Heartbeat is how often targets write to the store that they are alive.
 	Heartbeat time.Duration
 }
@@ -58,6 +61,7 @@
 	pool       *connector.Connector
 	witness    *forwarder.Witness
 	meter      *meter.Meter
+	accuse     func([]accuser.Crash)
 	work       pond.Pool
 	nextCall   atomic.Uint64
 	isLeaving  atomic.Bool
@@ -74,7 +78,7 @@
 	d := dispatcher.NewDispatcher(cfg.Dispatch)
 	p := placer.NewPlacer()
 	return &Relayer{
-		ctx: ctx, targets: targetcaller.NewCaller(http), pool: connector.NewConnector(), witness: forwarder.NewWitness(), meter: cfg.Meter,
+		ctx: ctx, targets: targetcaller.NewCaller(http), pool: connector.NewConnector(), witness: forwarder.NewWitness(), meter: cfg.Meter, accuse: cfg.Accuse,
 		work:     pond.NewPool(orderWorkers, pond.WithContext(ctx)),
 		dispatch: d, placer: p,
 		reducer: composer.NewControl(registrar.NewRegistrar(cfg.Heartbeat), d, p),
@@ -119,6 +123,8 @@
 			eventlogger.Info(e.Event, append([]any{"subject", e.Subject}, e.Values...)...)
 		case dispatcher.Measured:
 			x.meter.Add(e.Sample)
+		case dispatcher.Accused:
+			x.accuse(e.Crashes)
 		case placer.Place:
 			x.start(func() { x.place(e) })
 		case dispatcher.Examine:
--- a/entry/internal/relayer/serving.go
+++ b/entry/internal/relayer/serving.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
@@ -45,7 +46,7 @@
 	s.trace = trace
 	arrived := dispatcher.Arrived{
 		Call: s.call, ID: request.ID, Host: string(h.Host()), Path: string(h.RequestURI()),
-		Key: request.Key, Seed: rand.Uint64(),
+		Key: request.Key, Seed: rand.Uint64(), Fingerprint: fingerprint(c, request),
 	}
 	if request.Left > 0 {
 		arrived.Deadline = bootclock.Now().Add(request.Left)
@@ -55,6 +56,19 @@
 	}
 }
 
+// fingerprint tells requests with the same method, host, path, caller and body.
+func fingerprint(c *receiver.Call, r translator.Request) identifier.Fingerprint {
+	h := c.Header()
+	var d xxhash.Digest
+	d.Reset()
+	for _, part := range [][]byte{h.Method(), h.Host(), h.RequestURI(), []byte(r.Key), c.Body()} {
+		// A digest never fails to write.
+		_, _ = d.Write(part)
+		_, _ = d.Write([]byte{0})
+	}
+	return identifier.Fingerprint(d.Sum64())
+}
+
 // run carries out one effect and returns those that follow.
 func (s *serving) run(ctx context.Context, effect messenger.Effect) []messenger.Effect {
 	switch e := effect.(type) {
--- a/entry/internal/sharer/sharer.go
+++ b/entry/internal/sharer/sharer.go
@@ -15,17 +15,22 @@
 	"fuchsiabridge.example/common/bootclock"
 	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/entry/internal/accuser"
 )
 
-// Names of the calls with which peers ask for news, and for the configuration that is in force.
+// Names of the calls with which peers ask for news and for the configuration in force, and
+// tell of requests that crash targets.
 const (
 	WatchMethod         = "watch"
 	ConfigurationMethod = "configuration"
+	AccuseMethod        = "accuse"
 )
 
 const (
 	// mostWait bounds how long a question waits for news.
 	mostWait = 2 * time.Second
+	// mostCrashes bounds the crashes that are kept for peers.
+	mostCrashes = 1024
 	// mostGone bounds the targets that are remembered as gone; a peer that has missed one gets everything.
 	mostGone = 1024
 	idBase   = 36
@@ -62,6 +67,8 @@
 	// ConfirmedMS is when the store confirmed that, in milliseconds after the question came in;
 	// it is negative for what was confirmed before.
 	ConfirmedMS int64 `json:"confirmed_ms"`
+	// Crashes are those that peers told since.
+	Crashes []accuser.Crash `json:"crashes,omitempty"`
 }
 
 type entry struct {
@@ -69,6 +76,11 @@
 	revision Revision
 }
 
+type crash struct {
+	accuser.Crash
+	revision Revision
+}
+
 // Sharer keeps what this node has read.
 type Sharer struct {
 	id string
@@ -82,6 +94,7 @@
 	// floor is the revision from which on changes are complete.
 	floor         Revision
 	gone          int
+	crashes       []crash
 	outages       int
 	configuration identifier.Offset
 	// packed is the compressed text of the newest configuration.
@@ -186,6 +199,18 @@
 	}
 }
 
+// NoteCrashes takes in crashes that a node has seen.
+func (s *Sharer) NoteCrashes(crashes []accuser.Crash) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range crashes {
+		s.revision++
+		s.crashes = append(s.crashes, crash{Crash: c, revision: s.revision})
+	}
+	s.crashes = s.crashes[max(0, len(s.crashes)-mostCrashes):]
+	s.wake()
+}
+
 // NoteOutage counts an outage of the store that has ended.
 func (s *Sharer) NoteOutage() {
 	s.mu.Lock()
@@ -252,5 +277,10 @@
 			news.Changes = append(news.Changes, e.change)
 		}
 	}
+	for _, c := range s.crashes {
+		if news.IsComplete || c.revision > q.Revision {
+			news.Crashes = append(news.Crashes, c.Crash)
+		}
+	}
 	return news, s.changed, nil
 }
