Find the nodes that read the store at once when the reading has moved

The outage had dealt the parts anew, and a fed node that its peer told so waited out the pause between two questions to the store, by then 4 s. Change: a peer that reads no more says so in its answer; that leads to a question at once. Result: TestReadingMovesWhileTheStoreIsAway fails without that line (not found within 1.5 s).

--- a/entry/internal/follower/peers.go
+++ b/entry/internal/follower/peers.go
@@ -73,8 +73,12 @@
 			continue
 		}
 		hold := shunTime
-		if err := f.followPeer(ctx, peer, &r); errors.Is(err, errCutOff) {
+		switch err := f.followPeer(ctx, peer, &r); {
+		case errors.Is(err, errCutOff):
 			hold = staleTime
+		case errors.Is(err, sharer.ErrNotReading):
+			// The parts were dealt anew, so the store is back if it was away.
+			r.seekAt = bootclock.Now()
 		}
 		r.shunned[peer.Address] = bootclock.Now().Add(hold)
 	}
@@ -193,6 +197,9 @@
 	if err := f.peers.Call(ctx, address, sharer.WatchMethod, q, &news); err != nil {
 		return sharer.News{}, time.Time{}, err
 	}
+	if news.IsNotReading {
+		return sharer.News{}, time.Time{}, sharer.ErrNotReading
+	}
 	r.answeredAt = bootclock.Now()
 	confirmed := asked.Add(time.Duration(news.ConfirmedMS) * time.Millisecond)
 	if r.answeredAt.Sub(confirmed) > mostConfirmedAge {
--- a/entry/internal/follower/peers_test.go
+++ b/entry/internal/follower/peers_test.go
@@ -220,14 +220,19 @@
 	time.Sleep(outage)
 	pressed := second.link.reads.Load() - before
 	c.Assert(pressed <= 4, qt.IsTrue, qt.Commentf("%d calls in %v", pressed, outage))
-	n := second.count()
+	awaitFresh(c, store, 1500*time.Millisecond, second)
+}
+
+// awaitFresh ends an outage of the store and waits until nodes have its confirmation again.
+func awaitFresh(c *qt.C, store *storefaker.Store, limit time.Duration, nodes ...*node) {
 	back := bootclock.Now()
 	store.SetFault(storefaker.None)
-	for isFresh := false; !isFresh; {
-		n = await[dispatcher.Confirmed](c, second.events, n)
-		isFresh = second.confirmed().After(back)
+	for i, n := range nodes {
+		for !n.confirmed().After(back) {
+			c.Assert(bootclock.Now().Sub(back) < limit, qt.IsTrue, qt.Commentf("node %d is not back within %v", i, limit))
+			time.Sleep(20 * time.Millisecond)
+		}
 	}
-	c.Assert(bootclock.Now().Sub(back) < 1500*time.Millisecond, qt.IsTrue)
 }
 
 // confirmed returns the newest confirmation that was submitted.
--- a/entry/internal/sharer/sharer.go
+++ b/entry/internal/sharer/sharer.go
@@ -55,8 +55,10 @@
 
 // News is the answer to a query.
 type News struct {
-	Sharer   string   `json:"sharer"`
-	Revision Revision `json:"revision"`
+	// IsNotReading says that the node does not read the store; there is nothing else then.
+	IsNotReading bool     `json:"is_not_reading,omitempty"`
+	Sharer       string   `json:"sharer"`
+	Revision     Revision `json:"revision"`
 	// IsComplete says that targets that are not among the changes are gone.
 	IsComplete bool                     `json:"is_complete"`
 	Changes    []describer.TargetChange `json:"changes"`
@@ -229,7 +231,11 @@
 	if err := json.Unmarshal(params, &q); err != nil {
 		return nil, errors.Wrap(err, "decoding a query")
 	}
-	return s.Watch(ctx, q)
+	news, err := s.Watch(ctx, q)
+	if errors.Is(err, ErrNotReading) {
+		return News{IsNotReading: true}, nil
+	}
+	return news, err
 }
 
 // Watch returns what the peer does not know, at once if there is any, else when there is or the wait is over.
--- a/entry/internal/sharer/sharer_test.go
+++ b/entry/internal/sharer/sharer_test.go
@@ -57,6 +57,9 @@
 	if err := json.Unmarshal(raw, &n); err != nil {
 		t.Fatal(err)
 	}
+	if n.IsNotReading {
+		return n, sharer.ErrNotReading
+	}
 	return n, nil
 }
 
