Let no disturbance of a peer make a node late that the peer feeds

Its peer had lost the store; its news counted as good until they were 2.5 s old, and another peer that did not answer cost a second more. Change: calls for configurations wait 0.7 s, peers answer within 0.5 s, news are old at 1.1 s, and a node whose peer gives out asks the store at once, and reads it where it answers.

--- a/entry/internal/follower/follower.go
+++ b/entry/internal/follower/follower.go
@@ -27,7 +27,7 @@
 	// callTime bounds a call beside the time that it may wait for news.
 	callTime = 700 * time.Millisecond
 	// configurationWait is how long a call waits for a new configuration; its end confirms the old one.
-	configurationWait = 1500 * time.Millisecond
+	configurationWait = 700 * time.Millisecond
 	// targetsWait is how long a call waits for news of targets.
 	targetsWait = 1500 * time.Millisecond
 	// News that come together are gathered for a pause that grows with the targets there are,
--- a/entry/internal/follower/moved_test.go
+++ b/entry/internal/follower/moved_test.go
@@ -11,9 +11,11 @@
 	"fuchsiabridge.example/common/bootclock"
 	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/follower"
 	"fuchsiabridge.example/entry/internal/sharer"
 	"fuchsiabridge.example/platform/storecaller"
+	"fuchsiabridge.example/platform/storefaker"
 )
 
 const (
@@ -74,6 +76,20 @@
 	return owners, err
 }
 
+// TestCutOffPeerMakesNobodyLate plays the pattern of a peer that loses the store alone while a
+// configuration changes: the node that it feeds knows of the change within 1.8 s, as one that
+// reads alone, though all other peers are silent.
+func TestCutOffPeerMakesNobodyLate(t *testing.T) {
+	const limit = 1800 * time.Millisecond
+	c, store, first, second := startTwo(t)
+	n := second.count()
+	first.link.isCut.Store(true)
+	changed := time.Now()
+	c.Assert(store.PutConfiguration(storefaker.Sample(2, "other")), qt.IsNil)
+	await[dispatcher.TableRead](c, second.events, n)
+	c.Assert(time.Since(changed) < limit, qt.IsTrue, qt.Commentf("it took %v", time.Since(changed)))
+}
+
 // Call answers as a peer: old news while the store is away; after that only the new reader has any.
 func (s *scene) Call(_ context.Context, address, _ string, _, result any) error {
 	news, ok := result.(*sharer.News)
--- a/entry/internal/follower/peers.go
+++ b/entry/internal/follower/peers.go
@@ -20,15 +20,16 @@
 
 const (
 	// peerWait is how long a peer may wait for news before it answers.
-	peerWait = time.Second
+	peerWait = 500 * time.Millisecond
 	// peerTime bounds a call beside that.
-	peerTime = 500 * time.Millisecond
+	peerTime = 400 * time.Millisecond
 	// configurationTime bounds a call for a configuration, which may be large.
 	configurationTime = time.Second
 	// fedTime is how long news suffice.
-	fedTime = peerWait + 2*peerTime
-	// mostConfirmedAge is the age of a peer's newest confirmation from which on it counts as cut off from the store.
-	mostConfirmedAge = 2500 * time.Millisecond
+	fedTime = 2 * time.Second
+	// mostConfirmedAge is the age of a peer's newest confirmation from which on it counts as cut
+	// off from the store: some more than a call for a configuration waits.
+	mostConfirmedAge = 1100 * time.Millisecond
 	// shunTime is how long a peer that gave no news is not asked, staleTime one whose news are old.
 	shunTime  = time.Second
 	staleTime = 400 * time.Millisecond
@@ -60,6 +61,8 @@
 	pause  time.Duration
 	// isStoreAway says that the store did not answer when it was asked last.
 	isStoreAway bool
+	// isFed says that the last peer has given news.
+	isFed bool
 }
 
 // FollowPeers takes what peers have read from the store, while this node does not read it for them, until ctx ends.
@@ -81,6 +84,19 @@
 			r.seekAt = bootclock.Now()
 		}
 		r.shunned[peer.Address] = bootclock.Now().Add(hold)
+		if r.isFed {
+			r.isFed = false
+			f.readAlone(ctx, &r)
+		}
+	}
+}
+
+// readAlone has the node read the store at once when its peer has given out, where it can: a
+// disturbance of the peer must not make this node late.
+func (f *Follower) readAlone(ctx context.Context, r *readers) {
+	f.seek(ctx, r)
+	if !r.isStoreAway {
+		f.duty.feed(bootclock.Now())
 	}
 }
 
@@ -180,7 +196,7 @@
 		}
 		f.submit(dispatcher.Confirmed{AsOf: confirmed})
 		f.duty.feed(bootclock.Now().Add(fedTime))
-		r.pause, r.isStoreAway = 0, false
+		r.pause, r.isStoreAway, r.isFed = 0, false, true
 	}
 	return errors.Wrap(ctx.Err(), "following a peer")
 }
--- a/entry/internal/follower/peers_test.go
+++ b/entry/internal/follower/peers_test.go
@@ -39,7 +39,11 @@
 	if l.isCut.Load() {
 		return nil, 0, errCut
 	}
-	return l.Store.ReadConfiguration(ctx, from, wait)
+	cfg, next, err := l.Store.ReadConfiguration(ctx, from, wait)
+	if l.isCut.Load() {
+		return nil, 0, errCut
+	}
+	return cfg, next, err
 }
 
 func (l *link) NewestConfiguration(ctx context.Context) (*describer.Configuration, identifier.Offset, error) {
