--- a/entry/internal/follower/peers.go
+++ b/entry/internal/follower/peers.go
@@ -92,7 +92,7 @@
 }
 
 // readAlone has the node read the store at once when its peer has given out, where it can: a
-// disturbance of the peer must not make this node late.
+// fault of the peer must not make this node late.
 func (f *Follower) readAlone(ctx context.Context, r *readers) {
 	f.seek(ctx, r)
 	if !r.isStoreAway {
