Work out a usual request's memory once, count leaving targets once

The change had written two things twice: the KV cache of a usual request, in chainer and in placer, each with its own constant, and the loop that counts leaving and doubted targets, in registrar and in chooser. Engine.RequestMegabytes and registrar.Count serve both. accuser loses an exported step that only IsGuilty called, and a variable that hid the instant of the same name.

--- a/common/describer/describer.go
+++ b/common/describer/describer.go
@@ -8,6 +8,8 @@
 	"fuchsiabridge.example/common/identifier"
 )
 
+const bytesPerMegabyte = 1e6
+
 // Kind tells how often a request of a route may run.
 type Kind int
 
@@ -91,6 +93,9 @@
 	Kinds       map[identifier.AcceleratorKind]Accelerator
 }
 
+// RequestMegabytes returns the KV cache of a usual request through all layers, in megabytes.
+func (e *Engine) RequestMegabytes() float64 { return e.UsualTokens * e.TokenBytes / bytesPerMegabyte }
+
 // Accelerator describes one kind of accelerator.
 type Accelerator struct {
 	Megabytes float64
--- a/entry/internal/accuser/accuser.go
+++ b/entry/internal/accuser/accuser.go
@@ -77,7 +77,7 @@
 	}
 	fallen := map[identifier.TargetID]int64{}
 	for id, born := range a.alive {
-		if now, ok := alive[id]; !ok || now != born {
+		if current, ok := alive[id]; !ok || current != born {
 			fallen[id] = born
 		}
 	}
@@ -150,21 +150,16 @@
 	}
 }
 
-// Crashes returns how often a request has crashed targets lately.
-func (a *Accuser) Crashes(now time.Time, request identifier.Fingerprint) int {
-	if len(a.crashes) == 0 {
-		return 0
-	}
-	return count(now, a.crashes[request])
-}
-
 // IsGuilty reports whether a request has crashed so many targets that it must not run again.
 func (a *Accuser) IsGuilty(now time.Time, request identifier.Fingerprint) bool {
-	return a.Crashes(now, request) >= guiltyCrashes
+	return count(now, a.crashes[request]) >= guiltyCrashes
 }
 
 // count counts the instants that still count and lie apart.
 func count(now time.Time, lives map[life]time.Time) int {
+	if len(lives) == 0 {
+		return 0
+	}
 	n := 0
 	var last time.Time
 	for _, at := range slices.SortedFunc(maps.Values(lives), time.Time.Compare) {
--- a/entry/internal/chainer/chainer.go
+++ b/entry/internal/chainer/chainer.go
@@ -25,8 +25,6 @@
 	maxReuse = 0.5
 	// maxParts is the longest chain that targets accept.
 	maxParts = 32
-
-	bytesPerMegabyte = 1e6
 )
 
 // Holder is a target with one range of layers that it holds.
@@ -294,7 +292,7 @@
 
 // room is how many usual requests fit beside the weights when so many layers are run.
 func (p *Planner) room(h Holder, layers int) float64 {
-	perRequest := p.engine.UsualTokens * p.engine.TokenBytes / bytesPerMegabyte * float64(layers) / float64(p.engine.Layers)
+	perRequest := p.engine.RequestMegabytes() * float64(layers) / float64(p.engine.Layers)
 	if perRequest <= 0 {
 		return math.Inf(1)
 	}
--- a/entry/internal/chooser/chooser.go
+++ b/entry/internal/chooser/chooser.go
@@ -117,14 +117,7 @@
 
 // Counts returns how many targets are known, leaving and in doubt.
 func (c *Chooser) Counts() (known, leaving, doubted int) {
-	for _, t := range c.targets {
-		if t.IsLeaving {
-			leaving++
-		}
-		if t.IsDoubted {
-			doubted++
-		}
-	}
+	leaving, doubted = registrar.Count(c.targets)
 	return len(c.targets), leaving, doubted
 }
 
--- a/entry/internal/placer/arranger.go
+++ b/entry/internal/placer/arranger.go
@@ -11,8 +11,6 @@
 )
 
 const (
-	bytesPerMegabyte = 1e6
-
 	// leastRoom and mostRoom bound the usual requests for which a target leaves memory free.
 	leastRoom = 30.0
 	mostRoom  = 400.0
@@ -33,7 +31,7 @@
 
 // RangeLength returns how many layers a target of a kind can hold with room for so many usual requests.
 func RangeLength(e *describer.Engine, kind identifier.AcceleratorKind, requests float64) identifier.Layer {
-	perLayer := e.LayerMegabytes + requests*e.UsualTokens*e.TokenBytes/bytesPerMegabyte/float64(e.Layers)
+	perLayer := e.LayerMegabytes + requests*e.RequestMegabytes()/float64(e.Layers)
 	if perLayer <= 0 {
 		return 0
 	}
--- a/entry/internal/registrar/registrar.go
+++ b/entry/internal/registrar/registrar.go
@@ -241,20 +241,26 @@
 	return !s.leavingAt.IsZero() && now.Sub(s.leavingAt) < closingTime
 }
 
-func (r *Registrar) changed(now time.Time) []messenger.Effect {
-	ev := TargetsChanged{Targets: make([]Target, 0, len(r.states))}
-	leaving, doubted := 0, 0
-	for _, s := range r.states {
-		s.wasClosing = s.isClosing(now)
-		t := Target{Target: s.target, IsDoubted: s.isDoubted(now), IsClosing: s.wasClosing}
+// Count returns how many targets are leaving and how many are in doubt.
+func Count(targets []Target) (leaving, doubted int) {
+	for _, t := range targets {
 		if t.IsLeaving {
 			leaving++
 		}
 		if t.IsDoubted {
 			doubted++
 		}
-		ev.Targets = append(ev.Targets, t)
 	}
+	return leaving, doubted
+}
+
+func (r *Registrar) changed(now time.Time) []messenger.Effect {
+	ev := TargetsChanged{Targets: make([]Target, 0, len(r.states))}
+	for _, s := range r.states {
+		s.wasClosing = s.isClosing(now)
+		ev.Targets = append(ev.Targets, Target{Target: s.target, IsDoubted: s.isDoubted(now), IsClosing: s.wasClosing})
+	}
+	leaving, doubted := Count(ev.Targets)
 	slices.SortFunc(ev.Targets, func(a, b Target) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	return []messenger.Effect{messenger.Raise{Event: ev}, messenger.Log{
 		Event: eventlogger.TargetsChanged, Subject: "targets",
