Log which attempts may have crashed a target, each failure that is seen, and each confirmation

Told apart by this: whether a crash isn't counted because of how the attempt ended (8002 says candidate=false), because of when the node saw the failure (8025 gives its cause and the candidates at hand), or is counted and lost later (8024 says at which nodes the request is confirmed). 8001 and 8002 carry the fingerprint that 8023 and 8024 name; the metrics page counts poison candidates, requests with crashes and confirmed poison. No logic changes.

--- a/common/describer/status.go
+++ b/common/describer/status.go
@@ -19,6 +19,11 @@
 	// now allows the node beyond the ratio.
 	Open       int `json:"open"`
 	RetryQuota int `json:"repeats"`
+	// PoisonCandidates counts the attempts that may have crashed a target, RequestsWithCrashes the requests
+	// known to have done so, ConfirmedPoison those of them that are refused.
+	PoisonCandidates    int `json:"poison_candidates"`
+	RequestsWithCrashes int `json:"requests_with_crashes"`
+	ConfirmedPoison     int `json:"confirmed_poison"`
 	// HoldsLease says that the node holds the lease to send orders, with the fencing token Fence.
 	HoldsLease bool                    `json:"holds_lease"`
 	Fence      identifier.FencingToken `json:"fence"`
--- a/common/eventlogger/relay.go
+++ b/common/eventlogger/relay.go
@@ -25,6 +25,8 @@
 	PeerFollowed           = Event{8021, "store updates come from a peer"}
 	PeerNotFollowed        = Event{8022, "store updates no longer come from a peer"}
 	RequestCrashedTarget   = Event{8023, "target crashed while running a request"}
+	RelayedPoisonConfirmed = Event{8024, "relayed request confirmed as poison"}
+	TargetFailed           = Event{8025, "target failed"}
 )
 
 func relayEvents() []Event {
@@ -52,5 +54,7 @@
 		PeerFollowed,
 		PeerNotFollowed,
 		RequestCrashedTarget,
+		RelayedPoisonConfirmed,
+		TargetFailed,
 	}
 }
--- a/entry/internal/crashtracker/crashtracker.go
+++ b/entry/internal/crashtracker/crashtracker.go
@@ -5,6 +5,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"fuchsiabridge.example/common/identifier"
@@ -38,6 +39,35 @@
 	AgeMS int64 `json:"age_ms"`
 }
 
+// Cause is how a node learned that a target has failed.
+type Cause string
+
+// Causes of a failure.
+const (
+	// Gone: its entry is gone.
+	Gone Cause = "gone"
+	// Restarted: it reports another incarnation.
+	Restarted Cause = "restarted"
+	// Ejected: requests or a probe got no answer from it.
+	Ejected Cause = "ejected"
+)
+
+// Failure is the failure of one incarnation of a target.
+type Failure struct {
+	Target      identifier.TargetID
+	Incarnation int64
+	Cause       Cause
+}
+
+// Findings are the failures of targets that a change of their state reveals, and the crashes
+// that these show together with the attempts that broke or stalled before.
+type Findings struct {
+	Failures []Failure
+	Crashes  []Crash
+	// Candidates is the number of poison candidates that the failures were compared with.
+	Candidates int
+}
+
 // candidate is an attempt that broke or stalled; one of its targets may have crashed.
 type candidate struct {
 	request identifier.Fingerprint
@@ -72,26 +102,45 @@
 	}
 }
 
-// SetTargets applies the current state of the targets, and returns the crashes that it reveals. A
+// SetTargets applies the current state of the targets, and returns the failures that it reveals. A
 // target has failed if its entry is gone, it was ejected, or it has restarted.
-func (t *Tracker) SetTargets(now time.Time, targets []registrar.Target) []Crash {
+func (t *Tracker) SetTargets(now time.Time, targets []registrar.Target) Findings {
+	known := make(map[identifier.TargetID]registrar.Target, len(targets))
 	alive := make(map[identifier.TargetID]int64, len(targets))
 	for _, target := range targets {
+		known[target.ID] = target
 		if !target.IsEjected {
 			alive[target.ID] = target.Incarnation
 		}
 	}
 	failed := map[identifier.TargetID]int64{}
+	var out Findings
 	for id, number := range t.alive {
-		if current, ok := alive[id]; !ok || current != number {
-			failed[id] = number
+		if current, ok := alive[id]; ok && current == number {
+			continue
 		}
+		failed[id] = number
+		out.Failures = append(out.Failures, Failure{Target: id, Incarnation: number, Cause: causeOf(known, id)})
 	}
 	t.alive = alive
 	if len(failed) == 0 {
-		return nil
+		return out
 	}
-	return t.matchFailures(now, failed)
+	slices.SortFunc(out.Failures, func(a, b Failure) int { return strings.Compare(string(a.Target), string(b.Target)) })
+	out.Candidates = len(t.candidates)
+	out.Crashes = t.matchFailures(now, failed)
+	return out
+}
+
+// causeOf returns how the failure of a target shows in the current state of the targets.
+func causeOf(known map[identifier.TargetID]registrar.Target, id identifier.TargetID) Cause {
+	switch target, ok := known[id]; {
+	case !ok:
+		return Gone
+	case target.IsEjected:
+		return Ejected
+	}
+	return Restarted
 }
 
 // matchFailures returns the crashes that failed targets reveal: those of recent candidates that
@@ -164,6 +213,16 @@
 	return countSeparateCrashes(now, t.crashes[request]) >= confirmingCrashes
 }
 
+// Counts returns how many poison candidates, requests with crashes and confirmed poison requests are known.
+func (t *Tracker) Counts(now time.Time) (candidates, accused, confirmed int) {
+	for request := range t.crashes {
+		if t.IsConfirmed(now, request) {
+			confirmed++
+		}
+	}
+	return len(t.candidates), len(t.crashes), confirmed
+}
+
 // countSeparateCrashes counts the crashes that have not expired and are at least
 // correlationWindow apart.
 func countSeparateCrashes(now time.Time, incarnations map[incarnation]time.Time) int {
--- a/entry/internal/crashtracker/crashtracker_test.go
+++ b/entry/internal/crashtracker/crashtracker_test.go
@@ -52,7 +52,7 @@
 		if i == 0 {
 			node.AddCandidate(now, innocent, []identifier.TargetID{id(i)})
 		}
-		crashes := node.SetTargets(now.Add(time.Second), fleet(4, i))
+		crashes := node.SetTargets(now.Add(time.Second), fleet(4, i)).Crashes
 		c.Assert(len(crashes) > 0, qt.IsTrue)
 		for _, x := range crashes {
 			c.Assert(peer.RecordCrash(now, x), qt.IsTrue)
@@ -94,7 +94,7 @@
 	for i := range 4 {
 		tracker.AddCandidate(start, poison, []identifier.TargetID{id(i)})
 	}
-	c.Assert(tracker.SetTargets(start, fleet(4)), qt.HasLen, 0)
-	c.Assert(tracker.SetTargets(start.Add(time.Minute), fleet(4, 0, 1, 2, 3)), qt.HasLen, 0)
+	c.Assert(tracker.SetTargets(start, fleet(4)).Crashes, qt.HasLen, 0)
+	c.Assert(tracker.SetTargets(start.Add(time.Minute), fleet(4, 0, 1, 2, 3)).Crashes, qt.HasLen, 0)
 	c.Assert(tracker.IsConfirmed(start, poison), qt.IsFalse)
 }
--- a/entry/internal/dispatcher/attempts.go
+++ b/entry/internal/dispatcher/attempts.go
@@ -24,9 +24,10 @@
 		r.stalledAttempt = nil
 	}
 	r.firstByte, r.longestGap, r.events = ev.FirstByte, ev.LongestGap, ev.Events
+	isCandidate := false
 	switch ev.Outcome {
 	case Broken:
-		d.notePoisonCandidate(now, r)
+		isCandidate = d.notePoisonCandidate(now, r)
 	case Delivered:
 		d.crashTracker.Clear(r.fingerprint)
 	default:
@@ -36,7 +37,7 @@
 	}
 	effects := []messenger.Effect{}
 	if ev.Outcome != Delivered {
-		effects = append(effects, d.logAttempt(now, r, ev))
+		effects = append(effects, d.logAttempt(now, r, ev, isCandidate))
 	}
 	effects = append(effects, d.reportFaultyTarget(now, r, ev)...)
 	target := r.target
@@ -251,8 +252,8 @@
 		}
 		return []messenger.Effect{Wait{Until: r.deadline}}
 	}
-	log := d.logAttempt(now, r, AttemptReported{Outcome: Stalled, Reason: reason, Events: r.events})
-	d.notePoisonCandidate(now, r)
+	isCandidate := d.notePoisonCandidate(now, r)
+	log := d.logAttempt(now, r, AttemptReported{Outcome: Stalled, Reason: reason, Events: r.events}, isCandidate)
 	stalledAttempt := r.attempt
 	r.stalledAttempt = &stalledAttempt
 	d.release(r)
@@ -317,9 +318,11 @@
 	return append(effects, d.failOver(now, ev.Call, r, "request waits for target "+faulty, ev.Seed)...)
 }
 
-func (d *Dispatcher) logAttempt(now time.Time, r *request, ev AttemptReported) messenger.Effect {
+// logAttempt logs the end of an attempt, or that it stalled; isCandidate says that the request may have
+// crashed a target.
+func (d *Dispatcher) logAttempt(now time.Time, r *request, ev AttemptReported, isCandidate bool) messenger.Effect {
 	return messenger.Log{Event: eventlogger.AttemptEnded, Subject: "request/" + string(r.id), Values: []any{
 		"outcome", ev.Outcome, "target", r.target, "status", ev.Status, "reason", ev.Reason, "fault", ev.FaultAddress,
-		"took_ms", now.Sub(r.sent).Milliseconds(), "events", ev.Events,
+		"took_ms", now.Sub(r.sent).Milliseconds(), "events", ev.Events, "fingerprint", r.fingerprint, "candidate", isCandidate,
 	}}
 }
--- a/entry/internal/dispatcher/crashes.go
+++ b/entry/internal/dispatcher/crashes.go
@@ -6,24 +6,41 @@
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/entry/internal/crashtracker"
+	"fuchsiabridge.example/entry/internal/registrar"
 )
 
 // notePoisonCandidate records an attempt that broke, or was left as stalled, before its first
-// byte: the request may have crashed a target.
-func (d *Dispatcher) notePoisonCandidate(now time.Time, r *request) {
-	if r.firstByte == 0 && r.target != "" {
-		d.crashTracker.AddCandidate(now, r.fingerprint, r.targets())
+// byte: the request may have crashed a target. It reports whether the attempt counts.
+func (d *Dispatcher) notePoisonCandidate(now time.Time, r *request) bool {
+	if r.firstByte != 0 || r.target == "" {
+		return false
 	}
+	d.crashTracker.AddCandidate(now, r.fingerprint, r.targets())
+	return true
+}
+
+// targetsChanged applies the current state of the targets, and reports the crashes that it reveals.
+func (d *Dispatcher) targetsChanged(now time.Time, targets []registrar.Target) []messenger.Effect {
+	d.chooser.SetTargets(targets)
+	found := d.crashTracker.SetTargets(now, targets)
+	var effects []messenger.Effect
+	for _, f := range found.Failures {
+		effects = append(effects, messenger.Log{
+			Event: eventlogger.TargetFailed, Subject: "target/" + string(f.Target),
+			Values: []any{"born", f.Incarnation, "cause", f.Cause, "candidates", found.Candidates, "crashes", len(found.Crashes)},
+		})
+	}
+	return append(effects, d.reportCrashes(now, found.Crashes)...)
 }
 
 // reportCrashes logs crashes that this node has detected, and reports them to the other nodes.
-func (d *Dispatcher) reportCrashes(crashes []crashtracker.Crash) []messenger.Effect {
+func (d *Dispatcher) reportCrashes(now time.Time, crashes []crashtracker.Crash) []messenger.Effect {
 	if len(crashes) == 0 {
 		return nil
 	}
 	effects := []messenger.Effect{ReportCrashes{Crashes: crashes}}
 	for _, c := range crashes {
-		effects = append(effects, crashLog(c, "this node"))
+		effects = append(effects, d.logCrash(now, c, "this node")...)
 	}
 	return effects
 }
@@ -32,15 +49,23 @@
 	var effects []messenger.Effect
 	for _, c := range ev.Crashes {
 		if d.crashTracker.RecordCrash(now, c) {
-			effects = append(effects, crashLog(c, "a peer"))
+			effects = append(effects, d.logCrash(now, c, "a peer")...)
 		}
 	}
 	return effects
 }
 
-func crashLog(c crashtracker.Crash, seenBy string) messenger.Effect {
-	return messenger.Log{
+// logCrash logs a crash, and that the request is confirmed as poison if it now is.
+func (d *Dispatcher) logCrash(now time.Time, c crashtracker.Crash, seenBy string) []messenger.Effect {
+	effects := []messenger.Effect{messenger.Log{
 		Event: eventlogger.RequestCrashedTarget, Subject: "target/" + string(c.Target),
-		Values: []any{"fingerprint", c.Request, "born", c.Incarnation, "seen_by", seenBy},
+		Values: []any{"fingerprint", c.Request, "born", c.Incarnation, "age_ms", c.AgeMS, "seen_by", seenBy},
+	}}
+	if d.crashTracker.IsConfirmed(now, c.Request) {
+		effects = append(effects, messenger.Log{
+			Event: eventlogger.RelayedPoisonConfirmed, Subject: "target/" + string(c.Target),
+			Values: []any{"fingerprint", c.Request, "seen_by", seenBy},
+		})
 	}
+	return effects
 }
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -162,8 +162,7 @@
 	case Stopping:
 		d.refuseAt = ev.RefuseAt
 	case registrar.TargetsChanged:
-		d.chooser.SetTargets(ev.Targets)
-		return d.reportCrashes(d.crashTracker.SetTargets(now, ev.Targets))
+		return d.targetsChanged(now, ev.Targets)
 	case CrashesReported:
 		return d.crashesReported(now, ev)
 	case messenger.Tick:
@@ -183,6 +182,7 @@
 		IsReady: d.IsReady(now), ConfirmedMSAgo: -1, Open: len(d.requests), RetryQuota: d.quota.Retries(now), Chains: d.chooser.Chains(),
 	}
 	s.Targets, s.Leaving, s.Ejected = d.chooser.Counts()
+	s.PoisonCandidates, s.RequestsWithCrashes, s.ConfirmedPoison = d.crashTracker.Counts(now)
 	if d.table != nil {
 		s.Version, s.ConfirmedMSAgo = d.table.Version, now.Sub(d.confirmedAt).Milliseconds()
 	}
@@ -403,7 +403,7 @@
 	d.release(r)
 	delete(d.requests, call)
 	values := []any{"status", status, "reason", reason, "took_ms", now.Sub(r.arrived).Milliseconds(), "sends", r.attempts, "runs", r.executions,
-		"first_ms", r.firstByte.Milliseconds(), "longest_gap_ms", r.longestGap.Milliseconds(), "events", r.events}
+		"first_ms", r.firstByte.Milliseconds(), "longest_gap_ms", r.longestGap.Milliseconds(), "events", r.events, "fingerprint", r.fingerprint}
 	if r.route != nil {
 		values = append(values, "route", r.route.ID, "account", r.account, "service", r.service)
 	}
