--- a/entry/internal/dispatcher/crashes.go
+++ b/entry/internal/dispatcher/crashes.go
@@ -9,6 +9,9 @@
 	"fuchsiabridge.example/entry/internal/registrar"
 )
 
+// fingerprintKey is the key in logs under which all events name a request's fingerprint.
+const fingerprintKey = "fingerprint"
+
 // notePoisonCandidate records an attempt that broke, or was left as stalled, before its first
 // byte: the request may have crashed a target. It reports whether the attempt counts.
 func (d *Dispatcher) notePoisonCandidate(now time.Time, r *request) bool {
@@ -59,12 +62,12 @@
 func (d *Dispatcher) logCrash(now time.Time, c crashtracker.Crash, seenBy string) []messenger.Effect {
 	effects := []messenger.Effect{messenger.Log{
 		Event: eventlogger.RequestCrashedTarget, Subject: "target/" + string(c.Target),
-		Values: []any{"fingerprint", c.Request, "born", c.Incarnation, "age_ms", c.AgeMS, "seen_by", seenBy},
+		Values: []any{fingerprintKey, c.Request, "born", c.Incarnation, "age_ms", c.AgeMS, "seen_by", seenBy},
 	}}
 	if d.crashTracker.IsConfirmed(now, c.Request) {
 		effects = append(effects, messenger.Log{
 			Event: eventlogger.RelayedPoisonConfirmed, Subject: "target/" + string(c.Target),
-			Values: []any{"fingerprint", c.Request, "seen_by", seenBy},
+			Values: []any{fingerprintKey, c.Request, "seen_by", seenBy},
 		})
 	}
 	return effects
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -403,7 +403,7 @@
 	d.release(r)
 	delete(d.requests, call)
 	values := []any{"status", status, "reason", reason, "took_ms", now.Sub(r.arrived).Milliseconds(), "sends", r.attempts, "runs", r.executions,
-		"first_ms", r.firstByte.Milliseconds(), "longest_gap_ms", r.longestGap.Milliseconds(), "events", r.events, "fingerprint", r.fingerprint}
+		"first_ms", r.firstByte.Milliseconds(), "longest_gap_ms", r.longestGap.Milliseconds(), "events", r.events, fingerprintKey, r.fingerprint}
 	if r.route != nil {
 		values = append(values, "route", r.route.ID, "account", r.account, "service", r.service)
 	}
