Put crashes down to requests by order and proof of life, not by coincidence in time

Callers saw: a request under which three targets had ended was sent to targets again and again.

Cause: evidence came from coincidences in time. Only an attempt that broke before its first byte counted, and only if the node's view of its target changed after that and within 5 s; crashes within half a second counted as one, at a node that learned of them at once too; after a minute, or when 4,096 requests had crashes, all were forgotten. Streams break after their first event, entries lapse 3.6 s after a crash, ejections come before the broken attempt is reported: nothing was counted.

Change: an attempt without a complete answer waits for evidence however it ended; a failure known before it counts as well. A target whose connection broke is checked at once, others after 0.3 s, at most 20 a second; one that answers later than an attempt ended has survived it. Crashes count in a row where the request was sent, on a new connection, when the ones before were known; a rack that falls at once counts once, whoever sees it and whenever. Reports carry that number. Three in a row, or two with four attempts, are refused for an hour; room is made by dropping those with the fewest. A target that answers that it holds other layers has not failed.

Seen failing before, now passing: TestPoisonIsRefusedWhereverAttemptEnds, WithLateView, AfterQuickRetries, ByNodeThatLearnsLate, TestPoisonStaysRefused. TestPoisonRequestIsRefused raises the ejection itself, as entries no longer tell of it; the crashtracker's tests use the new calls and gain a rack that retries meet.

--- a/common/describer/describer.go
+++ b/common/describer/describer.go
@@ -152,6 +152,8 @@
 // Report is a target's load report.
 type Report struct {
 	Kind identifier.AcceleratorKind
+	// Incarnation is the one of the target's entry, 0 if the report does not say.
+	Incarnation int64
 	// Orders counts the load and unload orders that the target has begun since it started.
 	Orders int64
 	// IsBusy says that the target is executing an order.
--- a/common/eventlogger/relay.go
+++ b/common/eventlogger/relay.go
@@ -27,6 +27,7 @@
 	RequestCrashedTarget   = Event{8023, "target crashed while running a request"}
 	RelayedPoisonConfirmed = Event{8024, "relayed request confirmed as poison"}
 	TargetFailed           = Event{8025, "target failed"}
+	CrashesLearned         = Event{8026, "crashes of targets learned from peers"}
 )
 
 func relayEvents() []Event {
@@ -56,5 +57,6 @@
 		RequestCrashedTarget,
 		RelayedPoisonConfirmed,
 		TargetFailed,
+		CrashesLearned,
 	}
 }
--- a/entry/internal/dispatcher/attempts.go
+++ b/entry/internal/dispatcher/attempts.go
@@ -20,22 +20,23 @@
 		return nil
 	}
 	d.recordResult(now, r, ev)
+	d.recordAlive(r, ev)
 	if ev.Events > r.events {
 		r.stalledAttempt = nil
 	}
 	r.firstByte, r.longestGap, r.events = ev.FirstByte, ev.LongestGap, ev.Events
+	if ev.Outcome == Stalled {
+		return d.stalled(now, ev, r)
+	}
+	var effects []messenger.Effect
 	isCandidate := false
 	switch ev.Outcome {
-	case Broken:
-		isCandidate = d.notePoisonCandidate(now, r)
 	case Delivered:
 		d.crashTracker.Clear(r.fingerprint)
+	case Broken, Expired, CallerGone:
+		isCandidate, effects = d.notePoisonCandidate(now, r, ev)
 	default:
 	}
-	if ev.Outcome == Stalled {
-		return d.stalled(now, ev, r)
-	}
-	effects := []messenger.Effect{}
 	if ev.Outcome != Delivered {
 		effects = append(effects, d.logAttempt(now, r, ev, isCandidate))
 	}
@@ -252,12 +253,13 @@
 		}
 		return []messenger.Effect{Wait{Until: r.deadline}}
 	}
-	isCandidate := d.notePoisonCandidate(now, r)
-	log := d.logAttempt(now, r, AttemptReported{Outcome: Stalled, Reason: reason, Events: r.events}, isCandidate)
+	left := AttemptReported{Outcome: Stalled, Reason: reason, Events: r.events}
+	isCandidate, effects := d.notePoisonCandidate(now, r, left)
+	effects = append(effects, d.logAttempt(now, r, left, isCandidate))
 	stalledAttempt := r.attempt
 	r.stalledAttempt = &stalledAttempt
 	d.release(r)
-	return append([]messenger.Effect{log}, d.sendAttempt(now, call, r, seed, true)...)
+	return append(effects, d.sendAttempt(now, call, r, seed, true)...)
 }
 
 // rerouteChain handles a stalled request that cannot be retried. If a target after the first one of
--- a/entry/internal/dispatcher/crashes.go
+++ b/entry/internal/dispatcher/crashes.go
@@ -12,20 +12,67 @@
 // fingerprintKey is the key in logs under which all events name a request's fingerprint.
 const fingerprintKey = "fingerprint"
 
-// notePoisonCandidate records an attempt that broke, or was left as stalled, before its first
-// byte: the request may have crashed a target. It reports whether the attempt counts.
-func (d *Dispatcher) notePoisonCandidate(now time.Time, r *request) bool {
-	if r.firstByte != 0 || r.target == "" {
-		return false
+// notePoisonCandidate records an attempt that ended, or was left, without a complete answer: the
+// request may have crashed a target. It reports whether the attempt counts, with the effects of the
+// crashes that are known by it.
+func (d *Dispatcher) notePoisonCandidate(now time.Time, r *request, ev AttemptReported) (bool, []messenger.Effect) {
+	if r.target == "" {
+		return false, nil
 	}
-	d.crashTracker.AddCandidate(now, r.fingerprint, r.targets())
-	return true
+	crashes := d.crashTracker.AddAttempt(now, crashtracker.Attempt{
+		Request: r.fingerprint, Targets: r.targets(), Before: r.before, SentAt: r.sent, EndedAt: now,
+		HasEvents: ev.Events > r.eventsBefore, IsBroken: ev.Outcome == Broken,
+	})
+	return true, append(d.reportCrashes(now, crashes), d.startChecks(now)...)
+}
+
+// recordAlive records which targets an attempt proves to be alive: one that answers, and those of a
+// chain from which events arrived.
+func (d *Dispatcher) recordAlive(r *request, ev AttemptReported) {
+	switch {
+	case r.target == "":
+	case ev.Events > r.eventsBefore:
+		d.crashTracker.RecordAlive(r.sent, r.targets()...)
+	case ev.Status != 0:
+		d.crashTracker.RecordAlive(r.sent, r.target)
+	}
+}
+
+// startChecks starts the checks of targets that are due.
+func (d *Dispatcher) startChecks(now time.Time) []messenger.Effect {
+	var effects []messenger.Effect
+	for _, c := range d.crashTracker.DueChecks(now) {
+		effects = append(effects, CheckTarget{Target: c.Target, Address: c.Address})
+	}
+	return effects
+}
+
+// targetChecked applies the result of a check. A target that does not answer is ejected.
+func (d *Dispatcher) targetChecked(now time.Time, ev TargetChecked) []messenger.Effect {
+	if !ev.IsUnanswered {
+		return d.applyFindings(now, d.crashTracker.CheckAnswered(now, ev.Target, ev.Incarnation))
+	}
+	effects := d.applyFindings(now, d.crashTracker.CheckUnanswered(now, ev.Target))
+	return append(effects, d.eject(now, ev.Address, registrar.Unresponsive, "target did not answer a check")...)
 }
 
 // targetsChanged applies the current state of the targets, and reports the crashes that it reveals.
 func (d *Dispatcher) targetsChanged(now time.Time, targets []registrar.Target) []messenger.Effect {
 	d.chooser.SetTargets(targets)
-	found := d.crashTracker.SetTargets(now, targets)
+	return d.applyFindings(now, d.crashTracker.SetTargets(now, targets))
+}
+
+// targetEjected notes the failure of a target that does not answer. One that answers that it holds
+// other layers has not failed.
+func (d *Dispatcher) targetEjected(now time.Time, ev registrar.Ejected) []messenger.Effect {
+	if ev.Cause != registrar.Unresponsive {
+		return nil
+	}
+	return d.applyFindings(now, d.crashTracker.SetUnresponsive(now, ev.Address))
+}
+
+// applyFindings logs failures of targets, and reports the crashes that they show.
+func (d *Dispatcher) applyFindings(now time.Time, found crashtracker.Findings) []messenger.Effect {
 	var effects []messenger.Effect
 	for _, f := range found.Failures {
 		effects = append(effects, messenger.Log{
@@ -48,21 +95,33 @@
 	return effects
 }
 
+// crashesReported records the crashes that another node has found. A single crash beside many requests
+// makes many reports, so only those of further crashes in a row are logged one by one.
 func (d *Dispatcher) crashesReported(now time.Time, ev CrashesReported) []messenger.Effect {
 	var effects []messenger.Effect
+	newCrashes := 0
 	for _, c := range ev.Crashes {
-		if d.crashTracker.RecordCrash(now, c) {
+		if !d.crashTracker.RecordCrash(now, c) {
+			continue
+		}
+		newCrashes++
+		if c.Depth > 1 {
 			effects = append(effects, d.logCrash(now, c, "a peer")...)
 		}
 	}
-	return effects
+	if newCrashes == 0 {
+		return nil
+	}
+	return append(effects, messenger.Log{
+		Event: eventlogger.CrashesLearned, Subject: "peers", Values: []any{"crashes", len(ev.Crashes), "new", newCrashes},
+	})
 }
 
 // logCrash logs a crash, and that the request is confirmed as poison if it now is.
 func (d *Dispatcher) logCrash(now time.Time, c crashtracker.Crash, seenBy string) []messenger.Effect {
 	effects := []messenger.Effect{messenger.Log{
 		Event: eventlogger.RequestCrashedTarget, Subject: "target/" + string(c.Target),
-		Values: []any{fingerprintKey, c.Request, "born", c.Incarnation, "age_ms", c.AgeMS, "seen_by", seenBy},
+		Values: []any{fingerprintKey, c.Request, "born", c.Incarnation, "depth", c.Depth, "age_ms", c.AgeMS, "seen_by", seenBy},
 	}}
 	if d.crashTracker.IsConfirmed(now, c.Request) {
 		effects = append(effects, messenger.Log{
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -111,6 +111,10 @@
 	target identifier.TargetID
 	chain  []describer.Stage
 	sent   time.Time
+	// before holds the crashes of the request that were known when the attempt was sent, and
+	// eventsBefore counts the events that earlier attempts had delivered.
+	before       crashtracker.History
+	eventsBefore int
 }
 
 // Dispatcher is the reducer for requests in progress.
@@ -163,6 +167,10 @@
 		d.refuseAt = ev.RefuseAt
 	case registrar.TargetsChanged:
 		return d.targetsChanged(now, ev.Targets)
+	case registrar.Ejected:
+		return d.targetEjected(now, ev)
+	case TargetChecked:
+		return d.targetChecked(now, ev)
 	case CrashesReported:
 		return d.crashesReported(now, ev)
 	case messenger.Tick:
@@ -235,14 +243,15 @@
 
 func (d *Dispatcher) tick(now time.Time) []messenger.Effect {
 	d.chooser.Tick(now)
+	effects := d.startChecks(now)
 	if d.isStale || d.table == nil || d.isFresh(now) {
-		return nil
+		return effects
 	}
 	d.isStale = true
-	return []messenger.Effect{messenger.Log{
+	return append(effects, messenger.Log{
 		Event: eventlogger.ConfigurationStale, Subject: "configuration",
 		Values: []any{"version", d.table.Version, "age_ms", now.Sub(d.confirmedAt).Milliseconds()},
-	}}
+	})
 }
 
 func (d *Dispatcher) requestArrived(now time.Time, ev RequestArrived) []messenger.Effect {
@@ -302,9 +311,10 @@
 	if !d.chooser.IsKnown(r.service) {
 		return d.endUnplaced(now, call, r, "unknown service")
 	}
+	before := d.crashTracker.History(now, r.fingerprint)
 	out := Send{
 		Call: call, Account: r.account, Deadline: r.deadline, KeepsStalled: keepsStalled,
-		IsStream: r.route.Kind == describer.Streaming, NewConn: !r.route.MayRetry(),
+		IsStream: r.route.Kind == describer.Streaming, NewConn: !r.route.MayRetry() || before.Depth > 0,
 	}
 	effects := d.chooser.Replan(now, r.service)
 	reason := d.choose(now, r, &out, seed)
@@ -318,7 +328,7 @@
 		budget.CountRetry(now)
 	}
 	r.attempts++
-	r.sent = now
+	r.sent, r.before, r.eventsBefore = now, before, r.events
 	r.target = out.Target
 	r.tried = append(r.tried, out.Target)
 	d.chooser.Acquire(r.targets())
--- a/entry/internal/dispatcher/messages.go
+++ b/entry/internal/dispatcher/messages.go
@@ -39,6 +39,22 @@
 // ReportCrashes is the effect that sends the crashes that this node has detected to the other nodes.
 type ReportCrashes struct{ Crashes []crashtracker.Crash }
 
+// CheckTarget is the effect that checks whether a target answers, since an attempt at it ended without an answer.
+type CheckTarget struct {
+	Target  identifier.TargetID
+	Address string
+}
+
+// TargetChecked is the event that a target has answered a check, or has not.
+type TargetChecked struct {
+	Target  identifier.TargetID
+	Address string
+	// Incarnation is the one that the target reports, 0 if it does not say.
+	Incarnation int64
+	// IsUnanswered says that the target gave no answer.
+	IsUnanswered bool
+}
+
 // Stopping is the event that the node is about to shut down; it refuses requests from RefuseAt on.
 type Stopping struct{ RefuseAt time.Time }
 
--- a/entry/internal/relayer/relayer.go
+++ b/entry/internal/relayer/relayer.go
@@ -37,6 +37,8 @@
 	sweepInterval = time.Second
 	orderTimeout  = time.Second
 	probeTimeout  = 200 * time.Millisecond
+	// checkTimeout is how long a target may take to answer a check, after which it counts as failed.
+	checkTimeout = 400 * time.Millisecond
 	// reportLag is how long a target's report may lag behind the target's state.
 	reportLag = 250 * time.Millisecond
 	// orderWorkers limits the concurrent calls to targets that are not requests of callers.
@@ -129,6 +131,8 @@
 			x.start(func() { x.sendOrder(e) })
 		case dispatcher.ProbeChain:
 			x.start(func() { x.probeChain(e.Address) })
+		case dispatcher.CheckTarget:
+			x.start(func() { x.checkTarget(e) })
 		case placer.QueryState:
 			x.start(func() { x.queryState(e) })
 		default:
@@ -217,6 +221,22 @@
 	x.Submit(dispatcher.ChainProbed{Address: address, FaultAddresses: faulty, IsUnanswered: !ok})
 }
 
+// checkTarget checks whether a target answers. Any answer counts: a plain target may not give reports.
+func (x *Relayer) checkTarget(e dispatcher.CheckTarget) {
+	ctx, cancel := context.WithTimeout(httpcaller.WithNewConn(x.ctx), checkTimeout)
+	defer cancel()
+	checked := dispatcher.TargetChecked{Target: e.Target, Address: e.Address}
+	report, err := x.targets.Report(ctx, e.Address)
+	switch {
+	case err == nil:
+		checked.Incarnation = report.Incarnation
+	case !errors.Is(err, targetcaller.ErrNoReport):
+		checked.IsUnanswered = true
+		eventlogger.Error(err, eventlogger.ReportFailed, "target", e.Target, "address", e.Address)
+	}
+	x.Submit(checked)
+}
+
 // Limits returns the limits that apply to callers.
 func (x *Relayer) Limits() describer.Limits {
 	if l := x.limits.Load(); l != nil {
