Try a request with known crashes once at a time, and from three crashes on at one node only

Callers saw: copies of a request that crashes targets reach several targets at the same moment, after a pause, so that one more round of copies breaks the limit before its first crash is known (4 to 17 late sends of 3 allowed, in virtual time).

Cause: the limit counts sends of all nodes, while each node and each copy decided alone; copies that waited for a target all went to the first one that returned.

Change: an attempt of a request with known crashes holds back further ones at this node, until its answer, a crash or a second. From three crashing attempts on only the holder of the lease tries it: no two nodes hold it. Others hold the request back for at most a second and then say that it has not run.

--- a/entry/internal/dispatcher/attempts.go
+++ b/entry/internal/dispatcher/attempts.go
@@ -33,6 +33,7 @@
 	switch ev.Outcome {
 	case Delivered:
 		d.crashTracker.Clear(r.fingerprint)
+		delete(d.trials, r.fingerprint)
 	case Broken, Expired, CallerGone:
 		isCandidate, effects = d.notePoisonCandidate(now, r, ev)
 	default:
@@ -246,7 +247,7 @@
 // at a chain is rerouted or goes on waiting, and one at a plain target goes on waiting.
 func (d *Dispatcher) failOver(now time.Time, call identifier.CallID, r *request, reason string, seed uint64) []messenger.Effect {
 	r.executions++
-	if !d.mayRetry(now, r) || !d.hasAlternative(r) {
+	if !d.mayRetry(now, r) || !d.hasAlternative(r) || d.isTried(now, r.fingerprint) {
 		r.executions--
 		if len(r.chain) > 0 {
 			return d.rerouteChain(now, r)
--- a/entry/internal/dispatcher/crashes.go
+++ b/entry/internal/dispatcher/crashes.go
@@ -23,6 +23,7 @@
 		Request: r.fingerprint, Targets: r.targets(), Before: r.before, SentAt: r.sent, EndedAt: now,
 		HasEvents: ev.Events > r.eventsBefore, IsBroken: ev.Outcome == Broken,
 	})
+	d.endTrial(now, r.fingerprint)
 	return true, append(d.reportCrashes(now, crashes), d.startChecks(now)...)
 }
 
@@ -90,6 +91,7 @@
 	}
 	effects := []messenger.Effect{ReportCrashes{Crashes: crashes}}
 	for _, c := range crashes {
+		delete(d.trials, c.Request)
 		effects = append(effects, d.logCrash(now, c, "this node")...)
 	}
 	return effects
@@ -105,6 +107,7 @@
 			continue
 		}
 		newCrashes++
+		delete(d.trials, c.Request)
 		if c.Depth > 1 {
 			effects = append(effects, d.logCrash(now, c, "a peer")...)
 		}
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -12,6 +12,7 @@
 	"fuchsiabridge.example/entry/internal/chooser"
 	"fuchsiabridge.example/entry/internal/crashtracker"
 	"fuchsiabridge.example/entry/internal/meter"
+	"fuchsiabridge.example/entry/internal/placer"
 	"fuchsiabridge.example/entry/internal/registrar"
 	"fuchsiabridge.example/entry/internal/router"
 )
@@ -90,6 +91,8 @@
 	// attempts counts all attempts, executions only those that may have run.
 	attempts   int
 	executions int
+	// holdUntil is when the request is refused if it is still held back, zero if it never was.
+	holdUntil time.Time
 	// tried holds the target of each attempt, of a chain its first target.
 	tried []identifier.TargetID
 	// reroutes counts how often the first target of the request's chain was asked to continue
@@ -131,7 +134,11 @@
 	chooser      *chooser.Chooser
 	crashTracker *crashtracker.Tracker
 	requests     map[identifier.CallID]*request
-	budgets      map[identifier.ServiceID]*budgeter.Budget
+	// trials holds, for requests with known crashes, until when an attempt holds back further ones.
+	trials map[identifier.Fingerprint]time.Time
+	// leaseUntil is until when this node holds the lease, which no two nodes do at the same time.
+	leaseUntil time.Time
+	budgets    map[identifier.ServiceID]*budgeter.Budget
 	// quota is this node's share of the retries that are allowed beyond the ratio.
 	quota *budgeter.Quota
 }
@@ -140,7 +147,7 @@
 func NewDispatcher(cfg Config) *Dispatcher {
 	return &Dispatcher{
 		cfg: cfg, chooser: chooser.NewChooser(cfg.DataCentre), crashTracker: crashtracker.NewTracker(), requests: map[identifier.CallID]*request{},
-		budgets: map[identifier.ServiceID]*budgeter.Budget{}, quota: budgeter.NewQuota(cfg.RetryWindow),
+		trials: map[identifier.Fingerprint]time.Time{}, budgets: map[identifier.ServiceID]*budgeter.Budget{}, quota: budgeter.NewQuota(cfg.RetryWindow),
 	}
 }
 
@@ -169,6 +176,10 @@
 		return d.targetsChanged(now, ev.Targets)
 	case registrar.Ejected:
 		return d.targetEjected(now, ev)
+	case placer.LeaseChanged:
+		d.setLease(ev)
+	case HoldEnded:
+		return d.holdEnded(now, ev)
 	case TargetChecked:
 		return d.targetChecked(now, ev)
 	case CrashesReported:
@@ -243,6 +254,7 @@
 
 func (d *Dispatcher) tick(now time.Time) []messenger.Effect {
 	d.chooser.Tick(now)
+	d.dropTrials(now)
 	effects := d.startChecks(now)
 	if d.isStale || d.table == nil || d.isFresh(now) {
 		return effects
@@ -312,6 +324,9 @@
 		return d.endUnplaced(now, call, r, "unknown service")
 	}
 	before := d.crashTracker.History(now, r.fingerprint)
+	if d.mustHold(now, r, before) {
+		return d.hold(now, call, r)
+	}
 	out := Send{
 		Call: call, Account: r.account, Deadline: r.deadline, KeepsStalled: keepsStalled,
 		IsStream: r.route.Kind == describer.Streaming, NewConn: !r.route.MayRetry() || before.Depth > 0,
@@ -330,6 +345,9 @@
 	r.attempts++
 	r.sent, r.before, r.eventsBefore = now, before, r.events
 	r.target = out.Target
+	if before.Depth > 0 {
+		d.trials[r.fingerprint] = now.Add(maxTrial)
+	}
 	r.tried = append(r.tried, out.Target)
 	d.chooser.Acquire(r.targets())
 	return append([]messenger.Effect{out}, effects...)
--- a/entry/internal/dispatcher/messages.go
+++ b/entry/internal/dispatcher/messages.go
@@ -157,6 +157,16 @@
 	NewConn bool
 }
 
+// Hold is the effect that waits before the request is sent, because another copy of it is being tried.
+type Hold struct{ Until time.Time }
+
+// HoldEnded is the event that the time of a hold is over, or that its caller has disconnected.
+type HoldEnded struct {
+	Call         identifier.CallID
+	IsCallerGone bool
+	Seed         uint64
+}
+
 // Wait is the effect that goes on waiting for a stalled attempt, with Until as its idle deadline.
 type Wait struct{ Until time.Time }
 
--- a/entry/internal/relayer/serving.go
+++ b/entry/internal/relayer/serving.go
@@ -76,6 +76,8 @@
 		return s.report(s.attempt(ctx, e))
 	case dispatcher.Wait:
 		return s.report(s.exchange.Await(ctx, e.Until))
+	case dispatcher.Hold:
+		return s.x.apply(s.hold(ctx, e.Until))
 	case dispatcher.ResumeStalled:
 		return s.report(s.exchange.Resume(ctx, e.Until))
 	case dispatcher.Probe:
@@ -95,6 +97,17 @@
 	return nil
 }
 
+// hold waits until the given time, or until the caller disconnects.
+func (s *servedRequest) hold(ctx context.Context, until time.Time) dispatcher.HoldEnded {
+	t := time.NewTimer(until.Sub(bootclock.Now()))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+	return dispatcher.HoldEnded{Call: s.call, IsCallerGone: ctx.Err() != nil, Seed: rand.Uint64()}
+}
+
 // attempt sends the request to a target, in a span of its own.
 func (s *servedRequest) attempt(ctx context.Context, e dispatcher.Send) dispatcher.AttemptReported {
 	_, end := tracer.Start(s.trace, "attempt", "target", string(e.Target), "parts", strconv.Itoa(len(e.Chain)))
