Make reports of crashes arrive: sent again, kept with their age, asked for after a start, cleared everywhere

Callers saw: nodes that had not been told of a crash went on sending the request that caused it; an innocent request that one node had answered since went on counting as a suspect at the others.

Cause: a report was sent once, to readers found once: one that did not answer, or became a reader later, never had it. A node that reads the store follows no peer, so after a restart it knew nothing. Reports were passed on with the age they had at first, and kept in order of arrival, so that a fault of many targets pushed out the ones that matter. Whether a request was answered stayed with the node that answered it.

Change: reports are sent to each reader until it confirms them, for up to 30 s, all at once rather than one after the other; readers are looked up again after 2 s. After its start each node asks the readers for what they know, and readers ask each other every 10 s. Ages are counted on; crashes with the most before them are kept. A request that is answered is cleared at all nodes (new calls, so that older nodes are not misled).

--- a/common/eventlogger/relay.go
+++ b/common/eventlogger/relay.go
@@ -28,6 +28,7 @@
 	RelayedPoisonConfirmed = Event{8024, "relayed request confirmed as poison"}
 	TargetFailed           = Event{8025, "target failed"}
 	CrashesLearned         = Event{8026, "crashes of targets learned from peers"}
+	RelayedRequestCleared  = Event{8027, "relayed request cleared of crashing targets"}
 )
 
 func relayEvents() []Event {
@@ -58,5 +59,6 @@
 		RelayedPoisonConfirmed,
 		TargetFailed,
 		CrashesLearned,
+		RelayedRequestCleared,
 	}
 }
--- a/entry/internal/commander/relay.go
+++ b/entry/internal/commander/relay.go
@@ -21,7 +21,6 @@
 	"fuchsiabridge.example/common/logwriter"
 	"fuchsiabridge.example/common/optionparser"
 	"fuchsiabridge.example/common/responder"
-	"fuchsiabridge.example/entry/internal/crashtracker"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/follower"
 	"fuchsiabridge.example/entry/internal/meter"
@@ -122,7 +121,7 @@
 			RetryRatio:      values.Share("retry-ratio"),
 			RetryWindow:     values.Duration("retry-window"),
 		},
-		ReportCrashes: func(crashes []crashtracker.Crash) { n.follower.ReportCrashes(crashes) },
+		ReportCrashes: func(r sharer.CrashReport) { n.follower.ReportCrashes(r) },
 		Heartbeat:     values.Duration("heartbeat"),
 	}, http)
 	server.Publish("relay", func() any {
@@ -137,6 +136,10 @@
 		sharer.CrashReportMethod: func(ctx context.Context, params json.RawMessage) (any, error) {
 			return n.follower.ServeReportCrashes(ctx, params)
 		},
+		sharer.ClearMethod: func(ctx context.Context, params json.RawMessage) (any, error) {
+			return n.follower.ServeClear(ctx, params)
+		},
+		sharer.CrashesMethod: updates.ServeCrashes,
 	}, nil)
 	n.follower = follower.NewFollower(storecaller.NewCaller(http, values.Text("store")), n.peers, updates, follower.Config{
 		Self:            storecaller.Member{Node: n.id, DataCentre: dc, Address: values.Text("peer-listen")},
@@ -166,6 +169,7 @@
 	if n.values.Text("peer-listen") != "" {
 		go n.follower.FollowPeers(ctx)
 		go n.follower.SendCrashReports(ctx)
+		go n.follower.SyncCrashes(ctx)
 	}
 	joined, stop := context.WithCancel(ctx)
 	hasLeft := make(chan struct{})
--- a/entry/internal/dispatcher/attempts.go
+++ b/entry/internal/dispatcher/attempts.go
@@ -32,8 +32,7 @@
 	isCandidate := false
 	switch ev.Outcome {
 	case Delivered:
-		d.crashTracker.Clear(r.fingerprint)
-		delete(d.trials, r.fingerprint)
+		effects = d.clearRequest(r)
 	case Broken, Expired, CallerGone:
 		isCandidate, effects = d.notePoisonCandidate(now, r, ev)
 	default:
--- a/entry/internal/dispatcher/crashes.go
+++ b/entry/internal/dispatcher/crashes.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"fuchsiabridge.example/common/eventlogger"
+	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/entry/internal/crashtracker"
 	"fuchsiabridge.example/entry/internal/registrar"
@@ -84,6 +85,20 @@
 	return append(effects, d.reportCrashes(now, found.Crashes)...)
 }
 
+// clearRequest drops the crashes of a request that was answered, here and at the other nodes.
+func (d *Dispatcher) clearRequest(r *request) []messenger.Effect {
+	if !d.crashTracker.Clear(r.fingerprint) {
+		return nil
+	}
+	delete(d.trials, r.fingerprint)
+	return []messenger.Effect{
+		ReportCrashes{Cleared: []identifier.Fingerprint{r.fingerprint}},
+		messenger.Log{
+			Event: eventlogger.RelayedRequestCleared, Subject: "request/" + string(r.id), Values: []any{fingerprintKey, r.fingerprint},
+		},
+	}
+}
+
 // reportCrashes logs crashes that this node has detected, and reports them to the other nodes.
 func (d *Dispatcher) reportCrashes(now time.Time, crashes []crashtracker.Crash) []messenger.Effect {
 	if len(crashes) == 0 {
@@ -100,6 +115,10 @@
 // crashesReported records the crashes that another node has found. A single crash beside many requests
 // makes many reports, so only those of further crashes in a row are logged one by one.
 func (d *Dispatcher) crashesReported(now time.Time, ev CrashesReported) []messenger.Effect {
+	for _, request := range ev.Cleared {
+		d.crashTracker.Clear(request)
+		delete(d.trials, request)
+	}
 	var effects []messenger.Effect
 	newCrashes := 0
 	for _, c := range ev.Crashes {
--- a/entry/internal/dispatcher/messages.go
+++ b/entry/internal/dispatcher/messages.go
@@ -33,11 +33,19 @@
 	Seed uint64
 }
 
-// CrashesReported is the event that other nodes have reported requests that crashed targets.
-type CrashesReported struct{ Crashes []crashtracker.Crash }
+// CrashesReported is the event that other nodes have reported requests that crashed targets, or have
+// been answered since they seemed to.
+type CrashesReported struct {
+	Crashes []crashtracker.Crash
+	Cleared []identifier.Fingerprint
+}
 
-// ReportCrashes is the effect that sends the crashes that this node has detected to the other nodes.
-type ReportCrashes struct{ Crashes []crashtracker.Crash }
+// ReportCrashes is the effect that tells the other nodes of crashes that this node has detected, and of
+// requests with crashes that have been answered since.
+type ReportCrashes struct {
+	Crashes []crashtracker.Crash
+	Cleared []identifier.Fingerprint
+}
 
 // CheckTarget is the effect that checks whether a target answers, since an attempt at it ended without an answer.
 type CheckTarget struct {
--- a/entry/internal/follower/follower.go
+++ b/entry/internal/follower/follower.go
@@ -15,7 +15,6 @@
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
-	"fuchsiabridge.example/entry/internal/crashtracker"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/placer"
 	"fuchsiabridge.example/entry/internal/registrar"
@@ -65,14 +64,15 @@
 	cfg    Config
 	gate   *readGate
 	submit func(messenger.Event)
-	// crashes is the queue of crashes to send to peers.
-	crashes chan crashtracker.Crash
+	// reports is the queue of reports of crashes to send to peers.
+	reports chan sharer.CrashReport
 
 	mu sync.Mutex
 	// next is the offset up to which configurations are known.
 	next identifier.Offset
-	// readers are the other nodes that read the store, as of the last lookup.
-	readers []storecaller.Member
+	// readers are the other nodes that read the store, as of the last lookup at readersAt.
+	readers   []storecaller.Member
+	readersAt time.Time
 }
 
 // Config holds the settings of a follower.
@@ -89,7 +89,7 @@
 func NewFollower(store Store, peers Peers, share *sharer.Sharer, cfg Config, submit func(messenger.Event)) *Follower {
 	return &Follower{
 		store: store, peers: peers, sharer: share, cfg: cfg, gate: newReadGate(), submit: submit,
-		crashes: make(chan crashtracker.Crash, maxQueuedCrashes),
+		reports: make(chan sharer.CrashReport, maxQueuedCrashes),
 	}
 }
 
--- a/entry/internal/follower/peers.go
+++ b/entry/internal/follower/peers.go
@@ -163,7 +163,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.readers = known
+	f.readers, f.readersAt = known, bootclock.Now()
 	return known, nil
 }
 
@@ -189,9 +189,7 @@
 		}
 		outages, q.Sharer, q.Revision = update.Outages, update.Sharer, update.Revision
 		f.submit(registrar.TargetsRead{Changes: update.Changes, IsComplete: update.IsComplete})
-		if len(update.Crashes) > 0 {
-			f.submit(dispatcher.CrashesReported{Crashes: update.Crashes})
-		}
+		f.learnCrashes(sharer.CrashReport{Crashes: update.Crashes, Cleared: update.Cleared})
 		if err := f.applyPeerConfiguration(ctx, peer.Address, update, &q); err != nil {
 			eventlogger.Error(err, eventlogger.PeerNotFollowed, "peer", peer.Node, "address", peer.Address)
 			return err
--- a/entry/internal/relayer/relayer.go
+++ b/entry/internal/relayer/relayer.go
@@ -22,12 +22,12 @@
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/entry/internal/composer"
 	"fuchsiabridge.example/entry/internal/connector"
-	"fuchsiabridge.example/entry/internal/crashtracker"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/forwarder"
 	"fuchsiabridge.example/entry/internal/meter"
 	"fuchsiabridge.example/entry/internal/placer"
 	"fuchsiabridge.example/entry/internal/registrar"
+	"fuchsiabridge.example/entry/internal/sharer"
 	"fuchsiabridge.example/platform/targetcaller"
 	"fuchsiabridge.example/platform/translator"
 )
@@ -50,7 +50,7 @@
 	Meter    *meter.Meter
 	Dispatch dispatcher.Config
 	// ReportCrashes tells other nodes about requests that crash targets.
-	ReportCrashes func([]crashtracker.Crash)
+	ReportCrashes func(sharer.CrashReport)
 	// Heartbeat is how often targets write to the store that they are alive.
 	Heartbeat time.Duration
 }
@@ -63,7 +63,7 @@
 	pool          *connector.Connector
 	idle          *forwarder.IdleTracker
 	meter         *meter.Meter
-	reportCrashes func([]crashtracker.Crash)
+	reportCrashes func(sharer.CrashReport)
 	workers       pond.Pool
 	nextCall      atomic.Uint64
 	isLeaving     atomic.Bool
@@ -126,7 +126,7 @@
 		case dispatcher.RecordSample:
 			x.meter.Add(e.Sample)
 		case dispatcher.ReportCrashes:
-			x.reportCrashes(e.Crashes)
+			x.reportCrashes(sharer.CrashReport{Crashes: e.Crashes, Cleared: e.Cleared})
 		case placer.SendOrder:
 			x.start(func() { x.sendOrder(e) })
 		case dispatcher.ProbeChain:
--- a/entry/internal/sharer/sharer.go
+++ b/entry/internal/sharer/sharer.go
@@ -24,13 +24,14 @@
 	WatchMethod         = "watch"
 	ConfigurationMethod = "configuration"
 	CrashReportMethod   = "accuse"
+	// CrashesMethod asks for crashes only, ClearMethod reports requests whose crashes count no more.
+	CrashesMethod = "crashes"
+	ClearMethod   = "clear"
 )
 
 const (
 	// maxWait limits how long a query waits for updates.
 	maxWait = 2 * time.Second
-	// maxCrashes limits the crashes that are kept for peers.
-	maxCrashes = 1024
 	// maxRemoved limits the removed targets that are remembered. A peer that has missed one gets a complete update.
 	maxRemoved = 1024
 	// idBase is the number base in which a sharer's random id is written.
@@ -73,6 +74,8 @@
 	// Crashes are the crashes that nodes have reported since the query's revision, or all that are kept if the
 	// update is complete.
 	Crashes []crashtracker.Crash `json:"crashes,omitempty"`
+	// Cleared are the requests whose crashes count no more, likewise.
+	Cleared []identifier.Fingerprint `json:"cleared,omitempty"`
 }
 
 // entry is the newest change of a target, and the revision that recorded it.
@@ -81,12 +84,6 @@
 	revision Revision
 }
 
-// crash is a reported crash, and the revision that recorded it.
-type crash struct {
-	crashtracker.Crash
-	revision Revision
-}
-
 // Sharer keeps what this node has read from the store.
 type Sharer struct {
 	// id tells this sharer from those of other nodes and of earlier starts, whose revisions have another meaning.
@@ -103,6 +100,7 @@
 	// removedCount is the number of entries of removed targets.
 	removedCount  int
 	crashes       []crash
+	cleared       []clearance
 	outages       int
 	configuration identifier.Offset
 	// packed is the compressed text of the newest configuration.
@@ -208,18 +206,6 @@
 	}
 }
 
-// RecordCrashes records crashes that nodes have observed.
-func (s *Sharer) RecordCrashes(crashes []crashtracker.Crash) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, c := range crashes {
-		s.revision++
-		s.crashes = append(s.crashes, crash{Crash: c, revision: s.revision})
-	}
-	s.crashes = s.crashes[max(0, len(s.crashes)-maxCrashes):]
-	s.notify()
-}
-
 // RecordOutage counts an outage of the store that has ended.
 func (s *Sharer) RecordOutage() {
 	s.mu.Lock()
@@ -290,10 +276,11 @@
 			update.Changes = append(update.Changes, e.change)
 		}
 	}
-	for _, c := range s.crashes {
-		if update.IsComplete || c.revision > q.Revision {
-			update.Crashes = append(update.Crashes, c.Crash)
-		}
+	since := q.Revision
+	if update.IsComplete {
+		since = 0
 	}
+	report := s.newCrashes(since)
+	update.Crashes, update.Cleared = report.Crashes, report.Cleared
 	return update, s.changed, nil
 }
--- a/entry/internal/sharer/sharer_test.go
+++ b/entry/internal/sharer/sharer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"fuchsiabridge.example/common/bootclock"
 	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/entry/internal/crashtracker"
 	"fuchsiabridge.example/entry/internal/sharer"
 )
 
@@ -167,3 +169,33 @@
 	_, err = ask(t, s, sharer.Query{Sharer: n.Sharer, Revision: n.Revision, Configuration: n.Configuration, WaitMS: limit.Milliseconds()})
 	c.Assert(err, qt.ErrorIs, sharer.ErrNotReading)
 }
+
+// TestCrashesKeepTheirAge guards against crashes that count as new at a node that is told of them late.
+func TestCrashesKeepTheirAge(t *testing.T) {
+	c := qt.New(t)
+	s := newReadingSharer()
+	s.RecordCrashes(sharer.CrashReport{Crashes: []crashtracker.Crash{{Request: 1, Target: "t", AgeMS: 5000}}})
+	time.Sleep(wait)
+	update, err := ask(t, s, sharer.Query{})
+	c.Assert(err, qt.IsNil)
+	c.Assert(update.Crashes, qt.HasLen, 1)
+	c.Assert(update.Crashes[0].AgeMS >= 5000+wait.Milliseconds(), qt.IsTrue, qt.Commentf("%d ms", update.Crashes[0].AgeMS))
+}
+
+// TestFaultOfManyTargetsKeepsPoison guards against forgetting a poison request because a fault of many targets
+// puts crashes beside thousands of other requests.
+func TestFaultOfManyTargetsKeepsPoison(t *testing.T) {
+	c := qt.New(t)
+	s := newReadingSharer()
+	for depth := range 3 {
+		s.RecordCrashes(sharer.CrashReport{Crashes: []crashtracker.Crash{{Request: 1, Target: "t", Incarnation: int64(depth), Depth: depth + 1}}})
+	}
+	for i := range 3000 {
+		s.RecordCrashes(sharer.CrashReport{Crashes: []crashtracker.Crash{{Request: identifier.Fingerprint(10 + i), Target: "t", Depth: 1}}})
+	}
+	update, err := ask(t, s, sharer.Query{})
+	c.Assert(err, qt.IsNil)
+	c.Assert(len(update.Crashes) <= 1024, qt.IsTrue)
+	isKept := slices.ContainsFunc(update.Crashes, func(x crashtracker.Crash) bool { return x.Request == 1 && x.Depth == 3 })
+	c.Assert(isKept, qt.IsTrue)
+}
