Store confirmed poison requests, so that a restart of all nodes forgets none

Cause: what was known of it lay in the nodes' memory only.

Change: the node whose crash confirms a request, or the holder of the lease where crashes of several nodes do, stores it under its fingerprint in a keyed topic of our own, with retries; each node reads the topic once after its start, again until it succeeds. Outdated records are deleted by the nodes that read them. The reports and this store make a package of their own, crashreporter; follower shrinks by it.

TestPoisonSurvivesRestartOfAllNodes has the store refuse calls at both ends.

--- a/entry/internal/commander/relay.go
+++ b/entry/internal/commander/relay.go
@@ -21,6 +21,8 @@
 	"fuchsiabridge.example/common/logwriter"
 	"fuchsiabridge.example/common/optionparser"
 	"fuchsiabridge.example/common/responder"
+	"fuchsiabridge.example/entry/internal/crashreporter"
+	"fuchsiabridge.example/entry/internal/crashtracker"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/follower"
 	"fuchsiabridge.example/entry/internal/meter"
@@ -103,6 +105,7 @@
 	relayer  *relayer.Relayer
 	receiver *receiver.Receiver
 	follower *follower.Follower
+	reporter *crashreporter.Reporter
 	peers    *peercaller.Caller
 }
 
@@ -121,7 +124,8 @@
 			RetryRatio:      values.Share("retry-ratio"),
 			RetryWindow:     values.Duration("retry-window"),
 		},
-		ReportCrashes: func(r sharer.CrashReport) { n.follower.ReportCrashes(r) },
+		ReportCrashes: func(r sharer.CrashReport) { n.reporter.ReportCrashes(r) },
+		SavePoison:    func(c crashtracker.Crash) { n.reporter.SavePoison(c) },
 		Heartbeat:     values.Duration("heartbeat"),
 	}, http)
 	server.Publish("relay", func() any {
@@ -134,18 +138,23 @@
 	n.peers = peercaller.NewCaller(map[string]peercaller.Handler{
 		sharer.WatchMethod: updates.ServeWatch, sharer.ConfigurationMethod: updates.ServeConfiguration,
 		sharer.CrashReportMethod: func(ctx context.Context, params json.RawMessage) (any, error) {
-			return n.follower.ServeReportCrashes(ctx, params)
+			return n.reporter.ServeReportCrashes(ctx, params)
 		},
 		sharer.ClearMethod: func(ctx context.Context, params json.RawMessage) (any, error) {
-			return n.follower.ServeClear(ctx, params)
+			return n.reporter.ServeClear(ctx, params)
 		},
 		sharer.CrashesMethod: updates.ServeCrashes,
 	}, nil)
-	n.follower = follower.NewFollower(storecaller.NewCaller(http, values.Text("store")), n.peers, updates, follower.Config{
+	store := storecaller.NewCaller(http, values.Text("store"))
+	n.follower = follower.NewFollower(store, n.peers, updates, follower.Config{
 		Self:            storecaller.Member{Node: n.id, DataCentre: dc, Address: values.Text("peer-listen")},
 		StorePartitions: values.Number("store-parts"),
 		RetrySlack:      int(slackShare * float64(values.Number("retry-slack"))),
+		LearnCrashes:    func(r sharer.CrashReport) { n.reporter.Learn(r) },
 	}, n.relayer.Submit)
+	n.reporter = crashreporter.NewReporter(crashreporter.Config{
+		Self: values.Text("peer-listen"), Peers: n.peers, Readers: n.follower, Store: store, Sharer: updates, Submit: n.relayer.Submit,
+	})
 	return n
 }
 
@@ -166,10 +175,11 @@
 func (n *relayNode) start(ctx context.Context, callers net.Listener) (leaveGroup func()) {
 	go n.follower.FollowConfiguration(ctx)
 	go n.follower.FollowTargets(ctx)
+	go n.reporter.KeepPoison(ctx)
 	if n.values.Text("peer-listen") != "" {
 		go n.follower.FollowPeers(ctx)
-		go n.follower.SendCrashReports(ctx)
-		go n.follower.SyncCrashes(ctx)
+		go n.reporter.SendCrashReports(ctx)
+		go n.reporter.SyncCrashes(ctx)
 	}
 	joined, stop := context.WithCancel(ctx)
 	hasLeft := make(chan struct{})
--- a/entry/internal/follower/crashes.go
+++ b/entry/internal/crashreporter/crashreporter.go
@@ -1,4 +1,6 @@
-package follower
+// Package crashreporter tells the other nodes which requests crash targets, learns it from them, and
+// stores poison requests, so that they are known after a restart of all nodes.
+package crashreporter
 
 import (
 	"context"
@@ -12,6 +14,7 @@
 	"fuchsiabridge.example/common/bootclock"
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/entry/internal/crashtracker"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/sharer"
@@ -27,25 +30,83 @@
 	crashSendTime      = 30 * time.Second
 	// maxQueuedCrashes limits the crashes that are queued for sending to peers.
 	maxQueuedCrashes = 256
-	// readersMaxAge is how long the readers found by a lookup are taken for the ones to report to.
-	readersMaxAge = 2 * time.Second
+	// peerTimeout bounds a call to a peer.
+	peerTimeout = 400 * time.Millisecond
 	// syncInterval is the time between two queries of a node that reads the store for what another
 	// reader knows of crashes, firstSyncInterval until the first one has succeeded.
 	syncInterval      = 10 * time.Second
 	firstSyncInterval = 500 * time.Millisecond
 )
 
+// Peers calls other nodes.
+type Peers interface {
+	Call(ctx context.Context, address, method string, params, result any) error
+}
+
+// Readers tells which nodes read the platform's store for the others.
+type Readers interface {
+	// CurrentReaders returns the other nodes that do; with an error, those that were known last.
+	CurrentReaders(ctx context.Context) ([]storecaller.Member, error)
+	// IsReader reports whether this node does.
+	IsReader() bool
+}
+
+// Store holds the poison requests.
+type Store interface {
+	NewestPoison(ctx context.Context) ([]storecaller.Poison, error)
+	PutPoison(ctx context.Context, p storecaller.Poison) error
+	DeletePoison(ctx context.Context, request identifier.Fingerprint) error
+}
+
+// Config holds what a reporter works with.
+type Config struct {
+	// Self is the address at which this node serves its peers, empty if it does not.
+	Self    string
+	Peers   Peers
+	Readers Readers
+	Store   Store
+	Sharer  *sharer.Sharer
+	// Submit passes events to the reducer.
+	Submit func(messenger.Event)
+}
+
+// Reporter exchanges what nodes find out about requests that crash targets.
+type Reporter struct {
+	cfg Config
+	// reports is the queue of reports to send to peers, poison that of crashes that have confirmed poison requests.
+	reports chan sharer.CrashReport
+	poison  chan crashtracker.Crash
+}
+
+// NewReporter returns a reporter that reports nothing yet.
+func NewReporter(cfg Config) *Reporter {
+	return &Reporter{
+		cfg:     cfg,
+		reports: make(chan sharer.CrashReport, maxQueuedCrashes), poison: make(chan crashtracker.Crash, maxQueuedPoison),
+	}
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
 // ReportCrashes queues what this node has found. SendCrashReports sends it to the peers that read
 // the store, from which all other nodes receive it. A node without a peer address reports nothing.
-func (f *Follower) ReportCrashes(r sharer.CrashReport) {
-	if f.cfg.Self.Address == "" {
+func (r *Reporter) ReportCrashes(report sharer.CrashReport) {
+	if r.cfg.Self == "" {
 		return
 	}
-	f.sharer.RecordCrashes(r)
+	r.cfg.Sharer.RecordCrashes(report)
 	select {
-	case f.reports <- r:
+	case r.reports <- report:
 	default:
-		eventlogger.Info(eventlogger.CallFailed, "doing", "queueing a crash report for peers", "crashes", len(r.Crashes), "cleared", len(r.Cleared))
+		eventlogger.Info(eventlogger.CallFailed, "doing", "queueing a crash report for peers", "crashes", len(report.Crashes), "cleared", len(report.Cleared))
 	}
 }
 
@@ -59,19 +120,19 @@
 
 // SendCrashReports sends queued reports to the peers that read the store until ctx ends. What a
 // reader does not confirm is sent to it again.
-func (f *Follower) SendCrashReports(ctx context.Context) {
+func (r *Reporter) SendCrashReports(ctx context.Context) {
 	var pending []*pendingReport
 	for ctx.Err() == nil {
-		pending = f.gatherReports(ctx, pending)
-		pending = f.sendPending(ctx, pending)
+		pending = r.gatherReports(ctx, pending)
+		pending = r.sendPending(ctx, pending)
 	}
 }
 
 // gatherReports waits for a report, or until it is time to send the pending ones again, and returns
 // all of them.
-func (f *Follower) gatherReports(ctx context.Context, pending []*pendingReport) []*pendingReport {
-	add := func(r sharer.CrashReport) {
-		pending = append(pending, &pendingReport{CrashReport: r, until: bootclock.Now().Add(crashSendTime)})
+func (r *Reporter) gatherReports(ctx context.Context, pending []*pendingReport) []*pendingReport {
+	add := func(report sharer.CrashReport) {
+		pending = append(pending, &pendingReport{CrashReport: report, until: bootclock.Now().Add(crashSendTime)})
 	}
 	var again <-chan time.Time
 	if len(pending) > 0 {
@@ -83,14 +144,14 @@
 	case <-ctx.Done():
 		return pending
 	case <-again:
-	case r := <-f.reports:
-		add(r)
+	case report := <-r.reports:
+		add(report)
 		sleep(ctx, crashBatchDelay)
 	}
 	for {
 		select {
-		case r := <-f.reports:
-			add(r)
+		case report := <-r.reports:
+			add(report)
 		default:
 			return pending[max(0, len(pending)-maxQueuedCrashes):]
 		}
@@ -98,16 +159,16 @@
 }
 
 // sendPending sends each reader what it has not confirmed, and returns what is still pending.
-func (f *Follower) sendPending(ctx context.Context, pending []*pendingReport) []*pendingReport {
-	readers, err := f.currentReaders(ctx)
+func (r *Reporter) sendPending(ctx context.Context, pending []*pendingReport) []*pendingReport {
+	readers, err := r.cfg.Readers.CurrentReaders(ctx)
 	if err != nil {
 		eventlogger.Error(err, eventlogger.CallFailed, "doing", "looking up peers to send crash reports to", "pending", len(pending))
 	}
 	failed := make([]error, len(readers))
 	var wg sync.WaitGroup
 	for i, m := range readers {
-		if r := unconfirmed(pending, m.Address); !r.IsEmpty() {
-			wg.Go(func() { failed[i] = f.sendReport(ctx, m.Address, r) })
+		if report := unconfirmed(pending, m.Address); !report.IsEmpty() {
+			wg.Go(func() { failed[i] = r.sendReport(ctx, m.Address, report) })
 		}
 	}
 	wg.Wait()
@@ -139,118 +200,102 @@
 	return out
 }
 
-func (f *Follower) sendReport(ctx context.Context, address string, r sharer.CrashReport) error {
+func (r *Reporter) sendReport(ctx context.Context, address string, report sharer.CrashReport) error {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	var out struct{}
-	if len(r.Crashes) > 0 {
-		if err := f.peers.Call(ctx, address, sharer.CrashReportMethod, r.Crashes, &out); err != nil {
+	if len(report.Crashes) > 0 {
+		if err := r.cfg.Peers.Call(ctx, address, sharer.CrashReportMethod, report.Crashes, &out); err != nil {
 			return err
 		}
 	}
-	if len(r.Cleared) == 0 {
+	if len(report.Cleared) == 0 {
 		return nil
 	}
-	return f.peers.Call(ctx, address, sharer.ClearMethod, r.Cleared, &out)
-}
-
-// currentReaders returns the other nodes that read the store, from a recent lookup or a new one. If
-// that fails, it returns the last ones known as well.
-func (f *Follower) currentReaders(ctx context.Context) ([]storecaller.Member, error) {
-	f.mu.Lock()
-	known, isRecent := f.readers, bootclock.Now().Sub(f.readersAt) < readersMaxAge
-	f.mu.Unlock()
-	if isRecent {
-		return known, nil
-	}
-	current, err := f.lookupReaders(ctx)
-	if err != nil {
-		return known, err
-	}
-	return current, nil
+	return r.cfg.Peers.Call(ctx, address, sharer.ClearMethod, report.Cleared, &out)
 }
 
 // ServeReportCrashes records crashes that a peer has reported.
-func (f *Follower) ServeReportCrashes(_ context.Context, params json.RawMessage) (any, error) {
+func (r *Reporter) ServeReportCrashes(_ context.Context, params json.RawMessage) (any, error) {
 	var crashes []crashtracker.Crash
 	if err := json.Unmarshal(params, &crashes); err != nil {
 		return nil, errors.Wrap(err, "decoding crashes")
 	}
-	f.learnCrashes(sharer.CrashReport{Crashes: crashes})
+	r.Learn(sharer.CrashReport{Crashes: crashes})
 	return struct{}{}, nil
 }
 
 // ServeClear records requests that a peer has reported as answered.
-func (f *Follower) ServeClear(_ context.Context, params json.RawMessage) (any, error) {
+func (r *Reporter) ServeClear(_ context.Context, params json.RawMessage) (any, error) {
 	var cleared []identifier.Fingerprint
 	if err := json.Unmarshal(params, &cleared); err != nil {
 		return nil, errors.Wrap(err, "decoding cleared requests")
 	}
-	f.learnCrashes(sharer.CrashReport{Cleared: cleared})
+	r.Learn(sharer.CrashReport{Cleared: cleared})
 	return struct{}{}, nil
 }
 
-// learnCrashes applies what a peer has told, and keeps it for other peers.
-func (f *Follower) learnCrashes(r sharer.CrashReport) {
-	if r.IsEmpty() {
+// Learn applies what a peer has told, and keeps it for other peers.
+func (r *Reporter) Learn(report sharer.CrashReport) {
+	if report.IsEmpty() {
 		return
 	}
-	f.sharer.RecordCrashes(r)
-	f.submit(dispatcher.CrashesReported{Crashes: r.Crashes, Cleared: r.Cleared})
+	r.cfg.Sharer.RecordCrashes(report)
+	r.cfg.Submit(dispatcher.CrashesReported{Crashes: report.Crashes, Cleared: report.Cleared})
 }
 
 // SyncCrashes asks other readers what they know of crashes until ctx ends: all of them after the start,
 // and then one after the other while this node reads the store itself. A report that reached only one
 // of them reaches all.
-func (f *Follower) SyncCrashes(ctx context.Context) {
+func (r *Reporter) SyncCrashes(ctx context.Context) {
 	known := map[string]sharer.Query{}
-	for !f.syncAll(ctx, known) {
+	for !r.syncAll(ctx, known) {
 		sleep(ctx, firstSyncInterval)
 	}
 	for n := 0; ctx.Err() == nil; n++ {
 		sleep(ctx, syncInterval)
-		if isReader, _, _ := f.gate.snapshot(); isReader {
-			f.syncOne(ctx, n, known)
+		if r.cfg.Readers.IsReader() {
+			r.syncOne(ctx, n, known)
 		}
 	}
 }
 
 // syncAll asks all readers, and reports whether they have answered or ctx has ended.
-func (f *Follower) syncAll(ctx context.Context, known map[string]sharer.Query) bool {
-	readers, err := f.currentReaders(ctx)
+func (r *Reporter) syncAll(ctx context.Context, known map[string]sharer.Query) bool {
+	readers, err := r.cfg.Readers.CurrentReaders(ctx)
 	if err != nil {
 		eventlogger.Error(err, eventlogger.CallFailed, "doing", "looking up peers to ask for crashes")
 		return ctx.Err() != nil
 	}
 	hasAnswered := len(readers) == 0
 	for _, m := range readers {
-		hasAnswered = f.askCrashes(ctx, m, known) || hasAnswered
+		hasAnswered = r.askCrashes(ctx, m, known) || hasAnswered
 	}
 	return hasAnswered || ctx.Err() != nil
 }
 
 // syncOne asks the n-th reader.
-func (f *Follower) syncOne(ctx context.Context, n int, known map[string]sharer.Query) {
-	readers, err := f.currentReaders(ctx)
+func (r *Reporter) syncOne(ctx context.Context, n int, known map[string]sharer.Query) {
+	readers, err := r.cfg.Readers.CurrentReaders(ctx)
 	if err != nil {
 		eventlogger.Error(err, eventlogger.CallFailed, "doing", "looking up peers to ask for crashes")
 	}
 	if len(readers) > 0 {
-		f.askCrashes(ctx, readers[n%len(readers)], known)
+		r.askCrashes(ctx, readers[n%len(readers)], known)
 	}
 }
 
 // askCrashes asks a reader for the crashes that it has recorded since the last answer, and reports
 // whether it has answered.
-func (f *Follower) askCrashes(ctx context.Context, m storecaller.Member, known map[string]sharer.Query) bool {
+func (r *Reporter) askCrashes(ctx context.Context, m storecaller.Member, known map[string]sharer.Query) bool {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	var r sharer.CrashReport
-	if err := f.peers.Call(ctx, m.Address, sharer.CrashesMethod, known[m.Address], &r); err != nil {
+	var report sharer.CrashReport
+	if err := r.cfg.Peers.Call(ctx, m.Address, sharer.CrashesMethod, known[m.Address], &report); err != nil {
 		eventlogger.Error(err, eventlogger.CallFailed, "doing", "asking a peer for crashes", "peer", m.Node, "address", m.Address)
 		return false
 	}
-	known[m.Address] = sharer.Query{Sharer: r.Sharer, Revision: r.Revision}
-	f.learnCrashes(r)
+	known[m.Address] = sharer.Query{Sharer: report.Sharer, Revision: report.Revision}
+	r.Learn(report)
 	return true
 }
--- /dev/null
+++ b/entry/internal/crashreporter/poison.go
@@ -0,0 +1,95 @@
+package crashreporter
+
+import (
+	"context"
+	"time"
+
+	"fuchsiabridge.example/common/eventlogger"
+	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/entry/internal/crashtracker"
+	"fuchsiabridge.example/entry/internal/dispatcher"
+	"fuchsiabridge.example/platform/storecaller"
+)
+
+const (
+	// maxQueuedPoison limits the poison requests that wait to be stored.
+	maxQueuedPoison = 64
+	// maxPoisonDeletions limits the outdated records that a node deletes when it starts.
+	maxPoisonDeletions = 16
+	// storeTimeout bounds a call to the store. The delay after a failed one doubles with each failure.
+	storeTimeout    = 700 * time.Millisecond
+	minStoreBackoff = 150 * time.Millisecond
+	maxStoreBackoff = 2 * time.Second
+)
+
+// SavePoison queues a crash that has confirmed its request as poison. KeepPoison stores it, so that it is
+// known even if all nodes restart.
+func (r *Reporter) SavePoison(c crashtracker.Crash) {
+	select {
+	case r.poison <- c:
+	default:
+		eventlogger.Info(eventlogger.CallFailed, "doing", "queueing a poison request to be stored", "fingerprint", c.Request)
+	}
+}
+
+// KeepPoison reads the stored poison requests, and then stores the queued ones until ctx ends.
+func (r *Reporter) KeepPoison(ctx context.Context) {
+	r.persist(ctx, "reading the stored poison requests", r.loadPoison)
+	saved := map[identifier.Fingerprint]bool{}
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case c := <-r.poison:
+			if saved[c.Request] {
+				continue
+			}
+			saved[c.Request] = true
+			r.persist(ctx, "storing a poison request", func(ctx context.Context) error {
+				return r.cfg.Store.PutPoison(ctx, storecaller.Poison{
+					Request: c.Request, Target: c.Target, Incarnation: c.Incarnation, ConfirmedAt: time.Now(),
+				})
+			})
+		}
+	}
+}
+
+// persist makes a call to the store until it succeeds or ctx ends.
+func (r *Reporter) persist(ctx context.Context, doing string, call func(context.Context) error) {
+	for backoff := minStoreBackoff; ctx.Err() == nil; backoff = min(maxStoreBackoff, 2*backoff) {
+		called, cancel := context.WithTimeout(ctx, storeTimeout)
+		err := call(called)
+		cancel()
+		if err == nil {
+			return
+		}
+		eventlogger.Error(err, eventlogger.CallFailed, "doing", doing)
+		sleep(ctx, backoff)
+	}
+}
+
+// loadPoison applies the stored poison requests, and deletes outdated ones.
+func (r *Reporter) loadPoison(ctx context.Context) error {
+	stored, err := r.cfg.Store.NewestPoison(ctx)
+	if err != nil {
+		return err
+	}
+	var crashes []crashtracker.Crash
+	deletions := 0
+	for _, p := range stored {
+		c := crashtracker.ConfirmingCrash(p.Request, p.Target, p.Incarnation, time.Since(p.ConfirmedAt))
+		if !c.IsOutdated() {
+			crashes = append(crashes, c)
+			continue
+		}
+		if deletions++; deletions > maxPoisonDeletions {
+			continue
+		}
+		if err := r.cfg.Store.DeletePoison(ctx, p.Request); err != nil {
+			eventlogger.Error(err, eventlogger.CallFailed, "doing", "deleting an outdated poison request", "fingerprint", p.Request)
+		}
+	}
+	if len(crashes) > 0 {
+		r.cfg.Submit(dispatcher.CrashesReported{Crashes: crashes})
+	}
+	return nil
+}
--- a/entry/internal/crashtracker/records.go
+++ b/entry/internal/crashtracker/records.go
@@ -38,8 +38,14 @@
 	AgeMS int64 `json:"age_ms"`
 }
 
-// IsConfirming reports whether the crash alone confirms its request as poison.
-func (c Crash) IsConfirming() bool { return c.Depth >= confirmingDepth }
+// ConfirmingCrash returns a crash that alone confirms its request as poison, as is known of one that
+// was confirmed the given time ago.
+func ConfirmingCrash(request identifier.Fingerprint, target identifier.TargetID, number int64, age time.Duration) Crash {
+	return Crash{Request: request, Target: target, Incarnation: number, Depth: confirmingDepth, AgeMS: max(0, age.Milliseconds())}
+}
+
+// IsOutdated reports whether the crash is too old to count.
+func (c Crash) IsOutdated() bool { return time.Duration(c.AgeMS)*time.Millisecond >= crashMaxAge }
 
 // History is what was known of a request's crashes at some time. A further attempt must be sent on
 // a new connection if Depth is not zero: that its target accepts it proves that the target is alive.
@@ -79,10 +85,10 @@
 func (t *Tracker) RecordCrash(now time.Time, c Crash) bool {
 	// Nodes of earlier versions report no depth.
 	depth := max(1, c.Depth)
-	at := now.Add(-time.Duration(c.AgeMS) * time.Millisecond)
-	if now.Sub(at) >= crashMaxAge {
+	if c.IsOutdated() {
 		return false
 	}
+	at := now.Add(-time.Duration(c.AgeMS) * time.Millisecond)
 	r, ok := t.records[c.Request]
 	if !ok {
 		t.evict(now)
--- a/entry/internal/dispatcher/crashes.go
+++ b/entry/internal/dispatcher/crashes.go
@@ -108,6 +108,9 @@
 	for _, c := range crashes {
 		delete(d.trials, c.Request)
 		effects = append(effects, d.logCrash(now, c, "this node")...)
+		if d.crashTracker.IsConfirmed(now, c.Request) {
+			effects = append(effects, SavePoison{Crash: c})
+		}
 	}
 	return effects
 }
@@ -130,6 +133,10 @@
 		if c.Depth > 1 {
 			effects = append(effects, d.logCrash(now, c, "a peer")...)
 		}
+		// Crashes of several nodes may confirm a request together, so that none of these nodes stores it.
+		if now.Before(d.leaseUntil) && d.crashTracker.IsConfirmed(now, c.Request) {
+			effects = append(effects, SavePoison{Crash: c})
+		}
 	}
 	if newCrashes == 0 {
 		return nil
--- a/entry/internal/dispatcher/dispatcher_test.go
+++ b/entry/internal/dispatcher/dispatcher_test.go
@@ -109,7 +109,7 @@
 			if ejected, ok := e.Event.(registrar.Ejected); ok {
 				d.ejections = append(d.ejections, ejected)
 			}
-		case dispatcher.ProbeChain, dispatcher.RecordSample, dispatcher.CheckTarget, dispatcher.ReportCrashes:
+		case dispatcher.ProbeChain, dispatcher.RecordSample, dispatcher.CheckTarget, dispatcher.ReportCrashes, dispatcher.SavePoison:
 		default:
 			if first == nil {
 				first = effect
--- a/entry/internal/dispatcher/messages.go
+++ b/entry/internal/dispatcher/messages.go
@@ -47,6 +47,9 @@
 	Cleared []identifier.Fingerprint
 }
 
+// SavePoison is the effect that stores a crash which has confirmed its request as poison.
+type SavePoison struct{ Crash crashtracker.Crash }
+
 // CheckTarget is the effect that checks whether a target answers, since an attempt at it ended without an answer.
 type CheckTarget struct {
 	Target  identifier.TargetID
--- a/entry/internal/dispatcher/poison_test.go
+++ b/entry/internal/dispatcher/poison_test.go
@@ -227,7 +227,7 @@
 	x.after(x.reportDelay, func() {
 		for n := range x.nodes {
 			if n != from {
-				x.apply(n, dispatcher.CrashesReported{Crashes: e.Crashes, Cleared: e.Cleared}, 0)
+				x.apply(n, dispatcher.CrashesReported(e), 0)
 			}
 		}
 	})
--- a/entry/internal/follower/crashes_test.go
+++ b/entry/internal/follower/crashes_test.go
@@ -9,11 +9,14 @@
 	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
 
+	"fuchsiabridge.example/common/httpcaller"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/entry/internal/crashtracker"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/follower"
 	"fuchsiabridge.example/entry/internal/sharer"
+	"fuchsiabridge.example/platform/storecaller"
+	"fuchsiabridge.example/platform/storefaker"
 )
 
 func reportOf(request identifier.Fingerprint, depth int) sharer.CrashReport {
@@ -53,7 +56,7 @@
 // reads the store itself, so that no peer tells it of crashes unasked.
 func TestRestartedReaderLearnsCrashes(t *testing.T) {
 	c, store, first, second := startTwo(t)
-	second.follower.ReportCrashes(reportOf(1, 3))
+	second.reporter.ReportCrashes(reportOf(1, 3))
 	awaitCrash(c, first, 1, true)
 	restarted, _ := startReader(t, store, "restarted")
 	awaitCrash(c, restarted, 1, true)
@@ -65,9 +68,9 @@
 	c, _, first, second := startTwo(t)
 	for request, pair := range [][2]*node{{first, second}, {second, first}} {
 		fingerprint := identifier.Fingerprint(request + 1)
-		pair[0].follower.ReportCrashes(reportOf(fingerprint, 1))
+		pair[0].reporter.ReportCrashes(reportOf(fingerprint, 1))
 		awaitCrash(c, pair[1], fingerprint, true)
-		pair[0].follower.ReportCrashes(sharer.CrashReport{Cleared: []identifier.Fingerprint{fingerprint}})
+		pair[0].reporter.ReportCrashes(sharer.CrashReport{Cleared: []identifier.Fingerprint{fingerprint}})
 		awaitCrash(c, pair[1], fingerprint, false)
 	}
 }
@@ -90,6 +93,36 @@
 func TestLostCrashReportIsSentAgain(t *testing.T) {
 	c, _, first, second := startTwo(t)
 	second.peers.failures.Store(2)
-	second.follower.ReportCrashes(reportOf(1, 1))
+	second.reporter.ReportCrashes(reportOf(1, 1))
 	awaitCrash(c, first, 1, true)
 }
+
+// TestPoisonSurvivesRestartOfAllNodes guards against a poison request that is sent again because all nodes have
+// restarted, also if the store refuses calls while it is confirmed and when they start.
+func TestPoisonSurvivesRestartOfAllNodes(t *testing.T) {
+	c, store, first, second := startTwo(t)
+	store.SetFault(storefaker.Busy)
+	first.reporter.SavePoison(crashtracker.ConfirmingCrash(1, "t", 7, 0))
+	time.Sleep(time.Second)
+	store.SetFault(storefaker.None)
+	c.Assert(isStored(store, 1), qt.IsTrue)
+	first.stop()
+	second.stop()
+	store.SetFault(storefaker.Busy)
+	third := startNode(t, store, "third")
+	time.Sleep(time.Second)
+	store.SetFault(storefaker.None)
+	awaitCrash(c, third, 1, true)
+}
+
+// isStored reports whether the store gets to hold a poison request.
+func isStored(store *storefaker.Store, request identifier.Fingerprint) bool {
+	caller := storecaller.NewCaller(httpcaller.NewCaller(), store.Address())
+	for until := time.Now().Add(waitLimit); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		stored, err := caller.NewestPoison(context.Background())
+		if err == nil && len(stored) == 1 && stored[0].Request == request {
+			return true
+		}
+	}
+	return false
+}
--- a/entry/internal/follower/follower.go
+++ b/entry/internal/follower/follower.go
@@ -64,8 +64,6 @@
 	cfg    Config
 	gate   *readGate
 	submit func(messenger.Event)
-	// reports is the queue of reports of crashes to send to peers.
-	reports chan sharer.CrashReport
 
 	mu sync.Mutex
 	// next is the offset up to which configurations are known.
@@ -81,6 +79,8 @@
 	Self storecaller.Member
 	// StorePartitions is the number of partitions of a topic of the store.
 	StorePartitions int
+	// LearnCrashes applies what a peer has told of requests that crash targets.
+	LearnCrashes func(sharer.CrashReport)
 	// RetrySlack is how many retries all nodes together may make in addition to the retry ratio.
 	RetrySlack int
 }
@@ -89,7 +89,6 @@
 func NewFollower(store Store, peers Peers, share *sharer.Sharer, cfg Config, submit func(messenger.Event)) *Follower {
 	return &Follower{
 		store: store, peers: peers, sharer: share, cfg: cfg, gate: newReadGate(), submit: submit,
-		reports: make(chan sharer.CrashReport, maxQueuedCrashes),
 	}
 }
 
--- a/entry/internal/follower/peers.go
+++ b/entry/internal/follower/peers.go
@@ -35,6 +35,8 @@
 	stalePeerBackoff = 400 * time.Millisecond
 	// idleInterval is the time between two checks of the known peers.
 	idleInterval = 250 * time.Millisecond
+	// readersMaxAge is how long the readers found by a lookup count as the current ones.
+	readersMaxAge = 2 * time.Second
 	// minLookupInterval and maxLookupInterval bound the time between two lookups in the store of the peers that read it.
 	minLookupInterval = time.Second
 	maxLookupInterval = 4 * time.Second
@@ -167,6 +169,28 @@
 	return known, nil
 }
 
+// CurrentReaders returns the other nodes that read the store, from a recent lookup or a new one. With an
+// error, it returns those that were known last.
+func (f *Follower) CurrentReaders(ctx context.Context) ([]storecaller.Member, error) {
+	f.mu.Lock()
+	known, isRecent := f.readers, bootclock.Now().Sub(f.readersAt) < readersMaxAge
+	f.mu.Unlock()
+	if isRecent {
+		return known, nil
+	}
+	current, err := f.lookupReaders(ctx)
+	if err != nil {
+		return known, err
+	}
+	return current, nil
+}
+
+// IsReader reports whether this node reads the store for its peers.
+func (f *Follower) IsReader() bool {
+	isReader, _, _ := f.gate.snapshot()
+	return isReader
+}
+
 // followPeer applies a peer's updates until a call fails or this node reads the store itself.
 func (f *Follower) followPeer(ctx context.Context, peer storecaller.Member, r *readers) error {
 	q := sharer.Query{WaitMS: peerWait.Milliseconds()}
@@ -189,7 +213,9 @@
 		}
 		outages, q.Sharer, q.Revision = update.Outages, update.Sharer, update.Revision
 		f.submit(registrar.TargetsRead{Changes: update.Changes, IsComplete: update.IsComplete})
-		f.learnCrashes(sharer.CrashReport{Crashes: update.Crashes, Cleared: update.Cleared})
+		if report := (sharer.CrashReport{Crashes: update.Crashes, Cleared: update.Cleared}); !report.IsEmpty() {
+			f.cfg.LearnCrashes(report)
+		}
 		if err := f.applyPeerConfiguration(ctx, peer.Address, update, &q); err != nil {
 			eventlogger.Error(err, eventlogger.PeerNotFollowed, "peer", peer.Node, "address", peer.Address)
 			return err
--- a/entry/internal/follower/peers_test.go
+++ b/entry/internal/follower/peers_test.go
@@ -15,6 +15,7 @@
 	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/httpcaller"
 	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/entry/internal/crashreporter"
 	"fuchsiabridge.example/entry/internal/crashtracker"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/follower"
@@ -86,6 +87,7 @@
 type node struct {
 	*events
 	follower *follower.Follower
+	reporter *crashreporter.Reporter
 	link     *link
 	peers    *unreliablePeers
 	stop     context.CancelFunc
@@ -107,14 +109,15 @@
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	share := sharer.NewSharer()
-	n := &node{events: &events{}, stop: cancel, link: &link{Store: storecaller.NewCaller(httpcaller.NewCaller(), store.Address())}}
+	caller := storecaller.NewCaller(httpcaller.NewCaller(), store.Address())
+	n := &node{events: &events{}, stop: cancel, link: &link{Store: caller}}
 	peers := peercaller.NewCaller(map[string]peercaller.Handler{
 		sharer.WatchMethod: share.ServeWatch, sharer.ConfigurationMethod: share.ServeConfiguration,
 		sharer.CrashReportMethod: func(ctx context.Context, params json.RawMessage) (any, error) {
-			return n.follower.ServeReportCrashes(ctx, params)
+			return n.reporter.ServeReportCrashes(ctx, params)
 		},
 		sharer.ClearMethod: func(ctx context.Context, params json.RawMessage) (any, error) {
-			return n.follower.ServeClear(ctx, params)
+			return n.reporter.ServeClear(ctx, params)
 		},
 		sharer.CrashesMethod: share.ServeCrashes,
 	}, nil)
@@ -122,13 +125,18 @@
 	f := follower.NewFollower(n.link, n.peers, share, follower.Config{
 		Self:            storecaller.Member{Node: identifier.NodeID(id), DataCentre: "a", Address: l.Addr().String()},
 		StorePartitions: storefaker.Partitions,
+		LearnCrashes:    func(r sharer.CrashReport) { n.reporter.Learn(r) },
 	}, n.submit)
+	n.reporter = crashreporter.NewReporter(crashreporter.Config{
+		Self: l.Addr().String(), Peers: n.peers, Readers: f, Store: caller, Sharer: share, Submit: n.submit,
+	})
 	n.follower = f
 	go peers.Serve(ctx, l)
-	go f.SendCrashReports(ctx)
-	go f.SyncCrashes(ctx)
+	go n.reporter.SendCrashReports(ctx)
+	go n.reporter.SyncCrashes(ctx)
 	go f.FollowConfiguration(ctx)
 	go f.FollowTargets(ctx)
+	go n.reporter.KeepPoison(ctx)
 	go f.KeepLease(ctx)
 	return n, ctx
 }
@@ -274,7 +282,7 @@
 	for request, pair := range [][2]*node{{first, second}, {second, first}} {
 		n := pair[1].count()
 		crash := crashtracker.Crash{Request: identifier.Fingerprint(request + 1), Target: "t", Incarnation: 7}
-		pair[0].follower.ReportCrashes(sharer.CrashReport{Crashes: []crashtracker.Crash{crash}})
+		pair[0].reporter.ReportCrashes(sharer.CrashReport{Crashes: []crashtracker.Crash{crash}})
 		n = await[dispatcher.CrashesReported](c, pair[1].events, n)
 		pair[1].mu.Lock()
 		var received []crashtracker.Crash
--- a/entry/internal/relayer/relayer.go
+++ b/entry/internal/relayer/relayer.go
@@ -22,6 +22,7 @@
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/entry/internal/composer"
 	"fuchsiabridge.example/entry/internal/connector"
+	"fuchsiabridge.example/entry/internal/crashtracker"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/forwarder"
 	"fuchsiabridge.example/entry/internal/meter"
@@ -51,6 +52,8 @@
 	Dispatch dispatcher.Config
 	// ReportCrashes tells other nodes about requests that crash targets.
 	ReportCrashes func(sharer.CrashReport)
+	// SavePoison stores a crash that has confirmed its request as poison.
+	SavePoison func(crashtracker.Crash)
 	// Heartbeat is how often targets write to the store that they are alive.
 	Heartbeat time.Duration
 }
@@ -64,6 +67,7 @@
 	idle          *forwarder.IdleTracker
 	meter         *meter.Meter
 	reportCrashes func(sharer.CrashReport)
+	savePoison    func(crashtracker.Crash)
 	workers       pond.Pool
 	nextCall      atomic.Uint64
 	isLeaving     atomic.Bool
@@ -80,7 +84,7 @@
 	d := dispatcher.NewDispatcher(cfg.Dispatch)
 	p := placer.NewPlacer()
 	return &Relayer{
-		ctx: ctx, targets: targetcaller.NewCaller(http), pool: connector.NewConnector(), idle: forwarder.NewIdleTracker(), meter: cfg.Meter, reportCrashes: cfg.ReportCrashes,
+		ctx: ctx, targets: targetcaller.NewCaller(http), pool: connector.NewConnector(), idle: forwarder.NewIdleTracker(), meter: cfg.Meter, reportCrashes: cfg.ReportCrashes, savePoison: cfg.SavePoison,
 		workers:  pond.NewPool(orderWorkers, pond.WithContext(ctx)),
 		dispatch: d, placer: p,
 		reducer: composer.NewControl(registrar.NewRegistrar(cfg.Heartbeat), d, p),
@@ -127,6 +131,8 @@
 			x.meter.Add(e.Sample)
 		case dispatcher.ReportCrashes:
 			x.reportCrashes(sharer.CrashReport{Crashes: e.Crashes, Cleared: e.Cleared})
+		case dispatcher.SavePoison:
+			x.savePoison(e.Crash)
 		case placer.SendOrder:
 			x.start(func() { x.sendOrder(e) })
 		case dispatcher.ProbeChain:
