Recognize a poison request of an account that has replaced its key

Callers saw: a quarantined request ran again as soon as its account used another key.

Cause: the fingerprint was made of the bearer key, which names a caller only until it is replaced.

Change: the relayer takes the fingerprint of the content, the dispatcher adds the account that holds the key. The same content from another account has another fingerprint.

Also: an attempt that ends at the instant at which it was sent is not survived by its own target (time compared as 'not before'); TestPoisonRequestIsRefused, which had its first two crashes hidden by the report of the third, now takes the fingerprint from them.

Seen failing before: TestPoisonIsRefusedUnderNewKey (sent, 502 wanted).

--- a/entry/internal/crashtracker/checks.go
+++ b/entry/internal/crashtracker/checks.go
@@ -61,7 +61,8 @@
 		if !t.checks.allows(now) {
 			break
 		}
-		s.isChecked, s.checkedAt = true, now
+		// The check begins after all attempts that have ended by now.
+		s.isChecked, s.checkedAt = true, now.Add(time.Nanosecond)
 		due = append(due, Check{Target: id, Address: s.address})
 	}
 	return due
--- a/entry/internal/crashtracker/crashtracker.go
+++ b/entry/internal/crashtracker/crashtracker.go
@@ -259,7 +259,7 @@
 // hasSurvived reports whether a target is known to have been alive after an attempt.
 func (t *Tracker) hasSurvived(id identifier.TargetID, a Attempt) bool {
 	s, ok := t.targets[id]
-	return ok && !s.aliveAt.Before(a.EndedAt)
+	return ok && s.aliveAt.After(a.EndedAt)
 }
 
 // addCrash records the crash of a target by an attempt, and returns it if it was not known.
--- a/entry/internal/dispatcher/crashes.go
+++ b/entry/internal/dispatcher/crashes.go
@@ -1,8 +1,11 @@
 package dispatcher
 
 import (
+	"encoding/binary"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
@@ -13,6 +16,13 @@
 // fingerprintKey is the key in logs under which all events name a request's fingerprint.
 const fingerprintKey = "fingerprint"
 
+// callerFingerprint returns the fingerprint of a request of an account. It does not depend on the key, which
+// an account may replace.
+func callerFingerprint(content identifier.Fingerprint, account identifier.AccountID) identifier.Fingerprint {
+	raw := binary.BigEndian.AppendUint64([]byte(account), uint64(content))
+	return identifier.Fingerprint(xxhash.Sum64(raw))
+}
+
 // notePoisonCandidate records an attempt that ended, or was left, without a complete answer: the
 // request may have crashed a target. It reports whether the attempt counts, with the effects of the
 // crashes that are known by it.
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -79,12 +79,13 @@
 
 // request is a request in progress.
 type request struct {
-	id          identifier.RequestID
-	route       *describer.Route
-	service     identifier.ServiceID
-	account     identifier.AccountID
-	arrived     time.Time
-	deadline    time.Time
+	id       identifier.RequestID
+	route    *describer.Route
+	service  identifier.ServiceID
+	account  identifier.AccountID
+	arrived  time.Time
+	deadline time.Time
+	// fingerprint identifies requests of the same client account with the same content.
 	fingerprint identifier.Fingerprint
 	// seed determines the jitter of the Retry-After delay.
 	seed uint64
@@ -289,6 +290,7 @@
 		}
 		r.account = account.ID
 	}
+	r.fingerprint = callerFingerprint(ev.Fingerprint, r.account)
 	if d.crashTracker.IsConfirmed(now, r.fingerprint) {
 		return d.refuse(now, ev.Call, http.StatusBadGateway, 0, "request is quarantined: it has crashed several targets")
 	}
--- a/entry/internal/dispatcher/dispatcher_test.go
+++ b/entry/internal/dispatcher/dispatcher_test.go
@@ -33,6 +33,7 @@
 type harness struct {
 	dispatcher *dispatcher.Dispatcher
 	ejections  []registrar.Ejected
+	crashes    []crashtracker.Crash
 	logs       []messenger.Log
 	next       identifier.CallID
 }
@@ -109,7 +110,9 @@
 			if ejected, ok := e.Event.(registrar.Ejected); ok {
 				d.ejections = append(d.ejections, ejected)
 			}
-		case dispatcher.ProbeChain, dispatcher.RecordSample, dispatcher.CheckTarget, dispatcher.ReportCrashes, dispatcher.SavePoison:
+		case dispatcher.ReportCrashes:
+			d.crashes = append(d.crashes, e.Crashes...)
+		case dispatcher.ProbeChain, dispatcher.RecordSample, dispatcher.CheckTarget, dispatcher.SavePoison:
 		default:
 			if first == nil {
 				first = effect
@@ -249,7 +252,7 @@
 			d.apply(at, registrar.TargetsChanged{Targets: restarted})
 			continue
 		}
-		reported := crashtracker.Crash{Request: 7, Target: "elsewhere", Depth: 3}
+		reported := crashtracker.Crash{Request: d.crashes[0].Request, Target: "elsewhere", Depth: 3}
 		d.apply(at, dispatcher.CrashesReported{Crashes: []crashtracker.Crash{reported, reported}})
 	}
 	for fingerprint, want := range map[identifier.Fingerprint]int{7: 502, 8: 0} {
--- a/entry/internal/dispatcher/messages.go
+++ b/entry/internal/dispatcher/messages.go
@@ -27,7 +27,7 @@
 	Key  string
 	// Deadline is when the caller stops waiting; zero if the request does not say.
 	Deadline time.Time
-	// Fingerprint is the same for requests with the same method, host, path, key and body.
+	// Fingerprint is the same for requests with the same method, host, path and body.
 	Fingerprint identifier.Fingerprint
 	// Seed is a random number for weighted and randomized choices.
 	Seed uint64
--- a/entry/internal/dispatcher/poison_test.go
+++ b/entry/internal/dispatcher/poison_test.go
@@ -527,6 +527,34 @@
 	c.Fatalf("the request is sent: %d crashes reported", len(x.reported))
 }
 
+// TestPoisonIsRefusedUnderNewKey guards against a poison request that is sent again because its account has replaced its
+// key, and against refusing the same content from another account.
+func TestPoisonIsRefusedUnderNewKey(t *testing.T) {
+	c := qt.New(t)
+	s := defaults(beforeFirstByte, "/post/")
+	s.duration = 10 * time.Second
+	x := newSimulation(s)
+	x.repeatPoison()
+	x.run()
+	now := start.Add(x.now)
+	replaced := configuration(2, "new key")
+	replaced.Accounts = append(replaced.Accounts, describer.Account{ID: "printer", Keys: []string{"other key"}})
+	x.nodes[0].Apply(now, dispatcher.ConfigurationRead{Table: router.NewTable(replaced)})
+	x.nodes[0].Apply(now, registrar.TargetsRead{Changes: []describer.TargetChange{{ID: "spare", Target: &describer.Target{
+		ID: "spare", Address: "spare", Service: "ledger", DataCentre: "a", Slots: 6,
+	}}}})
+	for key, want := range map[string]int{"new key": 502, "other key": 0} {
+		got := 0
+		arrived := dispatcher.RequestArrived{Call: 999_999, ID: "again", Host: "h", Path: "/post/", Key: key, Fingerprint: poison}
+		for _, effect := range x.nodes[0].Apply(now, arrived) {
+			if e, ok := effect.(dispatcher.Refuse); ok {
+				got = e.Status
+			}
+		}
+		c.Check(got, qt.Equals, want, qt.Commentf("%s", key))
+	}
+}
+
 // TestPoisonStaysRefused guards against a poison request that is sent again once its crashes are older than a
 // minute, or once many other requests have broken beside crashes.
 func TestPoisonStaysRefused(t *testing.T) {
--- a/entry/internal/relayer/serving.go
+++ b/entry/internal/relayer/serving.go
@@ -46,7 +46,7 @@
 	s.trace = trace
 	arrived := dispatcher.RequestArrived{
 		Call: s.call, ID: request.ID, Host: string(h.Host()), Path: string(h.RequestURI()),
-		Key: request.Key, Seed: rand.Uint64(), Fingerprint: fingerprint(c, request),
+		Key: request.Key, Seed: rand.Uint64(), Fingerprint: fingerprint(c),
 	}
 	if request.Timeout > 0 {
 		arrived.Deadline = bootclock.Now().Add(request.Timeout)
@@ -56,12 +56,12 @@
 	}
 }
 
-// fingerprint identifies requests with the same method, host, path, caller and body.
-func fingerprint(c *receiver.Call, r translator.Request) identifier.Fingerprint {
+// fingerprint identifies requests with the same method, host, path and body.
+func fingerprint(c *receiver.Call) identifier.Fingerprint {
 	h := c.Header()
 	var d xxhash.Digest
 	d.Reset()
-	for _, field := range [][]byte{h.Method(), h.Host(), h.RequestURI(), []byte(r.Key), c.Body()} {
+	for _, field := range [][]byte{h.Method(), h.Host(), h.RequestURI(), c.Body()} {
 		// Writing to a digest never fails.
 		_, _ = d.Write(field)
 		_, _ = d.Write([]byte{0})
