Measure the idle timeout of a connection from before it is accepted (was known red)

TestIdleConnectionIsClosed failed 1 of 40 and 2 of 301 runs: the server's timer starts when it accepts the connection, which may be before the dial returns, and the test's clock started after that.

--- a/entry/internal/receiver/receiver_test.go
+++ b/entry/internal/receiver/receiver_test.go
@@ -126,8 +126,9 @@
 
 // TestIdleConnectionIsClosed checks that a connection without a request is closed after the idle timeout, not before.
 func TestIdleConnectionIsClosed(t *testing.T) {
-	c, _, _, conn := start(t)
+	// The server may accept the connection, and start its timer, before the dial returns here.
 	began := time.Now()
+	c, _, _, conn := start(t)
 	_, err := conn.Read(make([]byte, 1))
 	c.Assert(err, qt.Equals, io.EOF)
 	c.Assert(time.Since(began) >= idleTimeout, qt.IsTrue)
