Refuse copies of a poison draft that wait for admission when it is confirmed

Callers saw: copies of a draft that crashes engines, which waited for admission while it was confirmed as poison, crashed one more engine each.

Cause: the admitter compared the bare fingerprint with 'account/fingerprint', so its check never matched, and it looked only at arrival, where the gatekeeper has refused the request already. Its set of confirmed requests was never pruned either.

Change: one method of a request gives the key for gatekeeper, drafter, isolator and admitter (it stood twice and was missing once); the admitter refuses waiting copies when the confirmation comes, and keeps no set of its own.

Seen failing before: TestWaitingCopyOfPoisonIsRefused (no answer). It replaces TestConfirmedPoisonIsRefused, which confirmed a fingerprint that no caller of the admitter uses; arrival after the confirmation is the gatekeeper's test.

--- a/entry/internal/admitter/admitter.go
+++ b/entry/internal/admitter/admitter.go
@@ -87,8 +87,7 @@
 	accounts   map[identifier.AccountID]configurer.Account
 	// rateUsedUntil holds, for each rate-limited account, the time up to which its requests have used
 	// its rate. Each request advances it by the inverse of the rate, never beyond the present.
-	rateUsedUntil   map[identifier.AccountID]time.Time
-	confirmedPoison map[string]bool
+	rateUsedUntil map[identifier.AccountID]time.Time
 }
 
 // NewAdmitter returns an Admitter that runs at most maxDrafts drafts on this node.
@@ -96,7 +95,6 @@
 	return &Admitter{
 		maxDrafts: maxDrafts, nodes: 1, running: map[identifier.DraftID]runningDraft{}, queue: newFairQueue(), estimator: newEstimator(),
 		accounts: map[identifier.AccountID]configurer.Account{}, rateUsedUntil: map[identifier.AccountID]time.Time{},
-		confirmedPoison: map[string]bool{},
 	}
 }
 
@@ -114,9 +112,7 @@
 	case tailer.SettingsChanged:
 		a.applySettings(ev.Settings)
 	case isolator.PoisonConfirmed:
-		for _, f := range ev.Fingerprints {
-			a.confirmedPoison[f] = true
-		}
+		return a.refusePoison(ev.Fingerprints)
 	case messenger.Tick:
 		return a.tick(now)
 	}
@@ -163,11 +159,6 @@
 }
 
 func (a *Admitter) handleRequested(now time.Time, ev drafter.Request) []messenger.Effect {
-	if a.confirmedPoison[ev.Fingerprint] {
-		return []messenger.Effect{messenger.Reply{Call: ev.Call, Answer: drafter.End{Outcome: responder.Refused, Problem: responder.Problem{
-			Code: codeCrashes, Message: "the request crashed the targets that ran it", Place: "admission",
-		}}}}
-	}
 	if _, ok := a.running[ev.Draft]; ok {
 		return []messenger.Effect{Begin{Request: ev}}
 	}
@@ -304,6 +295,22 @@
 	return effects
 }
 
+// refusePoison refuses waiting requests that are confirmed as poison. Those that arrive later do not get
+// past the gatekeeper.
+func (a *Admitter) refusePoison(fingerprints []string) []messenger.Effect {
+	var effects []messenger.Effect
+	for _, w := range a.queue.removePoison(fingerprints) {
+		for _, call := range w.calls {
+			p := responder.Problem{Code: codeCrashes, Message: "the request crashed the targets that ran it", Place: "admission"}
+			effects = append(effects,
+				messenger.Reply{Call: call.Call, Answer: drafter.End{Outcome: responder.Refused, Problem: p}},
+				messenger.Log{Event: eventlogger.RequestShed, Subject: "request/" + string(call.Draft), Values: []any{"reason", codeCrashes, "class", call.Class}},
+			)
+		}
+	}
+	return effects
+}
+
 func (a *Admitter) shedWaiter(w *waiter, code string) []messenger.Effect {
 	var effects []messenger.Effect
 	for _, call := range w.calls {
--- a/entry/internal/admitter/admitter_test.go
+++ b/entry/internal/admitter/admitter_test.go
@@ -238,17 +238,28 @@
 	c.Assert(h.ends[100].RetryAfter >= time.Second, qt.IsTrue)
 }
 
-// TestConfirmedPoisonIsRefused checks that a request that crashes targets is refused without a time
-// to retry.
-func TestConfirmedPoisonIsRefused(t *testing.T) {
+// TestWaitingCopyOfPoisonIsRefused guards against a copy of a poison request that crashes one more target because it
+// waited for admission while the request was confirmed. It is refused without a time to retry, others wait on.
+func TestWaitingCopyOfPoisonIsRefused(t *testing.T) {
 	c := qt.New(t)
 	h, now := newHarness(nil), start
-	r := request(1, "a", 1, 10, now.Add(time.Hour))
-	h.apply(now, isolator.PoisonConfirmed{Fingerprints: []string{r.Fingerprint}})
-	h.apply(now, admitter.Requested{Request: r})
-	c.Assert(h.ends[1].Outcome, qt.Equals, responder.Refused)
-	c.Assert(h.ends[1].Problem.Code, qt.Equals, "crashes_targets")
-	c.Assert(h.ends[1].RetryAfter, qt.Equals, time.Duration(0))
+	for n := range draftLimit + reservedDrafts {
+		h.apply(now, admitter.Requested{Request: request(n, "a", 1, 10, now.Add(time.Hour))})
+	}
+	poison, other := request(100, "a", 1, 10, now.Add(time.Hour)), request(101, "a", 1, 10, now.Add(time.Hour))
+	h.apply(now, admitter.Requested{Request: poison})
+	h.apply(now, admitter.Requested{Request: other})
+	h.apply(now, isolator.PoisonConfirmed{Fingerprints: []string{poison.IsolationKey()}})
+	c.Assert(h.ends[100].Outcome, qt.Equals, responder.Refused)
+	c.Assert(h.ends[100].Problem.Code, qt.Equals, "crashes_targets")
+	c.Assert(h.ends[100].RetryAfter, qt.Equals, time.Duration(0))
+	c.Assert(h.answers[101], qt.Equals, 0)
+	for range draftLimit + 2 {
+		h.endOldest(now)
+		h.apply(now, messenger.Tick{})
+	}
+	c.Assert(h.answers[100], qt.Equals, 1)
+	c.Assert(h.answers[101], qt.Equals, 1)
 }
 
 // TestNewNodeShedsNothing sends the requests of 200 callers to a node that does not know its
--- a/entry/internal/admitter/queue.go
+++ b/entry/internal/admitter/queue.go
@@ -1,6 +1,7 @@
 package admitter
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -115,15 +116,24 @@
 // removeLate removes and returns, in order of arrival, the requests that can no longer meet their
 // deadline.
 func (q *fairQueue) removeLate(now time.Time, serviceTime func(drafter.Request) time.Duration) []*waiter {
-	var late []*waiter
+	return q.removeIf(func(r drafter.Request) bool { return now.Add(serviceTime(r)).After(r.Deadline) })
+}
+
+// removePoison removes and returns, in order of arrival, the requests with the given fingerprints.
+func (q *fairQueue) removePoison(fingerprints []string) []*waiter {
+	return q.removeIf(func(r drafter.Request) bool { return slices.Contains(fingerprints, r.IsolationKey()) })
+}
+
+func (q *fairQueue) removeIf(matches func(drafter.Request) bool) []*waiter {
+	var removed []*waiter
 	for _, w := range q.waiting {
-		if now.Add(serviceTime(w.first())).After(w.first().Deadline) {
-			late = append(late, w)
+		if matches(w.first()) {
+			removed = append(removed, w)
 		}
 	}
-	sort.Slice(late, func(i, j int) bool { return late[i].sequence < late[j].sequence })
-	for _, w := range late {
+	sort.Slice(removed, func(i, j int) bool { return removed[i].sequence < removed[j].sequence })
+	for _, w := range removed {
 		q.remove(w)
 	}
-	return late
+	return removed
 }
--- a/entry/internal/drafter/messages.go
+++ b/entry/internal/drafter/messages.go
@@ -39,6 +39,10 @@
 	Traceparent string
 }
 
+// IsolationKey identifies requests of the same client account with the same body. It is the fingerprint
+// under which the isolator knows them.
+func (r Request) IsolationKey() string { return string(r.Account) + "/" + r.Fingerprint }
+
 // DraftKey returns the draft's id.
 func (r Request) DraftKey() identifier.DraftID { return r.Draft }
 
--- a/entry/internal/drafter/recovery.go
+++ b/entry/internal/drafter/recovery.go
@@ -40,7 +40,7 @@
 			Values: []any{"target", s.Target, "position", dr.position(), "stage", dr.stageIndex},
 		},
 		messenger.Raise{Event: isolator.StageLost{
-			Draft: dr.request.Draft, Fingerprint: dr.fingerprint(), Target: s.Target, WasAlone: wasAlone,
+			Draft: dr.request.Draft, Fingerprint: dr.request.IsolationKey(), Target: s.Target, WasAlone: wasAlone,
 			Candidates: planner.Candidates(d.targets, d.pipelineRequest(dr, s.Layers, d.excludedTargets(dr))),
 		}},
 	}
--- a/entry/internal/drafter/stepper.go
+++ b/entry/internal/drafter/stepper.go
@@ -167,15 +167,10 @@
 	}
 	dr.isolatedAt = ""
 	return []messenger.Effect{messenger.Raise{Event: isolator.StagePassed{
-		Draft: dr.request.Draft, Fingerprint: dr.fingerprint(), Target: s.Target,
+		Draft: dr.request.Draft, Fingerprint: dr.request.IsolationKey(), Target: s.Target,
 	}}}
 }
 
-// fingerprint identifies the request by client account and body.
-func (dr *draft) fingerprint() string {
-	return string(dr.request.Account) + "/" + dr.request.Fingerprint
-}
-
 // handleStepRefused handles an engine's response that it did not run the step. None of these
 // responses means that the target failed.
 func (d *Drafter) handleStepRefused(now time.Time, dr *draft, r enginecaller.StepResult) []messenger.Effect {
--- a/entry/internal/gatekeeper/gatekeeper.go
+++ b/entry/internal/gatekeeper/gatekeeper.go
@@ -51,7 +51,7 @@
 }
 
 func (g *Gatekeeper) handleRequested(r drafter.Request) []messenger.Effect {
-	f := fingerprint(r)
+	f := r.IsolationKey()
 	switch {
 	case g.confirmed[f]:
 		return endDraft(r, responder.Refused, "crashes_targets", "the request crashes the targets that run it", 0)
@@ -70,7 +70,7 @@
 	held := g.held
 	g.held = nil
 	for _, r := range held {
-		if f := fingerprint(r); g.candidates[f] && !g.confirmed[f] {
+		if f := r.IsolationKey(); g.candidates[f] && !g.confirmed[f] {
 			g.held = append(g.held, r)
 			continue
 		}
@@ -93,9 +93,6 @@
 	return effects
 }
 
-// fingerprint returns the fingerprint that the drafter reports to the isolator.
-func fingerprint(r drafter.Request) string { return string(r.Account) + "/" + r.Fingerprint }
-
 func endDraft(r drafter.Request, outcome responder.Outcome, code, message string, after time.Duration) []messenger.Effect {
 	p := responder.Problem{Code: code, Message: message, Place: "body"}
 	return []messenger.Effect{
