--- a/entry/internal/drafter/takeover.go
+++ b/entry/internal/drafter/takeover.go
@@ -217,7 +217,12 @@
 		Values: []any{"epoch", dr.epoch, "before", c.Epoch, "tokens", len(c.Tokens)},
 	}}
 	dr.historyDropped = true
-	if stages, ok := d.stagesFromCheckpoint(c); ok {
+	stages := d.stagesFromCheckpoint(c.Stages)
+	if n := len(c.Stages); len(stages) == 0 && n > 0 {
+		// The last stage alone cannot continue the draft, but it keeps the newest tokens.
+		stages = d.stagesFromCheckpoint(c.Stages[n-1:])
+	}
+	if len(stages) > 0 {
 		dr.epoch++
 		d.bind(dr, stages)
 	}
@@ -235,7 +240,7 @@
 	if len(dr.tokens) >= dr.request.MaxTokens {
 		return append(effects, d.finish(now, dr, End{Outcome: responder.Delivered, Tokens: len(dr.tokens)})...)
 	}
-	if len(dr.stages) == 0 {
+	if len(dr.stages) == 0 || dr.stages[0].Layers.From > 0 {
 		return append(effects, d.start(now, dr)...)
 	}
 	dr.stageIndex = 0
@@ -310,14 +315,14 @@
 	return effects
 }
 
-// stagesFromCheckpoint returns the stages of a checkpoint, if every target still has the same
-// generation and none is down.
-func (d *Drafter) stagesFromCheckpoint(c checkpointer.Checkpoint) ([]*stage, bool) {
+// stagesFromCheckpoint returns stages of a checkpoint, or none unless every target still has the same
+// generation and is not down.
+func (d *Drafter) stagesFromCheckpoint(kept []checkpointer.Stage) []*stage {
 	var stages []*stage
-	for _, s := range c.Stages {
+	for _, s := range kept {
 		t, ok := d.targetsByID[s.Target]
 		if !ok || t.State == watcher.StateDown || t.Status.Generation != s.Generation {
-			return nil, false
+			return nil
 		}
 		stages = append(stages, &stage{
 			Stage: planner.Stage{
@@ -326,7 +331,7 @@
 			},
 		})
 	}
-	return stages, len(stages) > 0
+	return stages
 }
 
 // checkAfterFreeze asks the peers, after the node was frozen, whether another node has taken over its
--- a/entry/internal/drafter/takeover_test.go
+++ b/entry/internal/drafter/takeover_test.go
@@ -11,8 +11,10 @@
 	"fuchsiabridge.example/common/layerhasher"
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/common/responder"
+	"fuchsiabridge.example/entry/internal/checkpointer"
 	"fuchsiabridge.example/entry/internal/drafter"
 	"fuchsiabridge.example/entry/internal/heartbeater"
+	"fuchsiabridge.example/entry/internal/watcher"
 )
 
 func peers(ids ...identifier.NodeID) heartbeater.PeersChanged {
@@ -137,3 +139,38 @@
 		t.Fatalf("the first driver reported a complete answer after only %d tokens", len(a.tokens))
 	}
 }
+
+// TestTokensOfTakenOverDraftSurviveLostMiddleStage guards against tokens_lost for a draft whose first driver died with
+// the middle stage, once the successor knows that this stage is down: the last stage still keeps the tokens.
+func TestTokensOfTakenOverDraftSurviveLostMiddleStage(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const id = identifier.DraftID("draft-1")
+		h := newHarness(t, "node-2", drafter.Replay)
+		h.apply(peers("node-1", "node-3"))
+		h.engines[2].alive = false
+		changed := h.engines.targetsChanged()
+		changed.Targets[2].State = watcher.StateDown
+		h.apply(changed)
+		var stages []checkpointer.Stage
+		for _, i := range []int{0, 2, 4} {
+			target := changed.Targets[i]
+			stages = append(stages, checkpointer.Stage{Target: target.ID, Generation: target.Status.Generation, Layers: target.Status.Layers})
+		}
+		want := layerhasher.Answer(layers, prompt(id), tokens)
+		h.request(id, 3)
+		h.apply(drafter.CheckpointFound{Draft: id, Checkpoint: checkpointer.Checkpoint{
+			Draft: id, Epoch: 1, Fingerprint: "f-" + string(id), Tokens: want[:2], Stages: stages,
+		}})
+		if len(h.calls) != 1 {
+			t.Fatalf("%d calls to engines; ends: %v", len(h.calls), h.callResults[1].ends)
+		}
+		fetch, ok := h.calls[0].(drafter.SendStep)
+		if !ok || fetch.Target != stages[2].Target || !fetch.Step.Resume {
+			t.Fatalf("%T %+v, want the last stage to be asked for kept tokens", h.calls[0], h.calls[0])
+		}
+		h.apply(drafter.StepFailed{Target: fetch.Target, Name: fetch.Step.StepName, NewConn: true, Alive: true})
+		if ends := h.callResults[1].ends; len(ends) != 1 || ends[0].Problem.Code != "tokens_lost" {
+			t.Fatalf("%v, want tokens_lost if the last stage does not keep the tokens", ends)
+		}
+	})
+}
