Let unrelated losses of a draft's targets expire

A draft that three unrelated failures had hit, in any time, while no target was available for a trial, was refused for half an hour.

Cause: these losses were counted without end (and kept in memory), though only losses that follow each other are evidence.

Change: they count for a minute after the last one.

Seen failing before: TestLossesFarApartRefuseNothing (the third loss, 20 minutes after the first, refused the request).

--- a/entry/internal/isolator/isolator.go
+++ b/entry/internal/isolator/isolator.go
@@ -34,8 +34,10 @@
 	// lostTargetTTL is how long a failed target is not used for trials, unless it shows a sign of
 	// life.
 	lostTargetTTL = 10 * time.Second
-	// maxUntriedLosses is how many targets a request may lose while none was available for a trial.
+	// maxUntriedLosses is how many targets a request may lose in a row while none was available for a
+	// trial. Losses further apart than untriedLossTTL have causes of their own.
 	maxUntriedLosses = 3
+	untriedLossTTL   = time.Minute
 	// decisionRepeatWindow is how long a decision is repeated to peers, so that a lost notice does
 	// little harm.
 	decisionRepeatWindow = time.Second
@@ -77,8 +79,10 @@
 	nextTrialAt map[identifier.DraftID]time.Time
 	candidates  map[string]time.Time
 	confirmed   map[string]time.Time
-	// untriedLosses counts the targets that a request lost while none was available for a trial.
+	// untriedLosses counts the targets that a request lost while none was available for a trial, and
+	// untriedUntil holds until when they count.
 	untriedLosses map[string]int
+	untriedUntil  map[string]time.Time
 	targetLostAt  map[identifier.TargetID]time.Time
 	targetAliveAt map[identifier.TargetID]time.Time
 	targets       map[identifier.TargetID]watcher.Target
@@ -100,6 +104,7 @@
 		candidates:     map[string]time.Time{},
 		confirmed:      map[string]time.Time{},
 		untriedLosses:  map[string]int{},
+		untriedUntil:   map[string]time.Time{},
 		targetLostAt:   map[identifier.TargetID]time.Time{},
 		targetAliveAt:  map[identifier.TargetID]time.Time{},
 		targets:        map[identifier.TargetID]watcher.Target{},
@@ -305,6 +310,8 @@
 	if dropExpired(i.confirmed, now) {
 		effects = append(effects, messenger.Broadcast{Event: PoisonConfirmed{Fingerprints: sortedKeys(i.confirmed)}})
 	}
+	dropExpired(i.untriedUntil, now)
+	maps.DeleteFunc(i.untriedLosses, func(f string, _ int) bool { return i.untriedUntil[f].IsZero() })
 	dropExpired(i.nextTrialAt, now)
 	dropExpired(i.cleared, now)
 	dropExpired(i.newlyConfirmed, now)
--- a/entry/internal/isolator/isolator_test.go
+++ b/entry/internal/isolator/isolator_test.go
@@ -326,3 +326,25 @@
 	c.Assert(healthy.isDone, qt.IsTrue)
 	c.Assert(poison.refused, qt.IsTrue)
 }
+
+// TestLossesFarApartRefuseNothing guards against refusing an innocent request that has met several unrelated failures
+// over a long time, each while no target was available for a trial.
+func TestLossesFarApartRefuseNothing(t *testing.T) {
+	c := qt.New(t)
+	i := isolator.NewIsolator()
+	now := time.Unix(1_000_000, 0)
+	for n := range 6 {
+		lost := isolator.StageLost{Draft: identifier.DraftID(fmt.Sprint(n)), Fingerprint: "studio/letter", Target: identifier.TargetID(fmt.Sprint(n))}
+		var decisions []isolator.DecisionKind
+		for _, effect := range i.Apply(now, lost) {
+			if route, ok := effect.(isolator.Route); ok {
+				decisions = append(decisions, route.Event.Kind)
+			}
+		}
+		c.Assert(decisions, qt.DeepEquals, []isolator.DecisionKind{isolator.RunUnrestricted}, qt.Commentf("loss %d", n+1))
+		for range 10 {
+			now = now.Add(time.Minute)
+			i.Apply(now, messenger.Tick{})
+		}
+	}
+}
--- a/entry/internal/isolator/trials.go
+++ b/entry/internal/isolator/trials.go
@@ -102,6 +102,7 @@
 // request loses maxUntriedLosses targets that way, it is confirmed as poison.
 func (i *Isolator) resolveWithoutTrial(now time.Time, l StageLost) []messenger.Effect {
 	i.untriedLosses[l.Fingerprint]++
+	i.untriedUntil[l.Fingerprint] = now.Add(untriedLossTTL)
 	if i.untriedLosses[l.Fingerprint] < maxUntriedLosses {
 		return []messenger.Effect{routeDecision(l, RunUnrestricted, "")}
 	}
