Send nothing to a target that was leaving when its entry was first read

Callers may have seen: a request at a target that is about to exit, where a node starts or reads an entry late.

Cause: the 0.9 s in which a leaving target still takes requests began with the second entry, whenever that came, if the first one said already that it was leaving.

Change: for a new entry or incarnation the window is over.

Seen failing before: TestTargetFirstSeenLeavingNeverCloses (closing at the second entry).

--- a/entry/internal/registrar/registrar.go
+++ b/entry/internal/registrar/registrar.go
@@ -141,19 +141,29 @@
 	return r.publishTargets(now)
 }
 
+// newState returns the state of a target whose entry is new. One that is leaving has been for an unknown
+// time, so it accepts no more requests.
+func newState(now time.Time, t describer.Target) *targetState {
+	s := &targetState{target: t, reportedAt: now}
+	if t.IsLeaving {
+		s.leavingAt = now.Add(-closingWindow)
+	}
+	return s
+}
+
 // storeReport stores a target's entry. A leaving target stays leaving until it restarts, also
 // when an older entry arrives late.
 func (r *Registrar) storeReport(now time.Time, t describer.Target) bool {
 	s, ok := r.states[t.ID]
 	if !ok {
-		r.states[t.ID] = &targetState{target: t, reportedAt: now}
+		r.states[t.ID] = newState(now, t)
 		return true
 	}
 	if t.Incarnation < s.target.Incarnation {
 		return false
 	}
 	if t.Incarnation > s.target.Incarnation {
-		*s = targetState{target: t, reportedAt: now}
+		*s = *newState(now, t)
 		return true
 	}
 	t.IsLeaving = t.IsLeaving || s.target.IsLeaving
--- a/entry/internal/registrar/registrar_test.go
+++ b/entry/internal/registrar/registrar_test.go
@@ -68,6 +68,23 @@
 	c.Assert(d.targets[0].IsClosing, qt.IsFalse)
 }
 
+// TestTargetFirstSeenLeavingNeverCloses guards against sending requests to a target that has been leaving for an unknown
+// time, because the node saw it leave at its first entry or at the one after.
+func TestTargetFirstSeenLeavingNeverCloses(t *testing.T) {
+	c := qt.New(t)
+	d := newHarness()
+	for incarnation := range int64(2) {
+		at := time.Duration(incarnation) * time.Minute
+		d.report(at, "t", incarnation, true)
+		c.Assert(d.targets[0].IsClosing, qt.IsFalse)
+		d.report(at+time.Second, "t", incarnation, true)
+		d.report(at+time.Second, "other", incarnation, false)
+		c.Assert(d.targets[1].ID, qt.Equals, identifier.TargetID("t"))
+		c.Assert(d.targets[1].IsClosing, qt.IsFalse)
+		d.remove(at+2*time.Second, "other")
+	}
+}
+
 // TestEntriesMayReturnAfterStoreOutage checks that a target whose entry expired during an
 // outage of the store is kept for two seconds, and counts as gone after that.
 func TestEntriesMayReturnAfterStoreOutage(t *testing.T) {
