Let a request that was held back before its first attempt run without a retry left

Callers saw: nothing yet; found while reading the diff. A request that waited for the outcome of another copy was refused with 502 where the retry budget was used up, though it had never been sent.

Cause: the end of a hold applied the conditions of a retry.

Seen failing before: TestHeldRequestNeedsNoRetryBudget (refused, 502).

--- a/entry/internal/dispatcher/attempts.go
+++ b/entry/internal/dispatcher/attempts.go
@@ -50,7 +50,7 @@
 	case CallerGone:
 		return append(effects, d.end(now, ev.Call, 0, "caller gone")...)
 	case Expired:
-		return append(effects, d.refuse(now, ev.Call, http.StatusGatewayTimeout, 0, "deadline passed")...)
+		return append(effects, d.refuse(now, ev.Call, http.StatusGatewayTimeout, 0, deadlinePassed)...)
 	case NotSent, NotRun:
 		if reason := d.retryBarrier(now, r); reason != "" {
 			return append(effects, d.endUnplaced(now, ev.Call, r, "no target accepted the request, "+reason)...)
@@ -117,9 +117,9 @@
 	case r.attempts >= maxAttempts:
 		return "maximum number of attempts reached"
 	case !now.Before(r.deadline):
-		return "deadline passed"
+		return deadlinePassed
 	case d.crashTracker.IsConfirmed(now, r.fingerprint):
-		return "request is quarantined: it has crashed several targets"
+		return quarantined
 	case !d.budget(r.service).Allows(now, d.cfg.RetryRatio, d.quota.Retries(now)):
 		return "retry budget exhausted"
 	}
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -292,7 +292,7 @@
 	}
 	r.fingerprint = callerFingerprint(ev.Fingerprint, r.account)
 	if d.crashTracker.IsConfirmed(now, r.fingerprint) {
-		return d.refuse(now, ev.Call, http.StatusBadGateway, 0, "request is quarantined: it has crashed several targets")
+		return d.refuse(now, ev.Call, http.StatusBadGateway, 0, quarantined)
 	}
 	timeout := r.route.Timeout
 	if timeout <= 0 {
--- a/entry/internal/dispatcher/poison_test.go
+++ b/entry/internal/dispatcher/poison_test.go
@@ -648,3 +648,32 @@
 		}
 	})
 }
+
+// TestHeldRequestNeedsNoRetryBudget guards against refusing an innocent request that was held back before its first
+// attempt because no retry is left.
+func TestHeldRequestNeedsNoRetryBudget(t *testing.T) {
+	c := qt.New(t)
+	d := makeReady(newHarnessWithRatio(0))
+	arrive := func(at time.Duration) (identifier.CallID, messenger.Effect) {
+		d.next++
+		return d.next, d.apply(at, dispatcher.RequestArrived{
+			Call: d.next, ID: identifier.RequestID(fmt.Sprint(d.next)), Host: "h", Path: "/post/", Key: "key", Fingerprint: innocent,
+		})
+	}
+	call, e := arrive(0)
+	send := e.(dispatcher.Send)
+	d.apply(10*time.Millisecond, dispatcher.AttemptReported{Call: call, Outcome: dispatcher.Broken})
+	d.apply(20*time.Millisecond, registrar.Ejected{Address: send.Address, Cause: registrar.Unresponsive})
+	tried, e := arrive(30 * time.Millisecond)
+	c.Assert(e.(dispatcher.Send).NewConn, qt.IsTrue)
+	held, e := arrive(40 * time.Millisecond)
+	hold, ok := e.(dispatcher.Hold)
+	c.Assert(ok, qt.IsTrue, qt.Commentf("%T", e))
+	e = d.apply(hold.Until.Sub(start), dispatcher.HoldEnded{Call: held})
+	_, ok = e.(dispatcher.Hold)
+	c.Assert(ok, qt.IsTrue, qt.Commentf("%T", e))
+	d.apply(70*time.Millisecond, dispatcher.AttemptReported{Call: tried, Outcome: dispatcher.Delivered, Status: 200})
+	e = d.apply(80*time.Millisecond, dispatcher.HoldEnded{Call: held})
+	_, ok = e.(dispatcher.Send)
+	c.Assert(ok, qt.IsTrue, qt.Commentf("%T %+v", e, e))
+}
--- a/entry/internal/dispatcher/trials.go
+++ b/entry/internal/dispatcher/trials.go
@@ -25,6 +25,12 @@
 	maxHold = time.Second
 )
 
+// Reasons for which requests end, in logs.
+const (
+	quarantined    = "request is quarantined: it has crashed several targets"
+	deadlinePassed = "deadline passed"
+)
+
 // setLease notes until when this node holds the lease.
 func (d *Dispatcher) setLease(ev placer.LeaseChanged) {
 	d.leaseUntil = time.Time{}
@@ -80,11 +86,17 @@
 	if ev.IsCallerGone {
 		return d.end(now, ev.Call, 0, "caller gone")
 	}
-	if reason := d.retryBarrier(now, r); reason != "" {
-		if r.attempts == 0 {
-			return d.refuse(now, ev.Call, http.StatusBadGateway, 0, reason)
+	if r.attempts > 0 {
+		if reason := d.retryBarrier(now, r); reason != "" {
+			return d.endUnplaced(now, ev.Call, r, reason)
 		}
-		return d.endUnplaced(now, ev.Call, r, reason)
+		return d.send(now, ev.Call, r, ev.Seed)
+	}
+	switch {
+	case d.crashTracker.IsConfirmed(now, r.fingerprint):
+		return d.refuse(now, ev.Call, http.StatusBadGateway, 0, quarantined)
+	case !now.Before(r.deadline):
+		return d.refuse(now, ev.Call, http.StatusGatewayTimeout, 0, deadlinePassed)
 	}
 	return d.send(now, ev.Call, r, ev.Seed)
 }
