Keep the connection to a peer that refuses a call, and expect nodes without the new calls

Cause: any error of a call closed the connection, also the peer's answer that it does not know the method.

Change: only a call without an answer closes it. A peer without the call counts as told: it clears requests for itself, and tells of crashes with its updates as before.

--- a/entry/internal/crashreporter/crashreporter.go
+++ b/entry/internal/crashreporter/crashreporter.go
@@ -17,6 +17,7 @@
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/entry/internal/crashtracker"
 	"fuchsiabridge.example/entry/internal/dispatcher"
+	"fuchsiabridge.example/entry/internal/peercaller"
 	"fuchsiabridge.example/entry/internal/sharer"
 	"fuchsiabridge.example/platform/storecaller"
 )
@@ -212,7 +213,12 @@
 	if len(report.Cleared) == 0 {
 		return nil
 	}
-	return r.cfg.Peers.Call(ctx, address, sharer.ClearMethod, report.Cleared, &out)
+	err := r.cfg.Peers.Call(ctx, address, sharer.ClearMethod, report.Cleared, &out)
+	if errors.Is(err, peercaller.ErrNoMethod) {
+		// A node of an earlier version clears requests for itself only.
+		return nil
+	}
+	return err
 }
 
 // ServeReportCrashes records crashes that a peer has reported.
@@ -291,7 +297,12 @@
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	var report sharer.CrashReport
-	if err := r.cfg.Peers.Call(ctx, m.Address, sharer.CrashesMethod, known[m.Address], &report); err != nil {
+	err := r.cfg.Peers.Call(ctx, m.Address, sharer.CrashesMethod, known[m.Address], &report)
+	if errors.Is(err, peercaller.ErrNoMethod) {
+		// A node of an earlier version tells of crashes only with its updates.
+		return true
+	}
+	if err != nil {
 		eventlogger.Error(err, eventlogger.CallFailed, "doing", "asking a peer for crashes", "peer", m.Node, "address", m.Address)
 		return false
 	}
--- a/entry/internal/peercaller/peercaller.go
+++ b/entry/internal/peercaller/peercaller.go
@@ -17,6 +17,9 @@
 
 const dialTimeout = time.Second
 
+// ErrNoMethod is returned when the peer does not know the method, as one of an earlier version.
+var ErrNoMethod = errors.New("the peer does not know the method")
+
 // Handler handles one method. Its result is encoded as JSON.
 type Handler func(ctx context.Context, params json.RawMessage) (any, error)
 
@@ -56,18 +59,24 @@
 	}
 }
 
-// Call calls a method of the peer at address. If it fails, the connection is closed, so that the next call
-// dials again.
+// Call calls a method of the peer at address. If it gets no answer, the connection is closed, so that the next
+// call dials again. A refusal is an answer.
 func (c *Caller) Call(ctx context.Context, address, method string, params, result any) error {
 	conn, err := c.conn(ctx, address)
 	if err != nil {
 		return err
 	}
-	if err := conn.Call(ctx, method, params, result); err != nil {
+	err = conn.Call(ctx, method, params, result)
+	var refusal *jsonrpc2.Error
+	switch {
+	case err == nil:
+		return nil
+	case !errors.As(err, &refusal):
 		c.drop(address, conn)
-		return errors.Wrapf(err, "calling %s of %s", method, address)
+	case refusal.Code == jsonrpc2.CodeMethodNotFound:
+		err = errors.Mark(err, ErrNoMethod)
 	}
-	return nil
+	return errors.Wrapf(err, "calling %s of %s", method, address)
 }
 
 func (c *Caller) conn(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
