--- a/entry/internal/crashreporter/crashreporter.go
+++ b/entry/internal/crashreporter/crashreporter.go
@@ -15,6 +15,7 @@
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
+	"fuchsiabridge.example/common/sleeper"
 	"fuchsiabridge.example/entry/internal/crashtracker"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/peercaller"
@@ -87,16 +88,6 @@
 	}
 }
 
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // ReportCrashes queues what this node has found. SendCrashReports sends it to the peers that read
 // the store, from which all other nodes receive it. A node without a peer address reports nothing.
 func (r *Reporter) ReportCrashes(report sharer.CrashReport) {
@@ -147,7 +138,7 @@
 	case <-again:
 	case report := <-r.reports:
 		add(report)
-		sleep(ctx, crashBatchDelay)
+		sleeper.Sleep(ctx, crashBatchDelay)
 	}
 	for {
 		select {
@@ -256,10 +247,10 @@
 func (r *Reporter) SyncCrashes(ctx context.Context) {
 	known := map[string]sharer.Query{}
 	for !r.syncAll(ctx, known) {
-		sleep(ctx, firstSyncInterval)
+		sleeper.Sleep(ctx, firstSyncInterval)
 	}
 	for n := 0; ctx.Err() == nil; n++ {
-		sleep(ctx, syncInterval)
+		sleeper.Sleep(ctx, syncInterval)
 		if r.cfg.Readers.IsReader() {
 			r.syncOne(ctx, n, known)
 		}
--- a/entry/internal/crashreporter/poison.go
+++ b/entry/internal/crashreporter/poison.go
@@ -6,6 +6,7 @@
 
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/common/sleeper"
 	"fuchsiabridge.example/entry/internal/crashtracker"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/platform/storecaller"
@@ -63,7 +64,7 @@
 			return
 		}
 		eventlogger.Error(err, eventlogger.CallFailed, "doing", doing)
-		sleep(ctx, backoff)
+		sleeper.Sleep(ctx, backoff)
 	}
 }
 
--- a/entry/internal/follower/follower.go
+++ b/entry/internal/follower/follower.go
@@ -15,6 +15,7 @@
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
+	"fuchsiabridge.example/common/sleeper"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/placer"
 	"fuchsiabridge.example/entry/internal/registrar"
@@ -107,7 +108,7 @@
 func (o *outage) failed(ctx context.Context, err error, limit time.Duration) {
 	o.record(err)
 	o.backoff = min(limit, max(minFailureBackoff, 2*o.backoff))
-	sleep(ctx, o.backoff)
+	sleeper.Sleep(ctx, o.backoff)
 }
 
 func (o *outage) record(err error) {
@@ -132,16 +133,6 @@
 	return wasLost
 }
 
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // FollowConfiguration follows the configuration in the store until ctx ends, except while peers provide it.
 func (f *Follower) FollowConfiguration(ctx context.Context) {
 	out := outage{call: "configuration"}
@@ -246,7 +237,7 @@
 			known[c.ID] = c.Target != nil
 		}
 		maps.DeleteFunc(known, func(_ identifier.TargetID, isThere bool) bool { return !isThere })
-		sleep(ctx, min(maxDelay, max(minDelay, delayPerTarget*time.Duration(len(known)))))
+		sleeper.Sleep(ctx, min(maxDelay, max(minDelay, delayPerTarget*time.Duration(len(known)))))
 	}
 }
 
--- a/entry/internal/follower/lease.go
+++ b/entry/internal/follower/lease.go
@@ -8,6 +8,7 @@
 	"fuchsiabridge.example/common/bootclock"
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/common/sleeper"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/placer"
 	"fuchsiabridge.example/platform/storecaller"
@@ -44,7 +45,7 @@
 			f.submit(placer.LeaseChanged{})
 			f.submit(dispatcher.RetryQuotaChanged{})
 		}
-		sleep(ctx, leaseInterval)
+		sleeper.Sleep(ctx, leaseInterval)
 	}
 	f.submit(placer.LeaseChanged{})
 	f.setReader(false)
--- a/entry/internal/follower/peers.go
+++ b/entry/internal/follower/peers.go
@@ -12,6 +12,7 @@
 	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/common/sleeper"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/registrar"
 	"fuchsiabridge.example/entry/internal/sharer"
@@ -112,7 +113,7 @@
 		// which report when the store is reachable again.
 		f.gate.setPeersFresh(now.Add(updateMaxAge))
 	}
-	sleep(ctx, idleInterval)
+	sleeper.Sleep(ctx, idleInterval)
 }
 
 // pick returns a random peer that reads the store, preferring those of the local data centre.
--- a/entry/internal/relayer/relayer.go
+++ b/entry/internal/relayer/relayer.go
@@ -20,6 +20,7 @@
 	"fuchsiabridge.example/common/httpcaller"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
+	"fuchsiabridge.example/common/sleeper"
 	"fuchsiabridge.example/entry/internal/composer"
 	"fuchsiabridge.example/entry/internal/connector"
 	"fuchsiabridge.example/entry/internal/crashtracker"
@@ -215,12 +216,8 @@
 
 // probeChain asks the first target of a stalled chain which targets its requests wait for.
 func (x *Relayer) probeChain(address string) {
-	wait := time.NewTimer(reportLag)
-	defer wait.Stop()
-	select {
-	case <-x.ctx.Done():
+	if !sleeper.Sleep(x.ctx, reportLag) {
 		return
-	case <-wait.C:
 	}
 	stalled, ok := x.stalledRequests(x.ctx, address)
 	faulty := slices.Compact(slices.Sorted(maps.Values(stalled)))
--- a/entry/internal/relayer/serving.go
+++ b/entry/internal/relayer/serving.go
@@ -14,6 +14,7 @@
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
+	"fuchsiabridge.example/common/sleeper"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/forwarder"
 	"fuchsiabridge.example/entry/internal/receiver"
@@ -99,13 +100,8 @@
 
 // hold waits until the given time, or until the caller disconnects.
 func (s *servedRequest) hold(ctx context.Context, until time.Time) dispatcher.HoldEnded {
-	t := time.NewTimer(until.Sub(bootclock.Now()))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-	return dispatcher.HoldEnded{Call: s.call, IsCallerGone: ctx.Err() != nil, Seed: rand.Uint64()}
+	isOver := sleeper.Sleep(ctx, until.Sub(bootclock.Now()))
+	return dispatcher.HoldEnded{Call: s.call, IsCallerGone: !isOver, Seed: rand.Uint64()}
 }
 
 // attempt sends the request to a target, in a span of its own.
--- a/fbload/internal/experimenter/experimenter.go
+++ b/fbload/internal/experimenter/experimenter.go
@@ -16,6 +16,7 @@
 	"fuchsiabridge.example/common/httpcaller"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/platformcaller"
+	"fuchsiabridge.example/common/sleeper"
 	"fuchsiabridge.example/fbload/internal/bounder"
 	"fuchsiabridge.example/fbload/internal/ledgerreader"
 	"fuchsiabridge.example/fbload/internal/runner"
@@ -152,24 +153,15 @@
 func measureCPU(ctx context.Context, w summarizer.Window) <-chan float64 {
 	share := make(chan float64, 1)
 	go func() {
-		waitUntil(ctx, w.From)
+		sleeper.Sleep(ctx, time.Until(w.From))
 		busy, total := cpuTicks()
-		waitUntil(ctx, w.To)
+		sleeper.Sleep(ctx, time.Until(w.To))
 		busyAfter, totalAfter := cpuTicks()
 		share <- float64(busyAfter-busy) / float64(max(1, totalAfter-total))
 	}()
 	return share
 }
 
-func waitUntil(ctx context.Context, at time.Time) {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // cpuTicks returns the machine's busy and total CPU time in clock ticks, from /proc/stat.
 func cpuTicks() (busy, total int64) {
 	raw, err := os.ReadFile(procStat)
--- a/fbload/internal/runner/runner.go
+++ b/fbload/internal/runner/runner.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"fuchsiabridge.example/common/responder"
+	"fuchsiabridge.example/common/sleeper"
 	"fuchsiabridge.example/fbload/internal/scheduler"
 	"fuchsiabridge.example/fbload/requester"
 )
@@ -59,7 +60,7 @@
 	var wg sync.WaitGroup
 	for i, a := range arrivals {
 		intended := start.Add(a.At)
-		if !sleepUntil(ctx, intended) {
+		if !sleeper.Sleep(ctx, time.Until(intended)) {
 			break
 		}
 		wg.Add(1)
@@ -73,18 +74,6 @@
 	return results
 }
 
-// sleepUntil returns false if ctx ends first.
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // caller sends one request and its retries.
 type caller struct {
 	cfg       Config
@@ -105,7 +94,7 @@
 		}
 		delay += delay / 2 * time.Duration((a.RandomValue+uint64(result.Attempts))%jitterSteps) / jitterSteps
 		next := time.Now().Add(delay)
-		if !next.Before(result.Deadline) || !sleepUntil(ctx, next) {
+		if !next.Before(result.Deadline) || !sleeper.Sleep(ctx, time.Until(next)) {
 			break
 		}
 	}
