--- a/common/eventlogger/relay.go
+++ b/common/eventlogger/relay.go
@@ -29,6 +29,7 @@
 	TargetFailed           = Event{8025, "target failed"}
 	CrashesLearned         = Event{8026, "crashes of targets learned from peers"}
 	RelayedRequestCleared  = Event{8027, "relayed request cleared of crashing targets"}
+	RelayedRequestHeld     = Event{8028, "relayed request held back"}
 )
 
 func relayEvents() []Event {
@@ -60,5 +61,6 @@
 		TargetFailed,
 		CrashesLearned,
 		RelayedRequestCleared,
+		RelayedRequestHeld,
 	}
 }
--- a/entry/internal/dispatcher/trials.go
+++ b/entry/internal/dispatcher/trials.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/entry/internal/crashtracker"
@@ -50,13 +51,26 @@
 
 // hold holds a request back, or refuses it if it was held back for long enough.
 func (d *Dispatcher) hold(now time.Time, call identifier.CallID, r *request) []messenger.Effect {
+	if !r.holdUntil.IsZero() && !now.Before(r.holdUntil) {
+		return d.endUnplaced(now, call, r, "request may have crashed targets and is being tried elsewhere")
+	}
+	effects := []messenger.Effect{Hold{Until: now.Add(holdInterval)}}
 	if r.holdUntil.IsZero() {
 		r.holdUntil = now.Add(maxHold)
+		effects = append(effects, d.logHold(now, r))
 	}
-	if !now.Before(r.holdUntil) {
-		return d.endUnplaced(now, call, r, "request may have crashed targets and is being tried elsewhere")
+	return effects
+}
+
+func (d *Dispatcher) logHold(now time.Time, r *request) messenger.Effect {
+	known := d.crashTracker.History(now, r.fingerprint)
+	return messenger.Log{
+		Event: eventlogger.RelayedRequestHeld, Subject: "request/" + string(r.id),
+		Values: []any{
+			fingerprintKey, r.fingerprint, "depth", known.Depth, "attempts", known.Attempts,
+			"known_ms_ago", now.Sub(known.KnownAt).Milliseconds(), "holds_lease", now.Before(d.leaseUntil),
+		},
 	}
-	return []messenger.Effect{Hold{Until: now.Add(holdInterval)}}
 }
 
 // isTried reports whether it is still open if the last attempt of a request with known crashes has
