Take no answer of another target for a sign of life

Callers saw: a crash that was not counted, where the address of the crashed target is in use again and the next request there is answered with 421.

Cause: any answer counted as proof that the target lives; a misdirected request has met another one.

Change: 421 proves nothing about a target.

Seen failing before: TestAnswerOfSuccessorProvesNothing (no crash found).

--- a/entry/internal/dispatcher/crashes.go
+++ b/entry/internal/dispatcher/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -39,13 +40,13 @@
 }
 
 // recordAlive records which targets an attempt proves to be alive: one that answers, and those of a
-// chain from which events arrived.
+// chain from which events arrived. A misdirected request may have met another target at the address.
 func (d *Dispatcher) recordAlive(r *request, ev AttemptReported) {
 	switch {
 	case r.target == "":
 	case ev.Events > r.eventsBefore:
 		d.crashTracker.RecordAlive(r.sent, r.targets()...)
-	case ev.Status != 0:
+	case ev.Status != 0 && ev.Status != http.StatusMisdirectedRequest:
 		d.crashTracker.RecordAlive(r.sent, r.target)
 	}
 }
--- a/entry/internal/dispatcher/poison_test.go
+++ b/entry/internal/dispatcher/poison_test.go
@@ -677,3 +677,39 @@
 	_, ok = e.(dispatcher.Send)
 	c.Assert(ok, qt.IsTrue, qt.Commentf("%T %+v", e, e))
 }
+
+// TestAnswerOfSuccessorProvesNothing guards against a crash that is not counted because another target, which has the
+// address of the crashed one, answers that it is not the one meant.
+func TestAnswerOfSuccessorProvesNothing(t *testing.T) {
+	c := qt.New(t)
+	d := readyHarness()
+	d.next++
+	call := d.next
+	e := d.apply(0, dispatcher.RequestArrived{Call: call, ID: "poison", Host: "h", Path: "/post/", Key: "key", Fingerprint: poison})
+	crashed := e.(dispatcher.Send).Target
+	d.apply(10*time.Millisecond, dispatcher.AttemptReported{Call: call, Outcome: dispatcher.CallerGone})
+	for n := range 20 {
+		at := time.Duration(20+n) * time.Millisecond
+		call, e = d.sendRequest(at, "/post/", "key")
+		for {
+			send, ok := e.(dispatcher.Send)
+			if !ok {
+				break
+			}
+			result := dispatcher.AttemptReported{Call: call, Outcome: dispatcher.Delivered, Status: 200}
+			if send.Target == crashed {
+				result = dispatcher.AttemptReported{Call: call, Outcome: dispatcher.NotRun, Status: 421}
+			}
+			e = d.apply(at, result)
+		}
+	}
+	var left []registrar.Target
+	for _, target := range targets() {
+		if target.ID != crashed {
+			left = append(left, target)
+		}
+	}
+	d.apply(time.Second, registrar.TargetsChanged{Targets: left})
+	c.Assert(d.crashes, qt.HasLen, 1)
+	c.Assert(d.crashes[0].Target, qt.Equals, crashed)
+}
