Ignore an entry that is older than what a check has found

A crash was put down to a request whose target had not crashed again: after a check had found the new incarnation, the entry of the former one, read with any change of other targets, counted as a restart.

Change: an entry of an earlier incarnation changes nothing.

Seen failing before: TestEntryReadLateIsNoRestart.

--- a/entry/internal/crashtracker/crashtracker.go
+++ b/entry/internal/crashtracker/crashtracker.go
@@ -182,17 +182,20 @@
 		t.targets[target.ID] = s
 	}
 	s.address = target.Address
-	if ok && s.incarnation == target.Incarnation && !s.isGone {
+	switch {
+	case target.Incarnation < s.incarnation, target.Incarnation == s.incarnation && !s.isGone:
+		// A check has found a later incarnation, or nothing has changed.
+		return nil
+	case target.Incarnation == s.incarnation:
+		s.isFailed, s.isGone = false, false
 		return nil
 	}
 	var failures []Failure
-	if ok && s.incarnation != target.Incarnation {
+	if ok {
 		failures = t.fail(now, target.ID, Restarted)
 	}
-	if s.incarnation != target.Incarnation {
-		// When the entry was written is not known, so it proves nothing about any later time.
-		s.incarnation, s.revivals, s.aliveAt = target.Incarnation, 0, time.Time{}
-	}
+	// When the entry was written is not known, so it proves nothing about any later time.
+	s.incarnation, s.revivals, s.aliveAt = target.Incarnation, 0, time.Time{}
 	s.isFailed, s.isGone = false, false
 	return failures
 }
--- a/entry/internal/crashtracker/crashtracker_test.go
+++ b/entry/internal/crashtracker/crashtracker_test.go
@@ -142,3 +142,19 @@
 	}
 	c.Assert(checks <= 40, qt.IsTrue, qt.Commentf("%d checks in a second", checks))
 }
+
+// TestEntryReadLateIsNoRestart guards against a crash that is put down to a request because an entry of the former
+// incarnation is read after a check has found the new one.
+func TestEntryReadLateIsNoRestart(t *testing.T) {
+	c := qt.New(t)
+	tracker := crashtracker.NewTracker()
+	tracker.SetTargets(start, fleet(1))
+	tracker.AddAttempt(start, broken(tracker, start, poison, id(0)))
+	at := start.Add(50 * time.Millisecond)
+	c.Assert(tracker.DueChecks(at), qt.HasLen, 1)
+	c.Assert(tracker.CheckAnswered(at, id(0), 2).Crashes, qt.HasLen, 1)
+	at = at.Add(time.Second)
+	tracker.AddAttempt(at, broken(tracker, at, innocent, id(0)))
+	c.Assert(tracker.SetTargets(at.Add(time.Second), fleet(1)).Failures, qt.HasLen, 0)
+	c.Assert(tracker.History(at, innocent).Depth, qt.Equals, 0)
+}
