Check the further targets of a chain only where its first one has survived

Found by reading the diff. When the first target of a chain had crashed, each of its streams asked for checks of all further targets, up to the limit of 20 a second, which other requests then lacked.

Cause: a target without a verdict was next, whatever was known of the attempt.

Change: once an attempt has a crash, nothing more is checked for it.

Seen failing before: TestCrashOfFirstTargetNeedsNoFurtherChecks.

--- a/entry/internal/crashtracker/checks.go
+++ b/entry/internal/crashtracker/checks.go
@@ -50,7 +50,7 @@
 			continue
 		}
 		id := t.nextToCheck(a)
-		if a.IsBroken && id != a.Targets[0] {
+		if id != "" && id != a.Targets[0] {
 			// Work that was cut off by a later target had begun there.
 			t.RecordAlive(a.SentAt, id)
 		}
@@ -69,8 +69,12 @@
 }
 
 // nextToCheck returns the target to check for an attempt, or an empty id: the one that it was sent
-// to, and where a connection broke although that one has survived, the next one of its chain.
+// to, and where a connection broke although that one has survived, the next one of its chain, until
+// a crash by the attempt is known.
 func (t *Tracker) nextToCheck(a candidate) identifier.TargetID {
+	if a.hasCrashed {
+		return ""
+	}
 	isOpen := func(id identifier.TargetID) bool { return !t.hasSurvived(id, a.Attempt) }
 	i := slices.IndexFunc(a.open, isOpen)
 	if i < 0 || (!a.IsBroken && a.open[i] != a.Targets[0]) {
--- a/entry/internal/crashtracker/crashtracker_test.go
+++ b/entry/internal/crashtracker/crashtracker_test.go
@@ -158,3 +158,18 @@
 	c.Assert(tracker.SetTargets(at.Add(time.Second), fleet(1)).Failures, qt.HasLen, 0)
 	c.Assert(tracker.History(at, innocent).Depth, qt.Equals, 0)
 }
+
+// TestCrashOfFirstTargetNeedsNoFurtherChecks guards against checking all targets of a chain for each of its streams when
+// the first target has crashed.
+func TestCrashOfFirstTargetNeedsNoFurtherChecks(t *testing.T) {
+	c := qt.New(t)
+	tracker := crashtracker.NewTracker()
+	tracker.SetTargets(start, fleet(5))
+	for i := range 10 {
+		tracker.AddAttempt(start, broken(tracker, start, identifier.Fingerprint(10+i), id(0), id(1), id(2), id(3), id(4)))
+	}
+	at := start.Add(50 * time.Millisecond)
+	c.Assert(tracker.DueChecks(at), qt.HasLen, 1)
+	c.Assert(tracker.CheckUnanswered(at, id(0)).Crashes, qt.HasLen, 10)
+	c.Assert(tracker.DueChecks(at.Add(time.Second)), qt.HasLen, 0)
+}
