Look readers up less often for reports of crashes, and let only readers load the stored ones

Change: a lookup counts for 10 s (a reader that came since is told by another one within 10 s more), the stored poison is loaded by the readers, from which the others have it, and a node that is no reader gives up its first questions after four.

--- a/entry/internal/commander/relay.go
+++ b/entry/internal/commander/relay.go
@@ -175,6 +175,7 @@
 func (n *relayNode) start(ctx context.Context, callers net.Listener) (leaveGroup func()) {
 	go n.follower.FollowConfiguration(ctx)
 	go n.follower.FollowTargets(ctx)
+	go n.reporter.LoadPoison(ctx)
 	go n.reporter.KeepPoison(ctx)
 	if n.values.Text("peer-listen") != "" {
 		go n.follower.FollowPeers(ctx)
--- a/entry/internal/crashreporter/crashreporter.go
+++ b/entry/internal/crashreporter/crashreporter.go
@@ -35,9 +35,13 @@
 	// peerTimeout bounds a call to a peer.
 	peerTimeout = 400 * time.Millisecond
 	// syncInterval is the time between two queries of a node that reads the store for what another
-	// reader knows of crashes, firstSyncInterval until the first one has succeeded.
+	// reader knows of crashes, firstSyncInterval until the first one has succeeded. A node that is not a
+	// reader gives up after maxFirstSyncs, since it learns the same from the one that it follows.
 	syncInterval      = 10 * time.Second
-	firstSyncInterval = 500 * time.Millisecond
+	firstSyncInterval = time.Second
+	maxFirstSyncs     = 4
+	// readerCheckInterval is the time between two looks whether this node has become a reader.
+	readerCheckInterval = 100 * time.Millisecond
 )
 
 // Peers calls other nodes.
@@ -241,12 +245,22 @@
 	r.cfg.Submit(dispatcher.CrashesReported{Crashes: report.Crashes, Cleared: report.Cleared})
 }
 
+// awaitReader waits until this node reads the store for its peers, and returns false if ctx ends first.
+func (r *Reporter) awaitReader(ctx context.Context) bool {
+	for !r.cfg.Readers.IsReader() {
+		if !sleeper.Sleep(ctx, readerCheckInterval) {
+			return false
+		}
+	}
+	return true
+}
+
 // SyncCrashes asks other readers what they know of crashes until ctx ends: all of them after the start,
 // and then one after the other while this node reads the store itself. A report that reached only one
 // of them reaches all.
 func (r *Reporter) SyncCrashes(ctx context.Context) {
 	known := map[string]sharer.Query{}
-	for !r.syncAll(ctx, known) {
+	for n := 0; !r.syncAll(ctx, known) && (n < maxFirstSyncs || r.cfg.Readers.IsReader()); n++ {
 		sleeper.Sleep(ctx, firstSyncInterval)
 	}
 	for n := 0; ctx.Err() == nil; n++ {
--- a/entry/internal/crashreporter/poison.go
+++ b/entry/internal/crashreporter/poison.go
@@ -8,7 +8,7 @@
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/sleeper"
 	"fuchsiabridge.example/entry/internal/crashtracker"
-	"fuchsiabridge.example/entry/internal/dispatcher"
+	"fuchsiabridge.example/entry/internal/sharer"
 	"fuchsiabridge.example/platform/storecaller"
 )
 
@@ -33,9 +33,16 @@
 	}
 }
 
-// KeepPoison reads the stored poison requests, and then stores the queued ones until ctx ends.
+// LoadPoison reads the stored poison requests, once this node reads the store for its peers, which learn of
+// them from it. A node without a peer address reads them at once.
+func (r *Reporter) LoadPoison(ctx context.Context) {
+	if r.cfg.Self == "" || r.awaitReader(ctx) {
+		r.persist(ctx, "reading the stored poison requests", r.loadPoison)
+	}
+}
+
+// KeepPoison stores the queued poison requests until ctx ends.
 func (r *Reporter) KeepPoison(ctx context.Context) {
-	r.persist(ctx, "reading the stored poison requests", r.loadPoison)
 	saved := map[identifier.Fingerprint]bool{}
 	for ctx.Err() == nil {
 		select {
@@ -90,7 +97,7 @@
 		}
 	}
 	if len(crashes) > 0 {
-		r.cfg.Submit(dispatcher.CrashesReported{Crashes: crashes})
+		r.Learn(sharer.CrashReport{Crashes: crashes})
 	}
 	return nil
 }
--- a/entry/internal/follower/peers.go
+++ b/entry/internal/follower/peers.go
@@ -37,7 +37,7 @@
 	// idleInterval is the time between two checks of the known peers.
 	idleInterval = 250 * time.Millisecond
 	// readersMaxAge is how long the readers found by a lookup count as the current ones.
-	readersMaxAge = 2 * time.Second
+	readersMaxAge = 10 * time.Second
 	// minLookupInterval and maxLookupInterval bound the time between two lookups in the store of the peers that read it.
 	minLookupInterval = time.Second
 	maxLookupInterval = 4 * time.Second
--- a/entry/internal/follower/peers_test.go
+++ b/entry/internal/follower/peers_test.go
@@ -136,6 +136,7 @@
 	go n.reporter.SyncCrashes(ctx)
 	go f.FollowConfiguration(ctx)
 	go f.FollowTargets(ctx)
+	go n.reporter.LoadPoison(ctx)
 	go n.reporter.KeepPoison(ctx)
 	go f.KeepLease(ctx)
 	return n, ctx
