Log the request limits that targets name, and which answers name them

The logs of the incident could not tell its hypotheses apart: no line says that a target names a limit, so neither whether a node notices, nor when, nor what it goes on sending.

The head of each answer is now read for the limit when it arrives: of requests, of refusals, of streams before their first event, and of reports (probes, checks, queries of the state). Event 8029 says that a limit was named, has changed, has ended or cannot be read, with the kind of answer, the time since the request was sent, and the node's requests at the target since it learned of the limit; the metrics page lists the limits in force with the same figures.

An answer without the field ends a limit only if it is a target's own answer to a request that was sent after the limit was last named: an older answer may arrive late, and refusals and reports may lack it. Nothing else changes yet: nodes send as before.

--- a/common/describer/status.go
+++ b/common/describer/status.go
@@ -24,12 +24,27 @@
 	PoisonCandidates    int `json:"poison_candidates"`
 	RequestsWithCrashes int `json:"requests_with_crashes"`
 	ConfirmedPoison     int `json:"confirmed_poison"`
+	// Limits are the request limits that targets name.
+	Limits []LimitStatus `json:"limits,omitempty"`
 	// HoldsLease says that the node holds the lease to send orders, with the fencing token Fence.
 	HoldsLease bool                    `json:"holds_lease"`
 	Fence      identifier.FencingToken `json:"fence"`
 	Chains     []ChainStatus           `json:"chains"`
 }
 
+// LimitStatus describes the request limit of a target, as far as this node knows.
+type LimitStatus struct {
+	Target identifier.TargetID `json:"target"`
+	// Rate is the number of requests per second that the target takes from all nodes together.
+	Rate RequestRate `json:"rate"`
+	// LimitedMS is the time since this node first learned of the limit, NamedMSAgo the time since it was last
+	// named, in milliseconds.
+	LimitedMS  int64 `json:"limited_ms"`
+	NamedMSAgo int64 `json:"named_ms_ago"`
+	// Sends counts this node's requests to the target since it first learned of the limit.
+	Sends int `json:"sends"`
+}
+
 // ChainStatus describes one planned chain of targets. Hops counts its hops between data centres.
 type ChainStatus struct {
 	Service    identifier.ServiceID    `json:"service"`
--- a/common/eventlogger/relay.go
+++ b/common/eventlogger/relay.go
@@ -30,6 +30,7 @@
 	CrashesLearned         = Event{8026, "crashes of targets learned from peers"}
 	RelayedRequestCleared  = Event{8027, "relayed request cleared of crashing targets"}
 	RelayedRequestHeld     = Event{8028, "relayed request held back"}
+	TargetLimitChanged     = Event{8029, "request limit of a target changed"}
 )
 
 func relayEvents() []Event {
@@ -62,5 +63,6 @@
 		CrashesLearned,
 		RelayedRequestCleared,
 		RelayedRequestHeld,
+		TargetLimitChanged,
 	}
 }
--- a/common/httpcaller/httpcaller.go
+++ b/common/httpcaller/httpcaller.go
@@ -121,11 +121,14 @@
 	URL    string
 	Body   []byte
 	Header map[string]string
+	// AnswerFields names further header fields of the response to return.
+	AnswerFields []string
 	// NewConn makes the call on a new connection that is closed afterwards.
 	NewConn bool
 }
 
-// Response is the response to a call. Header holds only Content-Type and Retry-After.
+// Response is the response to a call. Header holds only Content-Type, Retry-After and the AnswerFields of
+// the request.
 type Response struct {
 	Status int
 	Body   []byte
@@ -169,8 +172,10 @@
 		Body:   append([]byte(nil), resp.Body()...),
 		Header: map[string]string{"Content-Type": string(resp.Header.ContentType())},
 	}
-	if v := resp.Header.Peek("Retry-After"); len(v) > 0 {
-		response.Header["Retry-After"] = string(v)
+	for _, name := range append([]string{fasthttp.HeaderRetryAfter}, r.AnswerFields...) {
+		if v := resp.Header.Peek(name); len(v) > 0 {
+			response.Header[name] = string(v)
+		}
 	}
 	return response, nil
 }
--- a/entry/internal/dispatcher/attempts.go
+++ b/entry/internal/dispatcher/attempts.go
@@ -201,7 +201,7 @@
 		return d.leaveStalledChain(now, ev, r)
 	}
 	if ev.ChainIdleTime >= probeIdleTimeout {
-		return []messenger.Effect{Probe{Address: firstStage.Address}}
+		return []messenger.Effect{Probe{Target: firstStage.Target, Address: firstStage.Address}}
 	}
 	return []messenger.Effect{Wait{Until: now.Add(stallCheckInterval)}}
 }
@@ -212,7 +212,7 @@
 	address := r.chain[0].Address
 	var effects []messenger.Effect
 	if d.chooser.MarkStalled(now, address, now.Add(stalledChainBackoff)) {
-		effects = append(effects, ProbeChain{Address: address})
+		effects = append(effects, ProbeChain{Target: r.chain[0].Target, Address: address})
 	}
 	if !d.chooser.HasOtherChain(now, r.service) {
 		return append([]messenger.Effect{Wait{Until: now.Add(stallCheckInterval)}}, effects...)
--- a/entry/internal/dispatcher/crashes.go
+++ b/entry/internal/dispatcher/crashes.go
@@ -72,6 +72,7 @@
 // targetsChanged applies the current state of the targets, and reports the crashes that it reveals.
 func (d *Dispatcher) targetsChanged(now time.Time, targets []registrar.Target) []messenger.Effect {
 	d.chooser.SetTargets(targets)
+	d.keepLimits(targets)
 	return d.applyFindings(now, d.crashTracker.SetTargets(now, targets))
 }
 
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -11,6 +11,7 @@
 	"fuchsiabridge.example/entry/internal/budgeter"
 	"fuchsiabridge.example/entry/internal/chooser"
 	"fuchsiabridge.example/entry/internal/crashtracker"
+	"fuchsiabridge.example/entry/internal/limiter"
 	"fuchsiabridge.example/entry/internal/meter"
 	"fuchsiabridge.example/entry/internal/placer"
 	"fuchsiabridge.example/entry/internal/registrar"
@@ -134,6 +135,7 @@
 	refuseAt     time.Time
 	chooser      *chooser.Chooser
 	crashTracker *crashtracker.Tracker
+	limits       *limiter.Tracker
 	requests     map[identifier.CallID]*request
 	// trials holds, for requests with known crashes, until when an attempt holds back further ones.
 	trials map[identifier.Fingerprint]time.Time
@@ -147,7 +149,7 @@
 // NewDispatcher returns a dispatcher without a configuration.
 func NewDispatcher(cfg Config) *Dispatcher {
 	return &Dispatcher{
-		cfg: cfg, chooser: chooser.NewChooser(cfg.DataCentre), crashTracker: crashtracker.NewTracker(), requests: map[identifier.CallID]*request{},
+		cfg: cfg, chooser: chooser.NewChooser(cfg.DataCentre), crashTracker: crashtracker.NewTracker(), limits: limiter.NewTracker(), requests: map[identifier.CallID]*request{},
 		trials: map[identifier.Fingerprint]time.Time{}, budgets: map[identifier.ServiceID]*budgeter.Budget{}, quota: budgeter.NewQuota(cfg.RetryWindow),
 	}
 }
@@ -183,6 +185,8 @@
 		return d.holdEnded(now, ev)
 	case TargetChecked:
 		return d.targetChecked(now, ev)
+	case limiter.AnswerRead:
+		return d.answerRead(now, ev)
 	case CrashesReported:
 		return d.crashesReported(now, ev)
 	case messenger.Tick:
@@ -203,6 +207,7 @@
 	}
 	s.Targets, s.Leaving, s.Ejected = d.chooser.Counts()
 	s.PoisonCandidates, s.RequestsWithCrashes, s.ConfirmedPoison = d.crashTracker.Counts(now)
+	s.Limits = d.limits.Limits(now)
 	if d.table != nil {
 		s.Version, s.ConfirmedMSAgo = d.table.Version, now.Sub(d.confirmedAt).Milliseconds()
 	}
@@ -344,6 +349,7 @@
 	} else {
 		budget.CountRetry(now)
 	}
+	d.limits.CountSend(out.Target)
 	r.attempts++
 	r.sent, r.before, r.eventsBefore = now, before, r.events
 	r.target = out.Target
--- a/entry/internal/dispatcher/messages.go
+++ b/entry/internal/dispatcher/messages.go
@@ -137,7 +137,10 @@
 
 // ProbeChain is the effect that asks the first target of a stalled chain which targets its
 // requests wait for. The target is asked after a short delay, because its report lags behind.
-type ProbeChain struct{ Address string }
+type ProbeChain struct {
+	Target  identifier.TargetID
+	Address string
+}
 
 // Probed is the event that the first target of a stalled stream's chain was probed.
 type Probed struct {
@@ -187,7 +190,10 @@
 
 // Probe is the effect that asks the first target of a stalled stream's chain which target the
 // stream waits for.
-type Probe struct{ Address string }
+type Probe struct {
+	Target  identifier.TargetID
+	Address string
+}
 
 // Reroute is the effect that asks the first target of a running request to forward it along
 // another chain, which begins with the same stage.
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 	"fuchsiabridge.example/common/bootclock"
 	"fuchsiabridge.example/entry/internal/connector"
 	"fuchsiabridge.example/entry/internal/dispatcher"
+	"fuchsiabridge.example/entry/internal/limiter"
 	"fuchsiabridge.example/platform/translator"
 )
 
@@ -79,6 +80,8 @@
 	translator translator.Translator
 	pool       *connector.Connector
 	idle       *IdleTracker
+	// onAnswer is called with the head of each answer, as soon as it is read.
+	onAnswer func(limiter.AnswerRead)
 
 	// attempt is the current attempt.
 	attempt
@@ -94,8 +97,8 @@
 }
 
 // NewExchange returns an exchange for a caller's request.
-func NewExchange(caller Caller, r translator.Request, pool *connector.Connector, idle *IdleTracker) *Exchange {
-	x := &Exchange{caller: caller, request: r, pool: pool, idle: idle}
+func NewExchange(caller Caller, r translator.Request, pool *connector.Connector, idle *IdleTracker, onAnswer func(limiter.AnswerRead)) *Exchange {
+	x := &Exchange{caller: caller, request: r, pool: pool, idle: idle, onAnswer: onAnswer}
 	x.events.lastID = r.LastEvent
 	return x
 }
@@ -207,9 +210,23 @@
 		return x.fail(ctx, errors.Wrap(err, "reading a header")), false
 	}
 	x.hasHeader = true
+	x.reportAnswer()
 	return dispatcher.AttemptReported{}, true
 }
 
+// reportAnswer reports what the head of an answer says of the target, unless the answer belongs to another request.
+func (x *Exchange) reportAnswer() {
+	answer := x.translator.ReadAnswer(&x.resp.Header)
+	if answer.ID != x.request.ID && answer.ID != "" {
+		return
+	}
+	kind := limiter.RefusalAnswer
+	if answer.IsSealed {
+		kind = limiter.RequestAnswer
+	}
+	x.onAnswer(limiter.AnswerRead{Target: x.send.Target, Kind: kind, Limit: answer.Limit, SentAt: x.sentAt})
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/entry/internal/forwarder/forwarder_test.go
+++ b/entry/internal/forwarder/forwarder_test.go
@@ -14,9 +14,12 @@
 	"github.com/valyala/fasthttp"
 
 	"fuchsiabridge.example/common/bootclock"
+	"fuchsiabridge.example/common/describer"
+	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/entry/internal/connector"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/forwarder"
+	"fuchsiabridge.example/entry/internal/limiter"
 	"fuchsiabridge.example/platform/answerfaker"
 	"fuchsiabridge.example/platform/translator"
 )
@@ -135,6 +138,7 @@
 	caller      *caller
 	exchange    *forwarder.Exchange
 	idleTimeout time.Duration
+	answers     []limiter.AnswerRead
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -143,7 +147,8 @@
 	f.caller.header.SetRequestURI("/x")
 	f.caller.header.SetHost("h")
 	answerfaker.Mark(&f.caller.header, id)
-	f.exchange = forwarder.NewExchange(f.caller, translator.Request{ID: id}, connector.NewConnector(), forwarder.NewIdleTracker())
+	onAnswer := func(a limiter.AnswerRead) { f.answers = append(f.answers, a) }
+	f.exchange = forwarder.NewExchange(f.caller, translator.Request{ID: id}, connector.NewConnector(), forwarder.NewIdleTracker(), onAnswer)
 	t.Cleanup(f.exchange.Drop)
 	return f
 }
@@ -283,3 +288,31 @@
 	time.AfterFunc(idleTimeout/3, cancel)
 	f.Assert(f.attempt(ctx, serve(t, "~"), false).Outcome, qt.Equals, dispatcher.CallerGone)
 }
+
+// TestLimitIsReportedWithHead guards against a request limit that is noticed only when a stream ends, or not at all
+// because a refusal names it.
+func TestLimitIsReportedWithHead(t *testing.T) {
+	limit := describer.NamedLimit{Kind: describer.Limited, Rate: 5.5}
+	for name, row := range map[string]struct {
+		raw  string
+		want []limiter.AnswerKind
+	}{
+		"stream in progress": {answerfaker.Stream(id, event(1)) + "~", []limiter.AnswerKind{limiter.RequestAnswer}},
+		"plain answer":       {answerfaker.Plain(id, 200, "body"), []limiter.AnswerKind{limiter.RequestAnswer}},
+		"failure":            {answerfaker.Plain(id, 500, "oops"), []limiter.AnswerKind{limiter.RequestAnswer}},
+		"refusal":            {answerfaker.NotRun(), []limiter.AnswerKind{limiter.RefusalAnswer}},
+		"another request's":  {answerfaker.Plain("r0", 200, "body"), nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			address := serve(t, answerfaker.WithLimit(row.raw, "5.5"))
+			f.attempt(context.Background(), address, name == "stream in progress")
+			f.Assert(f.answers, qt.HasLen, len(row.want))
+			for i, kind := range row.want {
+				f.Check(f.answers[i].Kind, qt.Equals, kind)
+				f.Check(f.answers[i].Limit, qt.Equals, limit)
+				f.Check(f.answers[i].Target, qt.Equals, identifier.TargetID("i-1"))
+			}
+		})
+	}
+}
--- a/entry/internal/relayer/relayer.go
+++ b/entry/internal/relayer/relayer.go
@@ -26,6 +26,7 @@
 	"fuchsiabridge.example/entry/internal/crashtracker"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/forwarder"
+	"fuchsiabridge.example/entry/internal/limiter"
 	"fuchsiabridge.example/entry/internal/meter"
 	"fuchsiabridge.example/entry/internal/placer"
 	"fuchsiabridge.example/entry/internal/registrar"
@@ -137,7 +138,7 @@
 		case placer.SendOrder:
 			x.start(func() { x.sendOrder(e) })
 		case dispatcher.ProbeChain:
-			x.start(func() { x.probeChain(e.Address) })
+			x.start(func() { x.probeChain(e) })
 		case dispatcher.CheckTarget:
 			x.start(func() { x.checkTarget(e) })
 		case placer.QueryState:
@@ -186,7 +187,7 @@
 func (x *Relayer) queryState(e placer.QueryState) {
 	ctx, cancel := context.WithTimeout(x.ctx, orderTimeout)
 	defer cancel()
-	report, err := x.targets.Report(ctx, e.Address)
+	report, err := x.report(ctx, e.Target, e.Address)
 	if err != nil {
 		eventlogger.Error(err, eventlogger.ReportFailed, "target", e.Target)
 		x.Submit(placer.StateUnanswered{Target: e.Target})
@@ -195,18 +196,28 @@
 	x.Submit(placer.StateReported{Target: e.Target, Report: report})
 }
 
+// report requests a report of a target's state, and notes the request limit that the answer names.
+func (x *Relayer) report(ctx context.Context, target identifier.TargetID, address string) (describer.Report, error) {
+	sent := bootclock.Now()
+	report, err := x.targets.Report(ctx, address)
+	if report.Limit.Kind != describer.NoLimit {
+		x.Submit(limiter.AnswerRead{Target: target, Kind: limiter.ReportAnswer, Limit: report.Limit, SentAt: sent})
+	}
+	return report, err
+}
+
 // probe asks the first target of a chain which target the request is waiting for.
-func (x *Relayer) probe(ctx context.Context, address string, id identifier.RequestID) dispatcher.Probed {
-	stalled, ok := x.stalledRequests(ctx, address, "request", id)
+func (x *Relayer) probe(ctx context.Context, e dispatcher.Probe, id identifier.RequestID) dispatcher.Probed {
+	stalled, ok := x.stalledRequests(ctx, e.Target, e.Address, "request", id)
 	return dispatcher.Probed{FaultAddress: stalled[id], IsUnanswered: !ok, Seed: rand.Uint64()}
 }
 
 // stalledRequests asks a target which of its requests wait for which other target. It returns false if the target
 // does not answer, which is logged with the given keys and values.
-func (x *Relayer) stalledRequests(ctx context.Context, address string, keysAndValues ...any) (map[identifier.RequestID]string, bool) {
+func (x *Relayer) stalledRequests(ctx context.Context, target identifier.TargetID, address string, keysAndValues ...any) (map[identifier.RequestID]string, bool) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	report, err := x.targets.Report(ctx, address)
+	report, err := x.report(ctx, target, address)
 	if err != nil {
 		eventlogger.Error(err, eventlogger.ReportFailed, append([]any{"address", address}, keysAndValues...)...)
 		return nil, false
@@ -215,13 +226,13 @@
 }
 
 // probeChain asks the first target of a stalled chain which targets its requests wait for.
-func (x *Relayer) probeChain(address string) {
+func (x *Relayer) probeChain(e dispatcher.ProbeChain) {
 	if !sleeper.Sleep(x.ctx, reportLag) {
 		return
 	}
-	stalled, ok := x.stalledRequests(x.ctx, address)
+	stalled, ok := x.stalledRequests(x.ctx, e.Target, e.Address)
 	faulty := slices.Compact(slices.Sorted(maps.Values(stalled)))
-	x.Submit(dispatcher.ChainProbed{Address: address, FaultAddresses: faulty, IsUnanswered: !ok})
+	x.Submit(dispatcher.ChainProbed{Address: e.Address, FaultAddresses: faulty, IsUnanswered: !ok})
 }
 
 // checkTarget checks whether a target answers. Any answer counts: a plain target may not give reports.
@@ -229,7 +240,7 @@
 	ctx, cancel := context.WithTimeout(httpcaller.WithNewConn(x.ctx), checkTimeout)
 	defer cancel()
 	checked := dispatcher.TargetChecked{Target: e.Target, Address: e.Address}
-	report, err := x.targets.Report(ctx, e.Address)
+	report, err := x.report(ctx, e.Target, e.Address)
 	switch {
 	case err == nil:
 		checked.Incarnation = report.Incarnation
--- a/entry/internal/relayer/serving.go
+++ b/entry/internal/relayer/serving.go
@@ -17,6 +17,7 @@
 	"fuchsiabridge.example/common/sleeper"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/forwarder"
+	"fuchsiabridge.example/entry/internal/limiter"
 	"fuchsiabridge.example/entry/internal/receiver"
 	"fuchsiabridge.example/entry/internal/tracer"
 	"fuchsiabridge.example/platform/translator"
@@ -39,7 +40,7 @@
 	request := x.translator.ReadRequest(h)
 	s := &servedRequest{
 		x: x, call: identifier.CallID(x.nextCall.Add(1)), caller: c, request: request,
-		exchange: forwarder.NewExchange(c, request, x.pool, x.idle),
+		exchange: forwarder.NewExchange(c, request, x.pool, x.idle, func(a limiter.AnswerRead) { x.Submit(a) }),
 	}
 	defer s.exchange.Drop()
 	trace, end := tracer.Start(string(h.Peek(tracer.Header)), "request", "request", string(request.ID))
@@ -82,7 +83,7 @@
 	case dispatcher.ResumeStalled:
 		return s.report(s.exchange.Resume(ctx, e.Until))
 	case dispatcher.Probe:
-		probed := s.x.probe(ctx, e.Address, s.request.ID)
+		probed := s.x.probe(ctx, e, s.request.ID)
 		probed.Call = s.call
 		return s.x.apply(probed)
 	case dispatcher.Reroute:
