--- a/integration/relay_soak_test.go
+++ b/integration/relay_soak_test.go
@@ -86,6 +86,12 @@
 }
 
 func newRelaySoak(t *testing.T, seed uint64) *relaySoak {
+	t.Helper()
+	return newRelaySoakOf(t, seed, relaySoakNodes)
+}
+
+// newRelaySoakOf starts the given number of nodes.
+func newRelaySoakOf(t *testing.T, seed uint64, nodes int) *relaySoak {
 	t.Helper()
 	c := qt.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -103,10 +109,10 @@
 			s.addDrafter(fmt.Sprintf("draft-%s%d", dc, i), dc)
 		}
 	}
-	for i := range relaySoakNodes {
+	for i := range nodes {
 		p := s.f.AddProxy(fmt.Sprintf("store-%d", i), store.Address())
 		s.proxies = append(s.proxies, p)
-		s.nodes = append(s.nodes, s.f.AddRelay(fmt.Sprintf("node-%d", i), string(rune('a'+i)), p.Address,
+		s.nodes = append(s.nodes, s.f.AddRelay(fmt.Sprintf("node-%d", i), string(rune('a'+i%3)), p.Address,
 			"--balancer-lag", "300ms", "--stop-limit", "4s", "--retry-slack", "100", "--retry-window", "2s"))
 	}
 	launcher.Await(t, relayStartTimeout, "all nodes serve drafts", func() bool {
