--- a/common/eventlogger/relay.go
+++ b/common/eventlogger/relay.go
@@ -31,6 +31,7 @@
 	RelayedRequestCleared  = Event{8027, "relayed request cleared of crashing targets"}
 	RelayedRequestHeld     = Event{8028, "relayed request held back"}
 	TargetLimitChanged     = Event{8029, "request limit of a target changed"}
+	GrantDenied            = Event{8030, "request kept from a target by its limit"}
 )
 
 func relayEvents() []Event {
@@ -64,5 +65,6 @@
 		RelayedRequestCleared,
 		RelayedRequestHeld,
 		TargetLimitChanged,
+		GrantDenied,
 	}
 }
--- a/entry/internal/chooser/chains.go
+++ b/entry/internal/chooser/chains.go
@@ -73,7 +73,8 @@
 
 // Chain returns the chain with the lowest load relative to its capacity and speed, nil if
 // there is none. It prefers chains that don't begin at a target tried before and include no
-// avoided target, then chains without avoided targets, then any chain. Each of many nodes sees
+// avoided target, then chains without avoided targets, then any chain, but none that begins at a
+// target that is shut. Each of many nodes sees
 // few of the requests, so the choice among chains that the node does not use is random,
 // weighted so that all nodes together load each chain by its weight.
 func (c *Chooser) Chain(now time.Time, id identifier.ServiceID, seed uint64, tried []identifier.TargetID) *chainer.Chain {
@@ -101,7 +102,7 @@
 	lowest := math.Inf(1)
 	for i := range s.chains {
 		chain := &s.chains[i]
-		if isExcluded(*chain) {
+		if isExcluded(*chain) || c.isShut(now, chain.Stages[0].Target) {
 			continue
 		}
 		jitter := rand.New(rand.NewPCG(seed, uint64(i))).ExpFloat64()
@@ -112,10 +113,12 @@
 	return best
 }
 
-// HasOtherChain reports whether there is a chain without avoided targets.
+// HasOtherChain reports whether there is a chain without avoided targets that may get requests.
 func (c *Chooser) HasOtherChain(now time.Time, id identifier.ServiceID) bool {
 	s := c.services[id]
-	return s != nil && slices.ContainsFunc(s.chains, func(chain chainer.Chain) bool { return !c.isAvoided(now, chain.Stages) })
+	return s != nil && slices.ContainsFunc(s.chains, func(chain chainer.Chain) bool {
+		return !c.isAvoided(now, chain.Stages) && !c.isShut(now, chain.Stages[0].Target)
+	})
 }
 
 // ContinueFrom returns a chain that begins with the given stage and includes no ejected targets.
--- a/entry/internal/chooser/chooser.go
+++ b/entry/internal/chooser/chooser.go
@@ -69,13 +69,15 @@
 	// stalled holds, by address, until when the chains that begin at the target count as stalled.
 	avoided map[string]time.Time
 	stalled map[string]time.Time
+	// shut holds until when no request may be sent to a target.
+	shut map[identifier.TargetID]time.Time
 }
 
 // NewChooser returns a chooser without targets for a node in the given data centre.
 func NewChooser(dc identifier.DataCentre) *Chooser {
 	return &Chooser{
 		dataCentre: dc, services: map[identifier.ServiceID]*service{}, stats: map[identifier.TargetID]*targetStats{},
-		avoided: map[string]time.Time{}, stalled: map[string]time.Time{},
+		avoided: map[string]time.Time{}, stalled: map[string]time.Time{}, shut: map[identifier.TargetID]time.Time{},
 	}
 }
 
@@ -112,11 +114,12 @@
 	}
 }
 
-// Tick forgets the avoided targets and stalled chains whose time has expired.
+// Tick forgets the avoided and shut targets and the stalled chains whose time has expired.
 func (c *Chooser) Tick(now time.Time) {
 	isExpired := func(_ string, until time.Time) bool { return !now.Before(until) }
 	maps.DeleteFunc(c.avoided, isExpired)
 	maps.DeleteFunc(c.stalled, isExpired)
+	maps.DeleteFunc(c.shut, func(_ identifier.TargetID, until time.Time) bool { return !now.Before(until) })
 }
 
 // HasTargets reports whether any target is known.
@@ -178,6 +181,27 @@
 // Avoid makes chains that include the target at an address a last resort until the given time.
 func (c *Chooser) Avoid(address string, until time.Time) { c.avoided[address] = until }
 
+// Shut makes a target get no requests until the given time.
+func (c *Chooser) Shut(id identifier.TargetID, until time.Time) { c.shut[id] = until }
+
+// Reopen lets a target that was shut get requests again.
+func (c *Chooser) Reopen(id identifier.TargetID) { delete(c.shut, id) }
+
+func (c *Chooser) isShut(now time.Time, id identifier.TargetID) bool { return now.Before(c.shut[id]) }
+
+// ReopensAt returns when the first target of a service that is shut may get requests again, zero if none is shut.
+func (c *Chooser) ReopensAt(now time.Time, id identifier.ServiceID) time.Time {
+	var first time.Time
+	if s := c.services[id]; s != nil {
+		for _, t := range s.targets {
+			if c.isShut(now, t.ID) && (first.IsZero() || c.shut[t.ID].Before(first)) {
+				first = c.shut[t.ID]
+			}
+		}
+	}
+	return first
+}
+
 // MarkStalled marks the chains that begin at an address as stalled until the given time. It
 // reports whether they were not marked before.
 func (c *Chooser) MarkStalled(now time.Time, address string, until time.Time) bool {
--- a/entry/internal/chooser/chooser_test.go
+++ b/entry/internal/chooser/chooser_test.go
@@ -106,12 +106,12 @@
 	}
 	chosen := map[identifier.TargetID]int{}
 	for i := range uint64(1000) {
-		chosen[x.Target("ledger", nil, i).ID]++
+		chosen[x.Target(now, "ledger", nil, i).ID]++
 	}
 	c.Assert(chosen["good"] > 900, qt.IsTrue, qt.Commentf("%v", chosen))
 	c.Assert(chosen["slow"] > 0 && chosen["failing"] > 0, qt.IsTrue, qt.Commentf("%v", chosen))
-	c.Assert(x.Target("ledger", []identifier.TargetID{"good"}, 1).ID, qt.Not(qt.Equals), identifier.TargetID("good"))
-	c.Assert(fmt.Sprint(x.Target("none", nil, 1)), qt.Equals, "<nil>")
+	c.Assert(x.Target(now, "ledger", []identifier.TargetID{"good"}, 1).ID, qt.Not(qt.Equals), identifier.TargetID("good"))
+	c.Assert(fmt.Sprint(x.Target(now, "none", nil, 1)), qt.Equals, "<nil>")
 }
 
 // TestChainsAreLoadedByCapacity guards against a fleet near its limit in which one chain is
@@ -130,3 +130,26 @@
 	share := float64(chosen["roomy"]) / requests
 	c.Assert(share > 0.6 && share < 0.73, qt.IsTrue, qt.Commentf("the chain with more capacity gets a share of %.2f; it has two thirds of the capacity", share))
 }
+
+// TestShutTargetGetsNothing guards against requests to a target that is at its request limit, even as a last resort.
+func TestShutTargetGetsNothing(t *testing.T) {
+	c := qt.New(t)
+	plain := registrar.Target{Target: describer.Target{ID: "plain", Address: "plain", Service: "ledger", DataCentre: "a", Slots: 6}}
+	x := newChooser(chainTarget("b1", "b", "fast"), chainTarget("c1", "c", "fast"), plain)
+	c.Assert(x.ReopensAt(now, "draft").IsZero(), qt.IsTrue)
+	x.Shut("b1", now.Add(2*time.Second))
+	for i := range uint64(50) {
+		c.Assert(x.Chain(now, "draft", i, nil).Stages[0].Target, qt.Equals, identifier.TargetID("c1"))
+	}
+	x.Shut("c1", now.Add(time.Second))
+	x.Shut("plain", now.Add(time.Second))
+	c.Assert(x.Chain(now, "draft", 1, nil), qt.IsNil)
+	c.Assert(x.HasOtherChain(now, "draft"), qt.IsFalse)
+	c.Assert(x.Target(now, "ledger", nil, 1), qt.IsNil)
+	c.Assert(x.ReopensAt(now, "draft"), qt.Equals, now.Add(time.Second))
+	c.Assert(x.Chain(now.Add(time.Second), "draft", 1, nil).Stages[0].Target, qt.Equals, identifier.TargetID("c1"))
+	x.Reopen("b1")
+	c.Assert(x.Chain(now, "draft", 1, nil).Stages[0].Target, qt.Equals, identifier.TargetID("b1"))
+	x.Tick(now.Add(time.Second))
+	c.Assert(x.Target(now.Add(time.Second), "ledger", nil, 1), qt.IsNotNil)
+}
--- a/entry/internal/chooser/targets.go
+++ b/entry/internal/chooser/targets.go
@@ -49,9 +49,9 @@
 }
 
 // Target returns the target of a plain service with the lowest expected time, or an arbitrary one
-// for one request in explorationInterval. It returns nil if every target is leaving, ejected or
+// for one request in explorationInterval. It returns nil if every target is leaving, ejected, shut or
 // among the tried ones.
-func (c *Chooser) Target(id identifier.ServiceID, tried []identifier.TargetID, seed uint64) *registrar.Target {
+func (c *Chooser) Target(now time.Time, id identifier.ServiceID, tried []identifier.TargetID, seed uint64) *registrar.Target {
 	s := c.services[id]
 	if s == nil {
 		return nil
@@ -59,7 +59,7 @@
 	var candidates []*registrar.Target
 	for i := range s.targets {
 		t := &s.targets[i]
-		if !t.IsLeaving && !t.IsEjected && !slices.Contains(tried, t.ID) {
+		if !t.IsLeaving && !t.IsEjected && !c.isShut(now, t.ID) && !slices.Contains(tried, t.ID) {
 			candidates = append(candidates, t)
 		}
 	}
--- a/entry/internal/commander/relay.go
+++ b/entry/internal/commander/relay.go
@@ -25,6 +25,8 @@
 	"fuchsiabridge.example/entry/internal/crashtracker"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/follower"
+	"fuchsiabridge.example/entry/internal/granter"
+	"fuchsiabridge.example/entry/internal/limiter"
 	"fuchsiabridge.example/entry/internal/meter"
 	"fuchsiabridge.example/entry/internal/peercaller"
 	"fuchsiabridge.example/entry/internal/receiver"
@@ -106,6 +108,7 @@
 	receiver *receiver.Receiver
 	follower *follower.Follower
 	reporter *crashreporter.Reporter
+	granter  *granter.Granter
 	peers    *peercaller.Caller
 }
 
@@ -126,7 +129,11 @@
 		},
 		ReportCrashes: func(r sharer.CrashReport) { n.reporter.ReportCrashes(r) },
 		SavePoison:    func(c crashtracker.Crash) { n.reporter.SavePoison(c) },
-		Heartbeat:     values.Duration("heartbeat"),
+		Grant: func(ctx context.Context, r limiter.Report) granter.Answer {
+			return n.granter.Grant(ctx, r)
+		},
+		ReportLimit: func(ctx context.Context, r limiter.Report) { n.granter.Report(ctx, r) },
+		Heartbeat:   values.Duration("heartbeat"),
 	}, http)
 	server.Publish("relay", func() any {
 		status := n.relayer.Status()
@@ -144,6 +151,12 @@
 			return n.reporter.ServeClear(ctx, params)
 		},
 		sharer.CrashesMethod: updates.ServeCrashes,
+		granter.GrantMethod: func(ctx context.Context, params json.RawMessage) (any, error) {
+			return n.granter.ServeGrant(ctx, params)
+		},
+		granter.LimitsMethod: func(ctx context.Context, params json.RawMessage) (any, error) {
+			return n.granter.ServeLimits(ctx, params)
+		},
 	}, nil)
 	store := storecaller.NewCaller(http, values.Text("store"))
 	n.follower = follower.NewFollower(store, n.peers, updates, follower.Config{
@@ -151,10 +164,14 @@
 		StorePartitions: values.Number("store-parts"),
 		RetrySlack:      int(slackShare * float64(values.Number("retry-slack"))),
 		LearnCrashes:    func(r sharer.CrashReport) { n.reporter.Learn(r) },
+		LearnLimits:     func(r []limiter.Report) { n.granter.Learn(r) },
 	}, n.relayer.Submit)
 	n.reporter = crashreporter.NewReporter(crashreporter.Config{
 		Self: values.Text("peer-listen"), Peers: n.peers, Readers: n.follower, Store: store, Sharer: updates, Submit: n.relayer.Submit,
 	})
+	n.granter = granter.NewGranter(granter.Config{
+		Self: values.Text("peer-listen"), Partitions: values.Number("store-parts"), Peers: n.peers, Holders: n.follower, Recorder: updates, Submit: n.relayer.Submit,
+	})
 	return n
 }
 
@@ -177,6 +194,7 @@
 	go n.follower.FollowTargets(ctx)
 	go n.reporter.LoadPoison(ctx)
 	go n.reporter.KeepPoison(ctx)
+	go n.granter.KeepHolders(ctx)
 	if n.values.Text("peer-listen") != "" {
 		go n.follower.FollowPeers(ctx)
 		go n.reporter.SendCrashReports(ctx)
--- a/entry/internal/dispatcher/attempts.go
+++ b/entry/internal/dispatcher/attempts.go
@@ -59,7 +59,7 @@
 	default:
 	}
 	r.executions++
-	if d.mayRetry(now, r) && d.hasAlternative(r) {
+	if d.mayRetry(now, r) && d.hasAlternative(now, r) {
 		return append(effects, d.send(now, ev.Call, r, ev.Seed)...)
 	}
 	if r.stalledAttempt != nil && (ev.Outcome != Failed || r.events > 0) {
@@ -81,7 +81,7 @@
 	if r.executions > 0 {
 		return d.refuse(now, call, http.StatusBadGateway, 0, "attempt ended without a valid response, "+reason)
 	}
-	return d.refuse(now, call, http.StatusServiceUnavailable, r.retryAfter(), reason)
+	return d.refuse(now, call, http.StatusServiceUnavailable, max(r.retryAfter(), d.limitRetryAfter(now, r)), reason)
 }
 
 // retryAfter returns the Retry-After delay for a request that found no free capacity.
@@ -102,7 +102,7 @@
 	d.chooser.Acquire(r.targets())
 	return []messenger.Effect{ResumeStalled{Until: now.Add(fullTargetBackoff)}, messenger.Log{
 		Event: eventlogger.StalledAttemptResumed, Subject: "request/" + string(r.id),
-		Values: []any{"target", r.target, "silent_ms", now.Sub(r.sent).Milliseconds(), "sends", r.attempts, "runs", r.executions},
+		Values: []any{"target", r.target, "silent_ms", now.Sub(r.sent).Milliseconds(), sendsKey, r.attempts, "runs", r.executions},
 	}}
 }
 
@@ -246,7 +246,7 @@
 // at a chain is rerouted or goes on waiting, and one at a plain target goes on waiting.
 func (d *Dispatcher) failOver(now time.Time, call identifier.CallID, r *request, reason string, seed uint64) []messenger.Effect {
 	r.executions++
-	if !d.mayRetry(now, r) || !d.hasAlternative(r) || d.isTried(now, r.fingerprint) {
+	if !d.mayRetry(now, r) || !d.hasAlternative(now, r) || d.isTried(now, r.fingerprint) {
 		r.executions--
 		if len(r.chain) > 0 {
 			return d.rerouteChain(now, r)
@@ -292,14 +292,14 @@
 	}
 	return []messenger.Effect{Wait{Until: now.Add(probeIdleTimeout)}, messenger.Log{
 		Event: eventlogger.RequestRerouted, Subject: "request/" + string(r.id),
-		Values: []any{"taken", ev.IsAccepted, "reason", ev.Reason, "parts", len(ev.Chain)},
+		Values: []any{"taken", ev.IsAccepted, reasonKey, ev.Reason, "parts", len(ev.Chain)},
 	}}
 }
 
 // hasAlternative reports whether another attempt is possible: a plain request needs a target that
 // it was not sent to yet, while a request that uses chains may be sent along the same chain again.
-func (d *Dispatcher) hasAlternative(r *request) bool {
-	return d.chooser.IsChained(r.service) || d.chooser.Target(r.service, r.tried, 1) != nil
+func (d *Dispatcher) hasAlternative(now time.Time, r *request) bool {
+	return d.chooser.IsChained(r.service) || d.chooser.Target(now, r.service, r.tried, 1) != nil
 }
 
 // probed handles the answer of a stalled chain's first target, which names the target that the
@@ -324,7 +324,7 @@
 // crashed a target.
 func (d *Dispatcher) logAttempt(now time.Time, r *request, ev AttemptReported, isCandidate bool) messenger.Effect {
 	return messenger.Log{Event: eventlogger.AttemptEnded, Subject: "request/" + string(r.id), Values: []any{
-		"outcome", ev.Outcome, "target", r.target, "status", ev.Status, "reason", ev.Reason, "fault", ev.FaultAddress,
+		"outcome", ev.Outcome, "target", r.target, "status", ev.Status, reasonKey, ev.Reason, "fault", ev.FaultAddress,
 		"took_ms", now.Sub(r.sent).Milliseconds(), "events", ev.Events, fingerprintKey, r.fingerprint, "candidate", isCandidate,
 	}}
 }
--- a/entry/internal/dispatcher/crashes.go
+++ b/entry/internal/dispatcher/crashes.go
@@ -14,9 +14,6 @@
 	"fuchsiabridge.example/entry/internal/registrar"
 )
 
-// fingerprintKey is the key in logs under which all events name a request's fingerprint.
-const fingerprintKey = "fingerprint"
-
 // callerFingerprint returns the fingerprint of a request of an account. It does not depend on the key, which
 // an account may replace.
 func callerFingerprint(content identifier.Fingerprint, account identifier.AccountID) identifier.Fingerprint {
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -101,6 +101,10 @@
 	// along another chain.
 	reroutes int
 	attempt
+	// pending is the attempt that waits for a grant, which its target's request limit makes necessary.
+	pending *Send
+	// askUntil is until when the current attempt may ask for grants, zero if it has not asked.
+	askUntil time.Time
 	// stalledAttempt is an earlier attempt that is kept until a later one has delivered an event.
 	stalledAttempt *attempt
 	// firstByte is the last attempt's time to first byte, longestGap the longest gap between two events.
@@ -187,6 +191,10 @@
 		return d.targetChecked(now, ev)
 	case limiter.AnswerRead:
 		return d.answerRead(now, ev)
+	case limiter.LimitsLearned:
+		return d.limitsLearned(now, ev)
+	case GrantAnswered:
+		return d.grantAnswered(now, ev)
 	case CrashesReported:
 		return d.crashesReported(now, ev)
 	case messenger.Tick:
@@ -343,6 +351,14 @@
 	if reason != "" {
 		return append(d.endUnplaced(now, call, r, reason), effects...)
 	}
+	if d.limits.IsLimited(out.Target) {
+		return append(d.askGrant(now, call, r, out), effects...)
+	}
+	return append(d.startAttempt(now, r, out, before), effects...)
+}
+
+// startAttempt counts an attempt and sends it.
+func (d *Dispatcher) startAttempt(now time.Time, r *request, out Send, before crashtracker.History) []messenger.Effect {
 	budget := d.budget(r.service)
 	if r.attempts == 0 {
 		budget.CountRequest(now)
@@ -352,40 +368,46 @@
 	d.limits.CountSend(out.Target)
 	r.attempts++
 	r.sent, r.before, r.eventsBefore = now, before, r.events
-	r.target = out.Target
+	r.target, r.chain = out.Target, out.Chain
+	r.askUntil = time.Time{}
+	out.IdleDeadline = r.idleDeadline(now, out)
 	if before.Depth > 0 {
 		d.trials[r.fingerprint] = now.Add(maxTrial)
 	}
 	r.tried = append(r.tried, out.Target)
 	d.chooser.Acquire(r.targets())
-	return append([]messenger.Effect{out}, effects...)
+	return []messenger.Effect{out}
 }
 
-// choose sets the target or chain of an attempt and its idle deadline. If there is no target or
-// chain, it returns the reason.
+// choose sets the target or chain of an attempt. If there is no target or chain, it returns the reason.
 func (d *Dispatcher) choose(now time.Time, r *request, out *Send, seed uint64) string {
-	r.chain = nil
 	if d.chooser.IsChained(r.service) {
 		chain := d.chooser.Chain(now, r.service, seed, r.tried)
 		if chain == nil {
-			return "no chain holds all layers"
+			return d.limitReason(now, r.service, "no chain holds all layers")
 		}
-		r.chain = chain.Stages
 		out.Target, out.Address, out.Chain = chain.Stages[0].Target, chain.Stages[0].Address, chain.Stages
-		out.IdleDeadline = now.Add(streamIdleTimeout)
 		return ""
 	}
-	t := d.chooser.Target(r.service, r.tried, seed)
+	t := d.chooser.Target(now, r.service, r.tried, seed)
 	if t == nil {
-		return "no target"
-	}
-	out.Target, out.Address, out.IdleDeadline = t.ID, t.Address, r.deadline
-	if r.route.MayRetry() && r.route.LatencyObjective > 0 {
-		out.IdleDeadline = now.Add(time.Duration(plainTimeoutFraction * float64(r.route.LatencyObjective)))
+		return d.limitReason(now, r.service, "no target")
 	}
+	out.Target, out.Address = t.ID, t.Address
 	return ""
 }
 
+// idleDeadline returns when an attempt that begins now counts as stalled if no data has arrived.
+func (r *request) idleDeadline(now time.Time, out Send) time.Time {
+	switch {
+	case len(out.Chain) > 0:
+		return now.Add(streamIdleTimeout)
+	case r.route.MayRetry() && r.route.LatencyObjective > 0:
+		return now.Add(time.Duration(plainTimeoutFraction * float64(r.route.LatencyObjective)))
+	}
+	return r.deadline
+}
+
 func (d *Dispatcher) budget(id identifier.ServiceID) *budgeter.Budget {
 	b, ok := d.budgets[id]
 	if !ok {
@@ -438,7 +460,7 @@
 	}
 	d.release(r)
 	delete(d.requests, call)
-	values := []any{"status", status, "reason", reason, "took_ms", now.Sub(r.arrived).Milliseconds(), "sends", r.attempts, "runs", r.executions,
+	values := []any{"status", status, reasonKey, reason, "took_ms", now.Sub(r.arrived).Milliseconds(), sendsKey, r.attempts, "runs", r.executions,
 		"first_ms", r.firstByte.Milliseconds(), "longest_gap_ms", r.longestGap.Milliseconds(), "events", r.events, fingerprintKey, r.fingerprint}
 	if r.route != nil {
 		values = append(values, "route", r.route.ID, "account", r.account, "service", r.service)
--- a/entry/internal/dispatcher/limit_test.go
+++ b/entry/internal/dispatcher/limit_test.go
@@ -66,7 +66,14 @@
 	// restartEvery and freezeEvery are the times between two restarts and freezes of nodes, zero for none.
 	restartEvery time.Duration
 	freezeEvery  time.Duration
-	seed         uint64
+	// rebalanceEvery and storeEvery are the times between two new assignments of the partition of grants, and between
+	// two outages of the store; lostAsks is the share of messages between nodes that are lost.
+	rebalanceEvery time.Duration
+	storeEvery     time.Duration
+	lostAsks       float64
+	// toldAfter is how long it takes until a limit that a node notices is known to all others.
+	toldAfter time.Duration
+	seed      uint64
 }
 
 // limitArrival is one request, check or probe at a target.
@@ -80,6 +87,8 @@
 // limitNode is a node of the simulation; life counts its restarts.
 type limitNode struct {
 	*composer.Composer
+	*limitHolder
+	dispatcher  *dispatcher.Dispatcher
 	life        int
 	frozenUntil time.Duration
 }
@@ -108,36 +117,45 @@
 	arrivals []limitArrival
 	// known holds, for each target, when a node first passed an answer on that names the limit in force.
 	known map[identifier.TargetID]map[int]time.Duration
+	// inForce holds, for each rate that a target names in turn, when it must be kept: limitKnown after a node has
+	// passed on an answer that names it, unless that node restarts before.
+	inForce map[identifier.TargetID]map[time.Duration]time.Duration
+	// assigned is the node to which the store has assigned the partition of grants, -1 if none, until when.
+	assigned       int
+	generation     int
+	assignedUntil  time.Duration
+	storeDownUntil time.Duration
 }
 
 func newLimitSimulation(s limitScenario) *limitSimulation {
 	x := &limitSimulation{
 		limitScenario: s, clock: simulation{scenario: scenario{duration: s.duration}}, rnd: rand.New(rand.NewPCG(s.seed, 1)),
-		calls: map[identifier.CallID]*limitCall{}, known: map[identifier.TargetID]map[int]time.Duration{},
+		calls: map[identifier.CallID]*limitCall{}, known: map[identifier.TargetID]map[int]time.Duration{}, assigned: -1,
+		inForce: map[identifier.TargetID]map[time.Duration]time.Duration{},
 	}
 	for range s.nodes {
-		x.nodes = append(x.nodes, &limitNode{Composer: x.newNode()})
+		x.nodes = append(x.nodes, x.newNode(0))
 	}
 	for n := range x.nodes {
 		x.tick(n, time.Duration(x.rnd.Int64N(int64(tickInterval))))
+		x.renewLease(n, time.Duration(x.rnd.Int64N(int64(leaseInterval))))
 	}
 	x.arrive()
-	if s.restartEvery > 0 {
-		x.repeat(s.restartEvery, x.restart)
-	}
-	if s.freezeEvery > 0 {
-		x.repeat(s.freezeEvery, x.freeze)
-	}
+	x.repeat(s.restartEvery, x.restart)
+	x.repeat(s.freezeEvery, x.freeze)
+	x.repeat(s.rebalanceEvery, x.rebalance)
+	x.repeat(s.storeEvery, x.breakStore)
 	return x
 }
 
 const tickInterval = 50 * time.Millisecond
 
 // newNode returns a node that knows the configuration and the targets, but no limit.
-func (x *limitSimulation) newNode() *composer.Composer {
-	node := composer.NewControl(registrar.NewRegistrar(heartbeat), dispatcher.NewDispatcher(dispatcher.Config{
+func (x *limitSimulation) newNode(life int) *limitNode {
+	d := dispatcher.NewDispatcher(dispatcher.Config{
 		DataCentre: "a", RevocationLimit: revocationLimit, RetryRatio: retryRatio, RetryWindow: retryWindow,
-	}))
+	})
+	node := composer.NewControl(registrar.NewRegistrar(heartbeat), d)
 	var changes []describer.TargetChange
 	for _, t := range targets() {
 		changes = append(changes, describer.TargetChange{ID: t.ID, Target: &t.Target})
@@ -146,10 +164,14 @@
 	node.Apply(now, dispatcher.ConfigurationRead{Table: router.NewTable(configuration(1, "key"))})
 	node.Apply(now, dispatcher.ConfigurationConfirmed{AsOf: now})
 	node.Apply(now, registrar.TargetsRead{Changes: changes, IsComplete: true})
-	return node
+	return &limitNode{Composer: node, limitHolder: newLimitHolder(x.clock.now), dispatcher: d, life: life}
 }
 
+// repeat does something again and again; zero means never.
 func (x *limitSimulation) repeat(every time.Duration, do func()) {
+	if every == 0 {
+		return
+	}
 	x.clock.at(x.clock.now+every, func() {
 		do()
 		x.repeat(every, do)
@@ -184,7 +206,7 @@
 // restart ends a node's process with all its requests; the new one knows no limit.
 func (x *limitSimulation) restart() {
 	node := x.rnd.IntN(len(x.nodes))
-	x.nodes[node] = &limitNode{Composer: x.newNode(), life: x.nodes[node].life + 1}
+	x.nodes[node] = x.newNode(x.nodes[node].life + 1)
 	for _, nodes := range x.known {
 		delete(nodes, node)
 	}
@@ -206,6 +228,10 @@
 		x.clock.at(n.frozenUntil, func() { x.apply(node, event, call) })
 		return
 	}
+	if head, ok := event.(limiter.AnswerRead); ok && head.Limit.Kind == describer.Limited && head.Kind != limiter.ReportAnswer {
+		x.noteKnown(node, head.Target)
+		x.notePassedOn(node, head.Target, head.Limit.Rate)
+	}
 	for _, effect := range n.Apply(start.Add(x.clock.now), event) {
 		x.run(node, effect, call)
 	}
@@ -226,8 +252,30 @@
 		c := x.calls[call]
 		c.isRefused, c.refusedAfter, c.retryAfter = true, x.clock.now-c.arrived, e.RetryAfter
 	case dispatcher.CheckTarget:
+		x.grantCheck(node, e)
+	case dispatcher.AskGrant:
+		x.ask(node, call, e.Limit)
+	case dispatcher.ReportLimit:
+		x.reportLimit(node, e.Limit)
+	case dispatcher.Hold:
+		x.clock.at(e.Until.Sub(start), func() { x.apply(node, dispatcher.HoldEnded{Call: call, Seed: x.rnd.Uint64()}, call) })
+	}
+}
+
+// grantCheck checks a target as soon as its limit allows.
+func (x *limitSimulation) grantCheck(node int, e dispatcher.CheckTarget) {
+	report, isLimited := x.nodes[node].dispatcher.Limit(start.Add(x.clock.now), e.Target)
+	if !isLimited {
 		x.check(node, e)
+		return
 	}
+	x.sendAsk(node, report, func(g limiter.Grant, _ bool) {
+		if g.IsGranted {
+			x.check(node, e)
+			return
+		}
+		x.clock.after(max(retryDelay, time.Duration(g.WaitMS)*time.Millisecond), func() { x.grantCheck(node, e) })
+	})
 }
 
 // check answers a check of a target, which counts as a request there.
@@ -327,9 +375,6 @@
 			return
 		}
 		x.apply(node, head, call)
-		if head.Limit.Kind == describer.Limited {
-			x.noteKnown(node, head.Target)
-		}
 	})
 	x.clock.after(took, func() {
 		c.isServed = result.Outcome == dispatcher.Delivered
@@ -348,6 +393,28 @@
 	}
 }
 
+// notePassedOn notes that a node passes on an answer that names the rate in force; others are late.
+func (x *limitSimulation) notePassedOn(node int, target identifier.TargetID, rate describer.RequestRate) {
+	var current namedRate
+	for _, r := range x.limits[target] {
+		if x.clock.now >= r.from {
+			current = r
+		}
+	}
+	if current.rate != rate {
+		return
+	}
+	life := x.nodes[node].life
+	x.clock.after(limitKnown, func() {
+		if x.inForce[target] == nil {
+			x.inForce[target] = map[time.Duration]time.Duration{}
+		}
+		if _, ok := x.inForce[target][current.from]; !ok && x.nodes[node].life == life {
+			x.inForce[target][current.from] = x.clock.now
+		}
+	})
+}
+
 // limitBreach is a window in which a target got more requests than the users' bound allows.
 type limitBreach struct {
 	target  identifier.TargetID
@@ -383,13 +450,18 @@
 }
 
 // allowed returns how many requests a target may get in the window that begins at a time, if it names a limit all the while.
+// The rate before a change counts until the new one is in force.
 func (x *limitSimulation) allowed(target identifier.TargetID, from time.Duration) (float64, bool) {
 	highest, isLimited := x.rate(target, from)
-	for _, r := range x.limits[target] {
+	for i, r := range x.limits[target] {
 		if r.from > from && r.from < from+limitWindow {
 			isLimited = isLimited && r.rate >= 0
 			highest = max(highest, r.rate)
 		}
+		inForce, ok := x.inForce[target][r.from]
+		if i > 0 && r.from <= from && (!ok || from < inForce) {
+			highest = max(highest, x.limits[target][i-1].rate)
+		}
 	}
 	return limitFactor*float64(highest)*limitWindow.Seconds() + limitSlack, isLimited
 }
@@ -536,7 +608,9 @@
 			paths: []string{"/draft/", "/view/", "/post/", "/once/"}, seed: rapid.Uint64().Draw(t, "seed"),
 			refusals: rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "refusals"), breaks: rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "breaks"),
 			malformed: rapid.SampledFrom([]float64{0, 0.2, 0.9}).Draw(t, "malformed"), restartEvery: interval("restarts"), freezeEvery: interval("freezes"),
-			limits: map[identifier.TargetID][]namedRate{limitedDraft: rates, limitedPlain: slices.Clone(rates)},
+			rebalanceEvery: interval("rebalances"), storeEvery: interval("outages"), lostAsks: rapid.SampledFrom([]float64{0, 0.1, 0.5}).Draw(t, "lost"),
+			toldAfter: time.Duration(rapid.SampledFrom([]int{5, 300}).Draw(t, "told_ms")) * time.Millisecond,
+			limits:    map[identifier.TargetID][]namedRate{limitedDraft: rates, limitedPlain: slices.Clone(rates)},
 		})
 		for target := range x.limits {
 			if w := x.worst(target); float64(w.got) > w.allowed {
--- a/entry/internal/dispatcher/messages.go
+++ b/entry/internal/dispatcher/messages.go
@@ -8,6 +8,7 @@
 	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/entry/internal/crashtracker"
+	"fuchsiabridge.example/entry/internal/limiter"
 	"fuchsiabridge.example/entry/internal/meter"
 	"fuchsiabridge.example/entry/internal/router"
 )
@@ -171,6 +172,26 @@
 	NewConn bool
 }
 
+// AskGrant is the effect that asks whether a request may be sent to a target that names a request limit.
+type AskGrant struct{ Limit limiter.Report }
+
+// GrantAnswered is the event that a grant was given or denied.
+type GrantAnswered struct {
+	Call      identifier.CallID
+	IsGranted bool
+	// Until is until when the request may be sent, or when the next grant may be asked for.
+	Until time.Time
+	// Known is what the node that grants knows of the limit; nil if it did not answer.
+	Known *limiter.Report
+	// Reason says why a grant was denied.
+	Reason       string
+	IsCallerGone bool
+	Seed         uint64
+}
+
+// ReportLimit is the effect that tells other nodes of a limit that a target names, or no longer names.
+type ReportLimit struct{ Limit limiter.Report }
+
 // Hold is the effect that waits before the request is sent, because another copy of it is being tried.
 type Hold struct{ Until time.Time }
 
--- a/entry/internal/dispatcher/trials.go
+++ b/entry/internal/dispatcher/trials.go
@@ -100,17 +100,23 @@
 	if ev.IsCallerGone {
 		return d.end(now, ev.Call, 0, "caller gone")
 	}
-	if r.attempts > 0 {
-		if reason := d.retryBarrier(now, r); reason != "" {
-			return d.endUnplaced(now, ev.Call, r, reason)
-		}
-		return d.send(now, ev.Call, r, ev.Seed)
+	if effects := d.endBarred(now, ev.Call, r); effects != nil {
+		return effects
 	}
+	return d.send(now, ev.Call, r, ev.Seed)
+}
+
+// endBarred ends a request that has waited if it may no longer be sent, and returns nil otherwise.
+func (d *Dispatcher) endBarred(now time.Time, call identifier.CallID, r *request) []messenger.Effect {
 	switch {
+	case r.attempts > 0:
+		if reason := d.retryBarrier(now, r); reason != "" {
+			return d.endUnplaced(now, call, r, reason)
+		}
 	case d.crashTracker.IsConfirmed(now, r.fingerprint):
-		return d.refuse(now, ev.Call, http.StatusBadGateway, 0, quarantined)
+		return d.refuse(now, call, http.StatusBadGateway, 0, quarantined)
 	case !now.Before(r.deadline):
-		return d.refuse(now, ev.Call, http.StatusGatewayTimeout, 0, deadlinePassed)
+		return d.refuse(now, call, http.StatusGatewayTimeout, 0, deadlinePassed)
 	}
-	return d.send(now, ev.Call, r, ev.Seed)
+	return nil
 }
--- a/entry/internal/follower/follower.go
+++ b/entry/internal/follower/follower.go
@@ -17,6 +17,7 @@
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/common/sleeper"
 	"fuchsiabridge.example/entry/internal/dispatcher"
+	"fuchsiabridge.example/entry/internal/limiter"
 	"fuchsiabridge.example/entry/internal/placer"
 	"fuchsiabridge.example/entry/internal/registrar"
 	"fuchsiabridge.example/entry/internal/router"
@@ -72,6 +73,11 @@
 	// readers are the other nodes that read the store, as of the last lookup at readersAt.
 	readers   []storecaller.Member
 	readersAt time.Time
+	// holders are the nodes that hold partitions, as of the same lookup, and tenures are those of this node.
+	holders map[int]storecaller.Member
+	tenures map[int]limiter.Tenure
+	// generation is that of the group when this node last joined it.
+	generation identifier.FencingToken
 }
 
 // Config holds the settings of a follower.
@@ -82,6 +88,8 @@
 	StorePartitions int
 	// LearnCrashes applies what a peer has told of requests that crash targets.
 	LearnCrashes func(sharer.CrashReport)
+	// LearnLimits applies what a peer has told of the request limits of targets.
+	LearnLimits func([]limiter.Report)
 	// RetrySlack is how many retries all nodes together may make in addition to the retry ratio.
 	RetrySlack int
 }
--- a/entry/internal/follower/lease.go
+++ b/entry/internal/follower/lease.go
@@ -48,6 +48,7 @@
 		sleeper.Sleep(ctx, leaseInterval)
 	}
 	f.submit(placer.LeaseChanged{})
+	f.setTenures(storecaller.Membership{}, time.Time{})
 	f.setReader(false)
 	leaving, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 	defer cancel()
@@ -57,9 +58,11 @@
 }
 
 // applyMembership derives this node's duties from the partitions that it owns: whether it reads the store for
-// its peers, whether it holds the lease until the given time, and its share of the retry slack.
+// its peers, whether it holds the lease until the given time, for which targets it grants what their limits allow, and
+// its share of the retry slack.
 func (f *Follower) applyMembership(m storecaller.Membership, until time.Time) {
 	f.setReader(slices.ContainsFunc(m.Partitions, isReaderPartition))
+	f.setTenures(m, until)
 	f.submit(placer.LeaseChanged{IsHeld: slices.Contains(m.Partitions, leasePartition), Fence: m.Generation, Until: until})
 	share := float64(m.PartitionCount) / float64(topics*f.cfg.StorePartitions)
 	f.submit(dispatcher.RetryQuotaChanged{Retries: int(share * float64(f.cfg.RetrySlack))})
--- a/entry/internal/follower/peers.go
+++ b/entry/internal/follower/peers.go
@@ -166,7 +166,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.readers, f.readersAt = known, bootclock.Now()
+	f.readers, f.readersAt, f.holders = known, bootclock.Now(), owners
 	return known, nil
 }
 
@@ -217,6 +217,9 @@
 		if report := (sharer.CrashReport{Crashes: update.Crashes, Cleared: update.Cleared}); !report.IsEmpty() {
 			f.cfg.LearnCrashes(report)
 		}
+		if len(update.Limits) > 0 {
+			f.cfg.LearnLimits(update.Limits)
+		}
 		if err := f.applyPeerConfiguration(ctx, peer.Address, update, &q); err != nil {
 			eventlogger.Error(err, eventlogger.PeerNotFollowed, "peer", peer.Node, "address", peer.Address)
 			return err
--- a/entry/internal/limiter/tracker.go
+++ b/entry/internal/limiter/tracker.go
@@ -52,10 +52,8 @@
 
 // limit is what is known of a target's limit.
 type limit struct {
-	rate describer.RequestRate
-	// isEnded says that the target no longer names a limit.
-	isEnded bool
-	// namedAt is when an answer that named the limit was last read.
+	Knowledge
+	// namedAt is when an answer that named the limit was last read, here or at another node.
 	namedAt time.Time
 	// since is when the limit became known, and sends counts the requests sent since then.
 	since time.Time
@@ -83,24 +81,48 @@
 	case describer.NoLimit:
 	}
 	// An answer to a request that was sent before the limit was last named may be older than that.
-	if l == nil || l.isEnded || a.Kind != RequestAnswer || !a.SentAt.After(l.namedAt) {
+	if l == nil || l.IsEnded || a.Kind != RequestAnswer || !a.SentAt.After(l.namedAt) {
 		return Unchanged
 	}
-	l.isEnded = true
+	l.IsEnded, l.At = true, now
 	return Ended
 }
 
+// Learn applies what another node knows of a target's limit, if it is newer.
+func (t *Tracker) Learn(now time.Time, target identifier.TargetID, k Knowledge) State {
+	l := t.limits[target]
+	if l == nil {
+		l = &limit{Knowledge: Knowledge{IsEnded: true}}
+		t.limits[target] = l
+	}
+	if !k.At.After(l.At) || k.IsSameAs(l.Knowledge) {
+		return Unchanged
+	}
+	wasEnded := l.IsEnded
+	l.Knowledge = k
+	if k.IsEnded {
+		return Ended
+	}
+	l.namedAt = k.At
+	if !wasEnded {
+		return Changed
+	}
+	l.since, l.sends = now, 0
+	return Named
+}
+
 func (t *Tracker) named(now time.Time, target identifier.TargetID, rate describer.RequestRate) State {
 	l := t.limits[target]
-	if l == nil || l.isEnded {
-		t.limits[target] = &limit{rate: rate, namedAt: now, since: now}
+	k := Knowledge{Rate: rate, At: now}
+	if l == nil || l.IsEnded {
+		t.limits[target] = &limit{Knowledge: k, namedAt: now, since: now}
 		return Named
 	}
-	l.namedAt, l.isMalformed = now, false
-	if l.rate == rate {
+	isSame := k.IsSameAs(l.Knowledge)
+	l.Knowledge, l.namedAt, l.isMalformed = k, now, false
+	if isSame {
 		return Unchanged
 	}
-	l.rate = rate
 	return Changed
 }
 
@@ -108,7 +130,7 @@
 func (t *Tracker) malformed(target identifier.TargetID) State {
 	l := t.limits[target]
 	if l == nil {
-		l = &limit{isEnded: true}
+		l = &limit{Knowledge: Knowledge{IsEnded: true}}
 		t.limits[target] = l
 	}
 	if l.isMalformed {
@@ -121,7 +143,15 @@
 // IsLimited reports whether a target names a limit.
 func (t *Tracker) IsLimited(target identifier.TargetID) bool {
 	l := t.limits[target]
-	return l != nil && !l.isEnded
+	return l != nil && !l.IsEnded
+}
+
+// Known returns what is known of a target's limit.
+func (t *Tracker) Known(target identifier.TargetID) Knowledge {
+	if l := t.limits[target]; l != nil {
+		return l.Knowledge
+	}
+	return Knowledge{IsEnded: true}
 }
 
 // CountSend counts a request that is sent to a target.
@@ -143,7 +173,7 @@
 	}
 	l := t.limits[target]
 	return describer.LimitStatus{
-		Target: target, Rate: l.rate, LimitedMS: now.Sub(l.since).Milliseconds(), NamedMSAgo: now.Sub(l.namedAt).Milliseconds(), Sends: l.sends,
+		Target: target, Rate: l.Rate, LimitedMS: now.Sub(l.since).Milliseconds(), NamedMSAgo: now.Sub(l.namedAt).Milliseconds(), Sends: l.sends,
 	}
 }
 
--- a/entry/internal/relayer/relayer.go
+++ b/entry/internal/relayer/relayer.go
@@ -26,6 +26,7 @@
 	"fuchsiabridge.example/entry/internal/crashtracker"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/forwarder"
+	"fuchsiabridge.example/entry/internal/granter"
 	"fuchsiabridge.example/entry/internal/limiter"
 	"fuchsiabridge.example/entry/internal/meter"
 	"fuchsiabridge.example/entry/internal/placer"
@@ -42,12 +43,18 @@
 	probeTimeout  = 200 * time.Millisecond
 	// checkTimeout is how long a target may take to answer a check, after which it counts as failed.
 	checkTimeout = 400 * time.Millisecond
+	// maxCheckDelay is how long a check may be put off because of the target's request limit.
+	maxCheckDelay = 5 * time.Second
+	// minGrantDelay is the shortest time between two requests for a grant of one call.
+	minGrantDelay = 10 * time.Millisecond
 	// reportLag is how long a target's report may lag behind the target's state.
 	reportLag = 250 * time.Millisecond
 	// orderWorkers limits the concurrent calls to targets that are not requests of callers.
 	orderWorkers = 64
 )
 
+var errNoGrant = errors.New("the target's request limit allows no call")
+
 // Config holds the dependencies and settings of a relayer.
 type Config struct {
 	Meter    *meter.Meter
@@ -56,6 +63,10 @@
 	ReportCrashes func(sharer.CrashReport)
 	// SavePoison stores a crash that has confirmed its request as poison.
 	SavePoison func(crashtracker.Crash)
+	// Grant asks whether a request may be sent to a target that names a request limit.
+	Grant func(context.Context, limiter.Report) granter.Answer
+	// ReportLimit tells other nodes of a request limit.
+	ReportLimit func(context.Context, limiter.Report)
 	// Heartbeat is how often targets write to the store that they are alive.
 	Heartbeat time.Duration
 }
@@ -70,6 +81,8 @@
 	meter         *meter.Meter
 	reportCrashes func(sharer.CrashReport)
 	savePoison    func(crashtracker.Crash)
+	grant         func(context.Context, limiter.Report) granter.Answer
+	reportLimit   func(context.Context, limiter.Report)
 	workers       pond.Pool
 	nextCall      atomic.Uint64
 	isLeaving     atomic.Bool
@@ -87,6 +100,7 @@
 	p := placer.NewPlacer()
 	return &Relayer{
 		ctx: ctx, targets: targetcaller.NewCaller(http), pool: connector.NewConnector(), idle: forwarder.NewIdleTracker(), meter: cfg.Meter, reportCrashes: cfg.ReportCrashes, savePoison: cfg.SavePoison,
+		grant: cfg.Grant, reportLimit: cfg.ReportLimit,
 		workers:  pond.NewPool(orderWorkers, pond.WithContext(ctx)),
 		dispatch: d, placer: p,
 		reducer: composer.NewControl(registrar.NewRegistrar(cfg.Heartbeat), d, p),
@@ -141,6 +155,8 @@
 			x.start(func() { x.probeChain(e) })
 		case dispatcher.CheckTarget:
 			x.start(func() { x.checkTarget(e) })
+		case dispatcher.ReportLimit:
+			x.start(func() { x.reportLimit(x.ctx, e.Limit) })
 		case placer.QueryState:
 			x.start(func() { x.queryState(e) })
 		default:
@@ -185,9 +201,7 @@
 }
 
 func (x *Relayer) queryState(e placer.QueryState) {
-	ctx, cancel := context.WithTimeout(x.ctx, orderTimeout)
-	defer cancel()
-	report, err := x.report(ctx, e.Target, e.Address)
+	report, err := x.report(x.ctx, e.Target, e.Address, patience{grant: orderTimeout, answer: orderTimeout})
 	if err != nil {
 		eventlogger.Error(err, eventlogger.ReportFailed, "target", e.Target)
 		x.Submit(placer.StateUnanswered{Target: e.Target})
@@ -196,8 +210,46 @@
 	x.Submit(placer.StateReported{Target: e.Target, Report: report})
 }
 
-// report requests a report of a target's state, and notes the request limit that the answer names.
-func (x *Relayer) report(ctx context.Context, target identifier.TargetID, address string) (describer.Report, error) {
+// limit returns what is known of a target's request limit, and false if it names none.
+func (x *Relayer) limit(target identifier.TargetID) (limiter.Report, bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.dispatch.Limit(bootclock.Now(), target)
+}
+
+// awaitGrant waits until a call to a target is within the target's request limit, and returns false if that takes too long.
+func (x *Relayer) awaitGrant(ctx context.Context, target identifier.TargetID, limit time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for ctx.Err() == nil {
+		known, isLimited := x.limit(target)
+		if !isLimited {
+			return true
+		}
+		answer := x.grant(ctx, known)
+		if answer.IsGranted {
+			return true
+		}
+		sleeper.Sleep(ctx, max(minGrantDelay, answer.Until.Sub(bootclock.Now())))
+	}
+	return false
+}
+
+// patience is how long a call may wait for a grant, if the target's request limit makes one necessary, and then for
+// the answer.
+type patience struct {
+	grant  time.Duration
+	answer time.Duration
+}
+
+// report requests a report of a target's state, and notes the request limit that the answer names. The call counts
+// towards that limit.
+func (x *Relayer) report(ctx context.Context, target identifier.TargetID, address string, p patience) (describer.Report, error) {
+	if !x.awaitGrant(ctx, target, p.grant) {
+		return describer.Report{}, errNoGrant
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.answer)
+	defer cancel()
 	sent := bootclock.Now()
 	report, err := x.targets.Report(ctx, address)
 	if report.Limit.Kind != describer.NoLimit {
@@ -215,9 +267,11 @@
 // stalledRequests asks a target which of its requests wait for which other target. It returns false if the target
 // does not answer, which is logged with the given keys and values.
 func (x *Relayer) stalledRequests(ctx context.Context, target identifier.TargetID, address string, keysAndValues ...any) (map[identifier.RequestID]string, bool) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	report, err := x.report(ctx, target, address)
+	report, err := x.report(ctx, target, address, patience{grant: probeTimeout, answer: probeTimeout})
+	if errors.Is(err, errNoGrant) {
+		// Nothing is known of a target that may not be asked now.
+		return nil, true
+	}
 	if err != nil {
 		eventlogger.Error(err, eventlogger.ReportFailed, append([]any{"address", address}, keysAndValues...)...)
 		return nil, false
@@ -237,13 +291,14 @@
 
 // checkTarget checks whether a target answers. Any answer counts: a plain target may not give reports.
 func (x *Relayer) checkTarget(e dispatcher.CheckTarget) {
-	ctx, cancel := context.WithTimeout(httpcaller.WithNewConn(x.ctx), checkTimeout)
-	defer cancel()
 	checked := dispatcher.TargetChecked{Target: e.Target, Address: e.Address}
-	report, err := x.report(ctx, e.Target, e.Address)
+	report, err := x.report(httpcaller.WithNewConn(x.ctx), e.Target, e.Address, patience{grant: maxCheckDelay, answer: checkTimeout})
 	switch {
 	case err == nil:
 		checked.Incarnation = report.Incarnation
+	case errors.Is(err, errNoGrant):
+		eventlogger.Error(err, eventlogger.ReportFailed, "target", e.Target, "address", e.Address)
+		return
 	case !errors.Is(err, targetcaller.ErrNoReport):
 		checked.IsUnanswered = true
 		eventlogger.Error(err, eventlogger.ReportFailed, "target", e.Target, "address", e.Address)
--- a/entry/internal/relayer/serving.go
+++ b/entry/internal/relayer/serving.go
@@ -78,6 +78,8 @@
 		return s.report(s.attempt(ctx, e))
 	case dispatcher.Wait:
 		return s.report(s.exchange.Await(ctx, e.Until))
+	case dispatcher.AskGrant:
+		return s.x.apply(s.askGrant(ctx, e))
 	case dispatcher.Hold:
 		return s.x.apply(s.hold(ctx, e.Until))
 	case dispatcher.ResumeStalled:
@@ -99,6 +101,15 @@
 	return nil
 }
 
+// askGrant asks whether the request may be sent to a target that names a request limit.
+func (s *servedRequest) askGrant(ctx context.Context, e dispatcher.AskGrant) dispatcher.GrantAnswered {
+	a := s.x.grant(ctx, e.Limit)
+	return dispatcher.GrantAnswered{
+		Call: s.call, IsGranted: a.IsGranted, Until: a.Until, Known: a.Known, Reason: a.Reason,
+		IsCallerGone: ctx.Err() != nil, Seed: rand.Uint64(),
+	}
+}
+
 // hold waits until the given time, or until the caller disconnects.
 func (s *servedRequest) hold(ctx context.Context, until time.Time) dispatcher.HoldEnded {
 	isOver := sleeper.Sleep(ctx, until.Sub(bootclock.Now()))
--- a/entry/internal/sharer/sharer.go
+++ b/entry/internal/sharer/sharer.go
@@ -16,6 +16,7 @@
 	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/entry/internal/crashtracker"
+	"fuchsiabridge.example/entry/internal/limiter"
 )
 
 // Names of the peer calls that ask for updates, ask for the current configuration, and report requests
@@ -76,6 +77,8 @@
 	Crashes []crashtracker.Crash `json:"crashes,omitempty"`
 	// Cleared are the requests whose crashes count no more, likewise.
 	Cleared []identifier.Fingerprint `json:"cleared,omitempty"`
+	// Limits are the request limits of targets that have changed, likewise.
+	Limits []limiter.Report `json:"limits,omitempty"`
 }
 
 // entry is the newest change of a target, and the revision that recorded it.
@@ -101,6 +104,7 @@
 	removedCount  int
 	crashes       []crash
 	cleared       []clearance
+	limits        map[identifier.TargetID]limit
 	outages       int
 	configuration identifier.Offset
 	// packed is the compressed text of the newest configuration.
@@ -113,7 +117,7 @@
 // NewSharer returns an empty sharer.
 func NewSharer() *Sharer {
 	return &Sharer{
-		id: strconv.FormatUint(rand.Uint64(), idBase), entries: map[identifier.TargetID]entry{}, changed: make(chan struct{}),
+		id: strconv.FormatUint(rand.Uint64(), idBase), entries: map[identifier.TargetID]entry{}, limits: map[identifier.TargetID]limit{}, changed: make(chan struct{}),
 	}
 }
 
@@ -167,6 +171,9 @@
 	}
 	s.revision++
 	s.entries[c.ID] = entry{change: c, revision: s.revision}
+	if c.Target == nil {
+		delete(s.limits, c.ID)
+	}
 	wasRemoved := isKnown && before.change.Target == nil
 	switch isRemoved := c.Target == nil; {
 	case isRemoved && !wasRemoved:
@@ -282,5 +289,6 @@
 	}
 	report := s.newCrashes(since)
 	update.Crashes, update.Cleared = report.Crashes, report.Cleared
+	update.Limits = s.newLimits(since)
 	return update, s.changed, nil
 }
--- a/entry/internal/sharer/sharer_test.go
+++ b/entry/internal/sharer/sharer_test.go
@@ -15,6 +15,7 @@
 	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/entry/internal/crashtracker"
+	"fuchsiabridge.example/entry/internal/limiter"
 	"fuchsiabridge.example/entry/internal/sharer"
 )
 
@@ -199,3 +200,31 @@
 	isKept := slices.ContainsFunc(update.Crashes, func(x crashtracker.Crash) bool { return x.Request == 1 && x.Depth == 3 })
 	c.Assert(isKept, qt.IsTrue)
 }
+
+// TestLimitsReachPeers guards against a node that has just started and knows nothing of the limits that others know.
+func TestLimitsReachPeers(t *testing.T) {
+	c := qt.New(t)
+	s := sharer.NewSharer()
+	s.SetReading(true)
+	s.RecordTargets([]describer.TargetChange{{ID: "t", Target: &describer.Target{ID: "t"}}}, true)
+	s.RecordConfiguration(1, bootclock.Now(), nil)
+	first, err := s.Watch(context.Background(), sharer.Query{})
+	c.Assert(err, qt.IsNil)
+	c.Assert(first.Limits, qt.HasLen, 0)
+	limits := func(since sharer.Revision) []limiter.Report {
+		u, err := s.Watch(context.Background(), sharer.Query{Sharer: first.Sharer, Revision: since, Configuration: 1})
+		c.Assert(err, qt.IsNil)
+		return u.Limits
+	}
+	s.RecordLimits([]limiter.Report{{Target: "t", Rate: 5}})
+	c.Assert(limits(first.Revision), qt.HasLen, 1)
+	s.RecordLimits([]limiter.Report{{Target: "t", Rate: 5}, {Target: "t", Rate: 9, AgeMS: 5000}})
+	got := limits(first.Revision)
+	c.Assert(got, qt.HasLen, 1)
+	c.Assert(got[0].Rate, qt.Equals, describer.RequestRate(5))
+	time.Sleep(2 * time.Millisecond)
+	s.RecordLimits([]limiter.Report{{Target: "t", IsEnded: true}})
+	c.Assert(limits(first.Revision)[0].IsEnded, qt.IsTrue)
+	s.RecordTargets([]describer.TargetChange{{ID: "t"}}, false)
+	c.Assert(limits(first.Revision), qt.HasLen, 0)
+}
