Test that few grants are saved up, and that a new holder takes over none

Two faults that were put into the code on purpose, a burst of 12 and grants that a new holder takes over, passed all tests: nodes that ask all the time leave nothing to be saved up. Callers pause in the random conditions now, and both faults fail.

--- a/entry/internal/dispatcher/limit_test.go
+++ b/entry/internal/dispatcher/limit_test.go
@@ -54,7 +54,9 @@
 	// perSecond is the number of requests that arrive per second at all nodes together.
 	perSecond float64
 	paths     []string
-	limits    map[identifier.TargetID][]namedRate
+	// pauseEvery is the time between two pauses of all callers, which last as long; zero for none.
+	pauseEvery time.Duration
+	limits     map[identifier.TargetID][]namedRate
 	// refusals is the share of requests that a limited target refuses as not run; its other answers then do not name
 	// the limit if isNamedByRefusals is set.
 	refusals          float64
@@ -190,6 +192,10 @@
 func (x *limitSimulation) arrive() {
 	wait := time.Duration(x.rnd.ExpFloat64() / x.perSecond * float64(time.Second))
 	x.clock.after(wait, func() {
+		if x.pauseEvery > 0 && (x.clock.now/x.pauseEvery)%2 == 1 {
+			x.arrive()
+			return
+		}
 		node := x.rnd.IntN(len(x.nodes))
 		x.nextCall++
 		call := x.nextCall
@@ -609,8 +615,9 @@
 			refusals: rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "refusals"), breaks: rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "breaks"),
 			malformed: rapid.SampledFrom([]float64{0, 0.2, 0.9}).Draw(t, "malformed"), restartEvery: interval("restarts"), freezeEvery: interval("freezes"),
 			rebalanceEvery: interval("rebalances"), storeEvery: interval("outages"), lostAsks: rapid.SampledFrom([]float64{0, 0.1, 0.5}).Draw(t, "lost"),
-			toldAfter: time.Duration(rapid.SampledFrom([]int{5, 300}).Draw(t, "told_ms")) * time.Millisecond,
-			limits:    map[identifier.TargetID][]namedRate{limitedDraft: rates, limitedPlain: slices.Clone(rates)},
+			pauseEvery: interval("pauses"),
+			toldAfter:  time.Duration(rapid.SampledFrom([]int{5, 300}).Draw(t, "told_ms")) * time.Millisecond,
+			limits:     map[identifier.TargetID][]namedRate{limitedDraft: rates, limitedPlain: slices.Clone(rates)},
 		})
 		for target := range x.limits {
 			if w := x.worst(target); float64(w.got) > w.allowed {
--- a/entry/internal/limiter/buckets_test.go
+++ b/entry/internal/limiter/buckets_test.go
@@ -40,6 +40,17 @@
 	}
 }
 
+// TestFewGrantsAreSavedUp guards against a burst beyond the limit after a time without requests.
+func TestFewGrantsAreSavedUp(t *testing.T) {
+	for _, rate := range []describer.RequestRate{0, 0.5, 3, 100} {
+		c := qt.New(t)
+		b := limiter.NewBuckets()
+		b.Take(at(0), ask(rate), longTenure)
+		granted := len(countGrants(b, longTenure, rate, 60, 64, 0.001))
+		c.Check(float64(granted) <= 4*float64(rate)+5, qt.IsTrue, qt.Commentf("%d grants in 4 s at %g a second", granted, rate))
+	}
+}
+
 // TestTargetWithTinyLimitIsStillTried guards against a limit whose end is never noticed because nothing is sent.
 func TestTargetWithTinyLimitIsStillTried(t *testing.T) {
 	c := qt.New(t)
@@ -52,7 +63,9 @@
 	c := qt.New(t)
 	b := limiter.NewBuckets()
 	b.Take(at(0), ask(10), longTenure)
+	c.Assert(b.Take(at(5), ask(10), longTenure).IsGranted, qt.IsTrue)
 	tenure := limiter.Tenure{Since: at(20), Until: at(1000)}
+	c.Assert(b.Take(at(20), ask(10), tenure).IsGranted, qt.IsFalse)
 	c.Assert(len(countGrants(b, tenure, 10, 20, 22.5, 0.01)) <= 9, qt.IsTrue)
 	c.Assert(len(countGrants(b, tenure, 10, 22.5, 24.5, 0.01)) >= 19, qt.IsTrue)
 }
