--- a/entry/internal/dispatcher/limit_test.go
+++ b/entry/internal/dispatcher/limit_test.go
@@ -270,7 +270,7 @@
 
 // grantCheck checks a target as soon as its limit allows.
 func (x *limitSimulation) grantCheck(node int, e dispatcher.CheckTarget) {
-	report, isLimited := x.nodes[node].dispatcher.Limit(start.Add(x.clock.now), e.Target)
+	report, isLimited := x.nodes[node].dispatcher.RequestLimit(start.Add(x.clock.now), e.Target)
 	if !isLimited {
 		x.check(node, e)
 		return
--- a/entry/internal/dispatcher/limits.go
+++ b/entry/internal/dispatcher/limits.go
@@ -67,9 +67,12 @@
 	d.limits.Keep(func(id identifier.TargetID) bool { return known[id] })
 }
 
-// Limit returns what is known of a target's request limit, and false if it names none. Whoever calls such a target
+// HasRequestLimits reports whether any target names a request limit.
+func (d *Dispatcher) HasRequestLimits() bool { return d.limits.HasLimits() }
+
+// RequestLimit returns what is known of a target's request limit, and false if it names none. Whoever calls such a target
 // needs a grant.
-func (d *Dispatcher) Limit(now time.Time, target identifier.TargetID) (limiter.Report, bool) {
+func (d *Dispatcher) RequestLimit(now time.Time, target identifier.TargetID) (limiter.Report, bool) {
 	return limiter.NewReport(now, target, d.limits.Known(target)), d.limits.IsLimited(target)
 }
 
@@ -82,7 +85,7 @@
 		return d.endUnplaced(now, call, r, targetsLimited)
 	}
 	r.pending = &out
-	report, _ := d.Limit(now, out.Target)
+	report, _ := d.RequestLimit(now, out.Target)
 	return []messenger.Effect{AskGrant{Limit: report}}
 }
 
--- a/entry/internal/limiter/tracker.go
+++ b/entry/internal/limiter/tracker.go
@@ -146,6 +146,16 @@
 	return l != nil && !l.IsEnded
 }
 
+// HasLimits reports whether any target names a limit.
+func (t *Tracker) HasLimits() bool {
+	for _, l := range t.limits {
+		if !l.IsEnded {
+			return true
+		}
+	}
+	return false
+}
+
 // Known returns what is known of a target's limit.
 func (t *Tracker) Known(target identifier.TargetID) Knowledge {
 	if l := t.limits[target]; l != nil {
--- a/entry/internal/relayer/relayer.go
+++ b/entry/internal/relayer/relayer.go
@@ -87,6 +87,8 @@
 	nextCall      atomic.Uint64
 	isLeaving     atomic.Bool
 	limits        atomic.Pointer[describer.Limits]
+	// hasRequestLimits reports whether any target names a request limit.
+	hasRequestLimits atomic.Bool
 
 	mu       sync.Mutex
 	reducer  *composer.Composer
@@ -137,6 +139,7 @@
 		limits := x.dispatch.Limits()
 		x.limits.Store(&limits)
 	}
+	x.hasRequestLimits.Store(x.dispatch.HasRequestLimits())
 	x.mu.Unlock()
 	var rest []messenger.Effect
 	for _, effect := range effects {
@@ -210,11 +213,18 @@
 	x.Submit(placer.StateReported{Target: e.Target, Report: report})
 }
 
-// limit returns what is known of a target's request limit, and false if it names none.
-func (x *Relayer) limit(target identifier.TargetID) (limiter.Report, bool) {
+// answerRead submits the head of an answer if it concerns a request limit.
+func (x *Relayer) answerRead(a limiter.AnswerRead) {
+	if a.Limit.Kind != describer.NoLimit || x.hasRequestLimits.Load() {
+		x.Submit(a)
+	}
+}
+
+// requestLimit returns what is known of a target's request limit, and false if it names none.
+func (x *Relayer) requestLimit(target identifier.TargetID) (limiter.Report, bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.dispatch.Limit(bootclock.Now(), target)
+	return x.dispatch.RequestLimit(bootclock.Now(), target)
 }
 
 // awaitGrant waits until a call to a target is within the target's request limit, and returns false if that takes too long.
@@ -222,7 +232,7 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	for ctx.Err() == nil {
-		known, isLimited := x.limit(target)
+		known, isLimited := x.requestLimit(target)
 		if !isLimited {
 			return true
 		}
@@ -252,9 +262,7 @@
 	defer cancel()
 	sent := bootclock.Now()
 	report, err := x.targets.Report(ctx, address)
-	if report.Limit.Kind != describer.NoLimit {
-		x.Submit(limiter.AnswerRead{Target: target, Kind: limiter.ReportAnswer, Limit: report.Limit, SentAt: sent})
-	}
+	x.answerRead(limiter.AnswerRead{Target: target, Kind: limiter.ReportAnswer, Limit: report.Limit, SentAt: sent})
 	return report, err
 }
 
--- a/entry/internal/relayer/serving.go
+++ b/entry/internal/relayer/serving.go
@@ -17,7 +17,6 @@
 	"fuchsiabridge.example/common/sleeper"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/forwarder"
-	"fuchsiabridge.example/entry/internal/limiter"
 	"fuchsiabridge.example/entry/internal/receiver"
 	"fuchsiabridge.example/entry/internal/tracer"
 	"fuchsiabridge.example/platform/translator"
@@ -40,7 +39,7 @@
 	request := x.translator.ReadRequest(h)
 	s := &servedRequest{
 		x: x, call: identifier.CallID(x.nextCall.Add(1)), caller: c, request: request,
-		exchange: forwarder.NewExchange(c, request, x.pool, x.idle, func(a limiter.AnswerRead) { x.Submit(a) }),
+		exchange: forwarder.NewExchange(c, request, x.pool, x.idle, x.answerRead),
 	}
 	defer s.exchange.Drop()
 	trace, end := tracer.Start(string(h.Peek(tracer.Header)), "request", "request", string(request.ID))
