Log each node's share of the retry slack, and show what it has spent by service

Event 8031 gives the share held, its partitions and generation, and the smallest share of the window; the metrics page gives requests and retries that count, by service. The budgets of a node are one type now (budgeter.Budgets), which the dispatcher only asks; nothing else changes.

--- a/common/describer/status.go
+++ b/common/describer/status.go
@@ -19,6 +19,9 @@
 	// now allows the node beyond the ratio.
 	Open       int `json:"open"`
 	RetryQuota int `json:"repeats"`
+	// RetryShare is the node's share of the retries beyond the ratio, RetryBudgets what it has spent, by service.
+	RetryShare   ShareStatus    `json:"retry_share"`
+	RetryBudgets []BudgetStatus `json:"retry_budgets,omitempty"`
 	// PoisonCandidates counts the attempts that may have crashed a target, RequestsWithCrashes the requests
 	// known to have done so, ConfirmedPoison those of them that are refused.
 	PoisonCandidates    int `json:"poison_candidates"`
@@ -32,6 +35,24 @@
 	Chains     []ChainStatus           `json:"chains"`
 }
 
+// ShareStatus describes a node's share of the retries that all nodes together may make beyond the ratio.
+type ShareStatus struct {
+	// Held is the share that the node holds, HeldMS for how long, in milliseconds; Least is the smallest one that it
+	// held in the window, which counts.
+	Held   int   `json:"held"`
+	HeldMS int64 `json:"held_ms"`
+	Least  int   `json:"least"`
+}
+
+// BudgetStatus describes what a node has spent of a service's retries in the window.
+type BudgetStatus struct {
+	Service  identifier.ServiceID `json:"service"`
+	Requests int                  `json:"requests"`
+	Retries  int                  `json:"retries"`
+	// Allows says that one more retry is allowed.
+	Allows bool `json:"allows"`
+}
+
 // LimitStatus describes the request limit of a target, as far as this node knows.
 type LimitStatus struct {
 	Target identifier.TargetID `json:"target"`
--- a/common/eventlogger/relay.go
+++ b/common/eventlogger/relay.go
@@ -32,6 +32,7 @@
 	RelayedRequestHeld     = Event{8028, "relayed request held back"}
 	TargetLimitChanged     = Event{8029, "request limit of a target changed"}
 	GrantDenied            = Event{8030, "request kept from a target by its limit"}
+	RetryShareChanged      = Event{8031, "share of the retries beyond the ratio changed"}
 )
 
 func relayEvents() []Event {
@@ -66,5 +67,6 @@
 		RelayedRequestHeld,
 		TargetLimitChanged,
 		GrantDenied,
+		RetryShareChanged,
 	}
 }
--- a/entry/internal/budgeter/budgeter.go
+++ b/entry/internal/budgeter/budgeter.go
@@ -42,14 +42,19 @@
 // CountRetry counts a retry.
 func (b *Budget) CountRetry(now time.Time) { b.retries[b.advance(now)]++ }
 
-// Allows reports whether one more retry stays within ratio times the requests in the window, plus quota.
-func (b *Budget) Allows(now time.Time, ratio float64, quota int) bool {
+// count returns the requests and the retries in the window.
+func (b *Budget) count(now time.Time) (requests, retries int) {
 	b.advance(now)
-	requests, retries := 0, 0
 	for i := range bucketCount {
 		requests += b.requests[i]
 		retries += b.retries[i]
 	}
+	return requests, retries
+}
+
+// Allows reports whether one more retry stays within ratio times the requests in the window, plus quota.
+func (b *Budget) Allows(now time.Time, ratio float64, quota int) bool {
+	requests, retries := b.count(now)
 	return float64(retries+1) <= ratio*float64(requests)+float64(quota)
 }
 
@@ -70,12 +75,13 @@
 	retries int
 }
 
-// Set records the share that the node holds from now on.
-func (q *Quota) Set(now time.Time, retries int) {
+// Set records the share that the node holds from now on, and reports whether it has changed.
+func (q *Quota) Set(now time.Time, retries int) bool {
 	if n := len(q.shares); n > 0 && q.shares[n-1].retries == retries {
-		return
+		return false
 	}
 	q.shares = append(q.shares, heldShare{since: now, retries: retries})
+	return true
 }
 
 // Retries returns the smallest share that was held in the window that ends now, 0 if none was
--- a/entry/internal/dispatcher/attempts.go
+++ b/entry/internal/dispatcher/attempts.go
@@ -120,7 +120,7 @@
 		return deadlinePassed
 	case d.crashTracker.IsConfirmed(now, r.fingerprint):
 		return quarantined
-	case !d.budget(r.service).Allows(now, d.cfg.RetryRatio, d.quota.Retries(now)):
+	case !d.retries.Allows(now, r.service):
 		return "retry budget exhausted"
 	}
 	return ""
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -145,16 +145,14 @@
 	trials map[identifier.Fingerprint]time.Time
 	// leaseUntil is until when this node holds the lease, which no two nodes do at the same time.
 	leaseUntil time.Time
-	budgets    map[identifier.ServiceID]*budgeter.Budget
-	// quota is this node's share of the retries that are allowed beyond the ratio.
-	quota *budgeter.Quota
+	retries    *budgeter.Budgets
 }
 
 // NewDispatcher returns a dispatcher without a configuration.
 func NewDispatcher(cfg Config) *Dispatcher {
 	return &Dispatcher{
 		cfg: cfg, chooser: chooser.NewChooser(cfg.DataCentre), crashTracker: crashtracker.NewTracker(), limits: limiter.NewTracker(), requests: map[identifier.CallID]*request{},
-		trials: map[identifier.Fingerprint]time.Time{}, budgets: map[identifier.ServiceID]*budgeter.Budget{}, quota: budgeter.NewQuota(cfg.RetryWindow),
+		trials: map[identifier.Fingerprint]time.Time{}, retries: budgeter.NewBudgets(budgeter.Config{Ratio: cfg.RetryRatio, Window: cfg.RetryWindow}),
 	}
 }
 
@@ -176,7 +174,7 @@
 	case ChainProbed:
 		return d.chainProbed(now, ev)
 	case RetryQuotaChanged:
-		d.quota.Set(now, ev.Retries)
+		return d.setShare(now, ev)
 	case Stopping:
 		d.refuseAt = ev.RefuseAt
 	case registrar.TargetsChanged:
@@ -211,8 +209,9 @@
 // Status returns the state of the dispatcher for the status page.
 func (d *Dispatcher) Status(now time.Time) describer.RelayStatus {
 	s := describer.RelayStatus{
-		IsReady: d.IsReady(now), ConfirmedMSAgo: -1, Open: len(d.requests), RetryQuota: d.quota.Retries(now), Chains: d.chooser.Chains(),
+		IsReady: d.IsReady(now), ConfirmedMSAgo: -1, Open: len(d.requests), RetryShare: d.retries.Share(now), RetryBudgets: d.retries.Status(now), Chains: d.chooser.Chains(),
 	}
+	s.RetryQuota = s.RetryShare.Least
 	s.Targets, s.Leaving, s.Ejected = d.chooser.Counts()
 	s.PoisonCandidates, s.RequestsWithCrashes, s.ConfirmedPoison = d.crashTracker.Counts(now)
 	s.Limits = d.limits.Limits(now)
@@ -359,11 +358,10 @@
 
 // startAttempt counts an attempt and sends it.
 func (d *Dispatcher) startAttempt(now time.Time, r *request, out Send, before crashtracker.History) []messenger.Effect {
-	budget := d.budget(r.service)
 	if r.attempts == 0 {
-		budget.CountRequest(now)
+		d.retries.CountRequest(now, r.service)
 	} else {
-		budget.CountRetry(now)
+		d.retries.CountRetry(now, r.service)
 	}
 	d.limits.CountSend(out.Target)
 	r.attempts++
@@ -408,13 +406,19 @@
 	return r.deadline
 }
 
-func (d *Dispatcher) budget(id identifier.ServiceID) *budgeter.Budget {
-	b, ok := d.budgets[id]
-	if !ok {
-		b = budgeter.NewBudget(d.cfg.RetryWindow)
-		d.budgets[id] = b
+// setShare applies the node's share of the retries beyond the ratio.
+func (d *Dispatcher) setShare(now time.Time, ev RetryQuotaChanged) []messenger.Effect {
+	before := d.retries.Share(now)
+	if !d.retries.SetShare(now, ev.Retries) {
+		return nil
 	}
-	return b
+	return []messenger.Effect{messenger.Log{
+		Event: eventlogger.RetryShareChanged, Subject: "retries",
+		Values: []any{
+			"share", ev.Retries, "former", before.Held, "former_ms", before.HeldMS, "least", before.Least,
+			"partitions", ev.Partitions, "generation", ev.Generation,
+		},
+	}}
 }
 
 // release ends the current attempt, which no longer counts as an open request of its targets.
--- a/entry/internal/dispatcher/messages.go
+++ b/entry/internal/dispatcher/messages.go
@@ -124,7 +124,12 @@
 }
 
 // RetryQuotaChanged is the event that this node's share of the retries beyond the ratio has changed.
-type RetryQuotaChanged struct{ Retries int }
+type RetryQuotaChanged struct {
+	Retries int
+	// Partitions is the number of partitions from which the share follows, and Generation that of the group.
+	Partitions int
+	Generation identifier.FencingToken
+}
 
 // ChainProbed is the event that the first target of a stalled chain answered which targets its
 // requests wait for, or gave no answer.
--- a/entry/internal/follower/lease.go
+++ b/entry/internal/follower/lease.go
@@ -65,7 +65,9 @@
 	f.setTenures(m, until)
 	f.submit(placer.LeaseChanged{IsHeld: slices.Contains(m.Partitions, leasePartition), Fence: m.Generation, Until: until})
 	share := float64(m.PartitionCount) / float64(topics*f.cfg.StorePartitions)
-	f.submit(dispatcher.RetryQuotaChanged{Retries: int(share * float64(f.cfg.RetrySlack))})
+	f.submit(dispatcher.RetryQuotaChanged{
+		Retries: int(share * float64(f.cfg.RetrySlack)), Partitions: m.PartitionCount, Generation: m.Generation,
+	})
 }
 
 func isReaderPartition(partition int) bool { return partition < readerPartitions }
