--- a/entry/internal/budgeter/budgets.go
+++ b/entry/internal/budgeter/budgets.go
@@ -37,6 +37,12 @@
 	return s
 }
 
+// Start notes when the node's process started.
+func (b *Budgets) Start(time.Time) {}
+
+// Stop notes that the node has begun to stop and has left the group.
+func (b *Budgets) Stop(time.Time) {}
+
 // CountRequest counts the first attempt of a request.
 func (b *Budgets) CountRequest(now time.Time, id identifier.ServiceID) { b.of(id).CountRequest(now) }
 
