--- a/entry/internal/budgeter/budgets.go
+++ b/entry/internal/budgeter/budgets.go
@@ -21,6 +21,8 @@
 	cfg      Config
 	services map[identifier.ServiceID]*Budget
 	quota    *Quota
+	// hasLeft says that the node has left the group.
+	hasLeft bool
 }
 
 // NewBudgets returns budgets without requests, and without a share of the quota.
@@ -37,11 +39,11 @@
 	return s
 }
 
-// Start notes when the node's process started.
-func (b *Budgets) Start(time.Time) {}
-
-// Stop notes that the node has begun to stop and has left the group.
-func (b *Budgets) Stop(time.Time) {}
+// Leave gives up the node's share of the quota for good: other nodes receive it.
+func (b *Budgets) Leave(now time.Time) {
+	b.quota.Set(now, 0)
+	b.hasLeft = true
+}
 
 // CountRequest counts the first attempt of a request.
 func (b *Budgets) CountRequest(now time.Time, id identifier.ServiceID) { b.of(id).CountRequest(now) }
@@ -55,7 +57,9 @@
 }
 
 // SetShare records the share of the quota that the node holds from now on, and reports whether it has changed.
-func (b *Budgets) SetShare(now time.Time, retries int) bool { return b.quota.Set(now, retries) }
+func (b *Budgets) SetShare(now time.Time, retries int) bool {
+	return !b.hasLeft && b.quota.Set(now, retries)
+}
 
 // Share returns the share that the node holds, since when, and the smallest one of the window that ends now.
 func (b *Budgets) Share(now time.Time) describer.ShareStatus {
--- a/entry/internal/budgeter/budgets_test.go
+++ b/entry/internal/budgeter/budgets_test.go
@@ -52,7 +52,6 @@
 func (f *fleet) start(n *node, upAt time.Duration) {
 	const never = time.Hour
 	n.Budgets = budgeter.NewBudgets(budgeter.Config{Ratio: ratio, Window: window})
-	n.Start(f.at(f.now))
 	n.upAt, n.leavesAt, n.endsAt = upAt, never, never
 }
 
@@ -79,7 +78,7 @@
 			}
 			if f.now >= n.leavesAt {
 				// A node that has left the group goes on serving for a while.
-				n.Stop(f.at(f.now))
+				n.Leave(f.at(f.now))
 			}
 			if f.now >= n.upAt {
 				serving = append(serving, n)
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -177,6 +177,7 @@
 		return d.setShare(now, ev)
 	case Stopping:
 		d.refuseAt = ev.RefuseAt
+		d.retries.Leave(now)
 	case registrar.TargetsChanged:
 		return d.targetsChanged(now, ev.Targets)
 	case registrar.Ejected:
--- a/entry/internal/dispatcher/dispatcher_test.go
+++ b/entry/internal/dispatcher/dispatcher_test.go
@@ -483,3 +483,16 @@
 		})
 	}
 }
+
+// TestStoppingNodeGivesUpItsRetryShare guards against a share of the retry slack that two nodes spend: the one that
+// stops, and the one that its partitions go to.
+func TestStoppingNodeGivesUpItsRetryShare(t *testing.T) {
+	c := qt.New(t)
+	d := readyHarness()
+	d.apply(0, dispatcher.RetryQuotaChanged{Retries: 20, Partitions: 24, Generation: 3})
+	c.Assert(d.dispatcher.Status(start.Add(retryWindow)).RetryQuota, qt.Equals, 20)
+	d.apply(retryWindow, dispatcher.Stopping{RefuseAt: start.Add(2 * retryWindow)})
+	c.Assert(d.dispatcher.Status(start.Add(retryWindow)).RetryQuota, qt.Equals, 0)
+	d.apply(retryWindow, dispatcher.RetryQuotaChanged{Retries: 20})
+	c.Assert(d.dispatcher.Status(start.Add(3*retryWindow)).RetryQuota, qt.Equals, 0)
+}
