--- a/entry/internal/budgeter/budgeter.go
+++ b/entry/internal/budgeter/budgeter.go
@@ -4,11 +4,14 @@
 
 import "time"
 
-// bucketCount is the number of buckets: ten that make up the window and the current one, which
-// is still being filled.
-const bucketCount = 11
+const (
+	// windowBuckets is the number of buckets that make up a window.
+	windowBuckets = 10
+	// bucketCount is the number of buckets: two windows and the current bucket, which is still being filled.
+	bucketCount = 2*windowBuckets + 1
+)
 
-// Budget counts the requests of a service and their retries in a sliding window.
+// Budget counts the requests of a service and their retries.
 type Budget struct {
 	bucketLength time.Duration
 	// currentBucket is the number of the current bucket, counted from the Unix epoch.
@@ -19,10 +22,10 @@
 
 // NewBudget returns an empty budget.
 func NewBudget(window time.Duration) *Budget {
-	return &Budget{bucketLength: window / (bucketCount - 1)}
+	return &Budget{bucketLength: window / windowBuckets}
 }
 
-// advance clears the buckets that have left the window and returns the index of the current one.
+// advance clears the buckets that are too old and returns the index of the current one.
 func (b *Budget) advance(now time.Time) int {
 	at := now.UnixNano() / int64(b.bucketLength)
 	if at-b.currentBucket > bucketCount {
@@ -42,17 +45,30 @@
 // CountRetry counts a retry.
 func (b *Budget) CountRetry(now time.Time) { b.retries[b.advance(now)]++ }
 
-// count returns the requests and the retries in the window.
+// count returns the requests that earn retries now, and the retries of at least one window.
+//
+// The requests are those of a whole window, the one with the fewest of all that have ended within the last window. So
+// for any window, the retries of all nodes are earned by the requests of one and the same window before it, also if
+// requests have moved between nodes since, and a node that has just started has earned none.
 func (b *Budget) count(now time.Time) (requests, retries int) {
-	b.advance(now)
-	for i := range bucketCount {
-		requests += b.requests[i]
-		retries += b.retries[i]
+	current := b.advance(now)
+	bucket := func(age int) int { return (current - age + bucketCount) % bucketCount }
+	for age := range windowBuckets + 1 {
+		retries += b.retries[bucket(age)]
+	}
+	sum := 0
+	for age := 1; age <= windowBuckets; age++ {
+		sum += b.requests[bucket(age)]
+	}
+	requests = sum
+	for age := 1; age <= windowBuckets; age++ {
+		sum += b.requests[bucket(age+windowBuckets)] - b.requests[bucket(age)]
+		requests = min(requests, sum)
 	}
 	return requests, retries
 }
 
-// Allows reports whether one more retry stays within ratio times the requests in the window, plus quota.
+// Allows reports whether one more retry stays within ratio times the requests that count, plus quota.
 func (b *Budget) Allows(now time.Time, ratio float64, quota int) bool {
 	requests, retries := b.count(now)
 	return float64(retries+1) <= ratio*float64(requests)+float64(quota)
