Store a poison request again that is confirmed again

Left open by the postmortem of the poison request. Cause: KeepPoison remembered forever what it had stored, so a request that the same node confirmed again after its quarantine was lost with a restart of all nodes, and the record of one that went on crashing targets kept its first time. Each is stored again after ten minutes now, and what is remembered is pruned. TestPoisonConfirmedAgainIsStoredAgain failed before (one write in 2 s, two expected).

--- a/entry/internal/crashreporter/crashreporter.go
+++ b/entry/internal/crashreporter/crashreporter.go
@@ -72,6 +72,8 @@
 	Readers Readers
 	Store   Store
 	Sharer  *sharer.Sharer
+	// SaveInterval is the time between two writes of one poison request to the store, defaultSaveInterval if it is zero.
+	SaveInterval time.Duration
 	// Submit passes events to the reducer.
 	Submit func(messenger.Event)
 }
@@ -86,6 +88,9 @@
 
 // NewReporter returns a reporter that reports nothing yet.
 func NewReporter(cfg Config) *Reporter {
+	if cfg.SaveInterval == 0 {
+		cfg.SaveInterval = defaultSaveInterval
+	}
 	return &Reporter{
 		cfg:     cfg,
 		reports: make(chan sharer.CrashReport, maxQueuedCrashes), poison: make(chan crashtracker.Crash, maxQueuedPoison),
--- a/entry/internal/crashreporter/poison.go
+++ b/entry/internal/crashreporter/poison.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
+	"fuchsiabridge.example/common/bootclock"
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/sleeper"
@@ -21,6 +23,8 @@
 	storeTimeout    = 700 * time.Millisecond
 	minStoreBackoff = 150 * time.Millisecond
 	maxStoreBackoff = 2 * time.Second
+	// defaultSaveInterval is well under the time for which a confirmed request is refused.
+	defaultSaveInterval = 10 * time.Minute
 )
 
 // SavePoison queues a crash that has confirmed its request as poison. KeepPoison stores it, so that it is
@@ -41,17 +45,19 @@
 	}
 }
 
-// KeepPoison stores the queued poison requests until ctx ends.
+// KeepPoison stores the queued poison requests until ctx ends, each once in SaveInterval.
 func (r *Reporter) KeepPoison(ctx context.Context) {
-	saved := map[identifier.Fingerprint]bool{}
+	nextSaveAt := map[identifier.Fingerprint]time.Time{}
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 		case c := <-r.poison:
-			if saved[c.Request] {
+			now := bootclock.Now()
+			maps.DeleteFunc(nextSaveAt, func(_ identifier.Fingerprint, at time.Time) bool { return !now.Before(at) })
+			if _, ok := nextSaveAt[c.Request]; ok {
 				continue
 			}
-			saved[c.Request] = true
+			nextSaveAt[c.Request] = now.Add(r.cfg.SaveInterval)
 			r.persist(ctx, "storing a poison request", func(ctx context.Context) error {
 				return r.cfg.Store.PutPoison(ctx, storecaller.Poison{
 					Request: c.Request, Target: c.Target, Incarnation: c.Incarnation, ConfirmedAt: time.Now(),
