--- a/entry/internal/dispatcher/crashes.go
+++ b/entry/internal/dispatcher/crashes.go
@@ -94,12 +94,17 @@
 	return append(effects, d.reportCrashes(now, found.Crashes)...)
 }
 
+// clearCrashes drops the crashes and the trial of a request, and reports whether it had crashes.
+func (d *Dispatcher) clearCrashes(request identifier.Fingerprint) bool {
+	delete(d.trials, request)
+	return d.crashTracker.Clear(request)
+}
+
 // clearRequest drops the crashes of a request that was answered, here and at the other nodes.
 func (d *Dispatcher) clearRequest(r *request) []messenger.Effect {
-	if !d.crashTracker.Clear(r.fingerprint) {
+	if !d.clearCrashes(r.fingerprint) {
 		return nil
 	}
-	delete(d.trials, r.fingerprint)
 	return []messenger.Effect{
 		ReportCrashes{Cleared: []identifier.Fingerprint{r.fingerprint}},
 		messenger.Log{
@@ -116,8 +121,9 @@
 	effects := []messenger.Effect{ReportCrashes{Crashes: crashes}}
 	for _, c := range crashes {
 		delete(d.trials, c.Request)
-		effects = append(effects, d.logCrash(now, c, "this node")...)
-		if d.crashTracker.IsConfirmed(now, c.Request) {
+		isConfirmed := d.crashTracker.IsConfirmed(now, c.Request)
+		effects = append(effects, logCrash(c, "this node", isConfirmed)...)
+		if isConfirmed {
 			effects = append(effects, SavePoison{Crash: c})
 		}
 	}
@@ -128,8 +134,7 @@
 // makes many reports, so only those of further crashes in a row are logged one by one.
 func (d *Dispatcher) crashesReported(now time.Time, ev CrashesReported) []messenger.Effect {
 	for _, request := range ev.Cleared {
-		d.crashTracker.Clear(request)
-		delete(d.trials, request)
+		d.clearCrashes(request)
 	}
 	var effects []messenger.Effect
 	newCrashes := 0
@@ -139,11 +144,12 @@
 		}
 		newCrashes++
 		delete(d.trials, c.Request)
+		isConfirmed := d.crashTracker.IsConfirmed(now, c.Request)
 		if c.Depth > 1 {
-			effects = append(effects, d.logCrash(now, c, "a peer")...)
+			effects = append(effects, logCrash(c, "a peer", isConfirmed)...)
 		}
 		// Crashes of several nodes may confirm a request together, so that none of these nodes stores it.
-		if now.Before(d.leaseUntil) && d.crashTracker.IsConfirmed(now, c.Request) {
+		if now.Before(d.leaseUntil) && isConfirmed {
 			effects = append(effects, SavePoison{Crash: c})
 		}
 	}
@@ -156,12 +162,12 @@
 }
 
 // logCrash logs a crash, and that the request is confirmed as poison if it now is.
-func (d *Dispatcher) logCrash(now time.Time, c crashtracker.Crash, seenBy string) []messenger.Effect {
+func logCrash(c crashtracker.Crash, seenBy string, isConfirmed bool) []messenger.Effect {
 	effects := []messenger.Effect{messenger.Log{
 		Event: eventlogger.RequestCrashedTarget, Subject: "target/" + string(c.Target),
 		Values: []any{fingerprintKey, c.Request, "born", c.Incarnation, "depth", c.Depth, "age_ms", c.AgeMS, "seen_by", seenBy},
 	}}
-	if d.crashTracker.IsConfirmed(now, c.Request) {
+	if isConfirmed {
 		effects = append(effects, messenger.Log{
 			Event: eventlogger.RelayedPoisonConfirmed, Subject: "target/" + string(c.Target),
 			Values: []any{fingerprintKey, c.Request, "seen_by", seenBy},
