Draw request limits in the relay soak

Targets name limits of 0 to 10 requests a second, end them or make them unreadable, among the other faults; the arrivals at each are checked against the users' bound, but for those of nodes that were paused or restarted within 3 s.

--- a/integration/relay_limit_test.go
+++ b/integration/relay_limit_test.go
@@ -57,8 +57,8 @@
 // count returns how many requests and checks a target got between two times.
 func (s *limitRun) count(target string, from, to time.Time) int {
 	n := 0
-	for _, at := range s.fleet.Arrivals(target) {
-		if !at.Before(from) && at.Before(to) {
+	for _, a := range s.fleet.Arrivals(target) {
+		if !a.At.Before(from) && a.At.Before(to) {
 			n++
 		}
 	}
@@ -69,9 +69,9 @@
 func (s *limitRun) checkBound(target string, rate float64, from, to time.Time) {
 	allowed := limitFactor*rate*limitWindow.Seconds() + limitSlack
 	worst := 0
-	for _, at := range s.fleet.Arrivals(target) {
-		if at.After(from) && at.Add(limitWindow).Before(to) {
-			worst = max(worst, s.count(target, at, at.Add(limitWindow)))
+	for _, a := range s.fleet.Arrivals(target) {
+		if a.At.After(from) && a.At.Add(limitWindow).Before(to) {
+			worst = max(worst, s.count(target, a.At, a.At.Add(limitWindow)))
 		}
 	}
 	total := s.count(target, from, to)
--- a/integration/relay_soak_test.go
+++ b/integration/relay_soak_test.go
@@ -37,6 +37,7 @@
 // and for requests without an answer.
 type soakResult struct {
 	id, path, key string
+	node          int
 	sentAt        time.Time
 	status        int
 	isComplete    bool
@@ -57,14 +58,17 @@
 	// keys holds all keys published so far, oldest first, and version the newest configuration's number.
 	keys    []string
 	version int
+	// limits holds the request limits that targets have named, and excused when each node was last disturbed.
+	limits  []soakLimit
+	excused map[int][]time.Time
 	// revoked holds, by key, when the store accepted the first configuration without it.
 	revoked map[string]time.Time
 }
 
 // TestRelaySoak injects random faults, alone and overlapping, under load, and checks the guarantees
 // against what callers and targets have recorded: no request that was refused as not run has run, no
-// POST runs twice, no revoked key is accepted beyond the limit, drafts run on valid chains, and orders
-// respect fencing and memory. SOAK sets the duration, SEED the seed of the random numbers.
+// POST runs twice, no revoked key is accepted beyond the limit, drafts run on valid chains, request limits of
+// targets are kept by all nodes together, and orders respect fencing and memory. SOAK sets the duration, SEED the seed of the random numbers.
 func TestRelaySoak(t *testing.T) {
 	seed, length := uint64(20261203), relaySoakDuration
 	if v, err := strconv.ParseUint(os.Getenv("SEED"), 10, 64); err == nil {
@@ -100,7 +104,7 @@
 	c.Assert(err, qt.IsNil)
 	s := &relaySoak{
 		relayFixture: &relayFixture{C: c, store: store, fleet: targetfaker.NewFleet(ctx, store)},
-		t:            t, f: launcher.NewRelayFleet(t), rng: rand.New(rand.NewPCG(seed, 0)), revoked: map[string]time.Time{},
+		t:            t, f: launcher.NewRelayFleet(t), rng: rand.New(rand.NewPCG(seed, 0)), revoked: map[string]time.Time{}, excused: map[int][]time.Time{},
 	}
 	s.publishConfiguration("key-0")
 	for _, dc := range []string{"a", "b", "c"} {
@@ -151,9 +155,10 @@
 func (s *relaySoak) sendRequests(caller int, rnd *rand.Rand) {
 	for n := 0; time.Now().Before(s.until); n++ {
 		s.mu.Lock()
-		node := s.nodes[rnd.IntN(len(s.nodes))]
+		i := rnd.IntN(len(s.nodes))
+		node := s.nodes[i]
 		// Callers may use one of the last three keys, so also a key that has just been revoked.
-		a := soakResult{id: fmt.Sprintf("r%d-%d", caller, n), key: s.keys[max(0, len(s.keys)-1-rnd.IntN(3))], sentAt: time.Now()}
+		a := soakResult{id: fmt.Sprintf("r%d-%d", caller, n), node: i, key: s.keys[max(0, len(s.keys)-1-rnd.IntN(3))], sentAt: time.Now()}
 		s.mu.Unlock()
 		a.path = []string{"/draft/x", "/draft/x", "/post/1", "/view/1"}[rnd.IntN(4)]
 		ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
@@ -191,22 +196,25 @@
 func (s *relaySoak) injectFault(n int) {
 	i := s.rng.IntN(len(s.nodes))
 	dc := string(rune('a' + s.rng.IntN(3)))
-	kind := s.rng.IntN(11)
+	kind := s.rng.IntN(12)
 	s.t.Logf("%s fault %d at node %d, data centre %s", time.Now().Format("05.000"), kind, i, dc)
 	switch kind {
 	case 0:
 		s.nodes[i].Pause()
 		time.Sleep(time.Duration(s.rng.IntN(1500)) * time.Millisecond)
 		s.nodes[i].Resume()
+		s.excuse(i)
 	case 1:
 		s.nodes[i].Kill()
 		s.restart(i)
+		s.excuse(i)
 	case 2:
 		s.nodes[i].Stop()
 		if _, ended := s.nodes[i].AwaitExit(6 * time.Second); !ended {
 			s.t.Errorf("node %d did not exit within 6 s of SIGTERM", i)
 		}
 		s.restart(i)
+		s.excuse(i)
 	case 3:
 		s.f.SetFault(s.proxies[i], map[string]any{"silence_open": true})
 	case 4:
@@ -225,6 +233,8 @@
 		s.store.Rebalance()
 	case 10:
 		s.misbehave(dc)
+	case 11:
+		s.changeLimit(dc)
 	}
 }
 
@@ -265,6 +275,7 @@
 
 // clearFaults ends all faults and waits until every node serves drafts again.
 func (s *relaySoak) clearFaults() {
+	s.endLimits()
 	s.store.SetFault(storefaker.None)
 	for i := range s.nodes {
 		s.f.SetFault(s.proxies[i], map[string]any{})
@@ -300,6 +311,7 @@
 		}
 	}
 	s.checkOrders()
+	s.checkLimits()
 	s.t.Logf("seed %d: %d requests, %d complete, %d refused", seed, len(s.results), served, refused)
 }
 
