--- a/entry/internal/dispatcher/limits.go
+++ b/entry/internal/dispatcher/limits.go
@@ -123,6 +123,7 @@
 func (d *Dispatcher) startGranted(now time.Time, call identifier.CallID, r *request, out Send) []messenger.Effect {
 	before := d.crashTracker.History(now, r.fingerprint)
 	if d.mustHold(now, r, before) {
+		r.askUntil = time.Time{}
 		return d.hold(now, call, r)
 	}
 	out.NewConn = out.NewConn || before.Depth > 0
--- a/entry/internal/granter/granter.go
+++ b/entry/internal/granter/granter.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"sync"
 	"time"
 
@@ -185,14 +186,19 @@
 	until := now.Add(silentHolderDelay)
 	if ctx.Err() == nil {
 		eventlogger.Error(err, eventlogger.CallFailed, "doing", "asking a peer for a grant", "peer", holder.Node, "address", holder.Address)
-		g.mu.Lock()
-		g.silentUntil[holder.Address] = until
-		g.mu.Unlock()
+		g.setSilent(holder.Address, now, until)
 		g.requestLookup()
 	}
 	return Answer{Until: until, Reason: ReasonSilentHolder}
 }
 
+func (g *Granter) setSilent(address string, now, until time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	maps.DeleteFunc(g.silentUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
+	g.silentUntil[address] = until
+}
+
 func (g *Granter) silence(address string) time.Time {
 	g.mu.Lock()
 	defer g.mu.Unlock()
