--- a/integration/relay_limit_test.go
+++ b/integration/relay_limit_test.go
@@ -20,6 +20,8 @@
 	limitWindow = 4 * time.Second
 	limitFactor = 1.5
 	limitSlack  = 5
+	// limitKnown is the time after which a node that has passed on an answer must keep the limit that it names.
+	limitKnown = 500 * time.Millisecond
 	// minLimitUsed is the part of the allowance that must be used while more requests than that arrive.
 	minLimitUsed = 0.5
 	// maxLimitReuse is the time after the end of a limit within which the target must be used fully again.
