Ask for grants over connections of their own, and finish the question when the caller leaves

Found by reading: a call between nodes that is cancelled or gets no answer in time closes its connection, which carried the updates from the node that reads the store too. A caller that disconnected during the 1 to 2 ms of a question, or a holder that took over 150 ms to answer, would have made this node lose its updates for a moment and read the store itself. TestCallerThatLeavesCutsNoPeerConnection failed before (the call ended with the caller). Only nodes whose targets name limits ask.

--- a/entry/internal/commander/relay.go
+++ b/entry/internal/commander/relay.go
@@ -169,8 +169,10 @@
 	n.reporter = crashreporter.NewReporter(crashreporter.Config{
 		Self: values.Text("peer-listen"), Peers: n.peers, Readers: n.follower, Store: store, Sharer: updates, Submit: n.relayer.Submit,
 	})
+	// A question for a grant that gets no answer in time closes its connection, so these have connections of their own.
+	questions := peercaller.NewCaller(nil, nil)
 	n.granter = granter.NewGranter(granter.Config{
-		Self: values.Text("peer-listen"), Partitions: values.Number("store-parts"), Peers: n.peers, Holders: n.follower, Recorder: updates, Submit: n.relayer.Submit,
+		Self: values.Text("peer-listen"), Partitions: values.Number("store-parts"), Peers: questions, Holders: n.follower, Recorder: updates, Submit: n.relayer.Submit,
 	})
 	return n
 }
--- a/entry/internal/granter/granter.go
+++ b/entry/internal/granter/granter.go
@@ -136,7 +136,7 @@
 	}
 	grant, err := g.call(ctx, holder.Address, limiter.Ask{Report: asked})
 	if err != nil {
-		return g.silent(ctx, holder, err)
+		return g.silent(holder, err)
 	}
 	if grant.IsNotHolder {
 		g.requestLookup()
@@ -172,23 +172,22 @@
 	return g.buckets.Take(bootclock.Now(), asked, tenure), true
 }
 
+// call asks another node. It goes on if ctx is cancelled, because a cancelled call closes the connection to the peer.
 func (g *Granter) call(ctx context.Context, address string, asked limiter.Ask) (limiter.Grant, error) {
-	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), grantTimeout)
 	defer cancel()
 	var grant limiter.Grant
 	err := g.cfg.Peers.Call(ctx, address, GrantMethod, asked, &grant)
 	return grant, err
 }
 
-// silent denies a grant because the holder did not answer, which says nothing about it if the caller has left.
-func (g *Granter) silent(ctx context.Context, holder storecaller.Member, err error) Answer {
+// silent denies a grant because the holder did not answer.
+func (g *Granter) silent(holder storecaller.Member, err error) Answer {
 	now := bootclock.Now()
 	until := now.Add(silentHolderDelay)
-	if ctx.Err() == nil {
-		eventlogger.Error(err, eventlogger.CallFailed, "doing", "asking a peer for a grant", "peer", holder.Node, "address", holder.Address)
-		g.setSilent(holder.Address, now, until)
-		g.requestLookup()
-	}
+	eventlogger.Error(err, eventlogger.CallFailed, "doing", "asking a peer for a grant", "peer", holder.Node, "address", holder.Address)
+	g.setSilent(holder.Address, now, until)
+	g.requestLookup()
 	return Answer{Until: until, Reason: ReasonSilentHolder}
 }
 
--- a/entry/internal/granter/granter_test.go
+++ b/entry/internal/granter/granter_test.go
@@ -42,6 +42,8 @@
 	believed string
 	lookups  int
 	learned  []limiter.Report
+	// callEndedBy is why the last call without an answer ended.
+	callEndedBy error
 }
 
 func newFleet(t *testing.T, addresses ...string) *fleet {
@@ -73,6 +75,9 @@
 	n.fleet.mu.Unlock()
 	if isSilent {
 		<-ctx.Done()
+		n.mu.Lock()
+		n.callEndedBy = ctx.Err()
+		n.mu.Unlock()
 		return errLost
 	}
 	raw, err := json.Marshal(params)
@@ -208,6 +213,20 @@
 	c.Assert(time.Since(began) < 400*time.Millisecond, qt.IsTrue)
 }
 
+// TestCallerThatLeavesCutsNoPeerConnection guards against a caller that disconnects during a question to a peer, and so
+// closes the connection that others use: a call that is cancelled closes it.
+func TestCallerThatLeavesCutsNoPeerConnection(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(t, "a", "b")
+	awaitGrant(c, f.nodes["b"], time.Second)
+	f.setSilent("a")
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(10*time.Millisecond, cancel)
+	f.nodes["b"].Grant(ctx, report())
+	c.Assert(f.nodes["b"].callEndedBy, qt.Equals, context.DeadlineExceeded)
+	c.Assert(f.nodes["b"].Grant(context.Background(), report()).Reason, qt.Equals, granter.ReasonSilentHolder)
+}
+
 // TestExpiredHolderIsLookedUp guards against a node that stays with a holder whose lease has ended.
 func TestExpiredHolderIsLookedUp(t *testing.T) {
 	c := qt.New(t)
