Write the engine stand-in's ledger before its answers

The trace: the draft had been delivered whole; the stand-in sends the results of a batch before it writes them to the ledger, which the test reads as soon as the last token is there. With a delay of 20 ms put before the write, the test failed 3 of 3 times; with the write before the results, and the same delay, it passed 3 of 3. The product is not touched.

--- a/fbstandin/internal/enginefaker/engine.go
+++ b/fbstandin/internal/enginefaker/engine.go
@@ -216,20 +216,26 @@
 	return base * time.Duration(percent) / 100
 }
 
+// runBatch runs the steps of a batch. Their results are sent once the ledger holds them, so that it is complete when a
+// caller has its answer.
 func (e *Engine) runBatch(batch []queuedStep) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	var lines []any
+	results := make([]enginecaller.StepResult, 0, len(batch))
 	for _, p := range batch {
 		result, line := e.runStep(p.step)
 		if line != nil {
 			lines = append(lines, *line)
 		}
-		p.done <- result
+		results = append(results, result)
 	}
 	if err := e.ledger.Write(lines...); err != nil {
 		klog.Fatal(err)
 	}
+	for i, p := range batch {
+		p.done <- results[i]
+	}
 	e.running = 0
 }
 
