--- a/common/eventlogger/relay.go
+++ b/common/eventlogger/relay.go
@@ -33,6 +33,7 @@
 	TargetLimitChanged     = Event{8029, "request limit of a target changed"}
 	GrantDenied            = Event{8030, "request kept from a target by its limit"}
 	RetryShareChanged      = Event{8031, "share of the retries beyond the ratio changed"}
+	AttemptSurvived        = Event{8032, "targets have survived an attempt"}
 )
 
 func relayEvents() []Event {
@@ -68,5 +69,6 @@
 		TargetLimitChanged,
 		GrantDenied,
 		RetryShareChanged,
+		AttemptSurvived,
 	}
 }
--- a/entry/internal/crashtracker/checks.go
+++ b/entry/internal/crashtracker/checks.go
@@ -87,10 +87,40 @@
 func (t *Tracker) dropExpired(now time.Time) {
 	t.candidates = slices.DeleteFunc(t.candidates, func(a candidate) bool {
 		isOpen := func(id identifier.TargetID) bool { return !t.hasSurvived(id, a.Attempt) }
-		return now.Sub(a.EndedAt) > candidateMaxAge || !slices.ContainsFunc(a.open, isOpen)
+		if slices.ContainsFunc(a.open, isOpen) {
+			return now.Sub(a.EndedAt) > candidateMaxAge
+		}
+		t.noteSurvival(a)
+		return true
 	})
 }
 
+// Survival says that all targets of an attempt that ended without a complete answer were alive after it.
+type Survival struct {
+	Request identifier.Fingerprint
+	// Target is the first target of the attempt.
+	Target identifier.TargetID
+	// AliveAfter is the time from the end of the attempt to when all of them were alive.
+	AliveAfter time.Duration
+}
+
+func (t *Tracker) noteSurvival(a candidate) {
+	s := Survival{Request: a.Request, Target: a.Targets[0], AliveAfter: candidateMaxAge}
+	for _, id := range a.open {
+		s.AliveAfter = min(s.AliveAfter, t.targets[id].aliveAt.Sub(a.EndedAt))
+	}
+	if len(t.survivals) < maxCandidates {
+		t.survivals = append(t.survivals, s)
+	}
+}
+
+// TakeSurvivals returns the survivals since the last call.
+func (t *Tracker) TakeSurvivals() []Survival {
+	out := t.survivals
+	t.survivals = nil
+	return out
+}
+
 // CheckAnswered applies the answer of a target to the last check: it lives, under the given
 // incarnation, or the one that is known if that is 0.
 func (t *Tracker) CheckAnswered(now time.Time, id identifier.TargetID, number int64) Findings {
--- a/entry/internal/crashtracker/crashtracker.go
+++ b/entry/internal/crashtracker/crashtracker.go
@@ -103,6 +103,7 @@
 	candidates []candidate
 	records    map[identifier.Fingerprint]*record
 	checks     checkLimit
+	survivals  []Survival
 }
 
 // NewTracker returns a tracker that knows nothing.
--- a/entry/internal/dispatcher/attempts.go
+++ b/entry/internal/dispatcher/attempts.go
@@ -325,6 +325,6 @@
 func (d *Dispatcher) logAttempt(now time.Time, r *request, ev AttemptReported, isCandidate bool) messenger.Effect {
 	return messenger.Log{Event: eventlogger.AttemptEnded, Subject: "request/" + string(r.id), Values: []any{
 		"outcome", ev.Outcome, "target", r.target, "status", ev.Status, reasonKey, ev.Reason, "fault", ev.FaultAddress,
-		"took_ms", now.Sub(r.sent).Milliseconds(), "events", ev.Events, fingerprintKey, r.fingerprint, "candidate", isCandidate,
+		"took_ms", now.Sub(r.sent).Milliseconds(), "events", ev.Events, fingerprintKey, r.fingerprint, groupKey, r.group, "candidate", isCandidate,
 	}}
 }
--- a/entry/internal/dispatcher/crashes.go
+++ b/entry/internal/dispatcher/crashes.go
@@ -54,6 +54,12 @@
 	for _, c := range d.crashTracker.DueChecks(now) {
 		effects = append(effects, CheckTarget{Target: c.Target, Address: c.Address})
 	}
+	for _, s := range d.crashTracker.TakeSurvivals() {
+		effects = append(effects, messenger.Log{
+			Event: eventlogger.AttemptSurvived, Subject: "target/" + string(s.Target),
+			Values: []any{fingerprintKey, s.Request, "alive_ms", s.AliveAfter.Milliseconds()},
+		})
+	}
 	return effects
 }
 
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -88,6 +88,8 @@
 	deadline time.Time
 	// fingerprint identifies requests of the same client account with the same content.
 	fingerprint identifier.Fingerprint
+	// group identifies requests of the same client account with the same path and body, whatever their method, host and query.
+	group identifier.Fingerprint
 	// seed determines the jitter of the Retry-After delay.
 	seed uint64
 	// attempts counts all attempts, executions only those that may have run.
@@ -304,6 +306,7 @@
 		r.account = account.ID
 	}
 	r.fingerprint = callerFingerprint(ev.Fingerprint, r.account)
+	r.group = callerFingerprint(ev.Group, r.account)
 	if d.crashTracker.IsConfirmed(now, r.fingerprint) {
 		return d.refuse(now, ev.Call, http.StatusBadGateway, 0, quarantined)
 	}
@@ -466,7 +469,7 @@
 	d.release(r)
 	delete(d.requests, call)
 	values := []any{"status", status, reasonKey, reason, "took_ms", now.Sub(r.arrived).Milliseconds(), sendsKey, r.attempts, "runs", r.executions,
-		"first_ms", r.firstByte.Milliseconds(), "longest_gap_ms", r.longestGap.Milliseconds(), "events", r.events, fingerprintKey, r.fingerprint}
+		"first_ms", r.firstByte.Milliseconds(), "longest_gap_ms", r.longestGap.Milliseconds(), "events", r.events, fingerprintKey, r.fingerprint, groupKey, r.group}
 	if r.route != nil {
 		values = append(values, "route", r.route.ID, "account", r.account, "service", r.service)
 	}
--- a/entry/internal/dispatcher/logkeys.go
+++ b/entry/internal/dispatcher/logkeys.go
@@ -3,6 +3,7 @@
 // Keys in logs that several events share.
 const (
 	fingerprintKey = "fingerprint"
+	groupKey       = "group"
 	reasonKey      = "reason"
 	sendsKey       = "sends"
 )
--- a/entry/internal/dispatcher/messages.go
+++ b/entry/internal/dispatcher/messages.go
@@ -30,6 +30,8 @@
 	Deadline time.Time
 	// Fingerprint is the same for requests with the same method, host, path and body.
 	Fingerprint identifier.Fingerprint
+	// Group is the same for requests with the same path, without its query, and body.
+	Group identifier.Fingerprint
 	// Seed is a random number for weighted and randomized choices.
 	Seed uint64
 }
--- a/entry/internal/relayer/serving.go
+++ b/entry/internal/relayer/serving.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"bytes"
 	"context"
 	"math/rand/v2"
 	"strconv"
@@ -47,7 +48,7 @@
 	s.trace = trace
 	arrived := dispatcher.RequestArrived{
 		Call: s.call, ID: request.ID, Host: string(h.Host()), Path: string(h.RequestURI()),
-		Key: request.Key, Seed: rand.Uint64(), Fingerprint: fingerprint(c),
+		Key: request.Key, Seed: rand.Uint64(), Fingerprint: fingerprint(h.Method(), h.Host(), h.RequestURI(), c.Body()), Group: fingerprint(path(h), c.Body()),
 	}
 	if request.Timeout > 0 {
 		arrived.Deadline = bootclock.Now().Add(request.Timeout)
@@ -57,19 +58,24 @@
 	}
 }
 
-// fingerprint identifies requests with the same method, host, path and body.
-func fingerprint(c *receiver.Call) identifier.Fingerprint {
-	h := c.Header()
+// fingerprint returns a hash of some parts of a request.
+func fingerprint(parts ...[]byte) identifier.Fingerprint {
 	var d xxhash.Digest
 	d.Reset()
-	for _, field := range [][]byte{h.Method(), h.Host(), h.RequestURI(), c.Body()} {
+	for _, part := range parts {
 		// Writing to a digest never fails.
-		_, _ = d.Write(field)
+		_, _ = d.Write(part)
 		_, _ = d.Write([]byte{0})
 	}
 	return identifier.Fingerprint(d.Sum64())
 }
 
+// path returns the path of a request without its query.
+func path(h *fasthttp.RequestHeader) []byte {
+	path, _, _ := bytes.Cut(h.RequestURI(), []byte("?"))
+	return path
+}
+
 // run executes one effect and returns the effects that follow from its result.
 func (s *servedRequest) run(ctx context.Context, effect messenger.Effect) []messenger.Effect {
 	switch e := effect.(type) {
--- a/integration/relay_poison_test.go
+++ b/integration/relay_poison_test.go
@@ -73,6 +73,10 @@
 		disturb()
 	})
 	wg.Wait()
+	s.countServed()
+}
+
+func (s *poisonRun) countServed() {
 	for _, a := range s.results {
 		if a.isComplete {
 			s.served++
