--- a/entry/internal/dispatcher/poison_test.go
+++ b/entry/internal/dispatcher/poison_test.go
@@ -32,6 +32,7 @@
 	entryLifetime = 3 * heartbeat
 	dialTimeout   = 400 * time.Millisecond
 	hop           = time.Millisecond
+	slowRun       = 75 * time.Millisecond
 
 	poison   identifier.Fingerprint = 7
 	innocent identifier.Fingerprint = 8
@@ -46,6 +47,9 @@
 	silence          crashMode = "silence"
 	afterCallerLeft  crashMode = "after the caller left"
 	lastStageOfChain crashMode = "the last stage of the chain crashes"
+	// The target runs the request for slowRun before it crashes.
+	afterSecondSend   crashMode = "connection reset after the request was sent to a second target"
+	longAfterCallLeft crashMode = "some time after the caller left"
 )
 
 // scenario is one run of a poison request against a few nodes.
@@ -69,6 +73,8 @@
 	// isKnownFirst makes an ordinary request meet the crashed target before the broken attempt is reported.
 	isKnownFirst bool
 	duration     time.Duration
+	// rejectedEvery makes every n-th run of the poison request end with an error answer instead of a crash, if it is not zero.
+	rejectedEvery int
 }
 
 func defaults(mode crashMode, path string) scenario {
@@ -90,6 +96,7 @@
 type simCall struct {
 	node        int
 	fingerprint identifier.Fingerprint
+	isPoison    bool
 	target      *simTarget
 	deadline    time.Duration
 	sent        time.Duration
@@ -205,6 +212,10 @@
 		case dispatcher.Wait:
 			x.stall(call, e.Until)
 		case dispatcher.ResumeStalled:
+			if x.mode == afterSecondSend {
+				x.finish(call, slowRun, dispatcher.AttemptReported{Call: call, Outcome: dispatcher.Broken})
+				continue
+			}
 			x.stall(call, e.Until)
 		case dispatcher.Probe:
 			x.after(hop, func() { x.apply(node, dispatcher.Probed{Call: call, IsUnanswered: true}, call) })
@@ -258,11 +269,19 @@
 
 // arrive lets a request arrive at a node.
 func (x *simulation) arrive(node int, path string, fingerprint identifier.Fingerprint, timeout time.Duration) identifier.CallID {
+	return x.arriveInGroup(node, path, requestKey{fingerprint, fingerprint}, fingerprint == poison, timeout)
+}
+
+// requestKey holds the fingerprints of a request.
+type requestKey struct{ request, group identifier.Fingerprint }
+
+// arriveInGroup lets a request arrive at a node that differs from others with the same path, caller and body.
+func (x *simulation) arriveInGroup(node int, path string, key requestKey, isPoison bool, timeout time.Duration) identifier.CallID {
 	x.nextCall++
 	call := x.nextCall
-	x.calls[call] = &simCall{node: node, fingerprint: fingerprint, deadline: x.now + timeout}
+	x.calls[call] = &simCall{node: node, fingerprint: key.request, isPoison: isPoison, deadline: x.now + timeout}
 	x.apply(node, dispatcher.RequestArrived{
-		Call: call, ID: identifier.RequestID(fmt.Sprint(call)), Host: "h", Path: path, Key: "key", Fingerprint: fingerprint,
+		Call: call, ID: identifier.RequestID(fmt.Sprint(call)), Host: "h", Path: path, Key: "key", Fingerprint: key.request, Group: key.group,
 		Deadline: start.Add(x.now + timeout), Seed: uint64(call),
 	}, call)
 	return call
@@ -288,7 +307,7 @@
 			return
 		}
 	}
-	if c.fingerprint == poison {
+	if c.isPoison {
 		x.runPoison(e, c)
 		return
 	}
@@ -331,6 +350,10 @@
 func (x *simulation) runPoison(e dispatcher.Send, c *simCall) {
 	const crashDelay = 5 * time.Millisecond
 	x.sends = append(x.sends, x.now)
+	if x.rejectedEvery > 0 && len(x.sends)%x.rejectedEvery == 0 {
+		x.finish(e.Call, hop, dispatcher.AttemptReported{Call: e.Call, Outcome: dispatcher.Delivered, Status: 404})
+		return
+	}
 	if x.isKnownFirst {
 		x.after(crashDelay+hop/2, func() { x.apply(c.node, registrar.Ejected{Address: e.Address, Cause: registrar.Unresponsive}, 0) })
 	}
@@ -349,6 +372,16 @@
 	case afterCallerLeft:
 		x.crash(crashDelay, c.target, false)
 		x.finish(e.Call, crashDelay-hop, dispatcher.AttemptReported{Call: e.Call, Outcome: dispatcher.CallerGone})
+	case afterSecondSend:
+		x.crash(slowRun, c.target, false)
+		if e.IdleDeadline.Sub(start) < x.now+slowRun {
+			x.finish(e.Call, e.IdleDeadline.Sub(start)-x.now, dispatcher.AttemptReported{Call: e.Call, Outcome: dispatcher.Stalled})
+			return
+		}
+		x.finish(e.Call, slowRun+hop, dispatcher.AttemptReported{Call: e.Call, Outcome: dispatcher.Broken})
+	case longAfterCallLeft:
+		x.crash(slowRun, c.target, false)
+		x.finish(e.Call, crashDelay, dispatcher.AttemptReported{Call: e.Call, Outcome: dispatcher.CallerGone})
 	case lastStageOfChain:
 		last := e.Chain[len(e.Chain)-1].Address
 		i := slices.IndexFunc(x.targets, func(t *simTarget) bool { return t.Address == last && !t.isDown })
