--- a/entry/internal/crashtracker/checks.go
+++ b/entry/internal/crashtracker/checks.go
@@ -105,7 +105,7 @@
 }
 
 func (t *Tracker) noteSurvival(a candidate) {
-	s := Survival{Request: a.Request, Target: a.Targets[0], AliveAfter: candidateMaxAge}
+	s := Survival{Request: a.Key.Request, Target: a.Targets[0], AliveAfter: candidateMaxAge}
 	for _, id := range a.open {
 		s.AliveAfter = min(s.AliveAfter, t.targets[id].aliveAt.Sub(a.EndedAt))
 	}
--- a/entry/internal/crashtracker/crashtracker.go
+++ b/entry/internal/crashtracker/crashtracker.go
@@ -25,11 +25,11 @@
 
 // Attempt is an attempt that ended, or was left, without a complete answer.
 type Attempt struct {
-	Request identifier.Fingerprint
+	Key RequestKey
 	// Targets are the targets that the attempt used, first the one that it was sent to.
 	Targets []identifier.TargetID
-	// Before holds the crashes of the request that were known when the attempt was sent.
-	Before  History
+	// Before holds the crashes of the request and its group that were known when the attempt was sent.
+	Before  Histories
 	SentAt  time.Time
 	EndedAt time.Time
 	// HasEvents says that events arrived, which takes all targets of a chain.
@@ -102,13 +102,14 @@
 	targets    map[identifier.TargetID]*targetState
 	candidates []candidate
 	records    map[identifier.Fingerprint]*record
+	groups     map[identifier.Fingerprint]*group
 	checks     checkLimit
 	survivals  []Survival
 }
 
 // NewTracker returns a tracker that knows nothing.
 func NewTracker() *Tracker {
-	return &Tracker{targets: map[identifier.TargetID]*targetState{}, records: map[identifier.Fingerprint]*record{}}
+	return &Tracker{targets: map[identifier.TargetID]*targetState{}, records: map[identifier.Fingerprint]*record{}, groups: map[identifier.Fingerprint]*group{}}
 }
 
 // AddAttempt records an attempt that may have crashed a target, and returns the crashes that
@@ -268,48 +269,82 @@
 
 // addCrash records the crash of a target by an attempt, and returns it if it was not known.
 func (t *Tracker) addCrash(now time.Time, a *candidate, id identifier.TargetID, number int64) []Crash {
-	c := Crash{Request: a.Request, Target: id, Incarnation: number, Depth: t.depth(a.Attempt, id), IsFurther: a.hasCrashed}
+	c := Crash{
+		Request: a.Key.Request, Group: a.Key.Group, Target: id, Incarnation: number,
+		Depth: t.depth(a.Attempt, a.Before.Request, id), GroupDepth: t.groupDepth(a.Attempt, id), IsFurther: a.hasCrashed,
+	}
 	a.hasCrashed = true
 	if !t.RecordCrash(now, c) {
 		return nil
 	}
+	if g, ok := t.groups[c.Group]; ok {
+		g.isOwn = true
+	}
 	return []Crash{c}
 }
 
-// depth returns how many crashes in a row the crash of a target by an attempt makes. Without proof
-// that the target was alive when the crashes before were known, it may have failed together with
-// their targets.
-func (t *Tracker) depth(a Attempt, id identifier.TargetID) int {
-	if a.Before.Depth == 0 {
+// depth returns how many crashes in a row the crash of a target by an attempt makes, with those that were known before.
+// Without proof that the target was alive when these were known, it may have failed together with their targets.
+func (t *Tracker) depth(a Attempt, before History, id identifier.TargetID) int {
+	if before.Depth == 0 {
 		return 1
 	}
 	// A new connection to the first target proves that it was alive: see History. Work that a later
 	// target cuts off had begun, which takes all targets.
-	wasAlive := a.HasEvents || a.IsBroken || id == a.Targets[0] || t.targets[id].aliveAt.After(a.Before.KnownAt)
+	wasAlive := a.HasEvents || a.IsBroken || id == a.Targets[0] || t.targets[id].aliveAt.After(before.KnownAt)
 	if !wasAlive {
-		return a.Before.Depth
+		return before.Depth
+	}
+	return before.Depth + 1
+}
+
+// groupDepth returns how many crashes in a row by different requests of a group the crash of a target by an attempt makes.
+func (t *Tracker) groupDepth(a Attempt, id identifier.TargetID) int {
+	if g, ok := t.groups[a.Key.Group]; ok {
+		if d := g.requestDepth(a.Key.Request); d > 0 {
+			return d
+		}
+	}
+	return t.depth(a, a.Before.Group, id)
+}
+
+// NoteAnswer applies that a request was answered, and returns the requests and groups whose crashes count no more.
+func (t *Tracker) NoteAnswer(key RequestKey) []identifier.Fingerprint {
+	var cleared []identifier.Fingerprint
+	if t.Clear(key.Request) {
+		cleared = append(cleared, key.Request)
 	}
-	return a.Before.Depth + 1
+	if t.noteGroupAnswer(key) {
+		cleared = append(cleared, key.Group)
+	}
+	return cleared
 }
 
-// Clear drops the attempts and crashes of a request that has completed, and reports whether crashes
-// were known.
-func (t *Tracker) Clear(request identifier.Fingerprint) bool {
+// Clear drops the attempts and crashes of a request, or the crashes of a group, and reports whether crashes were known.
+func (t *Tracker) Clear(id identifier.Fingerprint) bool {
 	if len(t.candidates) > 0 {
-		t.candidates = slices.DeleteFunc(t.candidates, func(a candidate) bool { return a.Request == request })
+		t.candidates = slices.DeleteFunc(t.candidates, func(a candidate) bool { return a.Key.Request == id })
 	}
-	_, ok := t.records[request]
-	if ok {
-		delete(t.records, request)
+	r, isRequest := t.records[id]
+	if isRequest {
+		t.dropFromGroup(RequestKey{Request: id, Group: r.group})
+		delete(t.records, id)
 	}
-	return ok
+	_, isGroup := t.groups[id]
+	delete(t.groups, id)
+	return isRequest || isGroup
 }
 
 // Counts returns how many attempts wait for evidence, how many requests have crashes, and how many
 // of these are confirmed poison.
 func (t *Tracker) Counts(now time.Time) (candidates, accused, confirmed int) {
-	for request := range t.records {
-		if t.IsConfirmed(now, request) {
+	for _, r := range t.records {
+		if r.isConfirmed() && now.Sub(r.lastAt) < crashMaxAge {
+			confirmed++
+		}
+	}
+	for _, g := range t.groups {
+		if g.isConfirmed(now) {
 			confirmed++
 		}
 	}
--- a/entry/internal/crashtracker/records.go
+++ b/entry/internal/crashtracker/records.go
@@ -27,11 +27,15 @@
 // Crash is one crash of a target while it ran a request.
 type Crash struct {
 	Request identifier.Fingerprint `json:"request"`
-	Target  identifier.TargetID    `json:"target"`
+	// Group identifies the group of the request, 0 if it is not known.
+	Group  identifier.Fingerprint `json:"group,omitempty"`
+	Target identifier.TargetID    `json:"target"`
 	// Incarnation identifies the run of the target that crashed: each start has another one.
 	Incarnation int64 `json:"born"`
 	// Depth is how many crashes in a row the request has caused with this one.
 	Depth int `json:"depth,omitempty"`
+	// GroupDepth is how many crashes in a row different requests of the group have caused with this one.
+	GroupDepth int `json:"group_depth,omitempty"`
 	// IsFurther says that the same attempt has crashed another target before.
 	IsFurther bool `json:"is_further,omitempty"`
 	// AgeMS is the time since the crash became known, in milliseconds.
@@ -47,6 +51,11 @@
 // IsOutdated reports whether the crash is too old to count.
 func (c Crash) IsOutdated() bool { return time.Duration(c.AgeMS)*time.Millisecond >= crashMaxAge }
 
+// happenedAt returns when the crash became known, which AgeMS counts from.
+func (c Crash) happenedAt(now time.Time) time.Time {
+	return now.Add(-time.Duration(c.AgeMS) * time.Millisecond)
+}
+
 // History is what was known of a request's crashes at some time. A further attempt must be sent on
 // a new connection if Depth is not zero: that its target accepts it proves that the target is alive.
 type History struct {
@@ -56,6 +65,8 @@
 	KnownAt time.Time
 	// Attempts counts the attempts that crashed targets.
 	Attempts int
+	// Requests counts the requests of a group that crashed targets.
+	Requests int
 }
 
 // incarnation identifies one start of a target.
@@ -66,6 +77,7 @@
 
 // record holds the crashes of one request.
 type record struct {
+	group identifier.Fingerprint
 	// crashes holds the depth of each crash.
 	crashes map[incarnation]int
 	// attempts counts the attempts that crashed targets.
@@ -88,16 +100,19 @@
 	if c.IsOutdated() {
 		return false
 	}
-	at := now.Add(-time.Duration(c.AgeMS) * time.Millisecond)
+	isNewToGroup := t.recordGroupCrash(now, c)
 	r, ok := t.records[c.Request]
 	if !ok {
-		t.evict(now)
+		evict(now, t.records, func(r *record) weight { return weight{depth: r.depth, lastAt: r.lastAt} })
 		r = &record{crashes: map[incarnation]int{}}
 		t.records[c.Request] = r
 	}
+	if c.Group != 0 {
+		r.group = c.Group
+	}
 	key := incarnation{target: c.Target, number: c.Incarnation}
 	if r.crashes[key] >= depth || (len(r.crashes) >= maxCrashesPerRequest && depth <= r.depth) {
-		return false
+		return isNewToGroup
 	}
 	if r.crashes[key] == 0 && !c.IsFurther {
 		r.attempts++
@@ -106,32 +121,51 @@
 	if depth > r.depth {
 		r.depth, r.knownAt = depth, now
 	}
-	if at.After(r.lastAt) {
+	if at := c.happenedAt(now); at.After(r.lastAt) {
 		r.lastAt = at
 	}
 	return true
 }
 
-// evict makes room for one more request.
-func (t *Tracker) evict(now time.Time) {
-	if len(t.records) < maxTrackedRequests {
+// weight is what decides which of too many records are dropped.
+type weight struct {
+	depth  int
+	lastAt time.Time
+}
+
+// evict makes room for one more record.
+func evict[R any](now time.Time, records map[identifier.Fingerprint]R, weigh func(R) weight) {
+	if len(records) < maxTrackedRequests {
 		return
 	}
-	maps.DeleteFunc(t.records, func(_ identifier.Fingerprint, r *record) bool { return now.Sub(r.lastAt) >= crashMaxAge })
-	if len(t.records) < maxTrackedRequests {
+	maps.DeleteFunc(records, func(_ identifier.Fingerprint, r R) bool { return now.Sub(weigh(r).lastAt) >= crashMaxAge })
+	if len(records) < maxTrackedRequests {
 		return
 	}
-	requests := slices.SortedFunc(maps.Keys(t.records), func(a, b identifier.Fingerprint) int {
-		ra, rb := t.records[a], t.records[b]
-		return cmp.Or(cmp.Compare(ra.depth, rb.depth), ra.lastAt.Compare(rb.lastAt))
+	ids := slices.SortedFunc(maps.Keys(records), func(a, b identifier.Fingerprint) int {
+		wa, wb := weigh(records[a]), weigh(records[b])
+		return cmp.Or(cmp.Compare(wa.depth, wb.depth), wa.lastAt.Compare(wb.lastAt))
 	})
-	for _, request := range requests[:int(evictedShare*maxTrackedRequests)] {
-		delete(t.records, request)
+	for _, id := range ids[:int(evictedShare*maxTrackedRequests)] {
+		delete(records, id)
 	}
 }
 
-// History returns what is known of a request's crashes.
-func (t *Tracker) History(now time.Time, request identifier.Fingerprint) History {
+// Histories is what was known of the crashes of a request, and of different requests of its group.
+type Histories struct {
+	Request History
+	Group   History
+}
+
+// HasCrashes reports whether any crashes were known.
+func (h Histories) HasCrashes() bool { return h.Request.Depth > 0 || h.Group.Depth > 0 }
+
+// Histories returns what is known of the crashes of a request and of its group.
+func (t *Tracker) Histories(now time.Time, key RequestKey) Histories {
+	return Histories{Request: t.history(now, key.Request), Group: t.groupHistory(now, key.Group)}
+}
+
+func (t *Tracker) history(now time.Time, request identifier.Fingerprint) History {
 	r, ok := t.records[request]
 	if !ok || now.Sub(r.lastAt) >= crashMaxAge {
 		return History{}
@@ -139,8 +173,13 @@
 	return History{Depth: r.depth, KnownAt: r.knownAt, Attempts: r.attempts}
 }
 
-// IsConfirmed reports whether a request is confirmed as poison and must not run again.
-func (t *Tracker) IsConfirmed(now time.Time, request identifier.Fingerprint) bool {
+// IsConfirmed reports whether a request, or its group, is confirmed as poison and must not run again.
+func (t *Tracker) IsConfirmed(now time.Time, key RequestKey) bool {
+	return t.IsRequestConfirmed(now, key.Request) || t.isGroupConfirmed(now, key)
+}
+
+// IsRequestConfirmed reports whether a request is confirmed as poison, whatever is known of its group.
+func (t *Tracker) IsRequestConfirmed(now time.Time, request identifier.Fingerprint) bool {
 	r, ok := t.records[request]
 	return ok && now.Sub(r.lastAt) < crashMaxAge && r.isConfirmed()
 }
--- a/entry/internal/dispatcher/attempts.go
+++ b/entry/internal/dispatcher/attempts.go
@@ -32,7 +32,7 @@
 	isCandidate := false
 	switch ev.Outcome {
 	case Delivered:
-		effects = d.clearRequest(r)
+		effects = d.noteAnswer(r)
 	case Broken, Expired, CallerGone:
 		isCandidate, effects = d.notePoisonCandidate(now, r, ev)
 	default:
@@ -118,7 +118,7 @@
 		return "maximum number of attempts reached"
 	case !now.Before(r.deadline):
 		return deadlinePassed
-	case d.crashTracker.IsConfirmed(now, r.fingerprint):
+	case d.crashTracker.IsConfirmed(now, r.key):
 		return quarantined
 	case !d.retries.Allows(now, r.service):
 		return "retry budget exhausted"
@@ -246,7 +246,7 @@
 // at a chain is rerouted or goes on waiting, and one at a plain target goes on waiting.
 func (d *Dispatcher) failOver(now time.Time, call identifier.CallID, r *request, reason string, seed uint64) []messenger.Effect {
 	r.executions++
-	if !d.mayRetry(now, r) || !d.hasAlternative(now, r) || d.isTried(now, r.fingerprint) {
+	if !d.mayRetry(now, r) || !d.hasAlternative(now, r) || d.isTried(now, r.key) {
 		r.executions--
 		if len(r.chain) > 0 {
 			return d.rerouteChain(now, r)
@@ -325,6 +325,6 @@
 func (d *Dispatcher) logAttempt(now time.Time, r *request, ev AttemptReported, isCandidate bool) messenger.Effect {
 	return messenger.Log{Event: eventlogger.AttemptEnded, Subject: "request/" + string(r.id), Values: []any{
 		"outcome", ev.Outcome, "target", r.target, "status", ev.Status, reasonKey, ev.Reason, "fault", ev.FaultAddress,
-		"took_ms", now.Sub(r.sent).Milliseconds(), "events", ev.Events, fingerprintKey, r.fingerprint, groupKey, r.group, "candidate", isCandidate,
+		"took_ms", now.Sub(r.sent).Milliseconds(), "events", ev.Events, fingerprintKey, r.key.Request, groupKey, r.key.Group, "candidate", isCandidate,
 	}}
 }
--- a/entry/internal/dispatcher/crashes.go
+++ b/entry/internal/dispatcher/crashes.go
@@ -29,10 +29,10 @@
 		return false, nil
 	}
 	crashes := d.crashTracker.AddAttempt(now, crashtracker.Attempt{
-		Request: r.fingerprint, Targets: r.targets(), Before: r.before, SentAt: r.sent, EndedAt: now,
+		Key: r.key, Targets: r.targets(), Before: r.before, SentAt: r.sent, EndedAt: now,
 		HasEvents: ev.Events > r.eventsBefore, IsBroken: ev.Outcome == Broken,
 	})
-	d.endTrial(now, r.fingerprint)
+	d.endTrial(now, r.key)
 	return true, append(d.reportCrashes(now, crashes), d.startChecks(now)...)
 }
 
@@ -100,23 +100,34 @@
 	return append(effects, d.reportCrashes(now, found.Crashes)...)
 }
 
-// clearCrashes drops the crashes and the trial of a request, and reports whether it had crashes.
-func (d *Dispatcher) clearCrashes(request identifier.Fingerprint) bool {
-	delete(d.trials, request)
-	return d.crashTracker.Clear(request)
-}
-
-// clearRequest drops the crashes of a request that was answered, here and at the other nodes.
-func (d *Dispatcher) clearRequest(r *request) []messenger.Effect {
-	if !d.clearCrashes(r.fingerprint) {
+// noteAnswer drops the crashes of a request that was answered, and those of its group if they count no more, here and
+// at the other nodes.
+func (d *Dispatcher) noteAnswer(r *request) []messenger.Effect {
+	cleared := d.crashTracker.NoteAnswer(r.key)
+	d.dropTrial(r.key)
+	if len(cleared) == 0 {
 		return nil
 	}
-	return []messenger.Effect{
-		ReportCrashes{Cleared: []identifier.Fingerprint{r.fingerprint}},
-		messenger.Log{
-			Event: eventlogger.RelayedRequestCleared, Subject: "request/" + string(r.id), Values: []any{fingerprintKey, r.fingerprint},
-		},
+	effects := []messenger.Effect{ReportCrashes{Cleared: cleared}}
+	for _, id := range cleared {
+		effects = append(effects, messenger.Log{
+			Event: eventlogger.RelayedRequestCleared, Subject: "request/" + string(r.id), Values: []any{fingerprintKey, id, "is_group", id == r.key.Group},
+		})
+	}
+	return effects
+}
+
+// confirmGroups logs the groups that have become confirmed as poison, and stores them if this node has seen a crash, or
+// holds the lease.
+func (d *Dispatcher) confirmGroups(now time.Time) []messenger.Effect {
+	var effects []messenger.Effect
+	for _, g := range d.crashTracker.TakeConfirmedGroups(now) {
+		effects = append(effects, logConfirmation(g.Crash, "different requests"))
+		if g.IsOwn || now.Before(d.leaseUntil) {
+			effects = append(effects, SavePoison{Crash: g.Crash})
+		}
 	}
+	return effects
 }
 
 // reportCrashes logs crashes that this node has detected, and reports them to the other nodes.
@@ -126,8 +137,8 @@
 	}
 	effects := []messenger.Effect{ReportCrashes{Crashes: crashes}}
 	for _, c := range crashes {
-		delete(d.trials, c.Request)
-		isConfirmed := d.crashTracker.IsConfirmed(now, c.Request)
+		d.dropTrial(keyOf(c))
+		isConfirmed := d.crashTracker.IsRequestConfirmed(now, c.Request)
 		effects = append(effects, logCrash(c, "this node", isConfirmed)...)
 		if isConfirmed {
 			effects = append(effects, SavePoison{Crash: c})
@@ -139,8 +150,9 @@
 // crashesReported records the crashes that another node has found. A single crash beside many requests
 // makes many reports, so only those of further crashes in a row are logged one by one.
 func (d *Dispatcher) crashesReported(now time.Time, ev CrashesReported) []messenger.Effect {
-	for _, request := range ev.Cleared {
-		d.clearCrashes(request)
+	for _, id := range ev.Cleared {
+		d.crashTracker.Clear(id)
+		delete(d.trials, id)
 	}
 	var effects []messenger.Effect
 	newCrashes := 0
@@ -149,9 +161,9 @@
 			continue
 		}
 		newCrashes++
-		delete(d.trials, c.Request)
-		isConfirmed := d.crashTracker.IsConfirmed(now, c.Request)
-		if c.Depth > 1 {
+		d.dropTrial(keyOf(c))
+		isConfirmed := d.crashTracker.IsRequestConfirmed(now, c.Request)
+		if max(c.Depth, c.GroupDepth) > 1 {
 			effects = append(effects, logCrash(c, "a peer", isConfirmed)...)
 		}
 		// Crashes of several nodes may confirm a request together, so that none of these nodes stores it.
@@ -171,13 +183,25 @@
 func logCrash(c crashtracker.Crash, seenBy string, isConfirmed bool) []messenger.Effect {
 	effects := []messenger.Effect{messenger.Log{
 		Event: eventlogger.RequestCrashedTarget, Subject: "target/" + string(c.Target),
-		Values: []any{fingerprintKey, c.Request, "born", c.Incarnation, "depth", c.Depth, "age_ms", c.AgeMS, "seen_by", seenBy},
+		Values: []any{
+			fingerprintKey, c.Request, groupKey, c.Group, "born", c.Incarnation, "depth", c.Depth, "group_depth", c.GroupDepth,
+			"age_ms", c.AgeMS, "seen_by", seenBy,
+		},
 	}}
 	if isConfirmed {
-		effects = append(effects, messenger.Log{
-			Event: eventlogger.RelayedPoisonConfirmed, Subject: "target/" + string(c.Target),
-			Values: []any{fingerprintKey, c.Request, "seen_by", seenBy},
-		})
+		effects = append(effects, logConfirmation(c, seenBy))
 	}
 	return effects
 }
+
+// logConfirmation logs that a request or a group is confirmed as poison.
+func logConfirmation(c crashtracker.Crash, seenBy string) messenger.Effect {
+	return messenger.Log{
+		Event: eventlogger.RelayedPoisonConfirmed, Subject: "target/" + string(c.Target),
+		Values: []any{fingerprintKey, c.Request, "seen_by", seenBy},
+	}
+}
+
+func keyOf(c crashtracker.Crash) crashtracker.RequestKey {
+	return crashtracker.RequestKey{Request: c.Request, Group: c.Group}
+}
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -86,10 +86,8 @@
 	account  identifier.AccountID
 	arrived  time.Time
 	deadline time.Time
-	// fingerprint identifies requests of the same client account with the same content.
-	fingerprint identifier.Fingerprint
-	// group identifies requests of the same client account with the same path and body, whatever their method, host and query.
-	group identifier.Fingerprint
+	// key identifies the request if it comes again.
+	key crashtracker.RequestKey
 	// seed determines the jitter of the Retry-After delay.
 	seed uint64
 	// attempts counts all attempts, executions only those that may have run.
@@ -124,7 +122,7 @@
 	sent   time.Time
 	// before holds the crashes of the request that were known when the attempt was sent, and
 	// eventsBefore counts the events that earlier attempts had delivered.
-	before       crashtracker.History
+	before       crashtracker.Histories
 	eventsBefore int
 }
 
@@ -143,7 +141,7 @@
 	crashTracker *crashtracker.Tracker
 	limits       *limiter.Tracker
 	requests     map[identifier.CallID]*request
-	// trials holds, for requests with known crashes, until when an attempt holds back further ones.
+	// trials holds, for requests and groups with known crashes, until when an attempt holds back further ones.
 	trials map[identifier.Fingerprint]time.Time
 	// leaseUntil is until when this node holds the lease, which no two nodes do at the same time.
 	leaseUntil time.Time
@@ -271,7 +269,7 @@
 func (d *Dispatcher) tick(now time.Time) []messenger.Effect {
 	d.chooser.Tick(now)
 	d.dropTrials(now)
-	effects := d.startChecks(now)
+	effects := append(d.startChecks(now), d.confirmGroups(now)...)
 	if d.isStale || d.table == nil || d.isFresh(now) {
 		return effects
 	}
@@ -283,7 +281,7 @@
 }
 
 func (d *Dispatcher) requestArrived(now time.Time, ev RequestArrived) []messenger.Effect {
-	r := &request{id: ev.ID, arrived: now, deadline: ev.Deadline, fingerprint: ev.Fingerprint, seed: ev.Seed}
+	r := &request{id: ev.ID, arrived: now, deadline: ev.Deadline, seed: ev.Seed}
 	d.requests[ev.Call] = r
 	if d.table == nil {
 		return d.refuse(now, ev.Call, http.StatusServiceUnavailable, unreadyRetryAfter, "no configuration yet")
@@ -305,9 +303,8 @@
 		}
 		r.account = account.ID
 	}
-	r.fingerprint = callerFingerprint(ev.Fingerprint, r.account)
-	r.group = callerFingerprint(ev.Group, r.account)
-	if d.crashTracker.IsConfirmed(now, r.fingerprint) {
+	r.key = crashtracker.RequestKey{Request: callerFingerprint(ev.Fingerprint, r.account), Group: callerFingerprint(ev.Group, r.account)}
+	if d.crashTracker.IsConfirmed(now, r.key) {
 		return d.refuse(now, ev.Call, http.StatusBadGateway, 0, quarantined)
 	}
 	timeout := r.route.Timeout
@@ -341,13 +338,13 @@
 	if !d.chooser.IsKnown(r.service) {
 		return d.endUnplaced(now, call, r, "unknown service")
 	}
-	before := d.crashTracker.History(now, r.fingerprint)
+	before := d.crashTracker.Histories(now, r.key)
 	if d.mustHold(now, r, before) {
 		return d.hold(now, call, r)
 	}
 	out := Send{
 		Call: call, Account: r.account, Deadline: r.deadline, KeepsStalled: keepsStalled,
-		IsStream: r.route.Kind == describer.Streaming, NewConn: !r.route.MayRetry() || before.Depth > 0,
+		IsStream: r.route.Kind == describer.Streaming, NewConn: !r.route.MayRetry() || before.HasCrashes(),
 	}
 	effects := d.chooser.Replan(now, r.service)
 	reason := d.choose(now, r, &out, seed)
@@ -361,7 +358,7 @@
 }
 
 // startAttempt counts an attempt and sends it.
-func (d *Dispatcher) startAttempt(now time.Time, r *request, out Send, before crashtracker.History) []messenger.Effect {
+func (d *Dispatcher) startAttempt(now time.Time, r *request, out Send, before crashtracker.Histories) []messenger.Effect {
 	if r.attempts == 0 {
 		d.retries.CountRequest(now, r.service)
 	} else {
@@ -373,9 +370,7 @@
 	r.target, r.chain = out.Target, out.Chain
 	r.askUntil = time.Time{}
 	out.IdleDeadline = r.idleDeadline(now, out)
-	if before.Depth > 0 {
-		d.trials[r.fingerprint] = now.Add(maxTrial)
-	}
+	d.beginTrial(now, r.key, before)
 	r.tried = append(r.tried, out.Target)
 	d.chooser.Acquire(r.targets())
 	return []messenger.Effect{out}
@@ -469,7 +464,7 @@
 	d.release(r)
 	delete(d.requests, call)
 	values := []any{"status", status, reasonKey, reason, "took_ms", now.Sub(r.arrived).Milliseconds(), sendsKey, r.attempts, "runs", r.executions,
-		"first_ms", r.firstByte.Milliseconds(), "longest_gap_ms", r.longestGap.Milliseconds(), "events", r.events, fingerprintKey, r.fingerprint, groupKey, r.group}
+		"first_ms", r.firstByte.Milliseconds(), "longest_gap_ms", r.longestGap.Milliseconds(), "events", r.events, fingerprintKey, r.key.Request, groupKey, r.key.Group}
 	if r.route != nil {
 		values = append(values, "route", r.route.ID, "account", r.account, "service", r.service)
 	}
--- a/entry/internal/dispatcher/limits.go
+++ b/entry/internal/dispatcher/limits.go
@@ -121,12 +121,12 @@
 
 // startGranted starts an attempt, unless another copy of the request has meanwhile begun to be tried.
 func (d *Dispatcher) startGranted(now time.Time, call identifier.CallID, r *request, out Send) []messenger.Effect {
-	before := d.crashTracker.History(now, r.fingerprint)
+	before := d.crashTracker.Histories(now, r.key)
 	if d.mustHold(now, r, before) {
 		r.askUntil = time.Time{}
 		return d.hold(now, call, r)
 	}
-	out.NewConn = out.NewConn || before.Depth > 0
+	out.NewConn = out.NewConn || before.HasCrashes()
 	return d.startAttempt(now, r, out, before)
 }
 
--- a/entry/internal/dispatcher/messages.go
+++ b/entry/internal/dispatcher/messages.go
@@ -36,21 +36,21 @@
 	Seed uint64
 }
 
-// CrashesReported is the event that other nodes have reported requests that crashed targets, or have
-// been answered since they seemed to.
+// CrashesReported is the event that other nodes have reported requests that crashed targets, or requests and groups that
+// have been answered since they seemed to.
 type CrashesReported struct {
 	Crashes []crashtracker.Crash
 	Cleared []identifier.Fingerprint
 }
 
 // ReportCrashes is the effect that tells the other nodes of crashes that this node has detected, and of
-// requests with crashes that have been answered since.
+// requests and groups with crashes that have been answered since.
 type ReportCrashes struct {
 	Crashes []crashtracker.Crash
 	Cleared []identifier.Fingerprint
 }
 
-// SavePoison is the effect that stores a crash which has confirmed its request as poison.
+// SavePoison is the effect that stores a crash which has confirmed its request as poison. The request may be a group.
 type SavePoison struct{ Crash crashtracker.Crash }
 
 // CheckTarget is the effect that checks whether a target answers, since an attempt at it ended without an answer.
--- a/entry/internal/dispatcher/poison_group_test.go
+++ b/entry/internal/dispatcher/poison_group_test.go
@@ -10,6 +10,9 @@
 	"pgregory.net/rapid"
 
 	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/common/messenger"
+	"fuchsiabridge.example/entry/internal/dispatcher"
+	"fuchsiabridge.example/entry/internal/registrar"
 )
 
 const (
@@ -206,3 +209,54 @@
 		}
 	})
 }
+
+// TestDifferingPoisonIsRefusedInBursts guards against a poison request that goes on crashing targets because several
+// variants of it come at the same time.
+func TestDifferingPoisonIsRefusedInBursts(t *testing.T) {
+	for _, burst := range []int{6, 12} {
+		t.Run(fmt.Sprint(burst), func(t *testing.T) {
+			c := qt.New(t)
+			x := newSimulation(defaults(beforeFirstByte, "/view/"))
+			n := 0
+			for at := time.Second; at < x.duration; at += wavePeriod {
+				for i := range burst {
+					key := requestKey{firstVariant + identifier.Fingerprint(n), poisonGroup}
+					x.at(at+time.Duration(i)*2*hop, func() { x.arriveInGroup(i%len(x.nodes), x.path, key, true, 1500*time.Millisecond) })
+					n++
+				}
+			}
+			x.run()
+			c.Assert(x.lateSends() <= maxLateSends, qt.IsTrue, x.summary())
+		})
+	}
+}
+
+// TestAnsweredGroupIsNotHeldBack guards against serving the innocent requests of a group one after the other because a
+// target has crashed while it ran one of them.
+func TestAnsweredGroupIsNotHeldBack(t *testing.T) {
+	c := qt.New(t)
+	d := readyHarness()
+	arrive := func(at time.Duration) (identifier.CallID, messenger.Effect) {
+		d.next++
+		return d.next, d.apply(at, dispatcher.RequestArrived{
+			Call: d.next, ID: identifier.RequestID(fmt.Sprint(d.next)), Host: "h", Path: "/post/", Key: "key",
+			Fingerprint: firstSibling + identifier.Fingerprint(d.next), Group: firstSibling,
+		})
+	}
+	crashed, e := arrive(0)
+	address := e.(dispatcher.Send).Address
+	d.apply(10*time.Millisecond, dispatcher.AttemptReported{Call: crashed, Outcome: dispatcher.Broken})
+	d.apply(20*time.Millisecond, registrar.Ejected{Address: address, Cause: registrar.Unresponsive})
+	first, e := arrive(30 * time.Millisecond)
+	_, isSent := e.(dispatcher.Send)
+	c.Assert(isSent, qt.IsTrue, qt.Commentf("%T", e))
+	_, e = arrive(31 * time.Millisecond)
+	_, isHeld := e.(dispatcher.Hold)
+	c.Assert(isHeld, qt.IsTrue, qt.Commentf("%T", e))
+	d.apply(40*time.Millisecond, dispatcher.AttemptReported{Call: first, Outcome: dispatcher.Delivered, Status: 200})
+	for range 3 {
+		_, e = arrive(41 * time.Millisecond)
+		_, isSent = e.(dispatcher.Send)
+		c.Assert(isSent, qt.IsTrue, qt.Commentf("%T", e))
+	}
+}
--- a/entry/internal/sharer/crashes.go
+++ b/entry/internal/sharer/crashes.go
@@ -29,13 +29,13 @@
 	revision Revision
 }
 
-// clearance is a request whose crashes count no more, and the revision that recorded that.
+// clearance is a request or a group whose crashes count no more, and the revision that recorded that.
 type clearance struct {
-	request  identifier.Fingerprint
+	id       identifier.Fingerprint
 	revision Revision
 }
 
-// CrashReport tells a peer of crashes, and of requests that have been answered since they seemed to cause some.
+// CrashReport tells a peer of crashes, and of requests and groups that have been answered since they seemed to cause some.
 type CrashReport struct {
 	// Sharer and Revision say up to where an answer to a query is complete; they are empty in a report that is sent unasked.
 	Sharer   string                   `json:"sharer,omitempty"`
@@ -56,8 +56,8 @@
 	for _, c := range r.Crashes {
 		s.recordCrash(now, c)
 	}
-	for _, request := range r.Cleared {
-		s.recordClearance(request)
+	for _, id := range r.Cleared {
+		s.recordClearance(id)
 	}
 	if s.revision == before {
 		return
@@ -71,7 +71,7 @@
 		return known.Request == c.Request && known.Target == c.Target && known.Incarnation == c.Incarnation
 	}
 	i := slices.IndexFunc(s.crashes, isSame)
-	if i >= 0 && s.crashes[i].Depth >= c.Depth {
+	if i >= 0 && s.crashes[i].Depth >= c.Depth && s.crashes[i].GroupDepth >= c.GroupDepth {
 		return
 	}
 	if i >= 0 {
@@ -81,14 +81,23 @@
 	s.crashes = append(s.crashes, crash{Crash: c, at: now.Add(-time.Duration(c.AgeMS) * time.Millisecond), revision: s.revision})
 }
 
-func (s *Sharer) recordClearance(request identifier.Fingerprint) {
-	n := len(s.crashes)
-	s.crashes = slices.DeleteFunc(s.crashes, func(c crash) bool { return c.Request == request })
-	if len(s.crashes) == n {
+// recordClearance records that the crashes of a request count no more, or those of a group as such.
+func (s *Sharer) recordClearance(id identifier.Fingerprint) {
+	isChanged := false
+	s.crashes = slices.DeleteFunc(s.crashes, func(c crash) bool {
+		isChanged = isChanged || c.Request == id
+		return c.Request == id
+	})
+	for i, c := range s.crashes {
+		if c.Group == id {
+			s.crashes[i].Group, s.crashes[i].GroupDepth, isChanged = 0, 0, true
+		}
+	}
+	if !isChanged {
 		return
 	}
 	s.revision++
-	s.cleared = append(s.cleared, clearance{request: request, revision: s.revision})
+	s.cleared = append(s.cleared, clearance{id: id, revision: s.revision})
 }
 
 // dropCrashes keeps the crashes and clearances within their limits.
@@ -98,7 +107,7 @@
 		return
 	}
 	slices.SortFunc(s.crashes, func(a, b crash) int {
-		return cmp.Or(cmp.Compare(b.Depth, a.Depth), cmp.Compare(b.revision, a.revision))
+		return cmp.Or(cmp.Compare(max(b.Depth, b.GroupDepth), max(a.Depth, a.GroupDepth)), cmp.Compare(b.revision, a.revision))
 	})
 	s.crashes = s.crashes[:maxCrashes]
 }
@@ -115,7 +124,7 @@
 	}
 	for _, c := range s.cleared {
 		if c.revision > since {
-			out.Cleared = append(out.Cleared, c.request)
+			out.Cleared = append(out.Cleared, c.id)
 		}
 	}
 	return out
--- a/entry/internal/sharer/sharer_test.go
+++ b/entry/internal/sharer/sharer_test.go
@@ -228,3 +228,24 @@
 	s.RecordTargets([]describer.TargetChange{{ID: "t"}}, false)
 	c.Assert(limits(first.Revision), qt.HasLen, 0)
 }
+
+// TestClearedGroupKeepsCrashesOfRequests guards against a poison request that is forgotten because other requests of its
+// group were answered, and against a group that is accused at a node that learns late.
+func TestClearedGroupKeepsCrashesOfRequests(t *testing.T) {
+	c := qt.New(t)
+	s := newReadingSharer()
+	for depth := range 2 {
+		s.RecordCrashes(sharer.CrashReport{Crashes: []crashtracker.Crash{{Request: 1, Group: 9, Target: "t", Depth: 1, GroupDepth: depth + 1}}})
+	}
+	before, err := ask(t, s, sharer.Query{})
+	c.Assert(err, qt.IsNil)
+	c.Assert(before.Crashes, qt.HasLen, 1)
+	c.Assert(before.Crashes[0].GroupDepth, qt.Equals, 2)
+	s.RecordCrashes(sharer.CrashReport{Cleared: []identifier.Fingerprint{9}})
+	after, err := ask(t, s, sharer.Query{})
+	c.Assert(err, qt.IsNil)
+	c.Assert(after.Cleared, qt.DeepEquals, []identifier.Fingerprint{9})
+	c.Assert(after.Crashes, qt.HasLen, 1)
+	c.Assert(after.Crashes[0].Group, qt.Equals, identifier.Fingerprint(0))
+	c.Assert(after.Crashes[0].Depth, qt.Equals, 1)
+}
