--- a/entry/internal/crashtracker/crashtracker.go
+++ b/entry/internal/crashtracker/crashtracker.go
@@ -308,18 +308,29 @@
 	return t.depth(a, a.Before.Group, id)
 }
 
-// NoteAnswer applies that a request was answered, and returns the requests and groups whose crashes count no more.
-func (t *Tracker) NoteAnswer(key RequestKey) []identifier.Fingerprint {
+// NoteAnswer applies that a request was answered, and returns the requests and groups whose crashes count no more. Only a
+// success proves that the target has run the request: it may reject one with an error before.
+func (t *Tracker) NoteAnswer(key RequestKey, isSuccess bool) []identifier.Fingerprint {
 	var cleared []identifier.Fingerprint
-	if t.Clear(key.Request) {
+	if (isSuccess || t.isRejectedOften(key.Request)) && t.Clear(key.Request) {
 		cleared = append(cleared, key.Request)
 	}
-	if t.noteGroupAnswer(key) {
+	if t.noteGroupAnswer(key, isSuccess) {
 		cleared = append(cleared, key.Group)
 	}
 	return cleared
 }
 
+// isRejectedOften counts an error answer to a request, and reports whether there are many without a crash in between.
+func (t *Tracker) isRejectedOften(request identifier.Fingerprint) bool {
+	r, ok := t.records[request]
+	if !ok {
+		return false
+	}
+	r.errors++
+	return r.errors >= clearingAnswers
+}
+
 // Clear drops the attempts and crashes of a request, or the crashes of a group, and reports whether crashes were known.
 func (t *Tracker) Clear(id identifier.Fingerprint) bool {
 	if len(t.candidates) > 0 {
--- a/entry/internal/crashtracker/crashtracker_test.go
+++ b/entry/internal/crashtracker/crashtracker_test.go
@@ -244,7 +244,7 @@
 		breakAttempt(tracker, at, crashtracker.RequestKey{Request: identifier.Fingerprint(1 + i), Group: crashGroup}, i)
 		at = at.Add(10 * time.Millisecond)
 		tracker.SetUnresponsive(at, string(id(i)))
-		tracker.NoteAnswer(known)
+		tracker.NoteAnswer(known, true)
 	}
 	c.Assert(tracker.IsConfirmed(at, next), qt.IsFalse)
 	c.Assert(tracker.IsGroupOpen(at, next), qt.IsTrue)
@@ -260,3 +260,21 @@
 	restarted.RecordCrash(at, confirmed[0].Crash)
 	c.Assert(restarted.IsConfirmed(at, next), qt.IsTrue)
 }
+
+// TestErrorAnswersClearRequestInTime guards against an innocent request that is suspected without end because its targets
+// always answer it with an error.
+func TestErrorAnswersClearRequestInTime(t *testing.T) {
+	c := qt.New(t)
+	tracker := crashtracker.NewTracker()
+	tracker.SetTargets(start, fleet(4))
+	key := keyOf(innocent)
+	breakAttempt(tracker, start, key, 0)
+	at := start.Add(time.Second)
+	c.Assert(tracker.SetUnresponsive(at, string(id(0))).Crashes, qt.HasLen, 1)
+	c.Assert(tracker.NoteAnswer(key, false), qt.HasLen, 0)
+	c.Assert(tracker.Histories(at, key).HasCrashes(), qt.IsTrue)
+	for range 9 {
+		tracker.NoteAnswer(key, false)
+	}
+	c.Assert(tracker.Histories(at, key).HasCrashes(), qt.IsFalse)
+}
--- a/entry/internal/crashtracker/groups.go
+++ b/entry/internal/crashtracker/groups.go
@@ -16,8 +16,8 @@
 	// settleTime is how long a group whose crashes suffice is not confirmed yet: reports of other nodes may
 	// show that one request of it has caused them all.
 	settleTime = 500 * time.Millisecond
-	// maxAnsweredRequests limits the requests of a group that are remembered as answered.
-	maxAnsweredRequests = 64
+	// maxSucceededRequests limits the requests of a group that are remembered as successful.
+	maxSucceededRequests = 64
 )
 
 // RequestKey identifies a request. A poison request may come again with a difference that does not
@@ -36,9 +36,11 @@
 	crashes map[incarnation]map[identifier.Fingerprint]int
 	// attempts counts the attempts that crashed targets.
 	attempts int
-	// answered holds requests that were answered since the first crash, answers counts the answers since the last one.
-	answered map[identifier.Fingerprint]bool
-	answers  int
+	// succeeded holds requests that have succeeded since the first crash, hasSucceeded says that one has since the last one.
+	succeeded    map[identifier.Fingerprint]bool
+	hasSucceeded bool
+	// answers counts the answers since the last crash.
+	answers int
 	// knownAt is when the depth became known, lastAt when the last crash happened.
 	knownAt time.Time
 	lastAt  time.Time
@@ -131,7 +133,7 @@
 	g, ok := t.groups[c.Group]
 	if !ok {
 		evict(now, t.groups, func(g *group) weight { return weight{depth: g.depth(), lastAt: g.lastAt} })
-		g = &group{crashes: map[incarnation]map[identifier.Fingerprint]int{}, answered: map[identifier.Fingerprint]bool{}}
+		g = &group{crashes: map[incarnation]map[identifier.Fingerprint]int{}, succeeded: map[identifier.Fingerprint]bool{}}
 		t.groups[c.Group] = g
 	}
 	key := incarnation{target: c.Target, number: c.Incarnation}
@@ -146,7 +148,7 @@
 	}
 	before := g.depth()
 	if requests[c.Request] == 0 {
-		g.answers = 0
+		g.answers, g.hasSucceeded = 0, false
 		if !c.IsFurther {
 			g.attempts++
 		}
@@ -177,17 +179,18 @@
 }
 
 // noteGroupAnswer notes that a request of a group was answered, and reports whether the group is cleared by that.
-func (t *Tracker) noteGroupAnswer(key RequestKey) bool {
-	if t.dropFromGroup(key) {
+func (t *Tracker) noteGroupAnswer(key RequestKey, isSuccess bool) bool {
+	if isSuccess && t.dropFromGroup(key) {
 		return true
 	}
 	g, ok := t.groups[key.Group]
 	if !ok {
 		return false
 	}
-	if len(g.answered) < maxAnsweredRequests {
-		g.answered[key.Request] = true
+	if isSuccess && len(g.succeeded) < maxSucceededRequests {
+		g.succeeded[key.Request] = true
 	}
+	g.hasSucceeded = g.hasSucceeded || isSuccess
 	g.answers++
 	if g.answers < clearingAnswers || g.suffices() {
 		return false
@@ -212,21 +215,21 @@
 		return true
 	}
 	g, ok := t.groups[key.Group]
-	return ok && !g.answered[key.Request] && g.isConfirmed(now)
+	return ok && !g.succeeded[key.Request] && g.isConfirmed(now)
 }
 
-// IsGroupOpen reports whether it is open if the group of a request is poison: no request of it was answered since its
-// last crash, or its crashes suffice and the request itself was not answered.
+// IsGroupOpen reports whether it is open if the group of a request is poison: no request of it has succeeded since its
+// last crash, or its crashes suffice and the request itself has not succeeded.
 func (t *Tracker) IsGroupOpen(now time.Time, key RequestKey) bool {
 	g, ok := t.groups[key.Group]
-	return ok && now.Sub(g.lastAt) < crashMaxAge && (g.answers == 0 || t.IsGroupSettling(now, key))
+	return ok && now.Sub(g.lastAt) < crashMaxAge && (!g.hasSucceeded || t.IsGroupSettling(now, key))
 }
 
 // IsGroupSettling reports whether the group of a request is about to be confirmed as poison, unless reports of other
 // nodes show another cause.
 func (t *Tracker) IsGroupSettling(now time.Time, key RequestKey) bool {
 	g, ok := t.groups[key.Group]
-	return ok && now.Sub(g.knownAt) < settleTime && g.suffices() && !g.answered[key.Request]
+	return ok && now.Sub(g.knownAt) < settleTime && g.suffices() && !g.succeeded[key.Request]
 }
 
 // ConfirmedGroup is a group that was confirmed as poison.
--- a/entry/internal/crashtracker/records.go
+++ b/entry/internal/crashtracker/records.go
@@ -82,7 +82,9 @@
 	crashes map[incarnation]int
 	// attempts counts the attempts that crashed targets.
 	attempts int
-	depth    int
+	// errors counts the error answers to the request since the last crash.
+	errors int
+	depth  int
 	// knownAt is when the depth became known, lastAt when the last crash happened.
 	knownAt time.Time
 	lastAt  time.Time
@@ -114,6 +116,9 @@
 	if r.crashes[key] >= depth || (len(r.crashes) >= maxCrashesPerRequest && depth <= r.depth) {
 		return isNewToGroup
 	}
+	if r.crashes[key] == 0 {
+		r.errors = 0
+	}
 	if r.crashes[key] == 0 && !c.IsFurther {
 		r.attempts++
 	}
--- a/entry/internal/dispatcher/attempts.go
+++ b/entry/internal/dispatcher/attempts.go
@@ -32,7 +32,7 @@
 	isCandidate := false
 	switch ev.Outcome {
 	case Delivered:
-		effects = d.noteAnswer(r)
+		effects = d.noteAnswer(r, ev.Status)
 	case Broken, Expired, CallerGone:
 		isCandidate, effects = d.notePoisonCandidate(now, r, ev)
 	default:
--- a/entry/internal/dispatcher/crashes.go
+++ b/entry/internal/dispatcher/crashes.go
@@ -102,8 +102,8 @@
 
 // noteAnswer drops the crashes of a request that was answered, and those of its group if they count no more, here and
 // at the other nodes.
-func (d *Dispatcher) noteAnswer(r *request) []messenger.Effect {
-	cleared := d.crashTracker.NoteAnswer(r.key)
+func (d *Dispatcher) noteAnswer(r *request, status int) []messenger.Effect {
+	cleared := d.crashTracker.NoteAnswer(r.key, status/100 == http.StatusOK/100)
 	d.dropTrial(r.key)
 	if len(cleared) == 0 {
 		return nil
--- a/integration/relay_poison_variants_test.go
+++ b/integration/relay_poison_variants_test.go
@@ -146,9 +146,10 @@
 		return poisonVariant{method: http.MethodGet, path: path + targetfaker.PoisonArgument + "=1"}
 	})
 	refused, sent := 0, 0
+	until := time.Now().Add(poisonPeriod * poisonVariants)
 	var wg sync.WaitGroup
 	wg.Go(func() {
-		for n := 0; s.until.IsZero() || time.Now().Before(s.until); n++ {
+		for n := 0; time.Now().Before(until); n++ {
 			time.Sleep(siblingInterval)
 			c := callerfaker.Caller{Address: s.node(n).Address, Key: "key-0"}
 			status, _, err := c.Send(context.Background(), http.MethodGet, fmt.Sprint(path, "page=", n), fmt.Sprint("sibling-", n))
