--- a/entry/internal/crashtracker/checks.go
+++ b/entry/internal/crashtracker/checks.go
@@ -46,7 +46,7 @@
 	t.dropExpired(now)
 	var due []Check
 	for _, a := range t.candidates {
-		if !a.IsBroken && now.Sub(a.EndedAt) < checkDelay {
+		if !a.IsBroken && now.Sub(a.RunsUntil) < checkDelay {
 			continue
 		}
 		id := t.nextToCheck(a)
@@ -88,7 +88,7 @@
 	t.candidates = slices.DeleteFunc(t.candidates, func(a candidate) bool {
 		isOpen := func(id identifier.TargetID) bool { return !t.hasSurvived(id, a.Attempt) }
 		if slices.ContainsFunc(a.open, isOpen) {
-			return now.Sub(a.EndedAt) > candidateMaxAge
+			return now.Sub(a.RunsUntil) > candidateMaxAge
 		}
 		t.noteSurvival(a)
 		return true
@@ -107,7 +107,7 @@
 func (t *Tracker) noteSurvival(a candidate) {
 	s := Survival{Request: a.Key.Request, Target: a.Targets[0], AliveAfter: candidateMaxAge}
 	for _, id := range a.open {
-		s.AliveAfter = min(s.AliveAfter, t.targets[id].aliveAt.Sub(a.EndedAt))
+		s.AliveAfter = min(s.AliveAfter, t.targets[id].aliveAt.Sub(a.RunsUntil))
 	}
 	if len(t.survivals) < maxCandidates {
 		t.survivals = append(t.survivals, s)
--- a/entry/internal/crashtracker/crashtracker.go
+++ b/entry/internal/crashtracker/crashtracker.go
@@ -29,9 +29,10 @@
 	// Targets are the targets that the attempt used, first the one that it was sent to.
 	Targets []identifier.TargetID
 	// Before holds the crashes of the request and its group that were known when the attempt was sent.
-	Before  Histories
-	SentAt  time.Time
-	EndedAt time.Time
+	Before Histories
+	SentAt time.Time
+	// RunsUntil is when the attempt ended, or until when targets may go on with one that the node has left.
+	RunsUntil time.Time
 	// HasEvents says that events arrived, which takes all targets of a chain.
 	HasEvents bool
 	// IsBroken says that the connection to the first target broke.
@@ -236,7 +237,7 @@
 	}
 	candidates := t.candidates[:0]
 	for _, a := range t.candidates {
-		if now.Sub(a.EndedAt) > candidateMaxAge {
+		if now.Sub(a.RunsUntil) > candidateMaxAge {
 			continue
 		}
 		out.Crashes = append(out.Crashes, t.matchCandidate(now, &a, failed)...)
@@ -264,7 +265,7 @@
 // hasSurvived reports whether a target is known to have been alive after an attempt.
 func (t *Tracker) hasSurvived(id identifier.TargetID, a Attempt) bool {
 	s, ok := t.targets[id]
-	return ok && s.aliveAt.After(a.EndedAt)
+	return ok && s.aliveAt.After(a.RunsUntil)
 }
 
 // addCrash records the crash of a target by an attempt, and returns it if it was not known.
--- a/entry/internal/crashtracker/crashtracker_test.go
+++ b/entry/internal/crashtracker/crashtracker_test.go
@@ -45,7 +45,7 @@
 // broken returns an attempt whose connection broke, sent when the crashes known to the tracker were known.
 func broken(t *crashtracker.Tracker, at time.Time, request identifier.Fingerprint, targets ...identifier.TargetID) crashtracker.Attempt {
 	return crashtracker.Attempt{
-		Key: keyOf(request), Targets: targets, Before: t.Histories(at, keyOf(request)), SentAt: at, EndedAt: at.Add(10 * time.Millisecond), IsBroken: true,
+		Key: keyOf(request), Targets: targets, Before: t.Histories(at, keyOf(request)), SentAt: at, RunsUntil: at.Add(10 * time.Millisecond), IsBroken: true,
 	}
 }
 
@@ -216,7 +216,7 @@
 // breakAttempt records an attempt at a target whose connection broke.
 func breakAttempt(x *crashtracker.Tracker, at time.Time, key crashtracker.RequestKey, target int) {
 	x.AddAttempt(at, crashtracker.Attempt{
-		Key: key, Targets: []identifier.TargetID{id(target)}, Before: x.Histories(at, key), SentAt: at, EndedAt: at.Add(time.Millisecond), IsBroken: true,
+		Key: key, Targets: []identifier.TargetID{id(target)}, Before: x.Histories(at, key), SentAt: at, RunsUntil: at.Add(time.Millisecond), IsBroken: true,
 	})
 }
 
--- a/entry/internal/dispatcher/crashes.go
+++ b/entry/internal/dispatcher/crashes.go
@@ -14,6 +14,9 @@
 	"fuchsiabridge.example/entry/internal/registrar"
 )
 
+// maxLeftRun is how long a target is expected to go on at most with an attempt that the node has left.
+const maxLeftRun = time.Second
+
 // callerFingerprint returns the fingerprint of a request of an account. It does not depend on the key, which
 // an account may replace.
 func callerFingerprint(content identifier.Fingerprint, account identifier.AccountID) identifier.Fingerprint {
@@ -29,13 +32,25 @@
 		return false, nil
 	}
 	crashes := d.crashTracker.AddAttempt(now, crashtracker.Attempt{
-		Key: r.key, Targets: r.targets(), Before: r.before, SentAt: r.sent, EndedAt: now,
+		Key: r.key, Targets: r.targets(), Before: r.before, SentAt: r.sent, RunsUntil: r.runsUntil(now, ev.Outcome),
 		HasEvents: ev.Events > r.eventsBefore, IsBroken: ev.Outcome == Broken,
 	})
 	d.endTrial(now, r.key)
 	return true, append(d.reportCrashes(now, crashes), d.startChecks(now)...)
 }
 
+// runsUntil returns until when targets may run an attempt that has ended now or is left.
+func (r *request) runsUntil(now time.Time, o Outcome) time.Time {
+	switch left := now.Add(maxLeftRun); {
+	case o == Broken || r.deadline.Before(now):
+		return now
+	case r.deadline.Before(left):
+		return r.deadline
+	default:
+		return left
+	}
+}
+
 // recordAlive records which targets an attempt proves to be alive: one that answers, and those of a
 // chain from which events arrived. A misdirected request may have met another target at the address.
 func (d *Dispatcher) recordAlive(r *request, ev AttemptReported) {
--- a/entry/internal/dispatcher/poison_group_test.go
+++ b/entry/internal/dispatcher/poison_group_test.go
@@ -188,7 +188,7 @@
 // crashing, views and reports.
 func TestDifferingPoisonIsRefusedUnderRandomConditions(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		mode := rapid.SampledFrom([]crashMode{beforeFirstByte, afterFirstEvent, silence, afterCallerLeft, afterSecondSend}).Draw(t, "mode")
+		mode := rapid.SampledFrom([]crashMode{beforeFirstByte, afterFirstEvent, silence, afterCallerLeft, afterSecondSend, longAfterCallLeft}).Draw(t, "mode")
 		paths := []string{"/draft/", "/once/"}
 		if mode != afterFirstEvent {
 			paths = append(paths, "/post/", "/view/")
