--- a/entry/internal/dispatcher/poison_test.go
+++ b/entry/internal/dispatcher/poison_test.go
@@ -746,3 +746,29 @@
 	c.Assert(d.crashes, qt.HasLen, 1)
 	c.Assert(d.crashes[0].Target, qt.Equals, crashed)
 }
+
+// TestRejectedTrialIsSentOnAtOnce guards against holding a request with known crashes back for a second because of its own
+// attempt, which its target has not run.
+func TestRejectedTrialIsSentOnAtOnce(t *testing.T) {
+	for _, rejected := range []dispatcher.AttemptReported{{Outcome: dispatcher.NotSent}, {Outcome: dispatcher.NotRun, Status: 503}} {
+		c := qt.New(t)
+		d := readyHarness()
+		d.apply(-2*retryWindow, dispatcher.RetryQuotaChanged{Retries: 10})
+		arrive := func(at time.Duration) (identifier.CallID, messenger.Effect) {
+			d.next++
+			return d.next, d.apply(at, dispatcher.RequestArrived{
+				Call: d.next, ID: identifier.RequestID(fmt.Sprint(d.next)), Host: "h", Path: "/post/", Key: "key", Fingerprint: innocent, Group: poisonGroup,
+			})
+		}
+		crashed, e := arrive(0)
+		address := e.(dispatcher.Send).Address
+		d.apply(10*time.Millisecond, dispatcher.AttemptReported{Call: crashed, Outcome: dispatcher.Broken})
+		d.apply(20*time.Millisecond, registrar.Ejected{Address: address, Cause: registrar.Unresponsive})
+		tried, e := arrive(30 * time.Millisecond)
+		c.Assert(e.(dispatcher.Send).NewConn, qt.IsTrue)
+		rejected.Call = tried
+		e = d.apply(35*time.Millisecond, rejected)
+		_, isSent := e.(dispatcher.Send)
+		c.Assert(isSent, qt.IsTrue, qt.Commentf("%s: %T", rejected.Outcome, e))
+	}
+}
