--- a/integration/relay_limit_test.go
+++ b/integration/relay_limit_test.go
@@ -40,9 +40,13 @@
 func newLimitRun(t *testing.T, nodes int) *limitRun {
 	t.Helper()
 	s := newRelaySoakOf(t, 1, nodes)
-	path := s.fleet.Attempts("warm")[0].Path
-	address, _, _ := strings.Cut(path, "=")
-	return &limitRun{relaySoak: s, first: s.fleet.TargetAt(address)}
+	return &limitRun{relaySoak: s, first: s.firstOfChains()}
+}
+
+// firstOfChains returns a target that is first in a chain.
+func (s *relaySoak) firstOfChains() string {
+	address, _, _ := strings.Cut(s.fleet.Attempts("warm")[0].Path, "=")
+	return s.fleet.TargetAt(address)
 }
 
 // play sends requests for a while and runs disturb beside them.
