End the trial of a request only by the attempt that began it

Callers' copies of a poison request that no target had run ended the trial of another copy, or of the request's own silent attempt, so that more copies were sent. A trial now knows its call, and a rejection ends it only if no attempt of that call may still run.

--- a/entry/internal/dispatcher/attempts.go
+++ b/entry/internal/dispatcher/attempts.go
@@ -52,7 +52,7 @@
 	case Expired:
 		return append(effects, d.refuse(now, ev.Call, http.StatusGatewayTimeout, 0, deadlinePassed)...)
 	case NotSent, NotRun:
-		d.dropTrial(r.key)
+		d.rejectTrial(ev.Call, r)
 		if reason := d.retryBarrier(now, r); reason != "" {
 			return append(effects, d.endUnplaced(now, ev.Call, r, "no target accepted the request, "+reason)...)
 		}
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -141,8 +141,8 @@
 	crashTracker *crashtracker.Tracker
 	limits       *limiter.Tracker
 	requests     map[identifier.CallID]*request
-	// trials holds, for requests and groups with known crashes, until when an attempt holds back further ones.
-	trials map[identifier.Fingerprint]time.Time
+	// trials holds, for requests and groups with known crashes, the attempt that holds back further ones.
+	trials map[identifier.Fingerprint]trial
 	// leaseUntil is until when this node holds the lease, which no two nodes do at the same time.
 	leaseUntil time.Time
 	retries    *budgeter.Budgets
@@ -152,7 +152,7 @@
 func NewDispatcher(cfg Config) *Dispatcher {
 	return &Dispatcher{
 		cfg: cfg, chooser: chooser.NewChooser(cfg.DataCentre), crashTracker: crashtracker.NewTracker(), limits: limiter.NewTracker(), requests: map[identifier.CallID]*request{},
-		trials: map[identifier.Fingerprint]time.Time{}, retries: budgeter.NewBudgets(budgeter.Config{Ratio: cfg.RetryRatio, Window: cfg.RetryWindow}),
+		trials: map[identifier.Fingerprint]trial{}, retries: budgeter.NewBudgets(budgeter.Config{Ratio: cfg.RetryRatio, Window: cfg.RetryWindow}),
 	}
 }
 
@@ -370,7 +370,7 @@
 	r.target, r.chain = out.Target, out.Chain
 	r.askUntil = time.Time{}
 	out.IdleDeadline = r.idleDeadline(now, out)
-	d.beginTrial(now, r.key, before)
+	d.beginTrial(now, out.Call, r.key, before)
 	r.tried = append(r.tried, out.Target)
 	d.chooser.Acquire(r.targets())
 	return []messenger.Effect{out}
--- a/entry/internal/dispatcher/poison_test.go
+++ b/entry/internal/dispatcher/poison_test.go
@@ -772,3 +772,17 @@
 		c.Assert(isSent, qt.IsTrue, qt.Commentf("%s: %T", rejected.Outcome, e))
 	}
 }
+
+// TestRejectedCopyEndsNoTrialOfAnother guards against a poison request that is sent on and on by copies of it which no
+// target has run, because each of them ends the trial of another copy that is still running.
+func TestRejectedCopyEndsNoTrialOfAnother(t *testing.T) {
+	c := qt.New(t)
+	s := defaults(silence, "/once/")
+	s.interval, s.nodes, s.viewDelay, s.reportDelay, s.downtime = 50*time.Millisecond, 4, 10*time.Millisecond, 10*time.Millisecond, 3235*time.Millisecond
+	s.duration = 15 * time.Second
+	x := newSimulation(s)
+	x.repeatPoison()
+	x.repeatOrdinary()
+	x.run()
+	c.Assert(x.lateSends() <= maxLateSends, qt.IsTrue, x.summary())
+}
--- a/entry/internal/dispatcher/trials.go
+++ b/entry/internal/dispatcher/trials.go
@@ -84,30 +84,51 @@
 	return b
 }
 
+// trial is an attempt of a request with known crashes.
+type trial struct {
+	call identifier.CallID
+	// until is until when it holds back others.
+	until time.Time
+}
+
 // isTried reports whether it is still open if the last attempt of a request with known crashes, or of its group, has
 // crashed its targets, so that the next one should wait.
 func (d *Dispatcher) isTried(now time.Time, key crashtracker.RequestKey) bool {
-	if now.Before(d.trials[key.Request]) {
+	if now.Before(d.trials[key.Request].until) {
 		return true
 	}
-	return d.crashTracker.IsGroupOpen(now, key) && (now.Before(d.trials[key.Group]) || d.crashTracker.IsGroupSettling(now, key))
+	return d.crashTracker.IsGroupOpen(now, key) && (now.Before(d.trials[key.Group].until) || d.crashTracker.IsGroupSettling(now, key))
 }
 
 // beginTrial notes that an attempt of a request begins, if crashes of it or its group are known.
-func (d *Dispatcher) beginTrial(now time.Time, key crashtracker.RequestKey, before crashtracker.Histories) {
+func (d *Dispatcher) beginTrial(now time.Time, call identifier.CallID, key crashtracker.RequestKey, before crashtracker.Histories) {
 	if before.Request.Depth > 0 {
-		d.trials[key.Request] = now.Add(maxTrial)
+		d.trials[key.Request] = trial{call: call, until: now.Add(maxTrial)}
 	}
 	if before.Group.Depth > 0 {
-		d.trials[key.Group] = now.Add(maxTrial)
+		d.trials[key.Group] = trial{call: call, until: now.Add(maxTrial)}
 	}
 }
 
 // endTrial notes that the attempt of a request with known crashes has ended without a complete answer.
 func (d *Dispatcher) endTrial(now time.Time, key crashtracker.RequestKey) {
 	for _, id := range []identifier.Fingerprint{key.Request, key.Group} {
-		if _, ok := d.trials[id]; ok {
-			d.trials[id] = now.Add(verdictDelay)
+		if t, ok := d.trials[id]; ok {
+			t.until = now.Add(verdictDelay)
+			d.trials[id] = t
+		}
+	}
+}
+
+// rejectTrial notes that no target has run the attempt of a request, which ends its trial if no other attempt of the
+// request is still open.
+func (d *Dispatcher) rejectTrial(call identifier.CallID, r *request) {
+	if r.executions > 0 {
+		return
+	}
+	for _, id := range []identifier.Fingerprint{r.key.Request, r.key.Group} {
+		if d.trials[id].call == call {
+			delete(d.trials, id)
 		}
 	}
 }
@@ -120,7 +141,7 @@
 
 // dropTrials forgets trials whose time is over.
 func (d *Dispatcher) dropTrials(now time.Time) {
-	maps.DeleteFunc(d.trials, func(_ identifier.Fingerprint, until time.Time) bool { return !now.Before(until) })
+	maps.DeleteFunc(d.trials, func(_ identifier.Fingerprint, t trial) bool { return !now.Before(t.until) })
 }
 
 // holdEnded sends a request that was held back, unless it has become known as poison meanwhile.
