--- a/common/describer/describer.go
+++ b/common/describer/describer.go
@@ -161,8 +161,8 @@
 	Layers identifier.LayerRange
 	// Stalled maps each request that makes no progress to the address of the target that it waits for.
 	Stalled map[identifier.RequestID]string
-	// Limit is the request limit that the answer names.
-	Limit NamedLimit
+	// Said is what the answer says about the target itself.
+	Said Announcement
 }
 
 // Stage is one stage of a chain: a target and the layers that it runs of a request.
--- a/common/describer/status.go
+++ b/common/describer/status.go
@@ -29,6 +29,8 @@
 	ConfirmedPoison     int `json:"confirmed_poison"`
 	// Limits are the request limits that targets name.
 	Limits []LimitStatus `json:"limits,omitempty"`
+	// Quiet are the targets that want no requests for a while.
+	Quiet []QuietStatus `json:"quiet,omitempty"`
 	// HoldsLease says that the node holds the lease to send orders, with the fencing token Fence.
 	HoldsLease bool                    `json:"holds_lease"`
 	Fence      identifier.FencingToken `json:"fence"`
@@ -79,3 +81,12 @@
 	Capacity float64 `json:"room"`
 	Open     int     `json:"open"`
 }
+
+// QuietStatus is a target that wants no requests for a while.
+type QuietStatus struct {
+	Target identifier.TargetID `json:"target"`
+	// LeftMS is the time that is left, in milliseconds.
+	LeftMS int64 `json:"left_ms"`
+	// Refusals counts the requests that the target has refused in that time.
+	Refusals int `json:"refusals"`
+}
--- a/common/eventlogger/relay.go
+++ b/common/eventlogger/relay.go
@@ -34,6 +34,9 @@
 	GrantDenied            = Event{8030, "request kept from a target by its limit"}
 	RetryShareChanged      = Event{8031, "share of the retries beyond the ratio changed"}
 	AttemptSurvived        = Event{8032, "targets have survived an attempt"}
+	TargetSaysLeaving      = Event{8033, "target says that it is leaving"}
+	TargetWantsQuiet       = Event{8034, "target wants no requests for a while"}
+	AnnouncementUnreadable = Event{8035, "what a target says in an answer cannot be read"}
 )
 
 func relayEvents() []Event {
@@ -70,5 +73,8 @@
 		GrantDenied,
 		RetryShareChanged,
 		AttemptSurvived,
+		TargetSaysLeaving,
+		TargetWantsQuiet,
+		AnnouncementUnreadable,
 	}
 }
--- a/entry/internal/chooser/chooser.go
+++ b/entry/internal/chooser/chooser.go
@@ -69,15 +69,16 @@
 	// stalled holds, by address, until when the chains that begin at the target count as stalled.
 	avoided map[string]time.Time
 	stalled map[string]time.Time
-	// shut holds until when no request may be sent to a target.
-	shut map[identifier.TargetID]time.Time
+	// shut holds until when a target's request limit allows no request, quiet until when the target wants none.
+	shut  map[identifier.TargetID]time.Time
+	quiet map[identifier.TargetID]time.Time
 }
 
 // NewChooser returns a chooser without targets for a node in the given data centre.
 func NewChooser(dc identifier.DataCentre) *Chooser {
 	return &Chooser{
 		dataCentre: dc, services: map[identifier.ServiceID]*service{}, stats: map[identifier.TargetID]*targetStats{},
-		avoided: map[string]time.Time{}, stalled: map[string]time.Time{}, shut: map[identifier.TargetID]time.Time{},
+		avoided: map[string]time.Time{}, stalled: map[string]time.Time{}, shut: map[identifier.TargetID]time.Time{}, quiet: map[identifier.TargetID]time.Time{},
 	}
 }
 
@@ -119,7 +120,9 @@
 	isExpired := func(_ string, until time.Time) bool { return !now.Before(until) }
 	maps.DeleteFunc(c.avoided, isExpired)
 	maps.DeleteFunc(c.stalled, isExpired)
-	maps.DeleteFunc(c.shut, func(_ identifier.TargetID, until time.Time) bool { return !now.Before(until) })
+	for _, closed := range []map[identifier.TargetID]time.Time{c.shut, c.quiet} {
+		maps.DeleteFunc(closed, func(_ identifier.TargetID, until time.Time) bool { return !now.Before(until) })
+	}
 }
 
 // HasTargets reports whether any target is known.
@@ -187,15 +190,31 @@
 // Reopen lets a target that was shut get requests again.
 func (c *Chooser) Reopen(id identifier.TargetID) { delete(c.shut, id) }
 
-func (c *Chooser) isShut(now time.Time, id identifier.TargetID) bool { return now.Before(c.shut[id]) }
+// Quiet makes a target get no requests until the given time, whatever its request limit allows.
+func (c *Chooser) Quiet(id identifier.TargetID, until time.Time) { c.quiet[id] = until }
+
+// IsQuiet reports whether a target wants no requests now.
+func (c *Chooser) IsQuiet(now time.Time, id identifier.TargetID) bool { return now.Before(c.quiet[id]) }
+
+func (c *Chooser) isShut(now time.Time, id identifier.TargetID) bool {
+	return now.Before(c.shut[id]) || c.IsQuiet(now, id)
+}
+
+// reopensAt returns when a target that is shut may get requests again.
+func (c *Chooser) reopensAt(id identifier.TargetID) time.Time {
+	if c.quiet[id].After(c.shut[id]) {
+		return c.quiet[id]
+	}
+	return c.shut[id]
+}
 
 // ReopensAt returns when the first target of a service that is shut may get requests again, zero if none is shut.
 func (c *Chooser) ReopensAt(now time.Time, id identifier.ServiceID) time.Time {
 	var first time.Time
 	if s := c.services[id]; s != nil {
 		for _, t := range s.targets {
-			if c.isShut(now, t.ID) && (first.IsZero() || c.shut[t.ID].Before(first)) {
-				first = c.shut[t.ID]
+			if c.isShut(now, t.ID) && (first.IsZero() || c.reopensAt(t.ID).Before(first)) {
+				first = c.reopensAt(t.ID)
 			}
 		}
 	}
--- a/entry/internal/dispatcher/attempts.go
+++ b/entry/internal/dispatcher/attempts.go
@@ -91,8 +91,15 @@
 	if r.route.Kind == describer.Streaming {
 		typical = streamRetryAfter
 	}
-	jitter := retryAfterJitter * rand.New(rand.NewPCG(r.seed, 0)).Float64()
-	return time.Duration((1 - retryAfterJitter/2 + jitter) * float64(typical))
+	return time.Duration((1-retryAfterJitter/2)*float64(typical)) + time.Duration(r.jitter()*float64(typical))
+}
+
+// spread returns a random delay that is added to the time at which a target may be used again.
+func (r *request) spread() time.Duration { return time.Duration(r.jitter() * float64(plainRetryAfter)) }
+
+// jitter returns a number from 0 to retryAfterJitter, the same each time for a request.
+func (r *request) jitter() float64 {
+	return retryAfterJitter * rand.New(rand.NewPCG(r.seed, 0)).Float64()
 }
 
 // resumeStalled waits again for the stalled attempt that was kept, because the attempts after it
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -140,6 +140,8 @@
 	chooser      *chooser.Chooser
 	crashTracker *crashtracker.Tracker
 	limits       *limiter.Tracker
+	quiet        map[identifier.TargetID]*quietTime
+	unreadable   map[identifier.TargetID]unreadableFields
 	requests     map[identifier.CallID]*request
 	// trials holds, for requests and groups with known crashes, the attempt that holds back further ones.
 	trials map[identifier.Fingerprint]trial
@@ -151,7 +153,8 @@
 // NewDispatcher returns a dispatcher without a configuration.
 func NewDispatcher(cfg Config) *Dispatcher {
 	return &Dispatcher{
-		cfg: cfg, chooser: chooser.NewChooser(cfg.DataCentre), crashTracker: crashtracker.NewTracker(), limits: limiter.NewTracker(), requests: map[identifier.CallID]*request{},
+		cfg: cfg, chooser: chooser.NewChooser(cfg.DataCentre), crashTracker: crashtracker.NewTracker(), limits: limiter.NewTracker(),
+		quiet: map[identifier.TargetID]*quietTime{}, unreadable: map[identifier.TargetID]unreadableFields{}, requests: map[identifier.CallID]*request{},
 		trials: map[identifier.Fingerprint]trial{}, retries: budgeter.NewBudgets(budgeter.Config{Ratio: cfg.RetryRatio, Window: cfg.RetryWindow}),
 	}
 }
@@ -190,6 +193,10 @@
 		return d.targetChecked(now, ev)
 	case limiter.AnswerRead:
 		return d.answerRead(now, ev)
+	case QuietWanted:
+		return d.quietWanted(now, ev)
+	case AnnouncementUnreadable:
+		return d.announcementUnreadable(now, ev)
 	case limiter.LimitsLearned:
 		return d.limitsLearned(now, ev)
 	case GrantAnswered:
@@ -216,6 +223,7 @@
 	s.Targets, s.Leaving, s.Ejected = d.chooser.Counts()
 	s.PoisonCandidates, s.RequestsWithCrashes, s.ConfirmedPoison = d.crashTracker.Counts(now)
 	s.Limits = d.limits.Limits(now)
+	s.Quiet = d.quietStatus(now)
 	if d.table != nil {
 		s.Version, s.ConfirmedMSAgo = d.table.Version, now.Sub(d.confirmedAt).Milliseconds()
 	}
@@ -270,6 +278,7 @@
 	d.chooser.Tick(now)
 	d.dropTrials(now)
 	effects := append(d.startChecks(now), d.confirmGroups(now)...)
+	effects = append(effects, d.endQuiet(now)...)
 	if d.isStale || d.table == nil || d.isFresh(now) {
 		return effects
 	}
--- a/entry/internal/dispatcher/limits.go
+++ b/entry/internal/dispatcher/limits.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"maps"
 	"time"
 
 	"fuchsiabridge.example/common/describer"
@@ -15,7 +16,7 @@
 	// maxAskTime is how long one attempt may ask for grants of one target after the other.
 	maxAskTime = 300 * time.Millisecond
 	// targetsLimited is the reason in logs of requests for which all targets are at their limits.
-	targetsLimited = "all targets are at their request limits"
+	targetsLimited = "all targets are at their request limits or want no requests for now"
 )
 
 // answerRead notes what the head of an answer says of its target's request limit, and tells the other nodes of a change.
@@ -65,6 +66,7 @@
 		known[t.ID] = true
 	}
 	d.limits.Keep(func(id identifier.TargetID) bool { return known[id] })
+	maps.DeleteFunc(d.unreadable, func(id identifier.TargetID, _ unreadableFields) bool { return !known[id] })
 }
 
 // HasRequestLimits reports whether any target names a request limit.
@@ -141,7 +143,7 @@
 	}
 }
 
-// limitReason returns the reason why a service has no target for a request: other, unless limits leave none.
+// limitReason returns the reason why a service has no target for a request: other, unless targets that are shut leave none.
 func (d *Dispatcher) limitReason(now time.Time, service identifier.ServiceID, other string) string {
 	if d.chooser.ReopensAt(now, service).IsZero() {
 		return other
@@ -149,11 +151,12 @@
 	return targetsLimited
 }
 
-// limitRetryAfter returns the time until a target of the request's service that is at its limit may get requests again.
+// limitRetryAfter returns the time until a target of the request's service that is shut may get requests again, and some more
+// so that callers don't return all at once.
 func (d *Dispatcher) limitRetryAfter(now time.Time, r *request) time.Duration {
 	reopensAt := d.chooser.ReopensAt(now, r.service)
 	if reopensAt.IsZero() {
 		return 0
 	}
-	return reopensAt.Sub(now)
+	return reopensAt.Sub(now) + r.spread()
 }
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -13,6 +13,8 @@
 	"github.com/valyala/fasthttp"
 
 	"fuchsiabridge.example/common/bootclock"
+	"fuchsiabridge.example/common/describer"
+	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/entry/internal/connector"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/limiter"
@@ -33,6 +35,15 @@
 // errMismatch is returned when an answer carries the id of another request.
 var errMismatch = errors.New("answer has the id of another request")
 
+// AnswerHead is what the head of an answer says about the target that gave it.
+type AnswerHead struct {
+	Target identifier.TargetID
+	Kind   limiter.AnswerKind
+	Said   describer.Announcement
+	// SentAt is when the request was sent.
+	SentAt time.Time
+}
+
 // Caller is the caller's side of a request.
 type Caller interface {
 	// Header returns the request's header, which must be copied, and Body its body.
@@ -81,7 +92,7 @@
 	pool       *connector.Connector
 	idle       *IdleTracker
 	// onAnswer is called with the head of each answer, as soon as it is read.
-	onAnswer func(limiter.AnswerRead)
+	onAnswer func(AnswerHead)
 
 	// attempt is the current attempt.
 	attempt
@@ -97,7 +108,7 @@
 }
 
 // NewExchange returns an exchange for a caller's request.
-func NewExchange(caller Caller, r translator.Request, pool *connector.Connector, idle *IdleTracker, onAnswer func(limiter.AnswerRead)) *Exchange {
+func NewExchange(caller Caller, r translator.Request, pool *connector.Connector, idle *IdleTracker, onAnswer func(AnswerHead)) *Exchange {
 	x := &Exchange{caller: caller, request: r, pool: pool, idle: idle, onAnswer: onAnswer}
 	x.events.lastID = r.LastEvent
 	return x
@@ -224,7 +235,7 @@
 	if answer.IsSealed {
 		kind = limiter.RequestAnswer
 	}
-	x.onAnswer(limiter.AnswerRead{Target: x.send.Target, Kind: kind, Limit: answer.Limit, SentAt: x.sentAt})
+	x.onAnswer(AnswerHead{Target: x.send.Target, Kind: kind, Said: answer.Said, SentAt: x.sentAt})
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/entry/internal/forwarder/forwarder_test.go
+++ b/entry/internal/forwarder/forwarder_test.go
@@ -138,7 +138,7 @@
 	caller      *caller
 	exchange    *forwarder.Exchange
 	idleTimeout time.Duration
-	answers     []limiter.AnswerRead
+	answers     []forwarder.AnswerHead
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -147,7 +147,7 @@
 	f.caller.header.SetRequestURI("/x")
 	f.caller.header.SetHost("h")
 	answerfaker.Mark(&f.caller.header, id)
-	onAnswer := func(a limiter.AnswerRead) { f.answers = append(f.answers, a) }
+	onAnswer := func(a forwarder.AnswerHead) { f.answers = append(f.answers, a) }
 	f.exchange = forwarder.NewExchange(f.caller, translator.Request{ID: id}, connector.NewConnector(), forwarder.NewIdleTracker(), onAnswer)
 	t.Cleanup(f.exchange.Drop)
 	return f
@@ -310,7 +310,7 @@
 			f.Assert(f.answers, qt.HasLen, len(row.want))
 			for i, kind := range row.want {
 				f.Check(f.answers[i].Kind, qt.Equals, kind)
-				f.Check(f.answers[i].Limit, qt.Equals, limit)
+				f.Check(f.answers[i].Said.Limit, qt.Equals, limit)
 				f.Check(f.answers[i].Target, qt.Equals, identifier.TargetID("i-1"))
 			}
 		})
--- a/entry/internal/registrar/registrar.go
+++ b/entry/internal/registrar/registrar.go
@@ -59,6 +59,14 @@
 	Reason  string
 }
 
+// LeavingSaid is the event that a target has said in an answer that it is leaving.
+type LeavingSaid struct {
+	Target identifier.TargetID
+	// Answer is the kind of answer, for logs, and SentAt when the request was sent.
+	Answer string
+	SentAt time.Time
+}
+
 // Target is a target's entry with the state that the node has derived.
 type Target struct {
 	describer.Target
@@ -80,8 +88,9 @@
 	// these ejections, up to maxDoublings.
 	ejectedAt time.Time
 	ejections int
-	// reportedAt is when the target's entry was last read.
+	// reportedAt is when the target's entry was last read, knownAt when the one of its current incarnation was first read.
 	reportedAt time.Time
+	knownAt    time.Time
 	// leavingAt is when the node first saw that a target it already knew is leaving.
 	leavingAt time.Time
 	// wasClosing and wasEjected are the values that were last published.
@@ -111,6 +120,8 @@
 		r.graceUntil = now.Add(recoveryGrace)
 	case Ejected:
 		return r.eject(now, ev)
+	case LeavingSaid:
+		return r.markLeaving(now, ev)
 	case messenger.Tick:
 		return r.tick(now)
 	}
@@ -144,7 +155,7 @@
 // newState returns the state of a target whose entry is new. One that is leaving has been for an unknown
 // time, so it accepts no more requests.
 func newState(now time.Time, t describer.Target) *targetState {
-	s := &targetState{target: t, reportedAt: now}
+	s := &targetState{target: t, reportedAt: now, knownAt: now}
 	if t.IsLeaving {
 		s.leavingAt = now.Add(-closingWindow)
 	}
@@ -175,6 +186,20 @@
 	return changed
 }
 
+// markLeaving marks a target as leaving that has said so. What was sent before its incarnation was known may have been
+// answered by an earlier one.
+func (r *Registrar) markLeaving(now time.Time, ev LeavingSaid) []messenger.Effect {
+	s, ok := r.states[ev.Target]
+	if !ok || s.target.IsLeaving || ev.SentAt.Before(s.knownAt) {
+		return nil
+	}
+	s.target.IsLeaving, s.leavingAt = true, now
+	return append(r.publishTargets(now), messenger.Log{
+		Event: eventlogger.TargetSaysLeaving, Subject: subject(ev.Target),
+		Values: []any{"answer", ev.Answer, "answered_ms", now.Sub(ev.SentAt).Milliseconds(), "born", s.target.Incarnation},
+	})
+}
+
 // remove drops a target whose entry is gone; soon after an outage of the store, it only notes when
 // the target counts as gone.
 func (r *Registrar) remove(now time.Time, id identifier.TargetID) bool {
--- a/entry/internal/registrar/registrar_test.go
+++ b/entry/internal/registrar/registrar_test.go
@@ -135,3 +135,29 @@
 	d.apply(time.Second, registrar.TargetsRead{IsComplete: true, Changes: []describer.TargetChange{{ID: "u", Target: &describer.Target{ID: "u", Incarnation: 1}}}})
 	c.Assert(d.targets, qt.HasLen, 1)
 }
+
+// TestTargetThatSaysItLeavesStaysLeaving guards against sending requests to a target that has said in an answer that it is
+// leaving because its entry does not say so, and against a late answer of an earlier incarnation that takes a target out.
+func TestTargetThatSaysItLeavesStaysLeaving(t *testing.T) {
+	c := qt.New(t)
+	d := newHarness()
+	said := func(after, sent time.Duration) {
+		d.apply(after, registrar.LeavingSaid{Target: "t", Answer: "request", SentAt: start.Add(sent)})
+	}
+	said(0, 0)
+	d.report(time.Second, "t", 1, false)
+	c.Assert(d.targets[0].IsLeaving, qt.IsFalse)
+	said(2*time.Second, 1500*time.Millisecond)
+	c.Assert(d.targets[0].IsLeaving, qt.IsTrue)
+	c.Assert(d.targets[0].IsClosing, qt.IsTrue)
+	d.report(3*time.Second, "t", 1, false)
+	c.Assert(d.targets[0].IsLeaving, qt.IsTrue)
+	d.apply(3*time.Second, messenger.Tick{})
+	c.Assert(d.targets[0].IsClosing, qt.IsFalse)
+	d.report(4*time.Second, "t", 2, false)
+	c.Assert(d.targets[0].IsLeaving, qt.IsFalse)
+	said(5*time.Second, 3900*time.Millisecond)
+	c.Assert(d.targets[0].IsLeaving, qt.IsFalse)
+	said(6*time.Second, 5*time.Second)
+	c.Assert(d.targets[0].IsLeaving, qt.IsTrue)
+}
--- a/entry/internal/relayer/relayer.go
+++ b/entry/internal/relayer/relayer.go
@@ -53,7 +53,7 @@
 	orderWorkers = 64
 )
 
-var errNoGrant = errors.New("the target's request limit allows no call")
+var errNoGrant = errors.New("the target's request limit allows no call, or it wants none for now")
 
 // Config holds the dependencies and settings of a relayer.
 type Config struct {
@@ -213,11 +213,26 @@
 	x.Submit(placer.StateReported{Target: e.Target, Report: report})
 }
 
-// answerRead submits the head of an answer if it concerns a request limit.
-func (x *Relayer) answerRead(a limiter.AnswerRead) {
-	if a.Limit.Kind != describer.NoLimit || x.hasRequestLimits.Load() {
-		x.Submit(a)
+// answerRead submits what the head of an answer says about its target.
+func (x *Relayer) answerRead(h forwarder.AnswerHead) {
+	if h.Said.Limit.Kind != describer.NoLimit || x.hasRequestLimits.Load() {
+		x.Submit(limiter.AnswerRead{Target: h.Target, Kind: h.Kind, Limit: h.Said.Limit, SentAt: h.SentAt})
 	}
+	if h.Said.IsLeaving {
+		x.Submit(registrar.LeavingSaid{Target: h.Target, Answer: h.Kind.String(), SentAt: h.SentAt})
+	}
+	if h.Said.RetryAfter > 0 {
+		x.Submit(dispatcher.QuietWanted{Target: h.Target, Until: bootclock.Now().Add(h.Said.RetryAfter), Answer: h.Kind.String()})
+	}
+	for _, field := range h.Said.Malformed {
+		x.Submit(dispatcher.AnnouncementUnreadable{Target: h.Target, Field: field})
+	}
+}
+
+func (x *Relayer) isQuiet(target identifier.TargetID) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.dispatch.IsQuiet(bootclock.Now(), target)
 }
 
 // requestLimit returns what is known of a target's request limit, and false if it names none.
@@ -255,14 +270,14 @@
 // report requests a report of a target's state, and notes the request limit that the answer names. The call counts
 // towards that limit.
 func (x *Relayer) report(ctx context.Context, target identifier.TargetID, address string, p patience) (describer.Report, error) {
-	if !x.awaitGrant(ctx, target, p.grant) {
+	if x.isQuiet(target) || !x.awaitGrant(ctx, target, p.grant) {
 		return describer.Report{}, errNoGrant
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.answer)
 	defer cancel()
 	sent := bootclock.Now()
 	report, err := x.targets.Report(ctx, address)
-	x.answerRead(limiter.AnswerRead{Target: target, Kind: limiter.ReportAnswer, Limit: report.Limit, SentAt: sent})
+	x.answerRead(forwarder.AnswerHead{Target: target, Kind: limiter.ReportAnswer, Said: report.Said, SentAt: sent})
 	return report, err
 }
 
--- a/integration/relay_announcement_test.go
+++ b/integration/relay_announcement_test.go
@@ -108,13 +108,13 @@
 	s := newAnnouncementRun(t)
 	began := time.Now()
 	until := began.Add(4 * time.Second)
-	s.fleet.RefuseUntil("ledger-a", until, "3.5")
+	s.fleet.RefuseUntil("ledger-a", until)
 	s.play()
-	for node, n := range s.arrivals("ledger-a", began.Add(firstAnswers+refusalGrace), began.Add(3500*time.Millisecond)) {
+	for node, n := range s.arrivals("ledger-a", began.Add(firstAnswers+refusalGrace), until) {
 		s.Check(n <= refusalSlack, qt.IsTrue, qt.Commentf("%d requests of node %d while the target refuses", n, node))
 	}
 	reused := 0
-	for _, n := range s.arrivals("ledger-a", until, until.Add(firstAnswers+maxReuse)) {
+	for _, n := range s.arrivals("ledger-a", until, until.Add(maxReuse)) {
 		reused += n
 	}
 	s.Check(reused > 0, qt.IsTrue)
