--- a/entry/internal/crashtracker/checks.go
+++ b/entry/internal/crashtracker/checks.go
@@ -138,6 +138,13 @@
 	return Findings{}
 }
 
+// CheckSkipped applies that the last check of a target could not be sent.
+func (t *Tracker) CheckSkipped(id identifier.TargetID) {
+	if s, ok := t.targets[id]; ok {
+		s.isChecked = false
+	}
+}
+
 // CheckUnanswered applies that a target did not answer the last check.
 func (t *Tracker) CheckUnanswered(now time.Time, id identifier.TargetID) Findings {
 	s, ok := t.targets[id]
--- a/entry/internal/crashtracker/crashtracker_test.go
+++ b/entry/internal/crashtracker/crashtracker_test.go
@@ -278,3 +278,17 @@
 	}
 	c.Assert(tracker.Histories(at, key).HasCrashes(), qt.IsFalse)
 }
+
+// TestSkippedCheckIsMadeLater guards against a target that is never checked again because one check could not be sent.
+func TestSkippedCheckIsMadeLater(t *testing.T) {
+	c := qt.New(t)
+	tracker := crashtracker.NewTracker()
+	tracker.SetTargets(start, fleet(2))
+	breakAttempt(tracker, start, keyOf(poison), 0)
+	at := start.Add(50 * time.Millisecond)
+	c.Assert(tracker.DueChecks(at), qt.HasLen, 1)
+	tracker.CheckSkipped(id(0))
+	at = at.Add(time.Second)
+	c.Assert(tracker.DueChecks(at), qt.HasLen, 1)
+	c.Assert(tracker.CheckUnanswered(at, id(0)).Crashes, qt.HasLen, 1)
+}
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -189,6 +189,8 @@
 		d.setLease(ev)
 	case HoldEnded:
 		return d.holdEnded(now, ev)
+	case CheckSkipped:
+		d.crashTracker.CheckSkipped(ev.Target)
 	case TargetChecked:
 		return d.targetChecked(now, ev)
 	case limiter.AnswerRead:
--- a/entry/internal/dispatcher/messages.go
+++ b/entry/internal/dispatcher/messages.go
@@ -59,6 +59,9 @@
 	Address string
 }
 
+// CheckSkipped is the event that a check of a target could not be sent.
+type CheckSkipped struct{ Target identifier.TargetID }
+
 // TargetChecked is the event that a target has answered a check, or has not.
 type TargetChecked struct {
 	Target  identifier.TargetID
--- a/entry/internal/relayer/relayer.go
+++ b/entry/internal/relayer/relayer.go
@@ -321,6 +321,7 @@
 		checked.Incarnation = report.Incarnation
 	case errors.Is(err, errNoGrant):
 		eventlogger.Error(err, eventlogger.ReportFailed, "target", e.Target, "address", e.Address)
+		x.Submit(dispatcher.CheckSkipped{Target: e.Target})
 		return
 	case !errors.Is(err, targetcaller.ErrNoReport):
 		checked.IsUnanswered = true
