--- a/entry/internal/dispatcher/announcements_test.go
+++ b/entry/internal/dispatcher/announcements_test.go
@@ -13,9 +13,9 @@
 	"fuchsiabridge.example/entry/internal/limiter"
 )
 
-// quiet makes a target want no requests until the given time.
-func (d *harness) quiet(at time.Duration, target identifier.TargetID, until time.Duration) {
-	d.apply(at, dispatcher.QuietWanted{Target: target, Until: start.Add(until), Answer: "refusal"})
+// quiet makes a target want no requests from the start until the given time.
+func (d *harness) quiet(target identifier.TargetID, until time.Duration) {
+	d.apply(0, dispatcher.QuietWanted{Target: target, Until: start.Add(until), Answer: "refusal"})
 }
 
 // TestQuietTargetGetsNoRequests guards against sending requests to a target that has refused one with a Retry-After, also
@@ -24,7 +24,7 @@
 	c := qt.New(t)
 	d := readyHarness()
 	const until = 3 * time.Second
-	d.quiet(0, "ledger-a", until)
+	d.quiet("ledger-a", until)
 	d.apply(time.Millisecond, limiter.AnswerRead{Target: "ledger-a", Limit: describer.NamedLimit{Kind: describer.Limited, Rate: 5}, SentAt: start})
 	d.apply(2*time.Millisecond, limiter.AnswerRead{Target: "ledger-a", SentAt: start.Add(1500 * time.Microsecond)})
 	used := func(from, to time.Duration) int {
@@ -48,9 +48,9 @@
 func TestQuietTargetsRefuseAtOnce(t *testing.T) {
 	c := qt.New(t)
 	d := readyHarness()
-	d.quiet(0, "ledger-a", 2*time.Second)
-	d.quiet(0, "ledger-b", 900*time.Millisecond)
-	d.quiet(0, "ledger-c", 3*time.Second)
+	d.quiet("ledger-a", 2*time.Second)
+	d.quiet("ledger-b", 900*time.Millisecond)
+	d.quiet("ledger-c", 3*time.Second)
 	_, e := d.sendRequest(100*time.Millisecond, "/post/", "key")
 	refused, ok := e.(dispatcher.Refuse)
 	c.Assert(ok, qt.IsTrue, qt.Commentf("%T", e))
