Cut off answers without end in each of their parts, and bound what all answers hold together

A node that reads answers without end from 50 targets at once grew to 2 GB, which kills its process and with it every caller's request; a stream's event, its trailer and small chunks went on to the deadline. Cause: bounds stood for each body alone (16 MB), for lines but not for their number, and an event had none. An informational answer was taken for the answer itself.

A body is collected in pieces without being copied as it grows, and only the new bytes of an event are searched.

--- a/entry/internal/forwarder/bodies.go
+++ b/entry/internal/forwarder/bodies.go
@@ -9,8 +9,15 @@
 	"github.com/cockroachdb/errors"
 )
 
-// maxChunkLine limits the length of a chunk-size line and of a trailer line, in bytes.
-const maxChunkLine = 1024
+const (
+	// maxChunkLine limits the length of a chunk-size line and of a trailer line, in bytes.
+	maxChunkLine = 1024
+	// maxTrailerLines limits the lines of a trailer.
+	maxTrailerLines = 64
+	// The lines between the chunks may take maxFramingBytes, or framingFactor times the bytes of the chunks if that is more.
+	maxFramingBytes = 256 << 10
+	framingFactor   = 4
+)
 
 // errChunk is returned for a body that is not encoded in chunks although its header says so.
 var errChunk = errors.New("malformed chunk")
@@ -56,6 +63,10 @@
 	// isTrailer reports that the last chunk was read, isDone that the trailer was read as well.
 	isTrailer bool
 	isDone    bool
+	// trailerLines counts the lines of the trailer, framingBytes the bytes of all lines, dataBytes those of all chunks.
+	trailerLines int
+	framingBytes int
+	dataBytes    int
 }
 
 func (c *chunkReader) Read(b []byte) (int, error) {
@@ -69,6 +80,7 @@
 	}
 	n, err := c.r.Read(b[:min(len(b), c.left)])
 	c.left -= n
+	c.dataBytes += n
 	return n, unexpectedEOF(err)
 }
 
@@ -78,6 +90,9 @@
 	if err != nil {
 		return unexpectedEOF(err)
 	}
+	if c.framingBytes > max(maxFramingBytes, framingFactor*c.dataBytes) {
+		return errors.Wrap(errChunk, "too many lines between the chunks")
+	}
 	switch {
 	case c.isInChunk:
 		if len(line) > 0 {
@@ -85,6 +100,9 @@
 		}
 		c.isInChunk = false
 	case c.isTrailer:
+		if c.trailerLines++; c.trailerLines > maxTrailerLines {
+			return errors.Wrap(errChunk, "too many lines in the trailer")
+		}
 		c.isDone = len(line) == 0
 	default:
 		return c.begin(line)
@@ -114,6 +132,7 @@
 			continue
 		}
 		line := bytes.TrimSuffix(bytes.Clone(b[:n-1]), []byte("\r"))
+		c.framingBytes += n
 		_, err = c.r.Discard(n)
 		return line, err
 	}
--- a/entry/internal/forwarder/events.go
+++ b/entry/internal/forwarder/events.go
@@ -15,20 +15,23 @@
 // separator terminates an event.
 var separator = []byte("\n\n")
 
-// split splits b into the bytes of complete events and the rest.
-func (c *eventSplitter) split(b []byte) (complete, rest []byte) {
-	end := bytes.LastIndex(b, separator)
+// split splits the rest of the last call, followed by b, into the bytes of complete events and the new rest.
+func (c *eventSplitter) split(rest, b []byte) (complete, next []byte) {
+	searchFrom := max(0, len(rest)-len(separator)+1)
+	rest = append(rest, b...)
+	end := bytes.LastIndex(rest[searchFrom:], separator)
 	if end < 0 {
-		return nil, b
+		return nil, rest
 	}
-	complete, rest = b[:end+len(separator)], append([]byte(nil), b[end+len(separator):]...)
+	end += searchFrom
+	complete, next = rest[:end+len(separator)], append([]byte(nil), rest[end+len(separator):]...)
 	for event := range bytes.SplitSeq(complete[:end], separator) {
 		c.count++
 		if id, ok := eventID(event); ok {
 			c.lastID = id
 		}
 	}
-	return complete, rest
+	return complete, next
 }
 
 // firstID returns the id of the first of some complete events.
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -26,12 +26,23 @@
 	maxAnswerBytes = 16 << 20
 	// headerTimeout is how long the rest of a header may take after its first byte.
 	headerTimeout = time.Second
-	// readBufferBytes is the size of the buffer for reading a stream.
+	// maxEventBytes limits an event of a stream.
+	maxEventBytes = 256 << 10
+	// maxInformational limits the informational answers before an answer.
+	maxInformational = 8
+	// readBufferBytes is the size of the buffer for reading a body.
 	readBufferBytes = 8192
 	// idleFraction is the fraction of a target's idle timeout within which a connection is reused.
 	idleFraction = 0.7
 )
 
+var (
+	// errInformational is returned for too many informational answers.
+	errInformational = errors.New("too many informational answers")
+	// errTooLarge is returned for an answer, or an event of a stream, that is larger than the limit.
+	errTooLarge = errors.New("answer is too large")
+)
+
 // errMismatch is returned when an answer carries the id of another request.
 var errMismatch = errors.New("answer has the id of another request")
 
@@ -72,10 +83,14 @@
 	buffer    []byte
 	// pending is the beginning of an incomplete event.
 	pending []byte
+	// held is what the attempt holds of the node's memory for answers.
+	held int
 }
 
-// drop closes the connection, so that the target stops working on the request.
-func (a *attempt) drop() {
+// drop closes the connection, so that the target stops working on the request. The answer is no longer held.
+func (a *attempt) drop(memory *Memory) {
+	// Holding nothing is always possible.
+	a.held, _ = memory.reserve(a.held, 0)
 	if a.conn == nil {
 		return
 	}
@@ -84,6 +99,9 @@
 	a.conn = nil
 }
 
+// drop ends the current attempt.
+func (x *Exchange) drop() { x.attempt.drop(x.memory) }
+
 // Exchange is one request and its attempts.
 type Exchange struct {
 	caller     Caller
@@ -94,6 +112,8 @@
 	// onAnswer is called with the head of each answer, as soon as it is read.
 	onAnswer func(AnswerHead)
 
+	memory *Memory
+
 	// attempt is the current attempt.
 	attempt
 	// stalled is a stalled attempt that is kept until a later attempt has forwarded an event.
@@ -108,8 +128,8 @@
 }
 
 // NewExchange returns an exchange for a caller's request.
-func NewExchange(caller Caller, r translator.Request, pool *connector.Connector, idle *IdleTracker, onAnswer func(AnswerHead)) *Exchange {
-	x := &Exchange{caller: caller, request: r, pool: pool, idle: idle, onAnswer: onAnswer}
+func NewExchange(caller Caller, r translator.Request, pool *connector.Connector, idle *IdleTracker, memory *Memory, onAnswer func(AnswerHead)) *Exchange {
+	x := &Exchange{caller: caller, request: r, pool: pool, idle: idle, memory: memory, onAnswer: onAnswer}
 	x.events.lastID = r.LastEvent
 	return x
 }
@@ -216,8 +236,7 @@
 	if err := x.conn.SetReadDeadline(bootclock.ToRuntimeTime(earlier(x.send.Deadline, bootclock.Now().Add(headerTimeout)))); err != nil {
 		return x.fail(ctx, err), false
 	}
-	x.resp = &fasthttp.Response{}
-	if err := x.resp.Header.Read(x.conn.R); err != nil {
+	if err := x.readHeader(); err != nil {
 		return x.fail(ctx, errors.Wrap(err, "reading a header")), false
 	}
 	x.hasHeader = true
@@ -225,6 +244,25 @@
 	return dispatcher.AttemptReported{}, true
 }
 
+// readHeader reads the header of the answer, after some informational answers.
+func (x *Exchange) readHeader() error {
+	x.resp = &fasthttp.Response{}
+	for range maxInformational {
+		if err := x.resp.Header.Read(x.conn.R); err != nil {
+			return err
+		}
+		if !isInformational(x.resp.StatusCode()) {
+			return nil
+		}
+	}
+	return errInformational
+}
+
+// isInformational reports whether another answer follows one with the given status.
+func isInformational(status int) bool {
+	return status/100 == 1 && status != fasthttp.StatusSwitchingProtocols
+}
+
 // reportAnswer reports what the head of an answer says of the target, unless the answer belongs to another request.
 func (x *Exchange) reportAnswer() {
 	answer := x.translator.ReadAnswer(&x.resp.Header)
@@ -259,10 +297,11 @@
 	if err := x.conn.SetReadDeadline(bootclock.ToRuntimeTime(x.send.Deadline)); err != nil {
 		return x.fail(ctx, err)
 	}
-	x.resp.SkipBody = x.caller.Header().IsHead()
-	if err := x.resp.ReadBody(x.conn.R, maxAnswerBytes); err != nil {
+	body, err := x.readBody()
+	if err != nil {
 		return x.fail(ctx, errors.Wrap(err, "reading a body"))
 	}
+	x.resp.SetBodyRaw(body)
 	x.release()
 	if answer.IsNotRun {
 		r := x.report(ctx, dispatcher.NotRun, nil)
@@ -278,6 +317,51 @@
 	return x.Deliver(ctx)
 }
 
+// hasBody reports whether a body follows the header of the answer.
+func (x *Exchange) hasBody() bool {
+	switch x.resp.StatusCode() {
+	case fasthttp.StatusNoContent, fasthttp.StatusNotModified:
+		return false
+	}
+	return !x.caller.Header().IsHead()
+}
+
+// readBody reads a body that is held until it is complete.
+func (x *Exchange) readBody() ([]byte, error) {
+	if !x.hasBody() {
+		return nil, nil
+	}
+	length := x.resp.Header.ContentLength()
+	if length > maxAnswerBytes {
+		return nil, errTooLarge
+	}
+	body := newBody(x.conn.R, length)
+	var out pieces
+	for {
+		n, err := body.Read(out.room())
+		out.add(n)
+		if holdErr := x.hold(out.length, maxAnswerBytes); holdErr != nil {
+			return nil, holdErr
+		}
+		if errors.Is(err, io.EOF) {
+			return out.join(), nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// hold notes that the attempt holds a number of bytes, and returns an error if that is too much.
+func (x *Exchange) hold(n, limit int) error {
+	if n > limit {
+		return errTooLarge
+	}
+	var err error
+	x.held, err = x.memory.reserve(x.held, n)
+	return err
+}
+
 // Deliver forwards the answer that was read, including a failure that was held back.
 func (x *Exchange) Deliver(ctx context.Context) dispatcher.AttemptReported {
 	x.translator.WriteAnswer(&x.resp.Header)
@@ -356,7 +440,10 @@
 func (x *Exchange) forward(ctx context.Context, b []byte) (dispatcher.AttemptReported, bool) {
 	last := x.events.lastID
 	var complete []byte
-	complete, x.pending = x.events.split(append(x.pending, b...))
+	complete, x.pending = x.events.split(x.pending, b)
+	if err := x.hold(len(x.pending), maxEventBytes); err != nil {
+		return x.fail(ctx, errors.Wrap(err, "reading an event")), false
+	}
 	if len(complete) == 0 {
 		return dispatcher.AttemptReported{}, true
 	}
@@ -435,7 +522,7 @@
 	if x.stalled == nil {
 		return
 	}
-	x.stalled.drop()
+	x.stalled.drop(x.memory)
 	x.stalled = nil
 }
 
--- a/entry/internal/forwarder/forwarder_test.go
+++ b/entry/internal/forwarder/forwarder_test.go
@@ -142,13 +142,19 @@
 }
 
 func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	return newFixtureWith(t, forwarder.NewMemory())
+}
+
+func newFixtureWith(t *testing.T, memory *forwarder.Memory) *fixture {
+	t.Helper()
 	f := &fixture{C: qt.New(t), caller: &caller{}, idleTimeout: idleTimeout}
 	f.caller.header.SetMethod(http.MethodGet)
 	f.caller.header.SetRequestURI("/x")
 	f.caller.header.SetHost("h")
 	answerfaker.Mark(&f.caller.header, id)
 	onAnswer := func(a forwarder.AnswerHead) { f.answers = append(f.answers, a) }
-	f.exchange = forwarder.NewExchange(f.caller, translator.Request{ID: id}, connector.NewConnector(), forwarder.NewIdleTracker(), onAnswer)
+	f.exchange = forwarder.NewExchange(f.caller, translator.Request{ID: id}, connector.NewConnector(), forwarder.NewIdleTracker(), memory, onAnswer)
 	t.Cleanup(f.exchange.Drop)
 	return f
 }
--- a/entry/internal/relayer/relayer.go
+++ b/entry/internal/relayer/relayer.go
@@ -78,6 +78,7 @@
 	translator    translator.Translator
 	pool          *connector.Connector
 	idle          *forwarder.IdleTracker
+	memory        *forwarder.Memory
 	meter         *meter.Meter
 	reportCrashes func(sharer.CrashReport)
 	savePoison    func(crashtracker.Crash)
@@ -101,7 +102,7 @@
 	d := dispatcher.NewDispatcher(cfg.Dispatch)
 	p := placer.NewPlacer()
 	return &Relayer{
-		ctx: ctx, targets: targetcaller.NewCaller(http), pool: connector.NewConnector(), idle: forwarder.NewIdleTracker(), meter: cfg.Meter, reportCrashes: cfg.ReportCrashes, savePoison: cfg.SavePoison,
+		ctx: ctx, targets: targetcaller.NewCaller(http), pool: connector.NewConnector(), idle: forwarder.NewIdleTracker(), memory: forwarder.NewMemory(), meter: cfg.Meter, reportCrashes: cfg.ReportCrashes, savePoison: cfg.SavePoison,
 		grant: cfg.Grant, reportLimit: cfg.ReportLimit,
 		workers:  pond.NewPool(orderWorkers, pond.WithContext(ctx)),
 		dispatch: d, placer: p,
--- a/entry/internal/relayer/serving.go
+++ b/entry/internal/relayer/serving.go
@@ -40,7 +40,7 @@
 	request := x.translator.ReadRequest(h)
 	s := &servedRequest{
 		x: x, call: identifier.CallID(x.nextCall.Add(1)), caller: c, request: request,
-		exchange: forwarder.NewExchange(c, request, x.pool, x.idle, x.answerRead),
+		exchange: forwarder.NewExchange(c, request, x.pool, x.idle, x.memory, x.answerRead),
 	}
 	defer s.exchange.Drop()
 	trace, end := tracer.Start(string(h.Peek(tracer.Header)), "request", "request", string(request.ID))
