--- a/common/httpcaller/httpcaller.go
+++ b/common/httpcaller/httpcaller.go
@@ -40,21 +40,28 @@
 // the connections to that host that are open at that time are not used for further calls, because
 // they may be broken as well.
 type Caller struct {
+	maxResponse int
+
 	mu      sync.Mutex
 	clients map[string]*fasthttp.Client
 }
 
 // NewCaller returns a caller that does not retry failed calls.
-func NewCaller() *Caller { return &Caller{clients: map[string]*fasthttp.Client{}} }
+func NewCaller() *Caller { return NewLimitedCaller(maxResponseBytes) }
+
+// NewLimitedCaller returns a caller whose calls fail if the body of the response has more than the given number of bytes.
+func NewLimitedCaller(maxResponse int) *Caller {
+	return &Caller{maxResponse: maxResponse, clients: map[string]*fasthttp.Client{}}
+}
 
-func newClient() *fasthttp.Client {
+func newClient(maxResponse int) *fasthttp.Client {
 	return &fasthttp.Client{
 		NoDefaultUserAgentHeader:  true,
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		MaxIdleConnDuration:       idleConnLifetime,
 		MaxConnsPerHost:           maxConnsPerHost,
-		MaxResponseBodySize:       maxResponseBytes,
+		MaxResponseBodySize:       maxResponse,
 		Dial:                      dial,
 	}
 }
@@ -65,7 +72,7 @@
 	defer c.mu.Unlock()
 	client, ok := c.clients[host]
 	if !ok {
-		client = newClient()
+		client = newClient(c.maxResponse)
 		c.clients[host] = client
 	}
 	return client
@@ -95,7 +102,7 @@
 }
 
 // singleCallClient returns a client for a single call. Its pool is empty, so it opens a new connection.
-func singleCallClient(address string, deadline time.Time) *fasthttp.HostClient {
+func singleCallClient(address string, deadline time.Time, maxResponse int) *fasthttp.HostClient {
 	return &fasthttp.HostClient{
 		Addr:                      address,
 		NoDefaultUserAgentHeader:  true,
@@ -103,7 +110,7 @@
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		// The client's cleanup goroutine ends this long after the call.
 		MaxIdleConnDuration: singleCallIdleLifetime,
-		MaxResponseBodySize: maxResponseBytes,
+		MaxResponseBodySize: maxResponse,
 		Dial:                func(address string) (net.Conn, error) { return dialBefore(address, deadline) },
 	}
 }
@@ -159,7 +166,7 @@
 	do := client.DoDeadline
 	if r.NewConn || ctx.Value(newConnKey{}) != nil {
 		req.SetConnectionClose()
-		do = singleCallClient(host, deadline).DoDeadline
+		do = singleCallClient(host, deadline, c.maxResponse).DoDeadline
 	}
 	if err := do(req, resp, deadline); err != nil {
 		if errors.Is(err, fasthttp.ErrTimeout) {
--- a/entry/internal/commander/relay.go
+++ b/entry/internal/commander/relay.go
@@ -134,7 +134,7 @@
 		},
 		ReportLimit: func(ctx context.Context, r limiter.Report) { n.granter.Report(ctx, r) },
 		Heartbeat:   values.Duration("heartbeat"),
-	}, http)
+	})
 	server.Publish("relay", func() any {
 		status := n.relayer.Status()
 		status.Node = n.id
--- a/entry/internal/relayer/relayer.go
+++ b/entry/internal/relayer/relayer.go
@@ -49,6 +49,8 @@
 	minGrantDelay = 10 * time.Millisecond
 	// reportLag is how long a target's report may lag behind the target's state.
 	reportLag = 250 * time.Millisecond
+	// maxReportBytes limits the answer of a target to a call of the node itself, such as a report.
+	maxReportBytes = 256 << 10
 	// orderWorkers limits the concurrent calls to targets that are not requests of callers.
 	orderWorkers = 64
 )
@@ -98,11 +100,11 @@
 }
 
 // NewRelayer returns a relayer whose background calls end with ctx.
-func NewRelayer(ctx context.Context, cfg Config, http *httpcaller.Caller) *Relayer {
+func NewRelayer(ctx context.Context, cfg Config) *Relayer {
 	d := dispatcher.NewDispatcher(cfg.Dispatch)
 	p := placer.NewPlacer()
 	return &Relayer{
-		ctx: ctx, targets: targetcaller.NewCaller(http), pool: connector.NewConnector(), idle: forwarder.NewIdleTracker(), memory: forwarder.NewMemory(), meter: cfg.Meter, reportCrashes: cfg.ReportCrashes, savePoison: cfg.SavePoison,
+		ctx: ctx, targets: targetcaller.NewCaller(httpcaller.NewLimitedCaller(maxReportBytes)), pool: connector.NewConnector(), idle: forwarder.NewIdleTracker(), memory: forwarder.NewMemory(), meter: cfg.Meter, reportCrashes: cfg.ReportCrashes, savePoison: cfg.SavePoison,
 		grant: cfg.Grant, reportLimit: cfg.ReportLimit,
 		workers:  pond.NewPool(orderWorkers, pond.WithContext(ctx)),
 		dispatch: d, placer: p,
