--- a/integration/relay_soak_test.go
+++ b/integration/relay_soak_test.go
@@ -61,6 +61,10 @@
 	// limits holds the request limits that targets have named, and excused when each node was last disturbed.
 	limits  []soakLimit
 	excused map[int][]time.Time
+	// leaving and refusals hold what targets have said in their answers, poison the poison requests that were sent.
+	leaving  []saidLeaving
+	refusals []refusal
+	poison   []string
 	// revoked holds, by key, when the store accepted the first configuration without it.
 	revoked map[string]time.Time
 }
@@ -196,7 +200,7 @@
 func (s *relaySoak) injectFault(n int) {
 	i := s.rng.IntN(len(s.nodes))
 	dc := string(rune('a' + s.rng.IntN(3)))
-	kind := s.rng.IntN(12)
+	kind := s.rng.IntN(15)
 	s.t.Logf("%s fault %d at node %d, data centre %s", time.Now().Format("05.000"), kind, i, dc)
 	switch kind {
 	case 0:
@@ -235,6 +239,12 @@
 		s.misbehave(dc)
 	case 11:
 		s.changeLimit(dc)
+	case 12:
+		s.sayLeaving(n, dc)
+	case 13:
+		s.refuse(dc)
+	case 14:
+		s.sendSoakPoison(n)
 	}
 }
 
@@ -312,6 +322,8 @@
 	}
 	s.checkOrders()
 	s.checkLimits()
+	s.checkAnnouncements()
+	s.checkPoison()
 	s.t.Logf("seed %d: %d requests, %d complete, %d refused", seed, len(s.results), served, refused)
 }
 
