--- a/entry/internal/forwarder/endless_test.go
+++ b/entry/internal/forwarder/endless_test.go
@@ -34,13 +34,13 @@
 }
 
 func endlessAnswers() map[string]endlessAnswer {
-	plain := "HTTP/1.1 200 X\r\nX-Attempt-Id: " + id + "\r\nX-Response-Seal: s\r\n"
+	plain := answerfaker.SealedHead(id, http.StatusOK)
 	filler := strings.Repeat("x", 4096)
 	return map[string]endlessAnswer{
 		"status line":        {head: "HTTP/1.1 200 ", part: filler},
 		"head":               {head: plain, part: "X-Field: " + filler[:200] + "\r\n"},
 		"informational":      {part: "HTTP/1.1 100 X\r\n\r\n"},
-		"early hints":        {part: "HTTP/1.1 103 X\r\nX-Attempt-Id: " + id + "\r\n\r\n"},
+		"early hints":        {part: answerfaker.SealedHead(id, http.StatusEarlyHints) + "\r\n"},
 		"body until close":   {head: plain + "\r\n", part: filler},
 		"body with length":   {head: plain + "Content-Length: 1000000000000\r\n\r\n", part: filler},
 		"chunks":             {head: plain + "Transfer-Encoding: chunked\r\n\r\n", part: answerfaker.Chunk(filler)},
