--- a/entry/internal/forwarder/bodies.go
+++ b/entry/internal/bodyreader/bodyreader.go
@@ -1,4 +1,5 @@
-package forwarder
+// Package bodyreader reads the bodies of answers within bounds: of their framing, and of what all of them hold together.
+package bodyreader
 
 import (
 	"bufio"
@@ -22,9 +23,9 @@
 // errChunk is returned for a body that is not encoded in chunks although its header says so.
 var errChunk = errors.New("malformed chunk")
 
-// newBody returns the reader of a body: length is the content length, -1 for a chunked body, or less for
+// NewBody returns the reader of a body: length is the content length, -1 for a chunked body, or less for
 // one that ends with the connection. A read that times out can be repeated.
-func newBody(r *bufio.Reader, length int) io.Reader {
+func NewBody(r *bufio.Reader, length int) io.Reader {
 	switch {
 	case length == -1:
 		return &chunkReader{r: r}
--- a/entry/internal/forwarder/memory.go
+++ b/entry/internal/bodyreader/memory.go
@@ -1,4 +1,4 @@
-package forwarder
+package bodyreader
 
 import (
 	"sync/atomic"
@@ -13,8 +13,8 @@
 	freeBytes = 64 << 10
 )
 
-// errMemory is returned for an answer that would hold more memory than is left.
-var errMemory = errors.New("no memory is left for an answer of this size")
+// ErrMemory is returned for an answer that would hold more memory than is left.
+var ErrMemory = errors.New("no memory is left for an answer of this size")
 
 // Memory limits what the answers of a node hold at the same time.
 type Memory struct{ held atomic.Int64 }
@@ -22,12 +22,12 @@
 // NewMemory returns a memory that holds nothing.
 func NewMemory() *Memory { return &Memory{} }
 
-// reserve makes an answer that holds a number of bytes hold another number, and returns what it holds now.
-func (m *Memory) reserve(held, next int) (int, error) {
+// Reserve makes an answer that holds a number of bytes hold another number, and returns what it holds now.
+func (m *Memory) Reserve(held, next int) (int, error) {
 	next = max(0, next-freeBytes)
 	if m.held.Add(int64(next-held)) > maxHeldBytes && next > held {
 		m.held.Add(int64(held - next))
-		return held, errMemory
+		return held, ErrMemory
 	}
 	return next, nil
 }
--- a/entry/internal/crashtracker/crashtracker_test.go
+++ b/entry/internal/crashtracker/crashtracker_test.go
@@ -256,6 +256,8 @@
 	c.Assert(confirmed[0].Crash.Request, qt.Equals, crashGroup)
 	c.Assert(confirmed[0].IsOwn, qt.IsTrue)
 	c.Assert(tracker.TakeConfirmedGroups(at), qt.HasLen, 0)
+	tracker.RecordCrash(at, crashtracker.Crash{Request: 60, Group: crashGroup, Target: id(3), Incarnation: 9, Depth: 1, GroupDepth: 3})
+	c.Assert(tracker.TakeConfirmedGroups(at), qt.HasLen, 1, qt.Commentf("a group that crashes a target again is stored again"))
 	restarted := crashtracker.NewTracker()
 	restarted.RecordCrash(at, confirmed[0].Crash)
 	c.Assert(restarted.IsConfirmed(at, next), qt.IsTrue)
--- a/entry/internal/crashtracker/groups.go
+++ b/entry/internal/crashtracker/groups.go
@@ -16,6 +16,8 @@
 	// settleTime is how long a group whose crashes suffice is not confirmed yet: reports of other nodes may
 	// show that one request of it has caused them all.
 	settleTime = 500 * time.Millisecond
+	// maxRequestsPerCrash limits the requests of a group that are kept for the crash of one target.
+	maxRequestsPerCrash = 32
 	// maxSucceededRequests limits the requests of a group that are remembered as successful.
 	maxSucceededRequests = 64
 )
@@ -146,9 +148,12 @@
 		requests = map[identifier.Fingerprint]int{}
 		g.crashes[key] = requests
 	}
+	if requests[c.Request] == 0 && len(requests) >= maxRequestsPerCrash {
+		return false
+	}
 	before := g.depth()
 	if requests[c.Request] == 0 {
-		g.answers, g.hasSucceeded = 0, false
+		g.answers, g.hasSucceeded, g.isTaken = 0, false, false
 		if !c.IsFurther {
 			g.attempts++
 		}
@@ -240,7 +245,7 @@
 	IsOwn bool
 }
 
-// TakeConfirmedGroups returns the groups that were confirmed as poison since the last call.
+// TakeConfirmedGroups returns the groups that were confirmed as poison since the last call, or have crashed a target again.
 func (t *Tracker) TakeConfirmedGroups(now time.Time) []ConfirmedGroup {
 	var out []ConfirmedGroup
 	for id, g := range t.groups {
--- a/entry/internal/dispatcher/attempts.go
+++ b/entry/internal/dispatcher/attempts.go
@@ -52,7 +52,9 @@
 	case Expired:
 		return append(effects, d.refuse(now, ev.Call, http.StatusGatewayTimeout, 0, deadlinePassed)...)
 	case NotSent, NotRun:
-		d.rejectTrial(ev.Call, r)
+		if r.executions == 0 {
+			d.trials.Reject(ev.Call, r.key)
+		}
 		if reason := d.retryBarrier(now, r); reason != "" {
 			return append(effects, d.endUnplaced(now, ev.Call, r, "no target accepted the request, "+reason)...)
 		}
--- a/entry/internal/dispatcher/crashes.go
+++ b/entry/internal/dispatcher/crashes.go
@@ -35,7 +35,7 @@
 		Key: r.key, Targets: r.targets(), Before: r.before, SentAt: r.sent, RunsUntil: r.runsUntil(now, ev.Outcome),
 		HasEvents: ev.Events > r.eventsBefore, IsBroken: ev.Outcome == Broken,
 	})
-	d.endTrial(now, r.key)
+	d.trials.End(now, r.key)
 	return true, append(d.reportCrashes(now, crashes), d.startChecks(now)...)
 }
 
@@ -119,7 +119,7 @@
 // at the other nodes.
 func (d *Dispatcher) noteAnswer(r *request, status int) []messenger.Effect {
 	cleared := d.crashTracker.NoteAnswer(r.key, status/100 == http.StatusOK/100)
-	d.dropTrial(r.key)
+	d.trials.Drop(r.key)
 	if len(cleared) == 0 {
 		return nil
 	}
@@ -152,7 +152,7 @@
 	}
 	effects := []messenger.Effect{ReportCrashes{Crashes: crashes}}
 	for _, c := range crashes {
-		d.dropTrial(keyOf(c))
+		d.trials.Drop(keyOf(c))
 		isConfirmed := d.crashTracker.IsRequestConfirmed(now, c.Request)
 		effects = append(effects, logCrash(c, "this node", isConfirmed)...)
 		if isConfirmed {
@@ -167,7 +167,7 @@
 func (d *Dispatcher) crashesReported(now time.Time, ev CrashesReported) []messenger.Effect {
 	for _, id := range ev.Cleared {
 		d.crashTracker.Clear(id)
-		delete(d.trials, id)
+		d.trials.Clear(id)
 	}
 	var effects []messenger.Effect
 	newCrashes := 0
@@ -176,7 +176,7 @@
 			continue
 		}
 		newCrashes++
-		d.dropTrial(keyOf(c))
+		d.trials.Drop(keyOf(c))
 		isConfirmed := d.crashTracker.IsRequestConfirmed(now, c.Request)
 		if max(c.Depth, c.GroupDepth) > 1 {
 			effects = append(effects, logCrash(c, "a peer", isConfirmed)...)
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -16,6 +16,7 @@
 	"fuchsiabridge.example/entry/internal/placer"
 	"fuchsiabridge.example/entry/internal/registrar"
 	"fuchsiabridge.example/entry/internal/router"
+	"fuchsiabridge.example/entry/internal/trier"
 )
 
 const (
@@ -143,8 +144,7 @@
 	quiet        map[identifier.TargetID]*quietTime
 	unreadable   map[identifier.TargetID]unreadableFields
 	requests     map[identifier.CallID]*request
-	// trials holds, for requests and groups with known crashes, the attempt that holds back further ones.
-	trials map[identifier.Fingerprint]trial
+	trials       *trier.Trier
 	// leaseUntil is until when this node holds the lease, which no two nodes do at the same time.
 	leaseUntil time.Time
 	retries    *budgeter.Budgets
@@ -155,7 +155,7 @@
 	return &Dispatcher{
 		cfg: cfg, chooser: chooser.NewChooser(cfg.DataCentre), crashTracker: crashtracker.NewTracker(), limits: limiter.NewTracker(),
 		quiet: map[identifier.TargetID]*quietTime{}, unreadable: map[identifier.TargetID]unreadableFields{}, requests: map[identifier.CallID]*request{},
-		trials: map[identifier.Fingerprint]trial{}, retries: budgeter.NewBudgets(budgeter.Config{Ratio: cfg.RetryRatio, Window: cfg.RetryWindow}),
+		trials: trier.NewTrier(), retries: budgeter.NewBudgets(budgeter.Config{Ratio: cfg.RetryRatio, Window: cfg.RetryWindow}),
 	}
 }
 
@@ -278,7 +278,7 @@
 
 func (d *Dispatcher) tick(now time.Time) []messenger.Effect {
 	d.chooser.Tick(now)
-	d.dropTrials(now)
+	d.trials.Tick(now)
 	effects := append(d.startChecks(now), d.confirmGroups(now)...)
 	effects = append(effects, d.endQuiet(now)...)
 	if d.isStale || d.table == nil || d.isFresh(now) {
@@ -381,7 +381,7 @@
 	r.target, r.chain = out.Target, out.Chain
 	r.askUntil = time.Time{}
 	out.IdleDeadline = r.idleDeadline(now, out)
-	d.beginTrial(now, out.Call, r.key, before)
+	d.trials.Begin(now, out.Call, r.key, before)
 	r.tried = append(r.tried, out.Target)
 	d.chooser.Acquire(r.targets())
 	return []messenger.Effect{out}
--- a/entry/internal/dispatcher/trials.go
+++ b/entry/internal/dispatcher/trials.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"maps"
 	"net/http"
 	"time"
 
@@ -15,10 +14,6 @@
 const (
 	// holdInterval is the time between two looks whether a held request may be sent.
 	holdInterval = 25 * time.Millisecond
-	// maxTrial is how long an attempt of a request with known crashes holds back the next one, and
-	// verdictDelay how long after its end, if neither its answer nor a crash ends that sooner.
-	maxTrial     = time.Second
-	verdictDelay = 300 * time.Millisecond
 	// singleTrierAttempts is how many attempts must have crashed targets for only one node to send the
 	// request from then on: copies that several nodes send at once crash a target each.
 	singleTrierAttempts = 3
@@ -84,64 +79,13 @@
 	return b
 }
 
-// trial is an attempt of a request with known crashes.
-type trial struct {
-	call identifier.CallID
-	// until is until when it holds back others.
-	until time.Time
-}
-
 // isTried reports whether it is still open if the last attempt of a request with known crashes, or of its group, has
 // crashed its targets, so that the next one should wait.
 func (d *Dispatcher) isTried(now time.Time, key crashtracker.RequestKey) bool {
-	if now.Before(d.trials[key.Request].until) {
+	if d.trials.IsTried(now, key.Request) {
 		return true
 	}
-	return d.crashTracker.IsGroupOpen(now, key) && (now.Before(d.trials[key.Group].until) || d.crashTracker.IsGroupSettling(now, key))
-}
-
-// beginTrial notes that an attempt of a request begins, if crashes of it or its group are known.
-func (d *Dispatcher) beginTrial(now time.Time, call identifier.CallID, key crashtracker.RequestKey, before crashtracker.Histories) {
-	if before.Request.Depth > 0 {
-		d.trials[key.Request] = trial{call: call, until: now.Add(maxTrial)}
-	}
-	if before.Group.Depth > 0 {
-		d.trials[key.Group] = trial{call: call, until: now.Add(maxTrial)}
-	}
-}
-
-// endTrial notes that the attempt of a request with known crashes has ended without a complete answer.
-func (d *Dispatcher) endTrial(now time.Time, key crashtracker.RequestKey) {
-	for _, id := range []identifier.Fingerprint{key.Request, key.Group} {
-		if t, ok := d.trials[id]; ok {
-			t.until = now.Add(verdictDelay)
-			d.trials[id] = t
-		}
-	}
-}
-
-// rejectTrial notes that no target has run the attempt of a request, which ends its trial if no other attempt of the
-// request is still open.
-func (d *Dispatcher) rejectTrial(call identifier.CallID, r *request) {
-	if r.executions > 0 {
-		return
-	}
-	for _, id := range []identifier.Fingerprint{r.key.Request, r.key.Group} {
-		if d.trials[id].call == call {
-			delete(d.trials, id)
-		}
-	}
-}
-
-// dropTrial notes that the outcome of the last attempt of a request is known.
-func (d *Dispatcher) dropTrial(key crashtracker.RequestKey) {
-	delete(d.trials, key.Request)
-	delete(d.trials, key.Group)
-}
-
-// dropTrials forgets trials whose time is over.
-func (d *Dispatcher) dropTrials(now time.Time) {
-	maps.DeleteFunc(d.trials, func(_ identifier.Fingerprint, t trial) bool { return !now.Before(t.until) })
+	return d.crashTracker.IsGroupOpen(now, key) && (d.trials.IsTried(now, key.Group) || d.crashTracker.IsGroupSettling(now, key))
 }
 
 // holdEnded sends a request that was held back, unless it has become known as poison meanwhile.
--- a/entry/internal/forwarder/endless_test.go
+++ b/entry/internal/forwarder/endless_test.go
@@ -13,8 +13,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"fuchsiabridge.example/entry/internal/bodyreader"
 	"fuchsiabridge.example/entry/internal/dispatcher"
-	"fuchsiabridge.example/entry/internal/forwarder"
 	"fuchsiabridge.example/platform/answerfaker"
 )
 
@@ -107,7 +107,7 @@
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			runtime.GC()
-			memory := forwarder.NewMemory()
+			memory := bodyreader.NewMemory()
 			address, _ := serveEndless(t, a)
 			var wg sync.WaitGroup
 			for range endlessConns {
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 	"fuchsiabridge.example/common/bootclock"
 	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/entry/internal/bodyreader"
 	"fuchsiabridge.example/entry/internal/connector"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/limiter"
@@ -88,9 +89,9 @@
 }
 
 // drop closes the connection, so that the target stops working on the request. The answer is no longer held.
-func (a *attempt) drop(memory *Memory) {
+func (a *attempt) drop(memory *bodyreader.Memory) {
 	// Holding nothing is always possible.
-	a.held, _ = memory.reserve(a.held, 0)
+	a.held, _ = memory.Reserve(a.held, 0)
 	if a.conn == nil {
 		return
 	}
@@ -112,7 +113,7 @@
 	// onAnswer is called with the head of each answer, as soon as it is read.
 	onAnswer func(AnswerHead)
 
-	memory *Memory
+	memory *bodyreader.Memory
 
 	// attempt is the current attempt.
 	attempt
@@ -128,7 +129,7 @@
 }
 
 // NewExchange returns an exchange for a caller's request.
-func NewExchange(caller Caller, r translator.Request, pool *connector.Connector, idle *IdleTracker, memory *Memory, onAnswer func(AnswerHead)) *Exchange {
+func NewExchange(caller Caller, r translator.Request, pool *connector.Connector, idle *IdleTracker, memory *bodyreader.Memory, onAnswer func(AnswerHead)) *Exchange {
 	x := &Exchange{caller: caller, request: r, pool: pool, idle: idle, memory: memory, onAnswer: onAnswer}
 	x.events.lastID = r.LastEvent
 	return x
@@ -335,16 +336,16 @@
 	if length > maxAnswerBytes {
 		return nil, errTooLarge
 	}
-	body := newBody(x.conn.R, length)
-	var out pieces
+	body := bodyreader.NewBody(x.conn.R, length)
+	var out bodyreader.Pieces
 	for {
-		n, err := body.Read(out.room())
-		out.add(n)
-		if holdErr := x.hold(out.length, maxAnswerBytes); holdErr != nil {
+		n, err := body.Read(out.Room())
+		out.Add(n)
+		if holdErr := x.hold(out.Len(), maxAnswerBytes); holdErr != nil {
 			return nil, holdErr
 		}
 		if errors.Is(err, io.EOF) {
-			return out.join(), nil
+			return out.Join(), nil
 		}
 		if err != nil {
 			return nil, err
@@ -358,7 +359,7 @@
 		return errTooLarge
 	}
 	var err error
-	x.held, err = x.memory.reserve(x.held, n)
+	x.held, err = x.memory.Reserve(x.held, n)
 	return err
 }
 
@@ -373,7 +374,7 @@
 
 func (x *Exchange) relayEvents(ctx context.Context, idleDeadline time.Time) dispatcher.AttemptReported {
 	if x.body == nil {
-		x.body = newBody(x.conn.R, x.resp.Header.ContentLength())
+		x.body = bodyreader.NewBody(x.conn.R, x.resp.Header.ContentLength())
 		x.buffer = make([]byte, readBufferBytes)
 	}
 	if err := x.begin(); err != nil {
--- a/entry/internal/forwarder/forwarder_test.go
+++ b/entry/internal/forwarder/forwarder_test.go
@@ -16,6 +16,7 @@
 	"fuchsiabridge.example/common/bootclock"
 	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/entry/internal/bodyreader"
 	"fuchsiabridge.example/entry/internal/connector"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/forwarder"
@@ -143,10 +144,10 @@
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	return newFixtureWith(t, forwarder.NewMemory())
+	return newFixtureWith(t, bodyreader.NewMemory())
 }
 
-func newFixtureWith(t *testing.T, memory *forwarder.Memory) *fixture {
+func newFixtureWith(t *testing.T, memory *bodyreader.Memory) *fixture {
 	t.Helper()
 	f := &fixture{C: qt.New(t), caller: &caller{}, idleTimeout: idleTimeout}
 	f.caller.header.SetMethod(http.MethodGet)
--- a/entry/internal/relayer/relayer.go
+++ b/entry/internal/relayer/relayer.go
@@ -21,6 +21,7 @@
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/common/sleeper"
+	"fuchsiabridge.example/entry/internal/bodyreader"
 	"fuchsiabridge.example/entry/internal/composer"
 	"fuchsiabridge.example/entry/internal/connector"
 	"fuchsiabridge.example/entry/internal/crashtracker"
@@ -80,7 +81,7 @@
 	translator    translator.Translator
 	pool          *connector.Connector
 	idle          *forwarder.IdleTracker
-	memory        *forwarder.Memory
+	memory        *bodyreader.Memory
 	meter         *meter.Meter
 	reportCrashes func(sharer.CrashReport)
 	savePoison    func(crashtracker.Crash)
@@ -104,7 +105,7 @@
 	d := dispatcher.NewDispatcher(cfg.Dispatch)
 	p := placer.NewPlacer()
 	return &Relayer{
-		ctx: ctx, targets: targetcaller.NewCaller(httpcaller.NewLimitedCaller(maxReportBytes)), pool: connector.NewConnector(), idle: forwarder.NewIdleTracker(), memory: forwarder.NewMemory(), meter: cfg.Meter, reportCrashes: cfg.ReportCrashes, savePoison: cfg.SavePoison,
+		ctx: ctx, targets: targetcaller.NewCaller(httpcaller.NewLimitedCaller(maxReportBytes)), pool: connector.NewConnector(), idle: forwarder.NewIdleTracker(), memory: bodyreader.NewMemory(), meter: cfg.Meter, reportCrashes: cfg.ReportCrashes, savePoison: cfg.SavePoison,
 		grant: cfg.Grant, reportLimit: cfg.ReportLimit,
 		workers:  pond.NewPool(orderWorkers, pond.WithContext(ctx)),
 		dispatch: d, placer: p,
