--- a/entry/internal/commander/relay.go
+++ b/entry/internal/commander/relay.go
@@ -21,8 +21,8 @@
 	"fuchsiabridge.example/common/logwriter"
 	"fuchsiabridge.example/common/optionparser"
 	"fuchsiabridge.example/common/responder"
+	"fuchsiabridge.example/entry/internal/crashrecorder"
 	"fuchsiabridge.example/entry/internal/crashreporter"
-	"fuchsiabridge.example/entry/internal/crashtracker"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/follower"
 	"fuchsiabridge.example/entry/internal/granter"
@@ -128,7 +128,7 @@
 			RetryWindow:     values.Duration("retry-window"),
 		},
 		ReportCrashes: func(r sharer.CrashReport) { n.reporter.ReportCrashes(r) },
-		SavePoison:    func(c crashtracker.Crash) { n.reporter.SavePoison(c) },
+		SavePoison:    func(c crashrecorder.Crash) { n.reporter.SavePoison(c) },
 		Grant: func(ctx context.Context, r limiter.Report) granter.Answer {
 			return n.granter.Grant(ctx, r)
 		},
--- a/entry/internal/crashtracker/records.go
+++ b/entry/internal/crashrecorder/crashrecorder.go
@@ -1,4 +1,6 @@
-package crashtracker
+// Package crashrecorder holds which requests, and groups of requests, have crashed targets, and decides which of them are
+// confirmed as poison.
+package crashrecorder
 
 import (
 	"cmp"
@@ -94,20 +96,42 @@
 	return r.depth >= confirmingDepth || (r.depth == confirmingDepth-1 && r.attempts >= manyCrashes)
 }
 
+// Recorder holds the crashes that this node and others have found.
+type Recorder struct {
+	records map[identifier.Fingerprint]*record
+	groups  map[identifier.Fingerprint]*group
+}
+
+// NewRecorder returns a recorder that knows nothing.
+func NewRecorder() *Recorder {
+	return &Recorder{records: map[identifier.Fingerprint]*record{}, groups: map[identifier.Fingerprint]*group{}}
+}
+
+// RecordOwnCrash records a crash that this node has found.
+func (x *Recorder) RecordOwnCrash(now time.Time, c Crash) bool {
+	if !x.RecordCrash(now, c) {
+		return false
+	}
+	if g, ok := x.groups[c.Group]; ok {
+		g.isOwn = true
+	}
+	return true
+}
+
 // RecordCrash records a crash that this node or another one has found, and reports whether it was
 // not known before, or only as one of fewer in a row.
-func (t *Tracker) RecordCrash(now time.Time, c Crash) bool {
+func (x *Recorder) RecordCrash(now time.Time, c Crash) bool {
 	// Nodes of earlier versions report no depth.
 	depth := max(1, c.Depth)
 	if c.IsOutdated() {
 		return false
 	}
-	isNewToGroup := t.recordGroupCrash(now, c)
-	r, ok := t.records[c.Request]
+	isNewToGroup := x.recordGroupCrash(now, c)
+	r, ok := x.records[c.Request]
 	if !ok {
-		evict(now, t.records, func(r *record) weight { return weight{depth: r.depth, lastAt: r.lastAt} })
+		evict(now, x.records, func(r *record) weight { return weight{depth: r.depth, lastAt: r.lastAt} })
 		r = &record{crashes: map[incarnation]int{}}
-		t.records[c.Request] = r
+		x.records[c.Request] = r
 	}
 	if c.Group != 0 {
 		r.group = c.Group
@@ -166,12 +190,12 @@
 func (h Histories) HasCrashes() bool { return h.Request.Depth > 0 || h.Group.Depth > 0 }
 
 // Histories returns what is known of the crashes of a request and of its group.
-func (t *Tracker) Histories(now time.Time, key RequestKey) Histories {
-	return Histories{Request: t.history(now, key.Request), Group: t.groupHistory(now, key.Group)}
+func (x *Recorder) Histories(now time.Time, key RequestKey) Histories {
+	return Histories{Request: x.history(now, key.Request), Group: x.groupHistory(now, key.Group)}
 }
 
-func (t *Tracker) history(now time.Time, request identifier.Fingerprint) History {
-	r, ok := t.records[request]
+func (x *Recorder) history(now time.Time, request identifier.Fingerprint) History {
+	r, ok := x.records[request]
 	if !ok || now.Sub(r.lastAt) >= crashMaxAge {
 		return History{}
 	}
@@ -179,12 +203,62 @@
 }
 
 // IsConfirmed reports whether a request, or its group, is confirmed as poison and must not run again.
-func (t *Tracker) IsConfirmed(now time.Time, key RequestKey) bool {
-	return t.IsRequestConfirmed(now, key.Request) || t.isGroupConfirmed(now, key)
+func (x *Recorder) IsConfirmed(now time.Time, key RequestKey) bool {
+	return x.IsRequestConfirmed(now, key.Request) || x.isGroupConfirmed(now, key)
 }
 
 // IsRequestConfirmed reports whether a request is confirmed as poison, whatever is known of its group.
-func (t *Tracker) IsRequestConfirmed(now time.Time, request identifier.Fingerprint) bool {
-	r, ok := t.records[request]
+func (x *Recorder) IsRequestConfirmed(now time.Time, request identifier.Fingerprint) bool {
+	r, ok := x.records[request]
 	return ok && now.Sub(r.lastAt) < crashMaxAge && r.isConfirmed()
 }
+
+// NoteAnswer applies that a request was answered, and returns the requests and groups whose crashes count no more. Only a
+// success proves that the target has run the request: it may reject one with an error before.
+func (x *Recorder) NoteAnswer(key RequestKey, isSuccess bool) []identifier.Fingerprint {
+	var cleared []identifier.Fingerprint
+	if (isSuccess || x.isRejectedOften(key.Request)) && x.Clear(key.Request) {
+		cleared = append(cleared, key.Request)
+	}
+	if x.noteGroupAnswer(key, isSuccess) {
+		cleared = append(cleared, key.Group)
+	}
+	return cleared
+}
+
+// isRejectedOften counts an error answer to a request, and reports whether there are many without a crash in between.
+func (x *Recorder) isRejectedOften(request identifier.Fingerprint) bool {
+	r, ok := x.records[request]
+	if !ok {
+		return false
+	}
+	r.errors++
+	return r.errors >= clearingAnswers
+}
+
+// Clear drops the crashes of a request or a group, and reports whether any were known.
+func (x *Recorder) Clear(id identifier.Fingerprint) bool {
+	r, isRequest := x.records[id]
+	if isRequest {
+		x.dropFromGroup(RequestKey{Request: id, Group: r.group})
+		delete(x.records, id)
+	}
+	_, isGroup := x.groups[id]
+	delete(x.groups, id)
+	return isRequest || isGroup
+}
+
+// Counts returns how many requests have crashes, and how many requests and groups are confirmed poison.
+func (x *Recorder) Counts(now time.Time) (accused, confirmed int) {
+	for _, r := range x.records {
+		if r.isConfirmed() && now.Sub(r.lastAt) < crashMaxAge {
+			confirmed++
+		}
+	}
+	for _, g := range x.groups {
+		if g.isConfirmed(now) {
+			confirmed++
+		}
+	}
+	return len(x.records), confirmed
+}
--- a/entry/internal/crashtracker/groups.go
+++ b/entry/internal/crashrecorder/groups.go
@@ -1,4 +1,4 @@
-package crashtracker
+package crashrecorder
 
 import (
 	"time"
@@ -107,6 +107,14 @@
 	return least
 }
 
+// GroupDepth returns the depth at which a request has crashed its first target as one of its group, 0 if it has crashed none.
+func (x *Recorder) GroupDepth(key RequestKey) int {
+	if g, ok := x.groups[key.Group]; ok {
+		return g.requestDepth(key.Request)
+	}
+	return 0
+}
+
 // suffices reports whether the crashes suffice to confirm the group as poison.
 func (g *group) suffices() bool {
 	depth := g.depth()
@@ -128,15 +136,15 @@
 }
 
 // recordGroupCrash records a crash for the group of its request, and reports whether it was not known before.
-func (t *Tracker) recordGroupCrash(now time.Time, c Crash) bool {
+func (x *Recorder) recordGroupCrash(now time.Time, c Crash) bool {
 	if c.Group == 0 {
 		return false
 	}
-	g, ok := t.groups[c.Group]
+	g, ok := x.groups[c.Group]
 	if !ok {
-		evict(now, t.groups, func(g *group) weight { return weight{depth: g.depth(), lastAt: g.lastAt} })
+		evict(now, x.groups, func(g *group) weight { return weight{depth: g.depth(), lastAt: g.lastAt} })
 		g = &group{crashes: map[incarnation]map[identifier.Fingerprint]int{}, succeeded: map[identifier.Fingerprint]bool{}}
-		t.groups[c.Group] = g
+		x.groups[c.Group] = g
 	}
 	key := incarnation{target: c.Target, number: c.Incarnation}
 	depth := max(1, c.GroupDepth)
@@ -170,8 +178,8 @@
 
 // dropFromGroup drops the crashes that a request seemed to cause from its group, and reports whether the group is
 // cleared by that.
-func (t *Tracker) dropFromGroup(key RequestKey) bool {
-	g, ok := t.groups[key.Group]
+func (x *Recorder) dropFromGroup(key RequestKey) bool {
+	g, ok := x.groups[key.Group]
 	if !ok {
 		return false
 	}
@@ -179,16 +187,16 @@
 	if len(g.crashes) > 0 {
 		return false
 	}
-	delete(t.groups, key.Group)
+	delete(x.groups, key.Group)
 	return true
 }
 
 // noteGroupAnswer notes that a request of a group was answered, and reports whether the group is cleared by that.
-func (t *Tracker) noteGroupAnswer(key RequestKey, isSuccess bool) bool {
-	if isSuccess && t.dropFromGroup(key) {
+func (x *Recorder) noteGroupAnswer(key RequestKey, isSuccess bool) bool {
+	if isSuccess && x.dropFromGroup(key) {
 		return true
 	}
-	g, ok := t.groups[key.Group]
+	g, ok := x.groups[key.Group]
 	if !ok {
 		return false
 	}
@@ -200,13 +208,13 @@
 	if g.answers < clearingAnswers || g.suffices() {
 		return false
 	}
-	delete(t.groups, key.Group)
+	delete(x.groups, key.Group)
 	return true
 }
 
 // groupHistory returns what is known of the crashes of a group.
-func (t *Tracker) groupHistory(now time.Time, id identifier.Fingerprint) History {
-	g, ok := t.groups[id]
+func (x *Recorder) groupHistory(now time.Time, id identifier.Fingerprint) History {
+	g, ok := x.groups[id]
 	if !ok || now.Sub(g.lastAt) >= crashMaxAge {
 		return History{}
 	}
@@ -214,26 +222,26 @@
 }
 
 // isGroupConfirmed reports whether a request is refused because its group is confirmed as poison.
-func (t *Tracker) isGroupConfirmed(now time.Time, key RequestKey) bool {
+func (x *Recorder) isGroupConfirmed(now time.Time, key RequestKey) bool {
 	// A group that was stored as poison is known under its id only.
-	if t.IsRequestConfirmed(now, key.Group) {
+	if x.IsRequestConfirmed(now, key.Group) {
 		return true
 	}
-	g, ok := t.groups[key.Group]
+	g, ok := x.groups[key.Group]
 	return ok && !g.succeeded[key.Request] && g.isConfirmed(now)
 }
 
 // IsGroupOpen reports whether it is open if the group of a request is poison: no request of it has succeeded since its
 // last crash, or its crashes suffice and the request itself has not succeeded.
-func (t *Tracker) IsGroupOpen(now time.Time, key RequestKey) bool {
-	g, ok := t.groups[key.Group]
-	return ok && now.Sub(g.lastAt) < crashMaxAge && (!g.hasSucceeded || t.IsGroupSettling(now, key))
+func (x *Recorder) IsGroupOpen(now time.Time, key RequestKey) bool {
+	g, ok := x.groups[key.Group]
+	return ok && now.Sub(g.lastAt) < crashMaxAge && (!g.hasSucceeded || x.IsGroupSettling(now, key))
 }
 
 // IsGroupSettling reports whether the group of a request is about to be confirmed as poison, unless reports of other
 // nodes show another cause.
-func (t *Tracker) IsGroupSettling(now time.Time, key RequestKey) bool {
-	g, ok := t.groups[key.Group]
+func (x *Recorder) IsGroupSettling(now time.Time, key RequestKey) bool {
+	g, ok := x.groups[key.Group]
 	return ok && now.Sub(g.knownAt) < settleTime && g.suffices() && !g.succeeded[key.Request]
 }
 
@@ -246,9 +254,9 @@
 }
 
 // TakeConfirmedGroups returns the groups that were confirmed as poison since the last call, or have crashed a target again.
-func (t *Tracker) TakeConfirmedGroups(now time.Time) []ConfirmedGroup {
+func (x *Recorder) TakeConfirmedGroups(now time.Time) []ConfirmedGroup {
 	var out []ConfirmedGroup
-	for id, g := range t.groups {
+	for id, g := range x.groups {
 		if g.isTaken || !g.isConfirmed(now) {
 			continue
 		}
--- a/entry/internal/crashreporter/crashreporter.go
+++ b/entry/internal/crashreporter/crashreporter.go
@@ -16,7 +16,7 @@
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/common/sleeper"
-	"fuchsiabridge.example/entry/internal/crashtracker"
+	"fuchsiabridge.example/entry/internal/crashrecorder"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/peercaller"
 	"fuchsiabridge.example/entry/internal/sharer"
@@ -83,7 +83,7 @@
 	cfg Config
 	// reports is the queue of reports to send to peers, poison that of crashes that have confirmed poison requests.
 	reports chan sharer.CrashReport
-	poison  chan crashtracker.Crash
+	poison  chan crashrecorder.Crash
 }
 
 // NewReporter returns a reporter that reports nothing yet.
@@ -93,7 +93,7 @@
 	}
 	return &Reporter{
 		cfg:     cfg,
-		reports: make(chan sharer.CrashReport, maxQueuedCrashes), poison: make(chan crashtracker.Crash, maxQueuedPoison),
+		reports: make(chan sharer.CrashReport, maxQueuedCrashes), poison: make(chan crashrecorder.Crash, maxQueuedPoison),
 	}
 }
 
@@ -223,7 +223,7 @@
 
 // ServeReportCrashes records crashes that a peer has reported.
 func (r *Reporter) ServeReportCrashes(_ context.Context, params json.RawMessage) (any, error) {
-	var crashes []crashtracker.Crash
+	var crashes []crashrecorder.Crash
 	if err := json.Unmarshal(params, &crashes); err != nil {
 		return nil, errors.Wrap(err, "decoding crashes")
 	}
--- a/entry/internal/crashreporter/poison.go
+++ b/entry/internal/crashreporter/poison.go
@@ -9,7 +9,7 @@
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/sleeper"
-	"fuchsiabridge.example/entry/internal/crashtracker"
+	"fuchsiabridge.example/entry/internal/crashrecorder"
 	"fuchsiabridge.example/entry/internal/sharer"
 	"fuchsiabridge.example/platform/storecaller"
 )
@@ -29,7 +29,7 @@
 
 // SavePoison queues a crash that has confirmed its request as poison. KeepPoison stores it, so that it is
 // known even if all nodes restart.
-func (r *Reporter) SavePoison(c crashtracker.Crash) {
+func (r *Reporter) SavePoison(c crashrecorder.Crash) {
 	select {
 	case r.poison <- c:
 	default:
@@ -87,10 +87,10 @@
 	if err != nil {
 		return err
 	}
-	var crashes []crashtracker.Crash
+	var crashes []crashrecorder.Crash
 	deletions := 0
 	for _, p := range stored {
-		c := crashtracker.ConfirmingCrash(p.Request, p.Target, p.Incarnation, time.Since(p.ConfirmedAt))
+		c := crashrecorder.ConfirmingCrash(p.Request, p.Target, p.Incarnation, time.Since(p.ConfirmedAt))
 		if !c.IsOutdated() {
 			crashes = append(crashes, c)
 			continue
--- a/entry/internal/crashreporter/poison_test.go
+++ b/entry/internal/crashreporter/poison_test.go
@@ -9,8 +9,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/entry/internal/crashrecorder"
 	"fuchsiabridge.example/entry/internal/crashreporter"
-	"fuchsiabridge.example/entry/internal/crashtracker"
 	"fuchsiabridge.example/entry/internal/sharer"
 	"fuchsiabridge.example/platform/storecaller"
 )
@@ -58,11 +58,11 @@
 	defer cancel()
 	go r.KeepPoison(ctx)
 	for range 10 {
-		r.SavePoison(crashtracker.ConfirmingCrash(1, "t", 7, 0))
+		r.SavePoison(crashrecorder.ConfirmingCrash(1, "t", 7, 0))
 	}
 	c.Assert(s.awaitPut(1), qt.IsTrue)
 	time.Sleep(interval)
 	c.Assert(s.count(), qt.Equals, 1)
-	r.SavePoison(crashtracker.ConfirmingCrash(1, "t", 8, 0))
+	r.SavePoison(crashrecorder.ConfirmingCrash(1, "t", 8, 0))
 	c.Assert(s.awaitPut(2), qt.IsTrue)
 }
--- a/entry/internal/crashtracker/crashtracker.go
+++ b/entry/internal/crashtracker/crashtracker.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/entry/internal/crashrecorder"
 	"fuchsiabridge.example/entry/internal/registrar"
 )
 
@@ -25,11 +26,11 @@
 
 // Attempt is an attempt that ended, or was left, without a complete answer.
 type Attempt struct {
-	Key RequestKey
+	Key crashrecorder.RequestKey
 	// Targets are the targets that the attempt used, first the one that it was sent to.
 	Targets []identifier.TargetID
 	// Before holds the crashes of the request and its group that were known when the attempt was sent.
-	Before Histories
+	Before crashrecorder.Histories
 	SentAt time.Time
 	// RunsUntil is when the attempt ended, or until when targets may go on with one that the node has left.
 	RunsUntil time.Time
@@ -63,7 +64,7 @@
 // with the attempts that ended without an answer.
 type Findings struct {
 	Failures []Failure
-	Crashes  []Crash
+	Crashes  []crashrecorder.Crash
 	// Candidates is the number of attempts that the failures were compared with.
 	Candidates int
 }
@@ -100,26 +101,27 @@
 // Tracker finds out which requests have crashed targets, from the attempts of this node, from the
 // failures of targets, and from what other nodes have found.
 type Tracker struct {
+	// Recorder holds the crashes that were found.
+	*crashrecorder.Recorder
+
 	targets    map[identifier.TargetID]*targetState
 	candidates []candidate
-	records    map[identifier.Fingerprint]*record
-	groups     map[identifier.Fingerprint]*group
 	checks     checkLimit
 	survivals  []Survival
 }
 
 // NewTracker returns a tracker that knows nothing.
 func NewTracker() *Tracker {
-	return &Tracker{targets: map[identifier.TargetID]*targetState{}, records: map[identifier.Fingerprint]*record{}, groups: map[identifier.Fingerprint]*group{}}
+	return &Tracker{Recorder: crashrecorder.NewRecorder(), targets: map[identifier.TargetID]*targetState{}}
 }
 
 // AddAttempt records an attempt that may have crashed a target, and returns the crashes that
 // failures known already show. The first target accepted the attempt, so it was alive then, even if
 // an earlier failure of it is known.
-func (t *Tracker) AddAttempt(now time.Time, a Attempt) []Crash {
+func (t *Tracker) AddAttempt(now time.Time, a Attempt) []crashrecorder.Crash {
 	t.RecordAlive(a.SentAt, a.Targets[0])
 	c := candidate{Attempt: a}
-	var crashes []Crash
+	var crashes []crashrecorder.Crash
 	for _, id := range a.Targets {
 		s, ok := t.targets[id]
 		if !ok || s.failedAt.Before(a.SentAt) {
@@ -250,8 +252,8 @@
 }
 
 // matchCandidate returns the crashes that an attempt has caused among the failed targets.
-func (t *Tracker) matchCandidate(now time.Time, a *candidate, failed map[identifier.TargetID]Failure) []Crash {
-	var crashes []Crash
+func (t *Tracker) matchCandidate(now time.Time, a *candidate, failed map[identifier.TargetID]Failure) []crashrecorder.Crash {
+	var crashes []crashrecorder.Crash
 	a.open = slices.DeleteFunc(a.open, func(id identifier.TargetID) bool {
 		f, ok := failed[id]
 		if ok && !t.hasSurvived(id, a.Attempt) {
@@ -269,24 +271,21 @@
 }
 
 // addCrash records the crash of a target by an attempt, and returns it if it was not known.
-func (t *Tracker) addCrash(now time.Time, a *candidate, id identifier.TargetID, number int64) []Crash {
-	c := Crash{
+func (t *Tracker) addCrash(now time.Time, a *candidate, id identifier.TargetID, number int64) []crashrecorder.Crash {
+	c := crashrecorder.Crash{
 		Request: a.Key.Request, Group: a.Key.Group, Target: id, Incarnation: number,
 		Depth: t.depth(a.Attempt, a.Before.Request, id), GroupDepth: t.groupDepth(a.Attempt, id), IsFurther: a.hasCrashed,
 	}
 	a.hasCrashed = true
-	if !t.RecordCrash(now, c) {
+	if !t.RecordOwnCrash(now, c) {
 		return nil
 	}
-	if g, ok := t.groups[c.Group]; ok {
-		g.isOwn = true
-	}
-	return []Crash{c}
+	return []crashrecorder.Crash{c}
 }
 
 // depth returns how many crashes in a row the crash of a target by an attempt makes, with those that were known before.
 // Without proof that the target was alive when these were known, it may have failed together with their targets.
-func (t *Tracker) depth(a Attempt, before History, id identifier.TargetID) int {
+func (t *Tracker) depth(a Attempt, before crashrecorder.History, id identifier.TargetID) int {
 	if before.Depth == 0 {
 		return 1
 	}
@@ -301,64 +300,30 @@
 
 // groupDepth returns how many crashes in a row by different requests of a group the crash of a target by an attempt makes.
 func (t *Tracker) groupDepth(a Attempt, id identifier.TargetID) int {
-	if g, ok := t.groups[a.Key.Group]; ok {
-		if d := g.requestDepth(a.Key.Request); d > 0 {
-			return d
-		}
+	if d := t.GroupDepth(a.Key); d > 0 {
+		return d
 	}
 	return t.depth(a, a.Before.Group, id)
 }
 
-// NoteAnswer applies that a request was answered, and returns the requests and groups whose crashes count no more. Only a
-// success proves that the target has run the request: it may reject one with an error before.
-func (t *Tracker) NoteAnswer(key RequestKey, isSuccess bool) []identifier.Fingerprint {
-	var cleared []identifier.Fingerprint
-	if (isSuccess || t.isRejectedOften(key.Request)) && t.Clear(key.Request) {
-		cleared = append(cleared, key.Request)
-	}
-	if t.noteGroupAnswer(key, isSuccess) {
-		cleared = append(cleared, key.Group)
+// NoteAnswer applies that a request was answered, and returns the requests and groups whose crashes count no more.
+func (t *Tracker) NoteAnswer(key crashrecorder.RequestKey, isSuccess bool) []identifier.Fingerprint {
+	cleared := t.Recorder.NoteAnswer(key, isSuccess)
+	if isSuccess || slices.Contains(cleared, key.Request) {
+		t.dropCandidates(key.Request)
 	}
 	return cleared
 }
 
-// isRejectedOften counts an error answer to a request, and reports whether there are many without a crash in between.
-func (t *Tracker) isRejectedOften(request identifier.Fingerprint) bool {
-	r, ok := t.records[request]
-	if !ok {
-		return false
-	}
-	r.errors++
-	return r.errors >= clearingAnswers
-}
-
 // Clear drops the attempts and crashes of a request, or the crashes of a group, and reports whether crashes were known.
 func (t *Tracker) Clear(id identifier.Fingerprint) bool {
-	if len(t.candidates) > 0 {
-		t.candidates = slices.DeleteFunc(t.candidates, func(a candidate) bool { return a.Key.Request == id })
-	}
-	r, isRequest := t.records[id]
-	if isRequest {
-		t.dropFromGroup(RequestKey{Request: id, Group: r.group})
-		delete(t.records, id)
-	}
-	_, isGroup := t.groups[id]
-	delete(t.groups, id)
-	return isRequest || isGroup
+	t.dropCandidates(id)
+	return t.Recorder.Clear(id)
 }
 
-// Counts returns how many attempts wait for evidence, how many requests have crashes, and how many
-// of these are confirmed poison.
-func (t *Tracker) Counts(now time.Time) (candidates, accused, confirmed int) {
-	for _, r := range t.records {
-		if r.isConfirmed() && now.Sub(r.lastAt) < crashMaxAge {
-			confirmed++
-		}
-	}
-	for _, g := range t.groups {
-		if g.isConfirmed(now) {
-			confirmed++
-		}
-	}
-	return len(t.candidates), len(t.records), confirmed
+func (t *Tracker) dropCandidates(request identifier.Fingerprint) {
+	t.candidates = slices.DeleteFunc(t.candidates, func(a candidate) bool { return a.Key.Request == request })
 }
+
+// Candidates returns how many attempts wait for evidence.
+func (t *Tracker) Candidates() int { return len(t.candidates) }
--- a/entry/internal/crashtracker/crashtracker_test.go
+++ b/entry/internal/crashtracker/crashtracker_test.go
@@ -9,6 +9,7 @@
 
 	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/entry/internal/crashrecorder"
 	"fuchsiabridge.example/entry/internal/crashtracker"
 	"fuchsiabridge.example/entry/internal/registrar"
 )
@@ -38,8 +39,8 @@
 func id(i int) identifier.TargetID { return identifier.TargetID(fmt.Sprint("t", i)) }
 
 // keyOf returns the key of a request that is the only one of its group.
-func keyOf(request identifier.Fingerprint) crashtracker.RequestKey {
-	return crashtracker.RequestKey{Request: request, Group: request + 1000}
+func keyOf(request identifier.Fingerprint) crashrecorder.RequestKey {
+	return crashrecorder.RequestKey{Request: request, Group: request + 1000}
 }
 
 // broken returns an attempt whose connection broke, sent when the crashes known to the tracker were known.
@@ -182,7 +183,7 @@
 // TestRequestBesidePoisonAccusesNoGroup guards against refusing all requests of a group because one of them, which crashes
 // each target that runs it, crashes targets while they run others of the group, seen by this node or another one.
 func TestRequestBesidePoisonAccusesNoGroup(t *testing.T) {
-	poisonKey := crashtracker.RequestKey{Request: poison, Group: crashGroup}
+	poisonKey := crashrecorder.RequestKey{Request: poison, Group: crashGroup}
 	for _, isSeenByPeer := range []bool{false, true} {
 		c := qt.New(t)
 		pair := []*crashtracker.Tracker{crashtracker.NewTracker(), crashtracker.NewTracker()}
@@ -196,13 +197,13 @@
 				x.SetTargets(at, fleet(4))
 			}
 			breakAttempt(pair[0], at, poisonKey, i)
-			breakAttempt(other, at, crashtracker.RequestKey{Request: firstOther + identifier.Fingerprint(i), Group: crashGroup}, i)
+			breakAttempt(other, at, crashrecorder.RequestKey{Request: firstOther + identifier.Fingerprint(i), Group: crashGroup}, i)
 			exchangeCrashes(pair, at.Add(10*time.Millisecond), i)
 		}
 		at := start.Add(time.Minute)
 		for _, x := range pair {
 			c.Check(x.IsConfirmed(at, poisonKey), qt.IsTrue)
-			c.Check(x.IsConfirmed(at, crashtracker.RequestKey{Request: firstOther, Group: crashGroup}), qt.IsFalse, qt.Commentf("seen by peer: %t", isSeenByPeer))
+			c.Check(x.IsConfirmed(at, crashrecorder.RequestKey{Request: firstOther, Group: crashGroup}), qt.IsFalse, qt.Commentf("seen by peer: %t", isSeenByPeer))
 			c.Check(x.TakeConfirmedGroups(at), qt.HasLen, 0)
 		}
 	}
@@ -214,7 +215,7 @@
 )
 
 // breakAttempt records an attempt at a target whose connection broke.
-func breakAttempt(x *crashtracker.Tracker, at time.Time, key crashtracker.RequestKey, target int) {
+func breakAttempt(x *crashtracker.Tracker, at time.Time, key crashrecorder.RequestKey, target int) {
 	x.AddAttempt(at, crashtracker.Attempt{
 		Key: key, Targets: []identifier.TargetID{id(target)}, Before: x.Histories(at, key), SentAt: at, RunsUntil: at.Add(time.Millisecond), IsBroken: true,
 	})
@@ -236,12 +237,12 @@
 	c := qt.New(t)
 	tracker := crashtracker.NewTracker()
 	at := start
-	known := crashtracker.RequestKey{Request: firstOther, Group: crashGroup}
-	next := crashtracker.RequestKey{Request: firstOther + 1, Group: crashGroup}
+	known := crashrecorder.RequestKey{Request: firstOther, Group: crashGroup}
+	next := crashrecorder.RequestKey{Request: firstOther + 1, Group: crashGroup}
 	for i := range 3 {
 		at = at.Add(time.Second)
 		tracker.SetTargets(at, fleet(4))
-		breakAttempt(tracker, at, crashtracker.RequestKey{Request: identifier.Fingerprint(1 + i), Group: crashGroup}, i)
+		breakAttempt(tracker, at, crashrecorder.RequestKey{Request: identifier.Fingerprint(1 + i), Group: crashGroup}, i)
 		at = at.Add(10 * time.Millisecond)
 		tracker.SetUnresponsive(at, string(id(i)))
 		tracker.NoteAnswer(known, true)
@@ -256,7 +257,7 @@
 	c.Assert(confirmed[0].Crash.Request, qt.Equals, crashGroup)
 	c.Assert(confirmed[0].IsOwn, qt.IsTrue)
 	c.Assert(tracker.TakeConfirmedGroups(at), qt.HasLen, 0)
-	tracker.RecordCrash(at, crashtracker.Crash{Request: 60, Group: crashGroup, Target: id(3), Incarnation: 9, Depth: 1, GroupDepth: 3})
+	tracker.RecordCrash(at, crashrecorder.Crash{Request: 60, Group: crashGroup, Target: id(3), Incarnation: 9, Depth: 1, GroupDepth: 3})
 	c.Assert(tracker.TakeConfirmedGroups(at), qt.HasLen, 1, qt.Commentf("a group that crashes a target again is stored again"))
 	restarted := crashtracker.NewTracker()
 	restarted.RecordCrash(at, confirmed[0].Crash)
--- a/entry/internal/dispatcher/crashes.go
+++ b/entry/internal/dispatcher/crashes.go
@@ -10,6 +10,7 @@
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
+	"fuchsiabridge.example/entry/internal/crashrecorder"
 	"fuchsiabridge.example/entry/internal/crashtracker"
 	"fuchsiabridge.example/entry/internal/registrar"
 )
@@ -146,7 +147,7 @@
 }
 
 // reportCrashes logs crashes that this node has detected, and reports them to the other nodes.
-func (d *Dispatcher) reportCrashes(now time.Time, crashes []crashtracker.Crash) []messenger.Effect {
+func (d *Dispatcher) reportCrashes(now time.Time, crashes []crashrecorder.Crash) []messenger.Effect {
 	if len(crashes) == 0 {
 		return nil
 	}
@@ -195,7 +196,7 @@
 }
 
 // logCrash logs a crash, and that the request is confirmed as poison if it now is.
-func logCrash(c crashtracker.Crash, seenBy string, isConfirmed bool) []messenger.Effect {
+func logCrash(c crashrecorder.Crash, seenBy string, isConfirmed bool) []messenger.Effect {
 	effects := []messenger.Effect{messenger.Log{
 		Event: eventlogger.RequestCrashedTarget, Subject: "target/" + string(c.Target),
 		Values: []any{
@@ -210,13 +211,13 @@
 }
 
 // logConfirmation logs that a request or a group is confirmed as poison.
-func logConfirmation(c crashtracker.Crash, seenBy string) messenger.Effect {
+func logConfirmation(c crashrecorder.Crash, seenBy string) messenger.Effect {
 	return messenger.Log{
 		Event: eventlogger.RelayedPoisonConfirmed, Subject: "target/" + string(c.Target),
 		Values: []any{fingerprintKey, c.Request, "seen_by", seenBy},
 	}
 }
 
-func keyOf(c crashtracker.Crash) crashtracker.RequestKey {
-	return crashtracker.RequestKey{Request: c.Request, Group: c.Group}
+func keyOf(c crashrecorder.Crash) crashrecorder.RequestKey {
+	return crashrecorder.RequestKey{Request: c.Request, Group: c.Group}
 }
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -10,6 +10,7 @@
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/entry/internal/budgeter"
 	"fuchsiabridge.example/entry/internal/chooser"
+	"fuchsiabridge.example/entry/internal/crashrecorder"
 	"fuchsiabridge.example/entry/internal/crashtracker"
 	"fuchsiabridge.example/entry/internal/limiter"
 	"fuchsiabridge.example/entry/internal/meter"
@@ -88,7 +89,7 @@
 	arrived  time.Time
 	deadline time.Time
 	// key identifies the request if it comes again.
-	key crashtracker.RequestKey
+	key crashrecorder.RequestKey
 	// seed determines the jitter of the Retry-After delay.
 	seed uint64
 	// attempts counts all attempts, executions only those that may have run.
@@ -123,7 +124,7 @@
 	sent   time.Time
 	// before holds the crashes of the request that were known when the attempt was sent, and
 	// eventsBefore counts the events that earlier attempts had delivered.
-	before       crashtracker.Histories
+	before       crashrecorder.Histories
 	eventsBefore int
 }
 
@@ -223,7 +224,8 @@
 	}
 	s.RetryQuota = s.RetryShare.Least
 	s.Targets, s.Leaving, s.Ejected = d.chooser.Counts()
-	s.PoisonCandidates, s.RequestsWithCrashes, s.ConfirmedPoison = d.crashTracker.Counts(now)
+	s.PoisonCandidates = d.crashTracker.Candidates()
+	s.RequestsWithCrashes, s.ConfirmedPoison = d.crashTracker.Counts(now)
 	s.Limits = d.limits.Limits(now)
 	s.Quiet = d.quietStatus(now)
 	if d.table != nil {
@@ -314,7 +316,7 @@
 		}
 		r.account = account.ID
 	}
-	r.key = crashtracker.RequestKey{Request: callerFingerprint(ev.Fingerprint, r.account), Group: callerFingerprint(ev.Group, r.account)}
+	r.key = crashrecorder.RequestKey{Request: callerFingerprint(ev.Fingerprint, r.account), Group: callerFingerprint(ev.Group, r.account)}
 	if d.crashTracker.IsConfirmed(now, r.key) {
 		return d.refuse(now, ev.Call, http.StatusBadGateway, 0, quarantined)
 	}
@@ -369,7 +371,7 @@
 }
 
 // startAttempt counts an attempt and sends it.
-func (d *Dispatcher) startAttempt(now time.Time, r *request, out Send, before crashtracker.Histories) []messenger.Effect {
+func (d *Dispatcher) startAttempt(now time.Time, r *request, out Send, before crashrecorder.Histories) []messenger.Effect {
 	if r.attempts == 0 {
 		d.retries.CountRequest(now, r.service)
 	} else {
--- a/entry/internal/dispatcher/dispatcher_test.go
+++ b/entry/internal/dispatcher/dispatcher_test.go
@@ -14,7 +14,7 @@
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
-	"fuchsiabridge.example/entry/internal/crashtracker"
+	"fuchsiabridge.example/entry/internal/crashrecorder"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/registrar"
 	"fuchsiabridge.example/entry/internal/router"
@@ -33,7 +33,7 @@
 type harness struct {
 	dispatcher *dispatcher.Dispatcher
 	ejections  []registrar.Ejected
-	crashes    []crashtracker.Crash
+	crashes    []crashrecorder.Crash
 	logs       []messenger.Log
 	next       identifier.CallID
 }
@@ -252,8 +252,8 @@
 			d.apply(at, registrar.TargetsChanged{Targets: restarted})
 			continue
 		}
-		reported := crashtracker.Crash{Request: d.crashes[0].Request, Target: "elsewhere", Depth: 3}
-		d.apply(at, dispatcher.CrashesReported{Crashes: []crashtracker.Crash{reported, reported}})
+		reported := crashrecorder.Crash{Request: d.crashes[0].Request, Target: "elsewhere", Depth: 3}
+		d.apply(at, dispatcher.CrashesReported{Crashes: []crashrecorder.Crash{reported, reported}})
 	}
 	for fingerprint, want := range map[identifier.Fingerprint]int{7: 502, 8: 0} {
 		d.next++
--- a/entry/internal/dispatcher/messages.go
+++ b/entry/internal/dispatcher/messages.go
@@ -7,7 +7,7 @@
 
 	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/identifier"
-	"fuchsiabridge.example/entry/internal/crashtracker"
+	"fuchsiabridge.example/entry/internal/crashrecorder"
 	"fuchsiabridge.example/entry/internal/limiter"
 	"fuchsiabridge.example/entry/internal/meter"
 	"fuchsiabridge.example/entry/internal/router"
@@ -39,19 +39,19 @@
 // CrashesReported is the event that other nodes have reported requests that crashed targets, or requests and groups that
 // have been answered since they seemed to.
 type CrashesReported struct {
-	Crashes []crashtracker.Crash
+	Crashes []crashrecorder.Crash
 	Cleared []identifier.Fingerprint
 }
 
 // ReportCrashes is the effect that tells the other nodes of crashes that this node has detected, and of
 // requests and groups with crashes that have been answered since.
 type ReportCrashes struct {
-	Crashes []crashtracker.Crash
+	Crashes []crashrecorder.Crash
 	Cleared []identifier.Fingerprint
 }
 
 // SavePoison is the effect that stores a crash which has confirmed its request as poison. The request may be a group.
-type SavePoison struct{ Crash crashtracker.Crash }
+type SavePoison struct{ Crash crashrecorder.Crash }
 
 // CheckTarget is the effect that checks whether a target answers, since an attempt at it ended without an answer.
 type CheckTarget struct {
--- a/entry/internal/dispatcher/poison_test.go
+++ b/entry/internal/dispatcher/poison_test.go
@@ -15,7 +15,7 @@
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/entry/internal/composer"
-	"fuchsiabridge.example/entry/internal/crashtracker"
+	"fuchsiabridge.example/entry/internal/crashrecorder"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/placer"
 	"fuchsiabridge.example/entry/internal/registrar"
@@ -139,7 +139,7 @@
 	restarts  int
 	sends     []time.Duration
 	crashes   []time.Duration
-	reported  []crashtracker.Crash
+	reported  []crashrecorder.Crash
 	delivered int
 }
 
@@ -599,7 +599,7 @@
 	x.at(time.Minute, func() {
 		for n := range x.nodes {
 			for i := range 10_000 {
-				x.apply(n, dispatcher.CrashesReported{Crashes: []crashtracker.Crash{{
+				x.apply(n, dispatcher.CrashesReported{Crashes: []crashrecorder.Crash{{
 					Request: identifier.Fingerprint(5000 + i), Target: "elsewhere", Incarnation: int64(i),
 				}}}, 0)
 			}
--- a/entry/internal/dispatcher/trials.go
+++ b/entry/internal/dispatcher/trials.go
@@ -7,7 +7,7 @@
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
-	"fuchsiabridge.example/entry/internal/crashtracker"
+	"fuchsiabridge.example/entry/internal/crashrecorder"
 	"fuchsiabridge.example/entry/internal/placer"
 )
 
@@ -37,7 +37,7 @@
 
 // mustHold reports whether an attempt of a request with known crashes must wait: for the outcome of
 // another one or, once it has crashed several targets, because another node tries it.
-func (d *Dispatcher) mustHold(now time.Time, r *request, before crashtracker.Histories) bool {
+func (d *Dispatcher) mustHold(now time.Time, r *request, before crashrecorder.Histories) bool {
 	if d.isTried(now, r.key) {
 		return true
 	}
@@ -81,7 +81,7 @@
 
 // isTried reports whether it is still open if the last attempt of a request with known crashes, or of its group, has
 // crashed its targets, so that the next one should wait.
-func (d *Dispatcher) isTried(now time.Time, key crashtracker.RequestKey) bool {
+func (d *Dispatcher) isTried(now time.Time, key crashrecorder.RequestKey) bool {
 	if d.trials.IsTried(now, key.Request) {
 		return true
 	}
--- a/entry/internal/follower/crashes_test.go
+++ b/entry/internal/follower/crashes_test.go
@@ -11,7 +11,7 @@
 
 	"fuchsiabridge.example/common/httpcaller"
 	"fuchsiabridge.example/common/identifier"
-	"fuchsiabridge.example/entry/internal/crashtracker"
+	"fuchsiabridge.example/entry/internal/crashrecorder"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/follower"
 	"fuchsiabridge.example/entry/internal/sharer"
@@ -20,7 +20,7 @@
 )
 
 func reportOf(request identifier.Fingerprint, depth int) sharer.CrashReport {
-	return sharer.CrashReport{Crashes: []crashtracker.Crash{{Request: request, Target: "t", Incarnation: 7, Depth: depth}}}
+	return sharer.CrashReport{Crashes: []crashrecorder.Crash{{Request: request, Target: "t", Incarnation: 7, Depth: depth}}}
 }
 
 // knows reports whether a node was told of a crash of the request, and not since that it is cleared.
@@ -102,7 +102,7 @@
 func TestPoisonSurvivesRestartOfAllNodes(t *testing.T) {
 	c, store, first, second := startTwo(t)
 	store.SetFault(storefaker.Busy)
-	first.reporter.SavePoison(crashtracker.ConfirmingCrash(1, "t", 7, 0))
+	first.reporter.SavePoison(crashrecorder.ConfirmingCrash(1, "t", 7, 0))
 	time.Sleep(time.Second)
 	store.SetFault(storefaker.None)
 	c.Assert(isStored(store, 1), qt.IsTrue)
--- a/entry/internal/follower/peers_test.go
+++ b/entry/internal/follower/peers_test.go
@@ -15,8 +15,8 @@
 	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/httpcaller"
 	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/entry/internal/crashrecorder"
 	"fuchsiabridge.example/entry/internal/crashreporter"
-	"fuchsiabridge.example/entry/internal/crashtracker"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/follower"
 	"fuchsiabridge.example/entry/internal/peercaller"
@@ -282,11 +282,11 @@
 	c, _, first, second := startTwo(t)
 	for request, pair := range [][2]*node{{first, second}, {second, first}} {
 		n := pair[1].count()
-		crash := crashtracker.Crash{Request: identifier.Fingerprint(request + 1), Target: "t", Incarnation: 7}
-		pair[0].reporter.ReportCrashes(sharer.CrashReport{Crashes: []crashtracker.Crash{crash}})
+		crash := crashrecorder.Crash{Request: identifier.Fingerprint(request + 1), Target: "t", Incarnation: 7}
+		pair[0].reporter.ReportCrashes(sharer.CrashReport{Crashes: []crashrecorder.Crash{crash}})
 		n = await[dispatcher.CrashesReported](c, pair[1].events, n)
 		pair[1].mu.Lock()
-		var received []crashtracker.Crash
+		var received []crashrecorder.Crash
 		for _, ev := range pair[1].submitted {
 			if x, ok := ev.(dispatcher.CrashesReported); ok {
 				received = append(received, x.Crashes...)
--- a/entry/internal/relayer/relayer.go
+++ b/entry/internal/relayer/relayer.go
@@ -24,7 +24,7 @@
 	"fuchsiabridge.example/entry/internal/bodyreader"
 	"fuchsiabridge.example/entry/internal/composer"
 	"fuchsiabridge.example/entry/internal/connector"
-	"fuchsiabridge.example/entry/internal/crashtracker"
+	"fuchsiabridge.example/entry/internal/crashrecorder"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/forwarder"
 	"fuchsiabridge.example/entry/internal/granter"
@@ -65,7 +65,7 @@
 	// ReportCrashes tells other nodes about requests that crash targets.
 	ReportCrashes func(sharer.CrashReport)
 	// SavePoison stores a crash that has confirmed its request as poison.
-	SavePoison func(crashtracker.Crash)
+	SavePoison func(crashrecorder.Crash)
 	// Grant asks whether a request may be sent to a target that names a request limit.
 	Grant func(context.Context, limiter.Report) granter.Answer
 	// ReportLimit tells other nodes of a request limit.
@@ -84,7 +84,7 @@
 	memory        *bodyreader.Memory
 	meter         *meter.Meter
 	reportCrashes func(sharer.CrashReport)
-	savePoison    func(crashtracker.Crash)
+	savePoison    func(crashrecorder.Crash)
 	grant         func(context.Context, limiter.Report) granter.Answer
 	reportLimit   func(context.Context, limiter.Report)
 	workers       pond.Pool
--- a/entry/internal/sharer/crashes.go
+++ b/entry/internal/sharer/crashes.go
@@ -11,7 +11,7 @@
 
 	"fuchsiabridge.example/common/bootclock"
 	"fuchsiabridge.example/common/identifier"
-	"fuchsiabridge.example/entry/internal/crashtracker"
+	"fuchsiabridge.example/entry/internal/crashrecorder"
 )
 
 const (
@@ -24,7 +24,7 @@
 
 // crash is a reported crash, when it became known, and the revision that recorded it.
 type crash struct {
-	crashtracker.Crash
+	crashrecorder.Crash
 	at       time.Time
 	revision Revision
 }
@@ -40,7 +40,7 @@
 	// Sharer and Revision say up to where an answer to a query is complete; they are empty in a report that is sent unasked.
 	Sharer   string                   `json:"sharer,omitempty"`
 	Revision Revision                 `json:"revision,omitempty"`
-	Crashes  []crashtracker.Crash     `json:"crashes,omitempty"`
+	Crashes  []crashrecorder.Crash    `json:"crashes,omitempty"`
 	Cleared  []identifier.Fingerprint `json:"cleared,omitempty"`
 }
 
@@ -66,7 +66,7 @@
 	s.notify()
 }
 
-func (s *Sharer) recordCrash(now time.Time, c crashtracker.Crash) {
+func (s *Sharer) recordCrash(now time.Time, c crashrecorder.Crash) {
 	isSame := func(known crash) bool {
 		return known.Request == c.Request && known.Target == c.Target && known.Incarnation == c.Incarnation
 	}
--- a/entry/internal/sharer/sharer.go
+++ b/entry/internal/sharer/sharer.go
@@ -15,7 +15,7 @@
 	"fuchsiabridge.example/common/bootclock"
 	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/identifier"
-	"fuchsiabridge.example/entry/internal/crashtracker"
+	"fuchsiabridge.example/entry/internal/crashrecorder"
 	"fuchsiabridge.example/entry/internal/limiter"
 )
 
@@ -74,7 +74,7 @@
 	ConfirmedMS int64 `json:"confirmed_ms"`
 	// Crashes are the crashes that nodes have reported since the query's revision, or all that are kept if the
 	// update is complete.
-	Crashes []crashtracker.Crash `json:"crashes,omitempty"`
+	Crashes []crashrecorder.Crash `json:"crashes,omitempty"`
 	// Cleared are the requests whose crashes count no more, likewise.
 	Cleared []identifier.Fingerprint `json:"cleared,omitempty"`
 	// Limits are the request limits of targets that have changed, likewise.
--- a/entry/internal/sharer/sharer_test.go
+++ b/entry/internal/sharer/sharer_test.go
@@ -14,7 +14,7 @@
 	"fuchsiabridge.example/common/bootclock"
 	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/identifier"
-	"fuchsiabridge.example/entry/internal/crashtracker"
+	"fuchsiabridge.example/entry/internal/crashrecorder"
 	"fuchsiabridge.example/entry/internal/limiter"
 	"fuchsiabridge.example/entry/internal/sharer"
 )
@@ -175,7 +175,7 @@
 func TestCrashesKeepTheirAge(t *testing.T) {
 	c := qt.New(t)
 	s := newReadingSharer()
-	s.RecordCrashes(sharer.CrashReport{Crashes: []crashtracker.Crash{{Request: 1, Target: "t", AgeMS: 5000}}})
+	s.RecordCrashes(sharer.CrashReport{Crashes: []crashrecorder.Crash{{Request: 1, Target: "t", AgeMS: 5000}}})
 	time.Sleep(wait)
 	update, err := ask(t, s, sharer.Query{})
 	c.Assert(err, qt.IsNil)
@@ -189,15 +189,15 @@
 	c := qt.New(t)
 	s := newReadingSharer()
 	for depth := range 3 {
-		s.RecordCrashes(sharer.CrashReport{Crashes: []crashtracker.Crash{{Request: 1, Target: "t", Incarnation: int64(depth), Depth: depth + 1}}})
+		s.RecordCrashes(sharer.CrashReport{Crashes: []crashrecorder.Crash{{Request: 1, Target: "t", Incarnation: int64(depth), Depth: depth + 1}}})
 	}
 	for i := range 3000 {
-		s.RecordCrashes(sharer.CrashReport{Crashes: []crashtracker.Crash{{Request: identifier.Fingerprint(10 + i), Target: "t", Depth: 1}}})
+		s.RecordCrashes(sharer.CrashReport{Crashes: []crashrecorder.Crash{{Request: identifier.Fingerprint(10 + i), Target: "t", Depth: 1}}})
 	}
 	update, err := ask(t, s, sharer.Query{})
 	c.Assert(err, qt.IsNil)
 	c.Assert(len(update.Crashes) <= 1024, qt.IsTrue)
-	isKept := slices.ContainsFunc(update.Crashes, func(x crashtracker.Crash) bool { return x.Request == 1 && x.Depth == 3 })
+	isKept := slices.ContainsFunc(update.Crashes, func(x crashrecorder.Crash) bool { return x.Request == 1 && x.Depth == 3 })
 	c.Assert(isKept, qt.IsTrue)
 }
 
@@ -235,7 +235,7 @@
 	c := qt.New(t)
 	s := newReadingSharer()
 	for depth := range 2 {
-		s.RecordCrashes(sharer.CrashReport{Crashes: []crashtracker.Crash{{Request: 1, Group: 9, Target: "t", Depth: 1, GroupDepth: depth + 1}}})
+		s.RecordCrashes(sharer.CrashReport{Crashes: []crashrecorder.Crash{{Request: 1, Group: 9, Target: "t", Depth: 1, GroupDepth: depth + 1}}})
 	}
 	before, err := ask(t, s, sharer.Query{})
 	c.Assert(err, qt.IsNil)
--- a/entry/internal/trier/trier.go
+++ b/entry/internal/trier/trier.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"fuchsiabridge.example/common/identifier"
-	"fuchsiabridge.example/entry/internal/crashtracker"
+	"fuchsiabridge.example/entry/internal/crashrecorder"
 )
 
 const (
@@ -38,7 +38,7 @@
 }
 
 // Begin notes that an attempt of a request begins, if crashes of it or its group are known.
-func (t *Trier) Begin(now time.Time, call identifier.CallID, key crashtracker.RequestKey, before crashtracker.Histories) {
+func (t *Trier) Begin(now time.Time, call identifier.CallID, key crashrecorder.RequestKey, before crashrecorder.Histories) {
 	if before.Request.Depth > 0 {
 		t.trials[key.Request] = trial{call: call, until: now.Add(maxTrial)}
 	}
@@ -48,7 +48,7 @@
 }
 
 // End notes that an attempt has ended without a complete answer.
-func (t *Trier) End(now time.Time, key crashtracker.RequestKey) {
+func (t *Trier) End(now time.Time, key crashrecorder.RequestKey) {
 	for _, id := range []identifier.Fingerprint{key.Request, key.Group} {
 		if x, ok := t.trials[id]; ok {
 			x.until = now.Add(verdictDelay)
@@ -58,7 +58,7 @@
 }
 
 // Reject notes that no target has run the attempt of a call, which ends the trial that it began.
-func (t *Trier) Reject(call identifier.CallID, key crashtracker.RequestKey) {
+func (t *Trier) Reject(call identifier.CallID, key crashrecorder.RequestKey) {
 	for _, id := range []identifier.Fingerprint{key.Request, key.Group} {
 		if t.trials[id].call == call {
 			delete(t.trials, id)
@@ -67,7 +67,7 @@
 }
 
 // Drop notes that the outcome of the last attempt of a request and its group is known.
-func (t *Trier) Drop(key crashtracker.RequestKey) {
+func (t *Trier) Drop(key crashrecorder.RequestKey) {
 	delete(t.trials, key.Request)
 	delete(t.trials, key.Group)
 }
