--- a/integration/relay_announcement_test.go
+++ b/integration/relay_announcement_test.go
@@ -88,6 +88,7 @@
 // TestTargetThatSaysItLeavesGetsNoRequests guards against sending requests to targets that say in their answers that they
 // are leaving, while their entries do not: one of a plain service, and one that is first in chains.
 func TestTargetThatSaysItLeavesGetsNoRequests(t *testing.T) {
+	t.Parallel()
 	s := newAnnouncementRun(t)
 	first := s.firstOfChains()
 	said := time.Now()
@@ -105,6 +106,7 @@
 // TestRefusalWithRetryAfterIsRespected guards against sending requests to a target that has refused them for a while, and
 // against refusing callers while another target is free.
 func TestRefusalWithRetryAfterIsRespected(t *testing.T) {
+	t.Parallel()
 	s := newAnnouncementRun(t)
 	began := time.Now()
 	until := began.Add(4 * time.Second)
--- a/integration/relay_poison_variants_test.go
+++ b/integration/relay_poison_variants_test.go
@@ -95,6 +95,7 @@
 // checkVariants plays one run for each way in which the request may differ.
 func checkVariants(t *testing.T, ways map[string]func(n int) poisonVariant) {
 	t.Helper()
+	t.Parallel()
 	for name, vary := range ways {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -141,6 +142,7 @@
 
 // TestSiblingsOfPoisonAreServedByAllNodes guards against refusing requests that differ from a poison request in their query only.
 func TestSiblingsOfPoisonAreServedByAllNodes(t *testing.T) {
+	t.Parallel()
 	const path = "/view/list?"
 	s := newVariantRun(t, func(int) poisonVariant {
 		return poisonVariant{method: http.MethodGet, path: path + targetfaker.PoisonArgument + "=1"}
