Parse lines between chunks without copying them, and let answers hold 8 MB together

Cause, both traced to the code: each line was read byte by byte into a copy of its own, and an answer could be as large as what all may hold. Lines are found in the buffer now, pieces are half as large, and one answer or all of them hold 8 MB beyond their first 64 KB.

--- a/entry/internal/bodyreader/bodyreader.go
+++ b/entry/internal/bodyreader/bodyreader.go
@@ -122,22 +122,25 @@
 	return nil
 }
 
-// line returns the next complete line without its line break. It consumes nothing before the line is complete.
+// line returns the next complete line without its line break, until the next read. It consumes nothing before the line is complete.
 func (c *chunkReader) line() ([]byte, error) {
-	for n := 1; n <= maxChunkLine; n++ {
-		b, err := c.r.Peek(n)
+	for {
+		b, err := c.r.Peek(min(c.r.Buffered(), maxChunkLine))
 		if err != nil {
 			return nil, err
 		}
-		if b[n-1] != '\n' {
-			continue
+		if end := bytes.IndexByte(b, '\n'); end >= 0 {
+			c.framingBytes += end + 1
+			_, err = c.r.Discard(end + 1)
+			return bytes.TrimSuffix(b[:end], []byte("\r")), err
+		}
+		if len(b) >= maxChunkLine {
+			return nil, errChunk
+		}
+		if _, err := c.r.Peek(len(b) + 1); err != nil {
+			return nil, err
 		}
-		line := bytes.TrimSuffix(bytes.Clone(b[:n-1]), []byte("\r"))
-		c.framingBytes += n
-		_, err = c.r.Discard(n)
-		return line, err
 	}
-	return nil, errChunk
 }
 
 // unexpectedEOF turns an end of the stream inside a body into an error.
--- a/entry/internal/bodyreader/memory.go
+++ b/entry/internal/bodyreader/memory.go
@@ -8,7 +8,7 @@
 
 const (
 	// maxHeldBytes limits what all answers of a node hold beyond freeBytes each.
-	maxHeldBytes = 12 << 20
+	maxHeldBytes = 8 << 20
 	// freeBytes is what each answer may hold in any case, so that ordinary answers never fail for want of memory.
 	freeBytes = 64 << 10
 )
--- a/entry/internal/bodyreader/pieces.go
+++ b/entry/internal/bodyreader/pieces.go
@@ -5,7 +5,7 @@
 const (
 	// firstPieceBytes is the size of the first piece, pieceBytes that of the further ones.
 	firstPieceBytes = 8 << 10
-	pieceBytes      = 64 << 10
+	pieceBytes      = 32 << 10
 )
 
 // Pieces collects a body of unknown length without copying what it has. The zero value is empty.
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -24,7 +24,7 @@
 
 const (
 	// maxAnswerBytes limits an answer that is read completely before it is forwarded.
-	maxAnswerBytes = 16 << 20
+	maxAnswerBytes = 8 << 20
 	// headerTimeout is how long the rest of a header may take after its first byte.
 	headerTimeout = time.Second
 	// maxEventBytes limits an event of a stream.
