Hold until when a target wants no requests in one place only

Read once more: chooser and dispatcher each kept that time. The dispatcher now counts refusals only and asks the chooser; the four maps of the chooser that expire share one function. No change of behaviour.

--- a/entry/internal/chooser/chooser.go
+++ b/entry/internal/chooser/chooser.go
@@ -117,12 +117,14 @@
 
 // Tick forgets the avoided and shut targets and the stalled chains whose time has expired.
 func (c *Chooser) Tick(now time.Time) {
-	isExpired := func(_ string, until time.Time) bool { return !now.Before(until) }
-	maps.DeleteFunc(c.avoided, isExpired)
-	maps.DeleteFunc(c.stalled, isExpired)
-	for _, closed := range []map[identifier.TargetID]time.Time{c.shut, c.quiet} {
-		maps.DeleteFunc(closed, func(_ identifier.TargetID, until time.Time) bool { return !now.Before(until) })
-	}
+	dropExpired(now, c.avoided)
+	dropExpired(now, c.stalled)
+	dropExpired(now, c.shut)
+	dropExpired(now, c.quiet)
+}
+
+func dropExpired[K comparable](now time.Time, untils map[K]time.Time) {
+	maps.DeleteFunc(untils, func(_ K, until time.Time) bool { return !now.Before(until) })
 }
 
 // HasTargets reports whether any target is known.
@@ -196,6 +198,9 @@
 // IsQuiet reports whether a target wants no requests now.
 func (c *Chooser) IsQuiet(now time.Time, id identifier.TargetID) bool { return now.Before(c.quiet[id]) }
 
+// QuietUntil returns until when a target wants no requests.
+func (c *Chooser) QuietUntil(id identifier.TargetID) time.Time { return c.quiet[id] }
+
 func (c *Chooser) isShut(now time.Time, id identifier.TargetID) bool {
 	return now.Before(c.shut[id]) || c.IsQuiet(now, id)
 }
--- a/entry/internal/dispatcher/announcements.go
+++ b/entry/internal/dispatcher/announcements.go
@@ -26,12 +26,6 @@
 	Field  string
 }
 
-// quietTime is the time in which a target wants no requests.
-type quietTime struct {
-	until    time.Time
-	refusals int
-}
-
 // unreadableFields counts the unreadable fields of a target since the last log line.
 type unreadableFields struct {
 	loggedAt time.Time
@@ -41,13 +35,10 @@
 // quietWanted notes that a target wants no requests. A later refusal may extend the time, or shorten it.
 func (d *Dispatcher) quietWanted(now time.Time, ev QuietWanted) []messenger.Effect {
 	d.chooser.Quiet(ev.Target, ev.Until)
-	q, ok := d.quiet[ev.Target]
-	if ok {
-		q.until = ev.Until
-		q.refusals++
+	d.refusals[ev.Target]++
+	if d.refusals[ev.Target] > 1 {
 		return nil
 	}
-	d.quiet[ev.Target] = &quietTime{until: ev.Until, refusals: 1}
 	return []messenger.Effect{messenger.Log{
 		Event: eventlogger.TargetWantsQuiet, Subject: "target/" + string(ev.Target),
 		Values: []any{"answer", ev.Answer, "quiet_ms", ev.Until.Sub(now).Milliseconds()},
@@ -57,13 +48,13 @@
 // endQuiet logs the quiet times that are over.
 func (d *Dispatcher) endQuiet(now time.Time) []messenger.Effect {
 	var effects []messenger.Effect
-	for id, q := range d.quiet {
-		if now.Before(q.until) {
+	for id, refusals := range d.refusals {
+		if d.chooser.IsQuiet(now, id) {
 			continue
 		}
-		delete(d.quiet, id)
+		delete(d.refusals, id)
 		effects = append(effects, messenger.Log{
-			Event: eventlogger.TargetWantsQuiet, Subject: "target/" + string(id), Values: []any{"state", "ended", "refusals", q.refusals},
+			Event: eventlogger.TargetWantsQuiet, Subject: "target/" + string(id), Values: []any{"state", "ended", "refusals", refusals},
 		})
 	}
 	return effects
@@ -77,9 +68,9 @@
 // quietStatus returns the targets that want no requests, for the status page.
 func (d *Dispatcher) quietStatus(now time.Time) []describer.QuietStatus {
 	var out []describer.QuietStatus
-	for id, q := range d.quiet {
-		if now.Before(q.until) {
-			out = append(out, describer.QuietStatus{Target: id, LeftMS: q.until.Sub(now).Milliseconds(), Refusals: q.refusals})
+	for id, refusals := range d.refusals {
+		if d.chooser.IsQuiet(now, id) {
+			out = append(out, describer.QuietStatus{Target: id, LeftMS: d.chooser.QuietUntil(id).Sub(now).Milliseconds(), Refusals: refusals})
 		}
 	}
 	return out
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -142,10 +142,11 @@
 	chooser      *chooser.Chooser
 	crashTracker *crashtracker.Tracker
 	limits       *limiter.Tracker
-	quiet        map[identifier.TargetID]*quietTime
-	unreadable   map[identifier.TargetID]unreadableFields
-	requests     map[identifier.CallID]*request
-	trials       *trier.Trier
+	// refusals counts the requests that targets have refused since they began to want none.
+	refusals   map[identifier.TargetID]int
+	unreadable map[identifier.TargetID]unreadableFields
+	requests   map[identifier.CallID]*request
+	trials     *trier.Trier
 	// leaseUntil is until when this node holds the lease, which no two nodes do at the same time.
 	leaseUntil time.Time
 	retries    *budgeter.Budgets
@@ -155,7 +156,7 @@
 func NewDispatcher(cfg Config) *Dispatcher {
 	return &Dispatcher{
 		cfg: cfg, chooser: chooser.NewChooser(cfg.DataCentre), crashTracker: crashtracker.NewTracker(), limits: limiter.NewTracker(),
-		quiet: map[identifier.TargetID]*quietTime{}, unreadable: map[identifier.TargetID]unreadableFields{}, requests: map[identifier.CallID]*request{},
+		refusals: map[identifier.TargetID]int{}, unreadable: map[identifier.TargetID]unreadableFields{}, requests: map[identifier.CallID]*request{},
 		trials: trier.NewTrier(), retries: budgeter.NewBudgets(budgeter.Config{Ratio: cfg.RetryRatio, Window: cfg.RetryWindow}),
 	}
 }
