Share what the dispatcher's tests of crashes did alike

Three tests let a request arrive and crash a target in the same lines, two drew the same conditions in the same order.

--- a/entry/internal/dispatcher/poison_group_test.go
+++ b/entry/internal/dispatcher/poison_group_test.go
@@ -12,7 +12,6 @@
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/entry/internal/dispatcher"
-	"fuchsiabridge.example/entry/internal/registrar"
 )
 
 const (
@@ -195,11 +194,7 @@
 		}
 		s := defaults(mode, rapid.SampledFrom(paths).Draw(t, "path"))
 		s.interval = time.Duration(rapid.IntRange(300, 5000).Draw(t, "interval")) * time.Millisecond
-		s.nodes = rapid.IntRange(1, 5).Draw(t, "nodes")
-		s.viewDelay = time.Duration(rapid.IntRange(10, 5000).Draw(t, "view delay")) * time.Millisecond
-		s.reportDelay = time.Duration(rapid.IntRange(10, 800).Draw(t, "report delay")) * time.Millisecond
-		s.downtime = time.Duration(rapid.IntRange(1500, 6000).Draw(t, "downtime")) * time.Millisecond
-		s.keepsID = rapid.Bool().Draw(t, "keeps id")
+		s.drawConditions(t)
 		x := newSimulation(s)
 		x.repeatVariants()
 		x.repeatOrdinary()
@@ -236,17 +231,12 @@
 func TestAnsweredGroupIsNotHeldBack(t *testing.T) {
 	c := qt.New(t)
 	d := readyHarness()
+	siblings := firstSibling
 	arrive := func(at time.Duration) (identifier.CallID, messenger.Effect) {
-		d.next++
-		return d.next, d.apply(at, dispatcher.RequestArrived{
-			Call: d.next, ID: identifier.RequestID(fmt.Sprint(d.next)), Host: "h", Path: "/post/", Key: "key",
-			Fingerprint: firstSibling + identifier.Fingerprint(d.next), Group: firstSibling,
-		})
+		siblings++
+		return d.arrive(at, requestKey{siblings, firstSibling})
 	}
-	crashed, e := arrive(0)
-	address := e.(dispatcher.Send).Address
-	d.apply(10*time.Millisecond, dispatcher.AttemptReported{Call: crashed, Outcome: dispatcher.Broken})
-	d.apply(20*time.Millisecond, registrar.Ejected{Address: address, Cause: registrar.Unresponsive})
+	d.crashTarget(requestKey{firstSibling - 1, firstSibling})
 	first, e := arrive(30 * time.Millisecond)
 	_, isSent := e.(dispatcher.Send)
 	c.Assert(isSent, qt.IsTrue, qt.Commentf("%T", e))
--- a/entry/internal/dispatcher/poison_test.go
+++ b/entry/internal/dispatcher/poison_test.go
@@ -655,6 +655,15 @@
 	}
 }
 
+// drawConditions draws how many nodes there are, how late they learn, and how targets come back.
+func (s *scenario) drawConditions(t *rapid.T) {
+	s.nodes = rapid.IntRange(1, 5).Draw(t, "nodes")
+	s.viewDelay = time.Duration(rapid.IntRange(10, 5000).Draw(t, "view delay")) * time.Millisecond
+	s.reportDelay = time.Duration(rapid.IntRange(10, 800).Draw(t, "report delay")) * time.Millisecond
+	s.downtime = time.Duration(rapid.IntRange(1500, 6000).Draw(t, "downtime")) * time.Millisecond
+	s.keepsID = rapid.Bool().Draw(t, "keeps id")
+}
+
 // TestPoisonIsRefusedUnderRandomConditions plays a poison request under random ways of crashing, views and reports.
 func TestPoisonIsRefusedUnderRandomConditions(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -665,11 +674,7 @@
 		}
 		s := defaults(mode, rapid.SampledFrom(paths).Draw(t, "path"))
 		s.interval = time.Duration(rapid.IntRange(50, 3000).Draw(t, "interval")) * time.Millisecond
-		s.nodes = rapid.IntRange(1, 5).Draw(t, "nodes")
-		s.viewDelay = time.Duration(rapid.IntRange(10, 5000).Draw(t, "view delay")) * time.Millisecond
-		s.reportDelay = time.Duration(rapid.IntRange(10, 800).Draw(t, "report delay")) * time.Millisecond
-		s.downtime = time.Duration(rapid.IntRange(1500, 6000).Draw(t, "downtime")) * time.Millisecond
-		s.keepsID = rapid.Bool().Draw(t, "keeps id")
+		s.drawConditions(t)
 		s.isKnownFirst = rapid.Bool().Draw(t, "known first")
 		s.duration = 15 * time.Second
 		x := newSimulation(s)
@@ -682,21 +687,31 @@
 	})
 }
 
+// arrive lets a request that must not run twice arrive.
+func (d *harness) arrive(at time.Duration, key requestKey) (identifier.CallID, messenger.Effect) {
+	d.next++
+	return d.next, d.apply(at, dispatcher.RequestArrived{
+		Call: d.next, ID: identifier.RequestID(fmt.Sprint(d.next)), Host: "h", Path: "/post/", Key: "key", Fingerprint: key.request, Group: key.group,
+	})
+}
+
+// crashTarget lets a request crash the target that it is sent to, which is known after 20 ms.
+func (d *harness) crashTarget(key requestKey) {
+	call, e := d.arrive(0, key)
+	address := e.(dispatcher.Send).Address
+	d.apply(10*time.Millisecond, dispatcher.AttemptReported{Call: call, Outcome: dispatcher.Broken})
+	d.apply(20*time.Millisecond, registrar.Ejected{Address: address, Cause: registrar.Unresponsive})
+}
+
 // TestHeldRequestNeedsNoRetryBudget guards against refusing an innocent request that was held back before its first
 // attempt because no retry is left.
 func TestHeldRequestNeedsNoRetryBudget(t *testing.T) {
 	c := qt.New(t)
 	d := makeReady(newHarnessWithRatio(0))
 	arrive := func(at time.Duration) (identifier.CallID, messenger.Effect) {
-		d.next++
-		return d.next, d.apply(at, dispatcher.RequestArrived{
-			Call: d.next, ID: identifier.RequestID(fmt.Sprint(d.next)), Host: "h", Path: "/post/", Key: "key", Fingerprint: innocent,
-		})
+		return d.arrive(at, requestKey{request: innocent})
 	}
-	call, e := arrive(0)
-	send := e.(dispatcher.Send)
-	d.apply(10*time.Millisecond, dispatcher.AttemptReported{Call: call, Outcome: dispatcher.Broken})
-	d.apply(20*time.Millisecond, registrar.Ejected{Address: send.Address, Cause: registrar.Unresponsive})
+	d.crashTarget(requestKey{request: innocent})
 	tried, e := arrive(30 * time.Millisecond)
 	c.Assert(e.(dispatcher.Send).NewConn, qt.IsTrue)
 	held, e := arrive(40 * time.Millisecond)
@@ -754,17 +769,8 @@
 		c := qt.New(t)
 		d := readyHarness()
 		d.apply(-2*retryWindow, dispatcher.RetryQuotaChanged{Retries: 10})
-		arrive := func(at time.Duration) (identifier.CallID, messenger.Effect) {
-			d.next++
-			return d.next, d.apply(at, dispatcher.RequestArrived{
-				Call: d.next, ID: identifier.RequestID(fmt.Sprint(d.next)), Host: "h", Path: "/post/", Key: "key", Fingerprint: innocent, Group: poisonGroup,
-			})
-		}
-		crashed, e := arrive(0)
-		address := e.(dispatcher.Send).Address
-		d.apply(10*time.Millisecond, dispatcher.AttemptReported{Call: crashed, Outcome: dispatcher.Broken})
-		d.apply(20*time.Millisecond, registrar.Ejected{Address: address, Cause: registrar.Unresponsive})
-		tried, e := arrive(30 * time.Millisecond)
+		d.crashTarget(requestKey{innocent, poisonGroup})
+		tried, e := d.arrive(30*time.Millisecond, requestKey{innocent, poisonGroup})
 		c.Assert(e.(dispatcher.Send).NewConn, qt.IsTrue)
 		rejected.Call = tried
 		e = d.apply(35*time.Millisecond, rejected)
