--- a/common/eventlogger/relay.go
+++ b/common/eventlogger/relay.go
@@ -37,6 +37,8 @@
 	TargetSaysLeaving      = Event{8033, "target says that it is leaving"}
 	TargetWantsQuiet       = Event{8034, "target wants no requests for a while"}
 	AnnouncementUnreadable = Event{8035, "what a target says in an answer cannot be read"}
+	StoreEraChanged        = Event{8036, "store was restored from a copy"}
+	ConfigurationIgnored   = Event{8037, "older configuration ignored"}
 )
 
 func relayEvents() []Event {
@@ -76,5 +78,7 @@
 		TargetSaysLeaving,
 		TargetWantsQuiet,
 		AnnouncementUnreadable,
+		StoreEraChanged,
+		ConfigurationIgnored,
 	}
 }
--- a/common/identifier/identifier.go
+++ b/common/identifier/identifier.go
@@ -59,8 +59,21 @@
 	// FencingToken numbers the leases for sending orders; a higher one is later. It is the log offset at which
 	// the lease was granted or, for nodes that relay requests, the generation of their group in the store.
 	FencingToken int64
+	// Era numbers the restorations of the platform's store from a copy; it is 0 if the store does not say.
+	Era int64
 )
 
+// StorePosition is a place in a topic of the platform's store. The same offset names another record in another era.
+type StorePosition struct {
+	Era    Era    `json:"era,omitempty"`
+	Offset Offset `json:"offset"`
+}
+
+// Before reports whether p is of an earlier era than o, or of the same one and before it.
+func (p StorePosition) Before(o StorePosition) bool {
+	return p.Era < o.Era || (p.Era == o.Era && p.Offset < o.Offset)
+}
+
 // Fingerprint is a hash of a request's route, caller and body; requests with equal fingerprints are
 // treated as the same request.
 type Fingerprint uint64
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -253,16 +253,26 @@
 	previous := int64(0)
 	if d.table != nil {
 		previous = d.table.Version
-		if ev.Table.Version <= previous {
+		if ev.Table.Version < previous {
+			return []messenger.Effect{logConfiguration(eventlogger.ConfigurationIgnored, ev, previous)}
+		}
+		if ev.Table.Version == previous {
 			return nil
 		}
 	}
 	d.table = ev.Table
 	d.chooser.SetServices(ev.Table.Services)
-	return []messenger.Effect{messenger.Log{
-		Event: eventlogger.ConfigurationChanged, Subject: "configuration",
-		Values: []any{"version", ev.Table.Version, "former", previous, "routes", ev.Table.Size()},
-	}}
+	return []messenger.Effect{logConfiguration(eventlogger.ConfigurationChanged, ev, previous)}
+}
+
+func logConfiguration(event eventlogger.Event, ev ConfigurationRead, previous int64) messenger.Effect {
+	return messenger.Log{
+		Event: event, Subject: "configuration",
+		Values: []any{
+			"version", ev.Table.Version, "former", previous, "routes", ev.Table.Size(),
+			"source", ev.Source, "era", ev.Position.Era, "offset", ev.Position.Offset,
+		},
+	}
 }
 
 func (d *Dispatcher) configurationConfirmed(now time.Time, ev ConfigurationConfirmed) []messenger.Effect {
--- a/entry/internal/dispatcher/messages.go
+++ b/entry/internal/dispatcher/messages.go
@@ -13,8 +13,13 @@
 	"fuchsiabridge.example/entry/internal/router"
 )
 
-// ConfigurationRead is the event that a new version of the configuration was read.
-type ConfigurationRead struct{ Table *router.Table }
+// ConfigurationRead is the event that a version of the configuration was read.
+type ConfigurationRead struct {
+	Table *router.Table
+	// Source says where it was read, and Position up to which place of the store the source had read, for logs.
+	Source   string
+	Position identifier.StorePosition
+}
 
 // ConfigurationConfirmed is the event that the store had no newer configuration as of the given time.
 type ConfigurationConfirmed struct{ AsOf time.Time }
--- a/entry/internal/follower/follower.go
+++ b/entry/internal/follower/follower.go
@@ -45,14 +45,16 @@
 	maxNonReaderBackoff = 2 * time.Second
 	// outageTimeout is how long calls must fail before the store counts as lost.
 	outageTimeout = time.Second
+	// storeSource names the store as the source of a configuration in logs; another source is the address of a peer.
+	storeSource = "store"
 )
 
 // Store is the part of the platform's store that the follower uses.
 type Store interface {
-	NewestConfiguration(ctx context.Context) (*describer.Configuration, identifier.Offset, error)
-	ReadConfiguration(ctx context.Context, from identifier.Offset, wait time.Duration) (*describer.Configuration, identifier.Offset, error)
-	NewestTargets(ctx context.Context) ([]describer.TargetChange, identifier.Offset, error)
-	ReadTargets(ctx context.Context, from identifier.Offset, wait time.Duration) ([]describer.TargetChange, identifier.Offset, error)
+	NewestConfiguration(ctx context.Context) (*describer.Configuration, identifier.StorePosition, error)
+	ReadConfiguration(ctx context.Context, from identifier.StorePosition, wait time.Duration) (*describer.Configuration, identifier.StorePosition, error)
+	NewestTargets(ctx context.Context) ([]describer.TargetChange, identifier.StorePosition, error)
+	ReadTargets(ctx context.Context, from identifier.StorePosition, wait time.Duration) ([]describer.TargetChange, identifier.StorePosition, error)
 	Join(ctx context.Context, m storecaller.Member, last identifier.FencingToken, term time.Duration, topics int) (storecaller.Membership, error)
 	Leave(ctx context.Context, m storecaller.Member) error
 	Owners(ctx context.Context) (map[int]storecaller.Member, error)
@@ -68,8 +70,8 @@
 	submit func(messenger.Event)
 
 	mu sync.Mutex
-	// next is the offset up to which configurations are known.
-	next identifier.Offset
+	// next is the position up to which configurations are known.
+	next identifier.StorePosition
 	// readers are the other nodes that read the store, as of the last lookup at readersAt.
 	readers   []storecaller.Member
 	readersAt time.Time
@@ -144,7 +146,7 @@
 // FollowConfiguration follows the configuration in the store until ctx ends, except while peers provide it.
 func (f *Follower) FollowConfiguration(ctx context.Context) {
 	out := outage{call: "configuration"}
-	var next identifier.Offset
+	var next identifier.StorePosition
 	isStarted := false
 	// wait is zero after a failure, because the configuration in force must be confirmed soon.
 	wait := time.Duration(0)
@@ -154,7 +156,7 @@
 			continue
 		}
 		sent := bootclock.Now()
-		cfg, offset, err := f.configuration(ctx, isStarted, next, wait)
+		cfg, position, err := f.configuration(ctx, isStarted, next, wait)
 		if errors.Is(err, storecaller.ErrTruncated) {
 			isStarted = false
 			continue
@@ -166,32 +168,34 @@
 		}
 		out.succeeded()
 		asOf := sent
-		if isStarted && offset == next {
+		if isStarted && position == next {
 			// No newer configuration arrived during the whole wait, so the current one is confirmed as of its end.
 			asOf = sent.Add(wait)
 		}
-		isStarted, next, wait = true, offset, configurationWait
-		f.applyConfiguration(cfg, offset)
+		isStarted, next, wait = true, position, configurationWait
+		f.applyConfiguration(cfg, position, storeSource)
 		var source []byte
 		if cfg != nil {
 			source = cfg.Source
 		}
-		f.sharer.RecordConfiguration(offset, asOf, source)
+		f.sharer.RecordConfiguration(position, asOf, source)
 		f.submit(dispatcher.ConfigurationConfirmed{AsOf: asOf})
 	}
 }
 
-// applyConfiguration applies a new configuration, if there is one, and records the offset up to which
-// configurations are known.
-func (f *Follower) applyConfiguration(cfg *describer.Configuration, next identifier.Offset) {
+// applyConfiguration applies a new configuration that was read from a source, if there is one, and records the position
+// up to which configurations are known.
+func (f *Follower) applyConfiguration(cfg *describer.Configuration, next identifier.StorePosition, source string) {
 	f.mu.Lock()
-	f.next = max(f.next, next)
+	if f.next.Offset < next.Offset {
+		f.next = next
+	}
 	f.mu.Unlock()
 	if cfg == nil {
 		return
 	}
 	table := router.NewTable(cfg)
-	f.submit(dispatcher.ConfigurationRead{Table: table})
+	f.submit(dispatcher.ConfigurationRead{Table: table, Source: source, Position: next})
 	f.submit(placer.ConfigurationChanged{Table: table})
 }
 
@@ -203,7 +207,7 @@
 	return maxNonReaderBackoff
 }
 
-func (f *Follower) configuration(ctx context.Context, isStarted bool, from identifier.Offset, wait time.Duration) (*describer.Configuration, identifier.Offset, error) {
+func (f *Follower) configuration(ctx context.Context, isStarted bool, from identifier.StorePosition, wait time.Duration) (*describer.Configuration, identifier.StorePosition, error) {
 	if !isStarted {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
@@ -218,14 +222,14 @@
 func (f *Follower) FollowTargets(ctx context.Context) {
 	out := outage{call: "targets"}
 	known := map[identifier.TargetID]bool{}
-	var next identifier.Offset
+	var next identifier.StorePosition
 	isStarted := false
 	for ctx.Err() == nil {
 		if f.gate.awaitReading(ctx) {
 			isStarted = false
 			continue
 		}
-		changes, offset, err := f.targets(ctx, isStarted, next)
+		changes, position, err := f.targets(ctx, isStarted, next)
 		if errors.Is(err, storecaller.ErrTruncated) {
 			isStarted = false
 			continue
@@ -240,7 +244,7 @@
 		}
 		f.sharer.RecordTargets(changes, !isStarted)
 		f.submit(registrar.TargetsRead{Changes: changes, IsComplete: !isStarted})
-		isStarted, next = true, offset
+		isStarted, next = true, position
 		for _, c := range changes {
 			known[c.ID] = c.Target != nil
 		}
@@ -249,7 +253,7 @@
 	}
 }
 
-func (f *Follower) targets(ctx context.Context, isStarted bool, from identifier.Offset) ([]describer.TargetChange, identifier.Offset, error) {
+func (f *Follower) targets(ctx context.Context, isStarted bool, from identifier.StorePosition) ([]describer.TargetChange, identifier.StorePosition, error) {
 	if !isStarted {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
--- a/entry/internal/follower/moved_test.go
+++ b/entry/internal/follower/moved_test.go
@@ -42,20 +42,20 @@
 	return nil, errCut
 }
 
-func (s *movingStore) NewestConfiguration(context.Context) (*describer.Configuration, identifier.Offset, error) {
-	return nil, 0, errCut
+func (s *movingStore) NewestConfiguration(context.Context) (*describer.Configuration, identifier.StorePosition, error) {
+	return nil, identifier.StorePosition{}, errCut
 }
 
-func (s *movingStore) ReadConfiguration(context.Context, identifier.Offset, time.Duration) (*describer.Configuration, identifier.Offset, error) {
-	return nil, 0, errCut
+func (s *movingStore) ReadConfiguration(context.Context, identifier.StorePosition, time.Duration) (*describer.Configuration, identifier.StorePosition, error) {
+	return nil, identifier.StorePosition{}, errCut
 }
 
-func (s *movingStore) NewestTargets(context.Context) ([]describer.TargetChange, identifier.Offset, error) {
-	return nil, 0, errCut
+func (s *movingStore) NewestTargets(context.Context) ([]describer.TargetChange, identifier.StorePosition, error) {
+	return nil, identifier.StorePosition{}, errCut
 }
 
-func (s *movingStore) ReadTargets(context.Context, identifier.Offset, time.Duration) ([]describer.TargetChange, identifier.Offset, error) {
-	return nil, 0, errCut
+func (s *movingStore) ReadTargets(context.Context, identifier.StorePosition, time.Duration) ([]describer.TargetChange, identifier.StorePosition, error) {
+	return nil, identifier.StorePosition{}, errCut
 }
 
 func (s *movingStore) Join(context.Context, storecaller.Member, identifier.FencingToken, time.Duration, int) (storecaller.Membership, error) {
--- a/entry/internal/follower/peers.go
+++ b/entry/internal/follower/peers.go
@@ -259,41 +259,44 @@
 	f.mu.Lock()
 	known := f.next
 	f.mu.Unlock()
-	if update.Configuration > known {
-		cfg, next, err := f.newestConfiguration(ctx, address)
+	if update.Configuration > known.Offset {
+		cfg, next, source, err := f.newestConfiguration(ctx, address)
 		if err != nil {
 			return err
 		}
-		f.applyConfiguration(cfg, next)
+		f.applyConfiguration(cfg, next, source)
 		known = next
 	}
-	q.Configuration = known
+	q.Configuration, q.Era = known.Offset, known.Era
 	return nil
 }
 
-// newestConfiguration asks the peer for the newest configuration, and the store if the peer does not answer.
-func (f *Follower) newestConfiguration(ctx context.Context, address string) (*describer.Configuration, identifier.Offset, error) {
+// newestConfiguration asks the peer for the newest configuration, and the store if the peer does not answer. It also returns
+// which of them has answered.
+func (f *Follower) newestConfiguration(ctx context.Context, address string) (*describer.Configuration, identifier.StorePosition, string, error) {
 	cfg, next, err := f.peerConfiguration(ctx, address)
 	if err == nil {
-		return cfg, next, nil
+		return cfg, next, address, nil
 	}
 	eventlogger.Error(err, eventlogger.CallFailed, "doing", "asking a peer for the configuration", "address", address)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return f.store.NewestConfiguration(ctx)
+	cfg, next, err = f.store.NewestConfiguration(ctx)
+	return cfg, next, storeSource, err
 }
 
-func (f *Follower) peerConfiguration(ctx context.Context, address string) (*describer.Configuration, identifier.Offset, error) {
+func (f *Follower) peerConfiguration(ctx context.Context, address string) (*describer.Configuration, identifier.StorePosition, error) {
 	ctx, cancel := context.WithTimeout(ctx, configurationTimeout)
 	defer cancel()
 	var received sharer.Configuration
+	var none identifier.StorePosition
 	if err := f.peers.Call(ctx, address, sharer.ConfigurationMethod, struct{}{}, &received); err != nil {
-		return nil, 0, err
+		return nil, none, err
 	}
 	source, err := received.Source()
 	if err != nil {
-		return nil, 0, err
+		return nil, none, err
 	}
 	cfg, err := storecaller.ReadSource(source)
-	return cfg, received.Next, err
+	return cfg, received.Position(), err
 }
--- a/entry/internal/follower/peers_test.go
+++ b/entry/internal/follower/peers_test.go
@@ -35,22 +35,22 @@
 
 var errCut = errors.New("cut off")
 
-func (l *link) ReadConfiguration(ctx context.Context, from identifier.Offset, wait time.Duration) (*describer.Configuration, identifier.Offset, error) {
+func (l *link) ReadConfiguration(ctx context.Context, from identifier.StorePosition, wait time.Duration) (*describer.Configuration, identifier.StorePosition, error) {
 	l.reads.Add(1)
 	if l.isCut.Load() {
-		return nil, 0, errCut
+		return nil, identifier.StorePosition{}, errCut
 	}
 	cfg, next, err := l.Store.ReadConfiguration(ctx, from, wait)
 	if l.isCut.Load() {
-		return nil, 0, errCut
+		return nil, identifier.StorePosition{}, errCut
 	}
 	return cfg, next, err
 }
 
-func (l *link) NewestConfiguration(ctx context.Context) (*describer.Configuration, identifier.Offset, error) {
+func (l *link) NewestConfiguration(ctx context.Context) (*describer.Configuration, identifier.StorePosition, error) {
 	l.reads.Add(1)
 	if l.isCut.Load() {
-		return nil, 0, errCut
+		return nil, identifier.StorePosition{}, errCut
 	}
 	return l.Store.NewestConfiguration(ctx)
 }
@@ -60,18 +60,18 @@
 	return l.Store.Owners(ctx)
 }
 
-func (l *link) ReadTargets(ctx context.Context, from identifier.Offset, wait time.Duration) ([]describer.TargetChange, identifier.Offset, error) {
+func (l *link) ReadTargets(ctx context.Context, from identifier.StorePosition, wait time.Duration) ([]describer.TargetChange, identifier.StorePosition, error) {
 	l.reads.Add(1)
 	if l.isCut.Load() {
-		return nil, 0, errCut
+		return nil, identifier.StorePosition{}, errCut
 	}
 	return l.Store.ReadTargets(ctx, from, wait)
 }
 
-func (l *link) NewestTargets(ctx context.Context) ([]describer.TargetChange, identifier.Offset, error) {
+func (l *link) NewestTargets(ctx context.Context) ([]describer.TargetChange, identifier.StorePosition, error) {
 	l.reads.Add(1)
 	if l.isCut.Load() {
-		return nil, 0, errCut
+		return nil, identifier.StorePosition{}, errCut
 	}
 	return l.Store.NewestTargets(ctx)
 }
--- a/entry/internal/sharer/configuration.go
+++ b/entry/internal/sharer/configuration.go
@@ -16,13 +16,19 @@
 // maxSourceBytes limits the decompressed size of a configuration.
 const maxSourceBytes = 64 << 20
 
-// Configuration is the newest configuration as sent to peers, and the offset up to which no newer one exists.
+// Configuration is the newest configuration as sent to peers, and the offset up to which no newer one exists in an era.
 type Configuration struct {
 	Next identifier.Offset `json:"next"`
+	Era  identifier.Era    `json:"era,omitempty"`
 	// Packed is the compressed text in the format of the store.
 	Packed []byte `json:"packed"`
 }
 
+// Position returns the position up to which no newer configuration exists.
+func (c Configuration) Position() identifier.StorePosition {
+	return identifier.StorePosition{Era: c.Era, Offset: c.Next}
+}
+
 // Source returns the decompressed text.
 func (c Configuration) Source() ([]byte, error) {
 	r, err := gzip.NewReader(bytes.NewReader(c.Packed))
@@ -55,5 +61,5 @@
 	if !s.isReading || s.packed == nil {
 		return nil, ErrNotReading
 	}
-	return Configuration{Next: s.configuration, Packed: s.packed}, nil
+	return Configuration{Next: s.configuration.Offset, Era: s.configuration.Era, Packed: s.packed}, nil
 }
--- a/entry/internal/sharer/sharer.go
+++ b/entry/internal/sharer/sharer.go
@@ -50,8 +50,9 @@
 	// Sharer and Revision are those of the last update; they are empty in the first query.
 	Sharer   string   `json:"sharer"`
 	Revision Revision `json:"revision"`
-	// Configuration is the offset of the store up to which the peer knows configurations.
+	// Configuration is the offset of the store up to which the peer knows configurations, in an era of the store.
 	Configuration identifier.Offset `json:"configuration"`
+	Era           identifier.Era    `json:"era,omitempty"`
 	// WaitMS is how long the answer may wait for updates, in milliseconds.
 	WaitMS int64 `json:"wait_ms"`
 }
@@ -67,8 +68,9 @@
 	Changes    []describer.TargetChange `json:"changes"`
 	// Outages counts the outages of the store that the sharer has seen end.
 	Outages int `json:"outages"`
-	// Configuration is the offset up to which the sharer knows configurations.
+	// Configuration is the offset up to which the sharer knows configurations, in an era of the store.
 	Configuration identifier.Offset `json:"configuration"`
+	Era           identifier.Era    `json:"era,omitempty"`
 	// ConfirmedMS is when the store confirmed the configuration, in milliseconds relative to the arrival of the
 	// query. It is negative if the confirmation came before the query.
 	ConfirmedMS int64 `json:"confirmed_ms"`
@@ -106,7 +108,7 @@
 	cleared       []clearance
 	limits        map[identifier.TargetID]limit
 	outages       int
-	configuration identifier.Offset
+	configuration identifier.StorePosition
 	// packed is the compressed text of the newest configuration.
 	packed      []byte
 	confirmedAt time.Time
@@ -196,9 +198,9 @@
 	s.removedCount, s.completeSince = 0, s.revision
 }
 
-// RecordConfiguration records that all configurations up to the offset next were known as of a time, and the
+// RecordConfiguration records that all configurations up to the position next were known as of a time, and the
 // text of the newest one, which is nil if it has not changed.
-func (s *Sharer) RecordConfiguration(next identifier.Offset, asOf time.Time, source []byte) {
+func (s *Sharer) RecordConfiguration(next identifier.StorePosition, asOf time.Time, source []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if source != nil {
@@ -270,7 +272,7 @@
 		return Update{}, nil, ErrNotReading
 	}
 	update := Update{
-		Sharer: s.id, Revision: s.revision, Outages: s.outages, Configuration: s.configuration,
+		Sharer: s.id, Revision: s.revision, Outages: s.outages, Configuration: s.configuration.Offset, Era: s.configuration.Era,
 		IsComplete:  q.Sharer != s.id || q.Revision < s.completeSince || q.Revision > s.revision,
 		ConfirmedMS: s.confirmedAt.Sub(arrived).Truncate(time.Millisecond).Milliseconds() - 1,
 	}
