--- /dev/null
+++ b/entry/internal/follower/restoration_test.go
@@ -0,0 +1,115 @@
+package follower_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fuchsiabridge.example/entry/internal/dispatcher"
+	"fuchsiabridge.example/platform/storefaker"
+)
+
+// configurationLimit is the time within which a confirmed configuration must be in force.
+const configurationLimit = 2 * time.Second
+
+// version returns the newest version that was submitted.
+func (e *events) version() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	newest := int64(0)
+	for _, ev := range e.submitted {
+		if read, ok := ev.(dispatcher.ConfigurationRead); ok {
+			newest = max(newest, read.Table.Version)
+		}
+	}
+	return newest
+}
+
+// awaitVersion waits until a node has read a version, which was published just before.
+func awaitVersion(c *qt.C, e *events, version int64) {
+	for until := time.Now().Add(configurationLimit); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+		if e.version() == version {
+			return
+		}
+	}
+	c.Fatalf("version %d is in force, not %d, %v after that was published", e.version(), version, configurationLimit)
+}
+
+// restoration is how a store comes back from a copy.
+type restoration struct {
+	// lost is how many versions were published after the copy was made, rewritten how many the operator publishes again.
+	lost, rewritten int
+	// outage is how long the store is away, and isRead whether it can be read before the next version is published.
+	outage time.Duration
+	isRead bool
+}
+
+func (r restoration) String() string {
+	return fmt.Sprintf("%d lost, %d written again, away %v, read before: %t", r.lost, r.rewritten, r.outage, r.isRead)
+}
+
+// restorations are those after which the topic ends before, at and after the offset up to which it had been read.
+func restorations() []restoration {
+	var out []restoration
+	for _, lost := range []int{1, 2} {
+		for rewritten := range 3 {
+			for _, outage := range []time.Duration{0, 300 * time.Millisecond} {
+				out = append(out, restoration{lost: lost, rewritten: rewritten, outage: outage}, restoration{lost: lost, rewritten: rewritten, outage: outage, isRead: true})
+			}
+		}
+	}
+	return out
+}
+
+// TestVersionAfterRestorationIsRead guards against a version that is never read because the store was restored from a
+// copy and has grown again to the offset from which nodes go on reading: by nodes that read the store and their peers.
+func TestVersionAfterRestorationIsRead(t *testing.T) {
+	for _, r := range restorations() {
+		t.Run(r.String(), func(t *testing.T) {
+			t.Parallel()
+			c, store, first, second := startTwo(t)
+			version := 1
+			for range 2 {
+				version = restore(c, store, r, version, first.events, second.events)
+			}
+		})
+	}
+}
+
+// restore restores the store from a copy that is older than the newest versions, publishes a further one and waits until
+// the nodes have it. It returns its number.
+func restore(c *qt.C, store *storefaker.Store, r restoration, version int, nodes ...*events) int {
+	publish := func(version int) {
+		c.Assert(store.PutConfiguration(storefaker.Sample(version, "key")), qt.IsNil)
+	}
+	awaitAll := func(version int) {
+		for _, e := range nodes {
+			awaitVersion(c, e, int64(version))
+		}
+	}
+	store.BackUp()
+	for range r.lost {
+		version++
+		publish(version)
+	}
+	awaitAll(version)
+	if r.outage > 0 {
+		store.SetFault(storefaker.Busy)
+		time.Sleep(r.outage)
+	}
+	store.Restore()
+	if r.isRead {
+		store.SetFault(storefaker.None)
+		time.Sleep(r.outage)
+	}
+	for range r.rewritten {
+		publish(version)
+	}
+	version++
+	publish(version)
+	store.SetFault(storefaker.None)
+	awaitAll(version)
+	return version
+}
