--- a/entry/internal/follower/follower.go
+++ b/entry/internal/follower/follower.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"fuchsiabridge.example/common/bootclock"
 	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/eventlogger"
@@ -157,7 +155,7 @@
 		}
 		sent := bootclock.Now()
 		cfg, position, err := f.configuration(ctx, isStarted, next, wait)
-		if errors.Is(err, storecaller.ErrTruncated) {
+		if storecaller.IsPositionLost(err) {
 			isStarted = false
 			continue
 		}
@@ -187,7 +185,7 @@
 // up to which configurations are known.
 func (f *Follower) applyConfiguration(cfg *describer.Configuration, next identifier.StorePosition, source string) {
 	f.mu.Lock()
-	if f.next.Offset < next.Offset {
+	if f.next.Before(next) {
 		f.next = next
 	}
 	f.mu.Unlock()
@@ -230,7 +228,7 @@
 			continue
 		}
 		changes, position, err := f.targets(ctx, isStarted, next)
-		if errors.Is(err, storecaller.ErrTruncated) {
+		if storecaller.IsPositionLost(err) {
 			isStarted = false
 			continue
 		}
--- a/entry/internal/follower/peers.go
+++ b/entry/internal/follower/peers.go
@@ -259,7 +259,7 @@
 	f.mu.Lock()
 	known := f.next
 	f.mu.Unlock()
-	if update.Configuration > known.Offset {
+	if known.Before(update.Position()) {
 		cfg, next, source, err := f.newestConfiguration(ctx, address)
 		if err != nil {
 			return err
--- a/entry/internal/sharer/sharer.go
+++ b/entry/internal/sharer/sharer.go
@@ -57,6 +57,11 @@
 	WaitMS int64 `json:"wait_ms"`
 }
 
+// position is that up to which the sender of the query knows configurations.
+func (q Query) position() identifier.StorePosition {
+	return identifier.StorePosition{Era: q.Era, Offset: q.Configuration}
+}
+
 // Update is the answer to a query.
 type Update struct {
 	// IsNotReading reports that the node does not read the store. All other fields are then empty.
@@ -83,6 +88,11 @@
 	Limits []limiter.Report `json:"limits,omitempty"`
 }
 
+// Position is that up to which the sharer knows configurations.
+func (u Update) Position() identifier.StorePosition {
+	return identifier.StorePosition{Era: u.Era, Offset: u.Configuration}
+}
+
 // entry is the newest change of a target, and the revision that recorded it.
 type entry struct {
 	change   describer.TargetChange
@@ -262,7 +272,7 @@
 
 // isEmptyFor reports whether the update contains nothing that the sender of the query does not know.
 func (u Update) isEmptyFor(q Query) bool {
-	return u.Sharer == q.Sharer && u.Revision == q.Revision && u.Configuration <= q.Configuration
+	return u.Sharer == q.Sharer && u.Revision == q.Revision && !q.position().Before(u.Position())
 }
 
 func (s *Sharer) nextUpdate(q Query, arrived time.Time) (Update, <-chan struct{}, error) {
