Learn from peers the configuration that a restored store lacks

A node that started after the store had come back from an older copy put the copy's version in force until the operator wrote again: as a reader it read it from the store, as a peer from the reader, which kept the last text that it had read and not the newest. Revoked keys were accepted and added routes refused meanwhile.

What a node keeps for its peers is now the newest version that it knows, and a node that reads the store in an era which is new to it asks the other readers before it confirms what it has read. The text is compressed when a peer first asks for it. TestNewPeerLearnsVersionThatCopyLacks and TestNewReaderLearnsVersionThatCopyLacks failed before (version 1 in force, not 2).

--- a/entry/internal/follower/follower.go
+++ b/entry/internal/follower/follower.go
@@ -145,6 +145,8 @@
 func (f *Follower) FollowConfiguration(ctx context.Context) {
 	out := outage{call: "configuration"}
 	var next identifier.StorePosition
+	// askedEra is the newest era of the store in which this node has asked its peers for a newer version.
+	var askedEra identifier.Era
 	isStarted := false
 	// wait is zero after a failure, because the configuration in force must be confirmed soon.
 	wait := time.Duration(0)
@@ -172,11 +174,11 @@
 		}
 		isStarted, next, wait = true, position, configurationWait
 		f.applyConfiguration(cfg, position, storeSource)
-		var source []byte
-		if cfg != nil {
-			source = cfg.Source
+		if position.Era != askedEra {
+			askedEra = position.Era
+			f.askReaders(ctx)
 		}
-		f.sharer.RecordConfiguration(position, asOf, source)
+		f.sharer.RecordConfiguration(position, asOf)
 		f.submit(dispatcher.ConfigurationConfirmed{AsOf: asOf})
 	}
 }
@@ -192,6 +194,7 @@
 	if cfg == nil {
 		return
 	}
+	f.sharer.KeepConfiguration(cfg)
 	table := router.NewTable(cfg)
 	f.submit(dispatcher.ConfigurationRead{Table: table, Source: source, Position: next})
 	f.submit(placer.ConfigurationChanged{Table: table})
--- a/entry/internal/follower/peers.go
+++ b/entry/internal/follower/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -285,6 +286,32 @@
 	return cfg, next, storeSource, err
 }
 
+// askReaders applies newer configurations that other readers know, as the store may have been restored from a copy that is
+// older than these.
+func (f *Follower) askReaders(ctx context.Context) {
+	if f.cfg.Self.Address == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	known, err := f.CurrentReaders(ctx)
+	if err != nil {
+		eventlogger.Error(err, eventlogger.CallFailed, "doing", "looking up the peers that read the store")
+	}
+	var wg sync.WaitGroup
+	for _, m := range known {
+		wg.Go(func() {
+			cfg, next, err := f.peerConfiguration(ctx, m.Address)
+			if err != nil {
+				eventlogger.Error(err, eventlogger.CallFailed, "doing", "asking a peer for the configuration", "address", m.Address)
+				return
+			}
+			f.applyConfiguration(cfg, next, m.Address)
+		})
+	}
+	wg.Wait()
+}
+
 func (f *Follower) peerConfiguration(ctx context.Context, address string) (*describer.Configuration, identifier.StorePosition, error) {
 	ctx, cancel := context.WithTimeout(ctx, configurationTimeout)
 	defer cancel()
--- a/entry/internal/follower/restoration_test.go
+++ b/entry/internal/follower/restoration_test.go
@@ -113,3 +113,30 @@
 	awaitAll(version)
 	return version
 }
+
+// restoreOlderCopy restores the store from a copy that lacks version 2, which both nodes know.
+func restoreOlderCopy(t *testing.T) (*qt.C, *storefaker.Store) {
+	t.Helper()
+	c, store, first, second := startTwo(t)
+	store.BackUp()
+	c.Assert(store.PutConfiguration(storefaker.Sample(2, "key")), qt.IsNil)
+	awaitVersion(c, first.events, 2)
+	awaitVersion(c, second.events, 2)
+	store.Restore()
+	return c, store
+}
+
+// TestNewPeerLearnsVersionThatCopyLacks guards against a node that starts after a restoration and gets the older version
+// of the copy from the node that it follows, although that one has a newer version in force.
+func TestNewPeerLearnsVersionThatCopyLacks(t *testing.T) {
+	c, store := restoreOlderCopy(t)
+	awaitVersion(c, startNode(t, store, "third").events, 2)
+}
+
+// TestNewReaderLearnsVersionThatCopyLacks guards against a node that starts after a restoration, reads the older version
+// of the copy from the store, and puts it in force.
+func TestNewReaderLearnsVersionThatCopyLacks(t *testing.T) {
+	c, store := restoreOlderCopy(t)
+	third, _ := startReader(t, store, "third")
+	awaitVersion(c, third.events, 2)
+}
--- a/entry/internal/sharer/configuration.go
+++ b/entry/internal/sharer/configuration.go
@@ -58,8 +58,11 @@
 func (s *Sharer) ServeConfiguration(context.Context, json.RawMessage) (any, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.isReading || s.packed == nil {
+	if !s.isReading || s.source == nil {
 		return nil, ErrNotReading
 	}
+	if s.packed == nil {
+		s.packed = pack(s.source)
+	}
 	return Configuration{Next: s.configuration.Offset, Era: s.configuration.Era, Packed: s.packed}, nil
 }
--- a/entry/internal/sharer/sharer.go
+++ b/entry/internal/sharer/sharer.go
@@ -119,7 +119,9 @@
 	limits        map[identifier.TargetID]limit
 	outages       int
 	configuration identifier.StorePosition
-	// packed is the compressed text of the newest configuration.
+	// source is the text of the newest configuration and version its number; packed is the compressed text once a peer has asked for it.
+	source      []byte
+	version     int64
 	packed      []byte
 	confirmedAt time.Time
 	// changed is closed and replaced on each change.
@@ -208,14 +210,19 @@
 	s.removedCount, s.completeSince = 0, s.revision
 }
 
-// RecordConfiguration records that all configurations up to the position next were known as of a time, and the
-// text of the newest one, which is nil if it has not changed.
-func (s *Sharer) RecordConfiguration(next identifier.StorePosition, asOf time.Time, source []byte) {
+// KeepConfiguration keeps the text of a configuration for peers, unless a newer version is kept.
+func (s *Sharer) KeepConfiguration(cfg *describer.Configuration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if source != nil {
-		s.packed = pack(source)
+	if cfg.Version > s.version || s.source == nil {
+		s.source, s.version, s.packed = cfg.Source, cfg.Version, nil
 	}
+}
+
+// RecordConfiguration records that all configurations up to the position next were known as of a time.
+func (s *Sharer) RecordConfiguration(next identifier.StorePosition, asOf time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if asOf.After(s.confirmedAt) {
 		s.confirmedAt = asOf
 	}
--- a/entry/internal/sharer/sharer_test.go
+++ b/entry/internal/sharer/sharer_test.go
@@ -38,7 +38,7 @@
 	s := sharer.NewSharer()
 	s.SetReading(true)
 	s.RecordTargets(nil, true)
-	s.RecordConfiguration(identifier.StorePosition{Offset: 1}, bootclock.Now(), nil)
+	s.RecordConfiguration(identifier.StorePosition{Offset: 1}, bootclock.Now())
 	return s
 }
 
@@ -129,7 +129,7 @@
 	q.WaitMS = limit.Milliseconds()
 	for _, record := range []func(){
 		func() { s.RecordTargets([]describer.TargetChange{change(1, false)}, false) },
-		func() { s.RecordConfiguration(identifier.StorePosition{Offset: 2}, bootclock.Now(), nil) },
+		func() { s.RecordConfiguration(identifier.StorePosition{Offset: 2}, bootclock.Now()) },
 	} {
 		start := time.Now()
 		time.AfterFunc(wait, record)
@@ -147,7 +147,7 @@
 	s.SetReading(true)
 	s.RecordTargets(nil, true)
 	confirmed := bootclock.Now().Add(-time.Second)
-	s.RecordConfiguration(identifier.StorePosition{Offset: 3}, confirmed, nil)
+	s.RecordConfiguration(identifier.StorePosition{Offset: 3}, confirmed)
 	asked := bootclock.Now()
 	n, err := ask(t, s, sharer.Query{})
 	c.Assert(err, qt.IsNil)
@@ -207,7 +207,7 @@
 	s := sharer.NewSharer()
 	s.SetReading(true)
 	s.RecordTargets([]describer.TargetChange{{ID: "t", Target: &describer.Target{ID: "t"}}}, true)
-	s.RecordConfiguration(identifier.StorePosition{Offset: 1}, bootclock.Now(), nil)
+	s.RecordConfiguration(identifier.StorePosition{Offset: 1}, bootclock.Now())
 	first, err := s.Watch(context.Background(), sharer.Query{})
 	c.Assert(err, qt.IsNil)
 	c.Assert(first.Limits, qt.HasLen, 0)
