Answer 503 instead of 401 and 404 while a newer configuration may be in force elsewhere

A node that had not heard from the store for 2 to 4.25 s refused what a newer version allows, as it denied by the freshness that the revocation limit asks for, while a change must be in force within 2 s. Class: one bound was kept by the figure of another.

TestNodeDeniesNothingThatNewerVersionMayAllow, in virtual time and with a real process, failed before (404 and 401).

--- a/entry/internal/commander/relay.go
+++ b/entry/internal/commander/relay.go
@@ -61,6 +61,7 @@
 		{Name: "metrics-listen", Usage: "address of the metrics endpoint, host:port", Check: optionparser.IsAddress},
 		{Name: "store", Usage: "address of the platform's store, host:port", Check: optionparser.IsAddress},
 		{Name: "revocation-limit", Default: "5s", Usage: "maximum time for which a revoked key is still accepted; 0s lets a node keep using the configuration it last read", Check: optionparser.IsDuration},
+		{Name: "change-limit", Default: "2s", Usage: "time within which an accepted configuration must be in force; a node that has not heard from the store for as long answers 503 instead of 401 and 404; 0s for no limit", Check: optionparser.IsDuration},
 		{Name: "retry-ratio", Default: "0.2", Usage: "retries as a share of requests, 0 to 1", Check: optionparser.IsShare},
 		{Name: "retry-slack", Default: "0", Usage: "retries that all nodes together may make per window in addition to the ratio, 0 to 1000000", Check: optionparser.IsNumber(0, maxSlack)},
 		{Name: "store-parts", Default: "12", Usage: "partitions of a topic of the store, 1 to 1000; the retry slack is divided among them", Check: optionparser.IsNumber(1, maxPartitions)},
@@ -124,6 +125,7 @@
 		Dispatch: dispatcher.Config{
 			DataCentre:      dc,
 			RevocationLimit: values.Duration("revocation-limit"),
+			ChangeLimit:     values.Duration("change-limit"),
 			RetryRatio:      values.Share("retry-ratio"),
 			RetryWindow:     values.Duration("retry-window"),
 		},
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -74,6 +74,8 @@
 	DataCentre identifier.DataCentre
 	// RevocationLimit is how long a key may still be accepted after it was revoked; 0 means no limit.
 	RevocationLimit time.Duration
+	// ChangeLimit is the time within which an accepted configuration must be in force; 0 means no limit.
+	ChangeLimit time.Duration
 	// RetryRatio limits the retries of a service to a share of its requests in RetryWindow. The
 	// retry quota allows further ones.
 	RetryRatio  float64
@@ -342,10 +344,16 @@
 	return d.send(now, ev.Call, r, ev.Seed)
 }
 
+// mayDeny reports whether the configuration is recent enough to deny a request: all others that must be in force were read.
+func (d *Dispatcher) mayDeny(now time.Time) bool {
+	isRecent := d.cfg.ChangeLimit == 0 || now.Sub(d.confirmedAt) < d.cfg.ChangeLimit
+	return isRecent && d.isFresh(now)
+}
+
 // deny refuses a request that the configuration does not allow. If the configuration may be
 // out of date, the answer is 503 instead, so that the caller retries.
 func (d *Dispatcher) deny(now time.Time, call identifier.CallID, status int, reason string) []messenger.Effect {
-	if !d.isFresh(now) {
+	if !d.mayDeny(now) {
 		return d.refuse(now, call, http.StatusServiceUnavailable, unreadyRetryAfter, "configuration not confirmed, "+reason)
 	}
 	return d.refuse(now, call, status, 0, reason)
--- a/entry/internal/dispatcher/dispatcher_test.go
+++ b/entry/internal/dispatcher/dispatcher_test.go
@@ -22,6 +22,7 @@
 
 const (
 	revocationLimit = 5 * time.Second
+	changeLimit     = 2 * time.Second
 	retryRatio      = 0.2
 	retryWindow     = 10 * time.Second
 	layers          = 40
@@ -42,7 +43,7 @@
 
 func newHarnessWithRatio(ratio float64) *harness {
 	return &harness{dispatcher: dispatcher.NewDispatcher(dispatcher.Config{
-		DataCentre: "a", RevocationLimit: revocationLimit, RetryRatio: ratio, RetryWindow: retryWindow,
+		DataCentre: "a", RevocationLimit: revocationLimit, ChangeLimit: changeLimit, RetryRatio: ratio, RetryWindow: retryWindow,
 	})}
 }
 
@@ -168,6 +169,21 @@
 	c.Assert(status(e), qt.Equals, 0)
 }
 
+// TestNodeDeniesNothingThatNewerVersionMayAllow guards against 401 and 404 from a node that has not heard of the store for longer
+// than a configuration may take to be in force, though not for the revocation limit: a newer version may allow the request.
+func TestNodeDeniesNothingThatNewerVersionMayAllow(t *testing.T) {
+	c := qt.New(t)
+	d := readyHarness()
+	for path, want := range map[string]int{"/none/": 404, "/view/": 401} {
+		_, e := d.sendRequest(changeLimit-time.Millisecond, path, "wrong")
+		c.Check(status(e), qt.Equals, want, qt.Commentf("%s", path))
+		_, e = d.sendRequest(changeLimit, path, "wrong")
+		c.Check(status(e), qt.Equals, 503, qt.Commentf("%s", path))
+	}
+	_, e := d.sendRequest(changeLimit, "/view/", "key")
+	c.Assert(status(e), qt.Equals, 0)
+}
+
 // TestRevokedKeyIsDenied checks that a key that the newest version no longer contains is denied,
 // also after an older version arrives late.
 func TestRevokedKeyIsDenied(t *testing.T) {
--- a/integration/relay_test.go
+++ b/integration/relay_test.go
@@ -22,6 +22,8 @@
 	eventInterval     = 15 * time.Millisecond
 	relayStartTimeout = 15 * time.Second
 	relayKey          = "studio-key"
+	// pendingRead is longer than a read may wait in the store.
+	pendingRead = 800 * time.Millisecond
 )
 
 // relayFixture is a node in relay mode with stand-ins for the store and the targets.
@@ -139,6 +141,26 @@
 	b.Assert(status, qt.Equals, http.StatusUnauthorized)
 }
 
+// TestNodeDeniesNothingThatNewerVersionMayAllow guards against 401 and 404 for what a newer version allows, from a node that has
+// not reached the store for longer than that version may take to be in force.
+func TestNodeDeniesNothingThatNewerVersionMayAllow(t *testing.T) {
+	b := newRelayFixture(t)
+	b.store.SetFault(storefaker.Busy)
+	// A read that is already waiting in the store would still return the next version.
+	time.Sleep(pendingRead)
+	const added = "added.example"
+	b.Assert(b.store.PutConfiguration(storefaker.SampleOfTwoHosts(2, added, time.Second, relayKey, "other-key")), qt.IsNil)
+	time.Sleep(changeLimit + 100*time.Millisecond)
+	for _, caller := range []callerfaker.Caller{{Key: "other-key"}, {Key: relayKey, Host: added}} {
+		caller.Address = b.node.Address
+		status, _, err := caller.Send(t.Context(), http.MethodGet, "/view/1", "v1")
+		b.Assert(err, qt.IsNil)
+		b.Check(status, qt.Equals, http.StatusServiceUnavailable)
+	}
+	status, _ := b.send(http.MethodGet, "/view/1", "v2", relayKey)
+	b.Assert(status, qt.Equals, http.StatusOK)
+}
+
 // TestRelayRecoversFromTrimmedHistory lets the store trim records that the node has not read yet. The
 // node must still reach the newest configuration.
 func TestRelayRecoversFromTrimmedHistory(t *testing.T) {
