--- a/common/identifier/identifier.go
+++ b/common/identifier/identifier.go
@@ -78,6 +78,9 @@
 // treated as the same request.
 type Fingerprint uint64
 
+// PromptPart identifies a part of a prompt, which requests of different callers and with different texts may share.
+type PromptPart uint64
+
 // LayerRange is the half-open range of layers From..To-1.
 type LayerRange struct {
 	From Layer `json:"from"`
--- a/entry/internal/dispatcher/attempts.go
+++ b/entry/internal/dispatcher/attempts.go
@@ -335,6 +335,6 @@
 func (d *Dispatcher) logAttempt(now time.Time, r *request, ev AttemptReported, isCandidate bool) messenger.Effect {
 	return messenger.Log{Event: eventlogger.AttemptEnded, Subject: "request/" + string(r.id), Values: []any{
 		"outcome", ev.Outcome, "target", r.target, "status", ev.Status, reasonKey, ev.Reason, "fault", ev.FaultAddress,
-		"took_ms", now.Sub(r.sent).Milliseconds(), "events", ev.Events, fingerprintKey, r.key.Request, groupKey, r.key.Group, "candidate", isCandidate,
+		"took_ms", now.Sub(r.sent).Milliseconds(), "events", ev.Events, fingerprintKey, r.key.Request, groupKey, r.key.Group, partsKey, r.parts, "candidate", isCandidate,
 	}}
 }
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -92,6 +92,8 @@
 	deadline time.Time
 	// key identifies the request if it comes again.
 	key crashrecorder.RequestKey
+	// parts are those of the prompt that other requests share.
+	parts []identifier.PromptPart
 	// seed determines the jitter of the Retry-After delay.
 	seed uint64
 	// attempts counts all attempts, executions only those that may have run.
@@ -307,7 +309,7 @@
 }
 
 func (d *Dispatcher) requestArrived(now time.Time, ev RequestArrived) []messenger.Effect {
-	r := &request{id: ev.ID, arrived: now, deadline: ev.Deadline, seed: ev.Seed}
+	r := &request{id: ev.ID, arrived: now, deadline: ev.Deadline, seed: ev.Seed, parts: ev.Parts}
 	d.requests[ev.Call] = r
 	if d.table == nil {
 		return d.refuse(now, ev.Call, http.StatusServiceUnavailable, unreadyRetryAfter, "no configuration yet")
@@ -496,7 +498,7 @@
 	d.release(r)
 	delete(d.requests, call)
 	values := []any{"status", status, reasonKey, reason, "took_ms", now.Sub(r.arrived).Milliseconds(), sendsKey, r.attempts, "runs", r.executions,
-		"first_ms", r.firstByte.Milliseconds(), "longest_gap_ms", r.longestGap.Milliseconds(), "events", r.events, fingerprintKey, r.key.Request, groupKey, r.key.Group}
+		"first_ms", r.firstByte.Milliseconds(), "longest_gap_ms", r.longestGap.Milliseconds(), "events", r.events, fingerprintKey, r.key.Request, groupKey, r.key.Group, partsKey, r.parts}
 	if r.route != nil {
 		values = append(values, "route", r.route.ID, "account", r.account, "service", r.service)
 	}
--- a/entry/internal/dispatcher/logkeys.go
+++ b/entry/internal/dispatcher/logkeys.go
@@ -4,6 +4,7 @@
 const (
 	fingerprintKey = "fingerprint"
 	groupKey       = "group"
+	partsKey       = "shared_parts"
 	reasonKey      = "reason"
 	sendsKey       = "sends"
 )
--- a/entry/internal/dispatcher/messages.go
+++ b/entry/internal/dispatcher/messages.go
@@ -37,6 +37,8 @@
 	Fingerprint identifier.Fingerprint
 	// Group is the same for requests with the same path, without its query, and body.
 	Group identifier.Fingerprint
+	// Parts are those of the prompt that other requests share.
+	Parts []identifier.PromptPart
 	// Seed is a random number for weighted and randomized choices.
 	Seed uint64
 }
--- a/entry/internal/relayer/serving.go
+++ b/entry/internal/relayer/serving.go
@@ -49,6 +49,7 @@
 	arrived := dispatcher.RequestArrived{
 		Call: s.call, ID: request.ID, Host: string(h.Host()), Path: string(h.RequestURI()),
 		Key: request.Key, Seed: rand.Uint64(), Fingerprint: fingerprint(h.Method(), h.Host(), h.RequestURI(), c.Body()), Group: fingerprint(path(h), c.Body()),
+		Parts: request.Parts,
 	}
 	if request.Timeout > 0 {
 		arrived.Deadline = bootclock.Now().Add(request.Timeout)
