--- a/entry/internal/dispatcher/poison_test.go
+++ b/entry/internal/dispatcher/poison_test.go
@@ -73,6 +73,8 @@
 	// isKnownFirst makes an ordinary request meet the crashed target before the broken attempt is reported.
 	isKnownFirst bool
 	duration     time.Duration
+	// breaksOthers makes a crash break the attempts of other requests at the target.
+	breaksOthers bool
 	// rejectedEvery makes every n-th run of the poison request end with an error answer instead of a crash, if it is not zero.
 	rejectedEvery int
 }
@@ -273,11 +275,16 @@
 
 // arriveInGroup lets a request arrive at a node that differs from others with the same path, caller and body.
 func (x *simulation) arriveInGroup(node int, path string, key requestKey, isPoison bool, timeout time.Duration) identifier.CallID {
+	return x.arriveWithParts(node, path, key, nil, isPoison, timeout)
+}
+
+// arriveWithParts lets a request arrive at a node whose prompt shares parts with others.
+func (x *simulation) arriveWithParts(node int, path string, key requestKey, parts []identifier.PromptPart, isPoison bool, timeout time.Duration) identifier.CallID {
 	x.nextCall++
 	call := x.nextCall
 	x.calls[call] = &simCall{node: node, fingerprint: key.request, isPoison: isPoison, deadline: x.now + timeout}
 	x.apply(node, dispatcher.RequestArrived{
-		Call: call, ID: identifier.RequestID(fmt.Sprint(call)), Host: "h", Path: path, Key: "key", Fingerprint: key.request, Group: key.group,
+		Call: call, ID: identifier.RequestID(fmt.Sprint(call)), Host: "h", Path: path, Key: "key", Fingerprint: key.request, Group: key.group, Parts: parts,
 		Deadline: start.Add(x.now + timeout), Seed: uint64(call),
 	}, call)
 	return call
@@ -398,6 +405,9 @@
 		}
 		t.isDown, t.isSilent, t.crashed = true, isSilent, x.now
 		x.crashes = append(x.crashes, x.now)
+		if x.breaksOthers && !isSilent {
+			x.breakOthers(t)
+		}
 		if !x.keepsID {
 			x.after(entryLifetime+x.viewDelay, func() { x.readView(describer.TargetChange{ID: t.ID}) })
 		}
@@ -405,6 +415,15 @@
 	})
 }
 
+// breakOthers ends the open attempts at a target that has crashed.
+func (x *simulation) breakOthers(t *simTarget) {
+	for call, c := range x.calls {
+		if c.target == t && !c.hasEnded && !c.isPoison {
+			x.finish(call, hop, dispatcher.AttemptReported{Call: call, Outcome: dispatcher.Broken})
+		}
+	}
+}
+
 func (x *simulation) restart(t *simTarget) {
 	x.restarts++
 	next := &simTarget{Target: t.Target}
@@ -444,13 +463,16 @@
 }
 
 // lateSends returns how often the request was handed to a target later than the limit after its third crash.
-func (x *simulation) lateSends() int {
-	if len(x.crashes) < 3 {
+func (x *simulation) lateSends() int { return x.sendsAfterCrash(3) }
+
+// sendsAfterCrash returns how often poison requests were handed to targets later than the limit after the n-th crash.
+func (x *simulation) sendsAfterCrash(crash int) int {
+	if len(x.crashes) < crash {
 		return 0
 	}
 	n := 0
 	for _, at := range x.sends {
-		if at > x.crashes[2]+detectionLimit {
+		if at > x.crashes[crash-1]+detectionLimit {
 			n++
 		}
 	}
