Start the second node of a test only when the first one reads the store

The fixture of the follower's tests asserts that the first of two nodes reads the store for both, but waited only for its configuration.

--- a/entry/internal/follower/peers_test.go
+++ b/entry/internal/follower/peers_test.go
@@ -153,6 +153,10 @@
 	c.Assert(store.PutConfiguration(storefaker.Sample(1, "key")), qt.IsNil)
 	first := startNode(t, store, "first")
 	await[dispatcher.ConfigurationConfirmed](c, first.events, 0)
+	// The node that joins first reads the store.
+	for until := time.Now().Add(waitLimit); !first.follower.IsReader(); time.Sleep(10 * time.Millisecond) {
+		c.Assert(time.Now().Before(until), qt.IsTrue, qt.Commentf("the first node does not join the group within %v", waitLimit))
+	}
 	second := startNode(t, store, "second")
 	await[dispatcher.ConfigurationConfirmed](c, second.events, 0)
 	// The second node gets the partitions of the last topics. Those of the first topic, which make their owners
@@ -296,6 +300,6 @@
 		last := received[len(received)-1]
 		c.Assert(last.AgeMS <= waitLimit.Milliseconds(), qt.IsTrue)
 		last.AgeMS = crash.AgeMS
-		c.Assert(last, qt.Equals, crash, qt.Commentf("of %d events", n))
+		c.Assert(last, qt.DeepEquals, crash, qt.Commentf("of %d events", n))
 	}
 }
