--- a/entry/internal/crashrecorder/crashrecorder.go
+++ b/entry/internal/crashrecorder/crashrecorder.go
@@ -1,5 +1,5 @@
-// Package crashrecorder holds which requests, and groups of requests, have crashed targets, and decides which of them are
-// confirmed as poison.
+// Package crashrecorder holds which requests have crashed targets, and what these have in common, and decides which
+// requests and which traits are confirmed as poison.
 package crashrecorder
 
 import (
@@ -38,12 +38,44 @@
 	Depth int `json:"depth,omitempty"`
 	// GroupDepth is how many crashes in a row different requests of the group have caused with this one.
 	GroupDepth int `json:"group_depth,omitempty"`
+	// Parts are those of the request's prompt, in order. Parts that are known to be sound may be missing.
+	Parts []TraitCrash `json:"parts,omitempty"`
 	// IsFurther says that the same attempt has crashed another target before.
 	IsFurther bool `json:"is_further,omitempty"`
 	// AgeMS is the time since the crash became known, in milliseconds.
 	AgeMS int64 `json:"age_ms"`
 }
 
+// IsLessThan reports whether another report of the crash says that it is one of more in a row.
+func (c Crash) IsLessThan(o Crash) bool {
+	if c.Depth < o.Depth || c.GroupDepth < o.GroupDepth {
+		return true
+	}
+	depths := map[identifier.Fingerprint]int{}
+	for _, p := range c.Parts {
+		depths[p.Trait] = p.Depth
+	}
+	return slices.ContainsFunc(o.Parts, func(p TraitCrash) bool { return depths[p.Trait] < p.Depth })
+}
+
+// Key returns the key of the crash's request, as far as it is known.
+func (c Crash) Key() RequestKey {
+	key := RequestKey{Request: c.Request, Group: c.Group}
+	for _, p := range c.Parts {
+		key.Parts = append(key.Parts, p.Trait)
+	}
+	return key
+}
+
+// MaxDepth returns the most crashes in a row that this one makes, by its request or by others with one of its traits.
+func (c Crash) MaxDepth() int {
+	depth := max(c.Depth, c.GroupDepth)
+	for _, p := range c.Parts {
+		depth = max(depth, p.Depth)
+	}
+	return depth
+}
+
 // ConfirmingCrash returns a crash that alone confirms its request as poison, as is known of one that
 // was confirmed the given time ago.
 func ConfirmingCrash(request identifier.Fingerprint, target identifier.TargetID, number int64, age time.Duration) Crash {
@@ -67,7 +99,7 @@
 	KnownAt time.Time
 	// Attempts counts the attempts that crashed targets.
 	Attempts int
-	// Requests counts the requests of a group that crashed targets.
+	// Requests counts the requests with a trait that crashed targets.
 	Requests int
 }
 
@@ -80,6 +112,7 @@
 // record holds the crashes of one request.
 type record struct {
 	group identifier.Fingerprint
+	parts []identifier.Fingerprint
 	// crashes holds the depth of each crash.
 	crashes map[incarnation]int
 	// attempts counts the attempts that crashed targets.
@@ -99,12 +132,16 @@
 // Recorder holds the crashes that this node and others have found.
 type Recorder struct {
 	records map[identifier.Fingerprint]*record
-	groups  map[identifier.Fingerprint]*group
+	traits  map[identifier.Fingerprint]*trait
+	// sound holds when a target has last written an answer on a part of a prompt.
+	sound map[identifier.Fingerprint]time.Time
 }
 
 // NewRecorder returns a recorder that knows nothing.
 func NewRecorder() *Recorder {
-	return &Recorder{records: map[identifier.Fingerprint]*record{}, groups: map[identifier.Fingerprint]*group{}}
+	return &Recorder{
+		records: map[identifier.Fingerprint]*record{}, traits: map[identifier.Fingerprint]*trait{}, sound: map[identifier.Fingerprint]time.Time{},
+	}
 }
 
 // RecordOwnCrash records a crash that this node has found.
@@ -112,8 +149,10 @@
 	if !x.RecordCrash(now, c) {
 		return false
 	}
-	if g, ok := x.groups[c.Group]; ok {
-		g.isOwn = true
+	for _, id := range c.Key().Traits() {
+		if t, ok := x.traits[id]; ok {
+			t.isOwn = true
+		}
 	}
 	return true
 }
@@ -126,7 +165,7 @@
 	if c.IsOutdated() {
 		return false
 	}
-	isNewToGroup := x.recordGroupCrash(now, c)
+	isNewToTrait := x.recordTraitCrashes(now, c)
 	r, ok := x.records[c.Request]
 	if !ok {
 		evict(now, x.records, func(r *record) weight { return weight{depth: r.depth, lastAt: r.lastAt} })
@@ -136,9 +175,12 @@
 	if c.Group != 0 {
 		r.group = c.Group
 	}
+	if len(c.Parts) > 0 {
+		r.parts = c.Key().Parts
+	}
 	key := incarnation{target: c.Target, number: c.Incarnation}
 	if r.crashes[key] >= depth || (len(r.crashes) >= maxCrashesPerRequest && depth <= r.depth) {
-		return isNewToGroup
+		return isNewToTrait
 	}
 	if r.crashes[key] == 0 {
 		r.errors = 0
@@ -180,18 +222,29 @@
 	}
 }
 
-// Histories is what was known of the crashes of a request, and of different requests of its group.
+// Histories is what was known of the crashes of a request, and of different requests with each of its traits.
 type Histories struct {
 	Request History
-	Group   History
+	Traits  map[identifier.Fingerprint]History
 }
 
 // HasCrashes reports whether any crashes were known.
-func (h Histories) HasCrashes() bool { return h.Request.Depth > 0 || h.Group.Depth > 0 }
+func (h Histories) HasCrashes() bool { return h.Request.Depth > 0 || len(h.Traits) > 0 }
 
-// Histories returns what is known of the crashes of a request and of its group.
+// Histories returns what is known of the crashes of a request and of its traits.
 func (x *Recorder) Histories(now time.Time, key RequestKey) Histories {
-	return Histories{Request: x.history(now, key.Request), Group: x.groupHistory(now, key.Group)}
+	out := Histories{Request: x.history(now, key.Request)}
+	for _, id := range key.Traits() {
+		h := x.traitHistory(now, id)
+		if h.Depth == 0 {
+			continue
+		}
+		if out.Traits == nil {
+			out.Traits = map[identifier.Fingerprint]History{}
+		}
+		out.Traits[id] = h
+	}
+	return out
 }
 
 func (x *Recorder) history(now time.Time, request identifier.Fingerprint) History {
@@ -202,24 +255,27 @@
 	return History{Depth: r.depth, KnownAt: r.knownAt, Attempts: r.attempts}
 }
 
-// IsConfirmed reports whether a request, or its group, is confirmed as poison and must not run again.
+// IsConfirmed reports whether a request, or one of its traits, is confirmed as poison, so that it must not run again.
 func (x *Recorder) IsConfirmed(now time.Time, key RequestKey) bool {
-	return x.IsRequestConfirmed(now, key.Request) || x.isGroupConfirmed(now, key)
+	return x.IsRequestConfirmed(now, key.Request) || x.hasConfirmedTrait(now, key)
 }
 
-// IsRequestConfirmed reports whether a request is confirmed as poison, whatever is known of its group.
+// IsRequestConfirmed reports whether a request is confirmed as poison, whatever is known of its traits.
 func (x *Recorder) IsRequestConfirmed(now time.Time, request identifier.Fingerprint) bool {
 	r, ok := x.records[request]
 	return ok && now.Sub(r.lastAt) < crashMaxAge && r.isConfirmed()
 }
 
-// NoteAnswer applies that a request was answered, and returns the requests and groups whose crashes count no more. Only a
+// NoteAnswer applies that a request was answered, and returns the requests and traits whose crashes count no more. Only a
 // success proves that the target has run the request: it may reject one with an error before.
 func (x *Recorder) NoteAnswer(key RequestKey, isSuccess bool) []identifier.Fingerprint {
 	var cleared []identifier.Fingerprint
 	if (isSuccess || x.isRejectedOften(key.Request)) && x.Clear(key.Request) {
 		cleared = append(cleared, key.Request)
 	}
+	if isSuccess {
+		cleared = append(cleared, x.dropFromTraits(key)...)
+	}
 	if x.noteGroupAnswer(key, isSuccess) {
 		cleared = append(cleared, key.Group)
 	}
@@ -236,27 +292,27 @@
 	return r.errors >= clearingAnswers
 }
 
-// Clear drops the crashes of a request or a group, and reports whether any were known.
+// Clear drops the crashes of a request or a trait, and reports whether any were known.
 func (x *Recorder) Clear(id identifier.Fingerprint) bool {
 	r, isRequest := x.records[id]
 	if isRequest {
-		x.dropFromGroup(RequestKey{Request: id, Group: r.group})
+		x.dropFromTraits(RequestKey{Request: id, Group: r.group, Parts: r.parts})
 		delete(x.records, id)
 	}
-	_, isGroup := x.groups[id]
-	delete(x.groups, id)
-	return isRequest || isGroup
+	_, isTrait := x.traits[id]
+	delete(x.traits, id)
+	return isRequest || isTrait
 }
 
-// Counts returns how many requests have crashes, and how many requests and groups are confirmed poison.
+// Counts returns how many requests have crashes, and how many requests and traits are confirmed poison.
 func (x *Recorder) Counts(now time.Time) (accused, confirmed int) {
 	for _, r := range x.records {
 		if r.isConfirmed() && now.Sub(r.lastAt) < crashMaxAge {
 			confirmed++
 		}
 	}
-	for _, g := range x.groups {
-		if g.isConfirmed(now) {
+	for _, t := range x.traits {
+		if x.isConfirmed(now, t) {
 			confirmed++
 		}
 	}
--- /dev/null
+++ b/entry/internal/crashrecorder/traits.go
@@ -0,0 +1,373 @@
+package crashrecorder
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"fuchsiabridge.example/common/identifier"
+)
+
+const (
+	// clearingAnswers is how many answers to requests of a group, without a crash in between, show that
+	// the group as a whole does not crash targets.
+	clearingAnswers = 10
+	// manyTraitCrashes is how many attempts must have crashed targets for one crash in a row less to confirm a trait.
+	// It is less than for a request, as each node may try requests with the trait.
+	manyTraitCrashes = 3
+	// settleTime is how long a trait whose crashes suffice is not confirmed yet: reports of other nodes may
+	// show another cause of them all.
+	settleTime = 500 * time.Millisecond
+	// soundTime is how long a part of a prompt counts as sound after a target has written an answer on it.
+	soundTime = time.Minute
+	// maxRequestsPerCrash limits the requests with a trait that are kept for the crash of one target.
+	maxRequestsPerCrash = 32
+	// maxSucceededRequests limits the requests with a trait that are remembered as successful.
+	maxSucceededRequests = 64
+	// maxSoundParts limits the parts that are remembered as sound.
+	maxSoundParts = 8192
+	// groupPosition is the position of a group, before that of any part of a prompt.
+	groupPosition = -1
+)
+
+// RequestKey identifies a request, and the traits that it has in common with others: a poison request may come again
+// with a difference that does not matter to the targets.
+type RequestKey struct {
+	// Request is the same for requests of one account with the same method, host, path, query and body.
+	Request identifier.Fingerprint
+	// Group is the same for requests of one account with the same path and body.
+	Group identifier.Fingerprint
+	// Parts are those of the prompt that other requests share, in order.
+	Parts []identifier.Fingerprint
+}
+
+// Traits returns the group, if it is known, and the parts.
+func (k RequestKey) Traits() []identifier.Fingerprint {
+	traits := make([]identifier.Fingerprint, 0, 1+len(k.Parts))
+	if k.Group != 0 {
+		traits = append(traits, k.Group)
+	}
+	return append(traits, k.Parts...)
+}
+
+// TraitCrash is a crash as one of several that requests with one trait have caused.
+type TraitCrash struct {
+	Trait identifier.Fingerprint `json:"trait"`
+	// Depth is how many crashes in a row different requests with the trait have caused with this one.
+	Depth int `json:"depth"`
+}
+
+// trait holds the crashes by different requests that have a group or a part in common.
+type trait struct {
+	// position is that of the part in prompts, the last one at which it was seen, or groupPosition.
+	position int
+	// crashes holds, for each target that crashed, the requests that may have caused it, and how many
+	// crashes in a row by different requests with the trait this makes.
+	crashes map[incarnation]map[identifier.Fingerprint]int
+	// suspects are the requests that may have crashed targets, and depth is the highest of their crashes.
+	suspects map[identifier.Fingerprint]int
+	depth    int
+	// attempts counts the attempts that crashed targets.
+	attempts int
+	// succeeded holds requests that have succeeded since the first crash, hasSucceeded says that one has since the last one.
+	succeeded    map[identifier.Fingerprint]bool
+	hasSucceeded bool
+	// answers counts the answers since the last crash.
+	answers int
+	// knownAt is when the depth became known, lastAt when the last crash happened.
+	knownAt time.Time
+	lastAt  time.Time
+	// isOwn says that this node has detected a crash, isTaken that TakeConfirmedTraits has returned the confirmation.
+	isOwn   bool
+	isTaken bool
+}
+
+func newTrait(position int) *trait {
+	return &trait{
+		position: position, crashes: map[incarnation]map[identifier.Fingerprint]int{},
+		suspects: map[identifier.Fingerprint]int{}, succeeded: map[identifier.Fingerprint]bool{},
+	}
+}
+
+func (t *trait) isPart() bool { return t.position > groupPosition }
+
+// repeaters returns the requests that have crashed more than one target.
+func (t *trait) repeaters() map[identifier.Fingerprint]bool {
+	targets := map[identifier.Fingerprint]int{}
+	for _, requests := range t.crashes {
+		for request := range requests {
+			targets[request]++
+		}
+	}
+	maps.DeleteFunc(targets, func(_ identifier.Fingerprint, n int) bool { return n < 2 })
+	out := make(map[identifier.Fingerprint]bool, len(targets))
+	for request := range targets {
+		out[request] = true
+	}
+	return out
+}
+
+// findSuspects finds out which requests may have crashed targets. If one of the requests that a target ran when it
+// crashed has crashed others as well, the crash is put down to that one alone.
+func (t *trait) findSuspects() {
+	repeaters := t.repeaters()
+	clear(t.suspects)
+	t.depth = 0
+	for _, requests := range t.crashes {
+		hasRepeater := false
+		for request := range requests {
+			hasRepeater = hasRepeater || repeaters[request]
+		}
+		for request, depth := range requests {
+			if !hasRepeater || repeaters[request] {
+				t.suspects[request] = max(t.suspects[request], depth)
+				t.depth = max(t.depth, depth)
+			}
+		}
+	}
+}
+
+// requestDepth returns the depth at which a request has crashed its first target, 0 if it has crashed none.
+func (t *trait) requestDepth(request identifier.Fingerprint) int {
+	least := 0
+	for _, requests := range t.crashes {
+		if d, ok := requests[request]; ok && (least == 0 || d < least) {
+			least = d
+		}
+	}
+	return least
+}
+
+// TraitDepth returns the depth at which a request has crashed its first target as one with a trait, 0 if it has crashed none.
+func (x *Recorder) TraitDepth(request, id identifier.Fingerprint) int {
+	if t, ok := x.traits[id]; ok {
+		return t.requestDepth(request)
+	}
+	return 0
+}
+
+// suffices reports whether the crashes suffice to confirm the trait as poison.
+func (t *trait) suffices() bool {
+	return t.depth >= confirmingDepth || (t.depth == confirmingDepth-1 && t.attempts >= manyTraitCrashes)
+}
+
+func (t *trait) isSettled(now time.Time) bool { return now.Sub(t.knownAt) >= settleTime }
+
+// isConfirmed reports whether requests with a trait are refused.
+func (x *Recorder) isConfirmed(now time.Time, t *trait) bool {
+	return t.suffices() && now.Sub(t.lastAt) < crashMaxAge && t.isSettled(now) && !x.isExplained(t)
+}
+
+// isExplained reports whether a part of prompts explains the crashes of a trait: its requests have caused all of these,
+// and either further ones, or the part stands later in prompts, which fewer requests share.
+func (x *Recorder) isExplained(t *trait) bool {
+	for _, other := range x.traits {
+		if other == t || !other.isPart() || !other.suffices() || len(other.crashes) < len(t.crashes) {
+			continue
+		}
+		if len(other.crashes) == len(t.crashes) && other.position <= t.position {
+			continue
+		}
+		if other.hasAll(t.crashes) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasAll reports whether requests with the trait may have caused all of some crashes.
+func (t *trait) hasAll(crashes map[incarnation]map[identifier.Fingerprint]int) bool {
+	for key := range crashes {
+		if _, ok := t.crashes[key]; !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// drop forgets the crashes that a request seemed to cause.
+func (t *trait) drop(request identifier.Fingerprint) {
+	for key, requests := range t.crashes {
+		delete(requests, request)
+		if len(requests) == 0 {
+			delete(t.crashes, key)
+		}
+	}
+	t.findSuspects()
+}
+
+// recordTraitCrashes records a crash for each trait of its request, and reports whether it was not known before.
+func (x *Recorder) recordTraitCrashes(now time.Time, c Crash) bool {
+	isNew := c.Group != 0 && x.recordTraitCrash(now, c, TraitCrash{Trait: c.Group, Depth: c.GroupDepth}, groupPosition)
+	for i, p := range c.Parts {
+		if !x.IsSound(now, p.Trait) {
+			isNew = x.recordTraitCrash(now, c, p, i) || isNew
+		}
+	}
+	return isNew
+}
+
+func (x *Recorder) recordTraitCrash(now time.Time, c Crash, as TraitCrash, position int) bool {
+	t, ok := x.traits[as.Trait]
+	if !ok {
+		evict(now, x.traits, func(t *trait) weight { return weight{depth: t.depth, lastAt: t.lastAt} })
+		t = newTrait(position)
+		x.traits[as.Trait] = t
+	}
+	t.position = max(t.position, position)
+	key := incarnation{target: c.Target, number: c.Incarnation}
+	depth := max(1, as.Depth)
+	requests, ok := t.crashes[key]
+	if requests[c.Request] >= depth || (!ok && len(t.crashes) >= maxCrashesPerRequest) {
+		return false
+	}
+	if !ok {
+		requests = map[identifier.Fingerprint]int{}
+		t.crashes[key] = requests
+	}
+	if requests[c.Request] == 0 && len(requests) >= maxRequestsPerCrash {
+		return false
+	}
+	if requests[c.Request] == 0 {
+		t.answers, t.hasSucceeded, t.isTaken = 0, false, false
+		if !c.IsFurther {
+			t.attempts++
+		}
+	}
+	requests[c.Request] = depth
+	before := t.depth
+	t.findSuspects()
+	if t.depth > before {
+		t.knownAt = now
+	}
+	if at := c.happenedAt(now); at.After(t.lastAt) {
+		t.lastAt = at
+	}
+	return true
+}
+
+// dropFromTraits drops the crashes that a request seemed to cause from its traits, and returns those that are cleared by that.
+func (x *Recorder) dropFromTraits(key RequestKey) []identifier.Fingerprint {
+	var cleared []identifier.Fingerprint
+	for _, id := range key.Traits() {
+		t, ok := x.traits[id]
+		if !ok {
+			continue
+		}
+		t.drop(key.Request)
+		if len(t.crashes) == 0 {
+			delete(x.traits, id)
+			cleared = append(cleared, id)
+		}
+	}
+	return cleared
+}
+
+// noteGroupAnswer notes that a request of a group was answered, and reports whether the group is cleared by that.
+func (x *Recorder) noteGroupAnswer(key RequestKey, isSuccess bool) bool {
+	t, ok := x.traits[key.Group]
+	if !ok {
+		return false
+	}
+	if isSuccess && len(t.succeeded) < maxSucceededRequests {
+		t.succeeded[key.Request] = true
+	}
+	t.hasSucceeded = t.hasSucceeded || isSuccess
+	t.answers++
+	if t.answers < clearingAnswers || t.suffices() {
+		return false
+	}
+	delete(x.traits, key.Group)
+	return true
+}
+
+// NoteWritten notes that a target has written an answer on the parts of a request's prompt, which proves that these crash
+// none, and returns the parts whose crashes count no more.
+func (x *Recorder) NoteWritten(now time.Time, key RequestKey) []identifier.Fingerprint {
+	var cleared []identifier.Fingerprint
+	for _, id := range key.Parts {
+		if _, ok := x.traits[id]; ok {
+			delete(x.traits, id)
+			cleared = append(cleared, id)
+		}
+		x.noteSound(now, id)
+	}
+	return cleared
+}
+
+func (x *Recorder) noteSound(now time.Time, part identifier.Fingerprint) {
+	if _, ok := x.sound[part]; !ok && len(x.sound) >= maxSoundParts {
+		maps.DeleteFunc(x.sound, func(_ identifier.Fingerprint, at time.Time) bool { return now.Sub(at) >= soundTime })
+		if len(x.sound) >= maxSoundParts {
+			return
+		}
+	}
+	x.sound[part] = now
+}
+
+// IsSound reports whether a target has written an answer on a part of a prompt lately, so that nothing speaks against it.
+func (x *Recorder) IsSound(now time.Time, part identifier.Fingerprint) bool {
+	at, ok := x.sound[part]
+	return ok && now.Sub(at) < soundTime
+}
+
+// traitHistory returns what is known of the crashes of a trait.
+func (x *Recorder) traitHistory(now time.Time, id identifier.Fingerprint) History {
+	t, ok := x.traits[id]
+	if !ok || now.Sub(t.lastAt) >= crashMaxAge {
+		return History{}
+	}
+	return History{Depth: t.depth, KnownAt: t.knownAt, Attempts: t.attempts, Requests: len(t.suspects)}
+}
+
+// hasConfirmedTrait reports whether a request is refused because one of its traits is confirmed as poison.
+func (x *Recorder) hasConfirmedTrait(now time.Time, key RequestKey) bool {
+	return slices.ContainsFunc(key.Traits(), func(id identifier.Fingerprint) bool {
+		// A trait that was stored as poison is known under its id only.
+		if x.IsRequestConfirmed(now, id) {
+			return true
+		}
+		t, ok := x.traits[id]
+		return ok && !t.succeeded[key.Request] && x.isConfirmed(now, t)
+	})
+}
+
+// IsTraitOpen reports whether it is open if a trait of a request is poison: no request with it has succeeded since its
+// last crash, or its crashes suffice and the request itself has not succeeded.
+func (x *Recorder) IsTraitOpen(now time.Time, request, id identifier.Fingerprint) bool {
+	t, ok := x.traits[id]
+	return ok && now.Sub(t.lastAt) < crashMaxAge && (!t.hasSucceeded || x.IsTraitSettling(now, request, id))
+}
+
+// IsTraitSettling reports whether a trait of a request is about to be confirmed as poison, unless reports of other
+// nodes show another cause.
+func (x *Recorder) IsTraitSettling(now time.Time, request, id identifier.Fingerprint) bool {
+	t, ok := x.traits[id]
+	return ok && !t.isSettled(now) && t.suffices() && !t.succeeded[request]
+}
+
+// ConfirmedTrait is a trait that was confirmed as poison.
+type ConfirmedTrait struct {
+	// Crash alone confirms the trait; its Request is the trait.
+	Crash Crash
+	// IsOwn says that this node has detected a crash by a request with the trait.
+	IsOwn bool
+	// IsPart says that the trait is a part of prompts.
+	IsPart bool
+}
+
+// TakeConfirmedTraits returns the traits that were confirmed as poison since the last call, or have crashed a target again.
+func (x *Recorder) TakeConfirmedTraits(now time.Time) []ConfirmedTrait {
+	var out []ConfirmedTrait
+	for id, t := range x.traits {
+		if t.isTaken || !x.isConfirmed(now, t) {
+			continue
+		}
+		t.isTaken = true
+		for key := range t.crashes {
+			out = append(out, ConfirmedTrait{Crash: ConfirmingCrash(id, key.target, key.number, now.Sub(t.lastAt)), IsOwn: t.isOwn, IsPart: t.isPart()})
+			break
+		}
+	}
+	return out
+}
--- a/entry/internal/crashtracker/crashtracker.go
+++ b/entry/internal/crashtracker/crashtracker.go
@@ -29,13 +29,15 @@
 	Key crashrecorder.RequestKey
 	// Targets are the targets that the attempt used, first the one that it was sent to.
 	Targets []identifier.TargetID
-	// Before holds the crashes of the request and its group that were known when the attempt was sent.
+	// Before holds the crashes of the request and its traits that were known when the attempt was sent.
 	Before crashrecorder.Histories
 	SentAt time.Time
 	// RunsUntil is when the attempt ended, or until when targets may go on with one that the node has left.
 	RunsUntil time.Time
-	// HasEvents says that events arrived, which takes all targets of a chain.
-	HasEvents bool
+	// HasEvents says that events arrived, which takes all targets of a chain, HasWritten that there were so many that no
+	// part of the prompt crashes targets.
+	HasEvents  bool
+	HasWritten bool
 	// IsBroken says that the connection to the first target broke.
 	IsBroken bool
 }
@@ -274,7 +276,8 @@
 func (t *Tracker) addCrash(now time.Time, a *candidate, id identifier.TargetID, number int64) []crashrecorder.Crash {
 	c := crashrecorder.Crash{
 		Request: a.Key.Request, Group: a.Key.Group, Target: id, Incarnation: number,
-		Depth: t.depth(a.Attempt, a.Before.Request, id), GroupDepth: t.groupDepth(a.Attempt, id), IsFurther: a.hasCrashed,
+		Depth: t.depth(a.Attempt, a.Before.Request, id), GroupDepth: t.traitDepth(a.Attempt, a.Key.Group, id), IsFurther: a.hasCrashed,
+		Parts: t.accusedParts(now, a.Attempt, id),
 	}
 	a.hasCrashed = true
 	if !t.RecordOwnCrash(now, c) {
@@ -298,15 +301,29 @@
 	return before.Depth + 1
 }
 
-// groupDepth returns how many crashes in a row by different requests of a group the crash of a target by an attempt makes.
-func (t *Tracker) groupDepth(a Attempt, id identifier.TargetID) int {
-	if d := t.GroupDepth(a.Key); d > 0 {
+// accusedParts returns the parts of an attempt's prompt that may have crashed a target.
+func (t *Tracker) accusedParts(now time.Time, a Attempt, id identifier.TargetID) []crashrecorder.TraitCrash {
+	if a.HasWritten {
+		return nil
+	}
+	var parts []crashrecorder.TraitCrash
+	for _, part := range a.Key.Parts {
+		if !t.IsSound(now, part) {
+			parts = append(parts, crashrecorder.TraitCrash{Trait: part, Depth: t.traitDepth(a, part, id)})
+		}
+	}
+	return parts
+}
+
+// traitDepth returns how many crashes in a row by different requests with a trait the crash of a target by an attempt makes.
+func (t *Tracker) traitDepth(a Attempt, trait identifier.Fingerprint, id identifier.TargetID) int {
+	if d := t.TraitDepth(a.Key.Request, trait); d > 0 {
 		return d
 	}
-	return t.depth(a, a.Before.Group, id)
+	return t.depth(a, a.Before.Traits[trait], id)
 }
 
-// NoteAnswer applies that a request was answered, and returns the requests and groups whose crashes count no more.
+// NoteAnswer applies that a request was answered, and returns the requests and traits whose crashes count no more.
 func (t *Tracker) NoteAnswer(key crashrecorder.RequestKey, isSuccess bool) []identifier.Fingerprint {
 	cleared := t.Recorder.NoteAnswer(key, isSuccess)
 	if isSuccess || slices.Contains(cleared, key.Request) {
@@ -315,7 +332,7 @@
 	return cleared
 }
 
-// Clear drops the attempts and crashes of a request, or the crashes of a group, and reports whether crashes were known.
+// Clear drops the attempts and crashes of a request, or the crashes of a trait, and reports whether crashes were known.
 func (t *Tracker) Clear(id identifier.Fingerprint) bool {
 	t.dropCandidates(id)
 	return t.Recorder.Clear(id)
--- a/entry/internal/crashtracker/crashtracker_test.go
+++ b/entry/internal/crashtracker/crashtracker_test.go
@@ -204,7 +204,7 @@
 		for _, x := range pair {
 			c.Check(x.IsConfirmed(at, poisonKey), qt.IsTrue)
 			c.Check(x.IsConfirmed(at, crashrecorder.RequestKey{Request: firstOther, Group: crashGroup}), qt.IsFalse, qt.Commentf("seen by peer: %t", isSeenByPeer))
-			c.Check(x.TakeConfirmedGroups(at), qt.HasLen, 0)
+			c.Check(x.TakeConfirmedTraits(at), qt.HasLen, 0)
 		}
 	}
 }
@@ -248,17 +248,17 @@
 		tracker.NoteAnswer(known, true)
 	}
 	c.Assert(tracker.IsConfirmed(at, next), qt.IsFalse)
-	c.Assert(tracker.IsGroupOpen(at, next), qt.IsTrue)
+	c.Assert(tracker.IsTraitOpen(at, next.Request, next.Group), qt.IsTrue)
 	at = at.Add(time.Second)
 	c.Assert(tracker.IsConfirmed(at, next), qt.IsTrue)
 	c.Assert(tracker.IsConfirmed(at, known), qt.IsFalse)
-	confirmed := tracker.TakeConfirmedGroups(at)
+	confirmed := tracker.TakeConfirmedTraits(at)
 	c.Assert(confirmed, qt.HasLen, 1)
 	c.Assert(confirmed[0].Crash.Request, qt.Equals, crashGroup)
 	c.Assert(confirmed[0].IsOwn, qt.IsTrue)
-	c.Assert(tracker.TakeConfirmedGroups(at), qt.HasLen, 0)
+	c.Assert(tracker.TakeConfirmedTraits(at), qt.HasLen, 0)
 	tracker.RecordCrash(at, crashrecorder.Crash{Request: 60, Group: crashGroup, Target: id(3), Incarnation: 9, Depth: 1, GroupDepth: 3})
-	c.Assert(tracker.TakeConfirmedGroups(at), qt.HasLen, 1, qt.Commentf("a group that crashes a target again is stored again"))
+	c.Assert(tracker.TakeConfirmedTraits(at), qt.HasLen, 1, qt.Commentf("a group that crashes a target again is stored again"))
 	restarted := crashtracker.NewTracker()
 	restarted.RecordCrash(at, confirmed[0].Crash)
 	c.Assert(restarted.IsConfirmed(at, next), qt.IsTrue)
@@ -295,3 +295,65 @@
 	c.Assert(tracker.DueChecks(at), qt.HasLen, 1)
 	c.Assert(tracker.CheckUnanswered(at, id(0)).Crashes, qt.HasLen, 1)
 }
+
+// partKey returns the key of a request that shares parts of its prompt with others.
+func partKey(request identifier.Fingerprint, parts ...identifier.Fingerprint) crashrecorder.RequestKey {
+	return crashrecorder.RequestKey{Request: request, Group: request + 1000, Parts: parts}
+}
+
+// TestPartExplainsItsNeighbours guards against refusing requests with a part of prompts, or of a group, that only came with the
+// part which crashes targets.
+func TestPartExplainsItsNeighbours(t *testing.T) {
+	const common, neighbour, bad, group identifier.Fingerprint = 501, 502, 503, 504
+	c := qt.New(t)
+	tracker := crashtracker.NewTracker()
+	at := start
+	for i, parts := range [][]identifier.Fingerprint{{common, neighbour, bad}, {common, bad}, {common, neighbour, bad}} {
+		at = at.Add(time.Second)
+		tracker.SetTargets(at, fleet(4))
+		key := partKey(identifier.Fingerprint(1+i), parts...)
+		key.Group = group
+		breakAttempt(tracker, at, key, i)
+		at = at.Add(10 * time.Millisecond)
+		c.Assert(tracker.SetUnresponsive(at, string(id(i))).Crashes, qt.HasLen, 1)
+	}
+	at = at.Add(time.Second)
+	c.Check(tracker.IsConfirmed(at, partKey(20, common, bad)), qt.IsTrue)
+	c.Check(tracker.IsConfirmed(at, partKey(21, bad)), qt.IsTrue)
+	c.Check(tracker.IsConfirmed(at, partKey(22, common, neighbour)), qt.IsFalse)
+	c.Check(tracker.IsConfirmed(at, crashrecorder.RequestKey{Request: 23, Group: group}), qt.IsFalse)
+	confirmed := tracker.TakeConfirmedTraits(at)
+	c.Assert(confirmed, qt.HasLen, 1)
+	c.Check(confirmed[0].Crash.Request, qt.Equals, bad)
+	c.Check(confirmed[0].IsPart, qt.IsTrue)
+	restarted := crashtracker.NewTracker()
+	restarted.RecordCrash(at, confirmed[0].Crash)
+	c.Check(restarted.IsConfirmed(at, partKey(24, common, bad)), qt.IsTrue)
+	c.Check(restarted.IsConfirmed(at, partKey(25, common)), qt.IsFalse)
+}
+
+// TestWrittenPartIsSound guards against holding back or refusing requests with a part of prompts on which a target has written
+// an answer, whatever crashes beside them and whoever reports it.
+func TestWrittenPartIsSound(t *testing.T) {
+	const common identifier.Fingerprint = 501
+	c := qt.New(t)
+	tracker := crashtracker.NewTracker()
+	key := partKey(1, common)
+	tracker.SetTargets(start, fleet(4))
+	breakAttempt(tracker, start, key, 0)
+	c.Assert(tracker.SetUnresponsive(start.Add(10*time.Millisecond), string(id(0))).Crashes[0].Parts, qt.HasLen, 1)
+	c.Assert(tracker.IsTraitOpen(start.Add(time.Second), 2, common), qt.IsTrue)
+	at := start.Add(time.Second)
+	c.Assert(tracker.NoteWritten(at, partKey(2, common)), qt.DeepEquals, []identifier.Fingerprint{common})
+	for i := 1; i < 4; i++ {
+		at = at.Add(time.Second)
+		breakAttempt(tracker, at, partKey(identifier.Fingerprint(2+i), common), i)
+		c.Assert(tracker.SetUnresponsive(at.Add(10*time.Millisecond), string(id(i))).Crashes[0].Parts, qt.HasLen, 0)
+		tracker.RecordCrash(at, crashrecorder.Crash{
+			Request: identifier.Fingerprint(90 + i), Target: id(i), Incarnation: 5, Depth: 1, Parts: []crashrecorder.TraitCrash{{Trait: common, Depth: i}},
+		})
+	}
+	at = at.Add(time.Second)
+	c.Assert(tracker.IsTraitOpen(at, 9, common), qt.IsFalse)
+	c.Assert(tracker.IsConfirmed(at, partKey(9, common)), qt.IsFalse)
+}
--- a/entry/internal/dispatcher/attempts.go
+++ b/entry/internal/dispatcher/attempts.go
@@ -28,13 +28,15 @@
 	if ev.Outcome == Stalled {
 		return d.stalled(now, ev, r)
 	}
-	var effects []messenger.Effect
+	effects := d.noteWritten(now, r, ev)
 	isCandidate := false
 	switch ev.Outcome {
 	case Delivered:
-		effects = d.noteAnswer(r, ev.Status)
+		effects = append(effects, d.noteAnswer(r, ev.Status)...)
 	case Broken, Expired, CallerGone:
-		isCandidate, effects = d.notePoisonCandidate(now, r, ev)
+		var found []messenger.Effect
+		isCandidate, found = d.notePoisonCandidate(now, r, ev)
+		effects = append(effects, found...)
 	default:
 	}
 	if ev.Outcome != Delivered {
@@ -335,6 +337,6 @@
 func (d *Dispatcher) logAttempt(now time.Time, r *request, ev AttemptReported, isCandidate bool) messenger.Effect {
 	return messenger.Log{Event: eventlogger.AttemptEnded, Subject: "request/" + string(r.id), Values: []any{
 		"outcome", ev.Outcome, "target", r.target, "status", ev.Status, reasonKey, ev.Reason, "fault", ev.FaultAddress,
-		"took_ms", now.Sub(r.sent).Milliseconds(), "events", ev.Events, fingerprintKey, r.key.Request, groupKey, r.key.Group, partsKey, r.parts, "candidate", isCandidate,
+		"took_ms", now.Sub(r.sent).Milliseconds(), "events", ev.Events, fingerprintKey, r.key.Request, groupKey, r.key.Group, partsKey, r.key.Parts, "candidate", isCandidate,
 	}}
 }
--- a/entry/internal/dispatcher/crashes.go
+++ b/entry/internal/dispatcher/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,8 +16,30 @@
 	"fuchsiabridge.example/entry/internal/registrar"
 )
 
-// maxLeftRun is how long a target is expected to go on at most with an attempt that the node has left.
-const maxLeftRun = time.Second
+const (
+	// maxLeftRun is how long a target is expected to go on at most with an attempt that the node has left.
+	maxLeftRun = time.Second
+	// writtenEvents is how many events of an answer prove that no part of the prompt crashes targets: a target may
+	// deliver the first ones before it crashes.
+	writtenEvents = 5
+	// partPrefix precedes the id of a part of prompts when it is hashed.
+	partPrefix = "part"
+)
+
+// requestKey returns the key of a request of an account.
+func requestKey(ev RequestArrived, account identifier.AccountID) crashrecorder.RequestKey {
+	key := crashrecorder.RequestKey{Request: callerFingerprint(ev.Fingerprint, account), Group: callerFingerprint(ev.Group, account)}
+	for _, part := range ev.Parts {
+		key.Parts = append(key.Parts, partFingerprint(part))
+	}
+	return key
+}
+
+// partFingerprint returns the fingerprint of a part of prompts, which is none of a request or a group.
+func partFingerprint(part identifier.PromptPart) identifier.Fingerprint {
+	raw := binary.BigEndian.AppendUint64([]byte(partPrefix), uint64(part))
+	return identifier.Fingerprint(xxhash.Sum64(raw))
+}
 
 // callerFingerprint returns the fingerprint of a request of an account. It does not depend on the key, which
 // an account may replace.
@@ -34,12 +57,29 @@
 	}
 	crashes := d.crashTracker.AddAttempt(now, crashtracker.Attempt{
 		Key: r.key, Targets: r.targets(), Before: r.before, SentAt: r.sent, RunsUntil: r.runsUntil(now, ev.Outcome),
-		HasEvents: ev.Events > r.eventsBefore, IsBroken: ev.Outcome == Broken,
+		HasEvents: ev.Events > r.eventsBefore, HasWritten: r.hasWritten(ev), IsBroken: ev.Outcome == Broken,
 	})
 	d.trials.End(now, r.key)
 	return true, append(d.reportCrashes(now, crashes), d.startChecks(now)...)
 }
 
+// hasWritten reports whether an attempt has delivered so much that no part of the request's prompt crashes targets.
+func (r *request) hasWritten(ev AttemptReported) bool {
+	events := ev.Events - r.eventsBefore
+	isDelivered := ev.Outcome == Delivered && isSuccess(ev.Status)
+	return events >= writtenEvents || (isDelivered && events > 0)
+}
+
+func isSuccess(status int) bool { return status/100 == http.StatusOK/100 }
+
+// noteWritten drops the crashes of the parts of a request's prompt if an attempt shows that they crash no targets.
+func (d *Dispatcher) noteWritten(now time.Time, r *request, ev AttemptReported) []messenger.Effect {
+	if len(r.key.Parts) == 0 || !r.hasWritten(ev) {
+		return nil
+	}
+	return d.reportCleared(r, d.crashTracker.NoteWritten(now, r.key))
+}
+
 // runsUntil returns until when targets may run an attempt that has ended now or is left.
 func (r *request) runsUntil(now time.Time, o Outcome) time.Time {
 	switch left := now.Add(maxLeftRun); {
@@ -116,31 +156,40 @@
 	return append(effects, d.reportCrashes(now, found.Crashes)...)
 }
 
-// noteAnswer drops the crashes of a request that was answered, and those of its group if they count no more, here and
+// noteAnswer drops the crashes of a request that was answered, and those of its traits if they count no more, here and
 // at the other nodes.
 func (d *Dispatcher) noteAnswer(r *request, status int) []messenger.Effect {
-	cleared := d.crashTracker.NoteAnswer(r.key, status/100 == http.StatusOK/100)
+	cleared := d.crashTracker.NoteAnswer(r.key, isSuccess(status))
 	d.trials.Drop(r.key)
+	return d.reportCleared(r, cleared)
+}
+
+// reportCleared reports requests and traits whose crashes count no more to the other nodes.
+func (d *Dispatcher) reportCleared(r *request, cleared []identifier.Fingerprint) []messenger.Effect {
 	if len(cleared) == 0 {
 		return nil
 	}
 	effects := []messenger.Effect{ReportCrashes{Cleared: cleared}}
 	for _, id := range cleared {
 		effects = append(effects, messenger.Log{
-			Event: eventlogger.RelayedRequestCleared, Subject: "request/" + string(r.id), Values: []any{fingerprintKey, id, "is_group", id == r.key.Group},
+			Event: eventlogger.RelayedRequestCleared, Subject: "request/" + string(r.id), Values: []any{fingerprintKey, id, "is_group", id == r.key.Group, "is_part", slices.Contains(r.key.Parts, id)},
 		})
 	}
 	return effects
 }
 
-// confirmGroups logs the groups that have become confirmed as poison, and stores them if this node has seen a crash, or
+// confirmTraits logs the traits that have become confirmed as poison, and stores them if this node has seen a crash, or
 // holds the lease.
-func (d *Dispatcher) confirmGroups(now time.Time) []messenger.Effect {
+func (d *Dispatcher) confirmTraits(now time.Time) []messenger.Effect {
 	var effects []messenger.Effect
-	for _, g := range d.crashTracker.TakeConfirmedGroups(now) {
-		effects = append(effects, logConfirmation(g.Crash, "different requests"))
-		if g.IsOwn || now.Before(d.leaseUntil) {
-			effects = append(effects, SavePoison{Crash: g.Crash})
+	for _, t := range d.crashTracker.TakeConfirmedTraits(now) {
+		seenBy := "different requests"
+		if t.IsPart {
+			seenBy = "different requests with one part in their prompts"
+		}
+		effects = append(effects, logConfirmation(t.Crash, seenBy))
+		if t.IsOwn || now.Before(d.leaseUntil) {
+			effects = append(effects, SavePoison{Crash: t.Crash})
 		}
 	}
 	return effects
@@ -153,7 +202,7 @@
 	}
 	effects := []messenger.Effect{ReportCrashes{Crashes: crashes}}
 	for _, c := range crashes {
-		d.trials.Drop(keyOf(c))
+		d.trials.Drop(c.Key())
 		isConfirmed := d.crashTracker.IsRequestConfirmed(now, c.Request)
 		effects = append(effects, logCrash(c, "this node", isConfirmed)...)
 		if isConfirmed {
@@ -177,9 +226,9 @@
 			continue
 		}
 		newCrashes++
-		d.trials.Drop(keyOf(c))
+		d.trials.Drop(c.Key())
 		isConfirmed := d.crashTracker.IsRequestConfirmed(now, c.Request)
-		if max(c.Depth, c.GroupDepth) > 1 {
+		if c.MaxDepth() > 1 {
 			effects = append(effects, logCrash(c, "a peer", isConfirmed)...)
 		}
 		// Crashes of several nodes may confirm a request together, so that none of these nodes stores it.
@@ -200,7 +249,7 @@
 	effects := []messenger.Effect{messenger.Log{
 		Event: eventlogger.RequestCrashedTarget, Subject: "target/" + string(c.Target),
 		Values: []any{
-			fingerprintKey, c.Request, groupKey, c.Group, "born", c.Incarnation, "depth", c.Depth, "group_depth", c.GroupDepth,
+			fingerprintKey, c.Request, groupKey, c.Group, "born", c.Incarnation, "depth", c.Depth, "group_depth", c.GroupDepth, partsKey, c.Parts,
 			"age_ms", c.AgeMS, "seen_by", seenBy,
 		},
 	}}
@@ -217,7 +266,3 @@
 		Values: []any{fingerprintKey, c.Request, "seen_by", seenBy},
 	}
 }
-
-func keyOf(c crashrecorder.Crash) crashrecorder.RequestKey {
-	return crashrecorder.RequestKey{Request: c.Request, Group: c.Group}
-}
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -92,8 +92,6 @@
 	deadline time.Time
 	// key identifies the request if it comes again.
 	key crashrecorder.RequestKey
-	// parts are those of the prompt that other requests share.
-	parts []identifier.PromptPart
 	// seed determines the jitter of the Retry-After delay.
 	seed uint64
 	// attempts counts all attempts, executions only those that may have run.
@@ -296,7 +294,7 @@
 func (d *Dispatcher) tick(now time.Time) []messenger.Effect {
 	d.chooser.Tick(now)
 	d.trials.Tick(now)
-	effects := append(d.startChecks(now), d.confirmGroups(now)...)
+	effects := append(d.startChecks(now), d.confirmTraits(now)...)
 	effects = append(effects, d.endQuiet(now)...)
 	if d.isStale || d.table == nil || d.isFresh(now) {
 		return effects
@@ -309,7 +307,7 @@
 }
 
 func (d *Dispatcher) requestArrived(now time.Time, ev RequestArrived) []messenger.Effect {
-	r := &request{id: ev.ID, arrived: now, deadline: ev.Deadline, seed: ev.Seed, parts: ev.Parts}
+	r := &request{id: ev.ID, arrived: now, deadline: ev.Deadline, seed: ev.Seed}
 	d.requests[ev.Call] = r
 	if d.table == nil {
 		return d.refuse(now, ev.Call, http.StatusServiceUnavailable, unreadyRetryAfter, "no configuration yet")
@@ -331,7 +329,7 @@
 		}
 		r.account = account.ID
 	}
-	r.key = crashrecorder.RequestKey{Request: callerFingerprint(ev.Fingerprint, r.account), Group: callerFingerprint(ev.Group, r.account)}
+	r.key = requestKey(ev, r.account)
 	if d.crashTracker.IsConfirmed(now, r.key) {
 		return d.refuse(now, ev.Call, http.StatusBadGateway, 0, quarantined)
 	}
@@ -498,7 +496,7 @@
 	d.release(r)
 	delete(d.requests, call)
 	values := []any{"status", status, reasonKey, reason, "took_ms", now.Sub(r.arrived).Milliseconds(), sendsKey, r.attempts, "runs", r.executions,
-		"first_ms", r.firstByte.Milliseconds(), "longest_gap_ms", r.longestGap.Milliseconds(), "events", r.events, fingerprintKey, r.key.Request, groupKey, r.key.Group, partsKey, r.parts}
+		"first_ms", r.firstByte.Milliseconds(), "longest_gap_ms", r.longestGap.Milliseconds(), "events", r.events, fingerprintKey, r.key.Request, groupKey, r.key.Group, partsKey, r.key.Parts}
 	if r.route != nil {
 		values = append(values, "route", r.route.ID, "account", r.account, "service", r.service)
 	}
--- a/entry/internal/dispatcher/poison_part_test.go
+++ b/entry/internal/dispatcher/poison_part_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/entry/internal/dispatcher"
 )
 
 const (
@@ -181,3 +182,27 @@
 	c.Assert(x.countAccused(calls), qt.Equals, 0, qt.Commentf("of %d sound requests", len(calls)))
 }
 
+// TestPartOfLongAnswerIsSound guards against a part of prompts that many requests share and that is accused by streams which
+// a crash has cut off long after their first event.
+func TestPartOfLongAnswerIsSound(t *testing.T) {
+	c := qt.New(t)
+	d := readyHarness()
+	for n := range 6 {
+		at := time.Duration(n) * 5 * time.Second
+		d.apply(at, dispatcher.ConfigurationConfirmed{AsOf: start.Add(at)})
+		d.next++
+		call := d.next
+		e := d.apply(at, dispatcher.RequestArrived{
+			Call: call, ID: identifier.RequestID(fmt.Sprint(call)), Host: "h", Path: "/once/", Key: "key",
+			Fingerprint: identifier.Fingerprint(call), Group: identifier.Fingerprint(call), Parts: []identifier.PromptPart{commonPart},
+		})
+		send, ok := e.(dispatcher.Send)
+		c.Assert(ok, qt.IsTrue, qt.Commentf("request %d: %T", n, e))
+		d.apply(at+time.Second, dispatcher.AttemptReported{Call: call, Outcome: dispatcher.Broken, Status: 200, Events: 30, FirstByte: 50 * time.Millisecond})
+		d.apply(at+1010*time.Millisecond, dispatcher.TargetChecked{Target: send.Target, Address: send.Address, IsUnanswered: true})
+		d.apply(at+4*time.Second, dispatcher.TargetChecked{Target: send.Target, Address: send.Address, Incarnation: int64(n + 2)})
+	}
+	for _, x := range d.crashes {
+		c.Check(x.Parts, qt.HasLen, 0)
+	}
+}
--- a/entry/internal/dispatcher/trials.go
+++ b/entry/internal/dispatcher/trials.go
@@ -44,8 +44,12 @@
 	if now.Before(d.leaseUntil) {
 		return false
 	}
-	isGroupAccused := before.Group.Attempts >= singleTrierAttempts && before.Group.Requests > 1 && d.crashTracker.IsGroupOpen(now, r.key)
-	return isGroupAccused || before.Request.Attempts >= singleTrierAttempts
+	for id, known := range before.Traits {
+		if known.Attempts >= singleTrierAttempts && known.Requests > 1 && d.crashTracker.IsTraitOpen(now, r.key.Request, id) {
+			return true
+		}
+	}
+	return before.Request.Attempts >= singleTrierAttempts
 }
 
 // hold holds a request back, or refuses it if it was held back for long enough.
@@ -66,26 +70,27 @@
 	return messenger.Log{
 		Event: eventlogger.RelayedRequestHeld, Subject: "request/" + string(r.id),
 		Values: []any{
-			fingerprintKey, r.key.Request, groupKey, r.key.Group, "depth", known.Request.Depth, "attempts", known.Request.Attempts, "group_depth", known.Group.Depth,
-			"known_ms_ago", now.Sub(later(known.Request.KnownAt, known.Group.KnownAt)).Milliseconds(), "holds_lease", now.Before(d.leaseUntil),
+			fingerprintKey, r.key.Request, groupKey, r.key.Group, partsKey, r.key.Parts, "depth", known.Request.Depth, "attempts", known.Request.Attempts,
+			"traits", known.Traits, "holds_lease", now.Before(d.leaseUntil),
 		},
 	}
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
-// isTried reports whether it is still open if the last attempt of a request with known crashes, or of its group, has
-// crashed its targets, so that the next one should wait.
+// isTried reports whether it is still open if the last attempt of a request with known crashes, or of another one with one of
+// its traits, has crashed its targets, so that the next one should wait.
 func (d *Dispatcher) isTried(now time.Time, key crashrecorder.RequestKey) bool {
 	if d.trials.IsTried(now, key.Request) {
 		return true
 	}
-	return d.crashTracker.IsGroupOpen(now, key) && (d.trials.IsTried(now, key.Group) || d.crashTracker.IsGroupSettling(now, key))
+	for _, id := range key.Traits() {
+		if !d.crashTracker.IsTraitOpen(now, key.Request, id) {
+			continue
+		}
+		if d.trials.IsTried(now, id) || d.crashTracker.IsTraitSettling(now, key.Request, id) {
+			return true
+		}
+	}
+	return false
 }
 
 // holdEnded sends a request that was held back, unless it has become known as poison meanwhile.
--- a/entry/internal/sharer/crashes.go
+++ b/entry/internal/sharer/crashes.go
@@ -29,13 +29,13 @@
 	revision Revision
 }
 
-// clearance is a request or a group whose crashes count no more, and the revision that recorded that.
+// clearance is a request or a trait whose crashes count no more, and the revision that recorded that.
 type clearance struct {
 	id       identifier.Fingerprint
 	revision Revision
 }
 
-// CrashReport tells a peer of crashes, and of requests and groups that have been answered since they seemed to cause some.
+// CrashReport tells a peer of crashes, and of requests and traits that have been answered since they seemed to cause some.
 type CrashReport struct {
 	// Sharer and Revision say up to where an answer to a query is complete; they are empty in a report that is sent unasked.
 	Sharer   string                   `json:"sharer,omitempty"`
@@ -71,7 +71,7 @@
 		return known.Request == c.Request && known.Target == c.Target && known.Incarnation == c.Incarnation
 	}
 	i := slices.IndexFunc(s.crashes, isSame)
-	if i >= 0 && s.crashes[i].Depth >= c.Depth && s.crashes[i].GroupDepth >= c.GroupDepth {
+	if i >= 0 && !s.crashes[i].IsLessThan(c) {
 		return
 	}
 	if i >= 0 {
@@ -81,7 +81,7 @@
 	s.crashes = append(s.crashes, crash{Crash: c, at: now.Add(-time.Duration(c.AgeMS) * time.Millisecond), revision: s.revision})
 }
 
-// recordClearance records that the crashes of a request count no more, or those of a group as such.
+// recordClearance records that the crashes of a request count no more, or those of a trait as such.
 func (s *Sharer) recordClearance(id identifier.Fingerprint) {
 	isChanged := false
 	s.crashes = slices.DeleteFunc(s.crashes, func(c crash) bool {
@@ -92,6 +92,9 @@
 		if c.Group == id {
 			s.crashes[i].Group, s.crashes[i].GroupDepth, isChanged = 0, 0, true
 		}
+		if isPart := func(p crashrecorder.TraitCrash) bool { return p.Trait == id }; slices.ContainsFunc(c.Parts, isPart) {
+			s.crashes[i].Parts, isChanged = slices.DeleteFunc(slices.Clone(c.Parts), isPart), true
+		}
 	}
 	if !isChanged {
 		return
@@ -107,7 +110,7 @@
 		return
 	}
 	slices.SortFunc(s.crashes, func(a, b crash) int {
-		return cmp.Or(cmp.Compare(max(b.Depth, b.GroupDepth), max(a.Depth, a.GroupDepth)), cmp.Compare(b.revision, a.revision))
+		return cmp.Or(cmp.Compare(b.MaxDepth(), a.MaxDepth()), cmp.Compare(b.revision, a.revision))
 	})
 	s.crashes = s.crashes[:maxCrashes]
 }
--- a/entry/internal/sharer/sharer_test.go
+++ b/entry/internal/sharer/sharer_test.go
@@ -249,3 +249,23 @@
 	c.Assert(after.Crashes[0].Group, qt.Equals, identifier.Fingerprint(0))
 	c.Assert(after.Crashes[0].Depth, qt.Equals, 1)
 }
+
+// TestClearedPartKeepsOtherParts guards against a part of prompts that crashes targets and is forgotten, or one that does not
+// and is accused at a node that learns late, because the crashes of another part of the same requests count no more.
+func TestClearedPartKeepsOtherParts(t *testing.T) {
+	c := qt.New(t)
+	s := newReadingSharer()
+	report := func(depth int) {
+		s.RecordCrashes(sharer.CrashReport{Crashes: []crashrecorder.Crash{{
+			Request: 1, Target: "t", Depth: 1, Parts: []crashrecorder.TraitCrash{{Trait: 7, Depth: 1}, {Trait: 8, Depth: depth}},
+		}}})
+	}
+	report(1)
+	report(2)
+	s.RecordCrashes(sharer.CrashReport{Cleared: []identifier.Fingerprint{7}})
+	update, err := ask(t, s, sharer.Query{})
+	c.Assert(err, qt.IsNil)
+	c.Assert(update.Cleared, qt.DeepEquals, []identifier.Fingerprint{7})
+	c.Assert(update.Crashes, qt.HasLen, 1)
+	c.Assert(update.Crashes[0].Parts, qt.DeepEquals, []crashrecorder.TraitCrash{{Trait: 8, Depth: 2}})
+}
--- a/entry/internal/trier/trier.go
+++ b/entry/internal/trier/trier.go
@@ -24,7 +24,7 @@
 	until time.Time
 }
 
-// Trier holds the attempts that hold back others, by request and by group.
+// Trier holds the attempts that hold back others, by request and by trait.
 type Trier struct {
 	trials map[identifier.Fingerprint]trial
 }
@@ -32,24 +32,24 @@
 // NewTrier returns a trier without trials.
 func NewTrier() *Trier { return &Trier{trials: map[identifier.Fingerprint]trial{}} }
 
-// IsTried reports whether it is still open if the last attempt of a request or a group has crashed its targets.
+// IsTried reports whether it is still open if the last attempt of a request, or with a trait, has crashed its targets.
 func (t *Trier) IsTried(now time.Time, id identifier.Fingerprint) bool {
 	return now.Before(t.trials[id].until)
 }
 
-// Begin notes that an attempt of a request begins, if crashes of it or its group are known.
+// Begin notes that an attempt of a request begins, if crashes of it or of one of its traits are known.
 func (t *Trier) Begin(now time.Time, call identifier.CallID, key crashrecorder.RequestKey, before crashrecorder.Histories) {
 	if before.Request.Depth > 0 {
 		t.trials[key.Request] = trial{call: call, until: now.Add(maxTrial)}
 	}
-	if before.Group.Depth > 0 {
-		t.trials[key.Group] = trial{call: call, until: now.Add(maxTrial)}
+	for id := range before.Traits {
+		t.trials[id] = trial{call: call, until: now.Add(maxTrial)}
 	}
 }
 
 // End notes that an attempt has ended without a complete answer.
 func (t *Trier) End(now time.Time, key crashrecorder.RequestKey) {
-	for _, id := range []identifier.Fingerprint{key.Request, key.Group} {
+	for _, id := range append(key.Traits(), key.Request) {
 		if x, ok := t.trials[id]; ok {
 			x.until = now.Add(verdictDelay)
 			t.trials[id] = x
@@ -59,20 +59,21 @@
 
 // Reject notes that no target has run the attempt of a call, which ends the trial that it began.
 func (t *Trier) Reject(call identifier.CallID, key crashrecorder.RequestKey) {
-	for _, id := range []identifier.Fingerprint{key.Request, key.Group} {
+	for _, id := range append(key.Traits(), key.Request) {
 		if t.trials[id].call == call {
 			delete(t.trials, id)
 		}
 	}
 }
 
-// Drop notes that the outcome of the last attempt of a request and its group is known.
+// Drop notes that the outcome of the last attempt of a request and its traits is known.
 func (t *Trier) Drop(key crashrecorder.RequestKey) {
-	delete(t.trials, key.Request)
-	delete(t.trials, key.Group)
+	for _, id := range append(key.Traits(), key.Request) {
+		delete(t.trials, id)
+	}
 }
 
-// Clear notes that nothing is held any more against a request or a group.
+// Clear notes that nothing is held any more against a request or a trait.
 func (t *Trier) Clear(id identifier.Fingerprint) { delete(t.trials, id) }
 
 // Tick forgets trials whose time is over.
