Take a part of prompts for sound by one rule, also while an answer stalls

That an attempt has written enough was known twice: as proof for its parts, and as a mark of the attempt.

--- a/entry/internal/crashtracker/crashtracker.go
+++ b/entry/internal/crashtracker/crashtracker.go
@@ -34,10 +34,8 @@
 	SentAt time.Time
 	// RunsUntil is when the attempt ended, or until when targets may go on with one that the node has left.
 	RunsUntil time.Time
-	// HasEvents says that events arrived, which takes all targets of a chain, HasWritten that there were so many that no
-	// part of the prompt crashes targets.
-	HasEvents  bool
-	HasWritten bool
+	// HasEvents says that events arrived, which takes all targets of a chain.
+	HasEvents bool
 	// IsBroken says that the connection to the first target broke.
 	IsBroken bool
 }
@@ -303,9 +301,6 @@
 
 // accusedParts returns the parts of an attempt's prompt that may have crashed a target.
 func (t *Tracker) accusedParts(now time.Time, a Attempt, id identifier.TargetID) []crashrecorder.TraitCrash {
-	if a.HasWritten {
-		return nil
-	}
 	var parts []crashrecorder.TraitCrash
 	for _, part := range a.Key.Parts {
 		if !t.IsSound(now, part) {
--- a/entry/internal/dispatcher/attempts.go
+++ b/entry/internal/dispatcher/attempts.go
@@ -24,11 +24,11 @@
 	if ev.Events > r.events {
 		r.stalledAttempt = nil
 	}
+	effects := d.noteWritten(now, r, ev)
 	r.firstByte, r.longestGap, r.events = ev.FirstByte, ev.LongestGap, ev.Events
 	if ev.Outcome == Stalled {
-		return d.stalled(now, ev, r)
+		return append(d.stalled(now, ev, r), effects...)
 	}
-	effects := d.noteWritten(now, r, ev)
 	isCandidate := false
 	switch ev.Outcome {
 	case Delivered:
--- a/entry/internal/dispatcher/crashes.go
+++ b/entry/internal/dispatcher/crashes.go
@@ -57,7 +57,7 @@
 	}
 	crashes := d.crashTracker.AddAttempt(now, crashtracker.Attempt{
 		Key: r.key, Targets: r.targets(), Before: r.before, SentAt: r.sent, RunsUntil: r.runsUntil(now, ev.Outcome),
-		HasEvents: ev.Events > r.eventsBefore, HasWritten: r.hasWritten(ev), IsBroken: ev.Outcome == Broken,
+		HasEvents: ev.Events > r.eventsBefore, IsBroken: ev.Outcome == Broken,
 	})
 	d.trials.End(now, r.key)
 	return true, append(d.reportCrashes(now, crashes), d.startChecks(now)...)
