Take a stream without a length that ends before its first event for broken off

An answer may have neither a length nor chunks and end with its connection. One that ends inside an event was broken off already; one that ended before its first event, as where a target ends that begins to write, was delivered as a complete stream of nothing. It is broken off now, and goes on elsewhere. TestStreamWithoutLengthIsCompleteOnlyAfterEvent failed in that one of its seven ways before.

--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -470,6 +470,9 @@
 	if len(x.pending) > 0 {
 		return x.fail(ctx, errors.New("the stream ends in the middle of an event"))
 	}
+	if !x.isFramed() && x.events.count == 0 {
+		return x.fail(ctx, errors.New("the stream ends before its first event"))
+	}
 	x.release()
 	if err := x.caller.Finish(); err != nil {
 		return x.report(ctx, dispatcher.CallerGone, err)
@@ -477,6 +480,9 @@
 	return x.report(ctx, dispatcher.Delivered, nil)
 }
 
+// isFramed reports whether the answer has a length or chunks; otherwise it ends with its connection.
+func (x *Exchange) isFramed() bool { return x.resp.Header.ContentLength() >= -1 }
+
 // release returns the connection to the pool if it can carry another request.
 func (x *Exchange) release() {
 	if x.conn == nil || !x.stopWatch() {
@@ -489,7 +495,7 @@
 	}
 	conn := x.conn
 	x.conn = nil
-	if x.resp.ConnectionClose() || x.resp.Header.ContentLength() < -1 || idle <= 0 {
+	if x.resp.ConnectionClose() || !x.isFramed() || idle <= 0 {
 		conn.Drop()
 		return
 	}
--- a/entry/internal/forwarder/forwarder_test.go
+++ b/entry/internal/forwarder/forwarder_test.go
@@ -228,6 +228,40 @@
 	f.Assert(f.caller.isEnded, qt.IsTrue)
 }
 
+// TestStreamWithoutLengthIsCompleteOnlyAfterEvent guards against a stream without a length that ends with its connection inside an
+// event, or before the first one, and is taken for complete; it goes on at another target.
+func TestStreamWithoutLengthIsCompleteOnlyAfterEvent(t *testing.T) {
+	whole := event(1) + event(2)
+	for name, row := range map[string]struct {
+		sent, forwarded string
+		want            dispatcher.Outcome
+	}{
+		"after an event":            {whole, whole, dispatcher.Delivered},
+		"before the first event":    {"", "", dispatcher.Broken},
+		"in the first event":        {event(1)[:len(event(1))-1], "", dispatcher.Broken},
+		"in the name of a field":    {whole + "i", whole, dispatcher.Broken},
+		"between fields":            {whole + "id: 3\n", whole, dispatcher.Broken},
+		"before the empty line":     {whole + "id: 3\ndata: t3\n", whole, dispatcher.Broken},
+		"in an event after another": {event(1) + event(2)[:3], event(1), dispatcher.Broken},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			got := f.attempt(context.Background(), serve(t, answerfaker.Unframed(id, row.sent)+"|"), true)
+			f.Assert(got.Outcome, qt.Equals, row.want, qt.Commentf("%s", got.Reason))
+			f.Assert(f.caller.received, qt.Equals, row.forwarded)
+			f.Assert(f.caller.isEnded, qt.Equals, row.want == dispatcher.Delivered)
+			if row.want == dispatcher.Delivered {
+				return
+			}
+			rest := strings.TrimPrefix(whole+event(3), row.forwarded)
+			got = f.attempt(context.Background(), serve(t, answerfaker.Unframed(id, rest)+"|"), true)
+			f.Assert(got.Outcome, qt.Equals, dispatcher.Delivered, qt.Commentf("%s", got.Reason))
+			f.Assert(f.caller.received, qt.Equals, whole+event(3))
+			f.Assert(f.caller.isEnded, qt.IsTrue)
+		})
+	}
+}
+
 // TestOutOfOrderEventIsNotForwarded checks that an attempt fails if it continues with any event but the next one.
 func TestOutOfOrderEventIsNotForwarded(t *testing.T) {
 	for _, next := range []int{2, 4} {
