Reproduce variants of a poison request that several nodes try at once (known red)

Traced: three crashes by one variant, which comes again, accuse that request and no group, so that the rule of one node that tries does not hold for the others; four nodes hold one variant each while all targets are away, and send them at the same moment. Kept as a test without draws.

--- a/entry/internal/dispatcher/poison_group_test.go
+++ b/entry/internal/dispatcher/poison_group_test.go
@@ -205,6 +205,18 @@
 	})
 }
 
+// TestDifferingPoisonIsRefusedAfterRepeatsOfOne guards against variants of a poison request that several nodes try at the same
+// time, as the first of them alone has caused the crashes that are known; all targets are away until then.
+func TestDifferingPoisonIsRefusedAfterRepeatsOfOne(t *testing.T) {
+	s := defaults(silence, "/draft/")
+	s.interval, s.nodes, s.viewDelay, s.reportDelay, s.downtime = 300*time.Millisecond, 5, 5*time.Second, 10*time.Millisecond, 1500*time.Millisecond
+	x := newSimulation(s)
+	x.repeatVariants()
+	x.repeatOrdinary()
+	x.run()
+	qt.Assert(t, x.lateSends() <= maxLateSends, qt.IsTrue, x.summary())
+}
+
 // TestDifferingPoisonIsRefusedInBursts guards against a poison request that goes on crashing targets because several
 // variants of it come at the same time.
 func TestDifferingPoisonIsRefusedInBursts(t *testing.T) {
