Count an attempt as a retry only if an earlier one may have reached a target

The users count arrivals beyond the first of a request; what follows attempts that were not sent is its first. TestTargetThatIsAwayCostsNoRetry failed before (503 after the first refused dial).

--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -97,6 +97,8 @@
 	// attempts counts all attempts, executions only those that may have run.
 	attempts   int
 	executions int
+	// hasArrived says that an attempt may have reached its target. Further ones are retries only then.
+	hasArrived bool
 	// holdUntil is when the request is refused if it is still held back, zero if it never was.
 	holdUntil time.Time
 	// tried holds the target of each attempt, of a chain its first target.
@@ -391,9 +393,10 @@
 
 // startAttempt counts an attempt and sends it.
 func (d *Dispatcher) startAttempt(now time.Time, r *request, out Send, before crashrecorder.Histories) []messenger.Effect {
-	if r.attempts == 0 {
+	switch {
+	case r.attempts == 0:
 		d.retries.CountRequest(now, r.service)
-	} else {
+	case r.hasArrived:
 		d.retries.CountRetry(now, r.service)
 	}
 	d.limits.CountSend(out.Target)
