--- a/entry/internal/dispatcher/attempts.go
+++ b/entry/internal/dispatcher/attempts.go
@@ -19,7 +19,6 @@
 	if !ok {
 		return nil
 	}
-	r.hasArrived = r.hasArrived || ev.Outcome != NotSent
 	d.recordResult(now, r, ev)
 	d.recordAlive(r, ev)
 	if ev.Events > r.events {
@@ -133,7 +132,7 @@
 		return deadlinePassed
 	case d.crashTracker.IsConfirmed(now, r.key):
 		return quarantined
-	case r.hasArrived && !d.retries.Allows(now, r.service):
+	case !d.retries.Allows(now, r.service):
 		return "retry budget exhausted"
 	}
 	return ""
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -97,8 +97,6 @@
 	// attempts counts all attempts, executions only those that may have run.
 	attempts   int
 	executions int
-	// hasArrived says that an attempt may have reached its target. Further ones are retries only then.
-	hasArrived bool
 	// holdUntil is when the request is refused if it is still held back, zero if it never was.
 	holdUntil time.Time
 	// tried holds the target of each attempt, of a chain its first target.
@@ -393,10 +391,9 @@
 
 // startAttempt counts an attempt and sends it.
 func (d *Dispatcher) startAttempt(now time.Time, r *request, out Send, before crashrecorder.Histories) []messenger.Effect {
-	switch {
-	case r.attempts == 0:
+	if r.attempts == 0 {
 		d.retries.CountRequest(now, r.service)
-	case r.hasArrived:
+	} else {
 		d.retries.CountRetry(now, r.service)
 	}
 	d.limits.CountSend(out.Target)
