Give targets whose entries a restored store lacks the time to write them again

After the store came back from an older copy, nodes dropped each target at once whose entry was younger than the copy, as nothing told them that entries may be missing. TestTargetsThatCopyLacksAreKept failed before at both nodes.

--- a/entry/internal/follower/follower.go
+++ b/entry/internal/follower/follower.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"fuchsiabridge.example/common/bootclock"
 	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/eventlogger"
@@ -231,6 +233,10 @@
 			continue
 		}
 		changes, position, err := f.targets(ctx, isStarted, next)
+		if errors.Is(err, storecaller.ErrRestored) {
+			// Targets write the entries again that the copy lacks, as after an outage.
+			f.noteReachable()
+		}
 		if storecaller.IsPositionLost(err) {
 			isStarted = false
 			continue
@@ -240,8 +246,7 @@
 			continue
 		}
 		if out.succeeded() {
-			f.sharer.RecordOutage()
-			f.submit(registrar.StoreReachable{})
+			f.noteReachable()
 		}
 		f.sharer.RecordTargets(changes, !isStarted)
 		f.submit(registrar.TargetsRead{Changes: changes, IsComplete: !isStarted})
@@ -254,6 +259,12 @@
 	}
 }
 
+// noteReachable tells this node and its peers that entries of targets may be missing which are about to be written again.
+func (f *Follower) noteReachable() {
+	f.sharer.RecordOutage()
+	f.submit(registrar.StoreReachable{})
+}
+
 func (f *Follower) targets(ctx context.Context, isStarted bool, from identifier.StorePosition) ([]describer.TargetChange, identifier.StorePosition, error) {
 	if !isStarted {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/entry/internal/follower/restoration_test.go
+++ b/entry/internal/follower/restoration_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"fuchsiabridge.example/common/describer"
+	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/entry/internal/dispatcher"
+	"fuchsiabridge.example/entry/internal/registrar"
 	"fuchsiabridge.example/platform/storefaker"
 )
 
@@ -140,3 +144,40 @@
 	third, _ := startReader(t, store, "third")
 	awaitVersion(c, third.events, 2)
 }
+
+// missing reports whether a read of all targets lacked one before the node was told that entries may be missing.
+func (e *events) missing(id identifier.TargetID) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	wasThere, wasTold := false, false
+	for _, ev := range e.submitted {
+		switch ev := ev.(type) {
+		case registrar.StoreReachable:
+			wasTold = true
+		case registrar.TargetsRead:
+			isThere := slices.ContainsFunc(ev.Changes, func(c describer.TargetChange) bool { return c.ID == id && c.Target != nil })
+			isRemoved := slices.ContainsFunc(ev.Changes, func(c describer.TargetChange) bool { return c.ID == id && c.Target == nil })
+			if isThere {
+				wasThere, wasTold = true, false
+			}
+			if wasThere && (isRemoved || (ev.IsComplete && !isThere)) {
+				return !wasTold
+			}
+		}
+	}
+	return false
+}
+
+// TestTargetsThatCopyLacksAreKept guards against nodes that drop targets at once whose entries were written after the copy was
+// made from which the store is restored: the targets write them again.
+func TestTargetsThatCopyLacksAreKept(t *testing.T) {
+	c, store, first, second := startTwo(t)
+	store.BackUp()
+	c.Assert(store.PutTarget("t", sampleTarget()), qt.IsNil)
+	awaitTarget(c, first, "t", waitLimit)
+	awaitTarget(c, second, "t", waitLimit)
+	store.Restore()
+	time.Sleep(configurationLimit)
+	c.Check(first.missing("t"), qt.IsFalse)
+	c.Check(second.missing("t"), qt.IsFalse)
+}
