Store confirmed poison requests again when the store was restored from a copy

A copy that is older than a confirmation lacks it, so that the request would run again after a restart of all nodes. The node that has stored it stores it again in each new era. TestPoisonSurvivesRestoration failed before.

--- a/entry/internal/crashreporter/crashreporter.go
+++ b/entry/internal/crashreporter/crashreporter.go
@@ -62,6 +62,8 @@
 	NewestPoison(ctx context.Context) ([]storecaller.Poison, error)
 	PutPoison(ctx context.Context, p storecaller.Poison) error
 	DeletePoison(ctx context.Context, request identifier.Fingerprint) error
+	// Era returns the newest known era of the store, which changes when it is restored from a copy.
+	Era() identifier.Era
 }
 
 // Config holds what a reporter works with.
--- a/entry/internal/crashreporter/poison.go
+++ b/entry/internal/crashreporter/poison.go
@@ -23,6 +23,8 @@
 	storeTimeout    = 700 * time.Millisecond
 	minStoreBackoff = 150 * time.Millisecond
 	maxStoreBackoff = 2 * time.Second
+	// eraCheckInterval is the time between two looks whether the store was restored from a copy.
+	eraCheckInterval = 500 * time.Millisecond
 	// defaultSaveInterval is well under the time for which a confirmed request is refused.
 	defaultSaveInterval = 10 * time.Minute
 )
@@ -45,28 +47,46 @@
 	}
 }
 
-// KeepPoison stores the queued poison requests until ctx ends, each once in SaveInterval.
+// savedPoison is a poison request that this node has stored, and when it is stored again if it crashes a target.
+type savedPoison struct {
+	storecaller.Poison
+	nextSaveAt time.Time
+}
+
+// KeepPoison stores the queued poison requests until ctx ends, each once in SaveInterval, and all of them again when the store
+// was restored from a copy.
 func (r *Reporter) KeepPoison(ctx context.Context) {
-	nextSaveAt := map[identifier.Fingerprint]time.Time{}
+	saved := map[identifier.Fingerprint]savedPoison{}
+	era := r.cfg.Store.Era()
+	check := time.NewTicker(eraCheckInterval)
+	defer check.Stop()
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 		case c := <-r.poison:
 			now := bootclock.Now()
-			maps.DeleteFunc(nextSaveAt, func(_ identifier.Fingerprint, at time.Time) bool { return !now.Before(at) })
-			if _, ok := nextSaveAt[c.Request]; ok {
+			maps.DeleteFunc(saved, func(_ identifier.Fingerprint, s savedPoison) bool { return !now.Before(s.nextSaveAt) })
+			if _, ok := saved[c.Request]; ok {
 				continue
 			}
-			nextSaveAt[c.Request] = now.Add(r.cfg.SaveInterval)
-			r.persist(ctx, "storing a poison request", func(ctx context.Context) error {
-				return r.cfg.Store.PutPoison(ctx, storecaller.Poison{
-					Request: c.Request, Target: c.Target, Incarnation: c.Incarnation, ConfirmedAt: time.Now(),
-				})
-			})
+			p := storecaller.Poison{Request: c.Request, Target: c.Target, Incarnation: c.Incarnation, ConfirmedAt: time.Now()}
+			saved[c.Request] = savedPoison{Poison: p, nextSaveAt: now.Add(r.cfg.SaveInterval)}
+			r.savePoison(ctx, p)
+		case <-check.C:
+			if current := r.cfg.Store.Era(); current != era {
+				era = current
+				for _, s := range saved {
+					r.savePoison(ctx, s.Poison)
+				}
+			}
 		}
 	}
 }
 
+func (r *Reporter) savePoison(ctx context.Context, p storecaller.Poison) {
+	r.persist(ctx, "storing a poison request", func(ctx context.Context) error { return r.cfg.Store.PutPoison(ctx, p) })
+}
+
 // persist makes a call to the store until it succeeds or ctx ends.
 func (r *Reporter) persist(ctx context.Context, doing string, call func(context.Context) error) {
 	for backoff := minStoreBackoff; ctx.Err() == nil; backoff = min(maxStoreBackoff, 2*backoff) {
--- a/entry/internal/crashreporter/poison_test.go
+++ b/entry/internal/crashreporter/poison_test.go
@@ -32,6 +32,8 @@
 
 func (s *store) DeletePoison(context.Context, identifier.Fingerprint) error { return nil }
 
+func (s *store) Era() identifier.Era { return 1 }
+
 func (s *store) count() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/entry/internal/follower/crashes_test.go
+++ b/entry/internal/follower/crashes_test.go
@@ -126,3 +126,14 @@
 	}
 	return false
 }
+
+// TestPoisonSurvivesRestoration guards against a poison request that is sent again after a restart of all nodes, because the store
+// was restored from a copy that is older than its confirmation.
+func TestPoisonSurvivesRestoration(t *testing.T) {
+	c, store, first, _ := startTwo(t)
+	store.BackUp()
+	first.reporter.SavePoison(crashrecorder.ConfirmingCrash(1, "t", 7, 0))
+	c.Assert(isStored(store, 1), qt.IsTrue)
+	store.Restore()
+	c.Assert(isStored(store, 1), qt.IsTrue)
+}
