Draw restorations of the store and requests with a poison part in the relay soak, and check denials

The soak never let the store come back from a copy, sent no prompts with parts, and did not look at 401: a configuration that is not in force in time went unseen. Now the store returns from a copy, with further configurations lost, and operators and targets write again in any order; a key that the newest configuration has allowed for 2 s may not be refused as unknown, and few requests with the poison part may reach targets after the fifth crash.

--- a/integration/relay_soak_test.go
+++ b/integration/relay_soak_test.go
@@ -39,6 +39,7 @@
 	id, path, key string
 	node          int
 	sentAt        time.Time
+	endedAt       time.Time
 	status        int
 	isComplete    bool
 }
@@ -65,14 +66,18 @@
 	leaving  []saidLeaving
 	refusals []refusal
 	poison   []string
-	// revoked holds, by key, when the store accepted the first configuration without it.
-	revoked map[string]time.Time
+	// published and revoked hold, by key, when the store accepted the first configuration with it and the first one without it.
+	published map[string]time.Time
+	revoked   map[string]time.Time
+	// restored holds when the store was restored from a copy.
+	restored []time.Time
 }
 
 // TestRelaySoak injects random faults, alone and overlapping, under load, and checks the guarantees
 // against what callers and targets have recorded: no request that was refused as not run has run, no
 // POST runs twice, no revoked key is accepted beyond the limit, drafts run on valid chains, request limits of
-// targets are kept by all nodes together, and orders respect fencing and memory. SOAK sets the duration, SEED the seed of the random numbers.
+// targets are kept by all nodes together, a key that the newest configuration allows is not refused once that must be in force,
+// few requests with a poison part reach targets, and orders respect fencing and memory. SOAK sets the duration, SEED the seed of the random numbers.
 func TestRelaySoak(t *testing.T) {
 	seed, length := uint64(20261203), relaySoakDuration
 	if v, err := strconv.ParseUint(os.Getenv("SEED"), 10, 64); err == nil {
@@ -108,7 +113,7 @@
 	c.Assert(err, qt.IsNil)
 	s := &relaySoak{
 		relayFixture: &relayFixture{C: c, store: store, fleet: targetfaker.NewFleet(ctx, store)},
-		t:            t, f: launcher.NewRelayFleet(t), rng: rand.New(rand.NewPCG(seed, 0)), revoked: map[string]time.Time{}, excused: map[int][]time.Time{},
+		t:            t, f: launcher.NewRelayFleet(t), rng: rand.New(rand.NewPCG(seed, 0)), published: map[string]time.Time{}, revoked: map[string]time.Time{}, excused: map[int][]time.Time{},
 	}
 	s.publishConfiguration("key-0")
 	for _, dc := range []string{"a", "b", "c"} {
@@ -148,6 +153,7 @@
 	activeKeys := s.keys[max(0, len(s.keys)-2):]
 	s.Assert(s.store.PutConfiguration(storefaker.Sample(s.version, activeKeys...)), qt.IsNil)
 	now := time.Now()
+	s.published[key] = now
 	for _, old := range s.keys[:max(0, len(s.keys)-2)] {
 		if _, ok := s.revoked[old]; !ok {
 			s.revoked[old] = now
@@ -177,6 +183,7 @@
 			a.isComplete = err == nil && body == "answer to "+a.id
 		}
 		cancel()
+		a.endedAt = time.Now()
 		s.mu.Lock()
 		s.results = append(s.results, a)
 		s.mu.Unlock()
@@ -200,7 +207,7 @@
 func (s *relaySoak) injectFault(n int) {
 	i := s.rng.IntN(len(s.nodes))
 	dc := string(rune('a' + s.rng.IntN(3)))
-	kind := s.rng.IntN(15)
+	kind := s.rng.IntN(17)
 	s.t.Logf("%s fault %d at node %d, data centre %s", time.Now().Format("05.000"), kind, i, dc)
 	switch kind {
 	case 0:
@@ -245,6 +252,10 @@
 		s.refuse(dc)
 	case 14:
 		s.sendSoakPoison(n)
+	case 15:
+		s.restoreStore()
+	case 16:
+		s.sendSoakPoisonPart(n)
 	}
 }
 
@@ -316,6 +327,7 @@
 		if a.path == "/post/1" && len(attempts) > 1 {
 			s.t.Errorf("%s ran %d times", a.id, len(attempts))
 		}
+		s.checkDenial(a)
 		for _, r := range attempts {
 			s.checkAttempt(a, r)
 		}
@@ -324,6 +336,7 @@
 	s.checkLimits()
 	s.checkAnnouncements()
 	s.checkPoison()
+	s.checkPoisonPart()
 	s.t.Logf("seed %d: %d requests, %d complete, %d refused", seed, len(s.results), served, refused)
 }
 
