--- a/entry/internal/crashrecorder/crashrecorder.go
+++ b/entry/internal/crashrecorder/crashrecorder.go
@@ -263,7 +263,7 @@
 // IsRequestConfirmed reports whether a request is confirmed as poison, whatever is known of its traits.
 func (x *Recorder) IsRequestConfirmed(now time.Time, request identifier.Fingerprint) bool {
 	r, ok := x.records[request]
-	return ok && now.Sub(r.lastAt) < crashMaxAge && r.isConfirmed()
+	return ok && now.Sub(r.lastAt) < crashMaxAge && r.isConfirmed() && !x.isRequestExplained(r)
 }
 
 // NoteAnswer applies that a request was answered, and returns the requests and traits whose crashes count no more. Only a
@@ -307,7 +307,7 @@
 // Counts returns how many requests have crashes, and how many requests and traits are confirmed poison.
 func (x *Recorder) Counts(now time.Time) (accused, confirmed int) {
 	for _, r := range x.records {
-		if r.isConfirmed() && now.Sub(r.lastAt) < crashMaxAge {
+		if r.isConfirmed() && now.Sub(r.lastAt) < crashMaxAge && !x.isRequestExplained(r) {
 			confirmed++
 		}
 	}
--- a/entry/internal/crashrecorder/traits.go
+++ b/entry/internal/crashrecorder/traits.go
@@ -162,23 +162,32 @@
 // and either further ones, or the part stands later in prompts, which fewer requests share.
 func (x *Recorder) isExplained(t *trait) bool {
 	for _, other := range x.traits {
-		if other == t || !other.isPart() || !other.suffices() || len(other.crashes) < len(t.crashes) {
-			continue
-		}
-		if len(other.crashes) == len(t.crashes) && other.position <= t.position {
-			continue
+		isStronger := len(other.crashes) > len(t.crashes) || other.position > t.position
+		if other != t && isStronger && other.isPart() && other.suffices() && hasAll(other.crashes, t.crashes) {
+			return true
 		}
-		if other.hasAll(t.crashes) {
+	}
+	return false
+}
+
+// isRequestExplained reports whether a part of prompts explains the crashes of a request. A crash that alone confirms a request is
+// known of one that was confirmed before.
+func (x *Recorder) isRequestExplained(r *record) bool {
+	if len(r.crashes) == 1 {
+		return false
+	}
+	for _, t := range x.traits {
+		if t.isPart() && t.suffices() && hasAll(t.crashes, r.crashes) {
 			return true
 		}
 	}
 	return false
 }
 
-// hasAll reports whether requests with the trait may have caused all of some crashes.
-func (t *trait) hasAll(crashes map[incarnation]map[identifier.Fingerprint]int) bool {
-	for key := range crashes {
-		if _, ok := t.crashes[key]; !ok {
+// hasAll reports whether some crashes include all of others.
+func hasAll[A, B any](crashes map[incarnation]A, others map[incarnation]B) bool {
+	for key := range others {
+		if _, ok := crashes[key]; !ok {
 			return false
 		}
 	}
--- a/entry/internal/crashtracker/crashtracker_test.go
+++ b/entry/internal/crashtracker/crashtracker_test.go
@@ -357,3 +357,31 @@
 	c.Assert(tracker.IsTraitOpen(at, 9, common), qt.IsFalse)
 	c.Assert(tracker.IsConfirmed(at, partKey(9, common)), qt.IsFalse)
 }
+
+// TestPartExplainsFrequentRequest guards against refusing a frequent request, with or without parts of its own, that was sent onto
+// one target after the other just before requests with a part of prompts crashed these, seen by this node or another one.
+func TestPartExplainsFrequentRequest(t *testing.T) {
+	const bad identifier.Fingerprint = 503
+	for _, isSeenByPeer := range []bool{false, true} {
+		c := qt.New(t)
+		pair := []*crashtracker.Tracker{crashtracker.NewTracker(), crashtracker.NewTracker()}
+		other := pair[0]
+		if isSeenByPeer {
+			other = pair[1]
+		}
+		for i := range 3 {
+			at := start.Add(time.Duration(1+i) * time.Second)
+			for _, x := range pair {
+				x.SetTargets(at, fleet(4))
+			}
+			breakAttempt(pair[0], at, keyOf(innocent), i)
+			breakAttempt(other, at, partKey(firstOther+identifier.Fingerprint(i), bad), i)
+			exchangeCrashes(pair, at.Add(10*time.Millisecond), i)
+		}
+		at := start.Add(time.Minute)
+		for _, x := range pair {
+			c.Check(x.IsConfirmed(at, keyOf(innocent)), qt.IsFalse, qt.Commentf("seen by peer: %t", isSeenByPeer))
+			c.Check(x.IsConfirmed(at, partKey(9, bad)), qt.IsTrue, qt.Commentf("seen by peer: %t", isSeenByPeer))
+		}
+	}
+}
