Leave crashes that a part of prompts explains out of a request's count

A request is confirmed now by the crashes that no part explains. What is stored of a request that was confirmed before the part was known is not taken back.

--- a/entry/internal/crashrecorder/crashrecorder.go
+++ b/entry/internal/crashrecorder/crashrecorder.go
@@ -125,8 +125,10 @@
 	lastAt  time.Time
 }
 
-func (r *record) isConfirmed() bool {
-	return r.depth >= confirmingDepth || (r.depth == confirmingDepth-1 && r.attempts >= manyCrashes)
+// isConfirmed reports whether the crashes suffice to confirm the request as poison without some of them, which have another cause.
+func (r *record) isConfirmed(explained int) bool {
+	depth, attempts := r.depth-explained, r.attempts-explained
+	return depth >= confirmingDepth || (depth == confirmingDepth-1 && attempts >= manyCrashes)
 }
 
 // Recorder holds the crashes that this node and others have found.
@@ -263,7 +265,11 @@
 // IsRequestConfirmed reports whether a request is confirmed as poison, whatever is known of its traits.
 func (x *Recorder) IsRequestConfirmed(now time.Time, request identifier.Fingerprint) bool {
 	r, ok := x.records[request]
-	return ok && now.Sub(r.lastAt) < crashMaxAge && r.isConfirmed() && !x.isRequestExplained(r)
+	return ok && x.isRecordConfirmed(now, r)
+}
+
+func (x *Recorder) isRecordConfirmed(now time.Time, r *record) bool {
+	return r.isConfirmed(0) && now.Sub(r.lastAt) < crashMaxAge && r.isConfirmed(x.explainedCrashes(r))
 }
 
 // NoteAnswer applies that a request was answered, and returns the requests and traits whose crashes count no more. Only a
@@ -307,7 +313,7 @@
 // Counts returns how many requests have crashes, and how many requests and traits are confirmed poison.
 func (x *Recorder) Counts(now time.Time) (accused, confirmed int) {
 	for _, r := range x.records {
-		if r.isConfirmed() && now.Sub(r.lastAt) < crashMaxAge && !x.isRequestExplained(r) {
+		if x.isRecordConfirmed(now, r) {
 			confirmed++
 		}
 	}
--- a/entry/internal/crashrecorder/traits.go
+++ b/entry/internal/crashrecorder/traits.go
@@ -163,31 +163,37 @@
 func (x *Recorder) isExplained(t *trait) bool {
 	for _, other := range x.traits {
 		isStronger := len(other.crashes) > len(t.crashes) || other.position > t.position
-		if other != t && isStronger && other.isPart() && other.suffices() && hasAll(other.crashes, t.crashes) {
+		if other != t && isStronger && other.isPart() && other.suffices() && other.hasAll(t) {
 			return true
 		}
 	}
 	return false
 }
 
-// isRequestExplained reports whether a part of prompts explains the crashes of a request. A crash that alone confirms a request is
-// known of one that was confirmed before.
-func (x *Recorder) isRequestExplained(r *record) bool {
+// explainedCrashes returns how many of a request's crashes a part of prompts explains. Of a request that was confirmed before, the
+// confirming crash alone may be known, which stands for all of them.
+func (x *Recorder) explainedCrashes(r *record) int {
 	if len(r.crashes) == 1 {
-		return false
+		return 0
 	}
+	explained := map[incarnation]bool{}
 	for _, t := range x.traits {
-		if t.isPart() && t.suffices() && hasAll(t.crashes, r.crashes) {
-			return true
+		if !t.isPart() || !t.suffices() {
+			continue
+		}
+		for key := range r.crashes {
+			if _, ok := t.crashes[key]; ok {
+				explained[key] = true
+			}
 		}
 	}
-	return false
+	return len(explained)
 }
 
-// hasAll reports whether some crashes include all of others.
-func hasAll[A, B any](crashes map[incarnation]A, others map[incarnation]B) bool {
-	for key := range others {
-		if _, ok := crashes[key]; !ok {
+// hasAll reports whether requests with the trait may have caused all crashes of another trait.
+func (t *trait) hasAll(other *trait) bool {
+	for key := range other.crashes {
+		if _, ok := t.crashes[key]; !ok {
 			return false
 		}
 	}
