--- a/entry/internal/dispatcher/poison_part_test.go
+++ b/entry/internal/dispatcher/poison_part_test.go
@@ -25,11 +25,13 @@
 	commonPart    identifier.PromptPart = 1
 	poisonPart    identifier.PromptPart = 2
 	neighbourPart identifier.PromptPart = 3
-	// firstRarePart is the first of rareParts parts that few requests share.
+	// firstRarePart is the first of the parts that few requests share.
 	firstRarePart identifier.PromptPart = 100
-	rareParts                           = 40
 )
 
+// rareParts is the number of parts that few requests share.
+const rareParts = 40
+
 // partPlacement is where the poison part stands in the prompts of a run.
 type partPlacement struct {
 	name  string
--- a/entry/internal/follower/restoration_test.go
+++ b/entry/internal/follower/restoration_test.go
@@ -176,13 +176,13 @@
 func TestTargetsThatCopyLacksAreKept(t *testing.T) {
 	c, store, first, second := startTwo(t)
 	store.BackUp()
-	c.Assert(store.PutTarget("t", sampleTarget()), qt.IsNil)
-	awaitTarget(c, first, "t", waitLimit)
-	awaitTarget(c, second, "t", waitLimit)
+	c.Assert(store.PutTarget("young", sampleTarget()), qt.IsNil)
+	awaitTarget(c, first, "young", waitLimit)
+	awaitTarget(c, second, "young", waitLimit)
 	store.Restore()
 	time.Sleep(configurationLimit)
-	c.Check(first.missing("t"), qt.IsFalse)
-	c.Check(second.missing("t"), qt.IsFalse)
+	c.Check(first.missing("young"), qt.IsFalse)
+	c.Check(second.missing("young"), qt.IsFalse)
 }
 
 // leases returns the changes of the lease that were submitted.
--- a/integration/relay_poison_part_test.go
+++ b/integration/relay_poison_part_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -51,10 +50,7 @@
 	for _, part := range parts {
 		prefix += part + ":40,"
 	}
-	c := callerfaker.Caller{
-		Address: s.node(node).Address, Key: "key-0",
-		Header: http.Header{"X-Prompt-Prefix": {prefix + fmt.Sprintf("%x:700", len(id)*1_000_000+node)}},
-	}
+	c := callerfaker.Caller{Address: s.node(node).Address, Key: "key-0", Prompt: prefix + fmt.Sprintf("%x:700", len(id)*1_000_000+node)}
 	n, err := c.Stream(ctx, "/draft/"+id, id, nil)
 	return err == nil && n == relayEvents
 }
--- a/integration/relay_soak_restoration_test.go
+++ b/integration/relay_soak_restoration_test.go
@@ -61,7 +61,7 @@
 		s.mu.Lock()
 		c := callerfaker.Caller{
 			Address: s.nodes[(n+coming)%len(s.nodes)].Address, Key: s.keys[len(s.keys)-1],
-			Header: http.Header{"X-Prompt-Prefix": {fmt.Sprintf("c0:40,%s:80,%x:9", targetfaker.PoisonPart, n*soakPartComings+coming)}},
+			Prompt: fmt.Sprintf("c0:40,%s:80,%x:9", targetfaker.PoisonPart, n*soakPartComings+coming),
 		}
 		s.mu.Unlock()
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
