--- a/entry/internal/crashrecorder/crashrecorder.go
+++ b/entry/internal/crashrecorder/crashrecorder.go
@@ -51,11 +51,9 @@
 	if c.Depth < o.Depth || c.GroupDepth < o.GroupDepth {
 		return true
 	}
-	depths := map[identifier.Fingerprint]int{}
-	for _, p := range c.Parts {
-		depths[p.Trait] = p.Depth
-	}
-	return slices.ContainsFunc(o.Parts, func(p TraitCrash) bool { return depths[p.Trait] < p.Depth })
+	return slices.ContainsFunc(o.Parts, func(p TraitCrash) bool {
+		return !slices.ContainsFunc(c.Parts, func(known TraitCrash) bool { return known.Trait == p.Trait && known.Depth >= p.Depth })
+	})
 }
 
 // Key returns the key of the crash's request, as far as it is known.
@@ -111,8 +109,7 @@
 
 // record holds the crashes of one request.
 type record struct {
-	group identifier.Fingerprint
-	parts []identifier.Fingerprint
+	key RequestKey
 	// crashes holds the depth of each crash.
 	crashes map[incarnation]int
 	// attempts counts the attempts that crashed targets.
@@ -174,11 +171,8 @@
 		r = &record{crashes: map[incarnation]int{}}
 		x.records[c.Request] = r
 	}
-	if c.Group != 0 {
-		r.group = c.Group
-	}
-	if len(c.Parts) > 0 {
-		r.parts = c.Key().Parts
+	if c.Group != 0 || len(c.Parts) > 0 {
+		r.key = c.Key()
 	}
 	key := incarnation{target: c.Target, number: c.Incarnation}
 	if r.crashes[key] >= depth || (len(r.crashes) >= maxCrashesPerRequest && depth <= r.depth) {
@@ -302,7 +296,7 @@
 func (x *Recorder) Clear(id identifier.Fingerprint) bool {
 	r, isRequest := x.records[id]
 	if isRequest {
-		x.dropFromTraits(RequestKey{Request: id, Group: r.group, Parts: r.parts})
+		x.dropFromTraits(r.key)
 		delete(x.records, id)
 	}
 	_, isTrait := x.traits[id]
--- a/entry/internal/crashrecorder/traits.go
+++ b/entry/internal/crashrecorder/traits.go
@@ -91,35 +91,30 @@
 
 func (t *trait) isPart() bool { return t.position > groupPosition }
 
-// repeaters returns the requests that have crashed more than one target.
-func (t *trait) repeaters() map[identifier.Fingerprint]bool {
+// countTargets returns how many targets each request may have crashed.
+func (t *trait) countTargets() map[identifier.Fingerprint]int {
 	targets := map[identifier.Fingerprint]int{}
 	for _, requests := range t.crashes {
 		for request := range requests {
 			targets[request]++
 		}
 	}
-	maps.DeleteFunc(targets, func(_ identifier.Fingerprint, n int) bool { return n < 2 })
-	out := make(map[identifier.Fingerprint]bool, len(targets))
-	for request := range targets {
-		out[request] = true
-	}
-	return out
+	return targets
 }
 
 // findSuspects finds out which requests may have crashed targets. If one of the requests that a target ran when it
 // crashed has crashed others as well, the crash is put down to that one alone.
 func (t *trait) findSuspects() {
-	repeaters := t.repeaters()
+	targets := t.countTargets()
 	clear(t.suspects)
 	t.depth = 0
 	for _, requests := range t.crashes {
 		hasRepeater := false
 		for request := range requests {
-			hasRepeater = hasRepeater || repeaters[request]
+			hasRepeater = hasRepeater || targets[request] > 1
 		}
 		for request, depth := range requests {
-			if !hasRepeater || repeaters[request] {
+			if !hasRepeater || targets[request] > 1 {
 				t.suspects[request] = max(t.suspects[request], depth)
 				t.depth = max(t.depth, depth)
 			}
@@ -178,11 +173,8 @@
 	}
 	explained := map[incarnation]bool{}
 	for _, t := range x.traits {
-		if !t.isPart() || !t.suffices() {
-			continue
-		}
 		for key := range r.crashes {
-			if _, ok := t.crashes[key]; ok {
+			if t.isPart() && t.suffices() && len(t.crashes[key]) > 0 {
 				explained[key] = true
 			}
 		}
@@ -193,7 +185,7 @@
 // hasAll reports whether requests with the trait may have caused all crashes of another trait.
 func (t *trait) hasAll(other *trait) bool {
 	for key := range other.crashes {
-		if _, ok := t.crashes[key]; !ok {
+		if len(t.crashes[key]) == 0 {
 			return false
 		}
 	}
@@ -311,13 +303,12 @@
 }
 
 func (x *Recorder) noteSound(now time.Time, part identifier.Fingerprint) {
-	if _, ok := x.sound[part]; !ok && len(x.sound) >= maxSoundParts {
+	if len(x.sound) >= maxSoundParts {
 		maps.DeleteFunc(x.sound, func(_ identifier.Fingerprint, at time.Time) bool { return now.Sub(at) >= soundTime })
-		if len(x.sound) >= maxSoundParts {
-			return
-		}
 	}
-	x.sound[part] = now
+	if _, ok := x.sound[part]; ok || len(x.sound) < maxSoundParts {
+		x.sound[part] = now
+	}
 }
 
 // IsSound reports whether a target has written an answer on a part of a prompt lately, so that nothing speaks against it.
