Let a target go on for a second with an attempt that the node has left for an unusable answer

A check found the target alive, so that the crash a few ms later was put down to other requests alone, of which a frequent innocent one was confirmed as poison. Such attempts count as left now. TestPartCrashesTargetThatNodeHasLeft failed before.

--- a/entry/internal/dispatcher/crashes.go
+++ b/entry/internal/dispatcher/crashes.go
@@ -56,8 +56,8 @@
 		return false, nil
 	}
 	crashes := d.crashTracker.AddAttempt(now, crashtracker.Attempt{
-		Key: r.key, Targets: r.targets(), Before: r.before, SentAt: r.sent, RunsUntil: r.runsUntil(now, ev.Outcome),
-		HasEvents: ev.Events > r.eventsBefore, IsBroken: ev.Outcome == Broken,
+		Key: r.key, Targets: r.targets(), Before: r.before, SentAt: r.sent, RunsUntil: r.runsUntil(now, ev),
+		HasEvents: ev.Events > r.eventsBefore, IsBroken: ev.isBroken(),
 	})
 	d.trials.End(now, r.key)
 	return true, append(d.reportCrashes(now, crashes), d.startChecks(now)...)
@@ -80,10 +80,13 @@
 	return d.reportCleared(r, d.crashTracker.NoteWritten(now, r.key))
 }
 
+// isBroken reports whether the target, or the way to it, has ended the attempt.
+func (ev AttemptReported) isBroken() bool { return ev.Outcome == Broken && !ev.IsLeft }
+
 // runsUntil returns until when targets may run an attempt that has ended now or is left.
-func (r *request) runsUntil(now time.Time, o Outcome) time.Time {
+func (r *request) runsUntil(now time.Time, ev AttemptReported) time.Time {
 	switch left := now.Add(maxLeftRun); {
-	case o == Broken || r.deadline.Before(now):
+	case ev.isBroken() || r.deadline.Before(now):
 		return now
 	case r.deadline.Before(left):
 		return r.deadline
--- a/entry/internal/dispatcher/messages.go
+++ b/entry/internal/dispatcher/messages.go
@@ -114,6 +114,8 @@
 type AttemptReported struct {
 	Call    identifier.CallID
 	Outcome Outcome
+	// IsLeft says that the node has left an attempt that did not break, so that its target may go on with it.
+	IsLeft bool
 	// Status is the status code of the target's response, 0 if there was none.
 	Status int
 	// FaultAddress is the address of the target that a refusal names as its cause.
--- a/entry/internal/dispatcher/poison_part_test.go
+++ b/entry/internal/dispatcher/poison_part_test.go
@@ -208,3 +208,22 @@
 		c.Check(x.Parts, qt.HasLen, 0)
 	}
 }
+
+// TestPartCrashesTargetThatNodeHasLeft guards against a crash that is put down to others, because the node has left the attempt for
+// an answer of no use, and the target has answered a check before it crashed.
+func TestPartCrashesTargetThatNodeHasLeft(t *testing.T) {
+	c := qt.New(t)
+	d := readyHarness()
+	d.next++
+	call := d.next
+	e := d.apply(0, dispatcher.RequestArrived{
+		Call: call, ID: "part", Host: "h", Path: "/once/", Key: "key", Fingerprint: firstVariant, Group: firstVariant, Parts: []identifier.PromptPart{poisonPart},
+	})
+	send, ok := e.(dispatcher.Send)
+	c.Assert(ok, qt.IsTrue, qt.Commentf("%T", e))
+	d.apply(10*time.Millisecond, dispatcher.AttemptReported{Call: call, Outcome: dispatcher.Broken, IsLeft: true, Status: 200, Events: 1})
+	d.apply(11*time.Millisecond, dispatcher.TargetChecked{Target: send.Target, Address: send.Address})
+	d.apply(25*time.Millisecond, dispatcher.TargetChecked{Target: send.Target, Address: send.Address, IsUnanswered: true})
+	c.Assert(d.crashes, qt.HasLen, 1)
+	c.Assert(d.crashes[0].Parts, qt.HasLen, 1)
+}
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -290,7 +290,7 @@
 	status := x.resp.StatusCode()
 	// Only a refusal may lack an id, because a target that did not read the request does not know it.
 	if answer.ID != x.request.ID && (answer.ID != "" || !answer.IsNotRun) {
-		return x.fail(ctx, errMismatch)
+		return x.leave(ctx, errMismatch)
 	}
 	if x.send.IsStream && status/100 == 2 && answer.IsSealed {
 		return x.relayEvents(ctx, idleDeadline)
@@ -443,14 +443,14 @@
 	var complete []byte
 	complete, x.pending = x.events.split(x.pending, b)
 	if err := x.hold(len(x.pending), maxEventBytes); err != nil {
-		return x.fail(ctx, errors.Wrap(err, "reading an event")), false
+		return x.leave(ctx, errors.Wrap(err, "reading an event")), false
 	}
 	if len(complete) == 0 {
 		return dispatcher.AttemptReported{}, true
 	}
 	if id, ok := firstID(complete); ok && last != "" && !follows(id, last) {
 		x.events.lastID = last
-		return x.fail(ctx, errors.Newf("event %s received after %s", id, last)), false
+		return x.leave(ctx, errors.Newf("event %s received after %s", id, last)), false
 	}
 	x.dropStalled()
 	if err := x.caller.Events(complete); err != nil {
@@ -545,6 +545,13 @@
 	return x.Await(ctx, idleDeadline)
 }
 
+// leave ends an attempt whose answer is of no use. Its target may go on with it.
+func (x *Exchange) leave(ctx context.Context, err error) dispatcher.AttemptReported {
+	r := x.fail(ctx, err)
+	r.IsLeft = true
+	return r
+}
+
 // fail ends the attempt. A disconnected caller and an expired deadline take precedence over the error.
 func (x *Exchange) fail(ctx context.Context, err error) dispatcher.AttemptReported {
 	x.drop()
--- a/entry/internal/forwarder/forwarder_test.go
+++ b/entry/internal/forwarder/forwarder_test.go
@@ -269,6 +269,7 @@
 		f.attempt(context.Background(), serve(t, answerfaker.Stream(id, event(1), event(2))+"|"), true)
 		got := f.attempt(context.Background(), serve(t, answerfaker.Stream(id, event(next))+"0\r\n\r\n"), true)
 		f.Assert(got.Outcome, qt.Equals, dispatcher.Broken)
+		f.Assert(got.IsLeft, qt.IsTrue)
 		f.Assert(f.caller.received, qt.Equals, event(1)+event(2))
 	}
 }
