Let one reducer decide which configuration is in force, for the placement of layers too

Since the store may come back from an older copy, a node reads older versions than the one in force. The dispatcher ignores these, but the follower handed each version that it read to the placer as well, which took the copy's layers, kinds and services. The dispatcher raises the change for the others when it puts a version in force. TestOlderConfigurationReachesNoReducer failed before.

--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -264,7 +264,9 @@
 	}
 	d.table = ev.Table
 	d.chooser.SetServices(ev.Table.Services)
-	return []messenger.Effect{logConfiguration(eventlogger.ConfigurationChanged, ev, previous)}
+	return []messenger.Effect{
+		messenger.Raise{Event: placer.ConfigurationChanged{Table: ev.Table}}, logConfiguration(eventlogger.ConfigurationChanged, ev, previous),
+	}
 }
 
 func logConfiguration(event eventlogger.Event, ev ConfigurationRead, previous int64) messenger.Effect {
--- a/entry/internal/dispatcher/dispatcher_test.go
+++ b/entry/internal/dispatcher/dispatcher_test.go
@@ -16,6 +16,7 @@
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/entry/internal/crashrecorder"
 	"fuchsiabridge.example/entry/internal/dispatcher"
+	"fuchsiabridge.example/entry/internal/placer"
 	"fuchsiabridge.example/entry/internal/registrar"
 	"fuchsiabridge.example/entry/internal/router"
 )
@@ -195,6 +196,22 @@
 	c.Assert(status(e), qt.Equals, 401)
 }
 
+// TestOlderConfigurationReachesNoReducer guards against layers that are placed for an older version of the configuration, as a
+// store that was restored from a copy holds it, while requests are served by the newer one in force.
+func TestOlderConfigurationReachesNoReducer(t *testing.T) {
+	c := qt.New(t)
+	d := dispatcher.NewDispatcher(dispatcher.Config{DataCentre: "a", RetryWindow: retryWindow})
+	var raised []int64
+	for _, version := range []int64{1, 3, 2, 3, 4} {
+		for _, effect := range d.Apply(start, dispatcher.ConfigurationRead{Table: router.NewTable(configuration(version, "key"))}) {
+			if e, ok := effect.(messenger.Raise); ok {
+				raised = append(raised, e.Event.(placer.ConfigurationChanged).Table.Version)
+			}
+		}
+	}
+	c.Assert(raised, qt.DeepEquals, []int64{1, 3, 4})
+}
+
 // TestStoppingNodeRefusesAfterBalancerLag checks that a node serves until the load balancer
 // has noticed the shutdown, and refuses at once after that.
 func TestStoppingNodeRefusesAfterBalancerLag(t *testing.T) {
--- a/entry/internal/follower/follower.go
+++ b/entry/internal/follower/follower.go
@@ -18,7 +18,6 @@
 	"fuchsiabridge.example/common/sleeper"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/limiter"
-	"fuchsiabridge.example/entry/internal/placer"
 	"fuchsiabridge.example/entry/internal/registrar"
 	"fuchsiabridge.example/entry/internal/router"
 	"fuchsiabridge.example/entry/internal/sharer"
@@ -197,9 +196,7 @@
 		return
 	}
 	f.sharer.KeepConfiguration(cfg)
-	table := router.NewTable(cfg)
-	f.submit(dispatcher.ConfigurationRead{Table: table, Source: source, Position: next})
-	f.submit(placer.ConfigurationChanged{Table: table})
+	f.submit(dispatcher.ConfigurationRead{Table: router.NewTable(cfg), Source: source, Position: next})
 }
 
 // maxBackoff returns the longest delay after failed calls.
