--- a/entry/internal/crashrecorder/crashrecorder.go
+++ b/entry/internal/crashrecorder/crashrecorder.go
@@ -171,9 +171,7 @@
 		r = &record{crashes: map[incarnation]int{}}
 		x.records[c.Request] = r
 	}
-	if c.Group != 0 || len(c.Parts) > 0 {
-		r.key = c.Key()
-	}
+	r.key.add(c.Key())
 	key := incarnation{target: c.Target, number: c.Incarnation}
 	if r.crashes[key] >= depth || (len(r.crashes) >= maxCrashesPerRequest && depth <= r.depth) {
 		return isNewToTrait
--- a/entry/internal/crashrecorder/traits.go
+++ b/entry/internal/crashrecorder/traits.go
@@ -50,6 +50,19 @@
 	return append(traits, k.Parts...)
 }
 
+// add adds what another report tells of the request. A report may lack a group or parts that its sender does not accuse.
+func (k *RequestKey) add(o RequestKey) {
+	k.Request = o.Request
+	if o.Group != 0 {
+		k.Group = o.Group
+	}
+	for _, part := range o.Parts {
+		if !slices.Contains(k.Parts, part) {
+			k.Parts = append(k.Parts, part)
+		}
+	}
+}
+
 // TraitCrash is a crash as one of several that requests with one trait have caused.
 type TraitCrash struct {
 	Trait identifier.Fingerprint `json:"trait"`
--- a/entry/internal/crashtracker/crashtracker_test.go
+++ b/entry/internal/crashtracker/crashtracker_test.go
@@ -388,3 +388,19 @@
 		}
 	}
 }
+
+// TestClearedRequestLeavesAllItsTraits guards against a part of prompts, or a group, that stays accused by a request which was
+// answered elsewhere, because a later report of the request's crashes did not name them.
+func TestClearedRequestLeavesAllItsTraits(t *testing.T) {
+	const part, group identifier.Fingerprint = 501, 502
+	c := qt.New(t)
+	tracker := crashtracker.NewTracker()
+	parts := []crashrecorder.TraitCrash{{Trait: part, Depth: 1}}
+	tracker.RecordCrash(start, crashrecorder.Crash{Request: 1, Group: group, Target: "a", Incarnation: 1, Depth: 1, Parts: parts})
+	tracker.RecordCrash(start, crashrecorder.Crash{Request: 1, Target: "b", Incarnation: 1, Depth: 1, Parts: parts})
+	tracker.RecordCrash(start, crashrecorder.Crash{Request: 1, Group: group, Target: "c", Incarnation: 1, Depth: 1})
+	key := crashrecorder.RequestKey{Request: 2, Group: group, Parts: []identifier.Fingerprint{part}}
+	c.Assert(tracker.Histories(start, key).Traits, qt.HasLen, 2)
+	tracker.Clear(1)
+	c.Assert(tracker.Histories(start, key).Traits, qt.HasLen, 0)
+}
