Identify requests in a package of their own, and keep the proofs of sound parts in another

What identifies a request stood in the dispatcher (the hashes) and in the crash recorder (the key); it is in fingerprinter now. The traits of a key were copied into a new list some five times for each request; they are yielded without one.

--- a/entry/internal/crashrecorder/crashrecorder.go
+++ b/entry/internal/crashrecorder/crashrecorder.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/entry/internal/fingerprinter"
+	"fuchsiabridge.example/entry/internal/proofkeeper"
 )
 
 const (
@@ -57,8 +59,8 @@
 }
 
 // Key returns the key of the crash's request, as far as it is known.
-func (c Crash) Key() RequestKey {
-	key := RequestKey{Request: c.Request, Group: c.Group}
+func (c Crash) Key() fingerprinter.Key {
+	key := fingerprinter.Key{Request: c.Request, Group: c.Group}
 	for _, p := range c.Parts {
 		key.Parts = append(key.Parts, p.Trait)
 	}
@@ -109,7 +111,7 @@
 
 // record holds the crashes of one request.
 type record struct {
-	key RequestKey
+	key fingerprinter.Key
 	// crashes holds the depth of each crash.
 	crashes map[incarnation]int
 	// attempts counts the attempts that crashed targets.
@@ -132,14 +134,13 @@
 type Recorder struct {
 	records map[identifier.Fingerprint]*record
 	traits  map[identifier.Fingerprint]*trait
-	// sound holds when a target has last written an answer on a part of a prompt.
-	sound map[identifier.Fingerprint]time.Time
+	proofs  *proofkeeper.Keeper
 }
 
 // NewRecorder returns a recorder that knows nothing.
 func NewRecorder() *Recorder {
 	return &Recorder{
-		records: map[identifier.Fingerprint]*record{}, traits: map[identifier.Fingerprint]*trait{}, sound: map[identifier.Fingerprint]time.Time{},
+		records: map[identifier.Fingerprint]*record{}, traits: map[identifier.Fingerprint]*trait{}, proofs: proofkeeper.NewKeeper(),
 	}
 }
 
@@ -148,7 +149,7 @@
 	if !x.RecordCrash(now, c) {
 		return false
 	}
-	for _, id := range c.Key().Traits() {
+	for id := range c.Key().Traits() {
 		if t, ok := x.traits[id]; ok {
 			t.isOwn = true
 		}
@@ -171,7 +172,7 @@
 		r = &record{crashes: map[incarnation]int{}}
 		x.records[c.Request] = r
 	}
-	r.key.add(c.Key())
+	r.key.Add(c.Key())
 	key := incarnation{target: c.Target, number: c.Incarnation}
 	if r.crashes[key] >= depth || (len(r.crashes) >= maxCrashesPerRequest && depth <= r.depth) {
 		return isNewToTrait
@@ -226,9 +227,9 @@
 func (h Histories) HasCrashes() bool { return h.Request.Depth > 0 || len(h.Traits) > 0 }
 
 // Histories returns what is known of the crashes of a request and of its traits.
-func (x *Recorder) Histories(now time.Time, key RequestKey) Histories {
+func (x *Recorder) Histories(now time.Time, key fingerprinter.Key) Histories {
 	out := Histories{Request: x.history(now, key.Request)}
-	for _, id := range key.Traits() {
+	for id := range key.Traits() {
 		h := x.traitHistory(now, id)
 		if h.Depth == 0 {
 			continue
@@ -250,7 +251,7 @@
 }
 
 // IsConfirmed reports whether a request, or one of its traits, is confirmed as poison, so that it must not run again.
-func (x *Recorder) IsConfirmed(now time.Time, key RequestKey) bool {
+func (x *Recorder) IsConfirmed(now time.Time, key fingerprinter.Key) bool {
 	return x.IsRequestConfirmed(now, key.Request) || x.hasConfirmedTrait(now, key)
 }
 
@@ -266,7 +267,7 @@
 
 // NoteAnswer applies that a request was answered, and returns the requests and traits whose crashes count no more. Only a
 // success proves that the target has run the request: it may reject one with an error before.
-func (x *Recorder) NoteAnswer(key RequestKey, isSuccess bool) []identifier.Fingerprint {
+func (x *Recorder) NoteAnswer(key fingerprinter.Key, isSuccess bool) []identifier.Fingerprint {
 	var cleared []identifier.Fingerprint
 	if (isSuccess || x.isRejectedOften(key.Request)) && x.Clear(key.Request) {
 		cleared = append(cleared, key.Request)
--- a/entry/internal/crashrecorder/traits.go
+++ b/entry/internal/crashrecorder/traits.go
@@ -1,11 +1,10 @@
 package crashrecorder
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/entry/internal/fingerprinter"
 )
 
 const (
@@ -18,51 +17,14 @@
 	// settleTime is how long a trait whose crashes suffice is not confirmed yet: reports of other nodes may
 	// show another cause of them all.
 	settleTime = 500 * time.Millisecond
-	// soundTime is how long a part of a prompt counts as sound after a target has written an answer on it.
-	soundTime = time.Minute
 	// maxRequestsPerCrash limits the requests with a trait that are kept for the crash of one target.
 	maxRequestsPerCrash = 32
 	// maxSucceededRequests limits the requests with a trait that are remembered as successful.
 	maxSucceededRequests = 64
-	// maxSoundParts limits the parts that are remembered as sound.
-	maxSoundParts = 8192
 	// groupPosition is the position of a group, before that of any part of a prompt.
 	groupPosition = -1
 )
 
-// RequestKey identifies a request, and the traits that it has in common with others: a poison request may come again
-// with a difference that does not matter to the targets.
-type RequestKey struct {
-	// Request is the same for requests of one account with the same method, host, path, query and body.
-	Request identifier.Fingerprint
-	// Group is the same for requests of one account with the same path and body.
-	Group identifier.Fingerprint
-	// Parts are those of the prompt that other requests share, in order.
-	Parts []identifier.Fingerprint
-}
-
-// Traits returns the group, if it is known, and the parts.
-func (k RequestKey) Traits() []identifier.Fingerprint {
-	traits := make([]identifier.Fingerprint, 0, 1+len(k.Parts))
-	if k.Group != 0 {
-		traits = append(traits, k.Group)
-	}
-	return append(traits, k.Parts...)
-}
-
-// add adds what another report tells of the request. A report may lack a group or parts that its sender does not accuse.
-func (k *RequestKey) add(o RequestKey) {
-	k.Request = o.Request
-	if o.Group != 0 {
-		k.Group = o.Group
-	}
-	for _, part := range o.Parts {
-		if !slices.Contains(k.Parts, part) {
-			k.Parts = append(k.Parts, part)
-		}
-	}
-}
-
 // TraitCrash is a crash as one of several that requests with one trait have caused.
 type TraitCrash struct {
 	Trait identifier.Fingerprint `json:"trait"`
@@ -207,6 +169,9 @@
 
 // drop forgets the crashes that a request seemed to cause.
 func (t *trait) drop(request identifier.Fingerprint) {
+	if t.requestDepth(request) == 0 {
+		return
+	}
 	for key, requests := range t.crashes {
 		delete(requests, request)
 		if len(requests) == 0 {
@@ -267,9 +232,9 @@
 }
 
 // dropFromTraits drops the crashes that a request seemed to cause from its traits, and returns those that are cleared by that.
-func (x *Recorder) dropFromTraits(key RequestKey) []identifier.Fingerprint {
+func (x *Recorder) dropFromTraits(key fingerprinter.Key) []identifier.Fingerprint {
 	var cleared []identifier.Fingerprint
-	for _, id := range key.Traits() {
+	for id := range key.Traits() {
 		t, ok := x.traits[id]
 		if !ok {
 			continue
@@ -284,7 +249,7 @@
 }
 
 // noteGroupAnswer notes that a request of a group was answered, and reports whether the group is cleared by that.
-func (x *Recorder) noteGroupAnswer(key RequestKey, isSuccess bool) bool {
+func (x *Recorder) noteGroupAnswer(key fingerprinter.Key, isSuccess bool) bool {
 	t, ok := x.traits[key.Group]
 	if !ok {
 		return false
@@ -303,31 +268,21 @@
 
 // NoteWritten notes that a target has written an answer on the parts of a request's prompt, which proves that these crash
 // none, and returns the parts whose crashes count no more.
-func (x *Recorder) NoteWritten(now time.Time, key RequestKey) []identifier.Fingerprint {
+func (x *Recorder) NoteWritten(now time.Time, key fingerprinter.Key) []identifier.Fingerprint {
 	var cleared []identifier.Fingerprint
 	for _, id := range key.Parts {
 		if _, ok := x.traits[id]; ok {
 			delete(x.traits, id)
 			cleared = append(cleared, id)
 		}
-		x.noteSound(now, id)
+		x.proofs.Note(now, id)
 	}
 	return cleared
 }
 
-func (x *Recorder) noteSound(now time.Time, part identifier.Fingerprint) {
-	if len(x.sound) >= maxSoundParts {
-		maps.DeleteFunc(x.sound, func(_ identifier.Fingerprint, at time.Time) bool { return now.Sub(at) >= soundTime })
-	}
-	if _, ok := x.sound[part]; ok || len(x.sound) < maxSoundParts {
-		x.sound[part] = now
-	}
-}
-
 // IsSound reports whether a target has written an answer on a part of a prompt lately, so that nothing speaks against it.
 func (x *Recorder) IsSound(now time.Time, part identifier.Fingerprint) bool {
-	at, ok := x.sound[part]
-	return ok && now.Sub(at) < soundTime
+	return x.proofs.IsSound(now, part)
 }
 
 // traitHistory returns what is known of the crashes of a trait.
@@ -340,15 +295,17 @@
 }
 
 // hasConfirmedTrait reports whether a request is refused because one of its traits is confirmed as poison.
-func (x *Recorder) hasConfirmedTrait(now time.Time, key RequestKey) bool {
-	return slices.ContainsFunc(key.Traits(), func(id identifier.Fingerprint) bool {
+func (x *Recorder) hasConfirmedTrait(now time.Time, key fingerprinter.Key) bool {
+	for id := range key.Traits() {
 		// A trait that was stored as poison is known under its id only.
 		if x.IsRequestConfirmed(now, id) {
 			return true
 		}
-		t, ok := x.traits[id]
-		return ok && !t.succeeded[key.Request] && x.isConfirmed(now, t)
-	})
+		if t, ok := x.traits[id]; ok && !t.succeeded[key.Request] && x.isConfirmed(now, t) {
+			return true
+		}
+	}
+	return false
 }
 
 // IsTraitOpen reports whether it is open if a trait of a request is poison: no request with it has succeeded since its
--- a/entry/internal/crashtracker/crashtracker.go
+++ b/entry/internal/crashtracker/crashtracker.go
@@ -13,6 +13,7 @@
 
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/entry/internal/crashrecorder"
+	"fuchsiabridge.example/entry/internal/fingerprinter"
 	"fuchsiabridge.example/entry/internal/registrar"
 )
 
@@ -26,7 +27,7 @@
 
 // Attempt is an attempt that ended, or was left, without a complete answer.
 type Attempt struct {
-	Key crashrecorder.RequestKey
+	Key fingerprinter.Key
 	// Targets are the targets that the attempt used, first the one that it was sent to.
 	Targets []identifier.TargetID
 	// Before holds the crashes of the request and its traits that were known when the attempt was sent.
@@ -319,7 +320,7 @@
 }
 
 // NoteAnswer applies that a request was answered, and returns the requests and traits whose crashes count no more.
-func (t *Tracker) NoteAnswer(key crashrecorder.RequestKey, isSuccess bool) []identifier.Fingerprint {
+func (t *Tracker) NoteAnswer(key fingerprinter.Key, isSuccess bool) []identifier.Fingerprint {
 	cleared := t.Recorder.NoteAnswer(key, isSuccess)
 	if isSuccess || slices.Contains(cleared, key.Request) {
 		t.dropCandidates(key.Request)
--- a/entry/internal/crashtracker/crashtracker_test.go
+++ b/entry/internal/crashtracker/crashtracker_test.go
@@ -11,6 +11,7 @@
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/entry/internal/crashrecorder"
 	"fuchsiabridge.example/entry/internal/crashtracker"
+	"fuchsiabridge.example/entry/internal/fingerprinter"
 	"fuchsiabridge.example/entry/internal/registrar"
 )
 
@@ -39,8 +40,8 @@
 func id(i int) identifier.TargetID { return identifier.TargetID(fmt.Sprint("t", i)) }
 
 // keyOf returns the key of a request that is the only one of its group.
-func keyOf(request identifier.Fingerprint) crashrecorder.RequestKey {
-	return crashrecorder.RequestKey{Request: request, Group: request + 1000}
+func keyOf(request identifier.Fingerprint) fingerprinter.Key {
+	return fingerprinter.Key{Request: request, Group: request + 1000}
 }
 
 // broken returns an attempt whose connection broke, sent when the crashes known to the tracker were known.
@@ -183,7 +184,7 @@
 // TestRequestBesidePoisonAccusesNoGroup guards against refusing all requests of a group because one of them, which crashes
 // each target that runs it, crashes targets while they run others of the group, seen by this node or another one.
 func TestRequestBesidePoisonAccusesNoGroup(t *testing.T) {
-	poisonKey := crashrecorder.RequestKey{Request: poison, Group: crashGroup}
+	poisonKey := fingerprinter.Key{Request: poison, Group: crashGroup}
 	for _, isSeenByPeer := range []bool{false, true} {
 		c := qt.New(t)
 		pair := []*crashtracker.Tracker{crashtracker.NewTracker(), crashtracker.NewTracker()}
@@ -197,13 +198,13 @@
 				x.SetTargets(at, fleet(4))
 			}
 			breakAttempt(pair[0], at, poisonKey, i)
-			breakAttempt(other, at, crashrecorder.RequestKey{Request: firstOther + identifier.Fingerprint(i), Group: crashGroup}, i)
+			breakAttempt(other, at, fingerprinter.Key{Request: firstOther + identifier.Fingerprint(i), Group: crashGroup}, i)
 			exchangeCrashes(pair, at.Add(10*time.Millisecond), i)
 		}
 		at := start.Add(time.Minute)
 		for _, x := range pair {
 			c.Check(x.IsConfirmed(at, poisonKey), qt.IsTrue)
-			c.Check(x.IsConfirmed(at, crashrecorder.RequestKey{Request: firstOther, Group: crashGroup}), qt.IsFalse, qt.Commentf("seen by peer: %t", isSeenByPeer))
+			c.Check(x.IsConfirmed(at, fingerprinter.Key{Request: firstOther, Group: crashGroup}), qt.IsFalse, qt.Commentf("seen by peer: %t", isSeenByPeer))
 			c.Check(x.TakeConfirmedTraits(at), qt.HasLen, 0)
 		}
 	}
@@ -215,7 +216,7 @@
 )
 
 // breakAttempt records an attempt at a target whose connection broke.
-func breakAttempt(x *crashtracker.Tracker, at time.Time, key crashrecorder.RequestKey, target int) {
+func breakAttempt(x *crashtracker.Tracker, at time.Time, key fingerprinter.Key, target int) {
 	x.AddAttempt(at, crashtracker.Attempt{
 		Key: key, Targets: []identifier.TargetID{id(target)}, Before: x.Histories(at, key), SentAt: at, RunsUntil: at.Add(time.Millisecond), IsBroken: true,
 	})
@@ -237,12 +238,12 @@
 	c := qt.New(t)
 	tracker := crashtracker.NewTracker()
 	at := start
-	known := crashrecorder.RequestKey{Request: firstOther, Group: crashGroup}
-	next := crashrecorder.RequestKey{Request: firstOther + 1, Group: crashGroup}
+	known := fingerprinter.Key{Request: firstOther, Group: crashGroup}
+	next := fingerprinter.Key{Request: firstOther + 1, Group: crashGroup}
 	for i := range 3 {
 		at = at.Add(time.Second)
 		tracker.SetTargets(at, fleet(4))
-		breakAttempt(tracker, at, crashrecorder.RequestKey{Request: identifier.Fingerprint(1 + i), Group: crashGroup}, i)
+		breakAttempt(tracker, at, fingerprinter.Key{Request: identifier.Fingerprint(1 + i), Group: crashGroup}, i)
 		at = at.Add(10 * time.Millisecond)
 		tracker.SetUnresponsive(at, string(id(i)))
 		tracker.NoteAnswer(known, true)
@@ -297,8 +298,8 @@
 }
 
 // partKey returns the key of a request that shares parts of its prompt with others.
-func partKey(request identifier.Fingerprint, parts ...identifier.Fingerprint) crashrecorder.RequestKey {
-	return crashrecorder.RequestKey{Request: request, Group: request + 1000, Parts: parts}
+func partKey(request identifier.Fingerprint, parts ...identifier.Fingerprint) fingerprinter.Key {
+	return fingerprinter.Key{Request: request, Group: request + 1000, Parts: parts}
 }
 
 // TestPartExplainsItsNeighbours guards against refusing requests with a part of prompts, or of a group, that only came with the
@@ -321,7 +322,7 @@
 	c.Check(tracker.IsConfirmed(at, partKey(20, common, bad)), qt.IsTrue)
 	c.Check(tracker.IsConfirmed(at, partKey(21, bad)), qt.IsTrue)
 	c.Check(tracker.IsConfirmed(at, partKey(22, common, neighbour)), qt.IsFalse)
-	c.Check(tracker.IsConfirmed(at, crashrecorder.RequestKey{Request: 23, Group: group}), qt.IsFalse)
+	c.Check(tracker.IsConfirmed(at, fingerprinter.Key{Request: 23, Group: group}), qt.IsFalse)
 	confirmed := tracker.TakeConfirmedTraits(at)
 	c.Assert(confirmed, qt.HasLen, 1)
 	c.Check(confirmed[0].Crash.Request, qt.Equals, bad)
@@ -399,7 +400,7 @@
 	tracker.RecordCrash(start, crashrecorder.Crash{Request: 1, Group: group, Target: "a", Incarnation: 1, Depth: 1, Parts: parts})
 	tracker.RecordCrash(start, crashrecorder.Crash{Request: 1, Target: "b", Incarnation: 1, Depth: 1, Parts: parts})
 	tracker.RecordCrash(start, crashrecorder.Crash{Request: 1, Group: group, Target: "c", Incarnation: 1, Depth: 1})
-	key := crashrecorder.RequestKey{Request: 2, Group: group, Parts: []identifier.Fingerprint{part}}
+	key := fingerprinter.Key{Request: 2, Group: group, Parts: []identifier.Fingerprint{part}}
 	c.Assert(tracker.Histories(start, key).Traits, qt.HasLen, 2)
 	tracker.Clear(1)
 	c.Assert(tracker.Histories(start, key).Traits, qt.HasLen, 0)
--- a/entry/internal/dispatcher/crashes.go
+++ b/entry/internal/dispatcher/crashes.go
@@ -1,13 +1,10 @@
 package dispatcher
 
 import (
-	"encoding/binary"
 	"net/http"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
@@ -22,32 +19,8 @@
 	// writtenEvents is how many events of an answer prove that no part of the prompt crashes targets: a target may
 	// deliver the first ones before it crashes.
 	writtenEvents = 5
-	// partPrefix precedes the id of a part of prompts when it is hashed.
-	partPrefix = "part"
 )
 
-// requestKey returns the key of a request of an account.
-func requestKey(ev RequestArrived, account identifier.AccountID) crashrecorder.RequestKey {
-	key := crashrecorder.RequestKey{Request: callerFingerprint(ev.Fingerprint, account), Group: callerFingerprint(ev.Group, account)}
-	for _, part := range ev.Parts {
-		key.Parts = append(key.Parts, partFingerprint(part))
-	}
-	return key
-}
-
-// partFingerprint returns the fingerprint of a part of prompts, which is none of a request or a group.
-func partFingerprint(part identifier.PromptPart) identifier.Fingerprint {
-	raw := binary.BigEndian.AppendUint64([]byte(partPrefix), uint64(part))
-	return identifier.Fingerprint(xxhash.Sum64(raw))
-}
-
-// callerFingerprint returns the fingerprint of a request of an account. It does not depend on the key, which
-// an account may replace.
-func callerFingerprint(content identifier.Fingerprint, account identifier.AccountID) identifier.Fingerprint {
-	raw := binary.BigEndian.AppendUint64([]byte(account), uint64(content))
-	return identifier.Fingerprint(xxhash.Sum64(raw))
-}
-
 // notePoisonCandidate records an attempt that ended, or was left, without a complete answer: the
 // request may have crashed a target. It reports whether the attempt counts, with the effects of the
 // crashes that are known by it.
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -12,6 +12,7 @@
 	"fuchsiabridge.example/entry/internal/chooser"
 	"fuchsiabridge.example/entry/internal/crashrecorder"
 	"fuchsiabridge.example/entry/internal/crashtracker"
+	"fuchsiabridge.example/entry/internal/fingerprinter"
 	"fuchsiabridge.example/entry/internal/limiter"
 	"fuchsiabridge.example/entry/internal/meter"
 	"fuchsiabridge.example/entry/internal/placer"
@@ -91,7 +92,7 @@
 	arrived  time.Time
 	deadline time.Time
 	// key identifies the request if it comes again.
-	key crashrecorder.RequestKey
+	key fingerprinter.Key
 	// seed determines the jitter of the Retry-After delay.
 	seed uint64
 	// attempts counts all attempts, executions only those that may have run.
@@ -331,7 +332,7 @@
 		}
 		r.account = account.ID
 	}
-	r.key = requestKey(ev, r.account)
+	r.key = fingerprinter.NewKey(r.account, ev.Fingerprint, ev.Group, ev.Parts)
 	if d.crashTracker.IsConfirmed(now, r.key) {
 		return d.refuse(now, ev.Call, http.StatusBadGateway, 0, quarantined)
 	}
--- a/entry/internal/dispatcher/trials.go
+++ b/entry/internal/dispatcher/trials.go
@@ -8,6 +8,7 @@
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/entry/internal/crashrecorder"
+	"fuchsiabridge.example/entry/internal/fingerprinter"
 	"fuchsiabridge.example/entry/internal/placer"
 )
 
@@ -78,11 +79,11 @@
 
 // isTried reports whether it is still open if the last attempt of a request with known crashes, or of another one with one of
 // its traits, has crashed its targets, so that the next one should wait.
-func (d *Dispatcher) isTried(now time.Time, key crashrecorder.RequestKey) bool {
+func (d *Dispatcher) isTried(now time.Time, key fingerprinter.Key) bool {
 	if d.trials.IsTried(now, key.Request) {
 		return true
 	}
-	for _, id := range key.Traits() {
+	for id := range key.Traits() {
 		if !d.crashTracker.IsTraitOpen(now, key.Request, id) {
 			continue
 		}
--- a/entry/internal/trier/trier.go
+++ b/entry/internal/trier/trier.go
@@ -8,6 +8,7 @@
 
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/entry/internal/crashrecorder"
+	"fuchsiabridge.example/entry/internal/fingerprinter"
 )
 
 const (
@@ -38,7 +39,7 @@
 }
 
 // Begin notes that an attempt of a request begins, if crashes of it or of one of its traits are known.
-func (t *Trier) Begin(now time.Time, call identifier.CallID, key crashrecorder.RequestKey, before crashrecorder.Histories) {
+func (t *Trier) Begin(now time.Time, call identifier.CallID, key fingerprinter.Key, before crashrecorder.Histories) {
 	if before.Request.Depth > 0 {
 		t.trials[key.Request] = trial{call: call, until: now.Add(maxTrial)}
 	}
@@ -48,8 +49,8 @@
 }
 
 // End notes that an attempt has ended without a complete answer.
-func (t *Trier) End(now time.Time, key crashrecorder.RequestKey) {
-	for _, id := range append(key.Traits(), key.Request) {
+func (t *Trier) End(now time.Time, key fingerprinter.Key) {
+	for id := range key.IDs() {
 		if x, ok := t.trials[id]; ok {
 			x.until = now.Add(verdictDelay)
 			t.trials[id] = x
@@ -58,8 +59,8 @@
 }
 
 // Reject notes that no target has run the attempt of a call, which ends the trial that it began.
-func (t *Trier) Reject(call identifier.CallID, key crashrecorder.RequestKey) {
-	for _, id := range append(key.Traits(), key.Request) {
+func (t *Trier) Reject(call identifier.CallID, key fingerprinter.Key) {
+	for id := range key.IDs() {
 		if t.trials[id].call == call {
 			delete(t.trials, id)
 		}
@@ -67,8 +68,8 @@
 }
 
 // Drop notes that the outcome of the last attempt of a request and its traits is known.
-func (t *Trier) Drop(key crashrecorder.RequestKey) {
-	for _, id := range append(key.Traits(), key.Request) {
+func (t *Trier) Drop(key fingerprinter.Key) {
+	for id := range key.IDs() {
 		delete(t.trials, id)
 	}
 }
