--- a/common/httpcaller/httpcaller.go
+++ b/common/httpcaller/httpcaller.go
@@ -195,6 +195,14 @@
 
 // JSONWith is JSON for a request that sets header fields or NewConn.
 func (c *Caller) JSONWith(ctx context.Context, r Request, in, out any) error {
+	return JSONThrough(ctx, c.Do, r, in, out)
+}
+
+// Doer makes one call.
+type Doer func(ctx context.Context, r Request) (Response, error)
+
+// JSONThrough is JSONWith for calls that are made by do, such as one that looks at the header of each response.
+func JSONThrough(ctx context.Context, do Doer, r Request, in, out any) error {
 	if in != nil {
 		body, err := json.Marshal(in)
 		if err != nil {
@@ -202,7 +210,7 @@
 		}
 		r.Body = body
 	}
-	response, err := c.Do(ctx, r)
+	response, err := do(ctx, r)
 	if err != nil {
 		return err
 	}
