--- a/entry/internal/crashtracker/crashtracker_test.go
+++ b/entry/internal/crashtracker/crashtracker_test.go
@@ -187,20 +187,10 @@
 	poisonKey := fingerprinter.Key{Request: poison, Group: crashGroup}
 	for _, isSeenByPeer := range []bool{false, true} {
 		c := qt.New(t)
-		pair := []*crashtracker.Tracker{crashtracker.NewTracker(), crashtracker.NewTracker()}
-		other := pair[0]
-		if isSeenByPeer {
-			other = pair[1]
-		}
-		for i := range 3 {
-			at := start.Add(time.Duration(1+i) * time.Second)
-			for _, x := range pair {
-				x.SetTargets(at, fleet(4))
-			}
-			breakAttempt(pair[0], at, poisonKey, i)
-			breakAttempt(other, at, fingerprinter.Key{Request: firstOther + identifier.Fingerprint(i), Group: crashGroup}, i)
-			exchangeCrashes(pair, at.Add(10*time.Millisecond), i)
-		}
+		pair := crashTargets(3, isSeenByPeer, func(at time.Time, own, other *crashtracker.Tracker, target int) {
+			breakAttempt(own, at, poisonKey, target)
+			breakAttempt(other, at, fingerprinter.Key{Request: firstOther + identifier.Fingerprint(target), Group: crashGroup}, target)
+		})
 		at := start.Add(time.Minute)
 		for _, x := range pair {
 			c.Check(x.IsConfirmed(at, poisonKey), qt.IsTrue)
@@ -222,6 +212,25 @@
 	})
 }
 
+// crashTargets lets targets crash one after the other, a second apart, with the attempts that run records at two nodes, or at one of
+// them alone unless some are seen by a peer. It returns the nodes, which have told each other what they found.
+func crashTargets(targets int, isSeenByPeer bool, run func(at time.Time, own, other *crashtracker.Tracker, target int)) []*crashtracker.Tracker {
+	pair := []*crashtracker.Tracker{crashtracker.NewTracker(), crashtracker.NewTracker()}
+	other := pair[0]
+	if isSeenByPeer {
+		other = pair[1]
+	}
+	for i := range targets {
+		at := start.Add(time.Duration(1+i) * time.Second)
+		for _, x := range pair {
+			x.SetTargets(at, fleet(4))
+		}
+		run(at, pair[0], other, i)
+		exchangeCrashes(pair, at.Add(10*time.Millisecond), i)
+	}
+	return pair
+}
+
 // exchangeCrashes lets two nodes find that a target has failed, and report the crashes to each other.
 func exchangeCrashes(pair []*crashtracker.Tracker, at time.Time, target int) {
 	const reportDelay = 200 * time.Millisecond
@@ -365,23 +374,13 @@
 	const bad identifier.Fingerprint = 503
 	for _, isSeenByPeer := range []bool{false, true} {
 		c := qt.New(t)
-		pair := []*crashtracker.Tracker{crashtracker.NewTracker(), crashtracker.NewTracker()}
-		other := pair[0]
-		if isSeenByPeer {
-			other = pair[1]
-		}
-		for i := range 4 {
-			at := start.Add(time.Duration(1+i) * time.Second)
-			for _, x := range pair {
-				x.SetTargets(at, fleet(4))
-			}
+		pair := crashTargets(4, isSeenByPeer, func(at time.Time, own, other *crashtracker.Tracker, target int) {
 			// The last of the targets fails for another reason.
-			if i < 3 {
-				breakAttempt(other, at, partKey(firstOther+identifier.Fingerprint(i), bad), i)
+			if target < 3 {
+				breakAttempt(other, at, partKey(firstOther+identifier.Fingerprint(target), bad), target)
 			}
-			breakAttempt(pair[0], at, keyOf(innocent), i)
-			exchangeCrashes(pair, at.Add(10*time.Millisecond), i)
-		}
+			breakAttempt(own, at, keyOf(innocent), target)
+		})
 		at := start.Add(time.Minute)
 		for _, x := range pair {
 			c.Check(x.IsConfirmed(at, keyOf(innocent)), qt.IsFalse, qt.Commentf("seen by peer: %t", isSeenByPeer))
--- a/entry/internal/follower/follower_test.go
+++ b/entry/internal/follower/follower_test.go
@@ -54,7 +54,8 @@
 	return 0
 }
 
-func start(t *testing.T) (*qt.C, *storefaker.Store, *events) {
+// startStore starts a store that holds a first configuration. The returned context ends with the test.
+func startStore(t *testing.T) (context.Context, *qt.C, *storefaker.Store) {
 	t.Helper()
 	c := qt.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -62,6 +63,12 @@
 	store, err := storefaker.NewStore(ctx)
 	c.Assert(err, qt.IsNil)
 	c.Assert(store.PutConfiguration(storefaker.Sample(1, "key")), qt.IsNil)
+	return ctx, c, store
+}
+
+func start(t *testing.T) (*qt.C, *storefaker.Store, *events) {
+	t.Helper()
+	ctx, c, store := startStore(t)
 	e := &events{}
 	f := follower.NewFollower(storecaller.NewCaller(httpcaller.NewCaller(), store.Address()), nil, sharer.NewSharer(),
 		follower.Config{Self: storecaller.Member{Node: "n"}, StorePartitions: storefaker.Partitions}, e.submit)
--- a/entry/internal/follower/peers_test.go
+++ b/entry/internal/follower/peers_test.go
@@ -145,12 +145,7 @@
 // startTwo starts a node that reads the store and one that follows the first.
 func startTwo(t *testing.T) (*qt.C, *storefaker.Store, *node, *node) {
 	t.Helper()
-	c := qt.New(t)
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
-	store, err := storefaker.NewStore(ctx)
-	c.Assert(err, qt.IsNil)
-	c.Assert(store.PutConfiguration(storefaker.Sample(1, "key")), qt.IsNil)
+	_, c, store := startStore(t)
 	first := startNode(t, store, "first")
 	await[dispatcher.ConfigurationConfirmed](c, first.events, 0)
 	// The node that joins first reads the store.
--- a/entry/internal/follower/restoration_test.go
+++ b/entry/internal/follower/restoration_test.go
@@ -1,7 +1,6 @@
 package follower_test
 
 import (
-	"context"
 	"fmt"
 	"slices"
 	"testing"
@@ -201,12 +200,7 @@
 // TestFenceGrowsThroughRestoration guards against orders with a lower fencing token than targets have seen, and against two nodes
 // that order at the same time, because the store was restored from a copy that knows another holder of the lease.
 func TestFenceGrowsThroughRestoration(t *testing.T) {
-	c := qt.New(t)
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
-	store, err := storefaker.NewStore(ctx)
-	c.Assert(err, qt.IsNil)
-	c.Assert(store.PutConfiguration(storefaker.Sample(1, "key")), qt.IsNil)
+	_, c, store := startStore(t)
 	first := startNode(t, store, "first")
 	await[placer.LeaseChanged](c, first.events, 0)
 	store.BackUp()
--- a/integration/relay_poison_part_test.go
+++ b/integration/relay_poison_part_test.go
@@ -124,6 +124,7 @@
 // TestPoisonPartIsRefusedByAllNodes guards against requests that go on crashing targets because they share nothing but a part of
 // their prompts, and against refusing sound requests with their caller and other parts, while one node restarts.
 func TestPoisonPartIsRefusedByAllNodes(t *testing.T) {
+	t.Parallel()
 	for name, prefix := range map[string]func(n int) []string{
 		"after the common part": func(int) []string { return []string{commonPart, targetfaker.PoisonPart} },
 		"before a rare part":    func(n int) []string { return []string{targetfaker.PoisonPart, fmt.Sprintf("d%d", n%20)} },
--- a/integration/relay_restoration_test.go
+++ b/integration/relay_restoration_test.go
@@ -32,32 +32,20 @@
 // newest one allows.
 type restorationRun struct {
 	*relaySoak
-	// published holds when the store accepted each version; version n allows the key of n and of n-1.
-	published []time.Time
-	refused   []string
-}
-
-func keyOfVersion(n int) string { return fmt.Sprintf("key-of-%d", n) }
-
-func (s *restorationRun) publish(n int) {
-	s.Assert(s.store.PutConfiguration(storefaker.Sample(n, keyOfVersion(n), keyOfVersion(n-1))), qt.IsNil)
+	refused []string
 }
 
 // publishNext publishes a further version.
 func (s *restorationRun) publishNext() {
 	s.mu.Lock()
-	n := len(s.published)
+	key := fmt.Sprintf("key-of-%d", s.version+1)
 	s.mu.Unlock()
-	s.publish(n)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.published = append(s.published, time.Now())
-	s.keys = append(s.keys, keyOfVersion(n))
+	s.publishConfiguration(key)
 }
 
-// restoreStore publishes two versions of which a copy of the store knows nothing, lets the store return from that copy,
+// regrowStore publishes two versions of which a copy of the store knows nothing, lets the store return from that copy,
 // and publishes the newest version again and a further one, so that the topic ends where it did before.
-func (s *restorationRun) restoreStore() {
+func (s *restorationRun) regrowStore() {
 	s.store.BackUp()
 	for range 2 {
 		s.publishNext()
@@ -69,46 +57,47 @@
 	s.store.SetFault(storefaker.None)
 	time.Sleep(rewriteDelay)
 	s.mu.Lock()
-	newest := len(s.published) - 1
+	s.writeConfiguration()
 	s.mu.Unlock()
-	s.publish(newest)
 	s.publishNext()
 }
 
-// probe asks a node for what the newest version that must be in force allows, until the run ends.
+// newestCaller returns a caller of a node with the key that the newest version brought, and when that version was published.
+func (s *restorationRun) newestCaller(node int) (callerfaker.Caller, time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := s.keys[len(s.keys)-1]
+	return callerfaker.Caller{Address: s.nodes[node].Address, Key: key}, s.published[key]
+}
+
+// probe asks a node for what the newest version allows whenever it must be in force, until the run ends.
 func (s *restorationRun) probe(node int) {
 	for n := 0; time.Now().Before(s.until); n++ {
+		time.Sleep(viewInterval)
 		sent := time.Now()
-		s.mu.Lock()
-		version := len(s.published) - 1
-		for sent.Sub(s.published[version]) < changeLimit && version > 0 {
-			version--
-		}
-		isNewest := version == len(s.published)-1
-		caller := callerfaker.Caller{Address: s.nodes[node].Address, Key: keyOfVersion(version)}
-		s.mu.Unlock()
-		// A version that was replaced meanwhile allows the key only for one version more.
-		if !isNewest {
-			time.Sleep(viewInterval)
+		caller, published := s.newestCaller(node)
+		if sent.Before(published.Add(changeLimit)) {
 			continue
 		}
 		id := fmt.Sprintf("probe-%d-%d", node, n)
 		status, _, err := caller.Send(s.t.Context(), http.MethodGet, "/view/x", id)
-		s.mu.Lock()
 		if err == nil && status == http.StatusUnauthorized {
-			s.refused = append(s.refused, fmt.Sprintf("node %d refused the key of version %d, published %v before", node, version, sent.Sub(s.published[version]).Round(time.Millisecond)))
+			s.noteRefusal(fmt.Sprintf("node %d refused %s, published %v before", node, caller.Key, sent.Sub(published).Round(time.Millisecond)))
 		}
-		s.mu.Unlock()
-		time.Sleep(viewInterval)
 	}
 }
 
+func (s *restorationRun) noteRefusal(refusal string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refused = append(s.refused, refusal)
+}
+
 // TestVersionAfterRestorationIsInForce guards against a configuration that nodes never read because the store was
 // restored from a copy and has grown again to the offset from which they go on reading; nodes restart meanwhile.
 func TestVersionAfterRestorationIsInForce(t *testing.T) {
 	t.Parallel()
 	s := &restorationRun{relaySoak: newRelaySoak(t, 1)}
-	s.published = []time.Time{time.Now(), time.Now()}
 	s.publishNext()
 	time.Sleep(changeLimit)
 	s.until = time.Now().Add(restorationDuration)
@@ -120,7 +109,7 @@
 		wg.Go(func() { s.sendRequests(i, rand.New(rand.NewPCG(1, uint64(i)))) })
 	}
 	for n := 0; time.Now().Add(restorationInterval).Before(s.until); n++ {
-		s.restoreStore()
+		s.regrowStore()
 		if n == 1 {
 			s.nodes[0].Kill()
 			s.restart(0)
@@ -137,10 +126,10 @@
 
 // checkServed checks that nodes serve after the last restoration.
 func (s *restorationRun) checkServed() {
-	newest := keyOfVersion(len(s.published) - 1)
-	for i, n := range s.nodes {
+	for i := range s.nodes {
+		caller, _ := s.newestCaller(i)
 		launcher.Await(s.t, relayStartTimeout, fmt.Sprintf("node %d serves", i), func() bool {
-			status, _, err := callerfaker.Caller{Address: n.Address, Key: newest}.Send(s.t.Context(), http.MethodGet, "/view/x", fmt.Sprintf("last-%d", i))
+			status, _, err := caller.Send(s.t.Context(), http.MethodGet, "/view/x", fmt.Sprintf("last-%d", i))
 			return err == nil && status == http.StatusOK
 		})
 	}
--- a/integration/relay_soak_test.go
+++ b/integration/relay_soak_test.go
@@ -150,8 +150,7 @@
 	defer s.mu.Unlock()
 	s.version++
 	s.keys = append(s.keys, key)
-	activeKeys := s.keys[max(0, len(s.keys)-2):]
-	s.Assert(s.store.PutConfiguration(storefaker.Sample(s.version, activeKeys...)), qt.IsNil)
+	s.writeConfiguration()
 	now := time.Now()
 	s.published[key] = now
 	for _, old := range s.keys[:max(0, len(s.keys)-2)] {
@@ -161,6 +160,12 @@
 	}
 }
 
+// writeConfiguration writes the newest configuration to the store. s.mu must be held.
+func (s *relaySoak) writeConfiguration() {
+	activeKeys := s.keys[max(0, len(s.keys)-2):]
+	s.Assert(s.store.PutConfiguration(storefaker.Sample(s.version, activeKeys...)), qt.IsNil)
+}
+
 // sendRequests sends requests one after another until the run ends. Most drafts are streamed.
 func (s *relaySoak) sendRequests(caller int, rnd *rand.Rand) {
 	for n := 0; time.Now().Before(s.until); n++ {
--- a/integration/relay_test.go
+++ b/integration/relay_test.go
@@ -144,6 +144,7 @@
 // TestNodeDeniesNothingThatNewerVersionMayAllow guards against 401 and 404 for what a newer version allows, from a node that has
 // not reached the store for longer than that version may take to be in force.
 func TestNodeDeniesNothingThatNewerVersionMayAllow(t *testing.T) {
+	t.Parallel()
 	b := newRelayFixture(t)
 	b.store.SetFault(storefaker.Busy)
 	// A read that is already waiting in the store would still return the next version.
