--- a/entry/internal/dispatcher/crashes.go
+++ b/entry/internal/dispatcher/crashes.go
@@ -235,7 +235,7 @@
 	return effects
 }
 
-// logConfirmation logs that a request or a group is confirmed as poison.
+// logConfirmation logs that a request or a trait is confirmed as poison.
 func logConfirmation(c crashrecorder.Crash, seenBy string) messenger.Effect {
 	return messenger.Log{
 		Event: eventlogger.RelayedPoisonConfirmed, Subject: "target/" + string(c.Target),
--- a/entry/internal/dispatcher/messages.go
+++ b/entry/internal/dispatcher/messages.go
@@ -43,7 +43,7 @@
 	Seed uint64
 }
 
-// CrashesReported is the event that other nodes have reported requests that crashed targets, or requests and groups that
+// CrashesReported is the event that other nodes have reported requests that crashed targets, or requests and traits that
 // have been answered since they seemed to.
 type CrashesReported struct {
 	Crashes []crashrecorder.Crash
@@ -51,13 +51,13 @@
 }
 
 // ReportCrashes is the effect that tells the other nodes of crashes that this node has detected, and of
-// requests and groups with crashes that have been answered since.
+// requests and traits whose crashes count no more since.
 type ReportCrashes struct {
 	Crashes []crashrecorder.Crash
 	Cleared []identifier.Fingerprint
 }
 
-// SavePoison is the effect that stores a crash which has confirmed its request as poison. The request may be a group.
+// SavePoison is the effect that stores a crash which has confirmed its request as poison. The request may be a trait.
 type SavePoison struct{ Crash crashrecorder.Crash }
 
 // CheckTarget is the effect that checks whether a target answers, since an attempt at it ended without an answer.
