--- a/entry/internal/forwarder/endless_test.go
+++ b/entry/internal/forwarder/endless_test.go
@@ -93,6 +93,7 @@
 			began := time.Now()
 			got := f.attempt(context.Background(), address, a.isStream)
 			f.Check(got.Outcome, qt.Equals, dispatcher.Broken, qt.Commentf("%s", got.Reason))
+			f.Check(got.IsLeft, qt.IsTrue, qt.Commentf("%s", got.Reason))
 			f.Check(time.Since(began) < deadline/2, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
 			f.Check(f.caller.isComplete, qt.IsFalse)
 			f.Check(written.Load() < maxEndlessBytes, qt.IsTrue, qt.Commentf("%d bytes", written.Load()))
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"strconv"
 	"strings"
 	"time"
@@ -290,7 +291,7 @@
 	status := x.resp.StatusCode()
 	// Only a refusal may lack an id, because a target that did not read the request does not know it.
 	if answer.ID != x.request.ID && (answer.ID != "" || !answer.IsNotRun) {
-		return x.leave(ctx, errMismatch)
+		return x.fail(ctx, errMismatch)
 	}
 	if x.send.IsStream && status/100 == 2 && answer.IsSealed {
 		return x.relayEvents(ctx, idleDeadline)
@@ -443,14 +444,14 @@
 	var complete []byte
 	complete, x.pending = x.events.split(x.pending, b)
 	if err := x.hold(len(x.pending), maxEventBytes); err != nil {
-		return x.leave(ctx, errors.Wrap(err, "reading an event")), false
+		return x.fail(ctx, errors.Wrap(err, "reading an event")), false
 	}
 	if len(complete) == 0 {
 		return dispatcher.AttemptReported{}, true
 	}
 	if id, ok := firstID(complete); ok && last != "" && !follows(id, last) {
 		x.events.lastID = last
-		return x.leave(ctx, errors.Newf("event %s received after %s", id, last)), false
+		return x.fail(ctx, errors.Newf("event %s received after %s", id, last)), false
 	}
 	x.dropStalled()
 	if err := x.caller.Events(complete); err != nil {
@@ -468,10 +469,10 @@
 // finish ends a complete stream.
 func (x *Exchange) finish(ctx context.Context) dispatcher.AttemptReported {
 	if len(x.pending) > 0 {
-		return x.fail(ctx, errors.New("the stream ends in the middle of an event"))
+		return x.fail(ctx, errors.Wrap(io.ErrUnexpectedEOF, "reading an event"))
 	}
 	if !x.isFramed() && x.events.count == 0 {
-		return x.fail(ctx, errors.New("the stream ends before its first event"))
+		return x.fail(ctx, errors.Wrap(io.ErrUnexpectedEOF, "reading the first event"))
 	}
 	x.release()
 	if err := x.caller.Finish(); err != nil {
@@ -545,13 +546,6 @@
 	return x.Await(ctx, idleDeadline)
 }
 
-// leave ends an attempt whose answer is of no use. Its target may go on with it.
-func (x *Exchange) leave(ctx context.Context, err error) dispatcher.AttemptReported {
-	r := x.fail(ctx, err)
-	r.IsLeft = true
-	return r
-}
-
 // fail ends the attempt. A disconnected caller and an expired deadline take precedence over the error.
 func (x *Exchange) fail(ctx context.Context, err error) dispatcher.AttemptReported {
 	x.drop()
@@ -561,7 +555,16 @@
 	case !bootclock.Now().Before(x.send.Deadline):
 		return x.report(ctx, dispatcher.Expired, err)
 	}
-	return x.report(ctx, dispatcher.Broken, err)
+	r := x.report(ctx, dispatcher.Broken, err)
+	r.IsLeft = !isEndOfConnection(err)
+	return r
+}
+
+// isEndOfConnection reports whether an error says that the target, or the way to it, has ended the connection. Otherwise the answer
+// is of no use or late, and the target may go on with the request.
+func isEndOfConnection(err error) bool {
+	var failed *net.OpError
+	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF) || (errors.As(err, &failed) && !failed.Timeout())
 }
 
 func (x *Exchange) report(ctx context.Context, o dispatcher.Outcome, err error) dispatcher.AttemptReported {
--- a/entry/internal/forwarder/forwarder_test.go
+++ b/entry/internal/forwarder/forwarder_test.go
@@ -220,6 +220,7 @@
 	f := newFixture(t)
 	got := f.attempt(context.Background(), serve(t, answerfaker.Stream(id, event(1), event(2), "id: 3\ndata:")+"|"), true)
 	f.Assert(got.Outcome, qt.Equals, dispatcher.Broken)
+	f.Assert(got.IsLeft, qt.IsFalse)
 	f.Assert(got.Events, qt.Equals, 2)
 	f.Assert(f.caller.received, qt.Equals, event(1)+event(2))
 	got = f.attempt(context.Background(), serve(t, answerfaker.Stream(id, event(3), event(4))+"0\r\n\r\n"), true)
@@ -250,6 +251,7 @@
 			f.Assert(got.Outcome, qt.Equals, row.want, qt.Commentf("%s", got.Reason))
 			f.Assert(f.caller.received, qt.Equals, row.forwarded)
 			f.Assert(f.caller.isEnded, qt.Equals, row.want == dispatcher.Delivered)
+			f.Assert(got.IsLeft, qt.IsFalse)
 			if row.want == dispatcher.Delivered {
 				return
 			}
@@ -262,6 +264,30 @@
 	}
 }
 
+// TestConnectionThatTargetEndsIsNotLeft guards against a crash that counts as that of a target which goes on, and is not checked at
+// once, wherever in its answer the target ends.
+func TestConnectionThatTargetEndsIsNotLeft(t *testing.T) {
+	whole := answerfaker.Plain(id, 200, "body")
+	for name, row := range map[string]struct {
+		raw      string
+		isStream bool
+	}{
+		"before the first byte": {raw: "|"},
+		"in the status line":    {raw: whole[:9] + "|"},
+		"in the head":           {raw: whole[:30] + "|"},
+		"in the body":           {raw: strings.TrimSuffix(whole, "dy") + "|"},
+		"in a chunk":            {raw: answerfaker.Stream(id) + "7\r\nid|", isStream: true},
+		"between chunks":        {raw: answerfaker.Stream(id, event(1)) + "|", isStream: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			got := f.attempt(context.Background(), serve(t, row.raw), row.isStream)
+			f.Assert(got.Outcome, qt.Equals, dispatcher.Broken, qt.Commentf("%s", got.Reason))
+			f.Assert(got.IsLeft, qt.IsFalse, qt.Commentf("%s", got.Reason))
+		})
+	}
+}
+
 // TestOutOfOrderEventIsNotForwarded checks that an attempt fails if it continues with any event but the next one.
 func TestOutOfOrderEventIsNotForwarded(t *testing.T) {
 	for _, next := range []int{2, 4} {
