Tell followers of targets only when they have been read since the last pause

A pause of a node's reading now makes it tell peers nothing until it has read all targets, and has the configuration confirmed.

--- a/entry/internal/follower/fleet_test.go
+++ b/entry/internal/follower/fleet_test.go
@@ -18,6 +18,7 @@
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/follower"
+	"fuchsiabridge.example/entry/internal/registrar"
 	"fuchsiabridge.example/entry/internal/sharer"
 	"fuchsiabridge.example/platform/storecaller"
 	"fuchsiabridge.example/platform/storefaker"
@@ -26,12 +27,17 @@
 const (
 	// fleetReaders is how many nodes of a fleet read the store.
 	fleetReaders = 4
+	// fleetTargetsInterval is the time between two updates of the targets.
+	fleetTargetsInterval = 200 * time.Millisecond
 	// fleetSettle is how long a fleet takes at most until all nodes follow a reader.
 	fleetSettle = 3 * time.Second
 	// maxStartCalls is how many calls a node may make while it starts, until it follows a reader.
 	maxStartCalls = 4
 )
 
+// fleetTarget is the target of a fleet's store.
+const fleetTarget identifier.TargetID = "t"
+
 var errDead = errors.New("the node is dead")
 
 // fleetStore is a store in memory, with a group whose first members read it for the others.
@@ -40,6 +46,32 @@
 	version int64
 	changed chan struct{}
 	members []storecaller.Member
+	// firstReader is the index of the first member that reads the store for the others.
+	firstReader int
+	// hasTarget says that the one target is there.
+	hasTarget bool
+}
+
+func (s *fleetStore) setTarget(isThere bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hasTarget = isThere
+}
+
+// setReaders moves the partitions of the readers to other members.
+func (s *fleetStore) setReaders(first int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.firstReader = first
+}
+
+func (s *fleetStore) targets() []describer.TargetChange {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.hasTarget {
+		return nil
+	}
+	return []describer.TargetChange{{ID: fleetTarget, Target: &describer.Target{ID: fleetTarget}}}
 }
 
 func newFleetStore() *fleetStore { return &fleetStore{version: 1, changed: make(chan struct{})} }
@@ -67,6 +99,8 @@
 type fleetLink struct {
 	*fleetStore
 	calls atomic.Int64
+	// targetsDelay is how long a read of all targets takes, in milliseconds.
+	targetsDelay atomic.Int64
 }
 
 func (l *fleetLink) NewestConfiguration(context.Context) (*describer.Configuration, identifier.StorePosition, error) {
@@ -94,14 +128,18 @@
 
 func (l *fleetLink) NewestTargets(context.Context) ([]describer.TargetChange, identifier.StorePosition, error) {
 	l.calls.Add(1)
-	return nil, identifier.StorePosition{Offset: 1}, nil
+	time.Sleep(time.Duration(l.targetsDelay.Load()) * time.Millisecond)
+	return l.targets(), identifier.StorePosition{Offset: 1}, nil
 }
 
 func (l *fleetLink) ReadTargets(ctx context.Context, from identifier.StorePosition, wait time.Duration) ([]describer.TargetChange, identifier.StorePosition, error) {
 	l.calls.Add(1)
 	select {
-	case <-time.After(wait):
-		return nil, from, nil
+	case <-time.After(min(wait, fleetTargetsInterval)):
+		if changes := l.targets(); len(changes) > 0 {
+			return changes, from, nil
+		}
+		return []describer.TargetChange{{ID: fleetTarget}}, from, nil
 	case <-ctx.Done():
 		return nil, from, ctx.Err()
 	}
@@ -112,16 +150,16 @@
 	defer l.mu.Unlock()
 	for i, known := range l.members {
 		if known == m {
-			return membership(i), nil
+			return l.membership(i), nil
 		}
 	}
 	l.members = append(l.members, m)
-	return membership(len(l.members) - 1), nil
+	return l.membership(len(l.members) - 1), nil
 }
 
-func membership(i int) storecaller.Membership {
-	if i < fleetReaders {
-		return storecaller.Membership{Generation: 1, Partitions: []int{i}, PartitionCount: 1}
+func (l *fleetLink) membership(i int) storecaller.Membership {
+	if partition := i - l.firstReader; partition >= 0 && partition < fleetReaders {
+		return storecaller.Membership{Generation: 1, Partitions: []int{partition}, PartitionCount: 1}
 	}
 	return storecaller.Membership{Generation: 1, PartitionCount: 1}
 }
@@ -133,7 +171,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	owners := map[int]storecaller.Member{}
-	for i, m := range l.members[:min(fleetReaders, len(l.members))] {
+	for i, m := range l.members[l.firstReader:min(l.firstReader+fleetReaders, len(l.members))] {
 		owners[i] = m
 	}
 	return owners, nil
@@ -151,6 +189,9 @@
 	mu          sync.Mutex
 	confirmedAt time.Time
 	version     int64
+	// hasTarget says that the node knows the target, and returns counts how often it has come back.
+	hasTarget bool
+	returns   int
 }
 
 func (n *fleetNode) submit(event messenger.Event) {
@@ -161,9 +202,22 @@
 		n.confirmedAt = ev.AsOf
 	case dispatcher.ConfigurationRead:
 		n.version = ev.Table.Version
+	case registrar.TargetsRead:
+		n.targetsRead(ev)
 	}
 }
 
+func (n *fleetNode) targetsRead(ev registrar.TargetsRead) {
+	isThere := n.hasTarget && !ev.IsComplete
+	for _, change := range ev.Changes {
+		isThere = change.Target != nil
+	}
+	if isThere && !n.hasTarget {
+		n.returns++
+	}
+	n.hasTarget = isThere
+}
+
 // fleet is a number of nodes that call each other in memory.
 type fleet struct {
 	*qt.C
@@ -197,9 +251,12 @@
 }
 
 // startFleet starts a number of nodes at the same moment, and waits until they have settled.
-func startFleet(t *testing.T, size int) *fleet {
+func startFleet(t *testing.T, size int, prepare ...func(*fleetStore)) *fleet {
 	t.Helper()
 	f := &fleet{C: qt.New(t), store: newFleetStore(), nodes: map[string]*fleetNode{}}
+	for _, p := range prepare {
+		p(f.store)
+	}
 	for i := range size {
 		n := &fleetNode{id: fmt.Sprint("node-", i), link: &fleetLink{fleetStore: f.store}, sharer: sharer.NewSharer()}
 		n.follower = follower.NewFollower(n.link, f, n.sharer, follower.Config{
@@ -287,3 +344,38 @@
 		})
 	}
 }
+
+// TestReturningReaderTellsOfNoTargetThatHasLeft guards against a node that reads the store again after a pause, and tells its
+// followers of the targets that it knew before the pause until it has read them anew.
+func TestReturningReaderTellsOfNoTargetThatHasLeft(t *testing.T) {
+	f := startFleet(t, 3*fleetReaders, func(s *fleetStore) { s.setTarget(true) })
+	f.store.setReaders(fleetReaders)
+	time.Sleep(fleetSettle)
+	f.store.setTarget(false)
+	time.Sleep(fleetSettle)
+	for _, n := range f.order {
+		f.Assert(n.knowsTarget(), qt.IsFalse, qt.Commentf("%s", n.id))
+		n.link.targetsDelay.Store(600)
+	}
+	before := f.countReturns()
+	f.store.setReaders(0)
+	time.Sleep(fleetSettle)
+	f.Check(f.countReturns()-before, qt.Equals, 0)
+}
+
+func (n *fleetNode) knowsTarget() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.hasTarget
+}
+
+// countReturns counts how often nodes have learned of the target.
+func (f *fleet) countReturns() int {
+	total := 0
+	for _, n := range f.order {
+		n.mu.Lock()
+		total += n.returns
+		n.mu.Unlock()
+	}
+	return total
+}
--- a/entry/internal/follower/follower.go
+++ b/entry/internal/follower/follower.go
@@ -159,7 +159,7 @@
 	// wait is zero after a failure, because the configuration in force must be confirmed soon.
 	wait := time.Duration(0)
 	for ctx.Err() == nil {
-		if f.gate.awaitReading(ctx) {
+		if f.gate.awaitReading(ctx, f.sharer.PauseConfiguration) {
 			isStarted = false
 			continue
 		}
@@ -234,7 +234,7 @@
 	var next identifier.StorePosition
 	isStarted := false
 	for ctx.Err() == nil {
-		if f.gate.awaitReading(ctx) {
+		if f.gate.awaitReading(ctx, f.sharer.PauseTargets) {
 			isStarted = false
 			continue
 		}
--- a/entry/internal/follower/readgate.go
+++ b/entry/internal/follower/readgate.go
@@ -60,14 +60,17 @@
 	return g.isReader, g.peersFreshUntil, g.changed
 }
 
-// awaitReading waits until the node has to read the store itself, and reports whether it had to wait.
-func (g *readGate) awaitReading(ctx context.Context) bool {
+// awaitReading waits until the node has to read the store itself, and reports whether it had to wait. It calls pause before it waits.
+func (g *readGate) awaitReading(ctx context.Context, pause func()) bool {
 	for hasWaited := false; ; hasWaited = true {
 		isReader, freshUntil, changed := g.snapshot()
 		left := freshUntil.Sub(bootclock.Now())
 		if isReader || left <= 0 || ctx.Err() != nil {
 			return hasWaited
 		}
+		if !hasWaited {
+			pause()
+		}
 		g.wait(ctx, left, changed)
 	}
 }
--- a/entry/internal/sharer/sharer.go
+++ b/entry/internal/sharer/sharer.go
@@ -159,6 +159,22 @@
 	s.notify()
 }
 
+// PauseTargets notes that this node stops reading the targets. What is recorded of them is not told to peers until it has read
+// all of them again, as targets may leave meanwhile.
+func (s *Sharer) PauseTargets() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hasReadTargets = false
+}
+
+// PauseConfiguration notes that this node stops reading the configuration. Peers are told nothing until the store has
+// confirmed it again.
+func (s *Sharer) PauseConfiguration() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.confirmedAt = time.Time{}
+}
+
 // RecordTargets records changes of targets. If they are complete, all other targets are removed.
 func (s *Sharer) RecordTargets(changes []describer.TargetChange, isComplete bool) {
 	s.mu.Lock()
