--- a/entry/internal/crashreporter/crashreporter.go
+++ b/entry/internal/crashreporter/crashreporter.go
@@ -118,6 +118,9 @@
 	if r.cfg.Self == "" {
 		return
 	}
+	for i := range report.Crashes {
+		report.Crashes[i].Reporter = r.cfg.Self
+	}
 	r.cfg.Sharer.RecordCrashes(report)
 	select {
 	case r.reports <- report:
