--- a/entry/internal/dispatcher/crashes.go
+++ b/entry/internal/dispatcher/crashes.go
@@ -232,7 +232,7 @@
 		return nil
 	}
 	return []messenger.Effect{messenger.Log{
-		Event: eventlogger.TargetSuspected, Subject: "target/" + string(c.Target), Values: []any{"born", c.Incarnation, "age_ms", c.AgeMS},
+		Event: eventlogger.TargetSuspected, Subject: "target/" + string(c.Target), Values: []any{"born", c.Incarnation, ageKey, c.AgeMS},
 	}}
 }
 
@@ -242,7 +242,7 @@
 		Event: eventlogger.RequestCrashedTarget, Subject: "target/" + string(c.Target),
 		Values: []any{
 			fingerprintKey, c.Request, groupKey, c.Group, "born", c.Incarnation, "depth", c.Depth, "group_depth", c.GroupDepth, partsKey, c.Parts,
-			"age_ms", c.AgeMS, "seen_by", seenBy,
+			ageKey, c.AgeMS, "seen_by", seenBy,
 		},
 	}}
 	if isConfirmed {
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -290,7 +290,7 @@
 	}
 	d.isStale = false
 	return []messenger.Effect{messenger.Log{
-		Event: eventlogger.ConfigurationConfirmed, Subject: "configuration", Values: []any{"age_ms", age.Milliseconds()},
+		Event: eventlogger.ConfigurationConfirmed, Subject: "configuration", Values: []any{ageKey, age.Milliseconds()},
 	}}
 }
 
@@ -305,7 +305,7 @@
 	d.isStale = true
 	return append(effects, messenger.Log{
 		Event: eventlogger.ConfigurationStale, Subject: "configuration",
-		Values: []any{"version", d.table.Version, "age_ms", now.Sub(d.confirmedAt).Milliseconds()},
+		Values: []any{"version", d.table.Version, ageKey, now.Sub(d.confirmedAt).Milliseconds()},
 	})
 }
 
--- a/entry/internal/dispatcher/reroute_test.go
+++ b/entry/internal/dispatcher/reroute_test.go
@@ -48,78 +48,77 @@
 // TestSubstitutesShareTheStreamsOfALostTarget guards against orders to reroute that most targets refuse, at 3, 8, 95 and 470
 // nodes: a substitute with room for some streams only is told by the first refusal, and gets no more from that node for a while.
 func TestSubstitutesShareTheStreamsOfALostTarget(t *testing.T) {
-	const streams, refusedShare, at = 40, 0.10, 100 * time.Millisecond
+	const refusedShare = 0.10
 	for _, nodes := range []int{3, 8, 95, 470} {
 		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
 			c := qt.New(t)
-			// Each of the two substitutes has room for half of the streams of all nodes, and a few more.
-			room := map[string]int{}
-			orders, refused, moved, lostStreams := 0, 0, 0, 0
+			x := rerouteRun{room: map[string]int{}}
 			for range nodes {
-				d := readyHarness()
-				calls := map[identifier.CallID]dispatcher.Send{}
-				for n := range streams {
-					call, e := d.sendRequest(at, fmt.Sprint("/once/", n), "key")
-					if sent, ok := e.(dispatcher.Send); ok && sent.Chain[1].Target == "draft-a1" {
-						calls[call] = sent
-					}
-				}
-				var left []registrar.Target
-				for _, target := range targets() {
-					target.IsEjected = target.ID == "draft-a1"
-					left = append(left, target)
-				}
-				d.apply(at, registrar.TargetsChanged{Targets: left})
-				share := (len(calls) + 1) / 2
-				for _, other := range []string{"draft-b1", "draft-c1"} {
-					room[other] += share
-				}
-				lostStreams += len(calls)
-				for call := identifier.CallID(1); call <= streams; call++ {
-					if _, ok := calls[call]; !ok {
-						continue
-					}
-					e := d.apply(2*at, dispatcher.AttemptReported{Call: call, Outcome: dispatcher.Stalled, Events: 3, ChainTypicalGap: 5 * time.Millisecond, ChainIdleTime: time.Second})
-					o, r, isMoved := reroute(d, e, call, room)
-					orders, refused = orders+o, refused+r
-					if isMoved {
-						moved++
-					}
-				}
+				x.loseTarget(readyHarness())
 			}
-			c.Check(moved, qt.Equals, lostStreams)
-			c.Check(float64(refused) <= refusedShare*float64(orders), qt.IsTrue, qt.Commentf("%d of %d orders refused", refused, orders))
+			c.Check(x.moved, qt.Equals, x.streams)
+			c.Check(float64(x.refused) <= refusedShare*float64(x.orders), qt.IsTrue, qt.Commentf("%d of %d orders refused", x.refused, x.orders))
 		})
 	}
 }
 
-// reroute plays the targets' answers to the orders of a stream, and returns how many orders there were, how many were refused and
-// whether the stream has moved.
-func reroute(d *harness, e messenger.Effect, call identifier.CallID, room map[string]int) (orders, refused int, isMoved bool) {
+// rerouteRun counts the streams of a lost target, the orders to reroute them, those refused, and the streams that have moved.
+type rerouteRun struct {
+	// room is how many streams each substitute still takes.
+	room                            map[string]int
+	streams, orders, refused, moved int
+}
+
+// loseTarget plays a node with streams over a target that is lost. Each of the two substitutes has room for half of them.
+func (x *rerouteRun) loseTarget(d *harness) {
+	const streams, at = 40, 100 * time.Millisecond
+	var calls []identifier.CallID
+	for n := range streams {
+		call, e := d.sendRequest(at, fmt.Sprint("/once/", n), "key")
+		if sent, ok := e.(dispatcher.Send); ok && sent.Chain[1].Target == lostTarget {
+			calls = append(calls, call)
+		}
+	}
+	left := targets()
+	for i := range left {
+		left[i].IsEjected = left[i].ID == lostTarget
+	}
+	d.apply(at, registrar.TargetsChanged{Targets: left})
+	for _, substitute := range []string{"draft-b1", "draft-c1"} {
+		x.room[substitute] += (len(calls) + 1) / 2
+	}
+	x.streams += len(calls)
+	for _, call := range calls {
+		x.reroute(d, call, d.apply(2*at, dispatcher.AttemptReported{
+			Call: call, Outcome: dispatcher.Stalled, Events: 3, ChainTypicalGap: 5 * time.Millisecond, ChainIdleTime: time.Second,
+		}))
+	}
+}
+
+// reroute plays the targets' answers to the orders of a stream.
+func (x *rerouteRun) reroute(d *harness, call identifier.CallID, e messenger.Effect) {
 	for {
 		asked, ok := e.(dispatcher.Reroute)
 		if !ok {
-			return orders, refused, false
-		}
-		orders++
-		answer := dispatcher.Rerouted{Call: call, Chain: asked.Chain, IsAccepted: true}
-		if full := fullStage(asked.Chain, room); full != "" {
-			refused++
-			answer = dispatcher.Rerouted{Call: call, Chain: asked.Chain, Reason: "status 409", FaultAddress: full}
+			return
 		}
-		e = d.apply(2*time.Second/10, answer)
-		if answer.IsAccepted {
-			return orders, refused, true
+		x.orders++
+		full := x.takeRoom(asked.Chain)
+		e = d.apply(200*time.Millisecond, dispatcher.Rerouted{Call: call, Chain: asked.Chain, IsAccepted: full == "", Reason: "status 409", FaultAddress: full})
+		if full == "" {
+			x.moved++
+			return
 		}
+		x.refused++
 	}
 }
 
-// fullStage takes room for a stream at the substitute in a chain, and returns its address if it has none.
-func fullStage(chain []describer.Stage, room map[string]int) string {
+// takeRoom takes room for a stream at the substitute in a chain, and returns its address if it has none.
+func (x *rerouteRun) takeRoom(chain []describer.Stage) string {
 	substitute := chain[1].Address
-	if room[substitute] == 0 {
+	if x.room[substitute] == 0 {
 		return substitute
 	}
-	room[substitute]--
+	x.room[substitute]--
 	return ""
 }
--- a/entry/internal/sharer/sharer_test.go
+++ b/entry/internal/sharer/sharer_test.go
@@ -289,18 +289,7 @@
 			var wg sync.WaitGroup
 			for i := range followers {
 				views[i] = map[identifier.TargetID]bool{}
-				wg.Go(func() {
-					q := sharer.Query{WaitMS: limit.Milliseconds(), Configuration: 1}
-					for {
-						update, err := s.Watch(ctx, q)
-						if err != nil {
-							return
-						}
-						answers.Add(1)
-						follow(views[i], update)
-						q.Sharer, q.Revision = update.Sharer, update.Revision
-					}
-				})
+				wg.Go(func() { watchAll(ctx, s, views[i], &answers) })
 			}
 			for id, until := 0, time.Now().Add(duration); time.Now().Before(until); id++ {
 				s.RecordTargets([]describer.TargetChange{change(id%50, id%3 == 0)}, false)
@@ -322,6 +311,20 @@
 	}
 }
 
+// watchAll applies all updates to a view until ctx ends, and counts them.
+func watchAll(ctx context.Context, s *sharer.Sharer, view map[identifier.TargetID]bool, answers *atomic.Int64) {
+	q := sharer.Query{WaitMS: limit.Milliseconds(), Configuration: 1}
+	for {
+		update, err := s.Watch(ctx, q)
+		if err != nil {
+			return
+		}
+		answers.Add(1)
+		follow(view, update)
+		q.Sharer, q.Revision = update.Sharer, update.Revision
+	}
+}
+
 // TestConfigurationIsToldAmidChanges guards against a change of the configuration that waits for other changes.
 func TestConfigurationIsToldAmidChanges(t *testing.T) {
 	c := qt.New(t)
