--- a/entry/internal/sharer/sharer.go
+++ b/entry/internal/sharer/sharer.go
@@ -35,7 +35,7 @@
 	maxWait = 2 * time.Second
 	// minAnswerInterval is the time from a query to its answer if targets or crashes have changed: a peer asks again at
 	// once, so that many changes in a row would cost an answer each. A new configuration is told at once.
-	minAnswerInterval = 100 * time.Millisecond
+	minAnswerInterval = 25 * time.Millisecond
 	// maxRemoved limits the removed targets that are remembered. A peer that has missed one gets a complete update.
 	maxRemoved = 1024
 	// idBase is the number base in which a sharer's random id is written.
