--- a/entry/internal/crashreporter/crashreporter.go
+++ b/entry/internal/crashreporter/crashreporter.go
@@ -118,6 +118,7 @@
 	if r.cfg.Self == "" {
 		return
 	}
+	report.Crashes = slices.Clone(report.Crashes)
 	for i := range report.Crashes {
 		report.Crashes[i].Reporter = r.cfg.Self
 	}
