Suspect few targets at once

Change: at most 5 in 100 targets are suspected at once, one at least. Test: TestFewTargetsAreSuspectedAtOnce.

--- a/entry/internal/chooser/suspects.go
+++ b/entry/internal/chooser/suspects.go
@@ -8,6 +8,10 @@
 	"fuchsiabridge.example/common/identifier"
 )
 
+// maxSuspectedShare is the share of all targets that may be suspected at once, but one always may: without more of them the
+// others would be overloaded, and seem to fail too.
+const maxSuspectedShare = 0.05
+
 // suspect is an incarnation of a target that other nodes have seen fail.
 type suspect struct {
 	incarnation int64
@@ -16,9 +20,12 @@
 }
 
 // Suspect plans chains without a target until the given time, unless there are none without it, as other nodes have seen an
-// incarnation of it fail. It reports whether the target was not suspected before. A later incarnation is not suspected.
+// incarnation of it fail. It reports whether the target is suspected now and was not before. A later incarnation is not suspected.
 func (c *Chooser) Suspect(id identifier.TargetID, incarnation int64, until time.Time) bool {
 	_, isKnown := c.suspects[id]
+	if !isKnown && len(c.suspects) >= max(1, int(maxSuspectedShare*float64(len(c.targets)))) {
+		return false
+	}
 	address := c.Address(id)
 	c.suspects[id] = suspect{incarnation: incarnation, address: address, until: until}
 	c.avoided[address] = until
