Compress a complete update once for followers that ask at the same moment

Cause: the lock was not held while a complete update was encoded and compressed, so followers that ask a reader together, the case that the compression is for, each had it done again. A lock of its own is held meanwhile. What is sent is the same.

--- a/entry/internal/sharer/packer.go
+++ b/entry/internal/sharer/packer.go
@@ -29,20 +29,16 @@
 
 // packContents replaces the contents of a complete update by the compressed ones, which are kept for further peers.
 func (s *Sharer) packContents(u *Update) {
-	s.mu.Lock()
-	kept := s.complete
-	s.mu.Unlock()
-	now := bootclock.Now()
-	if kept.text == nil || kept.revision != u.Revision || now.Sub(kept.packedAt) >= packedMaxAge {
+	s.packMu.Lock()
+	defer s.packMu.Unlock()
+	kept := &s.complete
+	if now := bootclock.Now(); kept.text == nil || kept.revision != u.Revision || now.Sub(kept.packedAt) >= packedMaxAge {
 		text, err := json.Marshal(u.Contents)
 		if err != nil {
 			eventlogger.Error(err, eventlogger.CallFailed, "doing", "encoding a complete update")
 			return
 		}
-		kept = packedUpdate{revision: u.Revision, packedAt: now, text: pack(text)}
-		s.mu.Lock()
-		s.complete = kept
-		s.mu.Unlock()
+		*kept = packedUpdate{revision: u.Revision, packedAt: now, text: pack(text)}
 	}
 	if kept.text != nil {
 		u.Contents, u.Packed = Contents{}, kept.text
--- a/entry/internal/sharer/sharer.go
+++ b/entry/internal/sharer/sharer.go
@@ -115,6 +115,11 @@
 	// id tells this sharer from those of other nodes and of earlier starts, whose revisions have another meaning.
 	id string
 
+	// packMu is held while a complete update is compressed, so that peers that ask at the same moment share the result.
+	packMu sync.Mutex
+	// complete is the last complete update that was compressed.
+	complete packedUpdate
+
 	mu sync.Mutex
 	// isReading reports whether this node reads the store for its peers, hasReadTargets whether it has read all targets.
 	isReading      bool
@@ -131,11 +136,9 @@
 	outages       int
 	configuration identifier.StorePosition
 	// source is the text of the newest configuration and version its number; packed is the compressed text once a peer has asked for it.
-	source  []byte
-	version int64
-	packed  []byte
-	// complete is the last complete update that was compressed.
-	complete    packedUpdate
+	source      []byte
+	version     int64
+	packed      []byte
 	confirmedAt time.Time
 	// changed is closed and replaced on each change.
 	changed chan struct{}
