Let nodes read the store at once at their start, before they leave it to their peers

Change: the first read of configuration and targets waits for nobody; after it a node leaves the store to its peers for 1.5 s as before. Test: TestFleetKnowsAllAtOnceAfterStart, readers' partitions still with nodes that are gone; 3, 8, 95 and 470 of as many nodes knew nothing after 300 ms, now all know all.

--- a/entry/internal/follower/fleet_test.go
+++ b/entry/internal/follower/fleet_test.go
@@ -228,8 +228,8 @@
 
 // Call calls a node by its id, which is its address.
 func (f *fleet) Call(ctx context.Context, address, method string, params, result any) error {
-	n := f.nodes[address]
-	if n.isDead.Load() {
+	n, ok := f.nodes[address]
+	if !ok || n.isDead.Load() {
 		return errDead
 	}
 	raw, err := json.Marshal(params)
@@ -252,6 +252,14 @@
 
 // startFleet starts a number of nodes at the same moment, and waits until they have settled.
 func startFleet(t *testing.T, size int, prepare ...func(*fleetStore)) *fleet {
+	t.Helper()
+	f := launchFleet(t, size, prepare...)
+	time.Sleep(fleetSettle)
+	return f
+}
+
+// launchFleet starts a number of nodes at the same moment.
+func launchFleet(t *testing.T, size int, prepare ...func(*fleetStore)) *fleet {
 	t.Helper()
 	f := &fleet{C: qt.New(t), store: newFleetStore(), nodes: map[string]*fleetNode{}}
 	for _, p := range prepare {
@@ -274,7 +282,6 @@
 		go n.follower.FollowPeers(ctx)
 		go n.follower.KeepLease(ctx)
 	}
-	time.Sleep(fleetSettle)
 	return f
 }
 
@@ -379,3 +386,34 @@
 	}
 	return total
 }
+
+// TestFleetKnowsAllAtOnceAfterStart guards against nodes that refuse callers after all of them have restarted, since each waits
+// for others to read the store for it.
+func TestFleetKnowsAllAtOnceAfterStart(t *testing.T) {
+	const limit = 300 * time.Millisecond
+	for _, size := range []int{3, 8, 95, 470} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			f := launchFleet(t, size, func(s *fleetStore) {
+				s.setTarget(true)
+				// The partitions of the readers still belong to nodes that are gone.
+				for i := range fleetReaders {
+					s.members = append(s.members, storecaller.Member{Node: "gone", DataCentre: "a", Address: fmt.Sprint("gone-", i)})
+				}
+			})
+			time.Sleep(limit)
+			unready := 0
+			for _, n := range f.order {
+				if n.knownVersion() == 0 || !n.knowsTarget() {
+					unready++
+				}
+			}
+			f.Assert(unready, qt.Equals, 0)
+		})
+	}
+}
+
+func (n *fleetNode) knownVersion() int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.version
+}
--- a/entry/internal/follower/follower.go
+++ b/entry/internal/follower/follower.go
@@ -156,10 +156,12 @@
 	// askedEra is the newest era of the store in which this node has asked its peers for a newer version.
 	var askedEra identifier.Era
 	isStarted := false
+	// A node reads once at its start, so that it serves at once, and then leaves the store to its peers.
+	hasRead := false
 	// wait is zero after a failure, because the configuration in force must be confirmed soon.
 	wait := time.Duration(0)
 	for ctx.Err() == nil {
-		if f.gate.awaitReading(ctx, f.sharer.PauseConfiguration) {
+		if hasRead && f.gate.awaitReading(ctx, f.sharer.PauseConfiguration) {
 			isStarted = false
 			continue
 		}
@@ -182,7 +184,7 @@
 			// No newer configuration arrived during the whole wait, so the current one is confirmed as of its end.
 			asOf, nextWait = sent.Add(wait), configurationWait
 		}
-		isStarted, next, wait = true, position, nextWait
+		isStarted, hasRead, next, wait = true, true, position, nextWait
 		f.applyConfiguration(cfg, position, storeSource)
 		if position.Era != askedEra {
 			askedEra = position.Era
@@ -232,9 +234,10 @@
 	out := outage{call: "targets"}
 	known := map[identifier.TargetID]bool{}
 	var next identifier.StorePosition
-	isStarted := false
+	// hasRead is as for the configuration.
+	isStarted, hasRead := false, false
 	for ctx.Err() == nil {
-		if f.gate.awaitReading(ctx, f.sharer.PauseTargets) {
+		if hasRead && f.gate.awaitReading(ctx, f.sharer.PauseTargets) {
 			isStarted = false
 			continue
 		}
@@ -256,7 +259,7 @@
 		}
 		f.sharer.RecordTargets(changes, !isStarted)
 		f.submit(registrar.TargetsRead{Changes: changes, IsComplete: !isStarted})
-		isStarted, next = true, position
+		isStarted, hasRead, next = true, true, position
 		for _, c := range changes {
 			known[c.ID] = c.Target != nil
 		}
--- a/entry/internal/follower/peers.go
+++ b/entry/internal/follower/peers.go
@@ -39,7 +39,7 @@
 	switchTime = 400 * time.Millisecond
 	// redistributionTime is how long it takes at most until the node to which a partition has moved reads the store.
 	redistributionTime = 1200 * time.Millisecond
-	// startGrace is how long a node that starts looks for peers before it reads the store itself.
+	// startGrace is how long a node that has read the store at its start looks for peers before it reads it again.
 	startGrace = 1500 * time.Millisecond
 	// idleInterval is the time between two checks of the known peers.
 	idleInterval = 250 * time.Millisecond
