--- a/entry/internal/follower/fleet_test.go
+++ b/entry/internal/follower/fleet_test.go
@@ -33,6 +33,8 @@
 	fleetSettle = 3 * time.Second
 	// maxStartCalls is how many calls a node may make while it starts, until it follows a reader.
 	maxStartCalls = 4
+	// slowJoin is nearly as long as a call that joins the group may take.
+	slowJoin = 650 * time.Millisecond
 )
 
 // fleetTarget is the target of a fleet's store.
@@ -50,6 +52,8 @@
 	firstReader int
 	// hasTarget says that the one target is there.
 	hasTarget bool
+	// joinDelay is how long a member waits for the answer to a call that joins the group.
+	joinDelay time.Duration
 }
 
 func (s *fleetStore) setTarget(isThere bool) {
@@ -146,6 +150,7 @@
 }
 
 func (l *fleetLink) Join(_ context.Context, m storecaller.Member, _ identifier.FencingToken, _ time.Duration, _ int) (storecaller.Membership, error) {
+	defer time.Sleep(l.joinDelay)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for i, known := range l.members {
@@ -352,6 +357,20 @@
 	}
 }
 
+// TestFollowersWaitForReadersThatStart guards against followers that look up the readers in the store again and again, while these
+// have their partitions already but do not know of them yet.
+func TestFollowersWaitForReadersThatStart(t *testing.T) {
+	for _, size := range []int{8, 95, 470} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			f := startFleet(t, size, func(s *fleetStore) { s.joinDelay = slowJoin })
+			followers := f.followers()
+			f.Assert(followers, qt.HasLen, size-fleetReaders)
+			f.checkCalls(followers, maxStartCalls)
+			f.checkFresh(1500 * time.Millisecond)
+		})
+	}
+}
+
 // TestReturningReaderTellsOfNoTargetThatHasLeft guards against a node that reads the store again after a pause, and tells its
 // followers of the targets that it knew before the pause until it has read them anew.
 func TestReturningReaderTellsOfNoTargetThatHasLeft(t *testing.T) {
--- a/entry/internal/follower/peers.go
+++ b/entry/internal/follower/peers.go
@@ -90,12 +90,12 @@
 		case errors.Is(err, errCutOff):
 			backoff = stalePeerBackoff
 		case errors.Is(err, sharer.ErrNotReading):
-			// The partitions were redistributed, so the store is reachable again if it was not, and another node reads
-			// it as soon as it has learned that from the group.
+			// If the peer has sent updates, the partitions were redistributed, so the store is reachable again if it was not, and
+			// another node reads it as soon as it has learned that from the group. Else the peer has yet to learn that.
 			backoff = stalePeerBackoff
-			r.nextLookupAt = bootclock.Now()
 			if r.hasUpdated {
 				r.hasUpdated = false
+				r.nextLookupAt = bootclock.Now()
 				f.gate.limitPeersFresh(bootclock.Now().Add(redistributionTime))
 			}
 		}
