--- a/entry/internal/crashrecorder/traits.go
+++ b/entry/internal/crashrecorder/traits.go
@@ -21,6 +21,8 @@
 	maxRequestsPerCrash = 32
 	// maxSucceededRequests limits the requests with a trait that are remembered as successful.
 	maxSucceededRequests = 64
+	// maxOtherCrashes is how many crashes by a request may have another cause than the part of prompts that explains the rest.
+	maxOtherCrashes = 1
 	// groupPosition is the position of a group, before that of any part of a prompt.
 	groupPosition = -1
 )
@@ -140,21 +142,31 @@
 	return false
 }
 
-// explainedCrashes returns how many of a request's crashes a part of prompts explains. Of a request that was confirmed before, the
-// confirming crash alone may be known, which stands for all of them.
+// explainedCrashes returns how many of a request's crashes one part of prompts explains: a part whose requests have caused about
+// as many crashes. Many parts of innocent requests, each of which was there at a few of the crashes, explain nothing together. Of
+// a request that was confirmed before, the confirming crash alone may be known, which stands for all of them.
 func (x *Recorder) explainedCrashes(r *record) int {
 	if len(r.crashes) == 1 {
 		return 0
 	}
-	explained := map[incarnation]bool{}
+	explained := 0
 	for _, t := range x.traits {
-		for key := range r.crashes {
-			if t.isPart() && t.suffices() && len(t.crashes[key]) > 0 {
-				explained[key] = true
-			}
+		if t.isPart() && t.suffices() && len(t.crashes)+maxOtherCrashes >= len(r.crashes) {
+			explained = max(explained, t.countCommon(r))
+		}
+	}
+	return explained
+}
+
+// countCommon returns how many of a request's crashes requests with the trait may have caused.
+func (t *trait) countCommon(r *record) int {
+	common := 0
+	for key := range r.crashes {
+		if len(t.crashes[key]) > 0 {
+			common++
 		}
 	}
-	return len(explained)
+	return common
 }
 
 // hasAll reports whether requests with the trait may have caused all crashes of another trait.
