Let the nodes that read the store grow with the fleet, and send them less

Followers that got no news in time all read the store. A reader itself had 0.7 s for all pages of targets together, which its link does not carry. The stand-in of the store answers in pages of 500 as the real one, that of the fleet's tests deals all partitions.

--- a/entry/internal/follower/fleet_test.go
+++ b/entry/internal/follower/fleet_test.go
@@ -25,10 +25,13 @@
 )
 
 const (
-	// fleetReaders is how many nodes of a fleet read the store.
-	fleetReaders = 4
-	// fleetPartitions is how many partitions the group distributes.
-	fleetPartitions = 16 * fleetReaders
+	// fleetReaders is how many nodes of a small fleet read the store, and manyFleetReaders how many of one of manyNodes.
+	fleetReaders     = 4
+	manyFleetReaders = 16
+	manyNodes        = 470
+	// topicPartitions is how many partitions each of the group's topics has, and fleetPartitions how many all of them have.
+	topicPartitions = 24
+	fleetPartitions = 16 * topicPartitions
 	// fleetTargetsInterval is the time between two updates of the targets.
 	fleetTargetsInterval = 200 * time.Millisecond
 	// fleetSettle is how long a fleet takes at most until all nodes follow a reader.
@@ -41,6 +44,14 @@
 	slowJoin = 650 * time.Millisecond
 )
 
+// readersOf returns how many nodes of a fleet read the store.
+func readersOf(size int) int {
+	if size >= manyNodes {
+		return manyFleetReaders
+	}
+	return fleetReaders
+}
+
 // fleetTarget is the target of a fleet's store.
 const fleetTarget identifier.TargetID = "t"
 
@@ -208,12 +219,18 @@
 
 func (l *fleetLink) membership(i int) storecaller.Membership {
 	m := storecaller.Membership{Generation: 1, PartitionCount: fleetPartitions / len(l.members)}
-	if partition := i - l.firstReader; partition >= 0 && partition < fleetReaders {
-		m.Partitions, m.PartitionCount = []int{partition}, max(1, m.PartitionCount)
+	for p := range topicPartitions {
+		if l.owner(p) == i {
+			m.Partitions = append(m.Partitions, p)
+		}
 	}
+	m.PartitionCount = max(len(m.Partitions), m.PartitionCount)
 	return m
 }
 
+// owner returns the index of the member that owns a partition.
+func (s *fleetStore) owner(partition int) int { return (s.firstReader + partition) % len(s.members) }
+
 func (l *fleetLink) Leave(context.Context, storecaller.Member) error { return nil }
 
 func (l *fleetLink) Owners(context.Context) (map[int]storecaller.Member, error) {
@@ -221,8 +238,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	owners := map[int]storecaller.Member{}
-	for i, m := range l.members[l.firstReader:min(l.firstReader+fleetReaders, len(l.members))] {
-		owners[i] = m
+	for p := range topicPartitions {
+		if len(l.members) > 0 {
+			owners[p] = l.members[l.owner(p)]
+		}
 	}
 	return owners, nil
 }
@@ -234,7 +253,9 @@
 	sharer   *sharer.Sharer
 	follower *follower.Follower
 	isDead   atomic.Bool
-	stop     context.CancelFunc
+	// watches counts the calls of followers for updates.
+	watches atomic.Int64
+	stop    context.CancelFunc
 	// confirmedAt is the newest confirmation of the configuration, and version the newest version, that the node knows.
 	mu          sync.Mutex
 	confirmedAt time.Time
@@ -287,6 +308,9 @@
 		return err
 	}
 	serve := n.sharer.ServeWatch
+	if method == sharer.WatchMethod {
+		n.watches.Add(1)
+	}
 	if method == sharer.ConfigurationMethod {
 		serve = n.sharer.ServeConfiguration
 	}
@@ -318,7 +342,7 @@
 	for i := range size {
 		n := &fleetNode{id: fmt.Sprint("node-", i), link: &fleetLink{fleetStore: f.store}, sharer: sharer.NewSharer()}
 		n.follower = follower.NewFollower(n.link, f, n.sharer, follower.Config{
-			Self: fleetMember(n.id), StorePartitions: fleetReaders,
+			Self: fleetMember(n.id), StorePartitions: topicPartitions,
 		}, n.submit)
 		f.nodes[n.id] = n
 		f.order = append(f.order, n)
@@ -376,7 +400,7 @@
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			f := startFleet(t, size)
 			followers := f.followers()
-			f.Assert(followers, qt.HasLen, size-fleetReaders)
+			f.Assert(followers, qt.HasLen, size-readersOf(size))
 			f.checkCalls(followers, maxStartCalls)
 			for _, pause := range []time.Duration{300, 550, 650, 1300, 80, 80, 680} {
 				time.Sleep(pause * time.Millisecond)
@@ -409,7 +433,7 @@
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			f := startFleet(t, size, func(s *fleetStore) { s.joinDelay = slowJoin })
 			followers := f.followers()
-			f.Assert(followers, qt.HasLen, size-fleetReaders)
+			f.Assert(followers, qt.HasLen, size-readersOf(size))
 			f.checkCalls(followers, maxStartCalls)
 			f.checkFresh(1500 * time.Millisecond)
 		})
@@ -470,6 +494,25 @@
 	}
 }
 
+// TestFollowersSpreadOverReaders guards against few readers whose links are full of the news for hundreds of followers, also if
+// the fleet was small when these looked for them.
+func TestFollowersSpreadOverReaders(t *testing.T) {
+	const maxShare = 2.0 / manyFleetReaders
+	f := startFleet(t, manyNodes)
+	f.Assert(f.followers(), qt.HasLen, manyNodes-manyFleetReaders)
+	time.Sleep(time.Second)
+	for _, n := range f.order {
+		n.watches.Store(0)
+	}
+	time.Sleep(2 * time.Second)
+	most, total := int64(0), int64(0)
+	for _, n := range f.order {
+		watches := n.watches.Load()
+		most, total = max(most, watches), total+watches
+	}
+	f.Check(float64(most) <= maxShare*float64(total), qt.IsTrue, qt.Commentf("one of %d readers answers %d of %d calls", manyFleetReaders, most, total))
+}
+
 // TestLargeFleetLeavesTargetsToReadersAtStart guards against nodes that all read all targets when they start again together: the
 // store can't send them to so many in time, so that none gets them, and all ask again.
 func TestLargeFleetLeavesTargetsToReadersAtStart(t *testing.T) {
--- a/entry/internal/follower/follower.go
+++ b/entry/internal/follower/follower.go
@@ -27,6 +27,8 @@
 const (
 	// callTimeout bounds a call, not counting the time that it may wait for updates.
 	callTimeout = 700 * time.Millisecond
+	// allTargetsTimeout bounds a read of all targets, which are tens of thousands at most, on a thin link.
+	allTargetsTimeout = 10 * time.Second
 	// configurationWait is how long a call waits for a new configuration. If none arrives, the wait confirms the current one.
 	configurationWait = 700 * time.Millisecond
 	// targetsWait is how long a call waits for target updates.
@@ -295,7 +297,7 @@
 
 func (f *Follower) targets(ctx context.Context, isStarted bool, from identifier.StorePosition) ([]describer.TargetChange, identifier.StorePosition, error) {
 	if !isStarted {
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		ctx, cancel := context.WithTimeout(ctx, allTargetsTimeout)
 		defer cancel()
 		return f.store.NewestTargets(ctx)
 	}
--- a/entry/internal/follower/lease.go
+++ b/entry/internal/follower/lease.go
@@ -18,6 +18,9 @@
 const (
 	leaseTerm     = 2500 * time.Millisecond
 	leaseInterval = time.Second
+	// firstLeaseInterval is the time from the first join to the renewal: many nodes may join at the same moment, which deals the
+	// partitions anew.
+	firstLeaseInterval = 400 * time.Millisecond
 	// leaseRetryInterval is the time from a failed renewal to the next one while the lease still runs.
 	leaseRetryInterval = 300 * time.Millisecond
 	// leaseMargin is subtracted from the lease term, so that this node stops using a lease before another node can obtain it.
@@ -27,8 +30,10 @@
 	// topics is the number of topics whose partitions the group distributes. It is large enough for each of
 	// many nodes to own some, as each partition brings an equal share of the retry slack.
 	topics = 16
-	// readerPartitions is the number of partitions whose owners read the store for their peers.
-	readerPartitions = 4
+	// minReaders is how many nodes read the store for their peers, and nodesPerReader how many there are for each further one:
+	// each follower gets all news of the targets over the link of the reader that it follows.
+	minReaders     = 4
+	nodesPerReader = 24
 )
 
 // KeepLease keeps this node a member of the group until ctx ends, then leaves it. The group distributes
@@ -44,6 +49,9 @@
 		interval := leaseInterval
 		switch {
 		case err == nil:
+			if until.IsZero() {
+				interval = firstLeaseInterval
+			}
 			last = m.Generation
 			until = sent.Add(leaseTerm - leaseMargin)
 			f.applyMembership(settled.apply(bootclock.Now(), m), until)
@@ -94,9 +102,10 @@
 // its peers, whether it holds the lease until the given time, for which targets it grants what their limits allow, and
 // its share of the retry slack.
 func (f *Follower) applyMembership(m storecaller.Membership, until time.Time) {
-	f.setReader(slices.ContainsFunc(m.Partitions, isReaderPartition))
-	f.setTenures(m, until)
 	f.setFleetSize(topics * f.cfg.StorePartitions / max(1, m.PartitionCount))
+	readers := f.readerCount()
+	f.setReader(slices.ContainsFunc(m.Partitions, func(p int) bool { return p < readers }))
+	f.setTenures(m, until)
 	f.submit(placer.LeaseChanged{IsHeld: slices.Contains(m.Partitions, leasePartition), Fence: m.Fence(), Until: until})
 	share := float64(m.PartitionCount) / float64(topics*f.cfg.StorePartitions)
 	f.submit(dispatcher.RetryQuotaChanged{
@@ -110,7 +119,12 @@
 	f.fleetSize = size
 }
 
-func isReaderPartition(partition int) bool { return partition < readerPartitions }
+// readerCount returns the number of partitions whose owners read the store for their peers. It grows with the fleet.
+func (f *Follower) readerCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return max(minReaders, f.fleetSize/nodesPerReader)
+}
 
 func (f *Follower) setReader(isReader bool) {
 	f.sharer.SetReading(isReader)
--- a/entry/internal/follower/peers.go
+++ b/entry/internal/follower/peers.go
@@ -41,6 +41,10 @@
 	redistributionTime = 1200 * time.Millisecond
 	// startGrace is how long a node that has read the store at its start looks for peers before it reads it again.
 	startGrace = 1500 * time.Millisecond
+	// minMoveDelay is how long further readers have to begin until followers move to them, and moveSpread is how much later than
+	// the first follower the last one moves.
+	minMoveDelay = 600 * time.Millisecond
+	moveSpread   = 800 * time.Millisecond
 	// idleInterval is the time between two checks of the known peers.
 	idleInterval = 250 * time.Millisecond
 	// readersMaxAge is how long the readers found by a lookup count as the current ones.
@@ -53,6 +57,8 @@
 var (
 	errCutOff = errors.New("the peer's updates are too old")
 	errReader = errors.New("this node reads the store itself")
+	// errMoreReaders is returned when more nodes read the store by now than were known at the last lookup.
+	errMoreReaders = errors.New("more nodes read the store")
 )
 
 // Peers calls other nodes.
@@ -62,7 +68,12 @@
 
 // readers tracks the peers that read the store, as of the last lookup.
 type readers struct {
-	known        []storecaller.Member
+	known []storecaller.Member
+	// first are those of them that read it whatever the size of the fleet is.
+	first []storecaller.Member
+	// count is how many partitions belonged to these and to this node, and moveAt when this node looks for further ones.
+	count        int
+	moveAt       time.Time
 	backoffUntil map[string]time.Time
 	// answeredAt is when one of them last answered, even if with old updates.
 	answeredAt time.Time
@@ -89,10 +100,14 @@
 		}
 		backoff := peerBackoff
 		switch err := f.followPeer(ctx, peer, &r); {
+		case errors.Is(err, errMoreReaders):
+			f.lookup(ctx, &r)
+			continue
 		case errors.Is(err, errCutOff):
 			backoff = stalePeerBackoff
 		case errors.Is(err, sharer.ErrNotReading):
-			r.hasAnswered = true
+			// Those that read the store in large fleets only have yet to learn that this one is large.
+			r.hasAnswered = r.hasAnswered || slices.Contains(r.first, peer)
 			// If the peer has sent updates, the partitions were redistributed, so the store is reachable again if it was not, and
 			// another node reads it as soon as it has learned that from the group. Else the peer has yet to learn that.
 			backoff = stalePeerBackoff
@@ -169,7 +184,7 @@
 // lookup asks the store which peers read it.
 func (f *Follower) lookup(ctx context.Context, r *readers) {
 	f.lookupMu.Lock()
-	known, err := f.lookupReaders(ctx)
+	found, err := f.lookupReaders(ctx)
 	f.lookupMu.Unlock()
 	r.lookupInterval = min(maxLookupInterval, max(minLookupInterval, 2*r.lookupInterval))
 	r.nextLookupAt = bootclock.Now().Add(r.lookupInterval)
@@ -178,27 +193,61 @@
 		eventlogger.Error(err, eventlogger.CallFailed, "doing", "looking up the peers that read the store")
 		return
 	}
-	r.known = known
+	r.known, r.first, r.count, r.moveAt = found.all, found.first, found.partitions, time.Time{}
+}
+
+// mustMove reports whether more nodes read the store by now than were known at the last lookup, so that this node follows one of
+// these. It gives them time to begin, and not all followers move at once.
+func (r *readers) mustMove(now time.Time, count int) bool {
+	if count <= r.count {
+		return false
+	}
+	if r.moveAt.IsZero() {
+		r.moveAt = now.Add(minMoveDelay + rand.N(moveSpread))
+	}
+	return now.After(r.moveAt)
+}
+
+// foundReaders are the nodes that read the store.
+type foundReaders struct {
+	// partitions is how many partitions belong to them.
+	partitions int
+	// all are those other than this node, and first those of them that read the store whatever the size of the fleet is.
+	all, first []storecaller.Member
+}
+
+func (r *foundReaders) add(partition int, m, self storecaller.Member) {
+	r.partitions++
+	if m.Address == "" || m == self {
+		return
+	}
+	if !slices.Contains(r.all, m) {
+		r.all = append(r.all, m)
+	}
+	if partition < minReaders {
+		r.first = append(r.first, m)
+	}
 }
 
 // lookupReaders asks the store for the other nodes that read it. f.lookupMu must be held.
-func (f *Follower) lookupReaders(ctx context.Context) ([]storecaller.Member, error) {
+func (f *Follower) lookupReaders(ctx context.Context) (foundReaders, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	owners, err := f.store.Owners(ctx)
 	if err != nil {
-		return nil, err
+		return foundReaders{}, err
 	}
-	var known []storecaller.Member
+	count := f.readerCount()
+	var found foundReaders
 	for partition, m := range owners {
-		if isReaderPartition(partition) && m.Address != "" && m != f.cfg.Self && !slices.Contains(known, m) {
-			known = append(known, m)
+		if partition < count {
+			found.add(partition, m, f.cfg.Self)
 		}
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.readers, f.readersAt, f.holders = known, bootclock.Now(), owners
-	return known, nil
+	f.readers, f.readersAt, f.holders = found.all, bootclock.Now(), owners
+	return found, nil
 }
 
 // CurrentReaders returns the other nodes that read the store, from a recent lookup or a new one. With an
@@ -214,7 +263,7 @@
 	if err != nil {
 		return known, err
 	}
-	return current, nil
+	return current.all, nil
 }
 
 // knownReaders returns the readers that the last lookup has found, and whether that is recent.
@@ -265,6 +314,9 @@
 		f.submit(dispatcher.ConfigurationConfirmed{AsOf: confirmed})
 		f.gate.setPeersFresh(bootclock.Now().Add(updateMaxAge))
 		r.lookupInterval, r.isStoreUnreachable, r.hasUpdated = 0, false, true
+		if r.mustMove(bootclock.Now(), f.readerCount()) {
+			return errMoreReaders
+		}
 	}
 	return errors.Wrap(ctx.Err(), "following a peer")
 }
--- a/entry/internal/follower/peers_test.go
+++ b/entry/internal/follower/peers_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -196,6 +197,19 @@
 	return map[string]any{"service": "s", "address": "a:1", "zone": "z", "state": "ready"}
 }
 
+// TestReaderKnowsManyTargetsOverAThinLink guards against a node that never knows the targets of a large fleet, since all pages of
+// them together take longer than one call may.
+func TestReaderKnowsManyTargetsOverAThinLink(t *testing.T) {
+	const targets, pageTime = 3005, 150 * time.Millisecond
+	_, c, store := startStore(t)
+	for i := range targets {
+		c.Assert(store.PutTarget(fmt.Sprint("target-", i), sampleTarget()), qt.IsNil)
+	}
+	store.SetPageTime(pageTime)
+	n, _ := startReader(t, store, "reader")
+	awaitTarget(c, n, "target-0", waitLimit)
+}
+
 // TestFollowersGetUpdatesWithoutReadingStore checks that, where few nodes read the store, the others get
 // targets, configurations and confirmations just as early, and read nothing themselves.
 func TestFollowersGetUpdatesWithoutReadingStore(t *testing.T) {
--- a/entry/internal/sharer/sharer.go
+++ b/entry/internal/sharer/sharer.go
@@ -58,7 +58,7 @@
 	Era           identifier.Era    `json:"era,omitempty"`
 	// WaitMS is how long the answer may wait for updates, in milliseconds.
 	WaitMS int64 `json:"wait_ms"`
-	// AcceptsPacked says that the contents of a complete update may be compressed.
+	// AcceptsPacked says that the contents of an update may be compressed.
 	AcceptsPacked bool `json:"accepts_packed,omitempty"`
 }
 
@@ -76,7 +76,7 @@
 	// IsComplete reports that targets that are not among the changes no longer exist.
 	IsComplete bool `json:"is_complete"`
 	Contents
-	// Packed holds the compressed contents of a complete update instead.
+	// Packed holds the compressed contents of a large update instead.
 	Packed []byte `json:"packed,omitempty"`
 	// Outages counts the outages of the store that the sharer has seen end.
 	Outages int `json:"outages"`
@@ -115,10 +115,10 @@
 	// id tells this sharer from those of other nodes and of earlier starts, whose revisions have another meaning.
 	id string
 
-	// packMu is held while a complete update is compressed, so that peers that ask at the same moment share the result.
+	// packMu is held while an update is compressed, so that peers that ask at the same moment share the result.
 	packMu sync.Mutex
-	// complete is the last complete update that was compressed.
-	complete packedUpdate
+	// packedUpdates holds the updates that were compressed lately.
+	packedUpdates map[updateSpan]packedUpdate
 
 	mu sync.Mutex
 	// isReading reports whether this node reads the store for its peers, hasReadTargets whether it has read all targets.
@@ -147,7 +147,8 @@
 // NewSharer returns an empty sharer.
 func NewSharer() *Sharer {
 	return &Sharer{
-		id: strconv.FormatUint(rand.Uint64(), idBase), entries: map[identifier.TargetID]entry{}, limits: map[identifier.TargetID]limit{}, changed: make(chan struct{}),
+		id: strconv.FormatUint(rand.Uint64(), idBase), packedUpdates: map[updateSpan]packedUpdate{},
+		entries: map[identifier.TargetID]entry{}, limits: map[identifier.TargetID]limit{}, changed: make(chan struct{}),
 	}
 }
 
@@ -286,8 +287,8 @@
 	if errors.Is(err, ErrNotReading) {
 		return Update{IsNotReading: true}, nil
 	}
-	if err == nil && update.IsComplete && q.AcceptsPacked {
-		s.packContents(&update)
+	if err == nil && q.AcceptsPacked {
+		s.packContents(q.Revision, &update)
 	}
 	return update, err
 }
--- a/entry/internal/sharer/sharer_test.go
+++ b/entry/internal/sharer/sharer_test.go
@@ -342,6 +342,34 @@
 	c.Assert(time.Since(start) < 80*time.Millisecond, qt.IsTrue)
 }
 
+// TestManyChangesAreCompressed guards against a link that is full of the changes of many targets, as when all of a large fleet get
+// their layers.
+func TestManyChangesAreCompressed(t *testing.T) {
+	const targets, maxShare = 600, 0.25
+	c := qt.New(t)
+	s := newReadingSharer()
+	first, err := ask(t, s, sharer.Query{AcceptsPacked: true})
+	c.Assert(err, qt.IsNil)
+	for id := range targets {
+		s.RecordTargets([]describer.TargetChange{change(id, false)}, false)
+	}
+	q := sharer.Query{Sharer: first.Sharer, Revision: first.Revision, Configuration: first.Configuration}
+	plain, err := ask(t, s, q)
+	c.Assert(err, qt.IsNil)
+	c.Assert(plain.Packed, qt.HasLen, 0)
+	q.AcceptsPacked = true
+	packed, err := ask(t, s, q)
+	c.Assert(err, qt.IsNil)
+	full, err := json.Marshal(plain)
+	c.Assert(err, qt.IsNil)
+	small, err := json.Marshal(packed)
+	c.Assert(err, qt.IsNil)
+	c.Check(float64(len(small)) < maxShare*float64(len(full)), qt.IsTrue, qt.Commentf("%d of %d bytes", len(small), len(full)))
+	c.Assert(packed.Unpack(), qt.IsNil)
+	c.Check(packed.Changes, qt.HasLen, targets)
+	c.Check(packed.IsComplete, qt.IsFalse)
+}
+
 // TestCompleteUpdateIsCompressed guards against a link that is full of complete updates when many followers begin to follow a
 // node: that of a large fleet with many crashes has hundreds of kilobytes. A peer of an earlier version gets it as it is.
 func TestCompleteUpdateIsCompressed(t *testing.T) {
