--- a/entry/internal/placer/arranger.go
+++ b/entry/internal/arranger/arranger.go
@@ -1,5 +1,5 @@
-// Package placer decides which layers of a model each target is ordered to load and hold.
-package placer
+// Package arranger works out which layers of a model each target should hold.
+package arranger
 
 import (
 	"cmp"
--- a/entry/internal/placer/arranger_test.go
+++ b/entry/internal/arranger/arranger_test.go
@@ -1,4 +1,4 @@
-package placer_test
+package arranger_test
 
 import (
 	"fmt"
@@ -10,7 +10,7 @@
 
 	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/identifier"
-	"fuchsiabridge.example/entry/internal/placer"
+	"fuchsiabridge.example/entry/internal/arranger"
 	"fuchsiabridge.example/entry/internal/registrar"
 )
 
@@ -35,7 +35,7 @@
 }
 
 // applyAssignments returns the targets as they are after all assignments are executed.
-func applyAssignments(targets []registrar.Target, assignments []placer.Assignment) []registrar.Target {
+func applyAssignments(targets []registrar.Target, assignments []arranger.Assignment) []registrar.Target {
 	out := append([]registrar.Target(nil), targets...)
 	for _, a := range assignments {
 		for i := range out {
@@ -75,7 +75,7 @@
 			}
 			targets = append(targets, x)
 		}
-		checkAssignments(t, e, placer.Arrange(e, targets, pending), pending)
+		checkAssignments(t, e, arranger.Arrange(e, targets, pending), pending)
 	})
 }
 
@@ -92,7 +92,7 @@
 	return x
 }
 
-func checkAssignments(t *rapid.T, e *describer.Engine, orders []placer.Assignment, pending map[identifier.TargetID]identifier.LayerRange) {
+func checkAssignments(t *rapid.T, e *describer.Engine, orders []arranger.Assignment, pending map[identifier.TargetID]identifier.LayerRange) {
 	seen := map[identifier.TargetID]bool{}
 	for _, a := range orders {
 		_, isPending := pending[a.Target.ID]
@@ -120,11 +120,11 @@
 	for i := range 8 {
 		targets = append(targets, target(fmt.Sprintf("b%d", i), "b", "small"))
 	}
-	placed := applyAssignments(targets, placer.Arrange(engine(), targets, nil))
+	placed := applyAssignments(targets, arranger.Arrange(engine(), targets, nil))
 	c.Assert(missingLayers(placed, "a"), qt.Equals, 0)
 	c.Assert(missingLayers(placed, "b"), qt.Equals, 0)
 	for _, x := range placed {
-		c.Check(x.Layers.Len() <= int(placer.RangeLength(engine(), x.Kind, 50)), qt.IsTrue, qt.Commentf("%v", x))
+		c.Check(x.Layers.Len() <= int(arranger.RangeLength(engine(), x.Kind, 50)), qt.IsTrue, qt.Commentf("%v", x))
 	}
 }
 
@@ -136,12 +136,12 @@
 	for i := range 8 {
 		targets = append(targets, target(fmt.Sprintf("old%d", i), "b", "small"))
 	}
-	targets = applyAssignments(targets, placer.Arrange(engine(), targets, nil))
+	targets = applyAssignments(targets, arranger.Arrange(engine(), targets, nil))
 	for i := range 8 {
 		targets = append(targets, target(fmt.Sprintf("new%d", i), "b", "small"))
-		targets = applyAssignments(targets, placer.Arrange(engine(), targets, nil))
+		targets = applyAssignments(targets, arranger.Arrange(engine(), targets, nil))
 		targets[i].IsLeaving = true
-		targets = applyAssignments(targets, placer.Arrange(engine(), targets, nil))
+		targets = applyAssignments(targets, arranger.Arrange(engine(), targets, nil))
 		c.Assert(missingLayers(targets, "b"), qt.Equals, 0, qt.Commentf("after replacement %d", i))
 	}
 }
@@ -156,7 +156,7 @@
 		targets = append(targets, target(fmt.Sprintf("t%d", i), "b", "small", from, from+5))
 	}
 	left := append(append([]registrar.Target(nil), targets[:3]...), targets[4:]...)
-	left = applyAssignments(left, placer.Arrange(engine(), left, nil))
+	left = applyAssignments(left, arranger.Arrange(engine(), left, nil))
 	c.Assert(missingLayers(left, "b"), qt.Equals, 0)
 	for _, x := range left {
 		c.Check(x.Layers.Len() <= 6, qt.IsTrue, qt.Commentf("%v", x))
@@ -167,10 +167,10 @@
 func TestCompleteFleetMovesNoHolder(t *testing.T) {
 	c := qt.New(t)
 	targets := []registrar.Target{target("a0", "a", "big", 0, 20), target("a1", "a", "big", 20, 40), target("a2", "a", "small")}
-	for _, a := range placer.Arrange(engine(), targets, nil) {
+	for _, a := range arranger.Arrange(engine(), targets, nil) {
 		c.Check(a.Target.ID, qt.Equals, identifier.TargetID("a2"))
 	}
-	c.Assert(placer.Arrange(engine(), targets[:2], nil), qt.HasLen, 0)
+	c.Assert(arranger.Arrange(engine(), targets[:2], nil), qt.HasLen, 0)
 }
 
 // minHolders returns the smallest number of holders of any layer in a data centre; leaving targets don't count.
@@ -196,18 +196,18 @@
 	for i := range 32 {
 		targets = append(targets, target(fmt.Sprintf("t%02d", i), "b", "small"))
 	}
-	targets = applyAssignments(targets, placer.Arrange(engine(), targets, nil))
+	targets = applyAssignments(targets, arranger.Arrange(engine(), targets, nil))
 	c.Assert(minHolders(targets, "b") >= 2, qt.IsTrue)
 	for _, i := range []int{0, 1, 2, 8, 9} {
 		targets[i].Layers = identifier.LayerRange{}
 	}
 	for range 8 {
-		orders := placer.Arrange(engine(), targets, nil)
+		orders := arranger.Arrange(engine(), targets, nil)
 		c.Assert(len(orders) <= 3, qt.IsTrue, qt.Commentf("%d orders at once", len(orders)))
 		targets = applyAssignments(targets, orders)
 	}
 	c.Assert(minHolders(targets, "b") >= 2, qt.IsTrue)
-	c.Assert(placer.Arrange(engine(), targets, nil), qt.HasLen, 0)
+	c.Assert(arranger.Arrange(engine(), targets, nil), qt.HasLen, 0)
 }
 
 // TestUnderusedHolderGrows checks that a target that closed a small gap is given as many layers
@@ -217,8 +217,8 @@
 	targets := []registrar.Target{
 		target("a0", "a", "big", 0, 20), target("a1", "a", "big", 21, 40), target("a2", "a", "small", 20, 21),
 	}
-	targets = applyAssignments(targets, placer.Arrange(engine(), targets, nil))
+	targets = applyAssignments(targets, arranger.Arrange(engine(), targets, nil))
 	grown := targets[2].Layers
 	c.Assert(grown.From <= 20 && grown.To >= 21 && grown.Len() > 2, qt.IsTrue, qt.Commentf("%v", grown))
-	c.Assert(placer.Arrange(engine(), targets, nil), qt.HasLen, 0)
+	c.Assert(arranger.Arrange(engine(), targets, nil), qt.HasLen, 0)
 }
--- a/entry/internal/placer/copies.go
+++ b/entry/internal/arranger/copies.go
@@ -1,4 +1,4 @@
-package placer
+package arranger
 
 import (
 	"cmp"
--- a/entry/internal/placer/large_fleet_test.go
+++ b/entry/internal/placer/large_fleet_test.go
@@ -51,7 +51,7 @@
 		targets: map[identifier.TargetID]registrar.Target{}, ordered: map[identifier.TargetID]identifier.LayerRange{},
 	}
 	for i := range size {
-		t := target(fmt.Sprintf("t%05d", i), identifier.DataCentre(fmt.Sprint("dc", i%fleetDCs)), "big")
+		t := target(identifier.TargetID(fmt.Sprintf("t%05d", i)), identifier.DataCentre(fmt.Sprint("dc", i%fleetDCs)))
 		f.targets[t.ID] = t
 	}
 	f.apply(0, placer.ConfigurationChanged{Table: router.NewTable(&describer.Configuration{
--- a/entry/internal/placer/placer.go
+++ b/entry/internal/placer/placer.go
@@ -1,3 +1,4 @@
+// Package placer decides which layers of a model each target is ordered to load and hold.
 package placer
 
 import (
@@ -7,6 +8,7 @@
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
+	"fuchsiabridge.example/entry/internal/arranger"
 	"fuchsiabridge.example/entry/internal/registrar"
 	"fuchsiabridge.example/entry/internal/router"
 )
@@ -284,7 +286,7 @@
 	}
 	p.queue.addTo(pending)
 	var effects []messenger.Effect
-	for _, a := range Arrange(engine, p.candidates(now, service), pending) {
+	for _, a := range arranger.Arrange(engine, p.candidates(now, service), pending) {
 		if a.Target.Layers.Len() == 0 {
 			p.queue.waiting = append(p.queue.waiting, a)
 			continue
@@ -300,7 +302,7 @@
 }
 
 // order orders a target that has begun the given number of orders.
-func (p *Placer) order(now time.Time, a Assignment, orders int64) []messenger.Effect {
+func (p *Placer) order(now time.Time, a arranger.Assignment, orders int64) []messenger.Effect {
 	delete(p.reports, a.Target.ID)
 	p.pending[a.Target.ID] = pendingOrder{layers: a.Layers, incarnation: a.Target.Incarnation, expiresAt: now.Add(lateOrderWindow)}
 	return []messenger.Effect{
--- a/entry/internal/placer/placer_test.go
+++ b/entry/internal/placer/placer_test.go
@@ -16,6 +16,19 @@
 
 var start = time.Unix(1_000_000, 0)
 
+// engine returns an engine of which a target holds three quarters.
+func engine() *describer.Engine {
+	return &describer.Engine{
+		Layers: 40, LayerMegabytes: 1000, TokenBytes: 400_000, TypicalTokens: 900,
+		Kinds: map[identifier.AcceleratorKind]describer.Accelerator{"big": {Megabytes: 30_000, StepFactor: 1}},
+	}
+}
+
+// target returns an empty target.
+func target(id identifier.TargetID, dc identifier.DataCentre) registrar.Target {
+	return registrar.Target{Target: describer.Target{ID: id, Address: string(id) + ":1", Service: "draft", DataCentre: dc, Kind: "big"}}
+}
+
 // harness drives one placer with two empty targets that answer state queries.
 type harness struct {
 	placer *placer.Placer
@@ -27,7 +40,7 @@
 	s.apply(0, placer.ConfigurationChanged{Table: router.NewTable(&describer.Configuration{
 		Services: map[identifier.ServiceID]describer.Service{"draft": {ID: "draft", Engine: engine()}},
 	})})
-	s.apply(0, registrar.TargetsChanged{Targets: []registrar.Target{target("a0", "a", "big"), target("a1", "a", "big")}})
+	s.apply(0, registrar.TargetsChanged{Targets: []registrar.Target{target("a0", "a"), target("a1", "a")}})
 	return s
 }
 
--- a/entry/internal/placer/queue.go
+++ b/entry/internal/placer/queue.go
@@ -6,6 +6,7 @@
 
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
+	"fuchsiabridge.example/entry/internal/arranger"
 	"fuchsiabridge.example/entry/internal/registrar"
 )
 
@@ -17,11 +18,11 @@
 // taken for spares. Loading an empty target takes layers from nobody, whatever has changed since.
 type queue struct {
 	// waiting are the assignments whose targets were not queried yet, in order, and queried those that were.
-	waiting []Assignment
-	queried map[identifier.TargetID]Assignment
+	waiting []arranger.Assignment
+	queried map[identifier.TargetID]arranger.Assignment
 }
 
-func newQueue() queue { return queue{queried: map[identifier.TargetID]Assignment{}} }
+func newQueue() queue { return queue{queried: map[identifier.TargetID]arranger.Assignment{}} }
 
 // addTo adds the queued ranges to those of pending orders.
 func (q *queue) addTo(pending map[identifier.TargetID]identifier.LayerRange) {
@@ -35,7 +36,7 @@
 
 // keep drops the assignments whose targets are not among the given ones any more, or not as they were.
 func (q *queue) keep(targets map[identifier.TargetID]registrar.Target) {
-	isOutdated := func(a Assignment) bool {
+	isOutdated := func(a arranger.Assignment) bool {
 		t, ok := targets[a.Target.ID]
 		return !ok || t.Incarnation != a.Target.Incarnation || t.Layers != a.Target.Layers || t.IsLeaving || t.IsEjected
 	}
