Let a package of its own keep the membership in the group of nodes, and describe how large fleets start

Followers move to further readers after 1 s, not 0.6: on a busy machine one of 16 readers kept 58 of 454 followers.

--- a/entry/internal/commander/relay.go
+++ b/entry/internal/commander/relay.go
@@ -26,6 +26,7 @@
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/follower"
 	"fuchsiabridge.example/entry/internal/granter"
+	"fuchsiabridge.example/entry/internal/joiner"
 	"fuchsiabridge.example/entry/internal/limiter"
 	"fuchsiabridge.example/entry/internal/meter"
 	"fuchsiabridge.example/entry/internal/peercaller"
@@ -107,6 +108,7 @@
 	id       identifier.NodeID
 	relayer  *relayer.Relayer
 	receiver *receiver.Receiver
+	joiner   *joiner.Joiner
 	follower *follower.Follower
 	reporter *crashreporter.Reporter
 	granter  *granter.Granter
@@ -161,20 +163,22 @@
 		},
 	}, nil)
 	store := storecaller.NewCaller(http, values.Text("store"))
-	n.follower = follower.NewFollower(store, n.peers, updates, follower.Config{
-		Self:            storecaller.Member{Node: n.id, DataCentre: dc, Address: values.Text("peer-listen")},
-		StorePartitions: values.Number("store-parts"),
-		RetrySlack:      int(slackShare * values.Amount("retry-slack")),
-		LearnCrashes:    func(r sharer.CrashReport) { n.reporter.Learn(r) },
-		LearnLimits:     func(r []limiter.Report) { n.granter.Learn(r) },
+	self := storecaller.Member{Node: n.id, DataCentre: dc, Address: values.Text("peer-listen")}
+	n.joiner = joiner.NewJoiner(store, joiner.Config{
+		Self: self, StorePartitions: values.Number("store-parts"), RetrySlack: int(slackShare * values.Amount("retry-slack")),
+	}, n.relayer.Submit)
+	n.follower = follower.NewFollower(store, n.peers, n.joiner, updates, follower.Config{
+		Self:         self,
+		LearnCrashes: func(r sharer.CrashReport) { n.reporter.Learn(r) },
+		LearnLimits:  func(r []limiter.Report) { n.granter.Learn(r) },
 	}, n.relayer.Submit)
 	n.reporter = crashreporter.NewReporter(crashreporter.Config{
-		Self: values.Text("peer-listen"), Peers: n.peers, Readers: n.follower, Store: store, Sharer: updates, Submit: n.relayer.Submit,
+		Self: values.Text("peer-listen"), Peers: n.peers, Readers: n.joiner, Store: store, Sharer: updates, Submit: n.relayer.Submit,
 	})
 	// A question for a grant that gets no answer in time closes its connection, so these have connections of their own.
 	questions := peercaller.NewCaller(nil, nil)
 	n.granter = granter.NewGranter(granter.Config{
-		Self: values.Text("peer-listen"), Partitions: values.Number("store-parts"), Peers: questions, Holders: n.follower, Recorder: updates, Submit: n.relayer.Submit,
+		Self: values.Text("peer-listen"), Partitions: values.Number("store-parts"), Peers: questions, Holders: n.joiner, Recorder: updates, Submit: n.relayer.Submit,
 	})
 	return n
 }
@@ -208,7 +212,7 @@
 	hasLeft := make(chan struct{})
 	go func() {
 		defer close(hasLeft)
-		n.follower.KeepLease(joined)
+		n.joiner.KeepLease(joined, n.follower.SetReader)
 	}()
 	go n.relayer.Run(ctx)
 	go n.receiver.Serve(ctx, callers)
--- a/entry/internal/follower/fleet_test.go
+++ b/entry/internal/follower/fleet_test.go
@@ -18,6 +18,7 @@
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/follower"
+	"fuchsiabridge.example/entry/internal/joiner"
 	"fuchsiabridge.example/entry/internal/registrar"
 	"fuchsiabridge.example/entry/internal/sharer"
 	"fuchsiabridge.example/platform/storecaller"
@@ -251,6 +252,7 @@
 	id       string
 	link     *fleetLink
 	sharer   *sharer.Sharer
+	joiner   *joiner.Joiner
 	follower *follower.Follower
 	isDead   atomic.Bool
 	// watches counts the calls of followers for updates.
@@ -341,9 +343,8 @@
 	}
 	for i := range size {
 		n := &fleetNode{id: fmt.Sprint("node-", i), link: &fleetLink{fleetStore: f.store}, sharer: sharer.NewSharer()}
-		n.follower = follower.NewFollower(n.link, f, n.sharer, follower.Config{
-			Self: fleetMember(n.id), StorePartitions: topicPartitions,
-		}, n.submit)
+		n.joiner = joiner.NewJoiner(n.link, joiner.Config{Self: fleetMember(n.id), StorePartitions: topicPartitions}, n.submit)
+		n.follower = follower.NewFollower(n.link, f, n.joiner, n.sharer, follower.Config{Self: fleetMember(n.id)}, n.submit)
 		f.nodes[n.id] = n
 		f.order = append(f.order, n)
 	}
@@ -354,7 +355,7 @@
 		go n.follower.FollowConfiguration(ctx)
 		go n.follower.FollowTargets(ctx)
 		go n.follower.FollowPeers(ctx)
-		go n.follower.KeepLease(ctx)
+		go n.joiner.KeepLease(ctx, n.follower.SetReader)
 	}
 	return f
 }
@@ -363,7 +364,7 @@
 func (f *fleet) followers() []*fleetNode {
 	var out []*fleetNode
 	for _, n := range f.order {
-		if !n.follower.IsReader() {
+		if !n.joiner.IsReader() {
 			out = append(out, n)
 		}
 	}
@@ -411,7 +412,7 @@
 			f.checkCalls(followers, 0)
 			ended := f.order[0]
 			for _, n := range f.order {
-				if n.follower.IsReader() {
+				if n.joiner.IsReader() {
 					ended = n
 				}
 			}
--- a/entry/internal/follower/follower.go
+++ b/entry/internal/follower/follower.go
@@ -1,5 +1,4 @@
-// Package follower follows the configuration and the targets, in the store itself or through peers that
-// read it, and renews this node's membership in the group whose members share the lease.
+// Package follower follows the configuration and the targets, in the store itself or through peers that read it.
 package follower
 
 import (
@@ -17,6 +16,7 @@
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/common/sleeper"
 	"fuchsiabridge.example/entry/internal/dispatcher"
+	"fuchsiabridge.example/entry/internal/joiner"
 	"fuchsiabridge.example/entry/internal/limiter"
 	"fuchsiabridge.example/entry/internal/registrar"
 	"fuchsiabridge.example/entry/internal/router"
@@ -46,9 +46,6 @@
 	maxNonReaderBackoff = 2 * time.Second
 	// outageTimeout is how long calls must fail before the store counts as lost.
 	outageTimeout = time.Second
-	// maxSmallFleet is the number of nodes up to which each of them reads all targets at its start. The store could not send
-	// them to many more nodes at once in callTimeout.
-	maxSmallFleet = 16
 	// storeSource names the store as the source of a configuration in logs; another source is the address of a peer.
 	storeSource = "store"
 )
@@ -59,58 +56,45 @@
 	ReadConfiguration(ctx context.Context, from identifier.StorePosition, wait time.Duration) (*describer.Configuration, identifier.StorePosition, error)
 	NewestTargets(ctx context.Context) ([]describer.TargetChange, identifier.StorePosition, error)
 	ReadTargets(ctx context.Context, from identifier.StorePosition, wait time.Duration) ([]describer.TargetChange, identifier.StorePosition, error)
-	Join(ctx context.Context, m storecaller.Member, last identifier.FencingToken, term time.Duration, topics int) (storecaller.Membership, error)
-	Leave(ctx context.Context, m storecaller.Member) error
-	Owners(ctx context.Context) (map[int]storecaller.Member, error)
+}
+
+// Group is what the follower learns from this node's membership in the group of nodes.
+type Group interface {
+	FindReaders(ctx context.Context) (joiner.Readers, error)
+	CurrentReaders(ctx context.Context) ([]storecaller.Member, error)
+	ReaderCount() int
+	IsInLargeFleet(ctx context.Context) bool
 }
 
 // Follower turns updates from the store, and those that peers forward, into events.
 type Follower struct {
 	store  Store
 	peers  Peers
+	group  Group
 	sharer *sharer.Sharer
 	cfg    Config
 	gate   *readGate
 	submit func(messenger.Event)
 
-	// lookupMu is held during a lookup of the readers, so that those who wait for it use its result.
-	lookupMu sync.Mutex
-
 	mu sync.Mutex
 	// next is the position up to which configurations are known.
 	next identifier.StorePosition
-	// readers are the other nodes that read the store, as of the last lookup at readersAt.
-	readers   []storecaller.Member
-	readersAt time.Time
-	// holders are the nodes that hold partitions, as of the same lookup, and tenures are those of this node.
-	holders map[int]storecaller.Member
-	tenures map[int]limiter.Tenure
-	// fence is the fencing token of the group when this node last joined it.
-	fence identifier.FencingToken
-	// fleetSize is about how many nodes there are, by this node's part of the partitions, or 0 if it is not known.
-	fleetSize int
-	// joined is closed after the first attempt to join the group.
-	joined chan struct{}
 }
 
 // Config holds the settings of a follower.
 type Config struct {
 	// Self identifies this node in the group.
 	Self storecaller.Member
-	// StorePartitions is the number of partitions of a topic of the store.
-	StorePartitions int
 	// LearnCrashes applies what a peer has told of requests that crash targets.
 	LearnCrashes func(sharer.CrashReport)
 	// LearnLimits applies what a peer has told of the request limits of targets.
 	LearnLimits func([]limiter.Report)
-	// RetrySlack is how many retries all nodes together may make in addition to the retry ratio.
-	RetrySlack int
 }
 
 // NewFollower returns a follower that submits events and records what it reads in the sharer.
-func NewFollower(store Store, peers Peers, share *sharer.Sharer, cfg Config, submit func(messenger.Event)) *Follower {
+func NewFollower(store Store, peers Peers, group Group, share *sharer.Sharer, cfg Config, submit func(messenger.Event)) *Follower {
 	f := &Follower{
-		store: store, peers: peers, sharer: share, cfg: cfg, gate: newReadGate(), submit: submit, joined: make(chan struct{}),
+		store: store, peers: peers, group: group, sharer: share, cfg: cfg, gate: newReadGate(), submit: submit,
 	}
 	if cfg.Self.Address != "" {
 		f.gate.setPeersFresh(bootclock.Now().Add(startGrace))
@@ -118,6 +102,12 @@
 	return f
 }
 
+// SetReader sets whether this node reads the store for its peers.
+func (f *Follower) SetReader(isReader bool) {
+	f.sharer.SetReading(isReader)
+	f.gate.setReader(isReader)
+}
+
 // outage tracks consecutive failures of one kind of call.
 type outage struct {
 	// call names the kind of call in logs.
@@ -246,7 +236,7 @@
 	// hasRead is as for the configuration, but the nodes of a large fleet leave the targets to its readers from the start on.
 	isStarted, hasRead := false, false
 	for ctx.Err() == nil {
-		if (hasRead || f.isInLargeFleet(ctx)) && f.gate.awaitReading(ctx, f.sharer.PauseTargets) {
+		if (hasRead || f.leavesTargets(ctx)) && f.gate.awaitReading(ctx, f.sharer.PauseTargets) {
 			isStarted = false
 			continue
 		}
@@ -277,16 +267,9 @@
 	}
 }
 
-// isInLargeFleet reports whether there are so many nodes that they leave the targets to those that read the store. It waits
-// until this node has tried to join the group.
-func (f *Follower) isInLargeFleet(ctx context.Context) bool {
-	select {
-	case <-f.joined:
-	case <-ctx.Done():
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.fleetSize > maxSmallFleet
+// leavesTargets reports whether this node leaves the targets to its peers from its start on.
+func (f *Follower) leavesTargets(ctx context.Context) bool {
+	return f.cfg.Self.Address != "" && f.group.IsInLargeFleet(ctx)
 }
 
 // noteReachable tells this node and its peers that entries of targets may be missing which are about to be written again.
--- a/entry/internal/follower/follower_test.go
+++ b/entry/internal/follower/follower_test.go
@@ -12,6 +12,7 @@
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/follower"
+	"fuchsiabridge.example/entry/internal/joiner"
 	"fuchsiabridge.example/entry/internal/registrar"
 	"fuchsiabridge.example/entry/internal/sharer"
 	"fuchsiabridge.example/platform/storecaller"
@@ -70,8 +71,10 @@
 	t.Helper()
 	ctx, c, store := startStore(t)
 	e := &events{}
-	f := follower.NewFollower(storecaller.NewCaller(httpcaller.NewCaller(), store.Address()), nil, sharer.NewSharer(),
-		follower.Config{Self: storecaller.Member{Node: "n"}, StorePartitions: storefaker.Partitions}, e.submit)
+	caller := storecaller.NewCaller(httpcaller.NewCaller(), store.Address())
+	self := storecaller.Member{Node: "n"}
+	group := joiner.NewJoiner(caller, joiner.Config{Self: self, StorePartitions: storefaker.Partitions}, e.submit)
+	f := follower.NewFollower(caller, nil, group, sharer.NewSharer(), follower.Config{Self: self}, e.submit)
 	go f.FollowConfiguration(ctx)
 	go f.FollowTargets(ctx)
 	return c, store, e
--- a/entry/internal/follower/moved_test.go
+++ b/entry/internal/follower/moved_test.go
@@ -13,6 +13,7 @@
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/follower"
+	"fuchsiabridge.example/entry/internal/joiner"
 	"fuchsiabridge.example/entry/internal/sharer"
 	"fuchsiabridge.example/platform/storecaller"
 	"fuchsiabridge.example/platform/storefaker"
@@ -116,9 +117,10 @@
 	defer cancel()
 	s := &movingStore{}
 	e := &events{}
-	f := follower.NewFollower(&initialStore{movingStore: s}, s, sharer.NewSharer(), follower.Config{
-		Self: storecaller.Member{Node: "self", Address: "self:1"}, StorePartitions: 1,
-	}, e.submit)
+	store := &initialStore{movingStore: s}
+	self := storecaller.Member{Node: "self", Address: "self:1"}
+	group := joiner.NewJoiner(store, joiner.Config{Self: self, StorePartitions: 1}, e.submit)
+	f := follower.NewFollower(store, s, group, sharer.NewSharer(), follower.Config{Self: self}, e.submit)
 	go f.FollowPeers(ctx)
 	// By then the interval between two lookups has reached its maximum.
 	time.Sleep(7500 * time.Millisecond)
--- a/entry/internal/follower/peers.go
+++ b/entry/internal/follower/peers.go
@@ -43,12 +43,10 @@
 	startGrace = 1500 * time.Millisecond
 	// minMoveDelay is how long further readers have to begin until followers move to them, and moveSpread is how much later than
 	// the first follower the last one moves.
-	minMoveDelay = 600 * time.Millisecond
+	minMoveDelay = time.Second
 	moveSpread   = 800 * time.Millisecond
 	// idleInterval is the time between two checks of the known peers.
 	idleInterval = 250 * time.Millisecond
-	// readersMaxAge is how long the readers found by a lookup count as the current ones.
-	readersMaxAge = 10 * time.Second
 	// minLookupInterval and maxLookupInterval bound the time between two lookups in the store of the peers that read it.
 	minLookupInterval = time.Second
 	maxLookupInterval = 4 * time.Second
@@ -79,6 +77,8 @@
 	answeredAt time.Time
 	// hasAnswered reports whether one of them has ever answered, even if only that it does not read the store yet.
 	hasAnswered bool
+	// wasReading holds the addresses of those that have answered with updates, even if with old ones.
+	wasReading map[string]bool
 	// nextLookupAt is when the store may be asked for them again, after an interval that doubles until a peer has sent updates.
 	nextLookupAt   time.Time
 	lookupInterval time.Duration
@@ -90,7 +90,7 @@
 
 // FollowPeers applies updates from peers that read the store, while this node does not read it for them, until ctx ends.
 func (f *Follower) FollowPeers(ctx context.Context) {
-	r := readers{backoffUntil: map[string]time.Time{}}
+	r := readers{backoffUntil: map[string]time.Time{}, wasReading: map[string]bool{}}
 	for ctx.Err() == nil {
 		f.gate.awaitFollowing(ctx)
 		peer, ok := r.pick(f.cfg.Self.DataCentre)
@@ -108,12 +108,15 @@
 		case errors.Is(err, sharer.ErrNotReading):
 			// Those that read the store in large fleets only have yet to learn that this one is large.
 			r.hasAnswered = r.hasAnswered || slices.Contains(r.first, peer)
-			// If the peer has sent updates, the partitions were redistributed, so the store is reachable again if it was not, and
-			// another node reads it as soon as it has learned that from the group. Else the peer has yet to learn that.
+			// If the peer has read the store before, the partitions were redistributed, so the store is reachable again if it was
+			// not, and another node reads it as soon as it has learned that from the group. Else the peer has yet to learn that.
 			backoff = stalePeerBackoff
+			if r.wasReading[peer.Address] {
+				delete(r.wasReading, peer.Address)
+				r.nextLookupAt = bootclock.Now()
+			}
 			if r.hasUpdated {
 				r.hasUpdated = false
-				r.nextLookupAt = bootclock.Now()
 				f.gate.limitPeersFresh(bootclock.Now().Add(redistributionTime))
 			}
 		}
@@ -183,9 +186,7 @@
 
 // lookup asks the store which peers read it.
 func (f *Follower) lookup(ctx context.Context, r *readers) {
-	f.lookupMu.Lock()
-	found, err := f.lookupReaders(ctx)
-	f.lookupMu.Unlock()
+	found, err := f.group.FindReaders(ctx)
 	r.lookupInterval = min(maxLookupInterval, max(minLookupInterval, 2*r.lookupInterval))
 	r.nextLookupAt = bootclock.Now().Add(r.lookupInterval)
 	r.isStoreUnreachable = err != nil
@@ -193,7 +194,7 @@
 		eventlogger.Error(err, eventlogger.CallFailed, "doing", "looking up the peers that read the store")
 		return
 	}
-	r.known, r.first, r.count, r.moveAt = found.all, found.first, found.partitions, time.Time{}
+	r.known, r.first, r.count, r.moveAt = found.All, found.First, found.Partitions, time.Time{}
 }
 
 // mustMove reports whether more nodes read the store by now than were known at the last lookup, so that this node follows one of
@@ -208,77 +209,6 @@
 	return now.After(r.moveAt)
 }
 
-// foundReaders are the nodes that read the store.
-type foundReaders struct {
-	// partitions is how many partitions belong to them.
-	partitions int
-	// all are those other than this node, and first those of them that read the store whatever the size of the fleet is.
-	all, first []storecaller.Member
-}
-
-func (r *foundReaders) add(partition int, m, self storecaller.Member) {
-	r.partitions++
-	if m.Address == "" || m == self {
-		return
-	}
-	if !slices.Contains(r.all, m) {
-		r.all = append(r.all, m)
-	}
-	if partition < minReaders {
-		r.first = append(r.first, m)
-	}
-}
-
-// lookupReaders asks the store for the other nodes that read it. f.lookupMu must be held.
-func (f *Follower) lookupReaders(ctx context.Context) (foundReaders, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	owners, err := f.store.Owners(ctx)
-	if err != nil {
-		return foundReaders{}, err
-	}
-	count := f.readerCount()
-	var found foundReaders
-	for partition, m := range owners {
-		if partition < count {
-			found.add(partition, m, f.cfg.Self)
-		}
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.readers, f.readersAt, f.holders = found.all, bootclock.Now(), owners
-	return found, nil
-}
-
-// CurrentReaders returns the other nodes that read the store, from a recent lookup or a new one. With an
-// error, it returns those that were known last.
-func (f *Follower) CurrentReaders(ctx context.Context) ([]storecaller.Member, error) {
-	f.lookupMu.Lock()
-	defer f.lookupMu.Unlock()
-	known, isRecent := f.knownReaders()
-	if isRecent {
-		return known, nil
-	}
-	current, err := f.lookupReaders(ctx)
-	if err != nil {
-		return known, err
-	}
-	return current.all, nil
-}
-
-// knownReaders returns the readers that the last lookup has found, and whether that is recent.
-func (f *Follower) knownReaders() ([]storecaller.Member, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.readers, bootclock.Now().Sub(f.readersAt) < readersMaxAge
-}
-
-// IsReader reports whether this node reads the store for its peers.
-func (f *Follower) IsReader() bool {
-	isReader, _, _ := f.gate.snapshot()
-	return isReader
-}
-
 // followPeer applies a peer's updates until a call fails or this node reads the store itself.
 func (f *Follower) followPeer(ctx context.Context, peer storecaller.Member, r *readers) error {
 	q := sharer.Query{WaitMS: peerWait.Milliseconds(), AcceptsPacked: true}
@@ -314,7 +244,7 @@
 		f.submit(dispatcher.ConfigurationConfirmed{AsOf: confirmed})
 		f.gate.setPeersFresh(bootclock.Now().Add(updateMaxAge))
 		r.lookupInterval, r.isStoreUnreachable, r.hasUpdated = 0, false, true
-		if r.mustMove(bootclock.Now(), f.readerCount()) {
+		if r.mustMove(bootclock.Now(), f.group.ReaderCount()) {
 			return errMoreReaders
 		}
 	}
@@ -339,7 +269,7 @@
 	if err := update.Unpack(); err != nil {
 		return sharer.Update{}, time.Time{}, err
 	}
-	r.answeredAt, r.hasAnswered = bootclock.Now(), true
+	r.answeredAt, r.hasAnswered, r.wasReading[address] = bootclock.Now(), true, true
 	confirmed := asked.Add(time.Duration(update.ConfirmedMS) * time.Millisecond)
 	if r.answeredAt.Sub(confirmed) > maxConfirmationAge {
 		return sharer.Update{}, time.Time{}, errCutOff
@@ -386,7 +316,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	known, err := f.CurrentReaders(ctx)
+	known, err := f.group.CurrentReaders(ctx)
 	if err != nil {
 		eventlogger.Error(err, eventlogger.CallFailed, "doing", "looking up the peers that read the store")
 	}
--- a/entry/internal/follower/peers_test.go
+++ b/entry/internal/follower/peers_test.go
@@ -20,6 +20,7 @@
 	"fuchsiabridge.example/entry/internal/crashreporter"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/follower"
+	"fuchsiabridge.example/entry/internal/joiner"
 	"fuchsiabridge.example/entry/internal/peercaller"
 	"fuchsiabridge.example/entry/internal/registrar"
 	"fuchsiabridge.example/entry/internal/sharer"
@@ -27,9 +28,15 @@
 	"fuchsiabridge.example/platform/storefaker"
 )
 
+// platformStore is all that a node uses of the store.
+type platformStore interface {
+	follower.Store
+	joiner.Group
+}
+
 // link is one node's connection to the store. It counts reads and can be cut.
 type link struct {
-	follower.Store
+	platformStore
 	reads atomic.Int64
 	isCut atomic.Bool
 }
@@ -41,7 +48,7 @@
 	if l.isCut.Load() {
 		return nil, identifier.StorePosition{}, errCut
 	}
-	cfg, next, err := l.Store.ReadConfiguration(ctx, from, wait)
+	cfg, next, err := l.platformStore.ReadConfiguration(ctx, from, wait)
 	if l.isCut.Load() {
 		return nil, identifier.StorePosition{}, errCut
 	}
@@ -53,12 +60,12 @@
 	if l.isCut.Load() {
 		return nil, identifier.StorePosition{}, errCut
 	}
-	return l.Store.NewestConfiguration(ctx)
+	return l.platformStore.NewestConfiguration(ctx)
 }
 
 func (l *link) Owners(ctx context.Context) (map[int]storecaller.Member, error) {
 	l.reads.Add(1)
-	return l.Store.Owners(ctx)
+	return l.platformStore.Owners(ctx)
 }
 
 func (l *link) ReadTargets(ctx context.Context, from identifier.StorePosition, wait time.Duration) ([]describer.TargetChange, identifier.StorePosition, error) {
@@ -66,7 +73,7 @@
 	if l.isCut.Load() {
 		return nil, identifier.StorePosition{}, errCut
 	}
-	return l.Store.ReadTargets(ctx, from, wait)
+	return l.platformStore.ReadTargets(ctx, from, wait)
 }
 
 func (l *link) NewestTargets(ctx context.Context) ([]describer.TargetChange, identifier.StorePosition, error) {
@@ -74,19 +81,20 @@
 	if l.isCut.Load() {
 		return nil, identifier.StorePosition{}, errCut
 	}
-	return l.Store.NewestTargets(ctx)
+	return l.platformStore.NewestTargets(ctx)
 }
 
 func (l *link) Join(ctx context.Context, m storecaller.Member, last identifier.FencingToken, term time.Duration, topics int) (storecaller.Membership, error) {
 	if l.isCut.Load() {
 		return storecaller.Membership{}, errCut
 	}
-	return l.Store.Join(ctx, m, last, term, topics)
+	return l.platformStore.Join(ctx, m, last, term, topics)
 }
 
 // node is one follower with its link and the events that it submits.
 type node struct {
 	*events
+	joiner   *joiner.Joiner
 	follower *follower.Follower
 	reporter *crashreporter.Reporter
 	link     *link
@@ -111,7 +119,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	share := sharer.NewSharer()
 	caller := storecaller.NewCaller(httpcaller.NewCaller(), store.Address())
-	n := &node{events: &events{}, stop: cancel, link: &link{Store: caller}}
+	n := &node{events: &events{}, stop: cancel, link: &link{platformStore: caller}}
 	peers := peercaller.NewCaller(map[string]peercaller.Handler{
 		sharer.WatchMethod: share.ServeWatch, sharer.ConfigurationMethod: share.ServeConfiguration,
 		sharer.CrashReportMethod: func(ctx context.Context, params json.RawMessage) (any, error) {
@@ -123,13 +131,13 @@
 		sharer.CrashesMethod: share.ServeCrashes,
 	}, nil)
 	n.peers = &unreliablePeers{Peers: peers}
-	f := follower.NewFollower(n.link, n.peers, share, follower.Config{
-		Self:            storecaller.Member{Node: identifier.NodeID(id), DataCentre: "a", Address: l.Addr().String()},
-		StorePartitions: storefaker.Partitions,
-		LearnCrashes:    func(r sharer.CrashReport) { n.reporter.Learn(r) },
+	self := storecaller.Member{Node: identifier.NodeID(id), DataCentre: "a", Address: l.Addr().String()}
+	n.joiner = joiner.NewJoiner(n.link, joiner.Config{Self: self, StorePartitions: storefaker.Partitions}, n.submit)
+	f := follower.NewFollower(n.link, n.peers, n.joiner, share, follower.Config{
+		Self: self, LearnCrashes: func(r sharer.CrashReport) { n.reporter.Learn(r) },
 	}, n.submit)
 	n.reporter = crashreporter.NewReporter(crashreporter.Config{
-		Self: l.Addr().String(), Peers: n.peers, Readers: f, Store: caller, Sharer: share, Submit: n.submit,
+		Self: l.Addr().String(), Peers: n.peers, Readers: n.joiner, Store: caller, Sharer: share, Submit: n.submit,
 	})
 	n.follower = f
 	go peers.Serve(ctx, l)
@@ -139,7 +147,7 @@
 	go f.FollowTargets(ctx)
 	go n.reporter.LoadPoison(ctx)
 	go n.reporter.KeepPoison(ctx)
-	go f.KeepLease(ctx)
+	go n.joiner.KeepLease(ctx, f.SetReader)
 	return n, ctx
 }
 
@@ -150,7 +158,7 @@
 	first := startNode(t, store, "first")
 	await[dispatcher.ConfigurationConfirmed](c, first.events, 0)
 	// The node that joins first reads the store.
-	for until := time.Now().Add(waitLimit); !first.follower.IsReader(); time.Sleep(10 * time.Millisecond) {
+	for until := time.Now().Add(waitLimit); !first.joiner.IsReader(); time.Sleep(10 * time.Millisecond) {
 		c.Assert(time.Now().Before(until), qt.IsTrue, qt.Commentf("the first node does not join the group within %v", waitLimit))
 	}
 	second := startNode(t, store, "second")
--- a/entry/internal/follower/readgate.go
+++ b/entry/internal/follower/readgate.go
@@ -8,6 +8,9 @@
 	"fuchsiabridge.example/common/bootclock"
 )
 
+// maxGateWait is how long a node that reads the store for its peers waits until it looks again whether it still does.
+const maxGateWait = 2500 * time.Millisecond
+
 // readGate decides whether this node must read the store itself: because it is a reader for its
 // peers, or because no peer currently provides updates.
 type readGate struct {
@@ -82,7 +85,7 @@
 		if !isReader {
 			return
 		}
-		g.wait(ctx, leaseTerm, changed)
+		g.wait(ctx, maxGateWait, changed)
 	}
 }
 
--- a/entry/internal/follower/holders.go
+++ b/entry/internal/joiner/holders.go
@@ -1,4 +1,4 @@
-package follower
+package joiner
 
 import (
 	"context"
@@ -11,44 +11,44 @@
 
 // setTenures records which partitions this node holds, and until when no other node can hold them. A tenure goes on
 // after its lease has ended if the group has not changed since.
-func (f *Follower) setTenures(m storecaller.Membership, until time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+func (j *Joiner) setTenures(m storecaller.Membership, until time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
 	now := bootclock.Now()
-	isUnchanged := m.Fence() == f.fence
-	f.fence = m.Fence()
+	isUnchanged := m.Fence() == j.fence
+	j.fence = m.Fence()
 	tenures := make(map[int]limiter.Tenure, len(m.Partitions))
 	for _, p := range m.Partitions {
-		t, ok := f.tenures[p]
+		t, ok := j.tenures[p]
 		if !ok || (t.IsExpired(now) && !isUnchanged) {
 			t.Since = now
 		}
 		t.Until = until
 		tenures[p] = t
 	}
-	f.tenures = tenures
+	j.tenures = tenures
 }
 
 // Tenure returns the time for which this node holds a partition, and false if it does not.
-func (f *Follower) Tenure(partition int) (limiter.Tenure, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	t, ok := f.tenures[partition]
+func (j *Joiner) Tenure(partition int) (limiter.Tenure, bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	t, ok := j.tenures[partition]
 	return t, ok
 }
 
 // Holder returns the node that held a partition at the last lookup, and false if none is known.
-func (f *Follower) Holder(partition int) (storecaller.Member, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	m, ok := f.holders[partition]
+func (j *Joiner) Holder(partition int) (storecaller.Member, bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	m, ok := j.holders[partition]
 	return m, ok
 }
 
 // LookUpHolders asks the store which nodes hold the partitions.
-func (f *Follower) LookUpHolders(ctx context.Context) error {
-	f.lookupMu.Lock()
-	defer f.lookupMu.Unlock()
-	_, err := f.lookupReaders(ctx)
+func (j *Joiner) LookUpHolders(ctx context.Context) error {
+	j.lookupMu.Lock()
+	defer j.lookupMu.Unlock()
+	_, err := j.findReaders(ctx)
 	return err
 }
