--- a/common/eventlogger/relay.go
+++ b/common/eventlogger/relay.go
@@ -38,6 +38,7 @@
 	TargetWantsQuiet       = Event{8034, "target wants no requests for a while"}
 	AnnouncementUnreadable = Event{8035, "what a target says in an answer cannot be read"}
 	StoreEraChanged        = Event{8036, "store was restored from a copy"}
+	TargetSuspected        = Event{8038, "other nodes have seen a target fail"}
 	ConfigurationIgnored   = Event{8037, "older configuration ignored"}
 )
 
@@ -79,6 +80,7 @@
 		TargetWantsQuiet,
 		AnnouncementUnreadable,
 		StoreEraChanged,
+		TargetSuspected,
 		ConfigurationIgnored,
 	}
 }
--- a/entry/internal/chooser/chains.go
+++ b/entry/internal/chooser/chains.go
@@ -21,7 +21,7 @@
 	holders := c.holders(s, false)
 	s.chains = chainer.NewPlanner(s.engine, holders).Plan(maxChainsPerDataCentre)
 	if len(s.chains) == 0 {
-		// A chain with ejected targets is better than no chain.
+		// A chain with ejected or suspected targets is better than no chain.
 		holders = c.holders(s, true)
 		s.chains = chainer.NewPlanner(s.engine, holders).Plan(maxChainsPerDataCentre)
 	}
@@ -35,11 +35,14 @@
 	}
 }
 
-// holders returns the targets that can be stages of chains, with includeEjected also the ejected ones.
+// holders returns the targets that can be stages of chains, with includeEjected also the ejected and suspected ones.
 func (c *Chooser) holders(s *service, includeEjected bool) []chainer.Holder {
 	var holders []chainer.Holder
 	for _, t := range s.targets {
-		if (t.IsLeaving && !t.IsClosing) || (t.IsEjected && !includeEjected) || t.Layers.Len() == 0 {
+		if (t.IsLeaving && !t.IsClosing) || t.Layers.Len() == 0 {
+			continue
+		}
+		if !includeEjected && (t.IsEjected || c.isSuspected(t.ID)) {
 			continue
 		}
 		accelerator := s.engine.Kinds[t.Kind]
--- a/entry/internal/chooser/chooser.go
+++ b/entry/internal/chooser/chooser.go
@@ -72,6 +72,8 @@
 	// shut holds until when a target's request limit allows no request, quiet until when the target wants none.
 	shut  map[identifier.TargetID]time.Time
 	quiet map[identifier.TargetID]time.Time
+	// suspects holds the targets that other nodes have seen fail.
+	suspects map[identifier.TargetID]suspect
 }
 
 // NewChooser returns a chooser without targets for a node in the given data centre.
@@ -79,6 +81,7 @@
 	return &Chooser{
 		dataCentre: dc, services: map[identifier.ServiceID]*service{}, stats: map[identifier.TargetID]*targetStats{},
 		avoided: map[string]time.Time{}, stalled: map[string]time.Time{}, shut: map[identifier.TargetID]time.Time{}, quiet: map[identifier.TargetID]time.Time{},
+		suspects: map[identifier.TargetID]suspect{},
 	}
 }
 
@@ -117,6 +120,7 @@
 
 // Tick forgets the avoided and shut targets and the stalled chains whose time has expired.
 func (c *Chooser) Tick(now time.Time) {
+	c.dropSuspects(now)
 	dropExpired(now, c.avoided)
 	dropExpired(now, c.stalled)
 	dropExpired(now, c.shut)
--- a/entry/internal/crashrecorder/crashrecorder.go
+++ b/entry/internal/crashrecorder/crashrecorder.go
@@ -46,6 +46,8 @@
 	IsFurther bool `json:"is_further,omitempty"`
 	// AgeMS is the time since the crash became known, in milliseconds.
 	AgeMS int64 `json:"age_ms"`
+	// Reporter is the peer address of the node that has detected the crash, empty if it does not say.
+	Reporter string `json:"reporter,omitempty"`
 }
 
 // IsLessThan reports whether another report of the crash says that it is one of more in a row.
--- a/entry/internal/crashreporter/crashreporter.go
+++ b/entry/internal/crashreporter/crashreporter.go
@@ -118,6 +118,10 @@
 	if r.cfg.Self == "" {
 		return
 	}
+	report.Crashes = slices.Clone(report.Crashes)
+	for i := range report.Crashes {
+		report.Crashes[i].Reporter = r.cfg.Self
+	}
 	r.cfg.Sharer.RecordCrashes(report)
 	select {
 	case r.reports <- report:
--- a/entry/internal/crashtracker/crashtracker.go
+++ b/entry/internal/crashtracker/crashtracker.go
@@ -109,11 +109,13 @@
 	candidates []candidate
 	checks     checkLimit
 	survivals  []Survival
+	// reported holds what other nodes have reported of failures of targets.
+	reported map[identifier.TargetID]*failureReports
 }
 
 // NewTracker returns a tracker that knows nothing.
 func NewTracker() *Tracker {
-	return &Tracker{Recorder: crashrecorder.NewRecorder(), targets: map[identifier.TargetID]*targetState{}}
+	return &Tracker{Recorder: crashrecorder.NewRecorder(), targets: map[identifier.TargetID]*targetState{}, reported: map[identifier.TargetID]*failureReports{}}
 }
 
 // AddAttempt records an attempt that may have crashed a target, and returns the crashes that
@@ -166,6 +168,7 @@
 		present[target.ID] = true
 		failures = append(failures, t.setTarget(now, target)...)
 	}
+	t.dropReports(present)
 	for id, s := range t.targets {
 		if present[id] {
 			continue
--- a/entry/internal/dispatcher/attempts.go
+++ b/entry/internal/dispatcher/attempts.go
@@ -203,8 +203,8 @@
 	if len(r.chain) == 0 {
 		return d.stalledPlain(now, ev, r)
 	}
-	if d.chooser.HasEjected(r.chain) {
-		return d.failOver(now, ev.Call, r, "a target of the chain was ejected", ev.Seed)
+	if d.chooser.HasFailed(r.chain) {
+		return d.failOver(now, ev.Call, r, "a target of the chain was ejected, or other nodes have seen it fail", ev.Seed)
 	}
 	firstStage := r.chain[0]
 	isIdle := ev.ChainIdleTime >= min(maxChainIdleTimeout, max(minChainIdleTimeout, typicalGapsUntilStalled*ev.ChainTypicalGap))
@@ -279,7 +279,7 @@
 // Otherwise the request goes on waiting.
 func (d *Dispatcher) rerouteChain(now time.Time, r *request) []messenger.Effect {
 	wait := []messenger.Effect{Wait{Until: now.Add(probeIdleTimeout)}}
-	if r.reroutes >= maxReroutes || !d.chooser.HasEjected(r.chain) || d.chooser.HasEjected(r.chain[:1]) {
+	if r.reroutes >= maxReroutes || !d.chooser.HasFailed(r.chain) || d.chooser.HasEjected(r.chain[:1]) {
 		return wait
 	}
 	chain, ok := d.chooser.ContinueFrom(now, r.service, r.chain[0])
--- a/entry/internal/dispatcher/crashes.go
+++ b/entry/internal/dispatcher/crashes.go
@@ -19,6 +19,8 @@
 	// writtenEvents is how many events of an answer prove that no part of the prompt crashes targets: a target may
 	// deliver the first ones before it crashes.
 	writtenEvents = 5
+	// suspicionTime is how long requests go around a target that other nodes have seen fail. By then its entry has lapsed.
+	suspicionTime = 4 * time.Second
 )
 
 // notePoisonCandidate records an attempt that ended, or was left, without a complete answer: the
@@ -75,6 +77,9 @@
 	case r.target == "":
 	case ev.Events > r.eventsBefore:
 		d.crashTracker.RecordAlive(r.sent, r.targets()...)
+		if ev.Outcome == Delivered {
+			d.chooser.ClearSuspicion(r.targets()...)
+		}
 	case ev.Status != 0 && ev.Status != http.StatusMisdirectedRequest:
 		d.crashTracker.RecordAlive(r.sent, r.target)
 	}
@@ -198,6 +203,7 @@
 	var effects []messenger.Effect
 	newCrashes := 0
 	for _, c := range ev.Crashes {
+		effects = append(effects, d.noteReport(now, c)...)
 		if !d.crashTracker.RecordCrash(now, c) {
 			continue
 		}
@@ -213,13 +219,23 @@
 		}
 	}
 	if newCrashes == 0 {
-		return nil
+		return effects
 	}
 	return append(effects, messenger.Log{
 		Event: eventlogger.CrashesLearned, Subject: "peers", Values: []any{"crashes", len(ev.Crashes), "new", newCrashes},
 	})
 }
 
+// noteReport lets requests go around a target that several other nodes have seen fail, before this node loses requests there.
+func (d *Dispatcher) noteReport(now time.Time, c crashrecorder.Crash) []messenger.Effect {
+	if !d.crashTracker.NoteReport(now, c) || !d.chooser.Suspect(c.Target, c.Incarnation, now.Add(suspicionTime)) {
+		return nil
+	}
+	return []messenger.Effect{messenger.Log{
+		Event: eventlogger.TargetSuspected, Subject: "target/" + string(c.Target), Values: []any{"born", c.Incarnation, ageKey, c.AgeMS},
+	}}
+}
+
 // logCrash logs a crash, and that the request is confirmed as poison if it now is.
 func logCrash(c crashrecorder.Crash, seenBy string, isConfirmed bool) []messenger.Effect {
 	effects := []messenger.Effect{messenger.Log{
--- a/entry/internal/dispatcher/reroute_test.go
+++ b/entry/internal/dispatcher/reroute_test.go
@@ -14,9 +14,6 @@
 	"fuchsiabridge.example/entry/internal/registrar"
 )
 
-// lostTarget is a second stage of chains that is lost.
-const lostTarget identifier.TargetID = "draft-a1"
-
 // TestRefusedRerouteTakesAnotherSubstitute guards against streams that all wait for the one cheapest substitute of a lost target,
 // as the targets whose streams it has lost are told the same substitute again and again though it has refused for want of room.
 func TestRefusedRerouteTakesAnotherSubstitute(t *testing.T) {
--- a/entry/internal/follower/peers_test.go
+++ b/entry/internal/follower/peers_test.go
@@ -99,6 +99,7 @@
 	reporter *crashreporter.Reporter
 	link     *link
 	peers    *unreliablePeers
+	address  string
 	stop     context.CancelFunc
 }
 
@@ -119,7 +120,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	share := sharer.NewSharer()
 	caller := storecaller.NewCaller(httpcaller.NewCaller(), store.Address())
-	n := &node{events: &events{}, stop: cancel, link: &link{platformStore: caller}}
+	n := &node{events: &events{}, stop: cancel, link: &link{platformStore: caller}, address: l.Addr().String()}
 	peers := peercaller.NewCaller(map[string]peercaller.Handler{
 		sharer.WatchMethod: share.ServeWatch, sharer.ConfigurationMethod: share.ServeConfiguration,
 		sharer.CrashReportMethod: func(ctx context.Context, params json.RawMessage) (any, error) {
@@ -317,6 +318,7 @@
 		last := received[len(received)-1]
 		c.Assert(last.AgeMS <= waitLimit.Milliseconds(), qt.IsTrue)
 		last.AgeMS = crash.AgeMS
+		crash.Reporter = pair[0].address
 		c.Assert(last, qt.DeepEquals, crash, qt.Commentf("of %d events", n))
 	}
 }
