Take SIGHUPs from before a node listens, and send them in the relay soak

Cause, found by reading: the signal was registered by a goroutine after the node had begun to listen, so that a SIGHUP in between ended the process. It is registered before. That the window was hit was not seen.

--- a/entry/internal/commander/relay.go
+++ b/entry/internal/commander/relay.go
@@ -216,7 +216,6 @@
 	}()
 	go n.relayer.Run(ctx)
 	go n.receiver.Serve(ctx, callers)
-	go logReloadSignals(ctx)
 	return func() {
 		stop()
 		<-hasLeft
@@ -245,6 +244,9 @@
 
 func relay(values optionparser.Values) error {
 	defer logToStandardOutput()()
+	// A SIGHUP that nobody waits for would end the process, so this comes before the node listens.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	signals, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -260,6 +262,7 @@
 		return err
 	}
 	leave := n.start(ctx, callers)
+	go logReloadSignals(ctx, hangups)
 	eventlogger.Info(eventlogger.NodeStarted, "node", n.id, "listen", values.Text("listen"), "store", values.Text("store"))
 	<-signals.Done()
 	n.stop(callers, leave)
@@ -276,9 +279,7 @@
 }
 
 // logReloadSignals logs each SIGHUP. The settings of this node only change with a restart.
-func logReloadSignals(ctx context.Context) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
+func logReloadSignals(ctx context.Context, hangups <-chan os.Signal) {
 	for {
 		select {
 		case <-ctx.Done():
--- a/integration/launcher/launcher.go
+++ b/integration/launcher/launcher.go
@@ -381,6 +381,9 @@
 // Stop sends SIGTERM, as the platform does for a planned stop, and does not wait.
 func (p *Process) Stop() { p.signal(syscall.SIGTERM) }
 
+// HangUp sends SIGHUP, as operators do after a change of the settings.
+func (p *Process) HangUp() { p.signal(syscall.SIGHUP) }
+
 // Pause suspends the process with SIGSTOP, like a VM that stalls.
 func (p *Process) Pause() { p.signal(syscall.SIGSTOP) }
 
--- a/integration/relay_soak_test.go
+++ b/integration/relay_soak_test.go
@@ -92,6 +92,7 @@
 	for i := range relaySoakCallers {
 		wg.Go(func() { s.sendRequests(i, rand.New(rand.NewPCG(seed, uint64(i+1)))) })
 	}
+	wg.Go(func() { s.hangUpNodes(rand.New(rand.NewPCG(seed, hangUpStream))) })
 	s.injectFaults()
 	wg.Wait()
 	s.clearFaults()
