--- a/entry/internal/dispatcher/dispatcher_test.go
+++ b/entry/internal/dispatcher/dispatcher_test.go
@@ -374,7 +374,7 @@
 			at += time.Duration(rapid.IntRange(0, 300).Draw(t, "pause")) * time.Millisecond
 			d.apply(at, dispatcher.ConfigurationConfirmed{AsOf: start.Add(at)})
 			path := rapid.SampledFrom([]string{"/post/", "/view/", "/draft/", "/once/"}).Draw(t, "path")
-			attempts := playRequest(t, d, at, path)
+			attempts := playRequest(t, d, at, path, isRepeatable(configuration(1, "key"), path), func() {})
 			if attempts > 0 {
 				requests++
 				retries += attempts - 1
@@ -396,14 +396,20 @@
 	keepsStalled bool
 }
 
+// isRepeatable reports whether requests with a path may run more than once.
+func isRepeatable(cfg *describer.Configuration, path string) bool {
+	i := slices.IndexFunc(cfg.Routes, func(r describer.Route) bool { return r.Prefix == path })
+	return cfg.Routes[i].MayRetry()
+}
+
 // noteSend records an attempt. A stalled attempt may have run, whether it is abandoned or kept.
-func (x *history) noteSend(t *rapid.T, e dispatcher.Send, path string) {
+func (x *history) noteSend(t *rapid.T, e dispatcher.Send, path string, mayRepeat bool) {
 	if e.KeepsStalled != x.isStalled {
 		t.Fatalf("stalled attempt is not kept beside the next attempt")
 	}
 	x.mayHaveRun = x.mayHaveRun || (x.keepsStalled && x.isStalled)
 	x.keepsStalled = x.keepsStalled || x.isStalled
-	if (x.mayHaveRun || x.keepsStalled) && (path == "/post/" || path == "/once/") {
+	if (x.mayHaveRun || x.keepsStalled) && !mayRepeat {
 		t.Fatalf("%s sent again after it may have run", path)
 	}
 	x.attempts++
@@ -423,21 +429,34 @@
 	}
 }
 
-// playRequest runs one request to its end and returns the number of its attempts.
-func playRequest(t *rapid.T, d *harness, at time.Duration, path string) int {
+// playRequest runs one request to its end, disturbs it before each outcome, and returns the number of its attempts.
+func playRequest(t *rapid.T, d *harness, at time.Duration, path string, mayRepeat bool, disturb func()) int {
 	d.logs = nil
-	call, effect := d.sendRequest(at, path, "key")
+	d.next++
+	call := d.next
+	// No two requests are alike, so that none is held back because others were there when a target failed.
+	effect := d.apply(at, dispatcher.RequestArrived{
+		Call: call, ID: identifier.RequestID(fmt.Sprint(call)), Host: "h", Path: path, Key: "key", Seed: uint64(call),
+		Fingerprint: identifier.Fingerprint(call), Group: identifier.Fingerprint(call),
+	})
 	var x history
 	for isOngoing(effect) {
 		switch e := effect.(type) {
 		case dispatcher.Send:
-			x.noteSend(t, e, path)
+			x.noteSend(t, e, path, mayRepeat)
 		case dispatcher.ResumeStalled:
 			x.noteResume(t)
 		case dispatcher.Probe:
 			effect = d.apply(at, dispatcher.Probed{Call: call})
 			continue
+		case dispatcher.Hold:
+			effect = d.apply(at, dispatcher.HoldEnded{Call: call, IsCallerGone: true})
+			continue
+		case dispatcher.Reroute:
+			effect = d.apply(at, dispatcher.Rerouted{Call: call, Chain: e.Chain, IsAccepted: rapid.Bool().Draw(t, "rerouted")})
+			continue
 		}
+		disturb()
 		outcome := drawOutcome(t, effect)
 		x.noteOutcome(outcome)
 		effect = d.apply(at, dispatcher.AttemptReported{Call: call, Outcome: outcome, Status: 503, ChainIdleTime: time.Second})
@@ -446,7 +465,7 @@
 		t.Fatalf("%s refused as not run after it may have run", path)
 	}
 	if n := d.countEndLogs(); x.attempts > 4 || n != 1 {
-		t.Fatalf("%d attempts, %d log lines of the request's end", x.attempts, n)
+		t.Fatalf("%d attempts, %d log lines of the request's end, last effect %T", x.attempts, n, effect)
 	}
 	return x.attempts
 }
@@ -454,7 +473,7 @@
 // isOngoing reports whether the request is still in progress after an effect.
 func isOngoing(effect messenger.Effect) bool {
 	switch effect.(type) {
-	case dispatcher.Send, dispatcher.Wait, dispatcher.ResumeStalled, dispatcher.Probe:
+	case dispatcher.Send, dispatcher.Wait, dispatcher.ResumeStalled, dispatcher.Probe, dispatcher.Reroute, dispatcher.Hold:
 		return true
 	}
 	return false
