Bring about by cuts what the test of the lease through a restoration waited for by chance

Cause: that node joins within milliseconds after the first in each second, and gets the lease only if a redistribution falls between the two.

--- a/entry/internal/follower/restoration_test.go
+++ b/entry/internal/follower/restoration_test.go
@@ -258,12 +258,18 @@
 func TestOneNodeHoldsLeaseThroughRestoration(t *testing.T) {
 	c, store, first, second := startTwo(t)
 	store.BackUp()
-	// The node that joins first after a redistribution gets the lease; the other one learns of it when it joins.
-	for n := 1; !second.holds() || first.holds(); n++ {
-		c.Assert(n < 100, qt.IsTrue)
-		store.Rebalance()
-		time.Sleep(joinInterval + time.Duration(n%9)*100*time.Millisecond)
+	// The node that joins first after a redistribution gets the lease, so the other one can't join for a while.
+	first.link.isCut.Store(true)
+	store.Rebalance()
+	for until := time.Now().Add(waitLimit); !second.holds() || first.holds(); time.Sleep(10 * time.Millisecond) {
+		c.Assert(time.Now().Before(until), qt.IsTrue, qt.Commentf("the lease does not move within %v", waitLimit))
 	}
+	first.link.isCut.Store(false)
+	time.Sleep(2 * joinInterval)
+	c.Assert(second.holds() && !first.holds(), qt.IsTrue)
+	// The second node learns late what the copy knows, while its lease still runs.
+	second.link.isCut.Store(true)
+	time.AfterFunc(2*joinInterval, func() { second.link.isCut.Store(false) })
 	store.Restore()
 	both, held := 0, 0
 	for until := time.Now().Add(waitLimit); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
