--- a/entry/internal/crashrecorder/crashrecorder.go
+++ b/entry/internal/crashrecorder/crashrecorder.go
@@ -139,12 +139,14 @@
 	records map[identifier.Fingerprint]*record
 	traits  map[identifier.Fingerprint]*trait
 	proofs  *proofkeeper.Keeper
+	// successes remembers the requests that have succeeded lately.
+	successes *proofkeeper.Keeper
 }
 
 // NewRecorder returns a recorder that knows nothing.
 func NewRecorder() *Recorder {
 	return &Recorder{
-		records: map[identifier.Fingerprint]*record{}, traits: map[identifier.Fingerprint]*trait{}, proofs: proofkeeper.NewKeeper(),
+		records: map[identifier.Fingerprint]*record{}, traits: map[identifier.Fingerprint]*trait{}, proofs: proofkeeper.NewKeeper(), successes: proofkeeper.NewKeeper(),
 	}
 }
 
@@ -266,12 +268,15 @@
 }
 
 func (x *Recorder) isRecordConfirmed(now time.Time, r *record) bool {
-	return r.isConfirmed(0) && now.Sub(r.lastAt) < crashMaxAge && r.isConfirmed(x.explainedCrashes(r))
+	return r.isConfirmed(0) && now.Sub(r.lastAt) < crashMaxAge && r.isConfirmed(x.explainedCrashes(now, r))
 }
 
 // NoteAnswer applies that a request was answered, and returns the requests and traits whose crashes count no more. Only a
 // success proves that the target has run the request: it may reject one with an error before.
-func (x *Recorder) NoteAnswer(key fingerprinter.Key, isSuccess bool) []identifier.Fingerprint {
+func (x *Recorder) NoteAnswer(now time.Time, key fingerprinter.Key, isSuccess bool) []identifier.Fingerprint {
+	if isSuccess {
+		x.successes.Note(now, key.Request)
+	}
 	var cleared []identifier.Fingerprint
 	if (isSuccess || x.isRejectedOften(key.Request)) && x.Clear(key.Request) {
 		cleared = append(cleared, key.Request)
--- a/entry/internal/crashrecorder/explanation_test.go
+++ b/entry/internal/crashrecorder/explanation_test.go
@@ -9,6 +9,7 @@
 
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/entry/internal/crashrecorder"
+	"fuchsiabridge.example/entry/internal/fingerprinter"
 )
 
 const (
@@ -75,3 +76,28 @@
 	}
 	c.Check(x.IsRequestConfirmed(now, poisonRequest), qt.IsFalse)
 }
+
+// TestTwoPoisonPartsExplainFrequentRequest guards against refusing a frequent request for good that ran on all targets which two
+// poison parts have crashed. It had succeeded before, which no poison request does.
+func TestTwoPoisonPartsExplainFrequentRequest(t *testing.T) {
+	const crashesPerPart = 3
+	for _, hasSucceeded := range []bool{false, true} {
+		t.Run(fmt.Sprint("succeeded before: ", hasSucceeded), func(t *testing.T) {
+			c := qt.New(t)
+			x := crashrecorder.NewRecorder()
+			now := time.Unix(0, 0)
+			x.NoteAnswer(now, fingerprinter.Key{Request: poisonRequest}, hasSucceeded)
+			for n := range 2 * crashesPerPart {
+				crash := crashrecorder.Crash{
+					Request: firstNeighbour + identifier.Fingerprint(n), Target: identifier.TargetID(fmt.Sprint("t", n)), Incarnation: 1, Depth: 1,
+					Parts: []crashrecorder.TraitCrash{{Trait: firstPart + identifier.Fingerprint(n/crashesPerPart), Depth: n%crashesPerPart + 1}},
+				}
+				x.RecordOwnCrash(now, crash)
+				crash.Request, crash.Depth, crash.Parts = poisonRequest, n+1, nil
+				x.RecordOwnCrash(now, crash)
+				now = now.Add(time.Second)
+			}
+			c.Check(x.IsRequestConfirmed(now, poisonRequest), qt.Equals, !hasSucceeded)
+		})
+	}
+}
--- a/entry/internal/crashrecorder/traits.go
+++ b/entry/internal/crashrecorder/traits.go
@@ -142,28 +142,39 @@
 	return false
 }
 
-// explainedCrashes returns how many of a request's crashes one part of prompts explains: a part whose requests have caused about
-// as many crashes. Many parts of innocent requests, each of which was there at a few of the crashes, explain nothing together. Of
-// a request that was confirmed before, the confirming crash alone may be known, which stands for all of them.
-func (x *Recorder) explainedCrashes(r *record) int {
+// explainedCrashes returns how many of a request's crashes parts of prompts explain. One part explains those that requests with it
+// may have caused, if these have caused about as many in all. Many parts together explain only the crashes of a request that has
+// succeeded lately: of innocent prompts, each may have been there at a few of the crashes of a poison request. Of a request that was
+// confirmed before, the confirming crash alone may be known, which stands for all of them.
+func (x *Recorder) explainedCrashes(now time.Time, r *record) int {
 	if len(r.crashes) == 1 {
 		return 0
 	}
-	explained := 0
+	hasSucceeded := x.successes.IsSound(now, r.key.Request)
+	together, explained := map[incarnation]bool{}, 0
 	for _, t := range x.traits {
-		if t.isPart() && t.suffices() && len(t.crashes)+maxOtherCrashes >= len(r.crashes) {
-			explained = max(explained, t.countCommon(r))
+		if !t.isPart() || !t.suffices() {
+			continue
+		}
+		common := t.commonCrashes(r)
+		if hasSucceeded {
+			for _, key := range common {
+				together[key] = true
+			}
+		}
+		if len(t.crashes)+maxOtherCrashes >= len(r.crashes) {
+			explained = max(explained, len(common))
 		}
 	}
-	return explained
+	return max(explained, len(together))
 }
 
-// countCommon returns how many of a request's crashes requests with the trait may have caused.
-func (t *trait) countCommon(r *record) int {
-	common := 0
+// commonCrashes returns which of a request's crashes requests with the trait may have caused.
+func (t *trait) commonCrashes(r *record) []incarnation {
+	var common []incarnation
 	for key := range r.crashes {
 		if len(t.crashes[key]) > 0 {
-			common++
+			common = append(common, key)
 		}
 	}
 	return common
--- a/entry/internal/crashtracker/crashtracker.go
+++ b/entry/internal/crashtracker/crashtracker.go
@@ -323,8 +323,8 @@
 }
 
 // NoteAnswer applies that a request was answered, and returns the requests and traits whose crashes count no more.
-func (t *Tracker) NoteAnswer(key fingerprinter.Key, isSuccess bool) []identifier.Fingerprint {
-	cleared := t.Recorder.NoteAnswer(key, isSuccess)
+func (t *Tracker) NoteAnswer(now time.Time, key fingerprinter.Key, isSuccess bool) []identifier.Fingerprint {
+	cleared := t.Recorder.NoteAnswer(now, key, isSuccess)
 	if isSuccess || slices.Contains(cleared, key.Request) {
 		t.dropCandidates(key.Request)
 	}
--- a/entry/internal/crashtracker/crashtracker_test.go
+++ b/entry/internal/crashtracker/crashtracker_test.go
@@ -255,7 +255,7 @@
 		breakAttempt(tracker, at, fingerprinter.Key{Request: identifier.Fingerprint(1 + i), Group: crashGroup}, i)
 		at = at.Add(10 * time.Millisecond)
 		tracker.SetUnresponsive(at, string(id(i)))
-		tracker.NoteAnswer(known, true)
+		tracker.NoteAnswer(at, known, true)
 	}
 	c.Assert(tracker.IsConfirmed(at, next), qt.IsFalse)
 	c.Assert(tracker.IsTraitOpen(at, next.Request, next.Group), qt.IsTrue)
@@ -284,10 +284,10 @@
 	breakAttempt(tracker, start, key, 0)
 	at := start.Add(time.Second)
 	c.Assert(tracker.SetUnresponsive(at, string(id(0))).Crashes, qt.HasLen, 1)
-	c.Assert(tracker.NoteAnswer(key, false), qt.HasLen, 0)
+	c.Assert(tracker.NoteAnswer(at, key, false), qt.HasLen, 0)
 	c.Assert(tracker.Histories(at, key).HasCrashes(), qt.IsTrue)
 	for range 9 {
-		tracker.NoteAnswer(key, false)
+		tracker.NoteAnswer(at, key, false)
 	}
 	c.Assert(tracker.Histories(at, key).HasCrashes(), qt.IsFalse)
 }
--- a/entry/internal/dispatcher/attempts.go
+++ b/entry/internal/dispatcher/attempts.go
@@ -32,7 +32,7 @@
 	isCandidate := false
 	switch ev.Outcome {
 	case Delivered:
-		effects = append(effects, d.noteAnswer(r, ev.Status)...)
+		effects = append(effects, d.noteAnswer(now, r, ev.Status)...)
 	case Broken, Expired, CallerGone:
 		var found []messenger.Effect
 		isCandidate, found = d.notePoisonCandidate(now, r, ev)
--- a/entry/internal/dispatcher/crashes.go
+++ b/entry/internal/dispatcher/crashes.go
@@ -139,8 +139,8 @@
 
 // noteAnswer drops the crashes of a request that was answered, and those of its traits if they count no more, here and
 // at the other nodes.
-func (d *Dispatcher) noteAnswer(r *request, status int) []messenger.Effect {
-	cleared := d.crashTracker.NoteAnswer(r.key, isSuccess(status))
+func (d *Dispatcher) noteAnswer(now time.Time, r *request, status int) []messenger.Effect {
+	cleared := d.crashTracker.NoteAnswer(now, r.key, isSuccess(status))
 	d.trials.Drop(r.key)
 	return d.reportCleared(r, cleared)
 }
--- a/entry/internal/proofkeeper/proofkeeper.go
+++ b/entry/internal/proofkeeper/proofkeeper.go
@@ -1,5 +1,5 @@
-// Package proofkeeper remembers for a while which parts of prompts targets have written answers on, which proves that these parts
-// crash no targets.
+// Package proofkeeper remembers for a while what targets have answered: parts of prompts that they have written on, which proves that
+// these crash no targets, and requests that have succeeded.
 package proofkeeper
 
 import (
