--- a/entry/internal/follower/fleet_test.go
+++ b/entry/internal/follower/fleet_test.go
@@ -70,6 +70,8 @@
 	hasTarget bool
 	// joinDelay is how long a member waits for the answer to a call that joins the group.
 	joinDelay time.Duration
+	// hidesOwners says that lookups of the owners fail.
+	hidesOwners bool
 	// targetsTime is how long the store takes for one read of all targets. It sends them to one node after the other, also to
 	// those that do not wait any more, and is busy until busyUntil.
 	targetsTime time.Duration
@@ -115,6 +117,12 @@
 	s.hasTarget = isThere
 }
 
+func (s *fleetStore) hideOwners() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hidesOwners = true
+}
+
 // setReaders moves the partitions of the readers to other members.
 func (s *fleetStore) setReaders(first int) {
 	s.mu.Lock()
@@ -238,6 +246,9 @@
 	l.calls.Add(1)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.hidesOwners {
+		return nil, errDead
+	}
 	owners := map[int]storecaller.Member{}
 	for p := range topicPartitions {
 		if len(l.members) > 0 {
@@ -514,6 +525,17 @@
 	f.Check(float64(most) <= maxShare*float64(total), qt.IsTrue, qt.Commentf("one of %d readers answers %d of %d calls", manyFleetReaders, most, total))
 }
 
+// TestFollowersStayWhereFurtherReadersAreUnknown guards against followers that look for further readers without a pause while the
+// store does not say which these are.
+func TestFollowersStayWhereFurtherReadersAreUnknown(t *testing.T) {
+	const maxLookups = 8
+	f := launchFleet(t, manyNodes)
+	time.Sleep(300 * time.Millisecond)
+	f.store.hideOwners()
+	time.Sleep(fleetSettle)
+	f.checkCalls(f.followers(), maxLookups)
+}
+
 // TestLargeFleetLeavesTargetsToReadersAtStart guards against nodes that all read all targets when they start again together: the
 // store can't send them to so many in time, so that none gets them, and all ask again.
 func TestLargeFleetLeavesTargetsToReadersAtStart(t *testing.T) {
--- a/entry/internal/follower/peers.go
+++ b/entry/internal/follower/peers.go
@@ -186,6 +186,7 @@
 
 // lookup asks the store which peers read it.
 func (f *Follower) lookup(ctx context.Context, r *readers) {
+	r.moveAt = time.Time{}
 	found, err := f.group.FindReaders(ctx)
 	r.lookupInterval = min(maxLookupInterval, max(minLookupInterval, 2*r.lookupInterval))
 	r.nextLookupAt = bootclock.Now().Add(r.lookupInterval)
@@ -194,7 +195,7 @@
 		eventlogger.Error(err, eventlogger.CallFailed, "doing", "looking up the peers that read the store")
 		return
 	}
-	r.known, r.first, r.count, r.moveAt = found.All, found.First, found.Partitions, time.Time{}
+	r.known, r.first, r.count = found.All, found.First, found.Partitions
 }
 
 // mustMove reports whether more nodes read the store by now than were known at the last lookup, so that this node follows one of
--- a/entry/internal/joiner/readers.go
+++ b/entry/internal/joiner/readers.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// minReaders is how many nodes read the store for their peers, and nodesPerReader how many there are for each further one:
-	// each follower gets all news of the targets over the link of the reader that it follows.
+	// One node for each nodesPerReader reads the store for its peers, and at least minReaders do: each follower gets all news of
+	// the targets over the link of the reader that it follows.
 	minReaders     = 4
 	nodesPerReader = 24
 	// maxSmallFleet is the number of nodes up to which each of them reads all targets at its start. The store could not send
