--- a/entry/internal/follower/peers.go
+++ b/entry/internal/follower/peers.go
@@ -70,8 +70,10 @@
 	// first are those of them that read it whatever the size of the fleet is.
 	first []storecaller.Member
 	// count is how many partitions belonged to these and to this node, and moveAt when this node looks for further ones.
-	count        int
-	moveAt       time.Time
+	count  int
+	moveAt time.Time
+	// hasSkipped says that one of those that read the store in large fleets only did not read it yet.
+	hasSkipped   bool
 	backoffUntil map[string]time.Time
 	// answeredAt is when one of them last answered, even if with old updates.
 	answeredAt time.Time
@@ -107,7 +109,8 @@
 			backoff = stalePeerBackoff
 		case errors.Is(err, sharer.ErrNotReading):
 			// Those that read the store in large fleets only have yet to learn that this one is large.
-			r.hasAnswered = r.hasAnswered || slices.Contains(r.first, peer)
+			isFirst := slices.Contains(r.first, peer)
+			r.hasAnswered, r.hasSkipped = r.hasAnswered || isFirst, r.hasSkipped || !isFirst
 			// If the peer has read the store before, the partitions were redistributed, so the store is reachable again if it was
 			// not, and another node reads it as soon as it has learned that from the group. Else the peer has yet to learn that.
 			backoff = stalePeerBackoff
@@ -186,7 +189,7 @@
 
 // lookup asks the store which peers read it.
 func (f *Follower) lookup(ctx context.Context, r *readers) {
-	r.moveAt = time.Time{}
+	r.moveAt, r.hasSkipped = time.Time{}, false
 	found, err := f.group.FindReaders(ctx)
 	r.lookupInterval = min(maxLookupInterval, max(minLookupInterval, 2*r.lookupInterval))
 	r.nextLookupAt = bootclock.Now().Add(r.lookupInterval)
@@ -198,10 +201,10 @@
 	r.known, r.first, r.count = found.All, found.First, found.Partitions
 }
 
-// mustMove reports whether more nodes read the store by now than were known at the last lookup, so that this node follows one of
-// these. It gives them time to begin, and not all followers move at once.
+// mustMove reports whether more nodes read the store by now than were known at the last lookup, or have begun to since, so that this
+// node follows one of these. It gives them time to begin, and not all followers move at once.
 func (r *readers) mustMove(now time.Time, count int) bool {
-	if count <= r.count {
+	if count <= r.count && !r.hasSkipped {
 		return false
 	}
 	if r.moveAt.IsZero() {
