--- a/integration/relay_test.go
+++ b/integration/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -225,8 +226,14 @@
 func TestFBCtlRelaysPrintsNodeState(t *testing.T) {
 	b := newRelayFixture(t)
 	unreachable := &launcher.Relay{Metrics: launcher.FreeAddress(t)}
-	out, code := b.node.Fleet().FBCtlRelays(b.node, unreachable)
-	b.Assert(code, qt.Equals, 0, qt.Commentf("%s", out))
+	// Drafts are served as soon as one data centre has its layers.
+	var out string
+	launcher.Await(t, relayStartTimeout, "both data centres have chains", func() bool {
+		var code int
+		out, code = b.node.Fleet().FBCtlRelays(b.node, unreachable)
+		b.Assert(code, qt.Equals, 0, qt.Commentf("%s", out))
+		return regexp.MustCompile(`drafting +b `).MatchString(out)
+	})
 	for _, want := range []string{`node-1 +127\S+ +true +1 `, `yes, fence`, `drafting +a `, `drafting +b `, `no answer`, `draft-a\d=0-`} {
 		b.Check(out, qt.Matches, `(?s).*`+want+`.*`)
 	}
