--- a/entry/internal/joiner/holders.go
+++ b/entry/internal/joiner/holders.go
@@ -47,8 +47,6 @@
 
 // LookUpHolders asks the store which nodes hold the partitions.
 func (j *Joiner) LookUpHolders(ctx context.Context) error {
-	j.lookupMu.Lock()
-	defer j.lookupMu.Unlock()
-	_, err := j.findReaders(ctx)
+	_, err := j.FindReaders(ctx)
 	return err
 }
--- a/entry/internal/sharer/sharer_test.go
+++ b/entry/internal/sharer/sharer_test.go
@@ -342,6 +342,16 @@
 	c.Assert(time.Since(start) < 80*time.Millisecond, qt.IsTrue)
 }
 
+// checkCompressed checks that a compressed update takes at most a share of the bytes of the plain one.
+func checkCompressed(c *qt.C, plain, packed sharer.Update, maxShare float64) {
+	c.Helper()
+	full, err := json.Marshal(plain)
+	c.Assert(err, qt.IsNil)
+	small, err := json.Marshal(packed)
+	c.Assert(err, qt.IsNil)
+	c.Check(float64(len(small)) < maxShare*float64(len(full)), qt.IsTrue, qt.Commentf("%d of %d bytes", len(small), len(full)))
+}
+
 // TestManyChangesAreCompressed guards against a link that is full of the changes of many targets, as when all of a large fleet get
 // their layers.
 func TestManyChangesAreCompressed(t *testing.T) {
@@ -360,11 +370,7 @@
 	q.AcceptsPacked = true
 	packed, err := ask(t, s, q)
 	c.Assert(err, qt.IsNil)
-	full, err := json.Marshal(plain)
-	c.Assert(err, qt.IsNil)
-	small, err := json.Marshal(packed)
-	c.Assert(err, qt.IsNil)
-	c.Check(float64(len(small)) < maxShare*float64(len(full)), qt.IsTrue, qt.Commentf("%d of %d bytes", len(small), len(full)))
+	checkCompressed(c, plain, packed, maxShare)
 	c.Assert(packed.Unpack(), qt.IsNil)
 	c.Check(packed.Changes, qt.HasLen, targets)
 	c.Check(packed.IsComplete, qt.IsFalse)
@@ -391,11 +397,7 @@
 	packed, err := ask(t, s, sharer.Query{AcceptsPacked: true})
 	c.Assert(err, qt.IsNil)
 	c.Assert(packed.Changes, qt.HasLen, 0)
-	full, err := json.Marshal(plain)
-	c.Assert(err, qt.IsNil)
-	small, err := json.Marshal(packed)
-	c.Assert(err, qt.IsNil)
-	c.Check(float64(len(small)) < maxShare*float64(len(full)), qt.IsTrue, qt.Commentf("%d of %d bytes", len(small), len(full)))
+	checkCompressed(c, plain, packed, maxShare)
 	c.Assert(packed.Unpack(), qt.IsNil)
 	c.Check(packed.Changes, qt.HasLen, targets)
 	c.Check(packed.Crashes, qt.HasLen, crashes)
