--- a/entry/internal/crashreporter/crashreporter.go
+++ b/entry/internal/crashreporter/crashreporter.go
@@ -26,10 +26,11 @@
 const (
 	// crashBatchDelay is how long to wait for further crashes before a batch is sent to peers.
 	crashBatchDelay = 100 * time.Millisecond
-	// crashRetryInterval is the time between two attempts to send what a peer has not confirmed,
-	// crashSendTime how long that goes on.
-	crashRetryInterval = 500 * time.Millisecond
-	crashSendTime      = 30 * time.Second
+	// crashRetryInterval is the time until a peer that has not confirmed a report is sent it again. It doubles up to
+	// maxCrashRetryInterval while the peer does not answer, and crashSendTime is how long that goes on.
+	crashRetryInterval    = 500 * time.Millisecond
+	maxCrashRetryInterval = 4 * time.Second
+	crashSendTime         = 30 * time.Second
 	// maxQueuedCrashes limits the crashes that are queued for sending to peers.
 	maxQueuedCrashes = 256
 	// peerTimeout bounds a call to a peer.
@@ -44,6 +45,9 @@
 	readerCheckInterval = 100 * time.Millisecond
 )
 
+// errBackedOff marks a reader that is sent nothing, since it has not answered lately.
+var errBackedOff = errors.New("the peer has not answered lately")
+
 // Peers calls other nodes.
 type Peers interface {
 	Call(ctx context.Context, address, method string, params, result any) error
@@ -86,6 +90,14 @@
 	// reports is the queue of reports to send to peers, poison that of crashes that have confirmed poison requests.
 	reports chan sharer.CrashReport
 	poison  chan crashrecorder.Crash
+	// backoffs holds, by address, the readers that have not answered. Only SendCrashReports uses it.
+	backoffs map[string]backoff
+}
+
+// backoff says until when a reader that has not answered is sent nothing, and for how long that is.
+type backoff struct {
+	until    time.Time
+	interval time.Duration
 }
 
 // NewReporter returns a reporter that reports nothing yet.
@@ -96,6 +108,7 @@
 	return &Reporter{
 		cfg:     cfg,
 		reports: make(chan sharer.CrashReport, maxQueuedCrashes), poison: make(chan crashrecorder.Crash, maxQueuedPoison),
+		backoffs: map[string]backoff{},
 	}
 }
 
@@ -169,13 +182,22 @@
 	}
 	failed := make([]error, len(readers))
 	var wg sync.WaitGroup
+	asked := bootclock.Now()
 	for i, m := range readers {
+		if asked.Before(r.backoffs[m.Address].until) {
+			failed[i] = errBackedOff
+			continue
+		}
 		if report := unconfirmed(pending, m.Address); !report.IsEmpty() {
 			wg.Go(func() { failed[i] = r.sendReport(ctx, m.Address, report) })
 		}
 	}
 	wg.Wait()
 	for i, m := range readers {
+		if errors.Is(failed[i], errBackedOff) {
+			continue
+		}
+		r.noteAnswer(m.Address, failed[i] == nil)
 		if failed[i] != nil {
 			eventlogger.Error(failed[i], eventlogger.CallFailed, "doing", "sending crash reports to a peer", "peer", m.Node, "address", m.Address)
 			continue
@@ -191,6 +213,16 @@
 	})
 }
 
+// noteAnswer notes whether a reader has answered, and backs off from one that has not.
+func (r *Reporter) noteAnswer(address string, hasAnswered bool) {
+	if hasAnswered {
+		delete(r.backoffs, address)
+		return
+	}
+	interval := min(maxCrashRetryInterval, max(crashRetryInterval, 2*r.backoffs[address].interval))
+	r.backoffs[address] = backoff{until: bootclock.Now().Add(interval), interval: interval}
+}
+
 // unconfirmed joins the reports that a reader has not confirmed.
 func unconfirmed(pending []*pendingReport, address string) sharer.CrashReport {
 	var out sharer.CrashReport
--- a/entry/internal/dispatcher/attempts.go
+++ b/entry/internal/dispatcher/attempts.go
@@ -282,7 +282,7 @@
 	if r.reroutes >= maxReroutes || !d.chooser.HasEjected(r.chain) || d.chooser.HasEjected(r.chain[:1]) {
 		return wait
 	}
-	chain, ok := d.chooser.ContinueFrom(r.service, r.chain[0])
+	chain, ok := d.chooser.ContinueFrom(now, r.service, r.chain[0])
 	if !ok {
 		return wait
 	}
@@ -302,10 +302,15 @@
 		r.chain, r.target = ev.Chain, target
 		d.chooser.Acquire(r.targets())
 	}
-	return []messenger.Effect{Wait{Until: now.Add(probeIdleTimeout)}, messenger.Log{
+	effects := []messenger.Effect{messenger.Log{
 		Event: eventlogger.RequestRerouted, Subject: "request/" + string(r.id),
-		Values: []any{"taken", ev.IsAccepted, reasonKey, ev.Reason, "parts", len(ev.Chain)},
+		Values: []any{"taken", ev.IsAccepted, reasonKey, ev.Reason, "fault", ev.FaultAddress, "parts", len(ev.Chain)},
 	}}
+	if ev.IsAccepted || ev.FaultAddress == "" {
+		return append(effects, Wait{Until: now.Add(probeIdleTimeout)})
+	}
+	d.chooser.Avoid(ev.FaultAddress, now.Add(fullTargetBackoff))
+	return append(effects, d.rerouteChain(now, r)...)
 }
 
 // hasAlternative reports whether another attempt is possible: a plain request needs a target that
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -44,7 +44,7 @@
 	// located the target at fault.
 	stalledChainBackoff = 600 * time.Millisecond
 	// maxReroutes is how often a request's first target may be asked to continue along another chain.
-	maxReroutes = 2
+	maxReroutes = 3
 	// fullTargetBackoff is how long a target without free capacity is avoided.
 	fullTargetBackoff = 250 * time.Millisecond
 	// plainTimeoutFraction is the fraction of the route's latency objective after which a plain
--- a/entry/internal/dispatcher/messages.go
+++ b/entry/internal/dispatcher/messages.go
@@ -248,6 +248,9 @@
 	Chain      []describer.Stage
 	IsAccepted bool
 	Reason     string
+	// FaultAddress is the address of the target of the chain that a refusal names as its cause: it does not hold the
+	// layers, or has no room.
+	FaultAddress string
 }
 
 // Deliver is the effect that writes the error response that was held back to the caller.
--- /dev/null
+++ b/entry/internal/follower/fleet_test.go
@@ -0,0 +1,289 @@
+package follower_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	qt "github.com/frankban/quicktest"
+
+	"fuchsiabridge.example/common/bootclock"
+	"fuchsiabridge.example/common/describer"
+	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/common/messenger"
+	"fuchsiabridge.example/entry/internal/dispatcher"
+	"fuchsiabridge.example/entry/internal/follower"
+	"fuchsiabridge.example/entry/internal/sharer"
+	"fuchsiabridge.example/platform/storecaller"
+	"fuchsiabridge.example/platform/storefaker"
+)
+
+const (
+	// fleetReaders is how many nodes of a fleet read the store.
+	fleetReaders = 4
+	// fleetSettle is how long a fleet takes at most until all nodes follow a reader.
+	fleetSettle = 3 * time.Second
+	// maxStartCalls is how many calls a node may make while it starts, until it follows a reader.
+	maxStartCalls = 4
+)
+
+var errDead = errors.New("the node is dead")
+
+// fleetStore is a store in memory, with a group whose first members read it for the others.
+type fleetStore struct {
+	mu      sync.Mutex
+	version int64
+	changed chan struct{}
+	members []storecaller.Member
+}
+
+func newFleetStore() *fleetStore { return &fleetStore{version: 1, changed: make(chan struct{})} }
+
+// change publishes a new version of the configuration.
+func (s *fleetStore) change() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fleetStore) newest() (*describer.Configuration, identifier.StorePosition, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	source, err := json.Marshal(storefaker.Sample(int(s.version), "key"))
+	if err != nil {
+		panic(err)
+	}
+	return &describer.Configuration{Version: s.version, Source: source}, identifier.StorePosition{Offset: identifier.Offset(s.version)}, s.changed
+}
+
+// fleetLink is a node's connection to the store, which counts its calls except for the renewals of its membership.
+type fleetLink struct {
+	*fleetStore
+	calls atomic.Int64
+}
+
+func (l *fleetLink) NewestConfiguration(context.Context) (*describer.Configuration, identifier.StorePosition, error) {
+	l.calls.Add(1)
+	cfg, position, _ := l.newest()
+	return cfg, position, nil
+}
+
+func (l *fleetLink) ReadConfiguration(ctx context.Context, from identifier.StorePosition, wait time.Duration) (*describer.Configuration, identifier.StorePosition, error) {
+	l.calls.Add(1)
+	cfg, position, changed := l.newest()
+	if position != from {
+		return cfg, position, nil
+	}
+	select {
+	case <-changed:
+		cfg, position, _ = l.newest()
+		return cfg, position, nil
+	case <-time.After(wait):
+		return nil, from, nil
+	case <-ctx.Done():
+		return nil, from, ctx.Err()
+	}
+}
+
+func (l *fleetLink) NewestTargets(context.Context) ([]describer.TargetChange, identifier.StorePosition, error) {
+	l.calls.Add(1)
+	return nil, identifier.StorePosition{Offset: 1}, nil
+}
+
+func (l *fleetLink) ReadTargets(ctx context.Context, from identifier.StorePosition, wait time.Duration) ([]describer.TargetChange, identifier.StorePosition, error) {
+	l.calls.Add(1)
+	select {
+	case <-time.After(wait):
+		return nil, from, nil
+	case <-ctx.Done():
+		return nil, from, ctx.Err()
+	}
+}
+
+func (l *fleetLink) Join(_ context.Context, m storecaller.Member, _ identifier.FencingToken, _ time.Duration, _ int) (storecaller.Membership, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i, known := range l.members {
+		if known == m {
+			return membership(i), nil
+		}
+	}
+	l.members = append(l.members, m)
+	return membership(len(l.members) - 1), nil
+}
+
+func membership(i int) storecaller.Membership {
+	if i < fleetReaders {
+		return storecaller.Membership{Generation: 1, Partitions: []int{i}, PartitionCount: 1}
+	}
+	return storecaller.Membership{Generation: 1, PartitionCount: 1}
+}
+
+func (l *fleetLink) Leave(context.Context, storecaller.Member) error { return nil }
+
+func (l *fleetLink) Owners(context.Context) (map[int]storecaller.Member, error) {
+	l.calls.Add(1)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	owners := map[int]storecaller.Member{}
+	for i, m := range l.members[:min(fleetReaders, len(l.members))] {
+		owners[i] = m
+	}
+	return owners, nil
+}
+
+// fleetNode is one node of a fleet.
+type fleetNode struct {
+	id       string
+	link     *fleetLink
+	sharer   *sharer.Sharer
+	follower *follower.Follower
+	isDead   atomic.Bool
+	stop     context.CancelFunc
+	// confirmedAt is the newest confirmation of the configuration, and version the newest version, that the node knows.
+	mu          sync.Mutex
+	confirmedAt time.Time
+	version     int64
+}
+
+func (n *fleetNode) submit(event messenger.Event) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	switch ev := event.(type) {
+	case dispatcher.ConfigurationConfirmed:
+		n.confirmedAt = ev.AsOf
+	case dispatcher.ConfigurationRead:
+		n.version = ev.Table.Version
+	}
+}
+
+// fleet is a number of nodes that call each other in memory.
+type fleet struct {
+	*qt.C
+	store *fleetStore
+	nodes map[string]*fleetNode
+	order []*fleetNode
+}
+
+// Call calls a node by its id, which is its address.
+func (f *fleet) Call(ctx context.Context, address, method string, params, result any) error {
+	n := f.nodes[address]
+	if n.isDead.Load() {
+		return errDead
+	}
+	raw, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	serve := n.sharer.ServeWatch
+	if method == sharer.ConfigurationMethod {
+		serve = n.sharer.ServeConfiguration
+	}
+	answer, err := serve(ctx, raw)
+	if err != nil {
+		return err
+	}
+	if raw, err = json.Marshal(answer); err != nil {
+		return err
+	}
+	return json.Unmarshal(raw, result)
+}
+
+// startFleet starts a number of nodes at the same moment, and waits until they have settled.
+func startFleet(t *testing.T, size int) *fleet {
+	t.Helper()
+	f := &fleet{C: qt.New(t), store: newFleetStore(), nodes: map[string]*fleetNode{}}
+	for i := range size {
+		n := &fleetNode{id: fmt.Sprint("node-", i), link: &fleetLink{fleetStore: f.store}, sharer: sharer.NewSharer()}
+		n.follower = follower.NewFollower(n.link, f, n.sharer, follower.Config{
+			Self: storecaller.Member{Node: identifier.NodeID(n.id), DataCentre: "a", Address: n.id}, StorePartitions: fleetReaders,
+		}, n.submit)
+		f.nodes[n.id] = n
+		f.order = append(f.order, n)
+	}
+	for _, n := range f.order {
+		ctx, cancel := context.WithCancel(context.Background())
+		t.Cleanup(cancel)
+		n.stop = cancel
+		go n.follower.FollowConfiguration(ctx)
+		go n.follower.FollowTargets(ctx)
+		go n.follower.FollowPeers(ctx)
+		go n.follower.KeepLease(ctx)
+	}
+	time.Sleep(fleetSettle)
+	return f
+}
+
+// followers returns the nodes that do not read the store for others.
+func (f *fleet) followers() []*fleetNode {
+	var out []*fleetNode
+	for _, n := range f.order {
+		if !n.follower.IsReader() {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// checkCalls checks that each of some nodes has made no more than a number of calls since before, and resets the count.
+func (f *fleet) checkCalls(nodes []*fleetNode, most int64) {
+	f.Helper()
+	worst := int64(0)
+	for _, n := range nodes {
+		worst = max(worst, n.link.calls.Swap(0))
+	}
+	f.Check(worst <= most, qt.IsTrue, qt.Commentf("%d calls by one node, %d allowed", worst, most))
+}
+
+// checkFresh checks that all nodes but the dead know the newest version and have a recent confirmation of it.
+func (f *fleet) checkFresh(limit time.Duration) {
+	f.Helper()
+	cfg, _, _ := f.store.newest()
+	for _, n := range f.order {
+		n.mu.Lock()
+		age, version := bootclock.Now().Sub(n.confirmedAt), n.version
+		n.mu.Unlock()
+		f.Check(n.isDead.Load() || age < limit, qt.IsTrue, qt.Commentf("%s: confirmed %v ago", n.id, age))
+		f.Check(n.isDead.Load() || version == cfg.Version, qt.IsTrue, qt.Commentf("%s: version %d", n.id, version))
+	}
+}
+
+// TestFleetLeavesStoreToReaders guards against calls to the store that grow with the fleet: by nodes that read it until they
+// have found a reader, by all nodes after each change of the configuration, and by all followers of a reader that has ended.
+func TestFleetLeavesStoreToReaders(t *testing.T) {
+	for _, size := range []int{8, 95, 470} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			f := startFleet(t, size)
+			followers := f.followers()
+			f.Assert(followers, qt.HasLen, size-fleetReaders)
+			f.checkCalls(followers, maxStartCalls)
+			for _, pause := range []time.Duration{300, 550, 650, 1300, 80, 80, 680} {
+				time.Sleep(pause * time.Millisecond)
+				f.store.change()
+			}
+			time.Sleep(2 * time.Second)
+			f.checkFresh(1500 * time.Millisecond)
+			f.checkCalls(followers, 0)
+			ended := f.order[0]
+			for _, n := range f.order {
+				if n.follower.IsReader() {
+					ended = n
+				}
+			}
+			ended.isDead.Store(true)
+			ended.stop()
+			time.Sleep(time.Second)
+			f.store.change()
+			time.Sleep(time.Second)
+			f.checkFresh(1500 * time.Millisecond)
+			f.checkCalls(followers, 1)
+		})
+	}
+}
--- a/entry/internal/follower/follower.go
+++ b/entry/internal/follower/follower.go
@@ -68,6 +68,9 @@
 	gate   *readGate
 	submit func(messenger.Event)
 
+	// lookupMu is held during a lookup of the readers, so that those who wait for it use its result.
+	lookupMu sync.Mutex
+
 	mu sync.Mutex
 	// next is the position up to which configurations are known.
 	next identifier.StorePosition
@@ -97,9 +100,13 @@
 
 // NewFollower returns a follower that submits events and records what it reads in the sharer.
 func NewFollower(store Store, peers Peers, share *sharer.Sharer, cfg Config, submit func(messenger.Event)) *Follower {
-	return &Follower{
+	f := &Follower{
 		store: store, peers: peers, sharer: share, cfg: cfg, gate: newReadGate(), submit: submit,
 	}
+	if cfg.Self.Address != "" {
+		f.gate.setPeersFresh(bootclock.Now().Add(startGrace))
+	}
+	return f
 }
 
 // outage tracks consecutive failures of one kind of call.
@@ -169,11 +176,13 @@
 		}
 		out.succeeded()
 		asOf := sent
+		// After a new configuration the next call confirms it at once: this one confirms as of its start only.
+		nextWait := time.Duration(0)
 		if isStarted && position == next {
 			// No newer configuration arrived during the whole wait, so the current one is confirmed as of its end.
-			asOf = sent.Add(wait)
+			asOf, nextWait = sent.Add(wait), configurationWait
 		}
-		isStarted, next, wait = true, position, configurationWait
+		isStarted, next, wait = true, position, nextWait
 		f.applyConfiguration(cfg, position, storeSource)
 		if position.Era != askedEra {
 			askedEra = position.Era
--- a/entry/internal/follower/holders.go
+++ b/entry/internal/follower/holders.go
@@ -47,6 +47,8 @@
 
 // LookUpHolders asks the store which nodes hold the partitions.
 func (f *Follower) LookUpHolders(ctx context.Context) error {
+	f.lookupMu.Lock()
+	defer f.lookupMu.Unlock()
 	_, err := f.lookupReaders(ctx)
 	return err
 }
--- a/entry/internal/follower/lease.go
+++ b/entry/internal/follower/lease.go
@@ -16,7 +16,9 @@
 
 const (
 	leaseTerm     = 2500 * time.Millisecond
-	leaseInterval = 700 * time.Millisecond
+	leaseInterval = time.Second
+	// leaseRetryInterval is the time from a failed renewal to the next one while the lease still runs.
+	leaseRetryInterval = 300 * time.Millisecond
 	// leaseMargin is subtracted from the lease term, so that this node stops using a lease before another node can obtain it.
 	leaseMargin = 400 * time.Millisecond
 	// leasePartition is the partition whose owner holds the lease.
@@ -37,6 +39,7 @@
 	for ctx.Err() == nil {
 		sent := bootclock.Now()
 		m, err := f.join(ctx, last)
+		interval := leaseInterval
 		switch {
 		case err == nil:
 			last = m.Generation
@@ -45,8 +48,10 @@
 		case !bootclock.Now().Before(until):
 			f.submit(placer.LeaseChanged{})
 			f.submit(dispatcher.RetryQuotaChanged{})
+		default:
+			interval = leaseRetryInterval
 		}
-		sleeper.Sleep(ctx, leaseInterval)
+		sleeper.Sleep(ctx, interval)
 	}
 	f.submit(placer.LeaseChanged{})
 	f.setTenures(storecaller.Membership{}, time.Time{})
--- a/entry/internal/follower/peers.go
+++ b/entry/internal/follower/peers.go
@@ -35,6 +35,12 @@
 	// peerBackoff is how long a peer is not asked after a failed call, stalePeerBackoff after it returned outdated updates.
 	peerBackoff      = time.Second
 	stalePeerBackoff = 400 * time.Millisecond
+	// switchTime is how long a node that has lost the peer it followed tries others before it reads the store itself.
+	switchTime = 400 * time.Millisecond
+	// redistributionTime is how long it takes at most until the node to which a partition has moved reads the store.
+	redistributionTime = 1200 * time.Millisecond
+	// startGrace is how long a node that starts looks for peers before it reads the store itself.
+	startGrace = 1500 * time.Millisecond
 	// idleInterval is the time between two checks of the known peers.
 	idleInterval = 250 * time.Millisecond
 	// readersMaxAge is how long the readers found by a lookup count as the current ones.
@@ -84,20 +90,31 @@
 		case errors.Is(err, errCutOff):
 			backoff = stalePeerBackoff
 		case errors.Is(err, sharer.ErrNotReading):
-			// The partitions were redistributed, so the store is reachable again if it was not.
+			// The partitions were redistributed, so the store is reachable again if it was not, and another node reads
+			// it as soon as it has learned that from the group.
+			backoff = stalePeerBackoff
 			r.nextLookupAt = bootclock.Now()
+			if r.hasUpdated {
+				r.hasUpdated = false
+				f.gate.limitPeersFresh(bootclock.Now().Add(redistributionTime))
+			}
 		}
 		r.backoffUntil[peer.Address] = bootclock.Now().Add(backoff)
 		if r.hasUpdated {
 			r.hasUpdated = false
-			f.fallBackToStore(ctx, &r)
+			f.switchPeer(ctx, &r)
 		}
 	}
 }
 
-// fallBackToStore makes the node read the store at once after the peer that it followed has failed, if the store
-// is reachable, so that a fault of the peer does not delay this node.
-func (f *Follower) fallBackToStore(ctx context.Context, r *readers) {
+// switchPeer is called after the peer that this node followed has failed. The node goes on with another known peer, and
+// reads the store itself if none sends updates within switchTime. If no other is known, it looks them up and reads the
+// store at once, if the store is reachable.
+func (f *Follower) switchPeer(ctx context.Context, r *readers) {
+	if _, ok := r.pick(f.cfg.Self.DataCentre); ok {
+		f.gate.limitPeersFresh(bootclock.Now().Add(switchTime))
+		return
+	}
 	f.lookup(ctx, r)
 	if !r.isStoreUnreachable {
 		f.gate.setPeersFresh(bootclock.Now())
@@ -108,6 +125,9 @@
 func (f *Follower) idle(ctx context.Context, r *readers) {
 	if !bootclock.Now().Before(r.nextLookupAt) {
 		f.lookup(ctx, r)
+		if _, ok := r.pick(f.cfg.Self.DataCentre); ok {
+			return
+		}
 	}
 	if now := bootclock.Now(); r.isStoreUnreachable && now.Sub(r.answeredAt) < updateMaxAge {
 		// The store is unreachable for its readers and for this node. This node leaves the retries to the readers,
@@ -140,7 +160,9 @@
 
 // lookup asks the store which peers read it.
 func (f *Follower) lookup(ctx context.Context, r *readers) {
+	f.lookupMu.Lock()
 	known, err := f.lookupReaders(ctx)
+	f.lookupMu.Unlock()
 	r.lookupInterval = min(maxLookupInterval, max(minLookupInterval, 2*r.lookupInterval))
 	r.nextLookupAt = bootclock.Now().Add(r.lookupInterval)
 	r.isStoreUnreachable = err != nil
@@ -151,7 +173,7 @@
 	r.known = known
 }
 
-// lookupReaders asks the store for the other nodes that read it.
+// lookupReaders asks the store for the other nodes that read it. f.lookupMu must be held.
 func (f *Follower) lookupReaders(ctx context.Context) ([]storecaller.Member, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -174,9 +196,9 @@
 // CurrentReaders returns the other nodes that read the store, from a recent lookup or a new one. With an
 // error, it returns those that were known last.
 func (f *Follower) CurrentReaders(ctx context.Context) ([]storecaller.Member, error) {
-	f.mu.Lock()
-	known, isRecent := f.readers, bootclock.Now().Sub(f.readersAt) < readersMaxAge
-	f.mu.Unlock()
+	f.lookupMu.Lock()
+	defer f.lookupMu.Unlock()
+	known, isRecent := f.knownReaders()
 	if isRecent {
 		return known, nil
 	}
@@ -187,6 +209,13 @@
 	return current, nil
 }
 
+// knownReaders returns the readers that the last lookup has found, and whether that is recent.
+func (f *Follower) knownReaders() ([]storecaller.Member, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.readers, bootclock.Now().Sub(f.readersAt) < readersMaxAge
+}
+
 // IsReader reports whether this node reads the store for its peers.
 func (f *Follower) IsReader() bool {
 	isReader, _, _ := f.gate.snapshot()
@@ -195,7 +224,7 @@
 
 // followPeer applies a peer's updates until a call fails or this node reads the store itself.
 func (f *Follower) followPeer(ctx context.Context, peer storecaller.Member, r *readers) error {
-	q := sharer.Query{WaitMS: peerWait.Milliseconds()}
+	q := sharer.Query{WaitMS: peerWait.Milliseconds(), AcceptsPacked: true}
 	// outages is the count of the last update, or -1 before the first one.
 	outages := -1
 	for ctx.Err() == nil {
@@ -247,6 +276,9 @@
 	if update.IsNotReading {
 		return sharer.Update{}, time.Time{}, sharer.ErrNotReading
 	}
+	if err := update.Unpack(); err != nil {
+		return sharer.Update{}, time.Time{}, err
+	}
 	r.answeredAt = bootclock.Now()
 	confirmed := asked.Add(time.Duration(update.ConfirmedMS) * time.Millisecond)
 	if r.answeredAt.Sub(confirmed) > maxConfirmationAge {
--- a/entry/internal/follower/readgate.go
+++ b/entry/internal/follower/readgate.go
@@ -41,6 +41,13 @@
 	}
 }
 
+// limitPeersFresh shortens the time until which the updates received from peers are recent enough.
+func (g *readGate) limitPeersFresh(until time.Time) {
+	if _, freshUntil, _ := g.snapshot(); until.Before(freshUntil) {
+		g.setPeersFresh(until)
+	}
+}
+
 func (g *readGate) notify() {
 	close(g.changed)
 	g.changed = make(chan struct{})
--- a/entry/internal/relayer/serving.go
+++ b/entry/internal/relayer/serving.go
@@ -20,6 +20,7 @@
 	"fuchsiabridge.example/entry/internal/forwarder"
 	"fuchsiabridge.example/entry/internal/receiver"
 	"fuchsiabridge.example/entry/internal/tracer"
+	"fuchsiabridge.example/platform/targetcaller"
 	"fuchsiabridge.example/platform/translator"
 )
 
@@ -141,6 +142,10 @@
 	rerouted := dispatcher.Rerouted{Call: s.call, Chain: e.Chain, IsAccepted: true}
 	if err := s.x.targets.Reroute(ctx, e.Address, s.request.ID, e.Chain); err != nil {
 		rerouted.IsAccepted, rerouted.Reason = false, err.Error()
+		var rejection *targetcaller.RejectionError
+		if errors.As(err, &rejection) {
+			rerouted.FaultAddress = rejection.FaultAddress
+		}
 	}
 	return rerouted
 }
--- a/entry/internal/sharer/sharer.go
+++ b/entry/internal/sharer/sharer.go
@@ -33,6 +33,9 @@
 const (
 	// maxWait limits how long a query waits for updates.
 	maxWait = 2 * time.Second
+	// minAnswerInterval is the time from a query to its answer if targets or crashes have changed: a peer asks again at
+	// once, so that many changes in a row would cost an answer each. A new configuration is told at once.
+	minAnswerInterval = 100 * time.Millisecond
 	// maxRemoved limits the removed targets that are remembered. A peer that has missed one gets a complete update.
 	maxRemoved = 1024
 	// idBase is the number base in which a sharer's random id is written.
@@ -55,6 +58,8 @@
 	Era           identifier.Era    `json:"era,omitempty"`
 	// WaitMS is how long the answer may wait for updates, in milliseconds.
 	WaitMS int64 `json:"wait_ms"`
+	// AcceptsPacked says that the contents of a complete update may be compressed.
+	AcceptsPacked bool `json:"accepts_packed,omitempty"`
 }
 
 // position is that up to which the sender of the query knows configurations.
@@ -69,8 +74,10 @@
 	Sharer       string   `json:"sharer"`
 	Revision     Revision `json:"revision"`
 	// IsComplete reports that targets that are not among the changes no longer exist.
-	IsComplete bool                     `json:"is_complete"`
-	Changes    []describer.TargetChange `json:"changes"`
+	IsComplete bool `json:"is_complete"`
+	Contents
+	// Packed holds the compressed contents of a complete update instead.
+	Packed []byte `json:"packed,omitempty"`
 	// Outages counts the outages of the store that the sharer has seen end.
 	Outages int `json:"outages"`
 	// Configuration is the offset up to which the sharer knows configurations, in an era of the store.
@@ -79,12 +86,16 @@
 	// ConfirmedMS is when the store confirmed the configuration, in milliseconds relative to the arrival of the
 	// query. It is negative if the confirmation came before the query.
 	ConfirmedMS int64 `json:"confirmed_ms"`
-	// Crashes are the crashes that nodes have reported since the query's revision, or all that are kept if the
-	// update is complete.
+}
+
+// Contents are the changes since the query's revision, or all that is kept if the update is complete.
+type Contents struct {
+	Changes []describer.TargetChange `json:"changes"`
+	// Crashes are the crashes that nodes have reported.
 	Crashes []crashrecorder.Crash `json:"crashes,omitempty"`
-	// Cleared are the requests whose crashes count no more, likewise.
+	// Cleared are the requests whose crashes count no more.
 	Cleared []identifier.Fingerprint `json:"cleared,omitempty"`
-	// Limits are the request limits of targets that have changed, likewise.
+	// Limits are the request limits of targets that have changed.
 	Limits []limiter.Report `json:"limits,omitempty"`
 }
 
@@ -120,9 +131,11 @@
 	outages       int
 	configuration identifier.StorePosition
 	// source is the text of the newest configuration and version its number; packed is the compressed text once a peer has asked for it.
-	source      []byte
-	version     int64
-	packed      []byte
+	source  []byte
+	version int64
+	packed  []byte
+	// complete is the last complete update that was compressed.
+	complete    packedUpdate
 	confirmedAt time.Time
 	// changed is closed and replaced on each change.
 	changed chan struct{}
@@ -254,17 +267,24 @@
 	if errors.Is(err, ErrNotReading) {
 		return Update{IsNotReading: true}, nil
 	}
+	if err == nil && update.IsComplete && q.AcceptsPacked {
+		s.packContents(&update)
+	}
 	return update, err
 }
 
-// Watch returns what the peer does not know, as soon as there is anything or the query's wait has elapsed.
+// Watch returns what the peer does not know, as soon as there is anything or the query's wait has elapsed. A peer that knows
+// all but the last changes gets these after minAnswerInterval.
 func (s *Sharer) Watch(ctx context.Context, q Query) (Update, error) {
 	arrived := bootclock.Now()
 	wait := time.NewTimer(min(maxWait, time.Duration(q.WaitMS)*time.Millisecond))
 	defer wait.Stop()
-	for isOver := false; ; {
+	soonest := time.NewTimer(minAnswerInterval)
+	defer soonest.Stop()
+	isOver, mayAnswer := false, false
+	for {
 		update, changed, err := s.nextUpdate(q, arrived)
-		if err != nil || isOver || !update.isEmptyFor(q) {
+		if err != nil || isOver || update.isUrgentFor(q) || (mayAnswer && !update.isEmptyFor(q)) {
 			return update, err
 		}
 		select {
@@ -272,11 +292,18 @@
 			return Update{}, errors.Wrap(ctx.Err(), "waiting for updates")
 		case <-wait.C:
 			isOver = true
+		case <-soonest.C:
+			mayAnswer = true
 		case <-changed:
 		}
 	}
 }
 
+// isUrgentFor reports whether the sender of the query lacks a configuration, or all that is kept.
+func (u Update) isUrgentFor(q Query) bool {
+	return u.IsComplete || q.position().Before(u.Position())
+}
+
 // isEmptyFor reports whether the update contains nothing that the sender of the query does not know.
 func (u Update) isEmptyFor(q Query) bool {
 	return u.Sharer == q.Sharer && u.Revision == q.Revision && !q.position().Before(u.Position())
--- a/entry/internal/sharer/sharer_test.go
+++ b/entry/internal/sharer/sharer_test.go
@@ -4,7 +4,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -269,3 +272,101 @@
 	c.Assert(update.Crashes, qt.HasLen, 1)
 	c.Assert(update.Crashes[0].Parts, qt.DeepEquals, []crashrecorder.TraitCrash{{Trait: 8, Depth: 2}})
 }
+
+// TestStormOfChangesIsToldInFewAnswers guards against a node that reads the store and is overloaded by its followers, since
+// each of very many changes lets all of them ask again.
+func TestStormOfChangesIsToldInFewAnswers(t *testing.T) {
+	const duration, answersPerSecond = time.Second, 11
+	// The followers of one of four readers in fleets of 8, 95 and 470 nodes.
+	for _, followers := range []int{1, 23, 117} {
+		t.Run(fmt.Sprint(followers), func(t *testing.T) {
+			c := qt.New(t)
+			s := newReadingSharer()
+			ctx, stop := context.WithCancel(context.Background())
+			defer stop()
+			var answers atomic.Int64
+			views := make([]map[identifier.TargetID]bool, followers)
+			var wg sync.WaitGroup
+			for i := range followers {
+				views[i] = map[identifier.TargetID]bool{}
+				wg.Go(func() {
+					q := sharer.Query{WaitMS: limit.Milliseconds(), Configuration: 1}
+					for {
+						update, err := s.Watch(ctx, q)
+						if err != nil {
+							return
+						}
+						answers.Add(1)
+						follow(views[i], update)
+						q.Sharer, q.Revision = update.Sharer, update.Revision
+					}
+				})
+			}
+			for id, until := 0, time.Now().Add(duration); time.Now().Before(until); id++ {
+				s.RecordTargets([]describer.TargetChange{change(id%50, id%3 == 0)}, false)
+				s.RecordCrashes(sharer.CrashReport{Crashes: []crashrecorder.Crash{{Request: identifier.Fingerprint(id), Target: "t"}}})
+				time.Sleep(2 * time.Millisecond)
+			}
+			c.Check(answers.Load() <= int64(followers)*(answersPerSecond+1), qt.IsTrue, qt.Commentf("%d answers", answers.Load()))
+			time.Sleep(2 * limit / 10)
+			stop()
+			wg.Wait()
+			all, err := ask(t, s, sharer.Query{})
+			c.Assert(err, qt.IsNil)
+			want := map[identifier.TargetID]bool{}
+			follow(want, all)
+			for _, view := range views {
+				c.Check(view, qt.DeepEquals, want)
+			}
+		})
+	}
+}
+
+// TestConfigurationIsToldAmidChanges guards against a change of the configuration that waits for other changes.
+func TestConfigurationIsToldAmidChanges(t *testing.T) {
+	c := qt.New(t)
+	s := newReadingSharer()
+	first, err := ask(t, s, sharer.Query{})
+	c.Assert(err, qt.IsNil)
+	start := time.Now()
+	time.AfterFunc(10*time.Millisecond, func() {
+		s.RecordTargets([]describer.TargetChange{change(1, false)}, false)
+		s.RecordConfiguration(identifier.StorePosition{Offset: 2}, bootclock.Now())
+	})
+	update, err := ask(t, s, sharer.Query{Sharer: first.Sharer, Revision: first.Revision, Configuration: first.Configuration, WaitMS: limit.Milliseconds()})
+	c.Assert(err, qt.IsNil)
+	c.Assert(update.Configuration, qt.Equals, identifier.Offset(2))
+	c.Assert(time.Since(start) < 80*time.Millisecond, qt.IsTrue)
+}
+
+// TestCompleteUpdateIsCompressed guards against a link that is full of complete updates when many followers begin to follow a
+// node: that of a large fleet with many crashes has hundreds of kilobytes. A peer of an earlier version gets it as it is.
+func TestCompleteUpdateIsCompressed(t *testing.T) {
+	const targets, crashes, maxShare = 222, 1000, 0.25
+	c := qt.New(t)
+	s := newReadingSharer()
+	for id := range targets {
+		s.RecordTargets([]describer.TargetChange{change(id, false)}, false)
+	}
+	for id := range crashes {
+		s.RecordCrashes(sharer.CrashReport{Crashes: []crashrecorder.Crash{{
+			Request: identifier.Fingerprint(rand.Uint64()), Group: identifier.Fingerprint(rand.Uint64()), Depth: 1, GroupDepth: 1, Incarnation: 1788539263007,
+			Target: identifier.TargetID(fmt.Sprint("target-", id%targets)), Parts: []crashrecorder.TraitCrash{{Trait: identifier.Fingerprint(id % 60), Depth: 1}},
+		}}})
+	}
+	plain, err := ask(t, s, sharer.Query{})
+	c.Assert(err, qt.IsNil)
+	c.Assert(plain.Packed, qt.HasLen, 0)
+	packed, err := ask(t, s, sharer.Query{AcceptsPacked: true})
+	c.Assert(err, qt.IsNil)
+	c.Assert(packed.Changes, qt.HasLen, 0)
+	full, err := json.Marshal(plain)
+	c.Assert(err, qt.IsNil)
+	small, err := json.Marshal(packed)
+	c.Assert(err, qt.IsNil)
+	c.Check(float64(len(small)) < maxShare*float64(len(full)), qt.IsTrue, qt.Commentf("%d of %d bytes", len(small), len(full)))
+	c.Assert(packed.Unpack(), qt.IsNil)
+	c.Check(packed.Changes, qt.HasLen, targets)
+	c.Check(packed.Crashes, qt.HasLen, crashes)
+	c.Check(packed.IsComplete, qt.IsTrue)
+}
