--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -12,6 +12,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -196,8 +198,23 @@
 	return errors.New("the node did not become ready")
 }
 
-// PID returns the process id.
-func (n *Node) PID() int { return n.cmd.Process.Pid }
+// MemoryMB returns the resident memory of the process in MiB, 0 if it has exited.
+func (n *Node) MemoryMB() int {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(raw)) {
+		fields := strings.Fields(line)
+		if len(fields) < 2 || fields[0] != "VmRSS:" {
+			continue
+		}
+		if kib, err := strconv.Atoi(fields[1]); err == nil {
+			return kib / 1024
+		}
+	}
+	return 0
+}
 
 // Signal sends a signal, unless the process has exited.
 func (n *Node) Signal(s syscall.Signal) {
--- a/review/lab/target.go
+++ b/review/lab/target.go
@@ -9,7 +9,11 @@
 	"time"
 )
 
-const heartbeat = 1200 * time.Millisecond
+const (
+	heartbeat = 1200 * time.Millisecond
+	// slots is how many requests a target works on at once. Others wait.
+	slots = 6
+)
 
 // Execution is one request that a target has begun to work on.
 type Execution struct {
@@ -28,8 +32,9 @@
 type Target struct {
 	id, service, address string
 	lab                  *Lab
-	// work is how long a request takes.
+	// work is how long a request takes, and free has a place for each request that may be worked on at once.
 	work time.Duration
+	free chan struct{}
 
 	mu   sync.Mutex
 	runs []Execution
@@ -41,7 +46,7 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &Target{id: id, service: service, address: listener.Addr().String(), lab: l, work: work}
+	t := &Target{id: id, service: service, address: listener.Addr().String(), lab: l, work: work, free: make(chan struct{}, slots)}
 	server := &http.Server{Handler: http.HandlerFunc(t.serve), IdleTimeout: time.Minute}
 	go func() { _ = server.Serve(listener) }()
 	if err := t.beat(0); err != nil {
@@ -69,7 +74,7 @@
 
 func (t *Target) beat(sequence int) error {
 	return t.lab.Store.PutTarget(t.id, map[string]any{
-		"service": t.service, "address": t.address, "zone": zone, "version": "v1", "slots": 64, "state": "ready",
+		"service": t.service, "address": t.address, "zone": zone, "version": "v1", "slots": slots, "state": "ready",
 		"cold_remaining_ms": 0, "sequence": sequence, "born": t.lab.begun.UnixMilli(),
 	})
 }
@@ -94,6 +99,8 @@
 	if err != nil {
 		return
 	}
+	t.free <- struct{}{}
+	defer func() { <-t.free }()
 	t.mu.Lock()
 	t.runs = append(t.runs, Execution{
 		Target: t.id, Attempt: id, Method: r.Method, Path: r.URL.RequestURI(), Header: r.Header.Clone(), Bytes: int(n), At: time.Now(),
