Review, case 4: an order reaches another target at a reused address

Cause: orders name no expected target, and the placer takes a report from the address for one of the target that it knows. A target crashes while it loads; the next one at its address is ordered to hold 42,000 MB with 14,400 MB of memory, and crashes.

--- /dev/null
+++ b/review/lab/engine.go
@@ -0,0 +1,262 @@
+package lab
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// layerMB is what a layer takes, and eventInterval the time between two events of a stream.
+	layerMB       = 1750
+	eventInterval = 20 * time.Millisecond
+	events        = 10
+)
+
+// Kinds are the kinds of accelerators of the Dakar deployment that the cases use, with their memory in MB.
+var Kinds = map[string]int{"h100": 72_000, "t4": 14_400}
+
+// Order is an order that a target has received.
+type Order struct {
+	Target   string
+	From, To int
+	Fence    int64
+	Expect   int64
+	Status   int
+	// IsTooLarge says that the target was ordered to hold more than its memory.
+	IsTooLarge bool
+	At         time.Time
+}
+
+// EngineSpec describes a target that holds layers.
+type EngineSpec struct {
+	ID, Service, Kind string
+	// Address is empty for a free one.
+	Address string
+	// Load is how long the target takes to load all layers of its model, which has Layers.
+	Load   time.Duration
+	Layers int
+}
+
+// Engine is a stand-in of a target that holds layers. It starts empty, and crashes if it is ordered to hold more than its memory.
+type Engine struct {
+	EngineSpec
+	lab  *Lab
+	born int64
+
+	mu       sync.Mutex
+	listener net.Listener
+	server   *http.Server
+	// from and to are the layers that it holds, loading until is what it loads.
+	from, to     int
+	loadFrom     int
+	loadTo       int
+	loadingUntil time.Time
+	sequence     int64
+	fence        int64
+	beats        int
+	isDead       bool
+	orders       []Order
+}
+
+// StartEngine starts a target that holds layers. Its entry is written by Beat and KeepAlive.
+func (l *Lab) StartEngine(s EngineSpec) (*Engine, error) {
+	address := s.Address
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	s.Address = listener.Addr().String()
+	e := &Engine{EngineSpec: s, lab: l, born: time.Now().UnixMilli(), listener: listener}
+	e.server = &http.Server{Handler: http.HandlerFunc(e.serve)}
+	go func() { _ = e.server.Serve(listener) }()
+	l.Note("target %s of service %s starts at %s, kind %s with %d MB, empty", s.ID, s.Service, s.Address, s.Kind, Kinds[s.Kind])
+	return e, nil
+}
+
+// Orders returns the orders that the target has received.
+func (e *Engine) Orders() []Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Order(nil), e.orders...)
+}
+
+// IsLoading reports whether the target is loading layers.
+func (e *Engine) IsLoading() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.isBusy()
+}
+
+// Holds reports whether the target holds all layers of its model.
+func (e *Engine) Holds() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.settle()
+	return e.to-e.from == e.Layers
+}
+
+// Crash ends the target at once, with all of its connections.
+func (e *Engine) Crash() {
+	e.mu.Lock()
+	e.isDead = true
+	e.mu.Unlock()
+	_ = e.server.Close()
+}
+
+// Beat writes the target's entry to the store.
+func (e *Engine) Beat() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.isDead {
+		return nil
+	}
+	e.settle()
+	e.beats++
+	return e.lab.Store.PutTarget(e.ID, map[string]any{
+		"service": e.Service, "address": e.Address, "zone": zone, "version": "v1", "slots": 192, "state": "ready", "cold_remaining_ms": 0,
+		"stage": "both", "kind": e.Kind, "layers": e.layers(), "sequence": e.beats, "born": e.born,
+	})
+}
+
+// KeepAlive writes the target's entry every heartbeat until it crashes.
+func (e *Engine) KeepAlive() {
+	for e.lab.ctx.Err() == nil {
+		if err := e.Beat(); err != nil {
+			e.lab.Note("target %s cannot write its entry: %v", e.ID, err)
+			return
+		}
+		time.Sleep(heartbeat)
+		e.mu.Lock()
+		isDead := e.isDead
+		e.mu.Unlock()
+		if isDead {
+			return
+		}
+	}
+}
+
+func (e *Engine) isBusy() bool { return time.Now().Before(e.loadingUntil) }
+
+// settle applies what was loaded.
+func (e *Engine) settle() {
+	if e.loadTo > 0 && !e.isBusy() {
+		e.from, e.to, e.loadFrom, e.loadTo = e.loadFrom, e.loadTo, 0, 0
+	}
+}
+
+func (e *Engine) layers() any {
+	if e.to == e.from {
+		return nil
+	}
+	return map[string]any{"from": e.from, "to": e.to, "version": 1}
+}
+
+func (e *Engine) serve(w http.ResponseWriter, r *http.Request) {
+	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != e.ID {
+		w.Header().Set("X-Instance-Id", e.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	switch r.URL.Path {
+	case "/api/report":
+		e.report(w)
+	case "/api/order":
+		e.order(w, r)
+	default:
+		e.stream(w, r)
+	}
+}
+
+func (e *Engine) report(w http.ResponseWriter) {
+	e.mu.Lock()
+	e.settle()
+	body := map[string]any{
+		"stage": "both", "models": []any{}, "busy": e.isBusy(), "sequence": e.sequence, "waiting": 0, "running": 0, "kv_used": 0,
+		"kv_total": 90000, "handles": 0, "kind": e.Kind, "layers": e.layers(), "born": e.born, "stalled": []any{}, "pace": 1,
+	}
+	e.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+// order begins to load layers, unless the order does not fit the target's state.
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	var in struct {
+		Op     string `json:"op"`
+		From   int    `json:"from"`
+		To     int    `json:"to"`
+		Fence  int64  `json:"fencing_token"`
+		Expect *int64 `json:"expect"`
+	}
+	if json.NewDecoder(r.Body).Decode(&in) != nil || in.Op != "place" {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	o := Order{Target: e.ID, From: in.From, To: in.To, Fence: in.Fence, Expect: -1, At: time.Now()}
+	if in.Expect != nil {
+		o.Expect = *in.Expect
+	}
+	o.Status = e.begin(in.From, in.To, in.Fence, o.Expect)
+	o.IsTooLarge = o.Status == http.StatusAccepted && (in.To-in.From)*layerMB > Kinds[e.Kind]
+	e.orders = append(e.orders, o)
+	e.mu.Unlock()
+	e.lab.Note("target %s of service %s (%d MB) is ordered to hold layers %d-%d (%d MB), fence %d, expect %d; X-Expect-Instance %q; answer: %d",
+		e.ID, e.Service, Kinds[e.Kind], o.From, o.To, (o.To-o.From)*layerMB, o.Fence, o.Expect, r.Header.Get("X-Expect-Instance"), o.Status)
+	w.WriteHeader(o.Status)
+	if o.IsTooLarge {
+		e.lab.Note("target %s crashes: it was ordered to hold more than its memory", e.ID)
+		go e.Crash()
+	}
+}
+
+// begin checks an order and begins it. It returns the status of the answer. e.mu must be held.
+func (e *Engine) begin(from, to int, fence, expect int64) int {
+	e.settle()
+	switch {
+	case fence < e.fence:
+		return http.StatusPreconditionFailed
+	case expect >= 0 && expect != e.sequence, e.isBusy():
+		return http.StatusConflict
+	case from == e.from && to == e.to:
+		return http.StatusOK
+	}
+	e.fence = fence
+	e.sequence++
+	e.loadFrom, e.loadTo = from, to
+	e.loadingUntil = time.Now().Add(e.Load * time.Duration(to-from) / time.Duration(e.Layers))
+	return http.StatusAccepted
+}
+
+// stream answers a request with a few events, if the target holds its part of the request's path.
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Attempt-Id")
+	w.Header().Set("X-Attempt-Id", id)
+	_, _ = io.Copy(io.Discard, r.Body)
+	e.mu.Lock()
+	e.settle()
+	holds := r.Header.Get("X-Hop-Count") == fmt.Sprintf("%s=%d-%d", e.Address, e.from, e.to) && e.to > e.from
+	e.mu.Unlock()
+	if !holds {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	w.Header().Set("X-Response-Seal", "seal."+id)
+	w.Header().Set("Content-Type", "text/event-stream")
+	last, _ := strconv.Atoi(strings.TrimSpace(r.Header.Get("Last-Event-Id")))
+	for n := last + 1; n <= events; n++ {
+		time.Sleep(eventInterval)
+		fmt.Fprintf(w, "id: %d\ndata: token\n\n", n)
+		_ = http.NewResponseController(w).Flush()
+	}
+}
