--- a/review/lab/engine.go
+++ b/review/lab/engine.go
@@ -13,10 +13,11 @@
 )
 
 const (
-	// layerMB is what a layer takes, and eventInterval the time between two events of a stream.
+	// layerMB is what a layer takes in MB, and eventInterval the time between two events of a stream.
 	layerMB       = 1750
 	eventInterval = 20 * time.Millisecond
-	events        = 10
+	// Events is the number of events of a complete stream.
+	Events = 10
 )
 
 // Kinds are the kinds of accelerators of the Dakar deployment that the cases use, with their memory in MB.
@@ -42,6 +43,8 @@
 	// Load is how long the target takes to load all layers of its model, which has Layers.
 	Load   time.Duration
 	Layers int
+	// IDStep is by how much the id of an event exceeds that of the event before, 1 if it is zero.
+	IDStep int
 }
 
 // Engine is a stand-in of a target that holds layers. It starts empty, and crashes if it is ordered to hold more than its memory.
@@ -253,10 +256,14 @@
 	}
 	w.Header().Set("X-Response-Seal", "seal."+id)
 	w.Header().Set("Content-Type", "text/event-stream")
+	step := max(1, e.IDStep)
 	last, _ := strconv.Atoi(strings.TrimSpace(r.Header.Get("Last-Event-Id")))
-	for n := last + 1; n <= events; n++ {
+	e.lab.Note("target %s runs attempt %s after event %d", e.ID, id, last)
+	n := last/step + 1
+	for ; n <= Events && r.Context().Err() == nil; n++ {
 		time.Sleep(eventInterval)
-		fmt.Fprintf(w, "id: %d\ndata: token\n\n", n)
+		fmt.Fprintf(w, "id: %d\ndata: token\n\n", n*step)
 		_ = http.NewResponseController(w).Flush()
 	}
+	e.lab.Note("target %s ends attempt %s, last event %d, channel closed by the node: %v", e.ID, id, (n-1)*step, r.Context().Err() != nil)
 }
