Review, case 4: a sound request stays stored as poison, and a restarted node refuses it

Cause: a request is stored as poison as soon as its crashes suffice, before a part of prompts may explain them, and is never taken back; a node that starts loads it as one crash that nothing explains.

--- a/review/lab/engine.go
+++ b/review/lab/engine.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -18,8 +19,17 @@
 	eventInterval = 20 * time.Millisecond
 	// Events is the number of events of a complete stream.
 	Events = 10
+	// maxPrefill is how long a target reads the prompt of a request with a poison part at most before it begins to write.
+	maxPrefill = 4000 * time.Millisecond
 )
 
+// HasBegun reports whether the target has begun to run an attempt.
+func (e *Engine) HasBegun(attempt string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.begun[attempt]
+}
+
 // Kinds are the kinds of accelerators of the Dakar deployment that the cases use, with their memory in MB.
 var Kinds = map[string]int{"h100": 72_000, "t4": 14_400}
 
@@ -43,6 +53,12 @@
 	// Load is how long the target takes to load all layers of its model, which has Layers.
 	Load   time.Duration
 	Layers int
+	// PoisonPart is the id of a part of prompts that crashes the target shortly after it begins to run the request. It is back,
+	// empty, after Down.
+	PoisonPart string
+	Down       time.Duration
+	// Events is the number of events of a stream, the package's Events if it is zero.
+	Events int
 	// IDStep is by how much the id of an event exceeds that of the event before, 1 if it is zero.
 	IDStep int
 }
@@ -65,6 +81,11 @@
 	fence        int64
 	beats        int
 	isDead       bool
+	crashes      int
+	poison       int
+	goOn         chan struct{}
+	lastBegun    time.Time
+	begun        map[string]bool
 	orders       []Order
 }
 
@@ -79,7 +100,7 @@
 		return nil, err
 	}
 	s.Address = listener.Addr().String()
-	e := &Engine{EngineSpec: s, lab: l, born: time.Now().UnixMilli(), listener: listener}
+	e := &Engine{EngineSpec: s, lab: l, born: time.Now().UnixMilli(), listener: listener, begun: map[string]bool{}, goOn: make(chan struct{})}
 	e.server = &http.Server{Handler: http.HandlerFunc(e.serve)}
 	go func() { _ = e.server.Serve(listener) }()
 	l.Note("target %s of service %s starts at %s, kind %s with %d MB, empty", s.ID, s.Service, s.Address, s.Kind, Kinds[s.Kind])
@@ -112,8 +133,88 @@
 func (e *Engine) Crash() {
 	e.mu.Lock()
 	e.isDead = true
+	server := e.server
+	e.mu.Unlock()
+	_ = server.Close()
+}
+
+// restart starts the target again after a crash, empty, with the same id and address.
+func (e *Engine) restart() {
+	listener, err := net.Listen("tcp", e.Address)
+	if err != nil {
+		e.lab.Note("target %s cannot start again: %v", e.ID, err)
+		return
+	}
+	e.mu.Lock()
+	e.listener, e.isDead, e.born = listener, false, time.Now().UnixMilli()
+	e.from, e.to, e.loadFrom, e.loadTo, e.sequence, e.fence = 0, 0, 0, 0, 0, 0
+	e.loadingUntil = time.Time{}
+	server := &http.Server{Handler: http.HandlerFunc(e.serve)}
+	e.server = server
+	e.mu.Unlock()
+	go func() { _ = server.Serve(listener) }()
+	e.lab.Note("target %s is back, empty", e.ID)
+	go e.KeepAlive()
+}
+
+// runPoison crashes the target when it begins to write an answer, which is when the target is let go on.
+func (e *Engine) runPoison(r *http.Request, id string) {
+	e.mu.Lock()
+	e.poison++
+	goOn := e.goOn
+	e.mu.Unlock()
+	select {
+	case <-goOn:
+	case <-time.After(maxPrefill):
+	case <-r.Context().Done():
+		return
+	}
+	e.mu.Lock()
+	wasDead := e.isDead
+	if !wasDead {
+		e.crashes++
+		e.poison = 0
+		e.goOn = make(chan struct{})
+	}
 	e.mu.Unlock()
-	_ = e.server.Close()
+	if wasDead {
+		return
+	}
+	e.lab.Note("target %s crashes as it begins to write the answer to attempt %s", e.ID, id)
+	time.AfterFunc(e.Down, e.restart)
+	e.Crash()
+}
+
+// GoOn lets the target begin to write the answers to requests with the poison part.
+func (e *Engine) GoOn() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	select {
+	case <-e.goOn:
+	default:
+		close(e.goOn)
+	}
+}
+
+// Poison returns how many requests with the poison part the target has accepted since its start.
+func (e *Engine) Poison() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.poison
+}
+
+// LastBegun returns when the target last began to run a request without the poison part.
+func (e *Engine) LastBegun() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.lastBegun
+}
+
+// Crashes returns how often the target has crashed by a poison part.
+func (e *Engine) Crashes() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.crashes
 }
 
 // Beat writes the target's entry to the store.
@@ -256,14 +357,26 @@
 	}
 	w.Header().Set("X-Response-Seal", "seal."+id)
 	w.Header().Set("Content-Type", "text/event-stream")
+	e.mu.Lock()
+	e.begun[id] = true
+	e.mu.Unlock()
+	if e.PoisonPart != "" && strings.Contains(r.Header.Get("X-Prompt-Prefix"), e.PoisonPart+":") {
+		e.runPoison(r, id)
+		return
+	}
+	e.mu.Lock()
+	e.lastBegun = time.Now()
+	e.mu.Unlock()
 	step := max(1, e.IDStep)
 	last, _ := strconv.Atoi(strings.TrimSpace(r.Header.Get("Last-Event-Id")))
 	e.lab.Note("target %s runs attempt %s after event %d", e.ID, id, last)
 	n := last/step + 1
-	for ; n <= Events && r.Context().Err() == nil; n++ {
+	for ; n <= e.events() && r.Context().Err() == nil; n++ {
 		time.Sleep(eventInterval)
 		fmt.Fprintf(w, "id: %d\ndata: token\n\n", n*step)
 		_ = http.NewResponseController(w).Flush()
 	}
 	e.lab.Note("target %s ends attempt %s, last event %d, channel closed by the node: %v", e.ID, id, (n-1)*step, r.Context().Err() != nil)
 }
+
+func (s EngineSpec) events() int { return cmp.Or(s.Events, Events) }
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -12,8 +12,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -26,6 +24,8 @@
 	pollInterval = 50 * time.Millisecond
 	// maxRun bounds a whole run.
 	maxRun = 110 * time.Second
+	// grace is grace_s.
+	grace = 8 * time.Second
 	// zone is the zone of all machines and targets.
 	zone = "plateau"
 )
@@ -58,6 +58,8 @@
 	Address string
 	Ready   string
 
+	name   string
+	env    []string
 	cmd    *exec.Cmd
 	exited chan struct{}
 }
@@ -153,14 +155,7 @@
 			return nil, err
 		}
 	}
-	log, err := os.Create(filepath.Join(l.dir, name+".log"))
-	if err != nil {
-		return nil, err
-	}
-	defer log.Close()
-	cmd := exec.Command(l.entry, "relay")
-	cmd.Stdout, cmd.Stderr = log, log
-	cmd.Env = []string{
+	env := []string{
 		"PATH=" + os.Getenv("PATH"), "HOME=" + l.dir, "LANG=C",
 		"FUCHSIABRIDGE_NODE=" + name, "FUCHSIABRIDGE_DATA_CENTRE=" + zone,
 		"FUCHSIABRIDGE_LISTEN=" + addresses[0], "FUCHSIABRIDGE_HEALTH_LISTEN=" + addresses[1],
@@ -169,18 +164,52 @@
 		"FUCHSIABRIDGE_HEARTBEAT=1200ms", "FUCHSIABRIDGE_RETRY_RATIO=0.2", "FUCHSIABRIDGE_RETRY_SLACK=200",
 		"FUCHSIABRIDGE_STORE_PARTS=12", "FUCHSIABRIDGE_RETRY_WINDOW=10s", "FUCHSIABRIDGE_STOP_LIMIT=8s",
 	}
+	n := &Node{Address: addresses[0], Ready: addresses[1], name: name, env: env}
+	if err := l.start(n); err != nil {
+		return nil, err
+	}
+	l.nodes = append(l.nodes, n)
+	return n, l.awaitReady(n)
+}
+
+// start starts a node's process.
+func (l *Lab) start(n *Node) error {
+	log, err := os.OpenFile(filepath.Join(l.dir, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	cmd := exec.Command(l.entry, "relay")
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.Env = n.env
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
-		return nil, err
+		return err
 	}
-	n := &Node{Address: addresses[0], Ready: addresses[1], cmd: cmd, exited: make(chan struct{})}
+	exited := make(chan struct{})
+	n.cmd, n.exited = cmd, exited
 	go func() {
 		_ = cmd.Wait()
-		close(n.exited)
+		close(exited)
 	}()
-	l.nodes = append(l.nodes, n)
-	l.Note("node %s started, for callers at %s", name, n.Address)
-	return n, l.awaitReady(n)
+	l.Note("node %s started, for callers at %s", n.name, n.Address)
+	return nil
+}
+
+// Restart stops a node as the platform does for planned work, and starts it again. It returns when the node is ready.
+func (l *Lab) Restart(n *Node) error {
+	l.Note("platform: SIGTERM to node %s", n.name)
+	n.Signal(syscall.SIGTERM)
+	select {
+	case <-n.exited:
+	case <-time.After(grace):
+		l.Note("platform: SIGKILL to node %s", n.name)
+		n.Kill()
+	}
+	if err := l.start(n); err != nil {
+		return err
+	}
+	return l.awaitReady(n)
 }
 
 func (l *Lab) awaitReady(n *Node) error {
@@ -198,24 +227,6 @@
 	return errors.New("the node did not become ready")
 }
 
-// MemoryMB returns the resident memory of the process in MiB, 0 if it has exited.
-func (n *Node) MemoryMB() int {
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.cmd.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.Lines(string(raw)) {
-		fields := strings.Fields(line)
-		if len(fields) < 2 || fields[0] != "VmRSS:" {
-			continue
-		}
-		if kib, err := strconv.Atoi(fields[1]); err == nil {
-			return kib / 1024
-		}
-	}
-	return 0
-}
-
 // Signal sends a signal, unless the process has exited.
 func (n *Node) Signal(s syscall.Signal) {
 	if !n.HasExited() {
