--- a/review/lab/engine.go
+++ b/review/lab/engine.go
@@ -129,6 +129,14 @@
 	return e.to-e.from == e.Layers
 }
 
+// HoldsAny reports whether the target holds any layers.
+func (e *Engine) HoldsAny() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.settle()
+	return e.to > e.from
+}
+
 // Crash ends the target at once, with all of its connections.
 func (e *Engine) Crash() {
 	e.mu.Lock()
