--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -271,10 +271,11 @@
 }
 
 func logConfiguration(event eventlogger.Event, ev ConfigurationRead, previous int64) messenger.Effect {
+	accounts, keys := ev.Table.CountAccounts()
 	return messenger.Log{
 		Event: event, Subject: "configuration",
 		Values: []any{
-			"version", ev.Table.Version, "former", previous, "routes", ev.Table.Size(),
+			"version", ev.Table.Version, "former", previous, "routes", ev.Table.Size(), "accounts", accounts, "keys", keys,
 			"source", ev.Source, "era", ev.Position.Era, "offset", ev.Position.Offset,
 		},
 	}
--- a/entry/internal/router/router.go
+++ b/entry/internal/router/router.go
@@ -17,6 +17,8 @@
 
 	routes   map[routeKey]*describer.Route
 	accounts map[string]*describer.Account
+	// accountCount also counts the accounts without keys.
+	accountCount int
 }
 
 type routeKey struct{ host, prefix string }
@@ -26,7 +28,7 @@
 	t := &Table{
 		Version: cfg.Version, Limits: cfg.Limits, Services: cfg.Services,
 		routes:   make(map[routeKey]*describer.Route, len(cfg.Routes)),
-		accounts: map[string]*describer.Account{},
+		accounts: map[string]*describer.Account{}, accountCount: len(cfg.Accounts),
 	}
 	for i := range cfg.Routes {
 		r := &cfg.Routes[i]
@@ -58,6 +60,9 @@
 	return nil
 }
 
+// CountAccounts returns the number of client accounts, and of the keys that all of them have.
+func (t *Table) CountAccounts() (accounts, keys int) { return t.accountCount, len(t.accounts) }
+
 // Account returns the client account of a bearer key, nil if there is none.
 func (t *Table) Account(key string) *describer.Account { return t.accounts[key] }
 
