Ask for keys whatever is left of the client accounts

Cause: the router answered the question whether requests need keys with the number of keys that it held.

Change: the configuration says whether it is open, which it is only without a list of accounts; the zero value asks for keys. One method decides for a route.

Why it works: no count of what is left enters the decision any more, so no version that takes something away can open a route.

--- a/common/describer/describer.go
+++ b/common/describer/describer.go
@@ -33,7 +33,10 @@
 	Routes   []Route
 	Services map[identifier.ServiceID]Service
 	Accounts []Account
-	Limits   Limits
+	// IsOpen says that requests need no bearer key, because the configuration has no list of client accounts. An empty list, or
+	// one of accounts without keys, lets in nobody but the callers of public routes.
+	IsOpen bool
+	Limits Limits
 	// Source is the encoded text that the configuration was decoded from; nodes forward it to peers.
 	Source []byte
 }
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -323,7 +323,7 @@
 	if r.route == nil {
 		return d.deny(now, ev.Call, http.StatusNotFound, "no route")
 	}
-	if !r.route.IsPublic && d.table.HasAccounts() {
+	if d.table.NeedsKey(r.route) {
 		account := d.table.Account(ev.Key)
 		if account == nil {
 			return d.deny(now, ev.Call, http.StatusUnauthorized, "unknown key")
--- a/entry/internal/router/router.go
+++ b/entry/internal/router/router.go
@@ -17,6 +17,7 @@
 
 	routes   map[routeKey]*describer.Route
 	accounts map[string]*describer.Account
+	isOpen   bool
 	// accountCount also counts the accounts without keys.
 	accountCount int
 }
@@ -28,7 +29,7 @@
 	t := &Table{
 		Version: cfg.Version, Limits: cfg.Limits, Services: cfg.Services,
 		routes:   make(map[routeKey]*describer.Route, len(cfg.Routes)),
-		accounts: map[string]*describer.Account{}, accountCount: len(cfg.Accounts),
+		accounts: map[string]*describer.Account{}, isOpen: cfg.IsOpen, accountCount: len(cfg.Accounts),
 	}
 	for i := range cfg.Routes {
 		r := &cfg.Routes[i]
@@ -39,6 +40,8 @@
 			t.accounts[key] = &cfg.Accounts[i]
 		}
 	}
+	// A request without a key must not pass for one with an empty key.
+	delete(t.accounts, "")
 	return t
 }
 
@@ -66,8 +69,8 @@
 // Account returns the client account of a bearer key, nil if there is none.
 func (t *Table) Account(key string) *describer.Account { return t.accounts[key] }
 
-// HasAccounts reports whether the configuration has client accounts; without any, requests need no keys.
-func (t *Table) HasAccounts() bool { return len(t.accounts) > 0 }
+// NeedsKey reports whether requests of a route need the key of a client account. That does not depend on whether any key is left.
+func (t *Table) NeedsKey(r *describer.Route) bool { return !r.IsPublic && !t.isOpen }
 
 // Pick chooses one of a route's services by weight; seed is a random number.
 func Pick(r *describer.Route, seed uint64) identifier.ServiceID {
--- a/entry/internal/router/router_test.go
+++ b/entry/internal/router/router_test.go
@@ -54,6 +54,18 @@
 	c.Assert(table().Account("k3"), qt.IsNil)
 }
 
+// TestNeedOfKeyDoesNotDependOnKeysLeft guards against routes that need no key once the last one of all accounts is gone.
+func TestNeedOfKeyDoesNotDependOnKeysLeft(t *testing.T) {
+	c := qt.New(t)
+	private, public := &describer.Route{}, &describer.Route{IsPublic: true}
+	for _, accounts := range [][]describer.Account{nil, {}, {{ID: "studio"}}, {{ID: "studio", Keys: []string{"k1"}}}} {
+		listed := router.NewTable(&describer.Configuration{Accounts: accounts})
+		c.Check(listed.NeedsKey(private), qt.IsTrue, qt.Commentf("%v", accounts))
+		c.Check(listed.NeedsKey(public), qt.IsFalse)
+	}
+	c.Assert(router.NewTable(&describer.Configuration{IsOpen: true}).NeedsKey(private), qt.IsFalse)
+}
+
 // TestPickFollowsWeights checks that each service is picked in proportion to its weight.
 func TestPickFollowsWeights(t *testing.T) {
 	c := qt.New(t)
