Take no request without a key for one with an empty key

An account or an operator whose stored hash is that of an empty key would have let everybody in, and a value without the scheme passed for a key.

Change: a request without a bearer key has none, for callers and operators alike.

--- a/entry/internal/server/operators.go
+++ b/entry/internal/server/operators.go
@@ -41,8 +41,11 @@
 
 // operatorTeams returns the teams whose configuration subtree the request's key may change.
 func (s *Server) operatorTeams(c *fasthttp.RequestCtx) map[identifier.TeamID]bool {
-	hash := keyHash(c)
 	teams := map[identifier.TeamID]bool{}
+	hash, hasKey := keyHash(c)
+	if !hasKey {
+		return teams
+	}
 	for team, known := range s.operators {
 		if equalHash(known, hash) {
 			teams[team] = true
--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -128,16 +128,18 @@
 			responder.Problem{Code: "unready", Message: "the node has no configuration yet"}, unreadyRetryAfter)
 		return request{}, false
 	}
-	account, ok := settings.Accounts[keyHash(c)]
-	if !ok {
+	hash, hasKey := keyHash(c)
+	account, isKnown := settings.Accounts[hash]
+	if !hasKey || !isKnown {
 		s.refuse(c, fasthttp.StatusUnauthorized, "unauthorized", "no client account has this bearer key", "header Authorization")
 		return request{}, false
 	}
 	r := request{account: account, team: settings.Teams[account.Team]}
-	r.id, ok = s.requestID(c)
+	id, ok := s.requestID(c)
 	if !ok {
 		return request{}, false
 	}
+	r.id = id
 	r.class = identifier.Class(c.Request.Header.Peek(headerClass))
 	class := r.team.Class(r.class)
 	r.priority = class.Priority
@@ -194,11 +196,11 @@
 	}
 }
 
-// keyHash returns the hex SHA-256 of the request's bearer key.
-func keyHash(c *fasthttp.RequestCtx) string {
-	key, _ := bytes.CutPrefix(c.Request.Header.Peek("Authorization"), []byte("Bearer "))
+// keyHash returns the hex SHA-256 of the request's bearer key, and false if it has none: that is not the hash of an empty key.
+func keyHash(c *fasthttp.RequestCtx) (string, bool) {
+	key, hasKey := bytes.CutPrefix(c.Request.Header.Peek("Authorization"), []byte("Bearer "))
 	sum := sha256.Sum256(key)
-	return hex.EncodeToString(sum[:])
+	return hex.EncodeToString(sum[:]), hasKey && len(key) > 0
 }
 
 func equalHash(a, b string) bool {
