Compare names of header fields in any spelling

An attempt id in lower case was taken for none, so that the answer was dropped after the request had run.

Cause: receiver and forwarder switched the library's normalization of names off. From then on it looks up, sets and deletes to the letter, and so does all of platform/translator. Evidence: the target received both fields, each once; with repeated fields in the usual spelling all are deleted, so deletion itself is sound.

Change: requests are read with normalized names, as answers always were. There is one form of each name and one look-up, for the translator's names and the library's own (Expect, Connection).

Why it works: whatever a caller writes is brought into the form that is looked up before anything looks.

Shown failing with normalization off: TestRelayReadsFieldsInAnySpelling (lower case: no answer).

--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -170,7 +170,6 @@
 	}
 	var h fasthttp.RequestHeader
 	x.caller.Header().CopyTo(&h)
-	h.DisableNormalizing()
 	x.translator.WriteRequest(&h, translator.Attempt{
 		Target: x.send.Target, Account: x.send.Account, Timeout: x.send.Deadline.Sub(x.sentAt),
 		LastEvent: x.lastEvent(), Chain: x.send.Chain,
--- a/entry/internal/forwarder/forwarder_test.go
+++ b/entry/internal/forwarder/forwarder_test.go
@@ -196,6 +196,27 @@
 	}
 }
 
+// TestFieldsOfAnswersAreReadInAnySpelling guards against an answer whose id, seal, refusal, framing or request limit is not found as
+// the target writes the names of fields otherwise.
+func TestFieldsOfAnswersAreReadInAnySpelling(t *testing.T) {
+	for _, spelling := range []func(string) string{strings.ToLower, strings.ToUpper} {
+		for raw, want := range map[string]dispatcher.Outcome{
+			answerfaker.WithLimit(answerfaker.Plain(id, 200, "body"), "3"):             dispatcher.Delivered,
+			answerfaker.WithLimit(answerfaker.NotRunFor(id), "3"):                      dispatcher.NotRun,
+			answerfaker.WithLimit(answerfaker.Stream(id, event(1)), "3") + "0\r\n\r\n": dispatcher.Delivered,
+		} {
+			f := newFixture(t)
+			got := f.attempt(context.Background(), serve(t, answerfaker.Respell(raw, spelling)), want == dispatcher.Delivered && strings.Contains(raw, "chunked"))
+			f.Assert(got.Outcome, qt.Equals, want, qt.Commentf("%s", got.Reason))
+			f.Assert(f.answers, qt.HasLen, 1)
+			f.Check(f.answers[0].Said.Limit.Rate, qt.Equals, describer.RequestRate(3))
+		}
+		f := newFixture(t)
+		other := answerfaker.Respell(answerfaker.Plain("r0", 200, "body"), spelling)
+		f.Check(f.attempt(context.Background(), serve(t, other), false).Outcome, qt.Equals, dispatcher.Broken)
+	}
+}
+
 // TestRefusedConnectionIsNotSent checks the outcome when the target does not listen.
 func TestRefusedConnectionIsNotSent(t *testing.T) {
 	f := newFixture(t)
--- a/entry/internal/receiver/receiver.go
+++ b/entry/internal/receiver/receiver.go
@@ -168,7 +168,6 @@
 	if err := c.SetReadDeadline(time.Now().Add(header)); err != nil {
 		return errors.Wrap(err, "setting a deadline")
 	}
-	call.request.Header.DisableNormalizing()
 	if err := call.request.Header.Read(c.r); err != nil {
 		return errors.Wrap(err, "reading a header")
 	}
--- /dev/null
+++ b/integration/relay_fields_test.go
@@ -0,0 +1,54 @@
+package integration_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"fuchsiabridge.example/platform/callerfaker"
+)
+
+// spellings are ways to write the name of a field, all of which mean the same.
+var spellings = map[string]func(string) string{
+	"as on the pages": nil,
+	"lower case":      strings.ToLower,
+	"upper case":      strings.ToUpper,
+	"mixed case": func(name string) string {
+		var b strings.Builder
+		for i, r := range strings.ToLower(name) {
+			if i%2 == 1 {
+				r = []rune(strings.ToUpper(string(r)))[0]
+			}
+			b.WriteRune(r)
+		}
+		return b.String()
+	},
+}
+
+// TestRelayReadsFieldsInAnySpelling guards against a caller that forges its account, or hands its key to a target, by writing the names
+// of fields in lower case, and against requests whose own fields are then not found.
+func TestRelayReadsFieldsInAnySpelling(t *testing.T) {
+	t.Parallel()
+	b := newRelayFixture(t)
+	n := 0
+	for name, spelling := range spellings {
+		for _, path := range []string{"/post/1", "/view/1", "/draft/1"} {
+			n++
+			id := fmt.Sprintf("spelled-%d", n)
+			comment := qt.Commentf("%s, %s", name, path)
+			caller := callerfaker.Caller{Address: b.node.Address, Key: relayKey, Forged: "forged", Spelling: spelling}
+			status, _, err := caller.Send(context.Background(), http.MethodPost, path, id)
+			b.Assert(err, qt.IsNil, comment)
+			b.Check(status, qt.Equals, http.StatusOK, comment)
+			attempts := b.fleet.Attempts(id)
+			b.Assert(attempts, qt.HasLen, 1, comment)
+			b.Check(attempts[0].Account, qt.Equals, "studio", comment)
+			b.Check(attempts[0].Key, qt.Equals, "", comment)
+			b.Check(attempts[0].Repeated, qt.HasLen, 0, comment)
+		}
+	}
+}
