Leave out the fields after a request's body

Cause: the library keeps the fields after a body in chunks (trailer), looks them up where the header lacks a name, and moves them into the header when the field Trailer is deleted, which the translator does.

Change: bodies in chunks are read by bodyreader, as those of answers are, which leaves out what follows.

TestFieldsAfterBodyAreLeftOut fails with the library's reading.

--- a/entry/internal/bodyreader/bodyreader.go
+++ b/entry/internal/bodyreader/bodyreader.go
@@ -36,6 +36,26 @@
 	}
 }
 
+// ErrTooLarge is returned for a body that is larger than its limit.
+var ErrTooLarge = errors.New("body is too large")
+
+// ReadAll reads a body to its end. It returns ErrTooLarge as soon as there are more bytes than the limit.
+func ReadAll(body io.Reader, limit int) ([]byte, error) {
+	var out Pieces
+	for {
+		n, err := body.Read(out.Room())
+		out.Add(n)
+		switch {
+		case out.Len() > limit:
+			return nil, ErrTooLarge
+		case errors.Is(err, io.EOF):
+			return out.Join(), nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
 // exactReader reads a body of a known length. An earlier end of the stream is an error.
 type exactReader struct {
 	r    io.Reader
--- a/entry/internal/receiver/receiver.go
+++ b/entry/internal/receiver/receiver.go
@@ -17,6 +17,7 @@
 
 	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/eventlogger"
+	"fuchsiabridge.example/entry/internal/bodyreader"
 )
 
 const (
@@ -29,6 +30,9 @@
 	defaultIdleTimeout   = 30 * time.Second
 	defaultMaxBodyBytes  = 8 << 20
 	acceptBackoff        = 5 * time.Millisecond
+
+	// chunkedLength is the content length of a body in chunks.
+	chunkedLength = -1
 )
 
 // Handler serves one request. ctx ends when the caller disconnects.
@@ -180,13 +184,32 @@
 			return errors.Wrap(err, "asking for a body")
 		}
 	}
-	if err := call.request.ContinueReadBody(c.r, body, false); err != nil {
+	if err := call.readBody(c.r, body); err != nil {
 		return errors.Wrap(err, "reading a body")
 	}
 	call.isLast = h.ConnectionClose()
 	return nil
 }
 
+// readBody reads the body, which may have the given number of bytes at most. The fields after a body in chunks are left out: the
+// library would take them for fields of the header.
+func (c *Call) readBody(r *bufio.Reader, limit int) error {
+	h := &c.request.Header
+	if h.ContentLength() != chunkedLength {
+		return c.request.ContinueReadBody(r, limit, false)
+	}
+	body, err := bodyreader.ReadAll(bodyreader.NewBody(r, chunkedLength), limit)
+	if errors.Is(err, bodyreader.ErrTooLarge) {
+		return fasthttp.ErrBodyTooLarge
+	}
+	if err != nil {
+		return err
+	}
+	c.request.SetBodyRaw(body)
+	h.SetContentLength(len(body))
+	return nil
+}
+
 // framings counts the header fields that determine where the body ends. The library uses only one of them,
 // and which one the caller means is unknown.
 func framings(raw []byte) int {
--- a/entry/internal/receiver/receiver_test.go
+++ b/entry/internal/receiver/receiver_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -39,12 +40,30 @@
 		h.disconnected <- struct{}{}
 		return
 	}
+	if path == "/header" {
+		path = fields(c)
+	}
 	var header fasthttp.ResponseHeader
 	if c.Answer(&header, []byte(path+string(c.Body()))) != nil {
 		h.disconnected <- struct{}{}
 	}
 }
 
+// fields returns the fields of a request that is forwarded, without those of the connection and of the framing.
+func fields(c *receiver.Call) string {
+	var forwarded fasthttp.RequestHeader
+	c.Header().CopyTo(&forwarded)
+	forwarded.Del(fasthttp.HeaderTrailer)
+	forwarded.Del(fasthttp.HeaderContentLength)
+	out := ""
+	for _, name := range []string{"X-One", "X-Two", "X-Three", fasthttp.HeaderTransferEncoding} {
+		for _, value := range forwarded.PeekAll(name) {
+			out += name + "=" + string(value) + "; "
+		}
+	}
+	return out
+}
+
 func start(t *testing.T) (*qt.C, *handler, *receiver.Receiver, net.Conn) {
 	t.Helper()
 	c := qt.New(t)
@@ -94,6 +113,32 @@
 	c.Assert(read(c, r).body, qt.Equals, "/3ab")
 }
 
+// TestFieldsAfterBodyAreLeftOut guards against a field after a body in chunks that reaches a target as one of the header, or stands in
+// for one that the header lacks.
+func TestFieldsAfterBodyAreLeftOut(t *testing.T) {
+	c, h, _, conn := start(t)
+	r := bufio.NewReader(conn)
+	for _, method := range []string{"POST", "GET"} {
+		for _, announced := range []string{"", "Trailer: X-One, x-two\r\n"} {
+			write(c, conn, method+" /header HTTP/1.1\r\nHost: h\r\nX-One: 1\r\n"+announced+"Transfer-Encoding: chunked\r\n\r\n"+
+				"2\r\nab\r\n0\r\nX-One: 2\r\nx-two: 2\r\nX-Three: 2\r\n\r\n")
+			c.Assert(read(c, r).body, qt.Equals, "X-One=1; ab")
+			c.Assert(h.served, qt.HasLen, 1)
+			<-h.served
+		}
+	}
+	write(c, conn, "POST /1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+	c.Assert(read(c, r).body, qt.Equals, "/1")
+}
+
+// TestLargeBodyInChunksIsRefused checks that a body in chunks over the limit is answered with 413.
+func TestLargeBodyInChunksIsRefused(t *testing.T) {
+	c, h, _, conn := start(t)
+	write(c, conn, "POST /1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n65\r\n"+strings.Repeat("x", 101)+"\r\n0\r\n\r\n")
+	c.Assert(read(c, bufio.NewReader(conn)).status, qt.Equals, http.StatusRequestEntityTooLarge)
+	c.Assert(h.served, qt.HasLen, 0)
+}
+
 // TestSmuggledRequestIsRefused checks that a request with both a length and chunks is refused, and that none of it is served.
 func TestSmuggledRequestIsRefused(t *testing.T) {
 	c, h, _, conn := start(t)
--- a/integration/relay_fields_test.go
+++ b/integration/relay_fields_test.go
@@ -36,19 +36,22 @@
 	b := newRelayFixture(t)
 	n := 0
 	for name, spelling := range spellings {
-		for _, path := range []string{"/post/1", "/view/1", "/draft/1"} {
-			n++
-			id := fmt.Sprintf("spelled-%d", n)
-			comment := qt.Commentf("%s, %s", name, path)
-			caller := callerfaker.Caller{Address: b.node.Address, Key: relayKey, Forged: "forged", Spelling: spelling}
-			status, _, err := caller.Send(context.Background(), http.MethodPost, path, id)
-			b.Assert(err, qt.IsNil, comment)
-			b.Check(status, qt.Equals, http.StatusOK, comment)
-			attempts := b.fleet.Attempts(id)
-			b.Assert(attempts, qt.HasLen, 1, comment)
-			b.Check(attempts[0].Account, qt.Equals, "studio", comment)
-			b.Check(attempts[0].Key, qt.Equals, "", comment)
-			b.Check(attempts[0].Repeated, qt.HasLen, 0, comment)
+		for _, hasTrailer := range []bool{false, true} {
+			for _, path := range []string{"/post/1", "/view/1", "/draft/1"} {
+				n++
+				id := fmt.Sprintf("spelled-%d", n)
+				comment := qt.Commentf("%s, trailer %v, %s", name, hasTrailer, path)
+				caller := callerfaker.Caller{Address: b.node.Address, Key: relayKey, Forged: "forged", Spelling: spelling, HasTrailer: hasTrailer}
+				status, _, err := caller.Send(context.Background(), http.MethodPost, path, id)
+				b.Assert(err, qt.IsNil, comment)
+				b.Check(status, qt.Equals, http.StatusOK, comment)
+				attempts := b.fleet.Attempts(id)
+				b.Assert(attempts, qt.HasLen, 1, comment)
+				b.Check(attempts[0].Account, qt.Equals, "studio", comment)
+				b.Check(attempts[0].Key, qt.Equals, "", comment)
+				b.Check(attempts[0].Repeated, qt.HasLen, 0, comment)
+				b.Check(attempts[0].Trailer, qt.HasLen, 0, comment)
+			}
 		}
 	}
 }
