Use no target whose entry names layers that the model lacks

What callers would see: one entry with layers 0 to 2,000,000,000, left by another writer, leaves a service without any chain (all drafts 503), as chains must then end at that layer; the holder of the lease may divide such layers among targets.

Change: the chooser and the placer leave out targets whose range lies outside the model. Fail on the code before: TestEntryBeyondModelLeavesOtherChains, TestEntryBeyondModelChangesNoOrder.

--- a/common/describer/describer.go
+++ b/common/describer/describer.go
@@ -101,6 +101,9 @@
 	Kinds         map[identifier.AcceleratorKind]Accelerator
 }
 
+// Includes reports whether the model has all layers of a range. A target that names others is none of the model's.
+func (e *Engine) Includes(r identifier.LayerRange) bool { return r.From >= 0 && r.To <= e.Layers }
+
 // RequestMegabytes returns the size of a typical request's KV cache over all layers, in megabytes.
 func (e *Engine) RequestMegabytes() float64 { return e.TypicalTokens * e.TokenBytes / bytesPerMegabyte }
 
--- a/entry/internal/chooser/chains.go
+++ b/entry/internal/chooser/chains.go
@@ -39,7 +39,7 @@
 func (c *Chooser) holders(s *service, includeEjected bool) []chainer.Holder {
 	var holders []chainer.Holder
 	for _, t := range s.targets {
-		if (t.IsLeaving && !t.IsClosing) || t.Layers.Len() == 0 {
+		if (t.IsLeaving && !t.IsClosing) || t.Layers.Len() == 0 || !s.engine.Includes(t.Layers) {
 			continue
 		}
 		if !includeEjected && (t.IsEjected || c.isSuspected(t.ID)) {
--- a/entry/internal/chooser/chooser_test.go
+++ b/entry/internal/chooser/chooser_test.go
@@ -62,6 +62,21 @@
 	}
 }
 
+// TestEntryBeyondModelLeavesOtherChains guards against a service without chains since one entry, left by another writer, names layers
+// that the model does not have.
+func TestEntryBeyondModelLeavesOtherChains(t *testing.T) {
+	c := qt.New(t)
+	for _, odd := range []identifier.LayerRange{{From: 0, To: layers + 1}, {From: layers, To: layers + 5}, {From: -1, To: layers}, {From: 0, To: 1 << 20}} {
+		strange := chainTarget("odd", "b", "fast")
+		strange.Layers = odd
+		x := newChooser(strange, chainTarget("a1", "a", "slow"))
+		chain := x.Chain(now, "draft", 1, nil)
+		c.Assert(chain, qt.IsNotNil, qt.Commentf("%v", odd))
+		c.Check(chain.Stages[0].Target, qt.Equals, identifier.TargetID("a1"))
+		c.Check(chain.Stages[len(chain.Stages)-1].Layers.To, qt.Equals, identifier.Layer(layers))
+	}
+}
+
 // TestRequestsGoToLeastLoadedChain checks that a node spreads its requests over equal chains.
 func TestRequestsGoToLeastLoadedChain(t *testing.T) {
 	c := qt.New(t)
--- a/entry/internal/placer/placer.go
+++ b/entry/internal/placer/placer.go
@@ -286,7 +286,7 @@
 	}
 	p.queue.addTo(pending)
 	var effects []messenger.Effect
-	for _, a := range arranger.Arrange(engine, p.candidates(now, service), pending) {
+	for _, a := range arranger.Arrange(engine, p.candidates(now, service, engine), pending) {
 		if a.Target.Layers.Len() == 0 {
 			p.queue.waiting = append(p.queue.waiting, a)
 			continue
@@ -317,13 +317,14 @@
 	}
 }
 
-// candidates returns the targets of a service, except for empty ones that are ejected or backed off.
-func (p *Placer) candidates(now time.Time, service identifier.ServiceID) []registrar.Target {
+// candidates returns the targets of a service, except for those that name layers which its model lacks, and for empty ones that are
+// ejected or backed off.
+func (p *Placer) candidates(now time.Time, service identifier.ServiceID, engine *describer.Engine) []registrar.Target {
 	var out []registrar.Target
 	for _, t := range p.targets {
 		_, isPending := p.pending[t.ID]
 		isBackedOff := t.Layers.Len() == 0 && !isPending && (t.IsEjected || now.Before(p.backoffUntil[t.ID]))
-		if t.Service == service && !isBackedOff {
+		if t.Service == service && engine.Includes(t.Layers) && !isBackedOff {
 			out = append(out, t)
 		}
 	}
--- a/entry/internal/placer/placer_test.go
+++ b/entry/internal/placer/placer_test.go
@@ -83,6 +83,29 @@
 	}
 }
 
+// TestEntryBeyondModelChangesNoOrder guards against orders for layers that the model does not have, or none at all, since one entry,
+// left by another writer, names such layers.
+func TestEntryBeyondModelChangesNoOrder(t *testing.T) {
+	c := qt.New(t)
+	for _, layers := range []identifier.LayerRange{{From: 0, To: 41}, {From: 20, To: 1 << 20}, {From: -1, To: 40}} {
+		odd := target("odd", "a")
+		odd.Layers = layers
+		s := newHarness()
+		s.setLease(time.Minute)
+		s.apply(0, registrar.TargetsChanged{Targets: []registrar.Target{target("a0", "a"), target("a1", "a"), odd}})
+		s.tick(0, 8*time.Second)
+		held := map[identifier.Layer]bool{}
+		for _, o := range s.orders {
+			c.Check(o.Target, qt.Not(qt.Equals), odd.ID)
+			c.Check(engine().Includes(o.Layers), qt.IsTrue, qt.Commentf("%v", o.Layers))
+			for l := o.Layers.From; l < o.Layers.To; l++ {
+				held[l] = true
+			}
+		}
+		c.Check(held, qt.HasLen, 40, qt.Commentf("beside an entry with %v", layers))
+	}
+}
+
 // TestUnansweredOrderIsNotRetriedWhileItMayRun checks that a target whose order was not
 // answered gets no other order while the first may still be executed.
 func TestUnansweredOrderIsNotRetriedWhileItMayRun(t *testing.T) {
