--- a/entry/internal/follower/follower_test.go
+++ b/entry/internal/follower/follower_test.go
@@ -104,7 +104,7 @@
 	n := await[registrar.TargetsRead](c, e, 0)
 	store.SetFault(storefaker.Busy)
 	time.Sleep(50 * time.Millisecond)
-	c.Assert(store.PutTarget("t", map[string]any{"service": "s", "address": "a:1", "zone": "z", "state": "ready"}), qt.IsNil)
+	c.Assert(store.PutTarget("t", map[string]any{"service": "s", "address": "10.0.0.1:80", "zone": "z", "state": "ready"}), qt.IsNil)
 	store.Compact()
 	store.SetFault(storefaker.None)
 	for {
--- a/entry/internal/follower/peers_test.go
+++ b/entry/internal/follower/peers_test.go
@@ -203,7 +203,7 @@
 }
 
 func sampleTarget() map[string]any {
-	return map[string]any{"service": "s", "address": "a:1", "zone": "z", "state": "ready"}
+	return map[string]any{"service": "s", "address": "10.0.0.1:80", "zone": "z", "state": "ready"}
 }
 
 // TestReaderKnowsManyTargetsOverAThinLink guards against a node that never knows the targets of a large fleet, since all pages of
