--- a/integration/relay_test.go
+++ b/integration/relay_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -191,6 +192,42 @@
 	})
 }
 
+// TestRelayServesBesideEntriesOfOtherWriters guards against nodes that end, or stop following a list, since another writer has left
+// entries in it: very deeply nested, with numbers too large, with ports out of range, or with layers that no model has.
+func TestRelayServesBesideEntriesOfOtherWriters(t *testing.T) {
+	b := newRelayFixture(t)
+	entry := func(service, address, layers string) []byte {
+		return []byte(fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","state":"ready","slots":8,"born":1,"kind":"big","layers":%s}`, service, address, layers))
+	}
+	odd := [][]byte{
+		[]byte(strings.Repeat("[", 200_000)), []byte(`{"service":` + strings.Repeat("9", 200_000) + `}`),
+		entry("ledger", "127.0.0.1:70000", "null"), entry("ledger", "127.0.0.1", "null"), entry("ledger", "0.0.0.0:0", "null"), entry("ledger", "", "null"),
+		entry("drafting", "127.0.0.1:9", `{"from":0,"to":1048576}`), entry("drafting", "127.0.0.1:9", `{"from":-5,"to":20}`),
+		entry("drafting", "127.0.0.1:9", `{"from":0,"to":1e300}`), entry("\x00", "127.0.0.1:9", `{"from":19,"to":21}`),
+	}
+	for round := range 3 {
+		for i, value := range odd {
+			for _, topic := range storefaker.KeyedTopics {
+				b.store.PutRecord(topic, fmt.Sprintf("odd-%d", i), value)
+				b.store.PutRecord(topic, fmt.Sprintf("\xff%d", i), value)
+			}
+		}
+		time.Sleep(changeLimit)
+		b.Assert(b.node.Exited(), qt.IsFalse)
+		b.Assert(b.node.IsReady(), qt.IsTrue)
+		b.Assert(b.draft(fmt.Sprintf("beside-%d", round), false), qt.Equals, relayEvents)
+		status, _ := b.send(http.MethodPost, "/post/1", fmt.Sprintf("post-%d", round), relayKey)
+		b.Assert(status, qt.Equals, http.StatusOK)
+	}
+	b.add(targetfaker.TargetSpec{ID: "ledger-c", Service: "ledger", DataCentre: "a", EventInterval: eventInterval})
+	launcher.Await(t, 5*time.Second, "a target that came after them is used", func() bool {
+		for i := range 20 {
+			b.send(http.MethodGet, "/view/1", fmt.Sprintf("after-%d", i), relayKey)
+		}
+		return slices.ContainsFunc(b.fleet.Attempts(""), func(a targetfaker.Attempt) bool { return a.Target == "ledger-c" })
+	})
+}
+
 // TestRelayCancelsWhenCallerLeaves disconnects a caller. The attempt at the target must be cancelled within
 // half a second.
 func TestRelayCancelsWhenCallerLeaves(t *testing.T) {
