Take no earlier refusal for the answer to the next request

Reported by other operators: a runner writes an earlier refusal once more on a kept connection. Here a refusal without an id counted as that of any request, also on a connection that had answered before: an idempotent request that ran was answered 503, "not run", or ran elsewhere as well. One with the id of another request was recognized already. What such an answer says of its target, such as a request limit, was believed too. Requests that must not be repeated were never concerned: each goes out on a new connection.

Change: on a connection that has answered before, an answer without an id is that of nobody known. A second attempt at the same target, whose refusals have the same id, uses a new connection.

--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"fuchsiabridge.example/common/describer"
@@ -387,6 +388,8 @@
 	if reason != "" {
 		return append(d.endUnplaced(now, call, r, reason), effects...)
 	}
+	// On the connection of an earlier attempt, that one's refusal could be taken for the answer to this one: both have the same id.
+	out.NewConn = out.NewConn || slices.Contains(r.tried, out.Target)
 	if d.limits.IsLimited(out.Target) {
 		return append(d.askGrant(now, call, r, out), effects...)
 	}
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -45,8 +45,8 @@
 	errTooLarge = errors.New("answer is too large")
 )
 
-// errMismatch is returned when an answer carries the id of another request.
-var errMismatch = errors.New("answer has the id of another request")
+// errMismatch is returned when an answer carries the id of another request, or none by which it would be known as the request's own.
+var errMismatch = errors.New("answer is not known to be that of the request")
 
 // AnswerHead is what the head of an answer says about the target that gave it.
 type AnswerHead struct {
@@ -267,7 +267,7 @@
 // reportAnswer reports what the head of an answer says of the target, unless the answer belongs to another request.
 func (x *Exchange) reportAnswer() {
 	answer := x.translator.ReadAnswer(&x.resp.Header)
-	if answer.ID != x.request.ID && answer.ID != "" {
+	if !x.isOwn(answer) {
 		return
 	}
 	kind := limiter.RefusalAnswer
@@ -277,6 +277,15 @@
 	x.onAnswer(AnswerHead{Target: x.send.Target, Kind: kind, Said: answer.Said, SentAt: x.sentAt})
 }
 
+// isOwn reports whether an answer is that of the request. Only a refusal may lack the id, because a target that did not read the request
+// does not know it. On a connection that has answered before, it may be an earlier refusal, written once more.
+func (x *Exchange) isOwn(answer translator.Answer) bool {
+	if answer.ID != "" {
+		return answer.ID == x.request.ID
+	}
+	return answer.IsNotRun && !x.conn.IsReused
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -288,8 +297,7 @@
 func (x *Exchange) relay(ctx context.Context, idleDeadline time.Time) dispatcher.AttemptReported {
 	answer := x.translator.ReadAnswer(&x.resp.Header)
 	status := x.resp.StatusCode()
-	// Only a refusal may lack an id, because a target that did not read the request does not know it.
-	if answer.ID != x.request.ID && (answer.ID != "" || !answer.IsNotRun) {
+	if !x.isOwn(answer) {
 		return x.fail(ctx, errMismatch)
 	}
 	if x.send.IsStream && status/100 == 2 && answer.IsSealed {
--- a/entry/internal/forwarder/forwarder_test.go
+++ b/entry/internal/forwarder/forwarder_test.go
@@ -236,6 +236,33 @@
 	f.Assert(f.caller.body, qt.Equals, "second")
 }
 
+// TestEarlierRefusalIsNotThatOfNextRequest guards against a caller who is told that its request has not run, or a request that runs at
+// a second target, since the target has written an earlier refusal once more on a connection that was kept.
+func TestEarlierRefusalIsNotThatOfNextRequest(t *testing.T) {
+	for name, row := range map[string]struct {
+		refusal     string
+		fresh, kept dispatcher.Outcome
+	}{
+		"without an id":       {answerfaker.NotRun(), dispatcher.NotRun, dispatcher.Broken},
+		"other instance":      {answerfaker.OtherInstance(), dispatcher.NotRun, dispatcher.Broken},
+		"another request's":   {answerfaker.NotRunFor("r0"), dispatcher.Broken, dispatcher.Broken},
+		"the request's own":   {answerfaker.NotRunFor(id), dispatcher.NotRun, dispatcher.NotRun},
+		"no refusal, no seal": {"HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n", dispatcher.Broken, dispatcher.Broken},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.Check(f.attempt(context.Background(), serve(t, row.refusal), false).Outcome, qt.Equals, row.fresh)
+			address := serve(t, answerfaker.Plain(id, 200, "first"), answerfaker.WithLimit(row.refusal, "1"))
+			f.Assert(f.attempt(context.Background(), address, false).Outcome, qt.Equals, dispatcher.Delivered)
+			f.answers = nil
+			got := f.attempt(context.Background(), address, false)
+			f.Assert(got.Outcome, qt.Equals, row.kept, qt.Commentf("%s", got.Reason))
+			isKnown := row.kept == dispatcher.NotRun
+			f.Check(len(f.answers) > 0, qt.Equals, isKnown, qt.Commentf("what the answer says of its target is taken for new"))
+		})
+	}
+}
+
 // TestStreamContinuesAtAnotherTarget checks that only complete events are forwarded, and that the next attempt continues after the last one.
 func TestStreamContinuesAtAnotherTarget(t *testing.T) {
 	f := newFixture(t)
