Let no error into a stream that has begun

Reported by other operators: a stream broke off, the next runner answered with an error, and callers found its text in their stream. Failures (5xx, 4xx, refusals, answers without a seal) were cut here already, never forwarded and never taken for the end. But any success passed for the continuation, whatever its format, and of the events of one read only the first was checked, an event without an id never.

Change: the next answer must have the status and content type of the one that began. Once an event had an id, each further one must have the next, but for comments. Sound events before an odd one are forwarded. Events are forwarded before memory for the rest is asked for, so that a refusal of memory loses none.

--- a/entry/internal/forwarder/events.go
+++ b/entry/internal/forwarder/events.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"strconv"
+
+	"github.com/cockroachdb/errors"
 )
 
 // eventSplitter splits a stream of server-sent events into complete events and records the last of them.
@@ -15,29 +17,52 @@
 // separator terminates an event.
 var separator = []byte("\n\n")
 
-// split splits the rest of the last call, followed by b, into the bytes of complete events and the new rest.
-func (c *eventSplitter) split(rest, b []byte) (complete, next []byte) {
+// split splits the rest of the last call, followed by b, into the bytes of complete events and the new rest. At an event that does not
+// continue the stream it ends with an error, and returns those before it.
+func (c *eventSplitter) split(rest, b []byte) (complete, next []byte, err error) {
 	searchFrom := max(0, len(rest)-len(separator)+1)
 	rest = append(rest, b...)
 	end := bytes.LastIndex(rest[searchFrom:], separator)
 	if end < 0 {
-		return nil, rest
+		return nil, rest, nil
 	}
 	end += searchFrom
 	complete, next = rest[:end+len(separator)], append([]byte(nil), rest[end+len(separator):]...)
+	accepted := 0
 	for event := range bytes.SplitSeq(complete[:end], separator) {
-		c.count++
-		if id, ok := eventID(event); ok {
-			c.lastID = id
+		if err := c.accept(event); err != nil {
+			return complete[:accepted], nil, err
 		}
+		accepted += len(event) + len(separator)
+	}
+	return complete, next, nil
+}
+
+// accept counts a complete event, unless it does not continue the stream: once an event had an id, all others have the next one each.
+func (c *eventSplitter) accept(event []byte) error {
+	id, ok := eventID(event)
+	switch {
+	case c.lastID == "" || (!ok && isComment(event)):
+	case !ok:
+		return errors.Newf("event without an id received after %s", c.lastID)
+	case !follows(id, c.lastID):
+		return errors.Newf("event %.20s received after %s", id, c.lastID)
 	}
-	return complete, next
+	c.count++
+	if ok {
+		c.lastID = id
+	}
+	return nil
 }
 
-// firstID returns the id of the first of some complete events.
-func firstID(complete []byte) (string, bool) {
-	event, _, _ := bytes.Cut(complete, separator)
-	return eventID(event)
+// isComment reports whether an event has no fields, only comments, by which a target keeps a stream open.
+func isComment(event []byte) bool {
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		if len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
 }
 
 func eventID(event []byte) (string, bool) {
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -121,8 +121,9 @@
 	// stalled is a stalled attempt that is kept until a later attempt has forwarded an event.
 	stalled *attempt
 
-	// hasBegun reports whether the header of a stream has been sent to the caller.
+	// hasBegun reports whether the header of a stream has been sent to the caller, and begun is what it says of the stream.
 	hasBegun bool
+	begun    streamFormat
 	events   eventSplitter
 	// forwardedAt is when events were last forwarded to the caller, longestGap the longest gap between two forwards.
 	forwardedAt time.Time
@@ -300,7 +301,7 @@
 	if !x.isOwn(answer) {
 		return x.fail(ctx, errMismatch)
 	}
-	if x.send.IsStream && status/100 == 2 && answer.IsSealed {
+	if x.send.IsStream && status/100 == 2 && answer.IsSealed && x.mayContinue() {
 		return x.relayEvents(ctx, idleDeadline)
 	}
 	if err := x.conn.SetReadDeadline(bootclock.ToRuntimeTime(x.send.Deadline)); err != nil {
@@ -428,6 +429,23 @@
 	return x.fail(ctx, err)
 }
 
+// streamFormat is what the header of an answer says of the stream that follows.
+type streamFormat struct {
+	status      int
+	contentType string
+}
+
+func formatOf(h *fasthttp.ResponseHeader) streamFormat {
+	contentType, _, _ := strings.Cut(string(h.ContentType()), ";")
+	return streamFormat{status: h.StatusCode(), contentType: strings.ToLower(strings.TrimSpace(contentType))}
+}
+
+// mayContinue reports whether the answer may be a stream, or the continuation of the one that has begun. Any other answer is a failure
+// whose text does not belong into that stream.
+func (x *Exchange) mayContinue() bool {
+	return !x.hasBegun || formatOf(&x.resp.Header) == x.begun
+}
+
 // begin forwards the header of the first target that streams. The headers of later targets are not forwarded.
 func (x *Exchange) begin() error {
 	if x.hasBegun {
@@ -439,7 +457,7 @@
 	if err := x.caller.Begin(&h); err != nil {
 		return errors.Wrap(err, "beginning a stream")
 	}
-	x.hasBegun = true
+	x.hasBegun, x.begun = true, formatOf(&x.resp.Header)
 	return nil
 }
 
@@ -447,19 +465,24 @@
 func (x *Exchange) idleTimeout() time.Duration { return x.send.IdleDeadline.Sub(x.sentAt) }
 
 func (x *Exchange) forward(ctx context.Context, b []byte) (dispatcher.AttemptReported, bool) {
-	last := x.events.lastID
-	var complete []byte
-	complete, x.pending = x.events.split(x.pending, b)
-	if err := x.hold(len(x.pending), maxEventBytes); err != nil {
-		return x.fail(ctx, errors.Wrap(err, "reading an event")), false
+	complete, pending, faulty := x.events.split(x.pending, b)
+	x.pending = pending
+	if len(complete) > 0 {
+		if r, ok := x.forwardEvents(ctx, complete); !ok {
+			return r, false
+		}
 	}
-	if len(complete) == 0 {
-		return dispatcher.AttemptReported{}, true
+	if faulty != nil {
+		return x.fail(ctx, faulty), false
 	}
-	if id, ok := firstID(complete); ok && last != "" && !follows(id, last) {
-		x.events.lastID = last
-		return x.fail(ctx, errors.Newf("event %s received after %s", id, last)), false
+	if err := x.hold(len(x.pending), maxEventBytes); err != nil {
+		return x.fail(ctx, errors.Wrap(err, "reading an event")), false
 	}
+	return dispatcher.AttemptReported{}, true
+}
+
+// forwardEvents forwards complete events. A stalled attempt is dropped, as this one continues the stream.
+func (x *Exchange) forwardEvents(ctx context.Context, complete []byte) (dispatcher.AttemptReported, bool) {
 	x.dropStalled()
 	if err := x.caller.Events(complete); err != nil {
 		return x.report(ctx, dispatcher.CallerGone, err), false
--- a/entry/internal/forwarder/forwarder_test.go
+++ b/entry/internal/forwarder/forwarder_test.go
@@ -348,6 +348,56 @@
 	}
 }
 
+// TestErrorInBegunStreamIsNotForwarded guards against a caller that finds the error of the next target, or its whole head, in the middle
+// of a stream that has begun and broke off, or takes that stream for complete. The stream goes on at a third target.
+func TestErrorInBegunStreamIsNotForwarded(t *testing.T) {
+	const text = "error: no capacity\n\n"
+	head := answerfaker.Plain(id, 500, text)
+	inJSON := strings.Replace(answerfaker.Plain(id, 200, event(3)), "X-Response", "Content-Type: application/json\r\nX-Response", 1)
+	for name, row := range map[string]struct{ raw, forwarded string }{
+		"failure":                       {raw: answerfaker.Plain(id, 500, text)},
+		"failure without a length":      {raw: strings.Replace(answerfaker.Unframed(id, text), "200", "500", 1) + "|"},
+		"refusal":                       {raw: answerfaker.NotRunFor(id)},
+		"client error":                  {raw: answerfaker.Plain(id, 404, event(3))},
+		"success with a text":           {raw: answerfaker.Plain(id, 200, text)},
+		"success in another format":     {raw: inJSON},
+		"success without content":       {raw: answerfaker.SealedHead(id, 204) + "\r\n"},
+		"another success":               {raw: answerfaker.Plain(id, 206, event(3))},
+		"success without a seal":        {raw: answerfaker.Unsealed(id, event(3))},
+		"text in the first event":       {raw: answerfaker.Stream(id, text, event(3)) + "0\r\n\r\n"},
+		"text after an event":           {raw: answerfaker.Stream(id, event(3)+text+event(4)) + "0\r\n\r\n", forwarded: event(3)},
+		"text after an event, later":    {raw: answerfaker.Stream(id, event(3), text) + "0\r\n\r\n", forwarded: event(3)},
+		"head in the stream":            {raw: answerfaker.Stream(id, strings.ReplaceAll(head, "\r", "")) + "0\r\n\r\n"},
+		"head in the stream, as it is":  {raw: answerfaker.Stream(id, head) + "0\r\n\r\n"},
+		"head between events, as it is": {raw: answerfaker.Stream(id, event(3), head) + "0\r\n\r\n", forwarded: event(3)},
+		"head instead of a chunk":       {raw: answerfaker.Stream(id, event(3)) + head, forwarded: event(3)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.Assert(f.attempt(context.Background(), serve(t, answerfaker.Stream(id, event(1), event(2))+"|"), true).Outcome, qt.Equals, dispatcher.Broken)
+			got := f.attempt(context.Background(), serve(t, row.raw), true)
+			f.Check(got.Outcome, qt.Not(qt.Equals), dispatcher.Delivered)
+			f.Check(f.caller.received, qt.Equals, event(1)+event(2)+row.forwarded)
+			f.Check(f.caller.isComplete || f.caller.isEnded, qt.IsFalse)
+
+			rest := strings.TrimPrefix(event(3)+event(4), row.forwarded)
+			got = f.attempt(context.Background(), serve(t, answerfaker.Stream(id, rest)+"0\r\n\r\n"), true)
+			f.Assert(got.Outcome, qt.Equals, dispatcher.Delivered, qt.Commentf("%s", got.Reason))
+			f.Check(f.caller.received, qt.Equals, event(1)+event(2)+event(3)+event(4))
+			f.Check(f.caller.isEnded, qt.IsTrue)
+		})
+	}
+}
+
+// TestCommentKeepsStreamOpen checks that comments between events are forwarded and need no id.
+func TestCommentKeepsStreamOpen(t *testing.T) {
+	f := newFixture(t)
+	whole := event(1) + ": still there\n\n" + event(2)
+	got := f.attempt(context.Background(), serve(t, answerfaker.Stream(id, whole)+"0\r\n\r\n"), true)
+	f.Assert(got.Outcome, qt.Equals, dispatcher.Delivered, qt.Commentf("%s", got.Reason))
+	f.Assert(f.caller.received, qt.Equals, whole)
+}
+
 // TestStalledStreamCanBeAwaited checks that a stall is reported and that the attempt can be awaited again.
 func TestStalledStreamCanBeAwaited(t *testing.T) {
 	f := newFixture(t)
