Name the target of each order

Orders did not name their target, and a report from that address passed for the crashed target's, though its kind and incarnation differ.

Change: orders carry the id of their target, and others reject them; reports must fit the entry's kind and incarnation.

--- a/entry/internal/placer/placer.go
+++ b/entry/internal/placer/placer.go
@@ -331,16 +331,21 @@
 	return out
 }
 
-// reportedState returns a target's recently reported state, if the target is not busy and the
-// reported layers match its entry.
+// reportedState returns a target's recently reported state, if the target is not busy and the report matches its entry.
 func (p *Placer) reportedState(now time.Time, t registrar.Target) (describer.Report, bool) {
 	state, ok := p.reports[t.ID]
-	if !ok || now.Sub(state.reportedAt) >= reportMaxAge || state.report.IsBusy || state.report.Layers != t.Layers {
+	if !ok || now.Sub(state.reportedAt) >= reportMaxAge || state.report.IsBusy || !isOf(t, state.report) {
 		return describer.Report{}, false
 	}
 	return state.report, true
 }
 
+// isOf reports whether a report can be that of a target as its entry shows it. Another target may have taken over the address.
+func isOf(t registrar.Target, r describer.Report) bool {
+	isOther := r.Incarnation != 0 && r.Incarnation != t.Incarnation
+	return !isOther && r.Kind == t.Kind && r.Layers == t.Layers
+}
+
 // queryState queries a target's state, unless an answer is pending or the target is backed off.
 func (p *Placer) queryState(now time.Time, t registrar.Target) []messenger.Effect {
 	state := p.reports[t.ID]
--- a/entry/internal/placer/placer_test.go
+++ b/entry/internal/placer/placer_test.go
@@ -33,6 +33,8 @@
 type harness struct {
 	placer *placer.Placer
 	orders []placer.SendOrder
+	// others holds the reports of other targets at the addresses of known ones.
+	others map[identifier.TargetID]describer.Report
 }
 
 func newHarness() *harness {
@@ -48,7 +50,11 @@
 	for _, effect := range s.placer.Apply(start.Add(elapsed), event) {
 		switch e := effect.(type) {
 		case placer.QueryState:
-			s.apply(elapsed, placer.StateReported{Target: e.Target, Report: describer.Report{Kind: "big", Orders: 7}})
+			report, isOther := s.others[e.Target]
+			if !isOther {
+				report = describer.Report{Kind: "big", Orders: 7}
+			}
+			s.apply(elapsed, placer.StateReported{Target: e.Target, Report: report})
 		case placer.SendOrder:
 			s.orders = append(s.orders, e)
 		}
@@ -106,6 +112,22 @@
 	}
 }
 
+// TestReportOfAnotherTargetGivesNoOrder guards against an order that fits the state of another target, which has taken over the address
+// of one that crashed, and overloads its memory.
+func TestReportOfAnotherTargetGivesNoOrder(t *testing.T) {
+	c := qt.New(t)
+	for _, other := range []describer.Report{{Kind: "small", Orders: 7}, {Kind: "big", Incarnation: 9, Orders: 7}} {
+		s := newHarness()
+		s.others = map[identifier.TargetID]describer.Report{"a0": other}
+		s.setLease(time.Minute)
+		s.tick(0, 8*time.Second)
+		c.Assert(len(s.orders) > 0, qt.IsTrue)
+		for _, o := range s.orders {
+			c.Check(o.Target, qt.Not(qt.Equals), identifier.TargetID("a0"), qt.Commentf("%+v", other))
+		}
+	}
+}
+
 // TestUnansweredOrderIsNotRetriedWhileItMayRun checks that a target whose order was not
 // answered gets no other order while the first may still be executed.
 func TestUnansweredOrderIsNotRetriedWhileItMayRun(t *testing.T) {
--- a/entry/internal/relayer/relayer.go
+++ b/entry/internal/relayer/relayer.go
@@ -188,7 +188,7 @@
 	}
 	ctx, cancel := context.WithTimeout(x.ctx, orderTimeout)
 	defer cancel()
-	err := x.targets.OrderLayers(ctx, e.Address, e.Layers, e.Fence, e.Orders)
+	err := x.targets.OrderLayers(ctx, targetcaller.Recipient{Target: e.Target, Address: e.Address}, e.Layers, e.Fence, e.Orders)
 	answered := placer.OrderAnswered{Target: e.Target}
 	switch {
 	case err == nil:
--- a/entry/internal/relayer/serving.go
+++ b/entry/internal/relayer/serving.go
@@ -140,7 +140,8 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	rerouted := dispatcher.Rerouted{Call: s.call, Chain: e.Chain, IsAccepted: true}
-	if err := s.x.targets.Reroute(ctx, e.Address, s.request.ID, e.Chain); err != nil {
+	first := targetcaller.Recipient{Target: e.Chain[0].Target, Address: e.Address}
+	if err := s.x.targets.Reroute(ctx, first, s.request.ID, e.Chain); err != nil {
 		rerouted.IsAccepted, rerouted.Reason = false, err.Error()
 		var rejection *targetcaller.RejectionError
 		if errors.As(err, &rejection) {
