Say in the logs when a node has lost the path to the targets of a service

A row of attempts that do not reach their targets looks the same whether the node is cut off or several targets have failed. pathtracker infers from the node's own attempts which of the two is likely: three targets (or all of a smaller service) not reached, and no other one since. Events 8039 and 8040 and the status page say so. No decision uses it yet.

--- a/common/eventlogger/relay.go
+++ b/common/eventlogger/relay.go
@@ -40,6 +40,8 @@
 	StoreEraChanged        = Event{8036, "store was restored from a copy"}
 	TargetSuspected        = Event{8038, "other nodes have seen a target fail"}
 	ConfigurationIgnored   = Event{8037, "older configuration ignored"}
+	PathLost               = Event{8039, "path to the targets of a service lost"}
+	PathRestored           = Event{8040, "path to the targets of a service restored"}
 )
 
 func relayEvents() []Event {
@@ -81,6 +83,6 @@
 		AnnouncementUnreadable,
 		StoreEraChanged,
 		TargetSuspected,
-		ConfigurationIgnored,
+		ConfigurationIgnored, PathLost, PathRestored,
 	}
 }
--- a/entry/internal/dispatcher/attempts.go
+++ b/entry/internal/dispatcher/attempts.go
@@ -26,6 +26,7 @@
 	}
 	effects := d.noteWritten(now, r, ev)
 	r.firstByte, r.longestGap, r.events = ev.FirstByte, ev.LongestGap, ev.Events
+	effects = append(effects, d.noteReached(now, r, ev)...)
 	if ev.Outcome == Stalled {
 		return append(d.stalled(now, ev, r), effects...)
 	}
@@ -327,13 +328,15 @@
 		return nil
 	}
 	faulty := ev.FaultAddress
+	var effects []messenger.Effect
 	if ev.IsUnanswered {
 		faulty = d.address(r)
+		effects = d.logPaths(d.paths.Failed(now, r.target))
 	}
 	if faulty == "" {
 		return []messenger.Effect{Wait{Until: now.Add(streamIdleTimeout)}}
 	}
-	effects := d.eject(now, faulty, registrar.Unresponsive, "a stalled request waits for this target")
+	effects = append(effects, d.eject(now, faulty, registrar.Unresponsive, "a stalled request waits for this target")...)
 	return append(effects, d.failOver(now, ev.Call, r, "request waits for target "+faulty, ev.Seed)...)
 }
 
--- a/entry/internal/dispatcher/crashes.go
+++ b/entry/internal/dispatcher/crashes.go
@@ -105,7 +105,8 @@
 	if !ev.IsUnanswered {
 		return d.applyFindings(now, d.crashTracker.CheckAnswered(now, ev.Target, ev.Incarnation))
 	}
-	effects := d.applyFindings(now, d.crashTracker.CheckUnanswered(now, ev.Target))
+	effects := d.logPaths(d.paths.Failed(now, ev.Target))
+	effects = append(effects, d.applyFindings(now, d.crashTracker.CheckUnanswered(now, ev.Target))...)
 	return append(effects, d.eject(now, ev.Address, registrar.Unresponsive, "target did not answer a check")...)
 }
 
@@ -113,7 +114,7 @@
 func (d *Dispatcher) targetsChanged(now time.Time, targets []registrar.Target) []messenger.Effect {
 	d.chooser.SetTargets(targets)
 	d.keepLimits(targets)
-	return d.applyFindings(now, d.crashTracker.SetTargets(now, targets))
+	return append(d.setPathTargets(now, targets), d.applyFindings(now, d.crashTracker.SetTargets(now, targets))...)
 }
 
 // targetEjected notes the failure of a target that does not answer. One that answers that it holds
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -15,6 +15,7 @@
 	"fuchsiabridge.example/entry/internal/crashtracker"
 	"fuchsiabridge.example/entry/internal/fingerprinter"
 	"fuchsiabridge.example/entry/internal/limiter"
+	"fuchsiabridge.example/entry/internal/pathtracker"
 	"fuchsiabridge.example/entry/internal/placer"
 	"fuchsiabridge.example/entry/internal/registrar"
 	"fuchsiabridge.example/entry/internal/router"
@@ -145,6 +146,7 @@
 	chooser      *chooser.Chooser
 	crashTracker *crashtracker.Tracker
 	limits       *limiter.Tracker
+	paths        *pathtracker.Tracker
 	// refusals counts the requests that targets have refused since they began to want none.
 	refusals   map[identifier.TargetID]int
 	unreadable map[identifier.TargetID]unreadableFields
@@ -158,7 +160,7 @@
 // NewDispatcher returns a dispatcher without a configuration.
 func NewDispatcher(cfg Config) *Dispatcher {
 	return &Dispatcher{
-		cfg: cfg, chooser: chooser.NewChooser(cfg.DataCentre), crashTracker: crashtracker.NewTracker(), limits: limiter.NewTracker(),
+		cfg: cfg, chooser: chooser.NewChooser(cfg.DataCentre), crashTracker: crashtracker.NewTracker(), limits: limiter.NewTracker(), paths: pathtracker.NewTracker(),
 		refusals: map[identifier.TargetID]int{}, unreadable: map[identifier.TargetID]unreadableFields{}, requests: map[identifier.CallID]*request{},
 		trials: trier.NewTrier(), retries: budgeter.NewBudgets(budgeter.Config{Ratio: cfg.RetryRatio, Window: cfg.RetryWindow}),
 	}
@@ -232,6 +234,7 @@
 	s.RequestsWithCrashes, s.ConfirmedPoison = d.crashTracker.Counts(now)
 	s.Limits = d.limits.Limits(now)
 	s.Quiet = d.quietStatus(now)
+	s.LostPaths = d.paths.Lost()
 	if d.table != nil {
 		s.Version, s.ConfirmedMSAgo = d.table.Version, now.Sub(d.confirmedAt).Milliseconds()
 	}
