Show that a node which is cut off from its targets does not serve its callers (known red)

The test starts three nodes whose networks to their targets it can cut (entry/cuttable, networkfaker: hanging, reset, or only new connections refused).

Dialers of targets can be replaced for that; nothing else of the node changes.

--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 build: ## build all programs into .bin
 	@mkdir -p .bin
 	@for p in $(PROGRAMS); do go build -o .bin/$$p ./$$p || exit 1; done
+	@go build -o .bin/cuttable ./entry/cuttable
 
 test: build ## run all tests with a fixed seed
 	RAPID_SEED=$(SEED) go test $(addsuffix /...,$(addprefix ./,$(filter-out integration,$(MODULES)))) -count=1 $(KNOWN_RED)
--- a/common/httpcaller/httpcaller.go
+++ b/common/httpcaller/httpcaller.go
@@ -41,28 +41,35 @@
 // they may be broken as well.
 type Caller struct {
 	maxResponse int
+	dialer      Dialer
 
 	mu      sync.Mutex
 	clients map[string]*fasthttp.Client
 }
 
 // NewCaller returns a caller that does not retry failed calls.
-func NewCaller() *Caller { return NewLimitedCaller(maxResponseBytes) }
+func NewCaller() *Caller { return NewLimitedCaller(maxResponseBytes, &net.Dialer{}) }
 
-// NewLimitedCaller returns a caller whose calls fail if the body of the response has more than the given number of bytes.
-func NewLimitedCaller(maxResponse int) *Caller {
-	return &Caller{maxResponse: maxResponse, clients: map[string]*fasthttp.Client{}}
+// Dialer opens connections.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
 }
 
-func newClient(maxResponse int) *fasthttp.Client {
+// NewLimitedCaller returns a caller whose calls fail if the body of the response has more than the given number of bytes, and whose
+// connections are opened by d.
+func NewLimitedCaller(maxResponse int, d Dialer) *Caller {
+	return &Caller{maxResponse: maxResponse, dialer: d, clients: map[string]*fasthttp.Client{}}
+}
+
+func (c *Caller) newClient() *fasthttp.Client {
 	return &fasthttp.Client{
 		NoDefaultUserAgentHeader:  true,
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		MaxIdleConnDuration:       idleConnLifetime,
 		MaxConnsPerHost:           maxConnsPerHost,
-		MaxResponseBodySize:       maxResponse,
-		Dial:                      dial,
+		MaxResponseBodySize:       c.maxResponse,
+		Dial:                      func(address string) (net.Conn, error) { return c.dialBefore(address, time.Now().Add(dialTimeout)) },
 	}
 }
 
@@ -72,7 +79,7 @@
 	defer c.mu.Unlock()
 	client, ok := c.clients[host]
 	if !ok {
-		client = newClient(c.maxResponse)
+		client = c.newClient()
 		c.clients[host] = client
 	}
 	return client
@@ -89,12 +96,13 @@
 	client.CloseIdleConnections()
 }
 
-func dial(address string) (net.Conn, error) { return dialBefore(address, time.Now().Add(dialTimeout)) }
-
 // dialBefore dials with the call's deadline, so that no call is sent after its deadline.
-func dialBefore(address string, deadline time.Time) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, Deadline: deadline}
-	conn, err := dialer.Dial("tcp", address)
+func (c *Caller) dialBefore(address string, deadline time.Time) (net.Conn, error) {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	ctx, cancelDial := context.WithTimeout(ctx, dialTimeout)
+	defer cancelDial()
+	conn, err := c.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "dialing %s", address), ErrNotSent)
 	}
@@ -102,7 +110,7 @@
 }
 
 // singleCallClient returns a client for a single call. Its pool is empty, so it opens a new connection.
-func singleCallClient(address string, deadline time.Time, maxResponse int) *fasthttp.HostClient {
+func (c *Caller) singleCallClient(address string, deadline time.Time) *fasthttp.HostClient {
 	return &fasthttp.HostClient{
 		Addr:                      address,
 		NoDefaultUserAgentHeader:  true,
@@ -110,8 +118,8 @@
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		// The client's cleanup goroutine ends this long after the call.
 		MaxIdleConnDuration: singleCallIdleLifetime,
-		MaxResponseBodySize: maxResponse,
-		Dial:                func(address string) (net.Conn, error) { return dialBefore(address, deadline) },
+		MaxResponseBodySize: c.maxResponse,
+		Dial:                func(address string) (net.Conn, error) { return c.dialBefore(address, deadline) },
 	}
 }
 
@@ -166,7 +174,7 @@
 	do := client.DoDeadline
 	if r.NewConn || ctx.Value(newConnKey{}) != nil {
 		req.SetConnectionClose()
-		do = singleCallClient(host, deadline, c.maxResponse).DoDeadline
+		do = c.singleCallClient(host, deadline).DoDeadline
 	}
 	if err := do(req, resp, deadline); err != nil {
 		if errors.Is(err, fasthttp.ErrTimeout) {
--- a/common/httpcaller/limit_test.go
+++ b/common/httpcaller/limit_test.go
@@ -37,7 +37,7 @@
 	c.Assert(err, qt.IsNil)
 	go func() { _ = s.Serve(l) }()
 	defer func() { _ = l.Close() }()
-	caller := httpcaller.NewLimitedCaller(limit)
+	caller := httpcaller.NewLimitedCaller(limit, &net.Dialer{})
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	for _, isNewConn := range []bool{false, true} {
--- a/entry/internal/commander/commander.go
+++ b/entry/internal/commander/commander.go
@@ -20,6 +20,7 @@
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/optionparser"
 	"fuchsiabridge.example/common/responder"
+	"fuchsiabridge.example/entry/internal/connector"
 	"fuchsiabridge.example/entry/internal/drafter"
 	"fuchsiabridge.example/entry/internal/executor"
 	"fuchsiabridge.example/entry/internal/heartbeater"
@@ -42,9 +43,12 @@
 )
 
 // Run parses the command line, runs the node, and returns the exit code.
-func Run(args []string) int {
+func Run(args []string) int { return RunWith(args, connector.NewDialer()) }
+
+// RunWith is Run for a relay node whose connections to targets are opened by targets.
+func RunWith(args []string, targets connector.Dialer) int {
 	if len(args) > 0 && args[0] == relayCommand {
-		return run("entry "+relayCommand, RelayOptions(), args[1:], relay)
+		return run("entry "+relayCommand, RelayOptions(), args[1:], func(values optionparser.Values) error { return relay(values, targets) })
 	}
 	defer klog.Flush()
 	return run("entry", Options(), args, serve)
--- a/entry/internal/commander/relay.go
+++ b/entry/internal/commander/relay.go
@@ -21,6 +21,7 @@
 	"fuchsiabridge.example/common/logwriter"
 	"fuchsiabridge.example/common/optionparser"
 	"fuchsiabridge.example/common/responder"
+	"fuchsiabridge.example/entry/internal/connector"
 	"fuchsiabridge.example/entry/internal/crashrecorder"
 	"fuchsiabridge.example/entry/internal/crashreporter"
 	"fuchsiabridge.example/entry/internal/dispatcher"
@@ -116,7 +117,7 @@
 }
 
 // newRelayNode returns a node whose calls end with ctx.
-func newRelayNode(ctx context.Context, values optionparser.Values) *relayNode {
+func newRelayNode(ctx context.Context, values optionparser.Values, targets connector.Dialer) *relayNode {
 	http := httpcaller.NewCaller()
 	requests := meter.NewMeter()
 	requests.Publish("requests")
@@ -138,6 +139,7 @@
 		},
 		ReportLimit: func(ctx context.Context, r limiter.Report) { n.granter.Report(ctx, r) },
 		Heartbeat:   values.Duration("heartbeat"),
+		Targets:     targets,
 	})
 	server.Publish("relay", func() any {
 		status := n.relayer.Status()
@@ -242,7 +244,8 @@
 	eventlogger.Info(eventlogger.NodeStopped, "open_requests", n.receiver.Open())
 }
 
-func relay(values optionparser.Values) error {
+// relay runs a relay node whose connections to targets are opened by targets.
+func relay(values optionparser.Values, targets connector.Dialer) error {
 	defer logToStandardOutput()()
 	// A SIGHUP that nobody waits for would end the process, so this comes before the node listens.
 	hangups := make(chan os.Signal, 1)
@@ -256,7 +259,7 @@
 		return err
 	}
 	defer flushTraces(flush)
-	n := newRelayNode(ctx, values)
+	n := newRelayNode(ctx, values, targets)
 	callers, err := n.listen(ctx)
 	if err != nil {
 		return err
--- a/entry/internal/connector/connector.go
+++ b/entry/internal/connector/connector.go
@@ -38,14 +38,35 @@
 	idleUntil time.Time
 }
 
+// Dialer opens connections.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
 // Connector pools connections by address.
 type Connector struct {
+	dialer Dialer
+
 	mu   sync.Mutex
 	idle map[string][]*Conn
 }
 
 // NewConnector returns an empty pool.
-func NewConnector() *Connector { return &Connector{idle: map[string][]*Conn{}} }
+func NewConnector() *Connector { return NewConnectorWith(NewDialer()) }
+
+// NewConnectorWith returns an empty pool whose connections are opened by d.
+func NewConnectorWith(d Dialer) *Connector { return &Connector{dialer: d, idle: map[string][]*Conn{}} }
+
+// NewDialer returns a dialer whose connections fail some time after their other end has gone silent.
+func NewDialer() *net.Dialer {
+	return &net.Dialer{
+		Timeout: dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: maxProbes,
+		},
+		Control: limitUnacked,
+	}
+}
 
 // Get returns a live idle connection, or a new one. If newConn is set, it is always new.
 func (c *Connector) Get(ctx context.Context, address string, newConn bool) (*Conn, error) {
@@ -75,14 +96,9 @@
 }
 
 func (c *Connector) dial(ctx context.Context, address string) (*Conn, error) {
-	d := net.Dialer{
-		Timeout: dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: maxProbes,
-		},
-		Control: limitUnacked,
-	}
-	conn, err := d.DialContext(ctx, "tcp", address)
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := c.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "dialling %s", address)
 	}
--- a/entry/internal/relayer/relayer.go
+++ b/entry/internal/relayer/relayer.go
@@ -72,6 +72,8 @@
 	ReportLimit func(context.Context, limiter.Report)
 	// Heartbeat is how often targets write to the store that they are alive.
 	Heartbeat time.Duration
+	// Targets opens connections to targets.
+	Targets connector.Dialer
 }
 
 // Relayer serves requests as the reducer decides.
@@ -105,7 +107,7 @@
 	d := dispatcher.NewDispatcher(cfg.Dispatch)
 	p := placer.NewPlacer()
 	return &Relayer{
-		ctx: ctx, targets: targetcaller.NewCaller(httpcaller.NewLimitedCaller(maxReportBytes)), pool: connector.NewConnector(), idle: forwarder.NewIdleTracker(), memory: bodyreader.NewMemory(), meter: cfg.Meter, reportCrashes: cfg.ReportCrashes, savePoison: cfg.SavePoison,
+		ctx: ctx, targets: targetcaller.NewCaller(httpcaller.NewLimitedCaller(maxReportBytes, cfg.Targets)), pool: connector.NewConnectorWith(cfg.Targets), idle: forwarder.NewIdleTracker(), memory: bodyreader.NewMemory(), meter: cfg.Meter, reportCrashes: cfg.ReportCrashes, savePoison: cfg.SavePoison,
 		grant: cfg.Grant, reportLimit: cfg.ReportLimit,
 		workers:  pond.NewPool(orderWorkers, pond.WithContext(ctx)),
 		dispatch: d, placer: p,
--- a/integration/launcher/relay.go
+++ b/integration/launcher/relay.go
@@ -16,9 +16,19 @@
 	// Health and Metrics are the addresses of its health and metrics endpoints.
 	Health  string
 	Metrics string
+	// Control is the address at which the network of a cuttable node is cut, empty for any other node.
+	Control string
 	fleet   *Fleet
 }
 
+// Cut is what is cut of the network between a node and its targets, and how.
+type Cut struct {
+	// Kind is hang, reset or refuse (new connections only), or empty for a network that works.
+	Kind string `json:"kind"`
+	// Addresses are the targets that are cut off; if there are none, all are.
+	Addresses []string `json:"addresses,omitempty"`
+}
+
 // NewRelayFleet returns an empty fleet for nodes in relay mode. It starts no platform stand-in.
 func NewRelayFleet(t testing.TB) *Fleet {
 	t.Helper()
@@ -28,13 +38,35 @@
 // AddRelay starts a node in relay mode that uses the store at the given address.
 func (f *Fleet) AddRelay(id, dc, store string, flags ...string) *Relay {
 	f.t.Helper()
-	r := &Relay{Health: FreeAddress(f.t), Metrics: FreeAddress(f.t), fleet: f}
+	return f.addRelay(&Relay{fleet: f}, id, dc, store, flags...)
+}
+
+// AddCuttableRelay is AddRelay for a node whose network can be cut.
+func (f *Fleet) AddCuttableRelay(id, dc, store string, flags ...string) *Relay {
+	f.t.Helper()
+	return f.addRelay(&Relay{fleet: f, Control: FreeAddress(f.t)}, id, dc, store, flags...)
+}
+
+// SetCut replaces the cut between a cuttable node and its targets.
+func (f *Fleet) SetCut(r *Relay, c Cut) {
+	f.t.Helper()
+	f.post(http.MethodPost, "http://"+r.Control+"/", c)
+}
+
+func (f *Fleet) addRelay(r *Relay, id, dc, store string, flags ...string) *Relay {
+	f.t.Helper()
+	r.Health, r.Metrics = FreeAddress(f.t), FreeAddress(f.t)
 	address := FreeAddress(f.t)
-	args := append([]string{
+	program := "entry"
+	var args []string
+	if r.Control != "" {
+		program, args = "cuttable", []string{r.Control}
+	}
+	args = append(args, append([]string{
 		"relay", "--node", id, "--data-centre", dc, "--listen", address, "--health-listen", r.Health,
 		"--metrics-listen", r.Metrics, "--store", store, "--peer-listen", FreeAddress(f.t),
-	}, flags...)
-	r.Process = f.start(id, "entry", address, args...)
+	}, flags...)...)
+	r.Process = f.start(id, program, address, args...)
 	return r
 }
 
