--- a/common/describer/describer.go
+++ b/common/describer/describer.go
@@ -157,18 +157,18 @@
 
 // Report is a target's load report.
 type Report struct {
-	Kind identifier.AcceleratorKind
+	Kind identifier.AcceleratorKind `json:"kind"`
 	// Incarnation is the one of the target's entry, 0 if the report does not say.
-	Incarnation int64
+	Incarnation int64 `json:"incarnation"`
 	// Orders counts the load and unload orders that the target has begun since it started.
-	Orders int64
+	Orders int64 `json:"orders"`
 	// IsBusy says that the target is executing an order.
-	IsBusy bool
-	Layers identifier.LayerRange
+	IsBusy bool                  `json:"is_busy"`
+	Layers identifier.LayerRange `json:"layers"`
 	// Stalled maps each request that makes no progress to the address of the target that it waits for.
-	Stalled map[identifier.RequestID]string
-	// Said is what the answer says about the target itself.
-	Said Announcement
+	Stalled map[identifier.RequestID]string `json:"stalled,omitempty"`
+	// Said is what the answer says about the target itself, to the node that has read it.
+	Said Announcement `json:"-"`
 }
 
 // Stage is one stage of a chain: a target and the layers that it runs of a request.
--- a/common/describer/status.go
+++ b/common/describer/status.go
@@ -27,8 +27,9 @@
 	PoisonCandidates    int `json:"poison_candidates"`
 	RequestsWithCrashes int `json:"requests_with_crashes"`
 	ConfirmedPoison     int `json:"confirmed_poison"`
-	// LostPaths are the services whose targets the node does not reach.
-	LostPaths []identifier.ServiceID `json:"lost_paths,omitempty"`
+	// LostPaths are the services whose targets the node does not reach, DelegatedOpen counts the requests of other nodes in progress.
+	LostPaths     []identifier.ServiceID `json:"lost_paths,omitempty"`
+	DelegatedOpen int                    `json:"delegated_open,omitempty"`
 	// Limits are the request limits that targets name.
 	Limits []LimitStatus `json:"limits,omitempty"`
 	// Quiet are the targets that want no requests for a while.
--- a/common/eventlogger/relay.go
+++ b/common/eventlogger/relay.go
@@ -42,6 +42,8 @@
 	ConfigurationIgnored   = Event{8037, "older configuration ignored"}
 	PathLost               = Event{8039, "path to the targets of a service lost"}
 	PathRestored           = Event{8040, "path to the targets of a service restored"}
+	RequestDelegated       = Event{8041, "request handed over to another node"}
+	DelegatesFound         = Event{8042, "search for nodes that take requests ended"}
 )
 
 func relayEvents() []Event {
@@ -83,6 +85,6 @@
 		AnnouncementUnreadable,
 		StoreEraChanged,
 		TargetSuspected,
-		ConfigurationIgnored, PathLost, PathRestored,
+		ConfigurationIgnored, PathLost, PathRestored, RequestDelegated, DelegatesFound,
 	}
 }
--- a/entry/internal/chooser/chains.go
+++ b/entry/internal/chooser/chains.go
@@ -20,7 +20,8 @@
 	s.plannedAt, s.isStale = now, false
 	holders := c.holders(s, false)
 	s.chains = chainer.NewPlanner(s.engine, holders).Plan(maxChainsPerDataCentre)
-	if len(s.chains) == 0 {
+	s.isLastResort = len(s.chains) == 0
+	if s.isLastResort {
 		// A chain with ejected or suspected targets is better than no chain.
 		holders = c.holders(s, true)
 		s.chains = chainer.NewPlanner(s.engine, holders).Plan(maxChainsPerDataCentre)
--- a/entry/internal/chooser/chooser.go
+++ b/entry/internal/chooser/chooser.go
@@ -55,6 +55,8 @@
 	targets   []registrar.Target
 	chains    []chainer.Chain
 	plannedAt time.Time
+	// isLastResort is set if all chains include ejected or suspected targets.
+	isLastResort bool
 	// isStale is set if the service or its targets may have changed since the chains were planned.
 	isStale bool
 }
@@ -148,6 +150,30 @@
 	return c.services[id] != nil && c.services[id].engine != nil
 }
 
+// ServiceOf returns the service of a target, empty if the target is not known.
+func (c *Chooser) ServiceOf(id identifier.TargetID) identifier.ServiceID {
+	i := slices.IndexFunc(c.targets, func(t registrar.Target) bool { return t.ID == id })
+	if i < 0 {
+		return ""
+	}
+	return c.targets[i].Service
+}
+
+// CanServe reports whether there is a target, or a chain of targets, for a service that is not ejected and may get requests.
+func (c *Chooser) CanServe(now time.Time, id identifier.ServiceID) bool {
+	if !c.IsChained(id) {
+		return c.Target(now, id, nil, 1) != nil
+	}
+	s := c.services[id]
+	return !s.isLastResort && slices.ContainsFunc(s.chains, func(chain chainer.Chain) bool { return !c.isShut(now, chain.Stages[0].Target) })
+}
+
+// IsLastResort reports whether there are only chains for a service that include ejected or suspected targets.
+func (c *Chooser) IsLastResort(id identifier.ServiceID) bool {
+	s := c.services[id]
+	return s != nil && s.isLastResort
+}
+
 // Address returns the address of a target, empty if the target is not known.
 func (c *Chooser) Address(id identifier.TargetID) string {
 	for _, t := range c.targets {
--- a/entry/internal/commander/relay.go
+++ b/entry/internal/commander/relay.go
@@ -24,6 +24,7 @@
 	"fuchsiabridge.example/entry/internal/connector"
 	"fuchsiabridge.example/entry/internal/crashrecorder"
 	"fuchsiabridge.example/entry/internal/crashreporter"
+	"fuchsiabridge.example/entry/internal/delegator"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/follower"
 	"fuchsiabridge.example/entry/internal/granter"
@@ -60,6 +61,7 @@
 		{Name: "listen", Usage: "address for callers, host:port", Check: optionparser.IsAddress},
 		{Name: "health-listen", Usage: "address of the readiness check for the load balancer, host:port", Check: optionparser.IsAddress},
 		{Name: "peer-listen", Usage: "address for other nodes, to share updates from the store, host:port; when empty, the node always reads the store itself", Check: optionparser.IsOptionalAddress},
+		{Name: "delegate-listen", Usage: "address for requests that other nodes hand over because they do not reach the targets, host:port; when empty, the node takes none, and hands over none", Check: optionparser.IsOptionalAddress},
 		{Name: "metrics-listen", Usage: "address of the metrics endpoint, host:port", Check: optionparser.IsAddress},
 		{Name: "store", Usage: "address of the platform's store, host:port", Check: optionparser.IsAddress},
 		{Name: "revocation-limit", Default: "5s", Usage: "maximum time for which a revoked key is still accepted; 0s lets a node keep using the configuration it last read", Check: optionparser.IsDuration},
@@ -109,11 +111,13 @@
 	id       identifier.NodeID
 	relayer  *relayer.Relayer
 	receiver *receiver.Receiver
-	joiner   *joiner.Joiner
-	follower *follower.Follower
-	reporter *crashreporter.Reporter
-	granter  *granter.Granter
-	peers    *peercaller.Caller
+	// delegated serves the requests of other nodes.
+	delegated *receiver.Receiver
+	joiner    *joiner.Joiner
+	follower  *follower.Follower
+	reporter  *crashreporter.Reporter
+	granter   *granter.Granter
+	peers     *peercaller.Caller
 }
 
 // newRelayNode returns a node whose calls end with ctx.
@@ -123,6 +127,15 @@
 	requests.Publish("requests")
 	n := &relayNode{values: values, id: identifier.NodeID(values.Text("node"))}
 	dc := identifier.DataCentre(values.Text("data-centre"))
+	store := storecaller.NewCaller(http, values.Text("store"))
+	self := storecaller.Member{Node: n.id, DataCentre: dc, Address: values.Text("peer-listen")}
+	// A call that gets no answer in time closes its connection, so questions of requests have connections of their own.
+	questions := peercaller.NewCaller(nil, nil)
+	hasPeers := values.Text("peer-listen") != "" && values.Text("delegate-listen") != ""
+	var delegates relayer.Delegates
+	if hasPeers {
+		delegates = delegator.NewFinder(ctx, self, questions, store)
+	}
 	n.relayer = relayer.NewRelayer(ctx, relayer.Config{
 		Meter: requests,
 		Dispatch: dispatcher.Config{
@@ -131,6 +144,7 @@
 			ChangeLimit:     values.Duration("change-limit"),
 			RetryRatio:      values.Amount("retry-ratio"),
 			RetryWindow:     values.Duration("retry-window"),
+			HasPeers:        hasPeers,
 		},
 		ReportCrashes: func(r sharer.CrashReport) { n.reporter.ReportCrashes(r) },
 		SavePoison:    func(c crashrecorder.Crash) { n.reporter.SavePoison(c) },
@@ -140,6 +154,8 @@
 		ReportLimit: func(ctx context.Context, r limiter.Report) { n.granter.Report(ctx, r) },
 		Heartbeat:   values.Duration("heartbeat"),
 		Targets:     targets,
+
+		Delegates: delegates, Peers: questions, DelegateAddress: values.Text("delegate-listen"),
 	})
 	server.Publish("relay", func() any {
 		status := n.relayer.Status()
@@ -147,6 +163,7 @@
 		return status
 	})
 	n.receiver = receiver.NewReceiver(n.relayer)
+	n.delegated = receiver.NewNodeReceiver(n.relayer.DelegatedHandler())
 	updates := sharer.NewSharer()
 	n.peers = peercaller.NewCaller(map[string]peercaller.Handler{
 		sharer.WatchMethod: updates.ServeWatch, sharer.ConfigurationMethod: updates.ServeConfiguration,
@@ -156,7 +173,8 @@
 		sharer.ClearMethod: func(ctx context.Context, params json.RawMessage) (any, error) {
 			return n.reporter.ServeClear(ctx, params)
 		},
-		sharer.CrashesMethod: updates.ServeCrashes,
+		sharer.CrashesMethod:  updates.ServeCrashes,
+		delegator.OfferMethod: n.relayer.ServeOffer, relayer.ReportMethod: n.relayer.ServeReport, relayer.OrderMethod: n.relayer.ServeOrder,
 		granter.GrantMethod: func(ctx context.Context, params json.RawMessage) (any, error) {
 			return n.granter.ServeGrant(ctx, params)
 		},
@@ -164,8 +182,6 @@
 			return n.granter.ServeLimits(ctx, params)
 		},
 	}, nil)
-	store := storecaller.NewCaller(http, values.Text("store"))
-	self := storecaller.Member{Node: n.id, DataCentre: dc, Address: values.Text("peer-listen")}
 	n.joiner = joiner.NewJoiner(store, joiner.Config{
 		Self: self, StorePartitions: values.Number("store-parts"), RetrySlack: int(slackShare * values.Amount("retry-slack")),
 	}, n.relayer.Submit)
@@ -177,8 +193,6 @@
 	n.reporter = crashreporter.NewReporter(crashreporter.Config{
 		Self: values.Text("peer-listen"), Peers: n.peers, Readers: n.joiner, Store: store, Sharer: updates, Submit: n.relayer.Submit,
 	})
-	// A question for a grant that gets no answer in time closes its connection, so these have connections of their own.
-	questions := peercaller.NewCaller(nil, nil)
 	n.granter = granter.NewGranter(granter.Config{
 		Self: values.Text("peer-listen"), Partitions: values.Number("store-parts"), Peers: questions, Holders: n.joiner, Recorder: updates, Submit: n.relayer.Submit,
 	})
@@ -194,9 +208,19 @@
 	if err := serveHealth(ctx, n.values, n.relayer); err != nil {
 		return nil, err
 	}
+	if address := n.values.Text("delegate-listen"); address != "" {
+		l, err := listen(ctx, address, nil)
+		if err != nil {
+			return nil, errors.Wrap(err, "listening for requests of other nodes")
+		}
+		go n.delegated.Serve(ctx, l)
+	}
 	return callers, servePeers(ctx, n.values.Text("peer-listen"), n.peers)
 }
 
+// open counts the requests in progress.
+func (n *relayNode) open() int64 { return n.receiver.Open() + n.delegated.Open() }
+
 // start starts the node's work, which ends with ctx. The returned function leaves the group of nodes and waits
 // until that is done.
 func (n *relayNode) start(ctx context.Context, callers net.Listener) (leaveGroup func()) {
@@ -229,19 +253,20 @@
 func (n *relayNode) stop(callers net.Listener, leave func()) {
 	limit := time.Now().Add(n.values.Duration("stop-limit") - stopMargin)
 	lag := n.values.Duration("balancer-lag")
-	eventlogger.Info(eventlogger.NodeStopping, "open_requests", n.receiver.Open())
+	eventlogger.Info(eventlogger.NodeStopping, "open_requests", n.open())
 	n.relayer.Leave(lag)
 	n.receiver.Leave()
+	n.delegated.Leave()
 	lagTimer := time.NewTimer(lag)
 	defer lagTimer.Stop()
 	leave()
 	<-lagTimer.C
 	n.receiver.CloseIdle()
-	waitUntil(limit, func() bool { return n.receiver.Open() == 0 })
+	waitUntil(limit, func() bool { return n.open() == 0 })
 	if err := callers.Close(); err != nil {
 		eventlogger.Error(err, eventlogger.CallerConnectionFailed, "doing", "closing the listener")
 	}
-	eventlogger.Info(eventlogger.NodeStopped, "open_requests", n.receiver.Open())
+	eventlogger.Info(eventlogger.NodeStopped, "open_requests", n.open())
 }
 
 // relay runs a relay node whose connections to targets are opened by targets.
--- a/entry/internal/dispatcher/attempts.go
+++ b/entry/internal/dispatcher/attempts.go
@@ -30,6 +30,7 @@
 	if ev.Outcome == Stalled {
 		return append(d.stalled(now, ev, r), effects...)
 	}
+	runs := d.noteResult(r, ev)
 	isCandidate := false
 	switch ev.Outcome {
 	case Delivered:
@@ -44,11 +45,12 @@
 		effects = append(effects, d.logAttempt(now, r, ev, isCandidate))
 	}
 	effects = append(effects, d.reportFaultyTarget(now, r, ev)...)
+	effects = append(effects, dropDelegate(r, ev.Outcome)...)
 	target := r.target
 	d.release(r)
 	switch ev.Outcome {
 	case Delivered:
-		r.executions++
+		r.executions += runs
 		return append(effects, d.end(now, ev.Call, ev.Status, "delivered")...)
 	case CallerGone:
 		return append(effects, d.end(now, ev.Call, 0, "caller gone")...)
@@ -64,7 +66,7 @@
 		return append(effects, d.send(now, ev.Call, r, ev.Seed)...)
 	default:
 	}
-	r.executions++
+	r.executions += runs
 	if d.mayRetry(now, r) && d.hasAlternative(now, r) {
 		return append(effects, d.send(now, ev.Call, r, ev.Seed)...)
 	}
@@ -111,7 +113,7 @@
 // failed or no target accepted them.
 func (d *Dispatcher) resumeStalled(now time.Time, r *request) []messenger.Effect {
 	r.attempt, r.stalledAttempt = *r.stalledAttempt, nil
-	r.executions--
+	r.executions -= r.runs
 	d.chooser.Acquire(r.targets())
 	return []messenger.Effect{ResumeStalled{Until: now.Add(fullTargetBackoff)}, messenger.Log{
 		Event: eventlogger.StalledAttemptResumed, Subject: "request/" + string(r.id),
@@ -121,7 +123,7 @@
 
 // mayRetry reports whether a request that may already have run may be sent again.
 func (d *Dispatcher) mayRetry(now time.Time, r *request) bool {
-	return r.route.MayRetry() && r.executions < r.route.MaxAttempts && d.retryBarrier(now, r) == ""
+	return r.route.MayRetry() && r.executions < r.maxRuns() && d.retryBarrier(now, r) == ""
 }
 
 // retryBarrier returns the reason why no further attempt is allowed, or an empty string.
@@ -133,7 +135,7 @@
 		return deadlinePassed
 	case d.crashTracker.IsConfirmed(now, r.key):
 		return quarantined
-	case !d.retries.Allows(now, r.service):
+	case r.hasArrived && !d.retries.Allows(now, r.service):
 		return "retry budget exhausted"
 	}
 	return ""
@@ -165,13 +167,16 @@
 // reportFaultyTarget ejects the target that the failed attempt shows to be at fault. A target of a
 // chain that refused the request for another reason counts as full and is avoided for a while.
 func (d *Dispatcher) reportFaultyTarget(now time.Time, r *request, ev AttemptReported) []messenger.Effect {
+	if r.target == "" {
+		return nil
+	}
 	address := ev.FaultAddress
 	if address == "" {
 		address = d.address(r)
 	}
 	switch ev.Outcome {
 	case NotSent:
-		return d.eject(now, d.address(r), registrar.Unresponsive, ev.Reason)
+		return d.eject(now, d.address(r), d.causeOfSilence(r.service), ev.Reason)
 	case NotRun:
 		if ev.Status == http.StatusMisdirectedRequest {
 			return d.eject(now, address, registrar.WrongLayers, "target answered that it holds other layers")
@@ -184,6 +189,14 @@
 	return nil
 }
 
+// causeOfSilence returns why a target of a service does not answer this node, as far as it knows.
+func (d *Dispatcher) causeOfSilence(service identifier.ServiceID) registrar.EjectionCause {
+	if d.paths.IsLost(service) {
+		return registrar.Unreached
+	}
+	return registrar.Unresponsive
+}
+
 // eject raises the ejection of a target. The chooser applies it at once, so that the next
 // choice does not have to wait until the registrar has processed the event.
 func (d *Dispatcher) eject(now time.Time, address string, cause registrar.EjectionCause, reason string) []messenger.Effect {
@@ -201,6 +214,9 @@
 
 // stalled decides what to do with an attempt that has delivered no data within its idle timeout.
 func (d *Dispatcher) stalled(now time.Time, ev AttemptReported, r *request) []messenger.Effect {
+	if r.delegate != "" {
+		return d.stalledDelegate(now, ev, r)
+	}
 	if len(r.chain) == 0 {
 		return d.stalledPlain(now, ev, r)
 	}
@@ -241,8 +257,11 @@
 		faulty = []string{ev.Address}
 	}
 	var effects []messenger.Effect
+	if ev.IsUnanswered {
+		effects = d.logPaths(d.paths.Failed(now, ev.Target))
+	}
 	for _, address := range faulty {
-		effects = append(effects, d.eject(now, address, registrar.Unresponsive, "requests at a stalled chain wait for this target")...)
+		effects = append(effects, d.eject(now, address, d.causeOfSilence(d.chooser.ServiceOf(ev.Target)), "requests at a stalled chain wait for this target")...)
 	}
 	return effects
 }
@@ -258,9 +277,10 @@
 // failOver sends a stalled request to another target or chain. If that is not possible, a request
 // at a chain is rerouted or goes on waiting, and one at a plain target goes on waiting.
 func (d *Dispatcher) failOver(now time.Time, call identifier.CallID, r *request, reason string, seed uint64) []messenger.Effect {
-	r.executions++
+	r.hasArrived = true
+	r.executions += r.runs
 	if !d.mayRetry(now, r) || !d.hasAlternative(now, r) || d.isTried(now, r.key) {
-		r.executions--
+		r.executions -= r.runs
 		if len(r.chain) > 0 {
 			return d.rerouteChain(now, r)
 		}
@@ -271,6 +291,7 @@
 	effects = append(effects, d.logAttempt(now, r, left, isCandidate))
 	stalledAttempt := r.attempt
 	r.stalledAttempt = &stalledAttempt
+	effects = append(effects, dropDelegate(r, Stalled)...)
 	d.release(r)
 	return append(effects, d.sendAttempt(now, call, r, seed, true)...)
 }
@@ -315,9 +336,9 @@
 }
 
 // hasAlternative reports whether another attempt is possible: a plain request needs a target that
-// it was not sent to yet, while a request that uses chains may be sent along the same chain again.
+// it was not sent to yet or another node, while a request that uses chains may be sent along the same chain again.
 func (d *Dispatcher) hasAlternative(now time.Time, r *request) bool {
-	return d.chooser.IsChained(r.service) || d.chooser.Target(now, r.service, r.tried, 1) != nil
+	return d.chooser.IsChained(r.service) || d.chooser.Target(now, r.service, r.tried, 1) != nil || d.mustDelegate(r)
 }
 
 // probed handles the answer of a stalled chain's first target, which names the target that the
@@ -327,6 +348,9 @@
 	if !ok {
 		return nil
 	}
+	if ev.IsUnreached {
+		return d.failOver(now, ev.Call, r, "path to the targets is lost", ev.Seed)
+	}
 	faulty := ev.FaultAddress
 	var effects []messenger.Effect
 	if ev.IsUnanswered {
@@ -336,7 +360,7 @@
 	if faulty == "" {
 		return []messenger.Effect{Wait{Until: now.Add(streamIdleTimeout)}}
 	}
-	effects = append(effects, d.eject(now, faulty, registrar.Unresponsive, "a stalled request waits for this target")...)
+	effects = append(effects, d.eject(now, faulty, d.causeOfSilence(r.service), "a stalled request waits for this target")...)
 	return append(effects, d.failOver(now, ev.Call, r, "request waits for target "+faulty, ev.Seed)...)
 }
 
--- a/entry/internal/dispatcher/crashes.go
+++ b/entry/internal/dispatcher/crashes.go
@@ -103,6 +103,7 @@
 // targetChecked applies the result of a check. A target that does not answer is ejected.
 func (d *Dispatcher) targetChecked(now time.Time, ev TargetChecked) []messenger.Effect {
 	if !ev.IsUnanswered {
+		// It may have answered another node, which says nothing of this node's path.
 		return d.applyFindings(now, d.crashTracker.CheckAnswered(now, ev.Target, ev.Incarnation))
 	}
 	effects := d.logPaths(d.paths.Failed(now, ev.Target))
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -82,6 +82,8 @@
 	// retry quota allows further ones.
 	RetryRatio  float64
 	RetryWindow time.Duration
+	// HasPeers says that there may be other nodes that take requests whose targets this node does not reach.
+	HasPeers bool
 }
 
 // request is a request in progress.
@@ -106,6 +108,7 @@
 	// reroutes counts how often the first target of the request's chain was asked to continue
 	// along another chain.
 	reroutes int
+	delegation
 	attempt
 	// pending is the attempt that waits for a grant, which its target's request limit makes necessary.
 	pending *Send
@@ -122,10 +125,13 @@
 // attempt holds the targets that an attempt of a request uses.
 type attempt struct {
 	// target is the target that the request was sent to, the first one of a chain. It is empty when
-	// no attempt is in progress.
+	// no attempt is in progress, or if it is at another node.
 	target identifier.TargetID
 	chain  []describer.Stage
 	sent   time.Time
+	// delegate is the node that the request was handed over to, with up to the given number of runs.
+	delegate identifier.NodeID
+	runs     int
 	// before holds the crashes of the request that were known when the attempt was sent, and
 	// eventsBefore counts the events that earlier attempts had delivered.
 	before       crashrecorder.Histories
@@ -173,6 +179,10 @@
 		return d.requestArrived(now, ev)
 	case AttemptReported:
 		return d.attemptReported(now, ev)
+	case DelegateFound:
+		return d.delegateFound(now, ev)
+	case PathChecked:
+		return d.pathChecked(now, ev)
 	case Probed:
 		return d.probed(now, ev)
 	case ConfigurationRead:
@@ -303,6 +313,7 @@
 	d.trials.Tick(now)
 	effects := append(d.startChecks(now), d.confirmTraits(now)...)
 	effects = append(effects, d.endQuiet(now)...)
+	effects = append(effects, d.checkPaths(now)...)
 	if d.isStale || d.table == nil || d.isFresh(now) {
 		return effects
 	}
@@ -314,7 +325,7 @@
 }
 
 func (d *Dispatcher) requestArrived(now time.Time, ev RequestArrived) []messenger.Effect {
-	r := &request{id: ev.ID, arrived: now, deadline: ev.Deadline, seed: ev.Seed}
+	r := &request{id: ev.ID, arrived: now, deadline: ev.Deadline, seed: ev.Seed, delegation: newDelegation(ev.Terms)}
 	d.requests[ev.Call] = r
 	if d.table == nil {
 		return d.refuse(now, ev.Call, http.StatusServiceUnavailable, unreadyRetryAfter, "no configuration yet")
@@ -322,6 +333,9 @@
 	if !d.refuseAt.IsZero() && !now.Before(d.refuseAt) {
 		return d.refuse(now, ev.Call, http.StatusServiceUnavailable, stoppingRetryAfter, "this node is shutting down")
 	}
+	if reason := d.admitDelegated(now, r); reason != "" {
+		return d.refuse(now, ev.Call, http.StatusServiceUnavailable, unreadyRetryAfter, reason)
+	}
 	r.route = d.table.Route(ev.Host, ev.Path)
 	if r.route == nil {
 		return d.deny(now, ev.Call, http.StatusNotFound, "no route")
@@ -348,6 +362,9 @@
 		r.deadline = routeDeadline
 	}
 	r.service = router.Pick(r.route, ev.Seed)
+	if reason := d.admitDelegated(now, r); reason != "" {
+		return d.refuse(now, ev.Call, http.StatusServiceUnavailable, r.retryAfter(), reason)
+	}
 	return d.send(now, ev.Call, r, ev.Seed)
 }
 
@@ -362,16 +379,24 @@
 	if !d.chooser.IsKnown(r.service) {
 		return d.endUnplaced(now, call, r, "unknown service")
 	}
+	if d.mustDelegate(r) {
+		return d.askDelegate(r, keepsStalled)
+	}
 	before := d.crashTracker.Histories(now, r.key)
 	if d.mustHold(now, r, before) {
 		return d.hold(now, call, r)
 	}
 	out := Send{
 		Call: call, Account: r.account, Deadline: r.deadline, KeepsStalled: keepsStalled,
-		IsStream: r.route.Kind == describer.Streaming, NewConn: !r.route.MayRetry() || before.HasCrashes(),
+		IsStream: r.route.Kind == describer.Streaming,
+		// What has broken one connection may have broken those that were open beside it.
+		NewConn: !r.route.MayRetry() || before.HasCrashes() || r.executions > 0,
 	}
 	effects := d.chooser.Replan(now, r.service)
 	reason := d.choose(now, r, &out, seed)
+	if d.mayDelegate(r) && (reason == noChain || reason == noTarget || d.chooser.IsLastResort(r.service)) {
+		return append(d.askDelegate(r, keepsStalled), effects...)
+	}
 	if reason != "" {
 		return append(d.endUnplaced(now, call, r, reason), effects...)
 	}
@@ -385,15 +410,18 @@
 
 // startAttempt counts an attempt and sends it.
 func (d *Dispatcher) startAttempt(now time.Time, r *request, out Send, before crashrecorder.Histories) []messenger.Effect {
-	if r.attempts == 0 {
+	if !r.isCounted {
+		r.isCounted = true
 		d.retries.CountRequest(now, r.service)
-	} else {
+	}
+	if r.hasArrived {
 		d.retries.CountRetry(now, r.service)
 	}
 	d.limits.CountSend(out.Target)
 	r.attempts++
 	r.sent, r.before, r.eventsBefore = now, before, r.events
-	r.target, r.chain = out.Target, out.Chain
+	r.target, r.chain, r.delegate, r.runs = out.Target, out.Chain, "", 1
+	out.Runs = r.executions + 1
 	r.askUntil = time.Time{}
 	out.IdleDeadline = r.idleDeadline(now, out)
 	d.trials.Begin(now, out.Call, r.key, before)
@@ -407,14 +435,14 @@
 	if d.chooser.IsChained(r.service) {
 		chain := d.chooser.Chain(now, r.service, seed, r.tried)
 		if chain == nil {
-			return d.limitReason(now, r.service, "no chain holds all layers")
+			return d.limitReason(now, r.service, noChain)
 		}
 		out.Target, out.Address, out.Chain = chain.Stages[0].Target, chain.Stages[0].Address, chain.Stages
 		return ""
 	}
 	t := d.chooser.Target(now, r.service, r.tried, seed)
 	if t == nil {
-		return d.limitReason(now, r.service, "no target")
+		return d.limitReason(now, r.service, noTarget)
 	}
 	out.Target, out.Address = t.ID, t.Address
 	return ""
@@ -448,6 +476,9 @@
 
 // targets returns the targets that the attempt uses.
 func (a *attempt) targets() []identifier.TargetID {
+	if a.target == "" {
+		return nil
+	}
 	if len(a.chain) == 0 {
 		return []identifier.TargetID{a.target}
 	}
--- a/entry/internal/dispatcher/messages.go
+++ b/entry/internal/dispatcher/messages.go
@@ -8,6 +8,7 @@
 	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/entry/internal/crashrecorder"
+	"fuchsiabridge.example/entry/internal/delegator"
 	"fuchsiabridge.example/entry/internal/limiter"
 	"fuchsiabridge.example/entry/internal/meter"
 	"fuchsiabridge.example/entry/internal/router"
@@ -39,6 +40,8 @@
 	Group identifier.Fingerprint
 	// Parts are those of the prompt that other requests share.
 	Parts []identifier.PromptPart
+	// Terms are those under which another node has handed the request over, nil for a request of this node's own caller.
+	Terms *delegator.Terms
 	// Seed is a random number for weighted and randomized choices.
 	Seed uint64
 }
@@ -116,6 +119,8 @@
 	Outcome Outcome
 	// IsLeft says that the node has left an attempt that did not break, so that its target may go on with it.
 	IsLeft bool
+	// Result is what a delegate has said of a request that was handed over to it, nil if it has not answered.
+	Result *delegator.Result
 	// Status is the status code of the target's response, 0 if there was none.
 	Status int
 	// FaultAddress is the address of the target that a refusal names as its cause.
@@ -148,6 +153,7 @@
 // ChainProbed is the event that the first target of a stalled chain answered which targets its
 // requests wait for, or gave no answer.
 type ChainProbed struct {
+	Target  identifier.TargetID
 	Address string
 	// FaultAddresses are the addresses of the targets that requests wait for.
 	FaultAddresses []string
@@ -169,7 +175,9 @@
 	FaultAddress string
 	// IsUnanswered says that the first target itself gave no answer.
 	IsUnanswered bool
-	Seed         uint64
+	// IsUnreached says that it was not asked, as the path to the targets is lost.
+	IsUnreached bool
+	Seed        uint64
 }
 
 // Send is the effect that sends a request to a target.
@@ -189,6 +197,46 @@
 	KeepsStalled bool
 	// NewConn makes the attempt use a new connection. It is set if the request must not run twice.
 	NewConn bool
+	// Runs counts the attempts that may have run the request, with this one.
+	Runs int
+	// Delegate is the node that the request is handed over to in place of a target, under the Terms; empty if it is sent to one.
+	Delegate identifier.NodeID
+	Terms    delegator.Terms
+}
+
+// AskDelegate is the effect that looks for another node that reaches the targets of a service, none of the tried ones.
+type AskDelegate struct {
+	Service identifier.ServiceID
+	Tried   []identifier.NodeID
+}
+
+// DelegateFound is the event that a search for a delegate has ended.
+type DelegateFound struct {
+	Call identifier.CallID
+	// Node is the delegate, empty if there is none, and Address where it takes requests.
+	Node         identifier.NodeID
+	Address      string
+	IsCallerGone bool
+	Seed         uint64
+}
+
+// DropDelegate is the effect that forgets a delegate for a while: it has refused a request, or did not answer.
+type DropDelegate struct {
+	Service identifier.ServiceID
+	Node    identifier.NodeID
+}
+
+// CheckPath is the effect that opens a connection to a target that this node does not reach, to find out whether it does again.
+type CheckPath struct {
+	Target  identifier.TargetID
+	Address string
+}
+
+// PathChecked is the event that a target was reached, or was not.
+type PathChecked struct {
+	Target    identifier.TargetID
+	Address   string
+	IsReached bool
 }
 
 // AskGrant is the effect that asks whether a request may be sent to a target that names a request limit.
@@ -265,4 +313,6 @@
 	Status     int
 	RetryAfter time.Duration
 	Reason     string
+	// Result is for the node that has handed the request over.
+	Result delegator.Result
 }
--- a/entry/internal/dispatcher/paths.go
+++ b/entry/internal/dispatcher/paths.go
@@ -4,11 +4,30 @@
 	"time"
 
 	"fuchsiabridge.example/common/eventlogger"
+	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/entry/internal/pathtracker"
 	"fuchsiabridge.example/entry/internal/registrar"
 )
 
+// pathChecked applies the result of a check of a path.
+func (d *Dispatcher) pathChecked(now time.Time, ev PathChecked) []messenger.Effect {
+	if !ev.IsReached {
+		return d.logPaths(d.paths.Failed(now, ev.Target))
+	}
+	return append(d.logPaths(d.paths.Reached(now, now, ev.Target)), messenger.Raise{Event: registrar.Reached{Address: ev.Address}})
+}
+
+// checkPaths checks the targets that this node does not reach since it has lost a path.
+func (d *Dispatcher) checkPaths(now time.Time) []messenger.Effect {
+	due, changes := d.paths.DueChecks(now)
+	effects := d.logPaths(changes)
+	for _, t := range due {
+		effects = append(effects, CheckPath{Target: t.ID, Address: t.Address})
+	}
+	return effects
+}
+
 // setPathTargets tells the tracker of paths which targets there are.
 func (d *Dispatcher) setPathTargets(now time.Time, targets []registrar.Target) []messenger.Effect {
 	var known []pathtracker.Target
@@ -48,3 +67,9 @@
 	}
 	return effects
 }
+
+// LostPath returns the service of a target, and whether the path to it is lost and other nodes may have one.
+func (d *Dispatcher) LostPath(target identifier.TargetID) (identifier.ServiceID, bool) {
+	service := d.chooser.ServiceOf(target)
+	return service, d.cfg.HasPeers && d.paths.IsLost(service)
+}
--- a/entry/internal/dispatcher/trials.go
+++ b/entry/internal/dispatcher/trials.go
@@ -30,6 +30,8 @@
 const (
 	quarantined    = "request is quarantined: it has crashed several targets"
 	deadlinePassed = "deadline passed"
+	noChain        = "no chain holds all layers"
+	noTarget       = "no target"
 )
 
 // setLease notes until when this node holds the lease.
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -18,6 +18,7 @@
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/entry/internal/bodyreader"
 	"fuchsiabridge.example/entry/internal/connector"
+	"fuchsiabridge.example/entry/internal/delegator"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/limiter"
 	"fuchsiabridge.example/platform/translator"
@@ -81,8 +82,10 @@
 	stopWatch func() bool
 	resp      *fasthttp.Response
 	hasHeader bool
-	body      io.Reader
-	buffer    []byte
+	// result is what a delegate says of the request, nil until its answer was read.
+	result *delegator.Result
+	body   io.Reader
+	buffer []byte
 	// pending is the beginning of an incomplete event.
 	pending []byte
 	// held is what the attempt holds of the node's memory for answers.
@@ -104,12 +107,26 @@
 // drop ends the current attempt.
 func (x *Exchange) drop() { x.attempt.drop(x.memory) }
 
+// Pools are the pools of connections to targets and to other nodes.
+type Pools struct {
+	Targets *connector.Connector
+	Nodes   *connector.Connector
+}
+
+// pool returns the pool that the current attempt uses.
+func (x *Exchange) pool() *connector.Connector {
+	if x.send.Delegate != "" {
+		return x.pools.Nodes
+	}
+	return x.pools.Targets
+}
+
 // Exchange is one request and its attempts.
 type Exchange struct {
 	caller     Caller
 	request    translator.Request
 	translator translator.Translator
-	pool       *connector.Connector
+	pools      Pools
 	idle       *IdleTracker
 	// onAnswer is called with the head of each answer, as soon as it is read.
 	onAnswer func(AnswerHead)
@@ -131,8 +148,8 @@
 }
 
 // NewExchange returns an exchange for a caller's request.
-func NewExchange(caller Caller, r translator.Request, pool *connector.Connector, idle *IdleTracker, memory *bodyreader.Memory, onAnswer func(AnswerHead)) *Exchange {
-	x := &Exchange{caller: caller, request: r, pool: pool, idle: idle, memory: memory, onAnswer: onAnswer}
+func NewExchange(caller Caller, r translator.Request, pools Pools, idle *IdleTracker, memory *bodyreader.Memory, onAnswer func(AnswerHead)) *Exchange {
+	x := &Exchange{caller: caller, request: r, pools: pools, idle: idle, memory: memory, onAnswer: onAnswer}
 	x.events.lastID = r.LastEvent
 	return x
 }
@@ -147,7 +164,7 @@
 	}
 	x.drop()
 	x.attempt = attempt{send: s, sentAt: bootclock.Now()}
-	conn, err := x.pool.Get(ctx, s.Address, s.NewConn)
+	conn, err := x.pool().Get(ctx, s.Address, s.NewConn)
 	if err != nil {
 		return x.report(ctx, dispatcher.NotSent, err)
 	}
@@ -171,10 +188,9 @@
 	}
 	var h fasthttp.RequestHeader
 	x.caller.Header().CopyTo(&h)
-	x.translator.WriteRequest(&h, translator.Attempt{
-		Target: x.send.Target, Account: x.send.Account, Timeout: x.send.Deadline.Sub(x.sentAt),
-		LastEvent: x.lastEvent(), Chain: x.send.Chain,
-	})
+	if err := x.writeFields(&h); err != nil {
+		return 0, err
+	}
 	body := x.caller.Body()
 	if len(body) > 0 || h.IsPost() || h.IsPut() {
 		h.SetContentLength(len(body))
@@ -190,6 +206,19 @@
 	return before - x.conn.W.Buffered(), errors.Wrap(err, "writing a request")
 }
 
+// writeFields sets the fields of the attempt in the header of a request. A delegate gets those of the caller, with the terms.
+func (x *Exchange) writeFields(h *fasthttp.RequestHeader) error {
+	a := translator.Attempt{
+		Target: x.send.Target, Account: x.send.Account, Timeout: x.send.Deadline.Sub(x.sentAt), LastEvent: x.lastEvent(), Chain: x.send.Chain,
+	}
+	if x.send.Delegate == "" {
+		x.translator.WriteRequest(h, a)
+		return nil
+	}
+	x.translator.WriteDelegated(h, a)
+	return delegator.WriteTerms(h, x.send.Terms)
+}
+
 // Await waits until the attempt ends or receives nothing until idleDeadline.
 func (x *Exchange) Await(ctx context.Context, idleDeadline time.Time) dispatcher.AttemptReported {
 	if !x.hasHeader {
@@ -235,10 +264,26 @@
 		return x.fail(ctx, errors.Wrap(err, "reading a header")), false
 	}
 	x.hasHeader = true
+	if err := x.readResult(); err != nil {
+		return x.fail(ctx, err), false
+	}
 	x.reportAnswer()
 	return dispatcher.AttemptReported{}, true
 }
 
+// readResult reads what a delegate says of the request.
+func (x *Exchange) readResult() error {
+	if x.send.Delegate == "" {
+		return nil
+	}
+	result, err := delegator.ReadResult(&x.resp.Header)
+	if err != nil {
+		return err
+	}
+	x.result = &result
+	return nil
+}
+
 // readHeader reads the header of the answer, after some informational answers.
 func (x *Exchange) readHeader() error {
 	x.resp = &fasthttp.Response{}
@@ -260,15 +305,28 @@
 
 // reportAnswer reports what the head of an answer says of the target, unless the answer belongs to another request.
 func (x *Exchange) reportAnswer() {
-	answer := x.translator.ReadAnswer(&x.resp.Header)
-	if !x.isOwn(answer) {
+	answer := x.readAnswer()
+	target := x.send.Target
+	if x.result != nil {
+		target = x.result.Target
+	}
+	if !x.isOwn(answer) || target == "" {
 		return
 	}
 	kind := limiter.RefusalAnswer
 	if answer.IsSealed {
 		kind = limiter.RequestAnswer
 	}
-	x.onAnswer(AnswerHead{Target: x.send.Target, Kind: kind, Said: answer.Said, SentAt: x.sentAt})
+	x.onAnswer(AnswerHead{Target: target, Kind: kind, Said: answer.Said, SentAt: x.sentAt})
+}
+
+// readAnswer reads the header of the answer. Whether a delegate's request has run is for it to say.
+func (x *Exchange) readAnswer() translator.Answer {
+	answer := x.translator.ReadAnswer(&x.resp.Header)
+	if x.result != nil {
+		answer.IsNotRun = x.result.IsNotRun
+	}
+	return answer
 }
 
 // isOwn reports whether an answer is that of the request. Only a refusal may lack the id, because a target that did not read the request
@@ -289,7 +347,7 @@
 
 // relay forwards the answer: a stream event by event, anything else as a whole.
 func (x *Exchange) relay(ctx context.Context, idleDeadline time.Time) dispatcher.AttemptReported {
-	answer := x.translator.ReadAnswer(&x.resp.Header)
+	answer := x.readAnswer()
 	status := x.resp.StatusCode()
 	if !x.isOwn(answer) {
 		return x.fail(ctx, errMismatch)
@@ -401,7 +459,7 @@
 		conn.Drop()
 		return
 	}
-	x.pool.Put(conn, idle)
+	x.pool().Put(conn, idle)
 }
 
 func keepAliveTimeout(v string) time.Duration {
@@ -458,6 +516,8 @@
 	}
 	r := x.report(ctx, dispatcher.Broken, err)
 	r.IsLeft = !isEndOfConnection(err)
+	// What a delegate has done since its answer began is not known.
+	r.Result = nil
 	return r
 }
 
@@ -469,7 +529,7 @@
 }
 
 func (x *Exchange) report(ctx context.Context, o dispatcher.Outcome, err error) dispatcher.AttemptReported {
-	r := dispatcher.AttemptReported{Call: x.send.Call, Outcome: o, Events: x.events.count, FirstByte: x.firstByte, LongestGap: x.longestGap}
+	r := dispatcher.AttemptReported{Call: x.send.Call, Outcome: o, Events: x.events.count, FirstByte: x.firstByte, LongestGap: x.longestGap, Result: x.result}
 	if o == dispatcher.Stalled {
 		r.ChainIdleTime, r.ChainTypicalGap = x.idle.idleTime(x.send.Address, x.sentAt, bootclock.Now())
 	}
--- a/entry/internal/receiver/receiver.go
+++ b/entry/internal/receiver/receiver.go
@@ -22,6 +22,8 @@
 
 const (
 	bufferBytes = 8192
+	// nodeBufferBytes is the size of the buffer for requests of other nodes, which add to what their callers have sent.
+	nodeBufferBytes = 2 * bufferBytes
 	// writeTimeout is how long a caller may take to read a part of an answer.
 	writeTimeout = 20 * time.Second
 
@@ -41,9 +43,16 @@
 	Limits() describer.Limits
 }
 
+// Admitter is implemented by handlers that bound what they take at once.
+type Admitter interface {
+	// Admit takes a request with a body of the given number of bytes, if there is room for it. leave ends it.
+	Admit(bodyBytes int) (leave func(), ok bool)
+}
+
 // Receiver serves callers' connections.
 type Receiver struct {
 	handler   Handler
+	readBytes int
 	isLeaving atomic.Bool
 	open      atomic.Int64
 
@@ -52,7 +61,14 @@
 }
 
 // NewReceiver returns a receiver for a handler.
-func NewReceiver(h Handler) *Receiver { return &Receiver{handler: h, conns: map[*conn]struct{}{}} }
+func NewReceiver(h Handler) *Receiver {
+	return &Receiver{handler: h, readBytes: bufferBytes, conns: map[*conn]struct{}{}}
+}
+
+// NewNodeReceiver returns a receiver for requests that other nodes hand over.
+func NewNodeReceiver(h Handler) *Receiver {
+	return &Receiver{handler: h, readBytes: nodeBufferBytes, conns: map[*conn]struct{}{}}
+}
 
 // Open returns the number of requests in progress.
 func (r *Receiver) Open() int64 { return r.open.Load() }
@@ -98,7 +114,7 @@
 }
 
 func (r *Receiver) serve(ctx context.Context, nc net.Conn) {
-	c := &conn{Conn: nc, r: bufio.NewReaderSize(nc, bufferBytes), w: bufio.NewWriterSize(nc, bufferBytes)}
+	c := &conn{Conn: nc, r: bufio.NewReaderSize(nc, r.readBytes), w: bufio.NewWriterSize(nc, bufferBytes)}
 	r.mu.Lock()
 	r.conns[c] = struct{}{}
 	r.mu.Unlock()
@@ -121,7 +137,8 @@
 	r.open.Add(1)
 	defer r.open.Add(-1)
 	defer c.isBusy.Store(false)
-	call := &Call{conn: c, receiver: r}
+	call := &Call{conn: c, receiver: r, leave: func() {}}
+	defer func() { call.leave() }()
 	if err := r.read(c, call); err != nil {
 		r.reject(call, err)
 		return false
@@ -184,11 +201,35 @@
 			return errors.Wrap(err, "asking for a body")
 		}
 	}
-	if err := call.readBody(c.r, body); err != nil {
-		return errors.Wrap(err, "reading a body")
-	}
 	call.isLast = h.ConnectionClose()
-	return nil
+	if !r.admit(call) {
+		return call.skipBody(c.r)
+	}
+	return errors.Wrap(call.readBody(c.r, body), "reading a body")
+}
+
+// admit reports whether the handler takes the request.
+func (r *Receiver) admit(call *Call) bool {
+	a, ok := r.handler.(Admitter)
+	if !ok {
+		call.isAdmitted = true
+		return true
+	}
+	leave, ok := a.Admit(max(0, call.request.Header.ContentLength()))
+	if ok {
+		call.leave, call.isAdmitted = leave, true
+	}
+	return ok
+}
+
+// skipBody reads over the body of a request that the handler does not take: the answer to unread bytes would be lost.
+func (c *Call) skipBody(r *bufio.Reader) error {
+	n := c.request.Header.ContentLength()
+	if n == chunkedLength {
+		return errors.Wrap(errBadRequest, "a body in chunks was not taken")
+	}
+	_, err := io.CopyN(io.Discard, r, int64(max(0, n)))
+	return errors.Wrap(err, "reading over a body")
 }
 
 // readBody reads the body, which may have the given number of bytes at most. The fields after a body in chunks are left out: the
@@ -271,8 +312,14 @@
 	// isLast reports that the connection closes after the answer, isComplete that the answer was written completely.
 	isLast     bool
 	isComplete bool
+	// isAdmitted reports that the handler takes the request; leave ends that.
+	isAdmitted bool
+	leave      func()
 }
 
+// IsAdmitted reports whether the handler takes the request. Otherwise its body was not kept.
+func (c *Call) IsAdmitted() bool { return c.isAdmitted }
+
 // Header returns the request's header.
 func (c *Call) Header() *fasthttp.RequestHeader { return &c.request.Header }
 
--- a/entry/internal/registrar/registrar.go
+++ b/entry/internal/registrar/registrar.go
@@ -53,6 +53,8 @@
 	WrongLayers EjectionCause = iota
 	// Unresponsive: the target does not answer, or requests at other targets wait for it.
 	Unresponsive
+	// Unreached: this node does not reach the target, nor others. Other nodes may.
+	Unreached
 )
 
 // Ejected is the event that a request has shown a fault for which the target is ejected.
@@ -62,6 +64,9 @@
 	Reason  string
 }
 
+// Reached is the event that this node has opened a connection to a target that it did not reach before.
+type Reached struct{ Address string }
+
 // LeavingSaid is the event that a target has said in an answer that it is leaving.
 type LeavingSaid struct {
 	Target identifier.TargetID
@@ -131,6 +136,8 @@
 		r.graceUntil = now.Add(recoveryGrace)
 	case Ejected:
 		return r.eject(now, ev)
+	case Reached:
+		return r.readmit(now, ev)
 	case LeavingSaid:
 		return r.markLeaving(now, ev)
 	case messenger.Tick:
@@ -254,12 +261,26 @@
 	return nil
 }
 
+// readmit ends the ejection of a target that this node reaches again.
+func (r *Registrar) readmit(now time.Time, ev Reached) []messenger.Effect {
+	for id, s := range r.states {
+		if s.target.Address != ev.Address || !s.isEjected(now) {
+			continue
+		}
+		s.wasEjected, s.ejectedUntil, s.ejections = false, time.Time{}, 0
+		return append(r.publishTargets(now), messenger.Log{
+			Event: eventlogger.TargetReadmitted, Subject: subject(id), Values: []any{"address", ev.Address, "reason", "reached again"},
+		})
+	}
+	return nil
+}
+
 // ejectionTime returns how long a target is ejected.
 func (r *Registrar) ejectionTime(now time.Time, s *targetState, cause EjectionCause) time.Duration {
 	switch cause {
 	case WrongLayers:
 		return wrongLayersEjectionTime
-	case Unresponsive:
+	case Unresponsive, Unreached:
 	}
 	if now.Sub(s.ejectedAt) > ejectionResetAge {
 		s.ejections = 0
--- a/entry/internal/relayer/relayer.go
+++ b/entry/internal/relayer/relayer.go
@@ -25,6 +25,7 @@
 	"fuchsiabridge.example/entry/internal/composer"
 	"fuchsiabridge.example/entry/internal/connector"
 	"fuchsiabridge.example/entry/internal/crashrecorder"
+	"fuchsiabridge.example/entry/internal/delegator"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/forwarder"
 	"fuchsiabridge.example/entry/internal/granter"
@@ -74,6 +75,11 @@
 	Heartbeat time.Duration
 	// Targets opens connections to targets.
 	Targets connector.Dialer
+	// Delegates finds other nodes, and Peers calls them; nil if there are none. DelegateAddress is where this node takes the
+	// requests of other nodes, empty if it does not.
+	Delegates       Delegates
+	Peers           Peers
+	DelegateAddress string
 }
 
 // Relayer serves requests as the reducer decides.
@@ -81,7 +87,7 @@
 	ctx           context.Context
 	targets       *targetcaller.Caller
 	translator    translator.Translator
-	pool          *connector.Connector
+	pools         forwarder.Pools
 	idle          *forwarder.IdleTracker
 	memory        *bodyreader.Memory
 	meter         *meter.Meter
@@ -95,6 +101,10 @@
 	limits        atomic.Pointer[describer.Limits]
 	// hasRequestLimits reports whether any target names a request limit.
 	hasRequestLimits atomic.Bool
+	delegates        Delegates
+	peers            Peers
+	delegateAddress  string
+	gate             delegator.Gate
 
 	mu       sync.Mutex
 	reducer  *composer.Composer
@@ -107,9 +117,10 @@
 	d := dispatcher.NewDispatcher(cfg.Dispatch)
 	p := placer.NewPlacer()
 	return &Relayer{
-		ctx: ctx, targets: targetcaller.NewCaller(httpcaller.NewLimitedCaller(maxReportBytes, cfg.Targets)), pool: connector.NewConnectorWith(cfg.Targets), idle: forwarder.NewIdleTracker(), memory: bodyreader.NewMemory(), meter: cfg.Meter, reportCrashes: cfg.ReportCrashes, savePoison: cfg.SavePoison,
+		ctx: ctx, targets: targetcaller.NewCaller(httpcaller.NewLimitedCaller(maxReportBytes, cfg.Targets)), pools: forwarder.Pools{Targets: connector.NewConnectorWith(cfg.Targets), Nodes: connector.NewConnector()}, idle: forwarder.NewIdleTracker(), memory: bodyreader.NewMemory(), meter: cfg.Meter, reportCrashes: cfg.ReportCrashes, savePoison: cfg.SavePoison,
 		grant: cfg.Grant, reportLimit: cfg.ReportLimit,
-		workers:  pond.NewPool(orderWorkers, pond.WithContext(ctx)),
+		workers:   pond.NewPool(orderWorkers, pond.WithContext(ctx)),
+		delegates: cfg.Delegates, peers: cfg.Peers, delegateAddress: cfg.DelegateAddress,
 		dispatch: d, placer: p,
 		reducer: composer.NewControl(registrar.NewRegistrar(cfg.Heartbeat), d, p),
 	}
@@ -129,7 +140,8 @@
 		x.Submit(messenger.Tick{})
 		if now := time.Now(); now.Sub(swept) >= sweepInterval {
 			swept = now
-			x.pool.Sweep(now)
+			x.pools.Targets.Sweep(now)
+			x.pools.Nodes.Sweep(now)
 		}
 	}
 }
@@ -164,6 +176,10 @@
 			x.start(func() { x.probeChain(e) })
 		case dispatcher.CheckTarget:
 			x.start(func() { x.checkTarget(e) })
+		case dispatcher.CheckPath:
+			x.start(func() { x.checkPath(e) })
+		case dispatcher.DropDelegate:
+			x.delegates.Drop(e.Service, e.Node)
 		case dispatcher.ReportLimit:
 			x.start(func() { x.reportLimit(x.ctx, e.Limit) })
 		case placer.QueryState:
@@ -190,27 +206,36 @@
 	}
 	ctx, cancel := context.WithTimeout(x.ctx, orderTimeout)
 	defer cancel()
-	err := x.targets.OrderLayers(ctx, targetcaller.Recipient{Target: e.Target, Address: e.Address}, e.Layers, e.Fence, e.Orders)
 	answered := placer.OrderAnswered{Target: e.Target}
+	service, isLost := x.lostPath(e.Target)
+	if !isLost {
+		answered.Result, answered.Reason = x.order(ctx, targetcaller.Recipient{Target: e.Target, Address: e.Address}, e.Layers, e.Fence, e.Orders)
+	}
+	if (isLost || answered.Result == placer.NotSent) && x.delegates != nil {
+		call := targetCall{Target: e.Target, Address: e.Address, TimeoutMS: max(0, e.Until.Sub(bootclock.Now()).Milliseconds()), Layers: e.Layers, Fence: e.Fence, Orders: e.Orders}
+		answered.Result, answered.Reason = x.orderThrough(ctx, service, call)
+	}
+	x.Submit(answered)
+}
+
+// order sends an order to a target, and returns the result and the reason for it.
+func (x *Relayer) order(ctx context.Context, to targetcaller.Recipient, layers identifier.LayerRange, fence identifier.FencingToken, orders int64) (placer.OrderResult, string) {
+	err := x.targets.OrderLayers(ctx, to, layers, fence, orders)
 	switch {
 	case err == nil:
+		return placer.Accepted, ""
 	case errors.Is(err, targetcaller.ErrUnknown):
-		answered.Result = placer.Unknown
+		return placer.Unknown, err.Error()
 	case errors.Is(err, targetcaller.ErrFenced):
-		answered.Result = placer.Fenced
+		return placer.Fenced, err.Error()
 	case errors.Is(err, targetcaller.ErrConflict):
-		answered.Result = placer.Mismatched
-	default:
-		answered.Result = placer.NotSent
-	}
-	if err != nil {
-		answered.Reason = err.Error()
+		return placer.Mismatched, err.Error()
 	}
-	x.Submit(answered)
+	return placer.NotSent, err.Error()
 }
 
 func (x *Relayer) queryState(e placer.QueryState) {
-	report, err := x.report(x.ctx, e.Target, e.Address, patience{grant: orderTimeout, answer: orderTimeout})
+	report, err := x.reportDirectlyOrThrough(e)
 	if err != nil {
 		eventlogger.Error(err, eventlogger.ReportFailed, "target", e.Target)
 		x.Submit(placer.StateUnanswered{Target: e.Target})
@@ -289,6 +314,9 @@
 
 // probe asks the first target of a chain which target the request is waiting for.
 func (x *Relayer) probe(ctx context.Context, e dispatcher.Probe, id identifier.RequestID) dispatcher.Probed {
+	if _, isLost := x.lostPath(e.Target); isLost {
+		return dispatcher.Probed{IsUnreached: true, Seed: rand.Uint64()}
+	}
 	stalled, ok := x.stalledRequests(ctx, e.Target, e.Address, "request", id)
 	return dispatcher.Probed{FaultAddress: stalled[id], IsUnanswered: !ok, Seed: rand.Uint64()}
 }
@@ -313,13 +341,20 @@
 	if !sleeper.Sleep(x.ctx, reportLag) {
 		return
 	}
+	if _, isLost := x.lostPath(e.Target); isLost {
+		return
+	}
 	stalled, ok := x.stalledRequests(x.ctx, e.Target, e.Address)
 	faulty := slices.Compact(slices.Sorted(maps.Values(stalled)))
-	x.Submit(dispatcher.ChainProbed{Address: e.Address, FaultAddresses: faulty, IsUnanswered: !ok})
+	x.Submit(dispatcher.ChainProbed{Target: e.Target, Address: e.Address, FaultAddresses: faulty, IsUnanswered: !ok})
 }
 
 // checkTarget checks whether a target answers. Any answer counts: a plain target may not give reports.
 func (x *Relayer) checkTarget(e dispatcher.CheckTarget) {
+	if service, isLost := x.lostPath(e.Target); isLost {
+		x.checkTargetThrough(service, e)
+		return
+	}
 	checked := dispatcher.TargetChecked{Target: e.Target, Address: e.Address}
 	report, err := x.report(httpcaller.WithNewConn(x.ctx), e.Target, e.Address, patience{grant: maxCheckDelay, answer: checkTimeout})
 	switch {
@@ -352,6 +387,7 @@
 	s := x.dispatch.Status(now)
 	s.IsReady = s.IsReady && !x.isLeaving.Load()
 	s.HoldsLease, s.Fence = x.placer.Lease(now)
+	s.DelegatedOpen, _ = x.gate.Open()
 	return s
 }
 
--- a/entry/internal/relayer/serving.go
+++ b/entry/internal/relayer/serving.go
@@ -16,6 +16,7 @@
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/common/sleeper"
+	"fuchsiabridge.example/entry/internal/delegator"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/forwarder"
 	"fuchsiabridge.example/entry/internal/receiver"
@@ -28,20 +29,36 @@
 type servedRequest struct {
 	x        *Relayer
 	call     identifier.CallID
-	caller   *receiver.Call
+	caller   caller
 	request  translator.Request
 	exchange *forwarder.Exchange
 	// trace is the parent context of the spans of attempts.
 	trace string
 }
 
+// caller is whoever has sent a request: a caller of this node, or another node.
+type caller interface {
+	forwarder.Caller
+	// note notes how the request goes.
+	note(r delegator.Result)
+}
+
+// ownCaller is a caller of this node.
+type ownCaller struct{ *receiver.Call }
+
+// note does nothing: callers are not told of attempts.
+func (ownCaller) note(delegator.Result) {}
+
 // Serve serves one request. ctx ends when the caller disconnects.
-func (x *Relayer) Serve(ctx context.Context, c *receiver.Call) {
+func (x *Relayer) Serve(ctx context.Context, c *receiver.Call) { x.serve(ctx, ownCaller{c}, nil) }
+
+// serve serves one request, which another node may have handed over under terms.
+func (x *Relayer) serve(ctx context.Context, c caller, terms *delegator.Terms) {
 	h := c.Header()
 	request := x.translator.ReadRequest(h)
 	s := &servedRequest{
 		x: x, call: identifier.CallID(x.nextCall.Add(1)), caller: c, request: request,
-		exchange: forwarder.NewExchange(c, request, x.pool, x.idle, x.memory, x.answerRead),
+		exchange: forwarder.NewExchange(c, request, x.pools, x.idle, x.memory, x.answerRead),
 	}
 	defer s.exchange.Drop()
 	trace, end := tracer.Start(string(h.Peek(tracer.Header)), "request", "request", string(request.ID))
@@ -50,7 +67,7 @@
 	arrived := dispatcher.RequestArrived{
 		Call: s.call, ID: request.ID, Host: string(h.Host()), Path: string(h.RequestURI()),
 		Key: request.Key, Seed: rand.Uint64(), Fingerprint: fingerprint(h.Method(), h.Host(), h.RequestURI(), c.Body()), Group: fingerprint(path(h), c.Body()),
-		Parts: request.Parts,
+		Parts: request.Parts, Terms: terms,
 	}
 	if request.Timeout > 0 {
 		arrived.Deadline = bootclock.Now().Add(request.Timeout)
@@ -82,7 +99,10 @@
 func (s *servedRequest) run(ctx context.Context, effect messenger.Effect) []messenger.Effect {
 	switch e := effect.(type) {
 	case dispatcher.Send:
+		s.caller.note(delegator.Result{Runs: e.Runs, HasArrived: true, Target: e.Target})
 		return s.report(s.attempt(ctx, e))
+	case dispatcher.AskDelegate:
+		return s.x.apply(s.askDelegate(ctx, e))
 	case dispatcher.Wait:
 		return s.report(s.exchange.Await(ctx, e.Until))
 	case dispatcher.AskGrant:
@@ -125,7 +145,7 @@
 
 // attempt sends the request to a target, in a span of its own.
 func (s *servedRequest) attempt(ctx context.Context, e dispatcher.Send) dispatcher.AttemptReported {
-	_, end := tracer.Start(s.trace, "attempt", "target", string(e.Target), "parts", strconv.Itoa(len(e.Chain)))
+	_, end := tracer.Start(s.trace, "attempt", "target", string(e.Target), "delegate", string(e.Delegate), "parts", strconv.Itoa(len(e.Chain)))
 	r := s.exchange.Attempt(ctx, e)
 	if r.Outcome == dispatcher.Delivered {
 		end(nil)
@@ -161,6 +181,7 @@
 	if s.exchange.HasBegun() {
 		return
 	}
+	s.caller.note(e.Result)
 	var h fasthttp.ResponseHeader
 	h.SetStatusCode(e.Status)
 	s.x.translator.WriteRefusal(&h, s.request.ID, e.RetryAfter.Round(time.Millisecond))
--- a/integration/launcher/relay.go
+++ b/integration/launcher/relay.go
@@ -64,7 +64,7 @@
 	}
 	args = append(args, append([]string{
 		"relay", "--node", id, "--data-centre", dc, "--listen", address, "--health-listen", r.Health,
-		"--metrics-listen", r.Metrics, "--store", store, "--peer-listen", FreeAddress(f.t),
+		"--metrics-listen", r.Metrics, "--store", store, "--peer-listen", FreeAddress(f.t), "--delegate-listen", FreeAddress(f.t),
 	}, flags...)...)
 	r.Process = f.start(id, program, address, args...)
 	return r
