--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -211,6 +211,8 @@
 	a := translator.Attempt{
 		Target: x.send.Target, Account: x.send.Account, Timeout: x.send.Deadline.Sub(x.sentAt), LastEvent: x.lastEvent(), Chain: x.send.Chain,
 	}
+	// A caller cannot set what only nodes exchange.
+	h.Del(delegator.Field)
 	if x.send.Delegate == "" {
 		x.translator.WriteRequest(h, a)
 		return nil
@@ -274,6 +276,7 @@
 // readResult reads what a delegate says of the request.
 func (x *Exchange) readResult() error {
 	if x.send.Delegate == "" {
+		x.resp.Header.Del(delegator.Field)
 		return nil
 	}
 	result, err := delegator.ReadResult(&x.resp.Header)
--- a/integration/launcher/launcher.go
+++ b/integration/launcher/launcher.go
@@ -201,7 +201,7 @@
 // Restart starts an exited process again with the same arguments.
 func (f *Fleet) Restart(p *Process) *Process {
 	f.t.Helper()
-	return f.start(p.Name, filepath.Base(p.cmd.Path), p.Address, p.cmd.Args[1:]...)
+	return f.start(p.Name, p.cmd.Path, p.Address, p.cmd.Args[1:]...)
 }
 
 // Configure sets the account, a model with the given number of layers, the services, the priority
@@ -341,7 +341,10 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	cmd := exec.Command(filepath.Join(f.binDir, program), args...)
+	if !filepath.IsAbs(program) {
+		program = filepath.Join(f.binDir, program)
+	}
+	cmd := exec.Command(program, args...)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		f.t.Fatal(err)
--- a/integration/launcher/relay.go
+++ b/integration/launcher/relay.go
@@ -1,12 +1,15 @@
 package launcher
 
 import (
+	"encoding/json"
 	"net/http"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
 	"time"
+
+	"fuchsiabridge.example/common/describer"
 )
 
 // Relay is a node started in relay mode: it forwards each request to the first target of a
@@ -16,6 +19,8 @@
 	// Health and Metrics are the addresses of its health and metrics endpoints.
 	Health  string
 	Metrics string
+	// Program is the file of the node's program, empty for the one that is tested.
+	Program string
 	// Control is the address at which the network of a cuttable node is cut, empty for any other node.
 	Control string
 	fleet   *Fleet
@@ -47,6 +52,47 @@
 	return f.addRelay(&Relay{fleet: f, Control: FreeAddress(f.t)}, id, dc, store, flags...)
 }
 
+// AddEarlierRelay is AddRelay for a node that runs the program of an earlier version, as built by BuildEarlier.
+func (f *Fleet) AddEarlierRelay(program, id, dc, store string, flags ...string) *Relay {
+	f.t.Helper()
+	return f.addRelay(&Relay{fleet: f, Program: program}, id, dc, store, flags...)
+}
+
+// BuildEarlier builds the node of an earlier version from the repository's history, and returns the file of its program.
+func BuildEarlier(t testing.TB, commit string) string {
+	t.Helper()
+	dir := t.TempDir()
+	program := filepath.Join(dir, "entry")
+	for _, args := range [][]string{
+		{"git", "clone", "--quiet", "--no-checkout", "--shared", "..", filepath.Join(dir, "src")},
+		{"git", "-C", filepath.Join(dir, "src"), "checkout", "--quiet", commit},
+		{"go", "-C", filepath.Join(dir, "src"), "build", "-o", program, "./entry"},
+	} {
+		if out, err := exec.Command(args[0], args[1:]...).CombinedOutput(); err != nil {
+			t.Fatalf("%s: %v\n%s", strings.Join(args, " "), err, out)
+		}
+	}
+	return program
+}
+
+// Status returns the node's state, as it shows it on its metrics endpoint.
+func (r *Relay) Status(t testing.TB) describer.RelayStatus {
+	t.Helper()
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Get("http://" + r.Metrics + "/debug/vars")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var vars struct {
+		Relay describer.RelayStatus `json:"relay"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&vars); err != nil {
+		t.Fatal(err)
+	}
+	return vars.Relay
+}
+
 // SetCut replaces the cut between a cuttable node and its targets.
 func (f *Fleet) SetCut(r *Relay, c Cut) {
 	f.t.Helper()
@@ -57,15 +103,21 @@
 	f.t.Helper()
 	r.Health, r.Metrics = FreeAddress(f.t), FreeAddress(f.t)
 	address := FreeAddress(f.t)
-	program := "entry"
+	program := r.Program
 	var args []string
-	if r.Control != "" {
+	switch {
+	case r.Control != "":
 		program, args = "cuttable", []string{r.Control}
+	case program == "":
+		program = "entry"
 	}
 	args = append(args, append([]string{
 		"relay", "--node", id, "--data-centre", dc, "--listen", address, "--health-listen", r.Health,
-		"--metrics-listen", r.Metrics, "--store", store, "--peer-listen", FreeAddress(f.t), "--delegate-listen", FreeAddress(f.t),
+		"--metrics-listen", r.Metrics, "--store", store, "--peer-listen", FreeAddress(f.t),
 	}, flags...)...)
+	if r.Program == "" {
+		args = append(args, "--delegate-listen", FreeAddress(f.t))
+	}
 	r.Process = f.start(id, program, address, args...)
 	return r
 }
--- a/integration/relay_cut_test.go
+++ b/integration/relay_cut_test.go
@@ -33,6 +33,8 @@
 	*relayFixture
 	f     *launcher.Fleet
 	nodes []*launcher.Relay
+	// key is that of the callers.
+	key string
 
 	mu      sync.Mutex
 	results []cutResult
@@ -46,13 +48,19 @@
 }
 
 func newCutFixture(t *testing.T, nodes int) *cutFixture {
+	t.Helper()
+	return newMixedFixture(t, nodes, "")
+}
+
+// newMixedFixture is newCutFixture with further nodes that run an earlier version of the program, if one is given.
+func newMixedFixture(t *testing.T, nodes int, earlier string) *cutFixture {
 	t.Helper()
 	c := qt.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	store, err := storefaker.NewStore(ctx)
 	c.Assert(err, qt.IsNil)
-	f := &cutFixture{relayFixture: &relayFixture{C: c, store: store, fleet: targetfaker.NewFleet(ctx, store)}, f: launcher.NewRelayFleet(t)}
+	f := &cutFixture{relayFixture: &relayFixture{C: c, store: store, fleet: targetfaker.NewFleet(ctx, store)}, f: launcher.NewRelayFleet(t), key: relayKey}
 	c.Assert(store.PutConfiguration(storefaker.Sample(1, relayKey)), qt.IsNil)
 	for _, dc := range []string{"a", "b", "c"} {
 		f.add(targetfaker.TargetSpec{ID: "ledger-" + dc, Service: "ledger", DataCentre: dc, EventInterval: eventInterval})
@@ -61,7 +69,10 @@
 		}
 	}
 	for i := range nodes {
-		f.nodes = append(f.nodes, f.f.AddCuttableRelay(fmt.Sprintf("node-%d", i), string(rune('a'+i%3)), store.Address()))
+		f.nodes = append(f.nodes, f.f.AddCuttableRelay(fmt.Sprintf("node-%d", i), string(rune('a'+i%3)), store.Address(), "--retry-slack", "100", "--retry-window", "2s"))
+	}
+	if earlier != "" {
+		f.nodes = append(f.nodes, f.f.AddEarlierRelay(earlier, "earlier", "c", store.Address()))
 	}
 	launcher.Await(t, relayStartTimeout, "all nodes serve drafts", func() bool {
 		for _, n := range f.nodes {
@@ -96,7 +107,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
 	r := cutResult{soakResult: soakResult{id: id, path: path, node: node, sentAt: time.Now()}}
-	c := callerfaker.Caller{Address: f.nodes[node].Address, Key: relayKey, Timeout: requestTimeout}
+	c := callerfaker.Caller{Address: f.nodes[node].Address, Key: f.key, Timeout: requestTimeout}
 	if path == "/draft/x" {
 		got, err := c.Stream(ctx, path, id, nil)
 		r.isComplete = err == nil && got == relayEvents
@@ -143,8 +154,26 @@
 			f.Check(a.Key, qt.Equals, "")
 			f.Check(a.Account, qt.Equals, "studio")
 			f.Check(a.Repeated, qt.HasLen, 0)
+			f.Check(a.Internal, qt.HasLen, 0)
+		}
+	}
+}
+
+// endCuts ends the cuts, and checks that all nodes use all their targets again.
+func (f *cutFixture) endCuts() {
+	for _, n := range f.nodes {
+		if n.Control != "" {
+			f.f.SetCut(n, launcher.Cut{})
 		}
 	}
+	launcher.Await(f, cutDetection, "all nodes use all targets again", func() bool {
+		for _, n := range f.nodes {
+			if s := n.Status(f); len(s.LostPaths) > 0 || s.Ejected > 0 || s.DelegatedOpen > 0 {
+				return false
+			}
+		}
+		return true
+	})
 }
 
 // TestNodeCutOffFromTargetsServesItsCallers guards against callers that are served far worse at nodes that do not reach their targets
@@ -170,9 +199,7 @@
 			t.Logf("served %.3f of %d at nodes that are cut off, %.3f of %d at the others", there, sentThere, elsewhere, sentElsewhere)
 			f.Check(there >= minCutShare*elsewhere, qt.IsTrue)
 			f.checkPromises()
-			for _, n := range f.nodes[:row.cut] {
-				f.f.SetCut(n, launcher.Cut{})
-			}
+			f.endCuts()
 		})
 	}
 }
