Keep connections to targets that are silent for a second

A sound target may be silent for a second or so. A connection was given up after 1.5 s without an acknowledgement, and the same option ends keep-alive probes whatever their number, so a silence at the wrong moment cut off requests, among them some that may not be repeated. Both limits are 3 s and above now.

--- a/entry/internal/connector/connector.go
+++ b/entry/internal/connector/connector.go
@@ -19,11 +19,12 @@
 	DefaultIdle = 4 * time.Second
 	// maxIdleConns limits the idle connections to one target.
 	maxIdleConns = 32
-	// unackedLimit is how long sent bytes may stay unacknowledged before the connection counts as dead.
-	unackedLimit = 1500 * time.Millisecond
-	// An idle connection is probed at keepAliveInterval, and counts as dead after maxProbes unanswered probes.
+	// unackedLimit is how long the other end may acknowledge nothing before the connection counts as dead. It also limits the
+	// keep-alive probes, whatever their number. A sound target may be silent for a second or so.
+	unackedLimit = 3 * time.Second
+	// A connection on which nothing arrives is probed at keepAliveInterval, and counts as dead after maxProbes unanswered probes.
 	keepAliveInterval = time.Second
-	maxProbes         = 2
+	maxProbes         = 3
 	bufferBytes       = 4096
 )
 
