Refuse requests that come late in a planned stop at the product's own interface

Callers whose requests came late in the grace of a planned stop were cut without an answer, though the requests had been passed on and ran, among them payments that may not be repeated. The node went on taking requests until its limit, so that there was always one in progress. After the balancer lag it now refuses: as not run, or as unknown if the request has a name by which it may have come before.

--- a/entry/internal/commander/commander.go
+++ b/entry/internal/commander/commander.go
@@ -136,8 +136,9 @@
 		return err
 	}
 	tracker := &requestTracker{}
+	callers := server.NewServer(x, keys)
 	s := &fasthttp.Server{
-		Handler:               tracker.wrap(server.NewServer(x, keys).Handle),
+		Handler:               tracker.wrap(callers.Handle),
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
 		Logger:                eventlogger.Printer{Event: eventlogger.CallerConnectionFailed},
@@ -151,7 +152,7 @@
 	go func() {
 		<-signals.Done()
 		eventlogger.Info(eventlogger.NodeStopping, "open_requests", x.Open())
-		tracker.stop(x, values.Duration("balancer-lag"), time.Now().Add(values.Duration("stop-limit")))
+		tracker.stop(x, callers.Close, values.Duration("balancer-lag"), time.Now().Add(values.Duration("stop-limit")))
 		stopServing()
 	}()
 	err = responder.Serve(stopped, s, l, values.Duration("stop-limit"))
--- a/entry/internal/commander/stopping.go
+++ b/entry/internal/commander/stopping.go
@@ -39,12 +39,13 @@
 	Unwritten() int
 }
 
-// stop makes the node unready, keeps serving for the balancer lag, and then waits until no request is open or
+// stop makes the node unready, keeps serving for the balancer lag, and then refuses further requests and waits until no request is open or
 // the limit has passed. Last, it waits for records that still have to be written to the log.
-func (g *requestTracker) stop(n stoppable, lag time.Duration, limit time.Time) {
+func (g *requestTracker) stop(n stoppable, refuse func(), lag time.Duration, limit time.Time) {
 	n.Leave()
 	g.isLeaving.Store(true)
 	time.Sleep(lag)
+	refuse()
 	waitUntil(limit, func() bool { return n.Open() == 0 && g.open.Load() == 0 })
 	flushDeadline := time.Now().Add(flushTimeout)
 	if limit.Before(flushDeadline) {
--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -10,6 +10,7 @@
 	"expvar"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -31,6 +32,7 @@
 	maxRequestIDLength = 128
 	randomIDBytes      = 16
 	unreadyRetryAfter  = 2 * time.Second
+	stoppingRetryAfter = time.Second
 
 	headerRequestID = "X-Request-ID"
 	headerClass     = "X-Class"
@@ -57,8 +59,13 @@
 	node Node
 	// operators maps each team to the hex SHA-256 of a bearer key, from the node's settings.
 	operators map[identifier.TeamID]string
+	// isClosed says that no further drafts and calls are accepted.
+	isClosed atomic.Bool
 }
 
+// Close makes the server accept no further drafts and calls, as the node is about to end. Those in progress go on.
+func (s *Server) Close() { s.isClosed.Store(true) }
+
 // NewServer returns a server for the node. The key hashes in operators are valid even without a configuration.
 func NewServer(node Node, operators map[identifier.TeamID]string) *Server {
 	return &Server{node: node, operators: operators}
@@ -83,10 +90,13 @@
 		return
 	}
 	path := string(c.Path())
+	isDraft, isCall := path == "/v1/chat/completions", strings.HasPrefix(path, "/services/")
 	switch {
-	case path == "/v1/chat/completions":
+	case (isDraft || isCall) && s.isClosed.Load():
+		s.refuseStopping(c)
+	case isDraft:
 		s.draft(c)
-	case strings.HasPrefix(path, "/services/"):
+	case isCall:
 		s.service(c)
 	case strings.HasPrefix(path, "/operator/"):
 		s.operator(c, path)
@@ -101,6 +111,20 @@
 	}
 }
 
+// refuseStopping refuses a request that comes too late for a node that stops. One with a name of its own may have come before, to any
+// node, and may have run then.
+func (s *Server) refuseStopping(c *fasthttp.RequestCtx) {
+	h := &c.Request.Header
+	key, id := string(h.Peek(headerKey)), string(h.Peek(headerRequestID))
+	status, outcome := fasthttp.StatusServiceUnavailable, responder.NotRun
+	if key != "" || id != "" {
+		status, outcome = fasthttp.StatusGatewayTimeout, responder.Unknown
+	}
+	counter.Requests.Add("none/"+string(outcome), 1)
+	p := responder.Problem{Code: "stopping", Message: "the node is stopping, another one takes the request", Place: "entry", RequestID: id, Key: key}
+	responder.Refuse(c, status, outcome, p, stoppingRetryAfter)
+}
+
 func (s *Server) ready(c *fasthttp.RequestCtx) {
 	if s.node.Ready() {
 		c.SetStatusCode(fasthttp.StatusNoContent)
--- a/integration/relay_delegation_test.go
+++ b/integration/relay_delegation_test.go
@@ -98,7 +98,7 @@
 	f := newCutFixture(t, cutNodes)
 	f.cutOff()
 	for _, dc := range []string{"a", "b", "c"} {
-		f.fleet.SetFault("ledger-"+dc, targetfaker.SlowAnswers)
+		f.fleet.SetWork("ledger-"+dc, 2*cutDetection)
 	}
 	done := make(chan struct{})
 	go func() {
