--- a/integration/launcher/relay.go
+++ b/integration/launcher/relay.go
@@ -1,6 +1,7 @@
 package launcher
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"os/exec"
@@ -99,6 +100,18 @@
 	f.post(http.MethodPost, "http://"+r.Control+"/", c)
 }
 
+// TrySetCut replaces the cut between a cuttable node and its targets, unless the node does not run now.
+func (r *Relay) TrySetCut(c Cut) {
+	body, err := json.Marshal(c)
+	if err != nil {
+		return
+	}
+	client := http.Client{Timeout: time.Second}
+	if resp, err := client.Post("http://"+r.Control+"/", "application/json", bytes.NewReader(body)); err == nil {
+		_ = resp.Body.Close()
+	}
+}
+
 func (f *Fleet) addRelay(r *Relay, id, dc, store string, flags ...string) *Relay {
 	f.t.Helper()
 	r.Health, r.Metrics = FreeAddress(f.t), FreeAddress(f.t)
--- a/integration/relay_soak_test.go
+++ b/integration/relay_soak_test.go
@@ -93,6 +93,7 @@
 		wg.Go(func() { s.sendRequests(i, rand.New(rand.NewPCG(seed, uint64(i+1)))) })
 	}
 	wg.Go(func() { s.hangUpNodes(rand.New(rand.NewPCG(seed, hangUpStream))) })
+	wg.Go(func() { s.cutNodes(rand.New(rand.NewPCG(seed, cutStream))) })
 	s.injectFaults()
 	wg.Wait()
 	s.clearFaults()
@@ -126,7 +127,7 @@
 	for i := range nodes {
 		p := s.f.AddProxy(fmt.Sprintf("store-%d", i), store.Address())
 		s.proxies = append(s.proxies, p)
-		s.nodes = append(s.nodes, s.f.AddRelay(fmt.Sprintf("node-%d", i), string(rune('a'+i%3)), p.Address,
+		s.nodes = append(s.nodes, s.f.AddCuttableRelay(fmt.Sprintf("node-%d", i), string(rune('a'+i%3)), p.Address,
 			"--balancer-lag", "300ms", "--stop-limit", "4s", "--retry-slack", "100", "--retry-window", "2s"))
 	}
 	launcher.Await(t, relayStartTimeout, "all nodes serve drafts", func() bool {
@@ -270,7 +271,7 @@
 	restarted := s.f.Restart(s.nodes[i].Process)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.nodes[i] = &launcher.Relay{Process: restarted, Health: s.nodes[i].Health, Metrics: s.nodes[i].Metrics}
+	s.nodes[i] = &launcher.Relay{Process: restarted, Health: s.nodes[i].Health, Metrics: s.nodes[i].Metrics, Control: s.nodes[i].Control}
 }
 
 // replaceTarget adds a target to a data centre and drains, kills or stalls another one there.
