Take no silence for the end of an answer without a length

Its end now counts only within 3 s of its last byte, the limit at which a silent connection is given up. TestSilenceIsNoEndOfAnswer failed before: delivered; now broken, and a stream that may be resumed goes on elsewhere.

--- a/entry/internal/connector/connector.go
+++ b/entry/internal/connector/connector.go
@@ -19,9 +19,9 @@
 	DefaultIdle = 4 * time.Second
 	// maxIdleConns limits the idle connections to one target.
 	maxIdleConns = 32
-	// unackedLimit is how long the other end may acknowledge nothing before the connection counts as dead. It also limits the
+	// SilenceLimit is how long the other end may acknowledge nothing before the connection counts as dead. It also limits the
 	// keep-alive probes, whatever their number. A sound target may be silent for a second or so.
-	unackedLimit = 3 * time.Second
+	SilenceLimit = 3 * time.Second
 	// A connection on which nothing arrives is probed at keepAliveInterval, and counts as dead after maxProbes unanswered probes.
 	keepAliveInterval = time.Second
 	maxProbes         = 3
@@ -112,7 +112,7 @@
 func limitUnacked(_, _ string, raw syscall.RawConn) error {
 	var sockErr error
 	err := raw.Control(func(fd uintptr) {
-		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedLimit.Milliseconds()))
+		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(SilenceLimit.Milliseconds()))
 	})
 	return errors.CombineErrors(err, sockErr)
 }
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -80,8 +80,10 @@
 	conn      *connector.Conn
 	// stopWatch stops watching for the caller's disconnect, and returns false if the caller has disconnected.
 	stopWatch func() bool
-	resp      *fasthttp.Response
-	hasHeader bool
+	// receivedAt is when bytes last arrived.
+	receivedAt time.Time
+	resp       *fasthttp.Response
+	hasHeader  bool
 	// result is what a delegate says of the request, nil until its answer was read.
 	result *delegator.Result
 	body   io.Reader
@@ -241,7 +243,7 @@
 	}
 	_, err := x.conn.R.Peek(1)
 	if err == nil {
-		x.idle.received(x.send.Address, bootclock.Now())
+		x.noteReceived()
 		return dispatcher.AttemptReported{}, true
 	}
 	return x.stalledOrFailed(ctx, err), false
@@ -404,9 +406,15 @@
 	for {
 		n, err := body.Read(out.Room())
 		out.Add(n)
+		if n > 0 {
+			x.noteReceived()
+		}
 		if holdErr := x.hold(out.Len(), maxAnswerBytes); holdErr != nil {
 			return nil, holdErr
 		}
+		if errors.Is(err, io.EOF) && !x.hasEnded() {
+			return nil, errors.Wrap(io.ErrUnexpectedEOF, "after a silence")
+		}
 		if errors.Is(err, io.EOF) {
 			return out.Join(), nil
 		}
@@ -443,6 +451,18 @@
 	return x.fail(ctx, err)
 }
 
+// noteReceived notes that bytes have arrived.
+func (x *Exchange) noteReceived() {
+	x.receivedAt = bootclock.Now()
+	x.idle.received(x.send.Address, x.receivedAt)
+}
+
+// hasEnded reports whether the end of the connection is that of the answer. An answer with neither a length nor chunks ends with its
+// connection, but a connection may also have ended because its other end was silent for too long.
+func (x *Exchange) hasEnded() bool {
+	return x.isFramed() || bootclock.Now().Sub(x.receivedAt) < connector.SilenceLimit
+}
+
 // isFramed reports whether the answer has a length or chunks; otherwise it ends with its connection.
 func (x *Exchange) isFramed() bool { return x.resp.Header.ContentLength() >= -1 }
 
--- a/entry/internal/forwarder/streams.go
+++ b/entry/internal/forwarder/streams.go
@@ -56,7 +56,7 @@
 	}
 	n, err := x.body.Read(x.buffer)
 	if n > 0 {
-		x.idle.received(x.send.Address, bootclock.Now())
+		x.noteReceived()
 	}
 	return n, err
 }
@@ -136,6 +136,9 @@
 	if !x.isFramed() && x.events.count == 0 {
 		return x.fail(ctx, errors.Wrap(io.ErrUnexpectedEOF, "reading the first event"))
 	}
+	if !x.hasEnded() {
+		return x.fail(ctx, errors.Wrap(io.ErrUnexpectedEOF, "after a silence"))
+	}
 	x.release()
 	if err := x.caller.Finish(); err != nil {
 		return x.report(ctx, dispatcher.CallerGone, err)
