--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -6,8 +6,6 @@
 	"fmt"
 	"io"
 	"net"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -115,14 +113,6 @@
 	Nodes   *connector.Connector
 }
 
-// pool returns the pool that the current attempt uses.
-func (x *Exchange) pool() *connector.Connector {
-	if x.send.Delegate != "" {
-		return x.pools.Nodes
-	}
-	return x.pools.Targets
-}
-
 // Exchange is one request and its attempts.
 type Exchange struct {
 	caller     Caller
@@ -208,21 +198,6 @@
 	return before - x.conn.W.Buffered(), errors.Wrap(err, "writing a request")
 }
 
-// writeFields sets the fields of the attempt in the header of a request. A delegate gets those of the caller, with the terms.
-func (x *Exchange) writeFields(h *fasthttp.RequestHeader) error {
-	a := translator.Attempt{
-		Target: x.send.Target, Account: x.send.Account, Timeout: x.send.Deadline.Sub(x.sentAt), LastEvent: x.lastEvent(), Chain: x.send.Chain,
-	}
-	// A caller cannot set what only nodes exchange.
-	h.Del(delegator.Field)
-	if x.send.Delegate == "" {
-		x.translator.WriteRequest(h, a)
-		return nil
-	}
-	x.translator.WriteDelegated(h, a)
-	return delegator.WriteTerms(h, x.send.Terms)
-}
-
 // Await waits until the attempt ends or receives nothing until idleDeadline.
 func (x *Exchange) Await(ctx context.Context, idleDeadline time.Time) dispatcher.AttemptReported {
 	if !x.hasHeader {
@@ -275,20 +250,6 @@
 	return dispatcher.AttemptReported{}, true
 }
 
-// readResult reads what a delegate says of the request.
-func (x *Exchange) readResult() error {
-	if x.send.Delegate == "" {
-		x.resp.Header.Del(delegator.Field)
-		return nil
-	}
-	result, err := delegator.ReadResult(&x.resp.Header)
-	if err != nil {
-		return err
-	}
-	x.result = &result
-	return nil
-}
-
 // readHeader reads the header of the answer, after some informational answers.
 func (x *Exchange) readHeader() error {
 	x.resp = &fasthttp.Response{}
@@ -325,15 +286,6 @@
 	x.onAnswer(AnswerHead{Target: target, Kind: kind, Said: answer.Said, SentAt: x.sentAt})
 }
 
-// readAnswer reads the header of the answer. Whether a delegate's request has run is for it to say.
-func (x *Exchange) readAnswer() translator.Answer {
-	answer := x.translator.ReadAnswer(&x.resp.Header)
-	if x.result != nil {
-		answer.IsNotRun = x.result.IsNotRun
-	}
-	return answer
-}
-
 // isOwn reports whether an answer is that of the request. Only a refusal may lack the id, because a target that did not read the request
 // does not know it. On a connection that has answered before, it may be an earlier refusal, written once more.
 func (x *Exchange) isOwn(answer translator.Answer) bool {
@@ -451,50 +403,6 @@
 	return x.fail(ctx, err)
 }
 
-// noteReceived notes that bytes have arrived.
-func (x *Exchange) noteReceived() {
-	x.receivedAt = bootclock.Now()
-	x.idle.received(x.send.Address, x.receivedAt)
-}
-
-// hasEnded reports whether the end of the connection is that of the answer. An answer with neither a length nor chunks ends with its
-// connection, but a connection may also have ended because its other end was silent for too long.
-func (x *Exchange) hasEnded() bool {
-	return x.isFramed() || bootclock.Now().Sub(x.receivedAt) < connector.SilenceLimit
-}
-
-// isFramed reports whether the answer has a length or chunks; otherwise it ends with its connection.
-func (x *Exchange) isFramed() bool { return x.resp.Header.ContentLength() >= -1 }
-
-// release returns the connection to the pool if it can carry another request.
-func (x *Exchange) release() {
-	if x.conn == nil || !x.stopWatch() {
-		x.drop()
-		return
-	}
-	idle := connector.DefaultIdle
-	if v := string(x.resp.Header.Peek("Keep-Alive")); v != "" {
-		idle = keepAliveTimeout(v)
-	}
-	conn := x.conn
-	x.conn = nil
-	if x.resp.ConnectionClose() || !x.isFramed() || idle <= 0 {
-		conn.Drop()
-		return
-	}
-	x.pool().Put(conn, idle)
-}
-
-func keepAliveTimeout(v string) time.Duration {
-	for field := range strings.SplitSeq(v, ",") {
-		seconds, ok := strings.CutPrefix(strings.TrimSpace(field), "timeout=")
-		if n, err := strconv.Atoi(seconds); ok && err == nil {
-			return time.Duration(idleFraction * float64(n) * float64(time.Second))
-		}
-	}
-	return connector.DefaultIdle
-}
-
 // Drop ends all attempts.
 func (x *Exchange) Drop() {
 	x.drop()
--- a/entry/internal/server/drafts.go
+++ b/entry/internal/server/drafts.go
@@ -78,7 +78,7 @@
 		return
 	}
 	if s.node.Open() >= maxOpenRequests {
-		p := responder.Problem{Code: "busy", Message: "the node has reached its limit of open requests", Place: "entry", RequestID: string(r.id)}
+		p := responder.Problem{Code: "busy", Message: "the node has reached its limit of open requests", Place: ownPlace, RequestID: string(r.id)}
 		count(r.class, responder.NotRun, r.deadline)
 		responder.Refuse(c, fasthttp.StatusServiceUnavailable, responder.NotRun, p, busyRetryAfter)
 		return
@@ -257,7 +257,7 @@
 	if time.Now().Before(w.request.deadline.Add(answerGrace)) {
 		return nil
 	}
-	p := responder.Problem{Code: "deadline", Message: "the node did not answer in time", Place: "entry"}
+	p := responder.Problem{Code: "deadline", Message: "the node did not answer in time", Place: ownPlace}
 	return drafter.End{Outcome: responder.Failed, Problem: p, RetryAfter: answerGrace}
 }
 
--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -40,6 +40,9 @@
 	headerDeadline = "X-Deadline-Unix-Ms"
 	headerKey      = "Idempotency-Key"
 	headerOutcome  = "X-Outcome"
+
+	// ownPlace is the place of problems that concern this node itself.
+	ownPlace = "entry"
 )
 
 // Node is the part of the node that the server uses.
@@ -121,7 +124,7 @@
 		status, outcome = fasthttp.StatusGatewayTimeout, responder.Unknown
 	}
 	counter.Requests.Add("none/"+string(outcome), 1)
-	p := responder.Problem{Code: "stopping", Message: "the node is stopping, another one takes the request", Place: "entry", RequestID: id, Key: key}
+	p := responder.Problem{Code: "stopping", Message: "the node is stopping, another one takes the request", Place: ownPlace, RequestID: id, Key: key}
 	responder.Refuse(c, status, outcome, p, stoppingRetryAfter)
 }
 
--- a/entry/internal/server/services.go
+++ b/entry/internal/server/services.go
@@ -82,7 +82,7 @@
 	defer timeout.Stop()
 	// If the reducer sends no final answer, a call that must not be repeated may still have been executed.
 	a := recorder.Answer{Outcome: responder.Unknown, RetryAfter: answerGrace, Problem: responder.Problem{
-		Code: "unknown", Message: "the node did not answer in time", Place: "entry", Key: string(c.Request.Header.Peek(headerKey)),
+		Code: "unknown", Message: "the node did not answer in time", Place: ownPlace, Key: string(c.Request.Header.Peek(headerKey)),
 	}}
 	if isIdempotent {
 		a.Outcome = responder.Failed
--- a/integration/relay_cut_test.go
+++ b/integration/relay_cut_test.go
@@ -47,9 +47,9 @@
 	isWrong bool
 }
 
-func newCutFixture(t *testing.T, nodes int) *cutFixture {
+func newCutFixture(t *testing.T) *cutFixture {
 	t.Helper()
-	return newMixedFixture(t, nodes, "")
+	return newMixedFixture(t, cutNodes, "")
 }
 
 // newMixedFixture is newCutFixture with further nodes that run an earlier version of the program, if one is given.
@@ -187,7 +187,7 @@
 		{"hanging", "hang", 1}, {"reset", "reset", 1}, {"new connections refused", "refuse", 1}, {"most nodes", "hang", 2},
 	} {
 		t.Run(row.name, func(t *testing.T) {
-			f := newCutFixture(t, cutNodes)
+			f := newCutFixture(t)
 			began := time.Now()
 			for _, n := range f.nodes[:row.cut] {
 				f.f.SetCut(n, launcher.Cut{Kind: row.kind})
--- a/integration/relay_delegation_test.go
+++ b/integration/relay_delegation_test.go
@@ -32,16 +32,6 @@
 	f.results = nil
 }
 
-// openDraft sends a draft to the first node, and returns the answer and what ends the request.
-func (f *cutFixture) openDraft(id string) (*http.Response, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(context.Background())
-	f.Cleanup(cancel)
-	resp, err := callerfaker.Caller{Address: f.nodes[0].Address, Key: relayKey}.Open(ctx, http.MethodPost, "/draft/x", id)
-	f.Assert(err, qt.IsNil)
-	f.Cleanup(func() { _ = resp.Body.Close() })
-	return resp, cancel
-}
-
 // delegate returns the index of the node that serves requests of the first one.
 func (f *cutFixture) delegate() int {
 	found := 0
@@ -59,9 +49,13 @@
 // TestDelegatedRequestEndsWithItsCaller guards against targets that go on working for callers that have left, when another node has
 // handed the request over.
 func TestDelegatedRequestEndsWithItsCaller(t *testing.T) {
-	f := newCutFixture(t, cutNodes)
+	f := newCutFixture(t)
 	f.cutOff()
-	resp, leave := f.openDraft("gone")
+	ctx, leave := context.WithCancel(t.Context())
+	defer leave()
+	resp, err := callerfaker.Caller{Address: f.nodes[0].Address, Key: relayKey}.Open(ctx, http.MethodPost, "/draft/x", "gone")
+	f.Assert(err, qt.IsNil)
+	defer resp.Body.Close()
 	f.Assert(resp.StatusCode, qt.Equals, http.StatusOK)
 	f.Check(resp.Header.Get("Fuchsiabridge-Delegated"), qt.Equals, "")
 	leave()
@@ -73,7 +67,7 @@
 
 // TestStreamGoesOnWhenItsDelegateDies guards against streams that end, or repeat or lack events, when the node dies that they go by.
 func TestStreamGoesOnWhenItsDelegateDies(t *testing.T) {
-	f := newCutFixture(t, cutNodes)
+	f := newCutFixture(t)
 	f.cutOff()
 	done, hasBegun := make(chan int, 1), make(chan struct{})
 	go func() {
@@ -95,7 +89,7 @@
 // TestClaimIsNotRepeatedWhenItsDelegateDies guards against a request that runs twice, or is said not to have run, since the node has
 // died that it was handed over to.
 func TestClaimIsNotRepeatedWhenItsDelegateDies(t *testing.T) {
-	f := newCutFixture(t, cutNodes)
+	f := newCutFixture(t)
 	f.cutOff()
 	for _, dc := range []string{"a", "b", "c"} {
 		f.fleet.SetWork("ledger-"+dc, 2*cutDetection)
@@ -117,7 +111,7 @@
 // TestStoppingNodeFinishesWhatItHasTaken guards against requests of other nodes that a planned stop cuts off, and against new ones that
 // a stopping node still takes.
 func TestStoppingNodeFinishesWhatItHasTaken(t *testing.T) {
-	f := newCutFixture(t, cutNodes)
+	f := newCutFixture(t)
 	f.cutOff()
 	done := make(chan int, 1)
 	go func() {
@@ -141,7 +135,7 @@
 
 // TestRevokedKeyIsNotAcceptedByWayOfAnotherNode guards against a key that lives on at a node that hands requests over.
 func TestRevokedKeyIsNotAcceptedByWayOfAnotherNode(t *testing.T) {
-	f := newCutFixture(t, cutNodes)
+	f := newCutFixture(t)
 	f.cutOff()
 	f.Assert(f.store.PutConfiguration(storefaker.Sample(2, "other-key")), qt.IsNil)
 	f.key = "other-key"
@@ -159,7 +153,7 @@
 
 // TestOrdersGoByAnotherNode guards against layers that nobody loads again because the node that gives the orders is cut off.
 func TestOrdersGoByAnotherNode(t *testing.T) {
-	f := newCutFixture(t, cutNodes)
+	f := newCutFixture(t)
 	holder := 0
 	launcher.Await(t, relayStartTimeout, "a node gives the orders", func() bool {
 		for i, n := range f.nodes {
@@ -186,7 +180,7 @@
 // TestSoundTargetMayBeSilentForASecond guards against requests that fail, or targets that stay left out, because a target that is sound
 // says nothing for a second.
 func TestSoundTargetMayBeSilentForASecond(t *testing.T) {
-	f := newCutFixture(t, cutNodes)
+	f := newCutFixture(t)
 	began := time.Now()
 	loaded := make(chan struct{})
 	go func() {
@@ -244,7 +238,7 @@
 
 // TestCallersFieldsBetweenNodesAreNotTrusted guards against a caller that passes for another node.
 func TestCallersFieldsBetweenNodesAreNotTrusted(t *testing.T) {
-	f := newCutFixture(t, cutNodes)
+	f := newCutFixture(t)
 	header := http.Header{"Fuchsiabridge-Delegated": {`{"version":99,"max_runs":9,"has_arrived":true}`}}
 	for _, id := range []string{"forged", "forged-behind-cut"} {
 		if id != "forged" {
