Let streams leave a lost path at once, and keep delegates that have answered

A stream on a chain that is silent waited if no other chain was left, though another node could go on with it (TestStalledStreamLeavesLostPath). A delegate that has answered, if only with a failure of its target, is used on. Questions, offers and calls to targets have connections of their own, as each closes its connection when it times out.

--- a/entry/internal/commander/relay.go
+++ b/entry/internal/commander/relay.go
@@ -129,12 +129,12 @@
 	dc := identifier.DataCentre(values.Text("data-centre"))
 	store := storecaller.NewCaller(http, values.Text("store"))
 	self := storecaller.Member{Node: n.id, DataCentre: dc, Address: values.Text("peer-listen")}
-	// A call that gets no answer in time closes its connection, so questions of requests have connections of their own.
-	questions := peercaller.NewCaller(nil, nil)
+	// A call that gets no answer in time closes its connection, so calls with different timeouts have connections of their own.
+	questions, offers, targetCalls := peercaller.NewCaller(nil, nil), peercaller.NewCaller(nil, nil), peercaller.NewCaller(nil, nil)
 	hasPeers := values.Text("peer-listen") != "" && values.Text("delegate-listen") != ""
 	var delegates relayer.Delegates
 	if hasPeers {
-		delegates = delegator.NewFinder(ctx, self, questions, store)
+		delegates = delegator.NewFinder(ctx, self, offers, store)
 	}
 	n.relayer = relayer.NewRelayer(ctx, relayer.Config{
 		Meter: requests,
@@ -155,7 +155,7 @@
 		Heartbeat:   values.Duration("heartbeat"),
 		Targets:     targets,
 
-		Delegates: delegates, Peers: questions, DelegateAddress: values.Text("delegate-listen"),
+		Delegates: delegates, Peers: targetCalls, DelegateAddress: values.Text("delegate-listen"),
 	})
 	server.Publish("relay", func() any {
 		status := n.relayer.Status()
--- a/entry/internal/dispatcher/attempts.go
+++ b/entry/internal/dispatcher/attempts.go
@@ -45,7 +45,7 @@
 		effects = append(effects, d.logAttempt(now, r, ev, isCandidate))
 	}
 	effects = append(effects, d.reportFaultyTarget(now, r, ev)...)
-	effects = append(effects, dropDelegate(r, ev.Outcome)...)
+	effects = append(effects, dropDelegate(r, ev)...)
 	target := r.target
 	d.release(r)
 	switch ev.Outcome {
@@ -220,6 +220,9 @@
 	if len(r.chain) == 0 {
 		return d.stalledPlain(now, ev, r)
 	}
+	if d.mustDelegate(r) {
+		return d.failOver(now, ev.Call, r, "path to the targets is lost", ev.Seed)
+	}
 	if d.chooser.HasFailed(r.chain) {
 		return d.failOver(now, ev.Call, r, "a target of the chain was ejected, or other nodes have seen it fail", ev.Seed)
 	}
@@ -291,7 +294,7 @@
 	effects = append(effects, d.logAttempt(now, r, left, isCandidate))
 	stalledAttempt := r.attempt
 	r.stalledAttempt = &stalledAttempt
-	effects = append(effects, dropDelegate(r, Stalled)...)
+	effects = append(effects, dropDelegate(r, left)...)
 	d.release(r)
 	return append(effects, d.sendAttempt(now, call, r, seed, true)...)
 }
@@ -368,7 +371,7 @@
 // crashed a target.
 func (d *Dispatcher) logAttempt(now time.Time, r *request, ev AttemptReported, isCandidate bool) messenger.Effect {
 	return messenger.Log{Event: eventlogger.AttemptEnded, Subject: "request/" + string(r.id), Values: []any{
-		"outcome", ev.Outcome, "target", r.target, "status", ev.Status, reasonKey, ev.Reason, "fault", ev.FaultAddress,
+		"outcome", ev.Outcome, "target", r.target, "delegate", r.delegate, "status", ev.Status, reasonKey, ev.Reason, "fault", ev.FaultAddress,
 		"took_ms", now.Sub(r.sent).Milliseconds(), "events", ev.Events, fingerprintKey, r.key.Request, groupKey, r.key.Group, partsKey, r.key.Parts, "candidate", isCandidate,
 	}}
 }
--- a/entry/internal/dispatcher/delegation.go
+++ b/entry/internal/dispatcher/delegation.go
@@ -136,9 +136,11 @@
 	return runs
 }
 
-// dropDelegate forgets the delegate of an attempt that it did not accept.
-func dropDelegate(r *request, o Outcome) []messenger.Effect {
-	if r.delegate == "" || (o != NotSent && o != NotRun && o != Stalled && o != Broken) {
+// dropDelegate forgets the delegate of an attempt that has not answered, or has refused the request.
+func dropDelegate(r *request, ev AttemptReported) []messenger.Effect {
+	hasServed := ev.Result != nil && !ev.Result.IsNotRun
+	isCallers := ev.Outcome == CallerGone || ev.Outcome == Expired
+	if r.delegate == "" || hasServed || isCallers {
 		return nil
 	}
 	return []messenger.Effect{DropDelegate{Service: r.service, Node: r.delegate}}
--- a/entry/internal/dispatcher/delegation_test.go
+++ b/entry/internal/dispatcher/delegation_test.go
@@ -267,3 +267,23 @@
 	reported.Result = &delegator.Result{Runs: runs, HasArrived: true}
 	return reported, runs
 }
+
+// TestStalledStreamLeavesLostPath guards against a stream that waits for its silent chain, since no other chain is left, though another
+// node could go on with it.
+func TestStalledStreamLeavesLostPath(t *testing.T) {
+	c := qt.New(t)
+	d := newPeerHarness(1)
+	d.apply(-time.Minute, dispatcher.RetryQuotaChanged{Retries: 10})
+	call, _ := d.sendRequest(900*time.Millisecond, "/draft/x", "key")
+	d.losePath(time.Second)
+	effect := d.apply(1100*time.Millisecond, dispatcher.AttemptReported{Call: call, Outcome: dispatcher.Stalled, Events: 3, ChainIdleTime: 150 * time.Millisecond, Seed: 1})
+	_, isAsked := effect.(dispatcher.AskDelegate)
+	c.Assert(isAsked, qt.IsTrue, qt.Commentf("%#v", effect))
+	send := d.found(1200*time.Millisecond, call, "node-2").(dispatcher.Send)
+	c.Check(send.KeepsStalled, qt.IsTrue)
+	c.Check(send.Terms, qt.Equals, delegator.Terms{Version: 1, MaxRuns: 1, IsCounted: true, HasArrived: true})
+	// The delegate is silent too, and no run is left: the request waits.
+	effect = d.apply(2300*time.Millisecond, dispatcher.AttemptReported{Call: call, Outcome: dispatcher.Stalled, Events: 3, Seed: 1})
+	_, isWait := effect.(dispatcher.Wait)
+	c.Check(isWait, qt.IsTrue, qt.Commentf("%#v", effect))
+}
