--- a/entry/internal/dispatcher/delegation.go
+++ b/entry/internal/dispatcher/delegation.go
@@ -54,6 +54,11 @@
 	return r.route.MaxAttempts
 }
 
+// mayHaveRun reports whether an earlier attempt may have run the request, here or at the node that has handed it over.
+func (r *request) mayHaveRun() bool {
+	return r.executions > 0 || (r.terms != nil && r.terms.HasArrived)
+}
+
 // mayDelegate reports whether a request may be handed over. One that was handed over to this node stays here.
 func (d *Dispatcher) mayDelegate(r *request) bool {
 	return d.cfg.HasPeers && r.terms == nil && !r.isBarred && len(r.delegates) < maxDelegates
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -341,7 +341,7 @@
 		Call: call, Account: r.account, Deadline: r.deadline, KeepsStalled: keepsStalled,
 		IsStream: r.route.Kind == describer.Streaming,
 		// What has broken one connection may have broken those that were open beside it.
-		NewConn: !r.route.MayRetry() || before.HasCrashes() || r.executions > 0,
+		NewConn: !r.route.MayRetry() || before.HasCrashes() || r.mayHaveRun(),
 	}
 	effects := d.chooser.Replan(now, r.service)
 	reason := d.choose(now, r, &out, seed)
--- a/entry/internal/dispatcher/paths.go
+++ b/entry/internal/dispatcher/paths.go
@@ -13,7 +13,7 @@
 // pathChecked applies the result of a check of a path.
 func (d *Dispatcher) pathChecked(now time.Time, ev PathChecked) []messenger.Effect {
 	if !ev.IsReached {
-		return d.logPaths(d.paths.Failed(now, ev.Target))
+		return d.logPaths(d.paths.CheckFailed(now, ev.Target))
 	}
 	return append(d.logPaths(d.paths.Reached(now, now, ev.Target)), messenger.Raise{Event: registrar.Reached{Address: ev.Address}})
 }
--- a/entry/internal/pathtracker/pathtracker.go
+++ b/entry/internal/pathtracker/pathtracker.go
@@ -19,6 +19,8 @@
 	// maxChecks is how many targets are checked at the same time, and checkInterval the time between two checks.
 	maxChecks     = 3
 	checkInterval = 150 * time.Millisecond
+	// minSamples is how many targets of a lost path are checked that no request has failed to reach: all others may have failed.
+	minSamples = 2
 	// maxFailureAge is how long a failure counts that is not seen again.
 	maxFailureAge = 15 * time.Second
 )
@@ -38,8 +40,9 @@
 	failedAt  time.Time
 	notedAt   time.Time
 	checkedAt time.Time
-	// isChecked says that the path was lost since, so that the target is checked until it is reached.
-	isChecked bool
+	// hasRequest says that a request has failed to reach the target. If the path was lost since, it is checked until it is reached.
+	hasRequest bool
+	isChecked  bool
 }
 
 // Change is a path that was lost or is there again.
@@ -65,6 +68,8 @@
 	lost      map[identifier.ServiceID]time.Time
 	provenAt  map[identifier.ServiceID]time.Time
 	checkedAt time.Time
+	// sampled is the target of each service that was taken last as one of minSamples.
+	sampled map[identifier.ServiceID]identifier.TargetID
 }
 
 // NewTracker returns a tracker to which all paths count as there.
@@ -72,6 +77,7 @@
 	return &Tracker{
 		targets: map[identifier.TargetID]Target{}, counts: map[identifier.ServiceID]int{}, reachedAt: map[identifier.ServiceID]time.Time{},
 		failures: map[identifier.TargetID]*failure{}, lost: map[identifier.ServiceID]time.Time{}, provenAt: map[identifier.ServiceID]time.Time{},
+		sampled: map[identifier.ServiceID]identifier.TargetID{},
 	}
 }
 
@@ -109,8 +115,17 @@
 	return t.update(now)
 }
 
-// Failed records that a target was not reached.
+// Failed records that a request did not reach a target.
 func (t *Tracker) Failed(now time.Time, id identifier.TargetID) []Change {
+	return t.fail(now, id, true)
+}
+
+// CheckFailed records that a check did not reach a target.
+func (t *Tracker) CheckFailed(now time.Time, id identifier.TargetID) []Change {
+	return t.fail(now, id, false)
+}
+
+func (t *Tracker) fail(now time.Time, id identifier.TargetID, isRequest bool) []Change {
 	target, ok := t.targets[id]
 	if !ok {
 		return nil
@@ -121,6 +136,9 @@
 		t.failures[id] = f
 	}
 	f.failedAt, f.notedAt = now, now
+	f.hasRequest = f.hasRequest || isRequest
+	// Another target takes its place among those that are checked as a sample.
+	f.isChecked = f.isChecked && f.hasRequest
 	return t.update(now)
 }
 
@@ -141,7 +159,7 @@
 	if now.Sub(t.checkedAt) < checkInterval {
 		return nil, changes
 	}
-	t.presumeFailures(now)
+	t.chooseChecks(now)
 	var due []*failure
 	for _, f := range t.failures {
 		if f.isChecked {
@@ -163,17 +181,47 @@
 	return out, changes
 }
 
-// presumeFailures notes that the targets of lost paths are not reached.
-func (t *Tracker) presumeFailures(now time.Time) {
+// chooseChecks marks the targets of lost paths that are checked: those that requests failed to reach, and a few others in turn.
+func (t *Tracker) chooseChecks(now time.Time) {
+	samples := map[identifier.ServiceID]int{}
+	for _, f := range t.failures {
+		if t.IsLost(f.Service) && f.hasRequest {
+			f.isChecked = true
+		}
+		if f.isChecked && !f.hasRequest {
+			samples[f.Service]++
+		}
+	}
+	for service := range t.lost {
+		for range minSamples - samples[service] {
+			t.addSample(now, service)
+		}
+	}
+}
+
+// addSample marks the next target of a service, in the order of ids, to be checked.
+func (t *Tracker) addSample(now time.Time, service identifier.ServiceID) {
+	var first, next identifier.TargetID
 	for id, target := range t.targets {
-		if !t.IsLost(target.Service) {
+		if f := t.failures[id]; target.Service != service || (f != nil && f.isChecked) {
 			continue
 		}
-		if t.failures[id] == nil {
-			t.failures[id] = &failure{Target: target, notedAt: now}
+		if first == "" || id < first {
+			first = id
 		}
-		t.failures[id].isChecked = true
+		if id > t.sampled[service] && (next == "" || id < next) {
+			next = id
+		}
+	}
+	id := cmp.Or(next, first)
+	if id == "" {
+		return
+	}
+	t.sampled[service] = id
+	if t.failures[id] == nil {
+		t.failures[id] = &failure{Target: t.targets[id]}
 	}
+	t.failures[id].notedAt, t.failures[id].isChecked = now, true
 }
 
 // update finds out which paths are lost, and returns what has changed.
