--- a/integration/relay_cut_test.go
+++ b/integration/relay_cut_test.go
@@ -179,6 +179,7 @@
 // TestNodeCutOffFromTargetsServesItsCallers guards against callers that are served far worse at nodes that do not reach their targets
 // than at the others, which do.
 func TestNodeCutOffFromTargetsServesItsCallers(t *testing.T) {
+	t.Parallel()
 	for _, row := range []struct {
 		name string
 		kind string
@@ -187,6 +188,7 @@
 		{"hanging", "hang", 1}, {"reset", "reset", 1}, {"new connections refused", "refuse", 1}, {"most nodes", "hang", 2},
 	} {
 		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
 			f := newCutFixture(t)
 			began := time.Now()
 			for _, n := range f.nodes[:row.cut] {
--- a/integration/relay_delegation_test.go
+++ b/integration/relay_delegation_test.go
@@ -49,6 +49,7 @@
 // TestDelegatedRequestEndsWithItsCaller guards against targets that go on working for callers that have left, when another node has
 // handed the request over.
 func TestDelegatedRequestEndsWithItsCaller(t *testing.T) {
+	t.Parallel()
 	f := newCutFixture(t)
 	f.cutOff()
 	ctx, leave := context.WithCancel(t.Context())
@@ -67,6 +68,7 @@
 
 // TestStreamGoesOnWhenItsDelegateDies guards against streams that end, or repeat or lack events, when the node dies that they go by.
 func TestStreamGoesOnWhenItsDelegateDies(t *testing.T) {
+	t.Parallel()
 	f := newCutFixture(t)
 	f.cutOff()
 	done, hasBegun := make(chan int, 1), make(chan struct{})
@@ -89,6 +91,7 @@
 // TestClaimIsNotRepeatedWhenItsDelegateDies guards against a request that runs twice, or is said not to have run, since the node has
 // died that it was handed over to.
 func TestClaimIsNotRepeatedWhenItsDelegateDies(t *testing.T) {
+	t.Parallel()
 	f := newCutFixture(t)
 	f.cutOff()
 	for _, dc := range []string{"a", "b", "c"} {
@@ -111,6 +114,7 @@
 // TestStoppingNodeFinishesWhatItHasTaken guards against requests of other nodes that a planned stop cuts off, and against new ones that
 // a stopping node still takes.
 func TestStoppingNodeFinishesWhatItHasTaken(t *testing.T) {
+	t.Parallel()
 	f := newCutFixture(t)
 	f.cutOff()
 	done := make(chan int, 1)
@@ -135,6 +139,7 @@
 
 // TestRevokedKeyIsNotAcceptedByWayOfAnotherNode guards against a key that lives on at a node that hands requests over.
 func TestRevokedKeyIsNotAcceptedByWayOfAnotherNode(t *testing.T) {
+	t.Parallel()
 	f := newCutFixture(t)
 	f.cutOff()
 	f.Assert(f.store.PutConfiguration(storefaker.Sample(2, "other-key")), qt.IsNil)
@@ -153,6 +158,7 @@
 
 // TestOrdersGoByAnotherNode guards against layers that nobody loads again because the node that gives the orders is cut off.
 func TestOrdersGoByAnotherNode(t *testing.T) {
+	t.Parallel()
 	f := newCutFixture(t)
 	holder := 0
 	launcher.Await(t, relayStartTimeout, "a node gives the orders", func() bool {
@@ -180,6 +186,7 @@
 // TestSoundTargetMayBeSilentForASecond guards against requests that fail, or targets that stay left out, because a target that is sound
 // says nothing for a second.
 func TestSoundTargetMayBeSilentForASecond(t *testing.T) {
+	t.Parallel()
 	f := newCutFixture(t)
 	began := time.Now()
 	loaded := make(chan struct{})
@@ -210,6 +217,7 @@
 // TestOldAndNewNodesRunSideBySide guards against an upgrade, one node after the other, during which nodes of the two versions do not
 // understand each other.
 func TestOldAndNewNodesRunSideBySide(t *testing.T) {
+	t.Parallel()
 	earlier := launcher.BuildEarlier(t, earlierVersion)
 	for _, row := range []struct {
 		name string
@@ -218,6 +226,7 @@
 		isServed bool
 	}{{"one new node of three", 1, false}, {"two new nodes of three", 2, true}} {
 		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
 			f := newMixedFixture(t, row.new, earlier)
 			began := time.Now()
 			f.f.SetCut(f.nodes[0], launcher.Cut{Kind: "hang"})
@@ -238,6 +247,7 @@
 
 // TestCallersFieldsBetweenNodesAreNotTrusted guards against a caller that passes for another node.
 func TestCallersFieldsBetweenNodesAreNotTrusted(t *testing.T) {
+	t.Parallel()
 	f := newCutFixture(t)
 	header := http.Header{"Fuchsiabridge-Delegated": {`{"version":99,"max_runs":9,"has_arrived":true}`}}
 	for _, id := range []string{"forged", "forged-behind-cut"} {
--- a/integration/stopping_test.go
+++ b/integration/stopping_test.go
@@ -60,6 +60,7 @@
 // TestRelayedRequestsLateInAStopAreNotCut guards against requests that a stopping node takes and passes on late, and that are cut at its
 // end, among them some that may not be repeated.
 func TestRelayedRequestsLateInAStopAreNotCut(t *testing.T) {
+	t.Parallel()
 	b := newRelayFixture(t, "--balancer-lag", stopLag.String(), "--stop-limit", stopLimit.String())
 	for _, dc := range []string{"a", "b"} {
 		b.fleet.SetWork("ledger-"+dc, lateWork)
@@ -82,6 +83,7 @@
 
 // TestRequestsLateInAStopAreNotCut guards against the same at a node with the product's own interface, for calls and drafts.
 func TestRequestsLateInAStopAreNotCut(t *testing.T) {
+	t.Parallel()
 	f := launcher.NewFleet(t)
 	f.AddEngine("engine-a", 0, membersLayers)
 	f.AddService("ledger", "ledger-1", "--delay", lateWork.String())
