--- a/integration/launcher/relay.go
+++ b/integration/launcher/relay.go
@@ -62,6 +62,9 @@
 // BuildEarlier builds the node of an earlier version from the repository's history, and returns the file of its program.
 func BuildEarlier(t testing.TB, commit string) string {
 	t.Helper()
+	if exec.Command("git", "-C", "..", "cat-file", "-e", commit).Run() != nil {
+		t.Skipf("the history lacks %s, as in a shallow clone", commit)
+	}
 	dir := t.TempDir()
 	program := filepath.Join(dir, "entry")
 	for _, args := range [][]string{
