--- a/integration/relay_cut_test.go
+++ b/integration/relay_cut_test.go
@@ -43,7 +43,7 @@
 // cutResult is one request and how it ended.
 type cutResult struct {
 	soakResult
-	// body says how the answer was wrong, if it was.
+	// isWrong says that the answer was a success with another body or other events than its target has given.
 	isWrong bool
 }
 
