--- a/common/httpcaller/httpcaller.go
+++ b/common/httpcaller/httpcaller.go
@@ -48,7 +48,10 @@
 }
 
 // NewCaller returns a caller that does not retry failed calls.
-func NewCaller() *Caller { return NewLimitedCaller(maxResponseBytes, &net.Dialer{}) }
+func NewCaller() *Caller { return NewCallerWith(&net.Dialer{}) }
+
+// NewCallerWith is NewCaller for a caller whose connections are opened by d.
+func NewCallerWith(d Dialer) *Caller { return NewLimitedCaller(maxResponseBytes, d) }
 
 // Dialer opens connections.
 type Dialer interface {
--- a/entry/internal/commander/commander.go
+++ b/entry/internal/commander/commander.go
@@ -43,17 +43,25 @@
 )
 
 // Run parses the command line, runs the node, and returns the exit code.
-func Run(args []string) int { return RunWith(args, connector.NewDialer()) }
+func Run(args []string) int {
+	if isRelay(args) {
+		return RunWith(args, connector.NewDialer())
+	}
+	return RunWith(args, &net.Dialer{})
+}
 
-// RunWith is Run for a relay node whose connections to targets are opened by targets.
+// RunWith is Run for a node whose connections to targets are opened by targets.
 func RunWith(args []string, targets connector.Dialer) int {
-	if len(args) > 0 && args[0] == relayCommand {
+	if isRelay(args) {
 		return run("entry "+relayCommand, RelayOptions(), args[1:], func(values optionparser.Values) error { return relay(values, targets) })
 	}
 	defer klog.Flush()
-	return run("entry", Options(), args, serve)
+	return run("entry", Options(), args, func(values optionparser.Values) error { return serve(values, targets) })
 }
 
+// isRelay reports whether the command line asks for a node in relay mode.
+func isRelay(args []string) bool { return len(args) > 0 && args[0] == relayCommand }
+
 // run validates the settings and calls serve with them, unless only validation was requested.
 func run(program string, options []optionparser.Option, args []string, serve func(optionparser.Values) error) int {
 	values, _, err := optionparser.Parse(program, options, args)
@@ -78,7 +86,7 @@
 	return exitOK
 }
 
-func serve(values optionparser.Values) error {
+func serve(values optionparser.Values, targets connector.Dialer) error {
 	signals, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -106,6 +114,7 @@
 			Address:     peerListener.Addr().String(),
 			DataCentre:  identifier.DataCentre(values.Text("data-centre")),
 		},
+		Targets:    targets,
 		Platform:   values.Text("platform"),
 		LogKeep:    values.Duration("log-keep"),
 		PeerTLS:    peers,
--- a/entry/internal/executor/executor.go
+++ b/entry/internal/executor/executor.go
@@ -50,7 +50,9 @@
 
 // Config holds the settings of an Executor.
 type Config struct {
-	Self     heartbeater.Heartbeat
+	Self heartbeater.Heartbeat
+	// Targets opens connections to targets.
+	Targets  httpcaller.Dialer
 	Platform string
 	// LogKeep is how long the platform's log keeps a record.
 	LogKeep time.Duration
@@ -77,6 +79,7 @@
 	engine   *enginecaller.Caller
 	platform *platformcaller.Caller
 	services *httpcaller.Caller
+	dialer   httpcaller.Dialer
 	peers    *peercaller.Caller
 	steps    *stepsender.Sender
 
@@ -106,12 +109,13 @@
 
 // NewExecutor returns an executor whose work stops when ctx ends.
 func NewExecutor(ctx context.Context, cfg Config) *Executor {
-	http := httpcaller.NewCaller()
+	targets := httpcaller.NewCallerWith(cfg.Targets)
 	x := &Executor{
 		ctx:            ctx,
-		engine:         enginecaller.NewCaller(http),
-		platform:       platformcaller.NewCaller(http, cfg.Platform),
-		services:       http,
+		engine:         enginecaller.NewCaller(targets),
+		platform:       platformcaller.NewCaller(httpcaller.NewCaller(), cfg.Platform),
+		services:       targets,
+		dialer:         cfg.Targets,
 		stepPool:       newPool(ctx, stepWorkers),
 		servicePool:    newPool(ctx, serviceWorkers),
 		platformPool:   newPool(ctx, platformWorkers),
--- a/entry/internal/executor/members.go
+++ b/entry/internal/executor/members.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -67,8 +66,9 @@
 // probeService opens a connection to a service. It sends nothing, because calls to the service may
 // not be idempotent.
 func (x *Executor) probeService(e watcher.ProbeService) {
-	dialer := net.Dialer{Timeout: controlTimeout}
-	conn, err := dialer.DialContext(x.ctx, "tcp", e.Address)
+	ctx, cancel := context.WithTimeout(x.ctx, controlTimeout)
+	defer cancel()
+	conn, err := x.dialer.DialContext(ctx, "tcp", e.Address)
 	if err != nil {
 		x.Submit(watcher.StatusFailed(e))
 		return
--- a/integration/launcher/launcher.go
+++ b/integration/launcher/launcher.go
@@ -177,6 +177,15 @@
 	return p
 }
 
+// AddCuttableNode is AddNode for a node whose network to its targets can be cut, with SetCutAt at the returned address.
+func (f *Fleet) AddCuttableNode(id string, flags ...string) (node *Process, control string) {
+	f.t.Helper()
+	control = FreeAddress(f.t)
+	node = f.startProgram("cuttable", []string{control}, id, f.Platform.Address, flags...)
+	f.Nodes = append(f.Nodes, node)
+	return node, control
+}
+
 // ReplaceNode starts a node with the id of killed node i at new addresses.
 func (f *Fleet) ReplaceNode(i int, flags ...string) *Process {
 	f.t.Helper()
@@ -185,13 +194,19 @@
 }
 
 func (f *Fleet) startNode(id, platform string, flags ...string) *Process {
+	f.t.Helper()
+	return f.startProgram("entry", nil, id, platform, flags...)
+}
+
+// startProgram starts a node that runs the given program, whose own arguments come before those of the node.
+func (f *Fleet) startProgram(program string, own []string, id, platform string, flags ...string) *Process {
 	f.t.Helper()
 	address, peer := FreeAddress(f.t), FreeAddress(f.t)
-	args := append([]string{
+	args := append(own, append([]string{
 		"--node", id, "--data-centre", dataCentre, "--listen", address, "--peer-listen", peer, "--platform", platform,
 		"--operator-keys", Team + "=" + Hash(OperatorKey), "--balancer-lag", "300ms",
-	}, flags...)
-	p := f.start(id, "entry", address, args...)
+	}, flags...)...)
+	p := f.start(id, program, address, args...)
 	p.Peer = peer
 	f.awaitURL("http://" + address + "/healthz")
 	f.ListVM(platformcaller.VM{ID: id, Role: platformcaller.RoleEntry, Address: peer, DataCentre: dataCentre})
--- a/integration/launcher/relay.go
+++ b/integration/launcher/relay.go
@@ -100,7 +100,13 @@
 // SetCut replaces the cut between a cuttable node and its targets.
 func (f *Fleet) SetCut(r *Relay, c Cut) {
 	f.t.Helper()
-	f.post(http.MethodPost, "http://"+r.Control+"/", c)
+	f.SetCutAt(r.Control, c)
+}
+
+// SetCutAt is SetCut for the node whose network is cut at the address control.
+func (f *Fleet) SetCutAt(control string, c Cut) {
+	f.t.Helper()
+	f.post(http.MethodPost, "http://"+control+"/", c)
 }
 
 // TrySetCut replaces the cut between a cuttable node and its targets, unless the node does not run now.
