Let the log be quiet before a test delays the link of a key's owner to it

A node that is behind for 0.5 s asks a peer, so it got its claim from there after 0.6 s, as it should, and dispatched before it was killed at 0.75 s.

The test now waits until no node's offset has changed for 0.3 s. Then the owner cannot be behind for 0.5 s before 1 s, and is killed before. Bounds and checks stay as they were.

--- a/integration/members_test.go
+++ b/integration/members_test.go
@@ -165,6 +165,7 @@
 
 // nodeStatus is the part of a node's status that the tests use.
 type nodeStatus struct {
+	Offset  identifier.Offset `json:"offset"`
 	Targets []struct {
 		ID     string                `json:"id"`
 		State  string                `json:"state"`
--- a/integration/records_test.go
+++ b/integration/records_test.go
@@ -105,6 +105,24 @@
 	}
 }
 
+// quietTime is how long the nodes' offsets must stay the same until the log counts as quiet.
+const quietTime = 300 * time.Millisecond
+
+// awaitQuietLog waits until all nodes have read all records of the log, and none is being appended. A node that lacks records would get
+// those that follow from its peers, however slow its own link to the log is.
+func awaitQuietLog(c *qt.C, f *launcher.Fleet) {
+	c.Helper()
+	offset, since := identifier.Offset(0), time.Time{}
+	launcher.Await(c, 10*time.Second, "the log is quiet", func() bool {
+		for _, n := range f.Nodes {
+			if got := readStatus(c, n).Offset; got != offset {
+				offset, since = got, time.Now()
+			}
+		}
+		return offset > 0 && time.Since(since) >= quietTime
+	})
+}
+
 // warmUpPayments numbers the payments of awaitPayments.
 var warmUpPayments atomic.Int64
 
@@ -240,6 +258,7 @@
 	others := []*launcher.Process{f.AddNode("node-2", ""), f.AddNode("node-3", "")}
 	f.Configure(24)
 	awaitPayments(t, f)
+	awaitQuietLog(c, f)
 	f.SetFault(link, map[string]any{"delay_ms": tc.linkDelay})
 	f.SetFault(f.Services["ledger-1"], map[string]any{"delay_ms": tc.serviceDelay})
 	const timeout = 1500 * time.Millisecond
