Ask at most 24 nodes in one search for delegates

While nobody reaches a service, each node asked each other one, some four times a second: 470 nodes made 469 questions each a search. TestSearchAsksFewNodes failed before (469 asked). With a third of the nodes left, 24 questions miss all of them once in 16,000 searches.

--- a/entry/internal/delegator/delegator_test.go
+++ b/entry/internal/delegator/delegator_test.go
@@ -86,6 +86,23 @@
 	c.Check(f.asked[address(0)], qt.Equals, 0, qt.Commentf("it has asked itself"))
 }
 
+// TestSearchAsksFewNodes guards against a fleet whose nodes all ask all others while nobody reaches a service.
+func TestSearchAsksFewNodes(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(470)
+	for i := range 470 {
+		f.refuse(i)
+	}
+	x := delegator.NewFinder(t.Context(), self(), f, f)
+	_, ok := x.Find(t.Context(), "draft", nil)
+	c.Assert(ok, qt.IsFalse)
+	asked := 0
+	for _, n := range f.asked {
+		asked += n
+	}
+	c.Check(asked > 0 && asked <= 24, qt.IsTrue, qt.Commentf("%d asked", asked))
+}
+
 // TestNodesOfEarlierVersionsAreLeftOut guards against requests for nodes that do not know how to take them, and against asking them again
 // and again.
 func TestNodesOfEarlierVersionsAreLeftOut(t *testing.T) {
--- a/entry/internal/delegator/finder.go
+++ b/entry/internal/delegator/finder.go
@@ -21,8 +21,10 @@
 	// questionTimeout bounds a question to a node, and searchTimeout a search.
 	questionTimeout = 100 * time.Millisecond
 	searchTimeout   = 400 * time.Millisecond
-	// questionsAtOnce is how many nodes are asked at the same time, and maxOffers how many offers a search keeps.
+	// questionsAtOnce is how many nodes are asked at the same time, maxQuestions how many in one search, and maxOffers how many offers a
+	// search keeps.
 	questionsAtOnce = 4
+	maxQuestions    = 24
 	maxOffers       = 4
 	// offerAge is how long an offer is used. One that is renewAge old is asked for again in the background.
 	offerAge = 3 * time.Second
@@ -189,7 +191,7 @@
 	ctx, cancel := context.WithTimeout(f.ctx, searchTimeout)
 	defer cancel()
 	asked := 0
-	for members := f.candidates(ctx, service, s); len(members) > 0 && ctx.Err() == nil; {
+	for members := f.candidates(ctx, service, s); len(members) > 0 && asked < maxQuestions && ctx.Err() == nil; {
 		n := min(questionsAtOnce, len(members))
 		var wg sync.WaitGroup
 		for _, m := range members[:n] {
