Call targets of the product's own interface by way of another node while this one does not reach them

All calls to targets now pass through rerouter. A call of which certainly no byte was sent goes by another node that says that it reaches the target; claims, attempts, deadlines and drafts stay at the node that the caller turned to. Polls go the same way, so that the node does not take its targets for down.

--- a/common/enginecaller/enginecaller.go
+++ b/common/enginecaller/enginecaller.go
@@ -130,57 +130,67 @@
 	Events []CacheEvent `json:"events"`
 }
 
+// HTTPCaller makes one HTTP call.
+type HTTPCaller interface {
+	Do(ctx context.Context, r httpcaller.Request) (httpcaller.Response, error)
+}
+
 // Caller is a client for engines.
-type Caller struct{ http *httpcaller.Caller }
+type Caller struct{ http HTTPCaller }
 
 // NewCaller returns a caller that sends its requests through the given HTTP caller.
-func NewCaller(http *httpcaller.Caller) *Caller { return &Caller{http: http} }
+func NewCaller(http HTTPCaller) *Caller { return &Caller{http: http} }
+
+// json calls an address with in encoded as JSON, and decodes the answer into out.
+func (c *Caller) json(ctx context.Context, method, address string, in, out any) error {
+	return httpcaller.JSONThrough(ctx, c.http.Do, httpcaller.Request{Method: method, URL: address}, in, out)
+}
 
 // Steps runs a batch of steps at the engine at address. If newConn is set, it uses a new connection.
 func (c *Caller) Steps(ctx context.Context, address string, steps []Step, newConn bool) ([]StepResult, error) {
 	var out StepResults
 	r := httpcaller.Request{Method: "POST", URL: "http://" + address + "/v1/steps", NewConn: newConn}
-	err := c.http.JSONWith(ctx, r, StepBatch{Steps: steps}, &out)
+	err := httpcaller.JSONThrough(ctx, c.http.Do, r, StepBatch{Steps: steps}, &out)
 	return out.Results, err
 }
 
 // Status returns the engine's status.
 func (c *Caller) Status(ctx context.Context, address string) (Status, error) {
 	var out Status
-	err := c.http.JSON(ctx, "GET", "http://"+address+"/v1/status", nil, &out)
+	err := c.json(ctx, "GET", "http://"+address+"/v1/status", nil, &out)
 	return out, err
 }
 
 // Cancel makes the engine drop a draft and refuse its steps of all epochs up to the given one.
 func (c *Caller) Cancel(ctx context.Context, address string, draft identifier.DraftID, epoch identifier.Epoch) error {
-	return c.http.JSON(ctx, "DELETE", draftURL(address, "drafts", draft, epoch), nil, nil)
+	return c.json(ctx, "DELETE", draftURL(address, "drafts", draft, epoch), nil, nil)
 }
 
 // Order sends an order to the engine. If the engine refuses it, the error is an
 // *httpcaller.StatusError with status 409.
 func (c *Caller) Order(ctx context.Context, address string, order Order) (Status, error) {
 	var out Status
-	err := c.http.JSON(ctx, "POST", "http://"+address+"/v1/orders", order, &out)
+	err := c.json(ctx, "POST", "http://"+address+"/v1/orders", order, &out)
 	return out, err
 }
 
 // ExportKV returns the draft's KV cache.
 func (c *Caller) ExportKV(ctx context.Context, address string, draft identifier.DraftID, epoch identifier.Epoch) (KV, error) {
 	var out KV
-	err := c.http.JSON(ctx, "GET", draftURL(address, "kv", draft, epoch), nil, &out)
+	err := c.json(ctx, "GET", draftURL(address, "kv", draft, epoch), nil, &out)
 	return out, err
 }
 
 // ImportKV stores a draft's KV cache at the engine.
 func (c *Caller) ImportKV(ctx context.Context, address string, kv KV) error {
-	return c.http.JSON(ctx, "POST", "http://"+address+"/v1/kv", kv, nil)
+	return c.json(ctx, "POST", "http://"+address+"/v1/kv", kv, nil)
 }
 
 // CacheEvents returns the engine's cache events with numbers greater than after.
 func (c *Caller) CacheEvents(ctx context.Context, address string, after int64) ([]CacheEvent, error) {
 	var out CacheEvents
 	u := "http://" + address + "/v1/cache_events?after=" + strconv.FormatInt(after, 10)
-	err := c.http.JSON(ctx, "GET", u, nil, &out)
+	err := c.json(ctx, "GET", u, nil, &out)
 	return out.Events, err
 }
 
--- a/common/eventlogger/members.go
+++ b/common/eventlogger/members.go
@@ -10,6 +10,8 @@
 	OrderSent             = Event{5006, "order sent"}
 	OrderEnded            = Event{5007, "order ended"}
 	OrderNotSent          = Event{5008, "order not sent"}
+	TargetUnreached       = Event{5009, "target not reached by this node"}
+	TargetReachedAgain    = Event{5010, "target reached again by this node"}
 )
 
 func membersEvents() []Event {
@@ -21,6 +23,6 @@
 		OrderDecided,
 		OrderSent,
 		OrderEnded,
-		OrderNotSent,
+		OrderNotSent, TargetUnreached, TargetReachedAgain,
 	}
 }
--- a/entry/internal/executor/executor.go
+++ b/entry/internal/executor/executor.go
@@ -32,6 +32,7 @@
 	"fuchsiabridge.example/entry/internal/orderer"
 	"fuchsiabridge.example/entry/internal/peercaller"
 	"fuchsiabridge.example/entry/internal/recorder"
+	"fuchsiabridge.example/entry/internal/rerouter"
 	"fuchsiabridge.example/entry/internal/retrier"
 	"fuchsiabridge.example/entry/internal/stepsender"
 	"fuchsiabridge.example/entry/internal/tailer"
@@ -78,8 +79,7 @@
 	ctx      context.Context
 	engine   *enginecaller.Caller
 	platform *platformcaller.Caller
-	services *httpcaller.Caller
-	dialer   httpcaller.Dialer
+	rerouter *rerouter.Caller
 	peers    *peercaller.Caller
 	steps    *stepsender.Sender
 
@@ -109,13 +109,9 @@
 
 // NewExecutor returns an executor whose work stops when ctx ends.
 func NewExecutor(ctx context.Context, cfg Config) *Executor {
-	targets := httpcaller.NewCallerWith(cfg.Targets)
 	x := &Executor{
 		ctx:            ctx,
-		engine:         enginecaller.NewCaller(targets),
 		platform:       platformcaller.NewCaller(httpcaller.NewCaller(), cfg.Platform),
-		services:       targets,
-		dialer:         cfg.Targets,
 		stepPool:       newPool(ctx, stepWorkers),
 		servicePool:    newPool(ctx, serviceWorkers),
 		platformPool:   newPool(ctx, platformWorkers),
@@ -124,6 +120,8 @@
 		self:           cfg.Self,
 		explainer:      newExplainer(),
 	}
+	x.rerouter = x.newRerouter(cfg)
+	x.engine = enginecaller.NewCaller(x.rerouter)
 	x.peers = peercaller.NewCaller(x.peerHandlers(), cfg.PeerTLS)
 	x.steps = stepsender.NewSender(ctx, x.engine, x.stepPool, x.Submit)
 	owner := recorder.Owner{Node: cfg.Self.Node, Incarnation: cfg.Self.Incarnation}
@@ -202,8 +200,8 @@
 	}
 }
 
-// Open returns the number of open calls.
-func (x *Executor) Open() int64 { return x.openCalls.Load() }
+// Open returns the number of open calls, with those that are made for other nodes.
+func (x *Executor) Open() int64 { return x.openCalls.Load() + int64(x.rerouter.Open()) }
 
 // Settings returns the settings in force, or nil if none have been read yet.
 func (x *Executor) Settings() *configurer.Settings { return x.settings.Load() }
--- a/entry/internal/executor/members.go
+++ b/entry/internal/executor/members.go
@@ -10,10 +10,12 @@
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/entry/internal/committer"
+	"fuchsiabridge.example/entry/internal/delegator"
 	"fuchsiabridge.example/entry/internal/heartbeater"
 	"fuchsiabridge.example/entry/internal/leaser"
 	"fuchsiabridge.example/entry/internal/orderer"
 	"fuchsiabridge.example/entry/internal/peercaller"
+	"fuchsiabridge.example/entry/internal/rerouter"
 	"fuchsiabridge.example/entry/internal/tracer"
 	"fuchsiabridge.example/entry/internal/watcher"
 )
@@ -63,17 +65,15 @@
 	x.Submit(watcher.StatusRead{Address: e.Address, Status: status})
 }
 
-// probeService opens a connection to a service. It sends nothing, because calls to the service may
+// probeService checks that a service accepts connections. It sends nothing, because calls to the service may
 // not be idempotent.
 func (x *Executor) probeService(e watcher.ProbeService) {
 	ctx, cancel := context.WithTimeout(x.ctx, controlTimeout)
 	defer cancel()
-	conn, err := x.dialer.DialContext(ctx, "tcp", e.Address)
-	if err != nil {
+	if !x.rerouter.Reach(ctx, e.Address) {
 		x.Submit(watcher.StatusFailed(e))
 		return
 	}
-	_ = conn.Close()
 	x.Submit(watcher.ServiceReached(e))
 }
 
@@ -97,6 +97,9 @@
 		findCheckpointMethod: x.handleFindCheckpoint,
 		pullMethod:           x.handlePullRecords,
 		isolationMethod:      x.handleIsolationNotice,
+
+		delegator.OfferMethod: x.rerouter.ServeOffer,
+		rerouter.CallMethod:   x.rerouter.ServeCall,
 		heartbeatMethod: func(ctx context.Context, params json.RawMessage) (any, error) {
 			var beat heartbeater.Heartbeat
 			if err := json.Unmarshal(params, &beat); err != nil {
--- a/entry/internal/executor/records.go
+++ b/entry/internal/executor/records.go
@@ -97,7 +97,7 @@
 	for k, v := range e.Header {
 		r.Header[k] = v
 	}
-	answer, err := x.services.Do(ctx, r)
+	answer, err := x.rerouter.Do(ctx, r)
 	end(err)
 	if err != nil {
 		return recorder.ServiceAnswered{}, err
--- a/integration/launcher/launcher.go
+++ b/integration/launcher/launcher.go
@@ -14,6 +14,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -202,10 +203,10 @@
 func (f *Fleet) startProgram(program string, own []string, id, platform string, flags ...string) *Process {
 	f.t.Helper()
 	address, peer := FreeAddress(f.t), FreeAddress(f.t)
-	args := append(own, append([]string{
+	args := slices.Concat(own, []string{
 		"--node", id, "--data-centre", dataCentre, "--listen", address, "--peer-listen", peer, "--platform", platform,
 		"--operator-keys", Team + "=" + Hash(OperatorKey), "--balancer-lag", "300ms",
-	}, flags...)...)
+	}, flags)
 	p := f.start(id, program, address, args...)
 	p.Peer = peer
 	f.awaitURL("http://" + address + "/healthz")
