Show that an idle node takes no requests of a node that is cut off (known red)

Found while tracing TestFBCtlRelaysPrintsNodeState. With the only node left idle, no draft of the node that is cut off was served within 3 s.

--- a/integration/relay_delegation_test.go
+++ b/integration/relay_delegation_test.go
@@ -183,6 +183,24 @@
 	f.Check(f.nodes[holder].Status(f).HoldsLease, qt.IsTrue)
 }
 
+// TestIdleNodeTakesRequestsOfNodeThatIsCutOff guards against nodes that offer nothing, as they have had no request of their own for a
+// service since its targets came.
+func TestIdleNodeTakesRequestsOfNodeThatIsCutOff(t *testing.T) {
+	t.Parallel()
+	f := newCutFixture(t)
+	idle := f.f.AddCuttableRelay("node-idle", "b", f.store.Address())
+	launcher.Await(t, relayStartTimeout, "the idle node is ready", idle.IsReady)
+	f.f.SetCut(f.nodes[0], launcher.Cut{Kind: "reset"})
+	for _, n := range f.nodes[1:] {
+		n.Kill()
+	}
+	launcher.Await(t, cutDetection, "the idle node serves drafts of the node that is cut off", func() bool {
+		f.results = nil
+		f.request(0, "/draft/x", "idle-"+time.Now().Format("05.000000"))
+		return f.results[0].isComplete
+	})
+}
+
 // TestSoundTargetMayBeSilentForASecond guards against requests that fail, or targets that stay left out, because a target that is sound
 // says nothing for a second.
 func TestSoundTargetMayBeSilentForASecond(t *testing.T) {
