--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,8 @@
 
 # Tests listed in KNOWN-RED.txt, by the first word of each entry's first line, are skipped.
 KNOWN_RED := $(if $(wildcard KNOWN-RED.txt),-skip '^($(shell grep -o '^Test[A-Za-z0-9_/]*' KNOWN-RED.txt | paste -sd'|'))$$')
+# Ends tests with real processes that hang. CI as a whole may take 90 minutes.
+INTEGRATION_TIMEOUT := 20m
 PROGRAMS := entry fbctl fbload fbstandin
 
 # The users' bench and deployments, which stand beside the repository. Tests and CI do without them.
@@ -24,7 +26,7 @@
 
 test: build ## run all tests with a fixed seed
 	RAPID_SEED=$(SEED) go test $(addsuffix /...,$(addprefix ./,$(filter-out integration,$(MODULES)))) -count=1 $(KNOWN_RED)
-	RAPID_SEED=$(SEED) go test ./integration/... -count=1 $(KNOWN_RED)
+	RAPID_SEED=$(SEED) go test ./integration/... -count=1 -timeout $(INTEGRATION_TIMEOUT) $(KNOWN_RED)
 
 lint: .bin/golangci-lint ## check formatting and run the linter
 	@for m in $(MODULES); do (cd $$m && ../.bin/golangci-lint run --allow-serial-runners ./...) || exit 1; done
