Blame no draft and no engine for what a node does not reach, and cut nodes off in the soak of the product's own interface

Steps that certainly were not sent, while a node has lost three targets and reached none since, now say nothing of the engine: they are sent again, by way of another node. TestLostPathIsNotPutDownToTargets and two rows of TestFailuresAreClassified guard it. A direct connection may take half of the time that is left, so that another node can be asked.

--- a/entry/internal/drafter/messages.go
+++ b/entry/internal/drafter/messages.go
@@ -103,7 +103,8 @@
 	NewConn bool
 	// Status is the HTTP status of a refusal; 0 if there was no response.
 	Status int
-	// Alive means that the target answered a probe on a new connection while the step was pending.
+	// Alive means that the target answered a probe on a new connection while the step was pending, or that nothing says that it has
+	// failed, as this node reaches no target at all.
 	Alive bool
 }
 
--- a/entry/internal/rerouter/rerouter.go
+++ b/entry/internal/rerouter/rerouter.go
@@ -22,6 +22,8 @@
 	checkInterval = 100 * time.Millisecond
 	checksAtOnce  = 4
 	checkTimeout  = 80 * time.Millisecond
+	// lostTargets is how many targets must have been lost since one was reached until the path to all of them counts as lost.
+	lostTargets = 3
 	// unusedAge is how long a target that is not reached is remembered after its last use.
 	unusedAge = 5 * time.Second
 	// searchInterval is the minimum time between two searches for a node that reaches a target, if the last one has found none.
@@ -36,6 +38,9 @@
 	dialTimeout = 500 * time.Millisecond
 )
 
+// ErrPathLost marks a call that was not sent while this node reaches no target: that says nothing of the target, nor of what runs there.
+var ErrPathLost = errors.New("the path to the targets is lost")
+
 // Delegates finds other nodes that reach a target, and forgets them.
 type Delegates interface {
 	Find(ctx context.Context, target identifier.ServiceID, tried []identifier.NodeID) (delegator.Delegate, bool)
@@ -70,6 +75,8 @@
 	// lost holds, by address, the targets that this node does not reach. isChecking says that they are being checked.
 	lost       map[string]*lostTarget
 	isChecking bool
+	// losses counts the targets that were lost since one was reached.
+	losses int
 }
 
 // lostTarget is a target that this node does not reach.
@@ -88,12 +95,16 @@
 	}
 }
 
-// limitedDialer opens connections within dialTimeout.
+// limitedDialer opens connections within dialTimeout, and within half of the time that is left, so that another node can be asked.
 type limitedDialer struct{ httpcaller.Dialer }
 
 // DialContext opens a connection.
 func (d limitedDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	limit := dialTimeout
+	if deadline, ok := ctx.Deadline(); ok {
+		limit = min(limit, time.Until(deadline)/2)
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	return d.Dialer.DialContext(ctx, network, address)
 }
@@ -110,12 +121,19 @@
 	}
 	if !c.isLost(address) {
 		response, err := c.direct.Do(ctx, r)
+		if err == nil {
+			c.noteReached()
+		}
 		if !errors.Is(err, httpcaller.ErrNotSent) {
 			return response, err
 		}
 		c.lose(address, err)
 	}
-	return c.doThrough(ctx, address, r)
+	response, err := c.doThrough(ctx, address, r)
+	if errors.Is(err, httpcaller.ErrNotSent) && c.isPathLost() {
+		err = errors.Mark(err, ErrPathLost)
+	}
+	return response, err
 }
 
 // Reach reports whether this node, or another one that can make calls for it, reaches a target. It sends the target nothing.
@@ -123,6 +141,7 @@
 	if !c.isLost(address) {
 		err := c.dial(ctx, address)
 		if err == nil {
+			c.noteReached()
 			return true
 		}
 		c.lose(address, err)
@@ -226,6 +245,7 @@
 		return
 	}
 	c.lost[address] = &lostTarget{usedAt: time.Now()}
+	c.losses++
 	eventlogger.Info(eventlogger.TargetUnreached, "address", address, "unreached", len(c.lost), "reason", cause.Error())
 	if !c.isChecking {
 		c.isChecking = true
@@ -282,6 +302,21 @@
 	defer c.mu.Unlock()
 	eventlogger.Info(eventlogger.TargetReachedAgain, "address", address, "unreached", len(c.lost))
 	clear(c.lost)
+	c.losses = 0
+}
+
+// noteReached notes that a target was reached directly.
+func (c *Caller) noteReached() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.losses = 0
+}
+
+// isPathLost reports whether this node reaches no target, as far as it knows.
+func (c *Caller) isPathLost() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.losses >= lostTargets
 }
 
 // endChecks ends the checks if no lost target is left, and reports whether it has.
--- a/entry/internal/rerouter/rerouter_test.go
+++ b/entry/internal/rerouter/rerouter_test.go
@@ -162,6 +162,25 @@
 	c.Check(s.calls.Load(), qt.Equals, int64(1))
 }
 
+// TestLostPathIsNotPutDownToTargets guards against targets, and requests that run there, that are blamed for the path of a node that reaches
+// none; and against a few failed targets that pass for a lost path.
+func TestLostPathIsNotPutDownToTargets(t *testing.T) {
+	c := qt.New(t)
+	s := newTarget(t)
+	n := newNode(t, nil)
+	unreached := []string{"http://127.0.0.1:1", "http://127.0.0.1:2", "http://127.0.0.1:3"}
+	for i, url := range append(unreached[:2:2], s.URL, unreached[2]) {
+		_, err := n.post(url, time.Second)
+		c.Check(errors.Is(err, rerouter.ErrPathLost), qt.IsFalse, qt.Commentf("call %d: %v", i, err))
+	}
+	n.network.isCut.Store(true)
+	_, err := n.post(s.URL, time.Second)
+	c.Check(errors.Is(err, rerouter.ErrPathLost), qt.IsFalse)
+	_, err = n.post("http://127.0.0.1:4", time.Second)
+	c.Check(errors.Is(err, rerouter.ErrPathLost), qt.IsTrue)
+	c.Check(errors.Is(err, httpcaller.ErrNotSent), qt.IsTrue)
+}
+
 // TestOtherNodeKeepsTheDeadline guards against targets that are given more time than the caller has, and against an answer of the other node
 // that comes after its caller has given up.
 func TestOtherNodeKeepsTheDeadline(t *testing.T) {
--- a/entry/internal/stepsender/stepsender.go
+++ b/entry/internal/stepsender/stepsender.go
@@ -16,6 +16,7 @@
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/entry/internal/counter"
 	"fuchsiabridge.example/entry/internal/drafter"
+	"fuchsiabridge.example/entry/internal/rerouter"
 	"fuchsiabridge.example/entry/internal/tracer"
 )
 
@@ -163,7 +164,7 @@
 	answered := make(chan bool, 1)
 	_, ok := s.pool.TrySubmit(func() {
 		_, err := s.engine.Status(ctx, address)
-		answered <- err == nil
+		answered <- err == nil || errors.Is(err, rerouter.ErrPathLost)
 	})
 	if !ok {
 		answered <- false
@@ -178,12 +179,15 @@
 }
 
 // classifyFailure distinguishes a refusal from a call without a response. If the call connected but
-// timed out, an engine that answered the probe is alive.
+// timed out, an engine that answered the probe is alive. While this node reaches no engine, each counts as alive.
 func classifyFailure(err error, probeResult <-chan bool) failure {
 	var status *httpcaller.StatusError
 	if errors.As(err, &status) {
 		return failure{status: status.Status}
 	}
+	if errors.Is(err, rerouter.ErrPathLost) {
+		return failure{alive: true}
+	}
 	if probeResult == nil || !errors.Is(err, fasthttp.ErrTimeout) {
 		return failure{}
 	}
--- a/entry/internal/stepsender/stepsender_test.go
+++ b/entry/internal/stepsender/stepsender_test.go
@@ -15,6 +15,7 @@
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/entry/internal/drafter"
+	"fuchsiabridge.example/entry/internal/rerouter"
 	"fuchsiabridge.example/entry/internal/stepsender"
 )
 
@@ -78,6 +79,8 @@
 		{"expired", engine{err: fasthttp.ErrTimeout}, false, drafter.StepFailed{}},
 		{"expired, engine alive", engine{err: fasthttp.ErrTimeout}, true, drafter.StepFailed{NewConn: true, Alive: true}},
 		{"expired, engine unresponsive", engine{err: fasthttp.ErrTimeout, statusErr: fasthttp.ErrTimeout}, true, drafter.StepFailed{NewConn: true}},
+		{"lost path", engine{err: errors.Mark(down, rerouter.ErrPathLost)}, true, drafter.StepFailed{NewConn: true, Alive: true}},
+		{"expired, lost path", engine{err: fasthttp.ErrTimeout, statusErr: errors.Mark(down, rerouter.ErrPathLost)}, true, drafter.StepFailed{NewConn: true, Alive: true}},
 		{"refused connection", engine{err: down, statusErr: down}, true, drafter.StepFailed{NewConn: true}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/integration/launcher/relay.go
+++ b/integration/launcher/relay.go
@@ -110,13 +110,16 @@
 }
 
 // TrySetCut replaces the cut between a cuttable node and its targets, unless the node does not run now.
-func (r *Relay) TrySetCut(c Cut) {
+func (r *Relay) TrySetCut(c Cut) { TrySetCutAt(r.Control, c) }
+
+// TrySetCutAt is TrySetCut for the node whose network is cut at the address control.
+func TrySetCutAt(control string, c Cut) {
 	body, err := json.Marshal(c)
 	if err != nil {
 		return
 	}
 	client := http.Client{Timeout: time.Second}
-	if resp, err := client.Post("http://"+r.Control+"/", "application/json", bytes.NewReader(body)); err == nil {
+	if resp, err := client.Post("http://"+control+"/", "application/json", bytes.NewReader(body)); err == nil {
 		_ = resp.Body.Close()
 	}
 }
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -63,6 +63,8 @@
 	// nodes holds the nodes' addresses for callers; the address of a replacement takes the place
 	// of the killed node's.
 	nodes []string
+	// controls holds the addresses at which the networks of the first nodes are cut.
+	controls []string
 	// recordOutcomes holds the outcomes that callers got, by record key.
 	recordOutcomes map[string][]responder.Outcome
 	// accepted holds the values whose changes were reported to operators as accepted, in order.
@@ -94,6 +96,7 @@
 	for i := range soakOperators {
 		work.Go(func() { s.runOperator(i) })
 	}
+	work.Go(s.cutNodes)
 	s.injectFaults()
 	work.Wait()
 	s.check()
@@ -109,7 +112,8 @@
 	f.AddService("ledger", "ledger-1")
 	f.AddService("ledger", "ledger-2")
 	for i := range soakNodes {
-		s.nodes = append(s.nodes, f.AddNode(fmt.Sprintf("node-%d", i), "").Address)
+		node, control := f.AddCuttableNode(fmt.Sprintf("node-%d", i))
+		s.nodes, s.controls = append(s.nodes, node.Address), append(s.controls, control)
 	}
 	f.Configure(soakLayers)
 	return s
