Share the load of first targets between nodes, and read what requests say of their size

A node of a large fleet has about one request of its own at a chain, so what it sees itself says next to nothing of the chain's load. Nothing is decided by it yet.

--- a/common/describer/describer.go
+++ b/common/describer/describer.go
@@ -96,8 +96,21 @@
 	// StepTime is the duration of one token step through all layers on an accelerator whose
 	// StepFactor is 1.
 	StepTime time.Duration
-	// TypicalTokens is the mean number of tokens of a request, prompt and answer together.
+	// SequenceTime is added to a step for each request that writes, ContextTime for each 1,000 tokens of its context, on an
+	// accelerator whose StepFactor is 1.
+	SequenceTime time.Duration
+	ContextTime  time.Duration
+	// ReadRate is the number of prompt tokens that are read in a second, on an accelerator whose ReadFactor is 1, and ChunkTokens
+	// the largest number that is read in one step.
+	ReadRate    float64
+	ChunkTokens int
+	// Stride is the number of steps in one pass, which yields one event of a stream.
+	Stride int
+	// ReportLag is how old the values in a target's report are when it is given.
+	ReportLag time.Duration
+	// TypicalTokens is the mean number of tokens of a request, prompt and answer together; TypicalAnswer that of the answer.
 	TypicalTokens float64
+	TypicalAnswer float64
 	Kinds         map[identifier.AcceleratorKind]Accelerator
 }
 
@@ -165,6 +178,15 @@
 	// IsBusy says that the target is executing an order.
 	IsBusy bool                  `json:"is_busy"`
 	Layers identifier.LayerRange `json:"layers"`
+	// Waiting and Running count the requests of which the target is the first one of the chain: those that it has not begun, and
+	// those that it has.
+	Waiting int `json:"waiting"`
+	Running int `json:"running"`
+	// MemoryUsed is the memory that requests hold and MemoryTotal that for requests, in tokens times layers.
+	MemoryUsed  int64 `json:"memory_used"`
+	MemoryTotal int64 `json:"memory_total"`
+	// Pace is over 1 while the target is slow, 0 if it does not say.
+	Pace float64 `json:"pace"`
 	// Stalled maps each request that makes no progress to the address of the target that it waits for.
 	Stalled map[identifier.RequestID]string `json:"stalled,omitempty"`
 	// Said is what the answer says about the target itself, to the node that has read it.
--- a/common/eventlogger/relay.go
+++ b/common/eventlogger/relay.go
@@ -44,12 +44,16 @@
 	PathRestored           = Event{8040, "path to the targets of a service restored"}
 	RequestDelegated       = Event{8041, "request handed over to another node"}
 	DelegatesFound         = Event{8042, "search for nodes that take requests ended"}
+	LoadsStale             = Event{8043, "load reports of targets are out of date"}
+	LoadsRecent            = Event{8044, "load reports of targets are recent again"}
 )
 
 func relayEvents() []Event {
 	return []Event{
 		RequestEnded,
 		AttemptEnded,
+		LoadsStale,
+		LoadsRecent,
 		ConfigurationChanged,
 		ConfigurationStale,
 		ConfigurationConfirmed,
--- a/entry/internal/chooser/chains.go
+++ b/entry/internal/chooser/chains.go
@@ -178,6 +178,20 @@
 	return cost * (1 + hopFactor*float64(chain.Hops)) * max(1, float64(first)/float64(typicalFirstEvent))
 }
 
+// FirstTargets calls use with the first target of each planned chain that wants requests now, once for each.
+func (c *Chooser) FirstTargets(now time.Time, use func(target identifier.TargetID, address string)) {
+	seen := map[identifier.TargetID]bool{}
+	for _, s := range c.services {
+		for _, chain := range s.chains {
+			first := chain.Stages[0]
+			if !seen[first.Target] && !c.isShut(now, first.Target) {
+				seen[first.Target] = true
+				use(first.Target, first.Address)
+			}
+		}
+	}
+}
+
 // Chains returns the status of the planned chains.
 func (c *Chooser) Chains() []describer.ChainStatus {
 	out := []describer.ChainStatus{}
--- a/entry/internal/commander/relay.go
+++ b/entry/internal/commander/relay.go
@@ -30,6 +30,8 @@
 	"fuchsiabridge.example/entry/internal/granter"
 	"fuchsiabridge.example/entry/internal/joiner"
 	"fuchsiabridge.example/entry/internal/limiter"
+	"fuchsiabridge.example/entry/internal/loadpoller"
+	"fuchsiabridge.example/entry/internal/loadtracker"
 	"fuchsiabridge.example/entry/internal/meter"
 	"fuchsiabridge.example/entry/internal/peercaller"
 	"fuchsiabridge.example/entry/internal/receiver"
@@ -71,6 +73,7 @@
 		{Name: "store-parts", Default: "12", Usage: "partitions of a topic of the store, 1 to 1000; the retry slack is divided among them; a fraction is rounded down", Check: optionparser.IsAmount(1, maxPartitions), IsRoundedDown: true},
 		{Name: "retry-window", Default: "10s", Usage: "window over which the retry ratio is enforced", Check: optionparser.IsDuration},
 		{Name: "heartbeat", Default: "1200ms", Usage: "interval at which a target reports to the store that it is alive", Check: optionparser.IsDuration},
+		{Name: "load-interval", Default: "0s", Usage: "interval at which nodes that read the store request load reports of the first targets of chains; 0s requests none, and chains are chosen by what each node sees itself", Check: optionparser.IsDuration},
 		{Name: "balancer-lag", Default: "2600ms", Usage: "how long a stopping node still accepts requests, so that the load balancer can detect that it is unready", Check: optionparser.IsDuration},
 		{Name: "stop-limit", Default: "8s", Usage: "maximum time a stopping node waits for requests in progress", Check: optionparser.IsDuration},
 		{Name: "trace-endpoint", Usage: "OTLP over HTTP endpoint for spans, host:port; disabled when empty"},
@@ -118,6 +121,7 @@
 	reporter  *crashreporter.Reporter
 	granter   *granter.Granter
 	peers     *peercaller.Caller
+	loads     *loadpoller.Poller
 }
 
 // newRelayNode returns a node whose calls end with ctx.
@@ -185,10 +189,20 @@
 	n.joiner = joiner.NewJoiner(store, joiner.Config{
 		Self: self, StorePartitions: values.Number("store-parts"), RetrySlack: int(slackShare * values.Amount("retry-slack")),
 	}, n.relayer.Submit)
+	learnLoads := func(r []loadtracker.Report) { n.relayer.Submit(dispatcher.LoadsLearned{Reports: r}) }
+	n.loads = loadpoller.NewPoller(loadpoller.Config{
+		Interval: values.Duration("load-interval"), Targets: n.relayer,
+		IsAsking: func() bool { return values.Text("peer-listen") == "" || n.joiner.IsReader() },
+		Record: func(r []loadtracker.Report) {
+			updates.RecordLoads(r)
+			learnLoads(r)
+		},
+	})
 	n.follower = follower.NewFollower(store, n.peers, n.joiner, updates, follower.Config{
 		Self:         self,
 		LearnCrashes: func(r sharer.CrashReport) { n.reporter.Learn(r) },
 		LearnLimits:  func(r []limiter.Report) { n.granter.Learn(r) },
+		LearnLoads:   learnLoads,
 	}, n.relayer.Submit)
 	n.reporter = crashreporter.NewReporter(crashreporter.Config{
 		Self: values.Text("peer-listen"), Peers: n.peers, Readers: n.joiner, Store: store, Sharer: updates, Submit: n.relayer.Submit,
@@ -229,6 +243,7 @@
 	go n.reporter.LoadPoison(ctx)
 	go n.reporter.KeepPoison(ctx)
 	go n.granter.KeepHolders(ctx)
+	go n.loads.Run(ctx)
 	if n.values.Text("peer-listen") != "" {
 		go n.follower.FollowPeers(ctx)
 		go n.reporter.SendCrashReports(ctx)
--- a/entry/internal/dispatcher/crashes.go
+++ b/entry/internal/dispatcher/crashes.go
@@ -115,6 +115,7 @@
 func (d *Dispatcher) targetsChanged(now time.Time, targets []registrar.Target) []messenger.Effect {
 	d.chooser.SetTargets(targets)
 	d.keepLimits(targets)
+	d.loads.Keep(d.chooser.IsTarget)
 	return append(d.setPathTargets(now, targets), d.applyFindings(now, d.crashTracker.SetTargets(now, targets))...)
 }
 
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -15,11 +15,13 @@
 	"fuchsiabridge.example/entry/internal/crashtracker"
 	"fuchsiabridge.example/entry/internal/fingerprinter"
 	"fuchsiabridge.example/entry/internal/limiter"
+	"fuchsiabridge.example/entry/internal/loadtracker"
 	"fuchsiabridge.example/entry/internal/pathtracker"
 	"fuchsiabridge.example/entry/internal/placer"
 	"fuchsiabridge.example/entry/internal/registrar"
 	"fuchsiabridge.example/entry/internal/router"
 	"fuchsiabridge.example/entry/internal/trier"
+	"fuchsiabridge.example/entry/internal/workestimator"
 )
 
 const (
@@ -96,6 +98,8 @@
 	deadline time.Time
 	// key identifies the request if it comes again.
 	key fingerprinter.Key
+	// size is what the request says of its prompt and its answer.
+	size workestimator.Size
 	// seed determines the jitter of the Retry-After delay.
 	seed uint64
 	// attempts counts all attempts, executions only those that may have run.
@@ -161,6 +165,9 @@
 	// leaseUntil is until when this node holds the lease, which no two nodes do at the same time.
 	leaseUntil time.Time
 	retries    *budgeter.Budgets
+	// loads holds what first targets report of their load, works what the answers of each route have been.
+	loads *loadtracker.Tracker
+	works *workestimator.Estimator
 }
 
 // NewDispatcher returns a dispatcher without a configuration.
@@ -168,6 +175,7 @@
 	return &Dispatcher{
 		cfg: cfg, chooser: chooser.NewChooser(cfg.DataCentre), crashTracker: crashtracker.NewTracker(), limits: limiter.NewTracker(), paths: pathtracker.NewTracker(),
 		refusals: map[identifier.TargetID]int{}, unreadable: map[identifier.TargetID]unreadableFields{}, requests: map[identifier.CallID]*request{},
+		loads: loadtracker.NewTracker(), works: workestimator.NewEstimator(),
 		trials: trier.NewTrier(), retries: budgeter.NewBudgets(budgeter.Config{Ratio: cfg.RetryRatio, Window: cfg.RetryWindow}),
 	}
 }
@@ -224,6 +232,8 @@
 		return d.grantAnswered(now, ev)
 	case CrashesReported:
 		return d.crashesReported(now, ev)
+	case LoadsLearned:
+		d.loads.Learn(now, ev.Reports)
 	case messenger.Tick:
 		return d.tick(now)
 	}
@@ -267,6 +277,7 @@
 	effects := append(d.startChecks(now), d.confirmTraits(now)...)
 	effects = append(effects, d.endQuiet(now)...)
 	effects = append(effects, d.checkPaths(now)...)
+	effects = append(effects, d.checkLoads(now)...)
 	if d.isStale || d.table == nil || d.isFresh(now) {
 		return effects
 	}
@@ -278,7 +289,7 @@
 }
 
 func (d *Dispatcher) requestArrived(now time.Time, ev RequestArrived) []messenger.Effect {
-	r := &request{id: ev.ID, arrived: now, deadline: ev.Deadline, seed: ev.Seed, delegation: newDelegation(ev.Terms)}
+	r := &request{id: ev.ID, arrived: now, deadline: ev.Deadline, seed: ev.Seed, size: ev.Size, delegation: newDelegation(ev.Terms)}
 	d.requests[ev.Call] = r
 	if d.table == nil {
 		return d.refuse(now, ev.Call, http.StatusServiceUnavailable, unreadyRetryAfter, "no configuration yet")
@@ -371,6 +382,7 @@
 		d.retries.CountRetry(now, r.service)
 	}
 	d.limits.CountSend(out.Target)
+	d.loads.Sent(out.Target)
 	r.attempts++
 	r.sent, r.before, r.eventsBefore = now, before, r.events
 	r.target, r.chain, r.delegate, r.runs = out.Target, out.Chain, "", 1
--- a/entry/internal/dispatcher/messages.go
+++ b/entry/internal/dispatcher/messages.go
@@ -10,8 +10,10 @@
 	"fuchsiabridge.example/entry/internal/crashrecorder"
 	"fuchsiabridge.example/entry/internal/delegator"
 	"fuchsiabridge.example/entry/internal/limiter"
+	"fuchsiabridge.example/entry/internal/loadtracker"
 	"fuchsiabridge.example/entry/internal/meter"
 	"fuchsiabridge.example/entry/internal/router"
+	"fuchsiabridge.example/entry/internal/workestimator"
 )
 
 // ConfigurationRead is the event that a version of the configuration was read.
@@ -40,12 +42,17 @@
 	Group identifier.Fingerprint
 	// Parts are those of the prompt that other requests share.
 	Parts []identifier.PromptPart
+	// Size is what the request says of its prompt and its answer.
+	Size workestimator.Size
 	// Terms are those under which another node has handed the request over, nil for a request of this node's own caller.
 	Terms *delegator.Terms
 	// Seed is a random number for weighted and randomized choices.
 	Seed uint64
 }
 
+// LoadsLearned is the event that targets have reported their load, to this node or to one that it follows.
+type LoadsLearned struct{ Reports []loadtracker.Report }
+
 // CrashesReported is the event that other nodes have reported requests that crashed targets, or requests and traits that
 // have been answered since they seemed to.
 type CrashesReported struct {
--- a/entry/internal/follower/follower.go
+++ b/entry/internal/follower/follower.go
@@ -18,6 +18,7 @@
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/joiner"
 	"fuchsiabridge.example/entry/internal/limiter"
+	"fuchsiabridge.example/entry/internal/loadtracker"
 	"fuchsiabridge.example/entry/internal/registrar"
 	"fuchsiabridge.example/entry/internal/router"
 	"fuchsiabridge.example/entry/internal/sharer"
@@ -89,6 +90,8 @@
 	LearnCrashes func(sharer.CrashReport)
 	// LearnLimits applies what a peer has told of the request limits of targets.
 	LearnLimits func([]limiter.Report)
+	// LearnLoads applies what a peer has told of the load of targets.
+	LearnLoads func([]loadtracker.Report)
 }
 
 // NewFollower returns a follower that submits events and records what it reads in the sharer.
--- a/entry/internal/relayer/serving.go
+++ b/entry/internal/relayer/serving.go
@@ -21,6 +21,7 @@
 	"fuchsiabridge.example/entry/internal/forwarder"
 	"fuchsiabridge.example/entry/internal/receiver"
 	"fuchsiabridge.example/entry/internal/tracer"
+	"fuchsiabridge.example/entry/internal/workestimator"
 	"fuchsiabridge.example/platform/targetcaller"
 	"fuchsiabridge.example/platform/translator"
 )
@@ -68,6 +69,9 @@
 		Call: s.call, ID: request.ID, Host: string(h.Host()), Path: string(h.RequestURI()),
 		Key: request.Key, Seed: rand.Uint64(), Fingerprint: fingerprint(h.Method(), h.Host(), h.RequestURI(), c.Body()), Group: fingerprint(path(h), c.Body()),
 		Parts: request.Parts, Terms: terms,
+		Size: workestimator.Size{
+			Prompt: workestimator.Tokens(request.PromptTokens), MaxAnswer: workestimator.Tokens(request.MaxAnswerTokens), Hint: workestimator.Tokens(request.AnswerHint),
+		},
 	}
 	if request.Timeout > 0 {
 		arrived.Deadline = bootclock.Now().Add(request.Timeout)
--- a/entry/internal/relayer/targets.go
+++ b/entry/internal/relayer/targets.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -17,6 +18,8 @@
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/forwarder"
 	"fuchsiabridge.example/entry/internal/limiter"
+	"fuchsiabridge.example/entry/internal/loadpoller"
+	"fuchsiabridge.example/entry/internal/loadtracker"
 	"fuchsiabridge.example/entry/internal/placer"
 	"fuchsiabridge.example/platform/targetcaller"
 )
@@ -81,6 +84,33 @@
 	return report, err
 }
 
+// FirstTargets returns the first targets of the planned chains that may be called now.
+func (x *Relayer) FirstTargets() []loadpoller.Target {
+	x.Submit(dispatcher.ChainsWanted{})
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var out []loadpoller.Target
+	x.dispatch.FirstTargets(bootclock.Now(), func(target identifier.TargetID, address string) {
+		out = append(out, loadpoller.Target{ID: target, Address: address})
+	})
+	return out
+}
+
+// ReportLoad requests the report of a target's load. Its values are as old as the engine says that they are.
+func (x *Relayer) ReportLoad(ctx context.Context, t loadpoller.Target) (loadtracker.Report, error) {
+	report, err := x.targets.Report(ctx, t.Address)
+	if err != nil {
+		return loadtracker.Report{}, err
+	}
+	return loadtracker.NewReport(t.ID, report, x.reportLagOf(t.ID)), nil
+}
+
+func (x *Relayer) reportLagOf(target identifier.TargetID) time.Duration {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.dispatch.ReportLag(target)
+}
+
 // probe asks the first target of a chain which target the request is waiting for.
 func (x *Relayer) probe(ctx context.Context, e dispatcher.Probe, id identifier.RequestID) dispatcher.Probed {
 	if _, isLost := x.lostPath(e.Target); isLost {
--- a/entry/internal/sharer/sharer.go
+++ b/entry/internal/sharer/sharer.go
@@ -17,6 +17,7 @@
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/entry/internal/crashrecorder"
 	"fuchsiabridge.example/entry/internal/limiter"
+	"fuchsiabridge.example/entry/internal/loadtracker"
 )
 
 // Names of the peer calls that ask for updates, ask for the current configuration, and report requests
@@ -80,6 +81,9 @@
 	Packed []byte `json:"packed,omitempty"`
 	// Outages counts the outages of the store that the sharer has seen end.
 	Outages int `json:"outages"`
+	// Loads are the reports of targets' load since the query's revision. They are not compressed with the contents, as their ages
+	// are those at the time of the answer.
+	Loads []loadtracker.Report `json:"loads,omitempty"`
 	// Configuration is the offset up to which the sharer knows configurations, in an era of the store.
 	Configuration identifier.Offset `json:"configuration"`
 	Era           identifier.Era    `json:"era,omitempty"`
@@ -133,6 +137,7 @@
 	crashes       []crash
 	cleared       []clearance
 	limits        map[identifier.TargetID]limit
+	loads         map[identifier.TargetID]load
 	outages       int
 	configuration identifier.StorePosition
 	// source is the text of the newest configuration and version its number; packed is the compressed text once a peer has asked for it.
@@ -148,7 +153,7 @@
 func NewSharer() *Sharer {
 	return &Sharer{
 		id: strconv.FormatUint(rand.Uint64(), idBase), packedUpdates: map[updateSpan]packedUpdate{},
-		entries: map[identifier.TargetID]entry{}, limits: map[identifier.TargetID]limit{}, changed: make(chan struct{}),
+		entries: map[identifier.TargetID]entry{}, limits: map[identifier.TargetID]limit{}, loads: map[identifier.TargetID]load{}, changed: make(chan struct{}),
 	}
 }
 
@@ -356,5 +361,6 @@
 	report := s.newCrashes(since)
 	update.Crashes, update.Cleared = report.Crashes, report.Cleared
 	update.Limits = s.newLimits(since)
+	update.Loads = s.newLoads(bootclock.Now(), since)
 	return update, s.changed, nil
 }
