Take no answer for one that has no valid status

Cause: the HTTP library returns 200 for the status 000, and passes on 600 to 999, so that a target in trouble reached the caller as a success with its seal.

--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -14,6 +14,7 @@
 	"fuchsiabridge.example/common/bootclock"
 	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/common/statuschecker"
 	"fuchsiabridge.example/entry/internal/bodyreader"
 	"fuchsiabridge.example/entry/internal/connector"
 	"fuchsiabridge.example/entry/internal/delegator"
@@ -40,6 +41,8 @@
 var (
 	// errInformational is returned for too many informational answers.
 	errInformational = errors.New("too many informational answers")
+	// errSwitching is returned for an answer that changes the protocol, which no request asks for.
+	errSwitching = errors.New("answer changes the protocol")
 	// errTooLarge is returned for an answer, or an event of a stream, that is larger than the limit.
 	errTooLarge = errors.New("answer is too large")
 )
@@ -254,21 +257,23 @@
 func (x *Exchange) readHeader() error {
 	x.resp = &fasthttp.Response{}
 	for range maxInformational {
+		status, err := statuschecker.Peek(x.conn.R)
+		if err != nil {
+			return err
+		}
 		if err := x.resp.Header.Read(x.conn.R); err != nil {
 			return err
 		}
-		if !isInformational(x.resp.StatusCode()) {
+		if status == fasthttp.StatusSwitchingProtocols {
+			return errSwitching
+		}
+		if statuschecker.IsFinal(status) {
 			return nil
 		}
 	}
 	return errInformational
 }
 
-// isInformational reports whether another answer follows one with the given status.
-func isInformational(status int) bool {
-	return status/100 == 1 && status != fasthttp.StatusSwitchingProtocols
-}
-
 // reportAnswer reports what the head of an answer says of the target, unless the answer belongs to another request.
 func (x *Exchange) reportAnswer() {
 	answer := x.readAnswer()
