Let one node request load reports for all

Cause: each reader asked all first targets. The holder of the lease asks and passes the reports on to the other readers; a reader that gets none for three intervals asks itself.

--- a/entry/internal/commander/relay.go
+++ b/entry/internal/commander/relay.go
@@ -134,7 +134,7 @@
 	store := storecaller.NewCaller(http, values.Text("store"))
 	self := storecaller.Member{Node: n.id, DataCentre: dc, Address: values.Text("peer-listen")}
 	// A call that gets no answer in time closes its connection, so calls with different timeouts have connections of their own.
-	questions, offers, targetCalls := peercaller.NewCaller(nil, nil), peercaller.NewCaller(nil, nil), peercaller.NewCaller(nil, nil)
+	questions, offers, targetCalls, loadCalls := peercaller.NewCaller(nil, nil), peercaller.NewCaller(nil, nil), peercaller.NewCaller(nil, nil), peercaller.NewCaller(nil, nil)
 	hasPeers := values.Text("peer-listen") != "" && values.Text("delegate-listen") != ""
 	var delegates relayer.Delegates
 	if hasPeers {
@@ -179,6 +179,9 @@
 		},
 		sharer.CrashesMethod:  updates.ServeCrashes,
 		delegator.OfferMethod: n.relayer.ServeOffer, relayer.ReportMethod: n.relayer.ServeReport, relayer.OrderMethod: n.relayer.ServeOrder,
+		loadpoller.LoadsMethod: func(ctx context.Context, params json.RawMessage) (any, error) {
+			return n.loads.ServeLoads(ctx, params)
+		},
 		granter.GrantMethod: func(ctx context.Context, params json.RawMessage) (any, error) {
 			return n.granter.ServeGrant(ctx, params)
 		},
@@ -192,7 +195,7 @@
 	learnLoads := func(r []loadtracker.Report) { n.relayer.Submit(dispatcher.LoadsLearned{Reports: r}) }
 	n.loads = loadpoller.NewPoller(loadpoller.Config{
 		Interval: values.Duration("load-interval"), Targets: n.relayer,
-		IsAsking: func() bool { return values.Text("peer-listen") == "" || n.joiner.IsReader() },
+		Duty: n.loadDuty, Peers: loadCalls, Readers: n.readerAddresses,
 		Record: func(r []loadtracker.Report) {
 			updates.RecordLoads(r)
 			learnLoads(r)
@@ -213,6 +216,30 @@
 	return n
 }
 
+// loadDuty returns whether this node requests load reports: the holder of the lease does for all nodes, other readers while they get none.
+func (n *relayNode) loadDuty() loadpoller.Duty {
+	switch {
+	case n.values.Text("peer-listen") == "", n.joiner.HoldsLease():
+		return loadpoller.FullDuty
+	case n.joiner.IsReader():
+		return loadpoller.ReaderDuty
+	}
+	return loadpoller.NoDuty
+}
+
+// readerAddresses returns the addresses of the other nodes that read the store, as far as they are known.
+func (n *relayNode) readerAddresses(ctx context.Context) []string {
+	readers, err := n.joiner.CurrentReaders(ctx)
+	if err != nil {
+		eventlogger.Error(err, eventlogger.CallFailed, "doing", "looking up the peers that load reports are passed on to")
+	}
+	addresses := make([]string, 0, len(readers))
+	for _, r := range readers {
+		addresses = append(addresses, r.Address)
+	}
+	return addresses
+}
+
 // listen opens all listeners, serves all but the callers' one until ctx ends, and returns the callers' one.
 func (n *relayNode) listen(ctx context.Context) (net.Listener, error) {
 	callers, err := listen(ctx, n.values.Text("listen"), nil)
--- a/entry/internal/joiner/holders.go
+++ b/entry/internal/joiner/holders.go
@@ -37,6 +37,12 @@
 	return t, ok
 }
 
+// HoldsLease reports whether this node holds the lease.
+func (j *Joiner) HoldsLease() bool {
+	t, ok := j.Tenure(leasePartition)
+	return ok && !t.IsExpired(bootclock.Now())
+}
+
 // Holder returns the node that held a partition at the last lookup, and false if none is known.
 func (j *Joiner) Holder(partition int) (storecaller.Member, bool) {
 	j.mu.Lock()
--- a/entry/internal/loadpoller/loadpoller_test.go
+++ b/entry/internal/loadpoller/loadpoller_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -35,30 +38,81 @@
 	return loadtracker.Report{Target: t.ID, Running: 7}, nil
 }
 
-// TestSilentTargetHidesNoOthers guards against one target without an answer that keeps the load of all others from the nodes.
+// peers records the calls to other nodes.
+type peers struct{ calls chan string }
+
+func (p peers) Call(_ context.Context, address, method string, params, _ any) error {
+	p.calls <- fmt.Sprintf("%s %s %d", method, address, len(params.([]loadtracker.Report)))
+	return nil
+}
+
+// run runs a poller with a duty, and returns the rounds that it records and the calls that it makes.
+func run(t *testing.T, duty loadpoller.Duty) (p *loadpoller.Poller, rounds chan []loadtracker.Report, calls chan string) {
+	rounds, calls = make(chan []loadtracker.Report, 1000), make(chan string, 1000)
+	p = loadpoller.NewPoller(loadpoller.Config{
+		Interval: 20 * time.Millisecond, Targets: targets{}, Record: func(r []loadtracker.Report) { rounds <- r },
+		Duty: func() loadpoller.Duty { return duty }, Peers: peers{calls}, Readers: func(context.Context) []string { return []string{"r1", "r2"} },
+	})
+	go p.Run(t.Context())
+	return p, rounds, calls
+}
+
+// TestSilentTargetHidesNoOthers guards against one target without an answer that keeps the load of all others from the nodes. The node that
+// asks for all passes the reports on to the other readers.
 func TestSilentTargetHidesNoOthers(t *testing.T) {
 	c := qt.New(t)
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	rounds := make(chan []loadtracker.Report, 100)
-	isAsking := false
-	p := loadpoller.NewPoller(loadpoller.Config{
-		Interval: 5 * time.Millisecond, Targets: targets{}, Record: func(r []loadtracker.Report) { rounds <- r },
-		// The first look finds that this node does not ask.
-		IsAsking: func() bool { was := isAsking; isAsking = true; return was },
-	})
-	go p.Run(ctx)
-	for range 2 {
-		got := map[identifier.TargetID]bool{}
-		for _, r := range <-rounds {
-			got[r.Target] = true
+	_, rounds, calls := run(t, loadpoller.FullDuty)
+	got := map[identifier.TargetID]bool{}
+	for _, r := range <-rounds {
+		got[r.Target] = true
+	}
+	c.Assert(got, qt.DeepEquals, map[identifier.TargetID]bool{"a": true, "b": true})
+	told := []string{<-calls, <-calls}
+	slices.Sort(told)
+	c.Assert(told, qt.DeepEquals, []string{"loads r1 2", "loads r2 2"})
+}
+
+// TestReaderAsksWhileItIsToldNothing guards against readers without reports after the node that asks for all has failed, and against each
+// reader asking all targets while one does that for them.
+func TestReaderAsksWhileItIsToldNothing(t *testing.T) {
+	c := qt.New(t)
+	p, rounds, calls := run(t, loadpoller.ReaderDuty)
+	c.Assert(<-rounds, qt.HasLen, 2)
+	for len(rounds) > 0 {
+		<-rounds
+	}
+	told := []loadtracker.Report{{Target: "x", Running: 1}}
+	params, err := json.Marshal(told)
+	c.Assert(err, qt.IsNil)
+	// A round that has begun before may still end.
+	asked := 0
+	for range 30 {
+		_, err := p.ServeLoads(context.Background(), params)
+		c.Assert(err, qt.IsNil)
+		for len(rounds) > 0 {
+			if len(<-rounds) == 2 {
+				asked++
+			}
 		}
-		c.Assert(got, qt.DeepEquals, map[identifier.TargetID]bool{"a": true, "b": true})
+		time.Sleep(10 * time.Millisecond)
 	}
+	c.Assert(asked <= 1, qt.IsTrue, qt.Commentf("asked %d times", asked))
+	for {
+		if r := <-rounds; len(r) == 2 {
+			break
+		}
+	}
+	c.Assert(calls, qt.HasLen, 0, qt.Commentf("only the node that asks for all passes reports on"))
 }
 
-// TestNoIntervalAsksNothing checks that a deployment without the setting sends no request for a report.
-func TestNoIntervalAsksNothing(t *testing.T) {
-	p := loadpoller.NewPoller(loadpoller.Config{IsAsking: func() bool { t.Error("asked"); return true }, Targets: targets{}})
+// TestFollowerAsksNothing checks that nodes that follow a reader send no request, and none does in a deployment without the setting.
+func TestFollowerAsksNothing(t *testing.T) {
+	_, rounds, _ := run(t, loadpoller.NoDuty)
+	p := loadpoller.NewPoller(loadpoller.Config{Duty: func() loadpoller.Duty { return loadpoller.FullDuty }, Targets: targets{}})
 	p.Run(context.Background())
+	select {
+	case <-rounds:
+		t.Error("asked")
+	case <-time.After(100 * time.Millisecond):
+	}
 }
