Choose chains by reported load, and avoid targets that reject requests for longer

Cause: a node of a large fleet chose chains by its own few requests, and avoided a target that had rejected one for 250 ms only.

With recent load reports a chain is now chosen at random by what is free at its first target and by the time of a step. The time for which a rejecting target is avoided doubles up to 2 s, and its share returns over the same time. The new packages weigher and avoider hold this; suspicions and quiet times move to avoider, so that chooser and dispatcher do not grow.

Tests of chooser, dispatcher and decoder pass; the new packages have no tests of their own yet.

--- a/common/describer/describer.go
+++ b/common/describer/describer.go
@@ -111,7 +111,26 @@
 	// TypicalTokens is the mean number of tokens of a request, prompt and answer together; TypicalAnswer that of the answer.
 	TypicalTokens float64
 	TypicalAnswer float64
-	Kinds         map[identifier.AcceleratorKind]Accelerator
+	// Slots is the number of requests that a first target runs at a time, 0 if it is not said.
+	Slots int
+	// Delays are the delays between data centres that are known.
+	Delays map[Link]time.Duration
+	Kinds  map[identifier.AcceleratorKind]Accelerator
+}
+
+// Link is the network from one data centre to another one.
+type Link struct{ From, To identifier.DataCentre }
+
+// Delay returns the delay between two data centres, in the direction that is known, and false if neither is.
+func (e *Engine) Delay(from, to identifier.DataCentre) (time.Duration, bool) {
+	if from == to {
+		return 0, true
+	}
+	d, ok := e.Delays[Link{From: from, To: to}]
+	if !ok {
+		d, ok = e.Delays[Link{From: to, To: from}]
+	}
+	return d, ok
 }
 
 // Includes reports whether the model has all layers of a range. A target that names others is none of the model's.
--- a/common/describer/status.go
+++ b/common/describer/status.go
@@ -34,12 +34,24 @@
 	Limits []LimitStatus `json:"limits,omitempty"`
 	// Quiet are the targets that want no requests for a while.
 	Quiet []QuietStatus `json:"quiet,omitempty"`
+	// Rejections tells of the targets that are avoided as they reject requests.
+	Rejections RejectionStatus `json:"rejections"`
 	// HoldsLease says that the node holds the lease to send orders, with the fencing token Fence.
 	HoldsLease bool                    `json:"holds_lease"`
 	Fence      identifier.FencingToken `json:"fence"`
 	Chains     []ChainStatus           `json:"chains"`
 }
 
+// RejectionStatus tells of targets that are avoided as they reject requests.
+type RejectionStatus struct {
+	// Avoided counts the targets that are avoided now. Own counts how often the node began to avoid one since its start as it rejected a
+	// request of this node, Learned as other nodes said so, and Dropped how often it ended that early, as others said so of too many targets.
+	Avoided int `json:"avoided"`
+	Own     int `json:"own"`
+	Learned int `json:"learned"`
+	Dropped int `json:"dropped"`
+}
+
 // ShareStatus describes a node's share of the retries that all nodes together may make beyond the ratio.
 type ShareStatus struct {
 	// Held is the share that the node holds, HeldMS for how long, in milliseconds; Least is the smallest one that it
--- a/common/eventlogger/relay.go
+++ b/common/eventlogger/relay.go
@@ -46,6 +46,7 @@
 	DelegatesFound         = Event{8042, "search for nodes that take requests ended"}
 	LoadsStale             = Event{8043, "load reports of targets are out of date"}
 	LoadsRecent            = Event{8044, "load reports of targets are recent again"}
+	TargetRejects          = Event{8046, "target avoided as it rejects requests"}
 )
 
 func relayEvents() []Event {
@@ -54,6 +55,7 @@
 		AttemptEnded,
 		LoadsStale,
 		LoadsRecent,
+		TargetRejects,
 		ConfigurationChanged,
 		ConfigurationStale,
 		ConfigurationConfirmed,
--- a/entry/internal/chooser/chains.go
+++ b/entry/internal/chooser/chains.go
@@ -13,6 +13,7 @@
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/entry/internal/chainer"
+	"fuchsiabridge.example/entry/internal/weigher"
 )
 
 // plan recomputes the chains of a service with an engine.
@@ -26,6 +27,7 @@
 		holders = c.holders(s, true)
 		s.chains = chainer.NewPlanner(s.engine, holders).Plan(maxChainsPerDataCentre)
 	}
+	c.weigh(s)
 	var chains []string
 	for _, chain := range s.chains {
 		chains = append(chains, chain.String())
@@ -43,7 +45,7 @@
 		if (t.IsLeaving && !t.IsClosing) || t.Layers.Len() == 0 || !s.engine.Includes(t.Layers) {
 			continue
 		}
-		if !includeEjected && (t.IsEjected || c.isSuspected(t.ID)) {
+		if !includeEjected && (t.IsEjected || c.IsSuspected(t.ID)) {
 			continue
 		}
 		accelerator := s.engine.Kinds[t.Kind]
@@ -87,43 +89,57 @@
 	return effects
 }
 
-// Chain returns the chain with the lowest load relative to its capacity and speed, nil if
-// there is none. It prefers chains that don't begin at a target tried before and include no
-// avoided target, then chains without avoided targets, then any chain, but none that begins at a
-// target that is shut. Each of many nodes sees
+// Chain returns the chain for a request with a prompt, nil if there is none: while there are recent load reports, a random one by the weights of the
+// chains, else the one with the lowest load relative to its capacity and speed. It prefers chains that don't begin at a
+// target tried before and include no avoided target, of these the ones that may read the prompt now, then chains without avoided targets,
+// then any chain, but none that begins at a target that is shut. Each of many nodes sees
 // few of the requests, so the choice among chains that the node does not use is random,
 // weighted so that all nodes together load each chain by its weight.
-func (c *Chooser) Chain(now time.Time, id identifier.ServiceID, seed uint64, tried []identifier.TargetID) *chainer.Chain {
+func (c *Chooser) Chain(now time.Time, id identifier.ServiceID, seed uint64, tried []identifier.TargetID, prompt weigher.Prompt) *chainer.Chain {
 	s := c.services[id]
 	if s == nil {
 		return nil
 	}
-	isAvoided := func(chain chainer.Chain) bool { return c.isAvoided(now, chain.Stages) }
-	for _, isExcluded := range []func(chainer.Chain) bool{
-		func(chain chainer.Chain) bool {
-			return slices.Contains(tried, chain.Stages[0].Target) || isAvoided(chain)
-		},
+	weights := c.weights(now, s)
+	isAvoided := func(i int) bool { return c.isWithheld(now, s.chains[i].Stages, seed) }
+	isExcluded := func(i int) bool { return slices.Contains(tried, s.chains[i].Stages[0].Target) || isAvoided(i) }
+	mayNotRead := func(i int) bool { return weights != nil && !c.weigher.MayRead(now, s.weighed, i, prompt) }
+	for _, isLeftOut := range []func(i int) bool{
+		func(i int) bool { return isExcluded(i) || mayNotRead(i) },
+		isExcluded,
 		isAvoided,
-		func(chainer.Chain) bool { return false },
+		func(int) bool { return false },
 	} {
-		if best := c.cheapest(now, s, seed, isExcluded); best != nil {
-			return best
+		i := c.cheapest(now, s, seed, weights, isLeftOut)
+		if i < 0 {
+			continue
+		}
+		if weights != nil {
+			c.weigher.Read(now, s.weighed, i, prompt)
 		}
+		return &s.chains[i]
 	}
 	return nil
 }
 
-func (c *Chooser) cheapest(now time.Time, s *service, seed uint64, isExcluded func(chainer.Chain) bool) *chainer.Chain {
-	var best *chainer.Chain
-	lowest := math.Inf(1)
+// cheapest returns the index of the chain with the lowest cost, -1 if there is none. A random cost, divided by the weight, is lowest with a
+// probability in proportion to the weight.
+func (c *Chooser) cheapest(now time.Time, s *service, seed uint64, weights []float64, isLeftOut func(i int) bool) int {
+	best, lowest := -1, math.Inf(1)
 	for i := range s.chains {
 		chain := &s.chains[i]
-		if isExcluded(*chain) || c.isShut(now, chain.Stages[0].Target) {
+		if isLeftOut(i) || c.IsShut(now, chain.Stages[0].Target) {
 			continue
 		}
 		jitter := rand.New(rand.NewPCG(seed, uint64(i))).ExpFloat64()
-		if cost := c.chainCost(now, chain, jitter); cost < lowest {
-			best, lowest = chain, cost
+		cost := 0.0
+		if weights != nil {
+			cost = jitter / max(weights[i], math.SmallestNonzeroFloat64)
+		} else {
+			cost = c.chainCost(now, chain, jitter)
+		}
+		if cost < lowest {
+			best, lowest = i, cost
 		}
 	}
 	return best
@@ -133,7 +149,7 @@
 func (c *Chooser) HasOtherChain(now time.Time, id identifier.ServiceID) bool {
 	s := c.services[id]
 	return s != nil && slices.ContainsFunc(s.chains, func(chain chainer.Chain) bool {
-		return !c.isAvoided(now, chain.Stages) && !c.isShut(now, chain.Stages[0].Target)
+		return !c.isAvoided(now, chain.Stages) && !c.IsShut(now, chain.Stages[0].Target)
 	})
 }
 
@@ -146,7 +162,7 @@
 	}
 	holders := c.holders(s, false)
 	free := slices.DeleteFunc(slices.Clone(holders), func(h chainer.Holder) bool {
-		return h.Address != first.Address && now.Before(c.avoided[h.Address])
+		return h.Address != first.Address && c.IsAvoided(now, h.Target, h.Address)
 	})
 	if chain, ok := chainer.NewPlanner(s.engine, free).ContinueFrom(first); ok {
 		return chain, true
@@ -156,10 +172,12 @@
 
 // isAvoided reports whether a chain includes a target that is avoided for now.
 func (c *Chooser) isAvoided(now time.Time, chain []describer.Stage) bool {
-	if len(c.avoided) == 0 {
-		return false
-	}
-	return slices.ContainsFunc(chain, func(p describer.Stage) bool { return now.Before(c.avoided[p.Address]) })
+	return slices.ContainsFunc(chain, func(p describer.Stage) bool { return c.IsAvoided(now, p.Target, p.Address) })
+}
+
+// isWithheld reports whether a chain includes a target that one request, with a random seed, avoids.
+func (c *Chooser) isWithheld(now time.Time, chain []describer.Stage, seed uint64) bool {
+	return c.isAvoided(now, chain) || slices.ContainsFunc(chain, func(p describer.Stage) bool { return c.IsWithheld(now, p.Target, seed) })
 }
 
 // chainCost returns the load of a chain relative to its weight, with a random value in place
@@ -184,7 +202,7 @@
 	for _, s := range c.services {
 		for _, chain := range s.chains {
 			first := chain.Stages[0]
-			if !seen[first.Target] && !c.isShut(now, first.Target) {
+			if !seen[first.Target] && !c.IsShut(now, first.Target) {
 				seen[first.Target] = true
 				use(first.Target, first.Address)
 			}
--- a/entry/internal/chooser/chooser.go
+++ b/entry/internal/chooser/chooser.go
@@ -10,8 +10,10 @@
 	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
+	"fuchsiabridge.example/entry/internal/avoider"
 	"fuchsiabridge.example/entry/internal/chainer"
 	"fuchsiabridge.example/entry/internal/registrar"
+	"fuchsiabridge.example/entry/internal/weigher"
 )
 
 const (
@@ -59,6 +61,8 @@
 	isLastResort bool
 	// isStale is set if the service or its targets may have changed since the chains were planned.
 	isStale bool
+	// weighed are the chains as the weigher needs them.
+	weighed *weigher.Plan
 }
 
 // Chooser selects targets and chains.
@@ -67,23 +71,16 @@
 	services   map[identifier.ServiceID]*service
 	targets    []registrar.Target
 	stats      map[identifier.TargetID]*targetStats
-	// avoided holds, by address, until when chains that include the target are a last resort;
-	// stalled holds, by address, until when the chains that begin at the target count as stalled.
-	avoided map[string]time.Time
-	stalled map[string]time.Time
-	// shut holds until when a target's request limit allows no request, quiet until when the target wants none.
-	shut  map[identifier.TargetID]time.Time
-	quiet map[identifier.TargetID]time.Time
-	// suspects holds the targets that other nodes have seen fail.
-	suspects map[identifier.TargetID]suspect
+	*avoider.Avoider
+	// weigher is nil if no load reports are used.
+	weigher *weigher.Weigher
 }
 
 // NewChooser returns a chooser without targets for a node in the given data centre.
 func NewChooser(dc identifier.DataCentre) *Chooser {
 	return &Chooser{
 		dataCentre: dc, services: map[identifier.ServiceID]*service{}, stats: map[identifier.TargetID]*targetStats{},
-		avoided: map[string]time.Time{}, stalled: map[string]time.Time{}, shut: map[identifier.TargetID]time.Time{}, quiet: map[identifier.TargetID]time.Time{},
-		suspects: map[identifier.TargetID]suspect{},
+		Avoider: avoider.NewAvoider(),
 	}
 }
 
@@ -102,10 +99,14 @@
 func (c *Chooser) SetTargets(targets []registrar.Target) {
 	c.targets = targets
 	c.groupByService()
+	c.Avoider.SetTargets(targets)
 	known := map[identifier.TargetID]bool{}
 	for _, t := range targets {
 		known[t.ID] = true
 	}
+	if c.weigher != nil {
+		c.weigher.Keep(func(id identifier.TargetID) bool { return known[id] })
+	}
 	maps.DeleteFunc(c.stats, func(id identifier.TargetID, r *targetStats) bool { return !known[id] && r.open == 0 })
 }
 
@@ -120,17 +121,11 @@
 	}
 }
 
-// Tick forgets the avoided and shut targets and the stalled chains whose time has expired.
+// Tick forgets the avoided, suspected and shut targets and the stalled chains whose time has expired.
 func (c *Chooser) Tick(now time.Time) {
-	c.dropSuspects(now)
-	dropExpired(now, c.avoided)
-	dropExpired(now, c.stalled)
-	dropExpired(now, c.shut)
-	dropExpired(now, c.quiet)
-}
-
-func dropExpired[K comparable](now time.Time, untils map[K]time.Time) {
-	maps.DeleteFunc(untils, func(_ K, until time.Time) bool { return !now.Before(until) })
+	if c.Avoider.Tick(now) {
+		c.markStale()
+	}
 }
 
 // HasTargets reports whether any target is known.
@@ -170,7 +165,7 @@
 		return c.Target(now, id, nil, 1) != nil
 	}
 	s := c.services[id]
-	return !s.isLastResort && slices.ContainsFunc(s.chains, func(chain chainer.Chain) bool { return !c.isShut(now, chain.Stages[0].Target) })
+	return !s.isLastResort && slices.ContainsFunc(s.chains, func(chain chainer.Chain) bool { return !c.IsShut(now, chain.Stages[0].Target) })
 }
 
 // IsLastResort reports whether there are only chains for a service that include ejected or suspected targets.
@@ -218,64 +213,19 @@
 	})
 }
 
-// Avoid makes chains that include the target at an address a last resort until the given time.
-func (c *Chooser) Avoid(address string, until time.Time) { c.avoided[address] = until }
-
-// Shut makes a target get no requests until the given time.
-func (c *Chooser) Shut(id identifier.TargetID, until time.Time) { c.shut[id] = until }
-
-// Reopen lets a target that was shut get requests again.
-func (c *Chooser) Reopen(id identifier.TargetID) { delete(c.shut, id) }
-
-// Quiet makes a target get no requests until the given time, whatever its request limit allows.
-func (c *Chooser) Quiet(id identifier.TargetID, until time.Time) { c.quiet[id] = until }
-
-// IsQuiet reports whether a target wants no requests now.
-func (c *Chooser) IsQuiet(now time.Time, id identifier.TargetID) bool { return now.Before(c.quiet[id]) }
-
-// QuietUntil returns until when a target wants no requests.
-func (c *Chooser) QuietUntil(id identifier.TargetID) time.Time { return c.quiet[id] }
-
-func (c *Chooser) isShut(now time.Time, id identifier.TargetID) bool {
-	return now.Before(c.shut[id]) || c.IsQuiet(now, id)
-}
-
-// reopensAt returns when a target that is shut may get requests again.
-func (c *Chooser) reopensAt(id identifier.TargetID) time.Time {
-	if c.quiet[id].After(c.shut[id]) {
-		return c.quiet[id]
-	}
-	return c.shut[id]
-}
-
 // ReopensAt returns when the first target of a service that is shut may get requests again, zero if none is shut.
 func (c *Chooser) ReopensAt(now time.Time, id identifier.ServiceID) time.Time {
 	var first time.Time
 	if s := c.services[id]; s != nil {
 		for _, t := range s.targets {
-			if c.isShut(now, t.ID) && (first.IsZero() || c.reopensAt(t.ID).Before(first)) {
-				first = c.reopensAt(t.ID)
+			if c.IsShut(now, t.ID) && (first.IsZero() || c.OpensAt(t.ID).Before(first)) {
+				first = c.OpensAt(t.ID)
 			}
 		}
 	}
 	return first
 }
 
-// MarkStalled marks the chains that begin at an address as stalled until the given time. It
-// reports whether they were not marked before.
-func (c *Chooser) MarkStalled(now time.Time, address string, until time.Time) bool {
-	if c.IsStalled(now, address) {
-		return false
-	}
-	c.stalled[address], c.avoided[address] = until, until
-	return true
-}
-
-// IsStalled reports whether the chains that begin at an address are marked as stalled.
-func (c *Chooser) IsStalled(now time.Time, address string) bool {
-	return now.Before(c.stalled[address])
-}
-
 // Acquire adds a request to the open requests of targets.
 func (c *Chooser) Acquire(ids []identifier.TargetID) {
 	for _, id := range ids {
--- a/entry/internal/chooser/chooser_test.go
+++ b/entry/internal/chooser/chooser_test.go
@@ -11,6 +11,7 @@
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/entry/internal/chooser"
 	"fuchsiabridge.example/entry/internal/registrar"
+	"fuchsiabridge.example/entry/internal/weigher"
 )
 
 const layers = 40
@@ -54,7 +55,7 @@
 	chosen := map[identifier.TargetID]int{}
 	for node := range uint64(nodes) {
 		x := newChooser(chainTarget("fast", "b", "fast"), chainTarget("slow1", "c", "slow"), chainTarget("slow2", "d", "slow"))
-		chosen[x.Chain(now, "draft", node, nil).Stages[0].Target]++
+		chosen[x.Chain(now, "draft", node, nil, weigher.Prompt{}).Stages[0].Target]++
 	}
 	for _, id := range []identifier.TargetID{"slow1", "slow2"} {
 		share := float64(chosen[id]) / nodes
@@ -70,7 +71,7 @@
 		strange := chainTarget("odd", "b", "fast")
 		strange.Layers = odd
 		x := newChooser(strange, chainTarget("a1", "a", "slow"))
-		chain := x.Chain(now, "draft", 1, nil)
+		chain := x.Chain(now, "draft", 1, nil, weigher.Prompt{})
 		c.Assert(chain, qt.IsNotNil, qt.Commentf("%v", odd))
 		c.Check(chain.Stages[0].Target, qt.Equals, identifier.TargetID("a1"))
 		c.Check(chain.Stages[len(chain.Stages)-1].Layers.To, qt.Equals, identifier.Layer(layers))
@@ -83,7 +84,7 @@
 	x := newChooser(chainTarget("b1", "b", "fast"), chainTarget("c1", "c", "fast"))
 	chosen := map[identifier.TargetID]int{}
 	for i := range uint64(100) {
-		id := x.Chain(now, "draft", i, nil).Stages[0].Target
+		id := x.Chain(now, "draft", i, nil, weigher.Prompt{}).Stages[0].Target
 		x.Acquire([]identifier.TargetID{id})
 		chosen[id]++
 	}
@@ -97,12 +98,12 @@
 	x := newChooser(chainTarget("b1", "b", "fast"), chainTarget("c1", "c", "fast"))
 	x.Avoid("b1", now.Add(time.Second))
 	for i := range uint64(50) {
-		c.Assert(x.Chain(now, "draft", i, nil).Stages[0].Target, qt.Equals, identifier.TargetID("c1"))
+		c.Assert(x.Chain(now, "draft", i, nil, weigher.Prompt{}).Stages[0].Target, qt.Equals, identifier.TargetID("c1"))
 	}
 	x.Eject(now, "c1")
-	c.Assert(x.Chain(now, "draft", 1, nil).Stages[0].Target, qt.Equals, identifier.TargetID("b1"))
+	c.Assert(x.Chain(now, "draft", 1, nil, weigher.Prompt{}).Stages[0].Target, qt.Equals, identifier.TargetID("b1"))
 	x.Eject(now, "b1")
-	c.Assert(x.Chain(now, "draft", 1, nil), qt.IsNotNil)
+	c.Assert(x.Chain(now, "draft", 1, nil, weigher.Prompt{}), qt.IsNotNil)
 }
 
 // TestSlowAndFailingTargetsGetFewRequests checks that plain requests go to the target with the
@@ -138,7 +139,7 @@
 	chosen := map[identifier.TargetID]int{}
 	const requests = 240
 	for seed := range uint64(requests) {
-		id := x.Chain(now, "draft", seed, nil).Stages[0].Target
+		id := x.Chain(now, "draft", seed, nil, weigher.Prompt{}).Stages[0].Target
 		chosen[id]++
 		x.Acquire([]identifier.TargetID{id})
 	}
@@ -154,17 +155,17 @@
 	c.Assert(x.ReopensAt(now, "draft").IsZero(), qt.IsTrue)
 	x.Shut("b1", now.Add(2*time.Second))
 	for i := range uint64(50) {
-		c.Assert(x.Chain(now, "draft", i, nil).Stages[0].Target, qt.Equals, identifier.TargetID("c1"))
+		c.Assert(x.Chain(now, "draft", i, nil, weigher.Prompt{}).Stages[0].Target, qt.Equals, identifier.TargetID("c1"))
 	}
 	x.Shut("c1", now.Add(time.Second))
 	x.Shut("plain", now.Add(time.Second))
-	c.Assert(x.Chain(now, "draft", 1, nil), qt.IsNil)
+	c.Assert(x.Chain(now, "draft", 1, nil, weigher.Prompt{}), qt.IsNil)
 	c.Assert(x.HasOtherChain(now, "draft"), qt.IsFalse)
 	c.Assert(x.Target(now, "ledger", nil, 1), qt.IsNil)
 	c.Assert(x.ReopensAt(now, "draft"), qt.Equals, now.Add(time.Second))
-	c.Assert(x.Chain(now.Add(time.Second), "draft", 1, nil).Stages[0].Target, qt.Equals, identifier.TargetID("c1"))
+	c.Assert(x.Chain(now.Add(time.Second), "draft", 1, nil, weigher.Prompt{}).Stages[0].Target, qt.Equals, identifier.TargetID("c1"))
 	x.Reopen("b1")
-	c.Assert(x.Chain(now, "draft", 1, nil).Stages[0].Target, qt.Equals, identifier.TargetID("b1"))
+	c.Assert(x.Chain(now, "draft", 1, nil, weigher.Prompt{}).Stages[0].Target, qt.Equals, identifier.TargetID("b1"))
 	x.Tick(now.Add(time.Second))
 	c.Assert(x.Target(now.Add(time.Second), "ledger", nil, 1), qt.IsNotNil)
 }
--- a/entry/internal/chooser/targets.go
+++ b/entry/internal/chooser/targets.go
@@ -59,7 +59,7 @@
 	var candidates []*registrar.Target
 	for i := range s.targets {
 		t := &s.targets[i]
-		if !t.IsLeaving && !t.IsEjected && !c.isShut(now, t.ID) && !slices.Contains(tried, t.ID) {
+		if !t.IsLeaving && !t.IsEjected && !c.IsShut(now, t.ID) && !slices.Contains(tried, t.ID) {
 			candidates = append(candidates, t)
 		}
 	}
--- a/entry/internal/dispatcher/attempts.go
+++ b/entry/internal/dispatcher/attempts.go
@@ -12,6 +12,9 @@
 	"fuchsiabridge.example/entry/internal/registrar"
 )
 
+// minGapEvents is how many events an attempt must have delivered for its mean gap to tell how fast the chain is.
+const minGapEvents = 8
+
 // attemptReported records the result of an attempt, or that it has stalled, and decides what
 // happens next to the request.
 func (d *Dispatcher) attemptReported(now time.Time, ev AttemptReported) []messenger.Effect {
@@ -152,6 +155,7 @@
 		if r.firstByte == 0 && ev.FirstByte > 0 {
 			d.chooser.RecordFirstEvent(now, r.target, ev.FirstByte)
 		}
+		d.chooser.RecordGap(now, r.service, r.target, r.typicalGap(now, ev))
 		return
 	}
 	switch ev.Outcome {
@@ -165,6 +169,15 @@
 	}
 }
 
+// typicalGap returns the typical gap between two events at the chain of an attempt, 0 if the report does not tell it.
+func (r *request) typicalGap(now time.Time, ev AttemptReported) time.Duration {
+	events := ev.Events - r.eventsBefore
+	if ev.Outcome != Delivered || events < minGapEvents || r.reroutes > 0 {
+		return ev.ChainTypicalGap
+	}
+	return (now.Sub(r.sent) - ev.FirstByte) / time.Duration(events-1)
+}
+
 // reportFaultyTarget ejects the target that the failed attempt shows to be at fault. A target of a
 // chain that refused the request for another reason counts as full and is avoided for a while.
 func (d *Dispatcher) reportFaultyTarget(now time.Time, r *request, ev AttemptReported) []messenger.Effect {
@@ -183,7 +196,7 @@
 			return d.eject(now, address, registrar.WrongLayers, "target answered that it holds other layers")
 		}
 		if len(r.chain) > 0 {
-			d.chooser.Avoid(address, now.Add(fullTargetBackoff))
+			return d.chooser.Reject(now, address)
 		}
 	default:
 	}
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -9,6 +9,7 @@
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
+	"fuchsiabridge.example/entry/internal/avoider"
 	"fuchsiabridge.example/entry/internal/budgeter"
 	"fuchsiabridge.example/entry/internal/chooser"
 	"fuchsiabridge.example/entry/internal/crashrecorder"
@@ -21,6 +22,7 @@
 	"fuchsiabridge.example/entry/internal/registrar"
 	"fuchsiabridge.example/entry/internal/router"
 	"fuchsiabridge.example/entry/internal/trier"
+	"fuchsiabridge.example/entry/internal/weigher"
 	"fuchsiabridge.example/entry/internal/workestimator"
 )
 
@@ -157,11 +159,9 @@
 	crashTracker *crashtracker.Tracker
 	limits       *limiter.Tracker
 	paths        *pathtracker.Tracker
-	// refusals counts the requests that targets have refused since they began to want none.
-	refusals   map[identifier.TargetID]int
-	unreadable map[identifier.TargetID]unreadableFields
-	requests   map[identifier.CallID]*request
-	trials     *trier.Trier
+	unreadable   map[identifier.TargetID]unreadableFields
+	requests     map[identifier.CallID]*request
+	trials       *trier.Trier
 	// leaseUntil is until when this node holds the lease, which no two nodes do at the same time.
 	leaseUntil time.Time
 	retries    *budgeter.Budgets
@@ -172,12 +172,14 @@
 
 // NewDispatcher returns a dispatcher without a configuration.
 func NewDispatcher(cfg Config) *Dispatcher {
-	return &Dispatcher{
+	d := &Dispatcher{
 		cfg: cfg, chooser: chooser.NewChooser(cfg.DataCentre), crashTracker: crashtracker.NewTracker(), limits: limiter.NewTracker(), paths: pathtracker.NewTracker(),
-		refusals: map[identifier.TargetID]int{}, unreadable: map[identifier.TargetID]unreadableFields{}, requests: map[identifier.CallID]*request{},
+		unreadable: map[identifier.TargetID]unreadableFields{}, requests: map[identifier.CallID]*request{},
 		loads: loadtracker.NewTracker(), works: workestimator.NewEstimator(),
 		trials: trier.NewTrier(), retries: budgeter.NewBudgets(budgeter.Config{Ratio: cfg.RetryRatio, Window: cfg.RetryWindow}),
 	}
+	d.chooser.UseLoads(d.loads)
+	return d
 }
 
 // Apply applies one event and returns the resulting effects.
@@ -223,7 +225,7 @@
 	case limiter.AnswerRead:
 		return d.answerRead(now, ev)
 	case QuietWanted:
-		return d.quietWanted(now, ev)
+		return d.chooser.Quiet(now, ev.Target, ev.Until, ev.Answer)
 	case AnnouncementUnreadable:
 		return d.announcementUnreadable(now, ev)
 	case limiter.LimitsLearned:
@@ -234,6 +236,8 @@
 		return d.crashesReported(now, ev)
 	case LoadsLearned:
 		d.loads.Learn(now, ev.Reports)
+	case avoider.RejectionsLearned:
+		return d.chooser.LearnRejections(now, ev.Rejections)
 	case messenger.Tick:
 		return d.tick(now)
 	}
@@ -255,7 +259,7 @@
 	s.PoisonCandidates = d.crashTracker.Candidates()
 	s.RequestsWithCrashes, s.ConfirmedPoison = d.crashTracker.Counts(now)
 	s.Limits = d.limits.Limits(now)
-	s.Quiet = d.quietStatus(now)
+	s.Quiet, s.Rejections = d.chooser.QuietStatus(now), d.chooser.RejectionStatus(now)
 	s.LostPaths = d.paths.Lost()
 	if d.table != nil {
 		s.Version, s.ConfirmedMSAgo = d.table.Version, now.Sub(d.confirmedAt).Milliseconds()
@@ -275,7 +279,7 @@
 	d.chooser.Tick(now)
 	d.trials.Tick(now)
 	effects := append(d.startChecks(now), d.confirmTraits(now)...)
-	effects = append(effects, d.endQuiet(now)...)
+	effects = append(effects, d.chooser.EndQuiet(now)...)
 	effects = append(effects, d.checkPaths(now)...)
 	effects = append(effects, d.checkLoads(now)...)
 	if d.isStale || d.table == nil || d.isFresh(now) {
@@ -398,7 +402,7 @@
 // choose sets the target or chain of an attempt. If there is no target or chain, it returns the reason.
 func (d *Dispatcher) choose(now time.Time, r *request, out *Send, seed uint64) string {
 	if d.chooser.IsChained(r.service) {
-		chain := d.chooser.Chain(now, r.service, seed, r.tried)
+		chain := d.chooser.Chain(now, r.service, seed, r.tried, weigher.Prompt{Tokens: r.size.Prompt, Objective: r.route.LatencyObjective})
 		if chain == nil {
 			return d.limitReason(now, r.service, noChain)
 		}
--- a/entry/internal/dispatcher/dispatcher_test.go
+++ b/entry/internal/dispatcher/dispatcher_test.go
@@ -14,6 +14,7 @@
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
+	"fuchsiabridge.example/entry/internal/avoider"
 	"fuchsiabridge.example/entry/internal/crashrecorder"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/placer"
@@ -114,7 +115,7 @@
 			}
 		case dispatcher.ReportCrashes:
 			d.crashes = append(d.crashes, e.Crashes...)
-		case dispatcher.ProbeChain, dispatcher.RecordSample, dispatcher.CheckTarget, dispatcher.SavePoison, dispatcher.DropDelegate, dispatcher.CheckPath:
+		case dispatcher.ProbeChain, dispatcher.RecordSample, dispatcher.CheckTarget, dispatcher.SavePoison, dispatcher.DropDelegate, dispatcher.CheckPath, avoider.TellRejections:
 		default:
 			if first == nil {
 				first = effect
