--- a/entry/internal/avoider/rejections.go
+++ b/entry/internal/avoider/rejections.go
@@ -35,8 +35,8 @@
 	AvoidMS int64 `json:"avoid_ms"`
 }
 
-// isValid reports whether a node can have told the rejection.
-func (r Rejection) isValid() bool {
+// IsValid reports whether a node can have told the rejection.
+func (r Rejection) IsValid() bool {
 	return r.AgeMS >= 0 && r.AvoidMS > r.AgeMS && r.AvoidMS <= maxBackoff.Milliseconds()
 }
 
@@ -124,7 +124,7 @@
 // learn avoids a target that another node has told of. It reports whether the target was not avoided before.
 func (a *Avoider) learn(now time.Time, told Rejection) bool {
 	p, ok := a.known[told.Target]
-	if !told.isValid() || !ok || told.Incarnation < p.incarnation {
+	if !told.IsValid() || !ok || told.Incarnation < p.incarnation {
 		return false
 	}
 	r := a.entryOf(told.Target, told.Incarnation)
--- a/entry/internal/commander/relay.go
+++ b/entry/internal/commander/relay.go
@@ -21,6 +21,7 @@
 	"fuchsiabridge.example/common/logwriter"
 	"fuchsiabridge.example/common/optionparser"
 	"fuchsiabridge.example/common/responder"
+	"fuchsiabridge.example/entry/internal/avoider"
 	"fuchsiabridge.example/entry/internal/connector"
 	"fuchsiabridge.example/entry/internal/crashrecorder"
 	"fuchsiabridge.example/entry/internal/crashreporter"
@@ -35,6 +36,7 @@
 	"fuchsiabridge.example/entry/internal/meter"
 	"fuchsiabridge.example/entry/internal/peercaller"
 	"fuchsiabridge.example/entry/internal/receiver"
+	"fuchsiabridge.example/entry/internal/rejectionreporter"
 	"fuchsiabridge.example/entry/internal/relayer"
 	"fuchsiabridge.example/entry/internal/server"
 	"fuchsiabridge.example/entry/internal/sharer"
@@ -115,13 +117,14 @@
 	relayer  *relayer.Relayer
 	receiver *receiver.Receiver
 	// delegated serves the requests of other nodes.
-	delegated *receiver.Receiver
-	joiner    *joiner.Joiner
-	follower  *follower.Follower
-	reporter  *crashreporter.Reporter
-	granter   *granter.Granter
-	peers     *peercaller.Caller
-	loads     *loadpoller.Poller
+	delegated  *receiver.Receiver
+	joiner     *joiner.Joiner
+	follower   *follower.Follower
+	reporter   *crashreporter.Reporter
+	granter    *granter.Granter
+	peers      *peercaller.Caller
+	loads      *loadpoller.Poller
+	rejections *rejectionreporter.Reporter
 }
 
 // newRelayNode returns a node whose calls end with ctx.
@@ -150,8 +153,9 @@
 			RetryWindow:     values.Duration("retry-window"),
 			HasPeers:        hasPeers,
 		},
-		ReportCrashes: func(r sharer.CrashReport) { n.reporter.ReportCrashes(r) },
-		SavePoison:    func(c crashrecorder.Crash) { n.reporter.SavePoison(c) },
+		ReportCrashes:    func(r sharer.CrashReport) { n.reporter.ReportCrashes(r) },
+		ReportRejections: func(r []avoider.Rejection) { n.rejections.Report(r) },
+		SavePoison:       func(c crashrecorder.Crash) { n.reporter.SavePoison(c) },
 		Grant: func(ctx context.Context, r limiter.Report) granter.Answer {
 			return n.granter.Grant(ctx, r)
 		},
@@ -177,6 +181,9 @@
 		sharer.ClearMethod: func(ctx context.Context, params json.RawMessage) (any, error) {
 			return n.reporter.ServeClear(ctx, params)
 		},
+		rejectionreporter.RejectMethod: func(ctx context.Context, params json.RawMessage) (any, error) {
+			return n.rejections.Serve(ctx, params)
+		},
 		sharer.CrashesMethod:  updates.ServeCrashes,
 		delegator.OfferMethod: n.relayer.ServeOffer, relayer.ReportMethod: n.relayer.ServeReport, relayer.OrderMethod: n.relayer.ServeOrder,
 		granter.GrantMethod: func(ctx context.Context, params json.RawMessage) (any, error) {
@@ -199,14 +206,19 @@
 		},
 	})
 	n.follower = follower.NewFollower(store, n.peers, n.joiner, updates, follower.Config{
-		Self:         self,
-		LearnCrashes: func(r sharer.CrashReport) { n.reporter.Learn(r) },
-		LearnLimits:  func(r []limiter.Report) { n.granter.Learn(r) },
-		LearnLoads:   learnLoads,
+		Self:            self,
+		LearnCrashes:    func(r sharer.CrashReport) { n.reporter.Learn(r) },
+		LearnLimits:     func(r []limiter.Report) { n.granter.Learn(r) },
+		LearnLoads:      learnLoads,
+		LearnRejections: func(r []avoider.Rejection) { n.rejections.Learn(r) },
 	}, n.relayer.Submit)
 	n.reporter = crashreporter.NewReporter(crashreporter.Config{
 		Self: values.Text("peer-listen"), Peers: n.peers, Readers: n.joiner, Store: store, Sharer: updates, Submit: n.relayer.Submit,
 	})
+	n.rejections = rejectionreporter.NewReporter(rejectionreporter.Config{
+		Peers: n.peers, Readers: n.joiner, Recorder: updates, Submit: n.relayer.Submit,
+		IsOn: values.Duration("load-interval") > 0 && values.Text("peer-listen") != "",
+	})
 	n.granter = granter.NewGranter(granter.Config{
 		Self: values.Text("peer-listen"), Partitions: values.Number("store-parts"), Peers: questions, Holders: n.joiner, Recorder: updates, Submit: n.relayer.Submit,
 	})
@@ -248,6 +260,7 @@
 		go n.follower.FollowPeers(ctx)
 		go n.reporter.SendCrashReports(ctx)
 		go n.reporter.SyncCrashes(ctx)
+		go n.rejections.Run(ctx)
 	}
 	joined, stop := context.WithCancel(ctx)
 	hasLeft := make(chan struct{})
--- a/entry/internal/follower/follower.go
+++ b/entry/internal/follower/follower.go
@@ -15,6 +15,7 @@
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/common/sleeper"
+	"fuchsiabridge.example/entry/internal/avoider"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/joiner"
 	"fuchsiabridge.example/entry/internal/limiter"
@@ -92,6 +93,8 @@
 	LearnLimits func([]limiter.Report)
 	// LearnLoads applies what a peer has told of the load of targets.
 	LearnLoads func([]loadtracker.Report)
+	// LearnRejections applies what a peer has told of targets that reject requests.
+	LearnRejections func([]avoider.Rejection)
 }
 
 // NewFollower returns a follower that submits events and records what it reads in the sharer.
--- a/entry/internal/follower/peers.go
+++ b/entry/internal/follower/peers.go
@@ -244,6 +244,9 @@
 		if len(update.Loads) > 0 {
 			f.cfg.LearnLoads(update.Loads)
 		}
+		if len(update.Rejections) > 0 {
+			f.cfg.LearnRejections(update.Rejections)
+		}
 		if err := f.applyPeerConfiguration(ctx, peer.Address, update, &q); err != nil {
 			eventlogger.Error(err, eventlogger.PeerNotFollowed, "peer", peer.Node, "address", peer.Address)
 			return err
--- a/entry/internal/relayer/relayer.go
+++ b/entry/internal/relayer/relayer.go
@@ -18,6 +18,7 @@
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/common/sleeper"
+	"fuchsiabridge.example/entry/internal/avoider"
 	"fuchsiabridge.example/entry/internal/bodyreader"
 	"fuchsiabridge.example/entry/internal/composer"
 	"fuchsiabridge.example/entry/internal/connector"
@@ -62,6 +63,8 @@
 	Dispatch dispatcher.Config
 	// ReportCrashes tells other nodes about requests that crash targets.
 	ReportCrashes func(sharer.CrashReport)
+	// ReportRejections tells other nodes of targets that reject requests.
+	ReportRejections func([]avoider.Rejection)
 	// SavePoison stores a crash that has confirmed its request as poison.
 	SavePoison func(crashrecorder.Crash)
 	// Grant asks whether a request may be sent to a target that names a request limit.
@@ -81,21 +84,22 @@
 
 // Relayer serves requests as the reducer decides.
 type Relayer struct {
-	ctx           context.Context
-	targets       *targetcaller.Caller
-	translator    translator.Translator
-	pools         forwarder.Pools
-	idle          *forwarder.IdleTracker
-	memory        *bodyreader.Memory
-	meter         *meter.Meter
-	reportCrashes func(sharer.CrashReport)
-	savePoison    func(crashrecorder.Crash)
-	grant         func(context.Context, limiter.Report) granter.Answer
-	reportLimit   func(context.Context, limiter.Report)
-	workers       pond.Pool
-	nextCall      atomic.Uint64
-	isLeaving     atomic.Bool
-	limits        atomic.Pointer[describer.Limits]
+	ctx              context.Context
+	targets          *targetcaller.Caller
+	translator       translator.Translator
+	pools            forwarder.Pools
+	idle             *forwarder.IdleTracker
+	memory           *bodyreader.Memory
+	meter            *meter.Meter
+	reportCrashes    func(sharer.CrashReport)
+	reportRejections func([]avoider.Rejection)
+	savePoison       func(crashrecorder.Crash)
+	grant            func(context.Context, limiter.Report) granter.Answer
+	reportLimit      func(context.Context, limiter.Report)
+	workers          pond.Pool
+	nextCall         atomic.Uint64
+	isLeaving        atomic.Bool
+	limits           atomic.Pointer[describer.Limits]
 	// hasRequestLimits reports whether any target names a request limit.
 	hasRequestLimits atomic.Bool
 	delegates        Delegates
@@ -114,7 +118,7 @@
 	d := dispatcher.NewDispatcher(cfg.Dispatch)
 	p := placer.NewPlacer()
 	return &Relayer{
-		ctx: ctx, targets: targetcaller.NewCaller(httpcaller.NewLimitedCaller(maxReportBytes, cfg.Targets)), pools: forwarder.Pools{Targets: connector.NewConnectorWith(cfg.Targets), Nodes: connector.NewConnector()}, idle: forwarder.NewIdleTracker(), memory: bodyreader.NewMemory(), meter: cfg.Meter, reportCrashes: cfg.ReportCrashes, savePoison: cfg.SavePoison,
+		ctx: ctx, targets: targetcaller.NewCaller(httpcaller.NewLimitedCaller(maxReportBytes, cfg.Targets)), pools: forwarder.Pools{Targets: connector.NewConnectorWith(cfg.Targets), Nodes: connector.NewConnector()}, idle: forwarder.NewIdleTracker(), memory: bodyreader.NewMemory(), meter: cfg.Meter, reportCrashes: cfg.ReportCrashes, reportRejections: cfg.ReportRejections, savePoison: cfg.SavePoison,
 		grant: cfg.Grant, reportLimit: cfg.ReportLimit,
 		workers:   pond.NewPool(orderWorkers, pond.WithContext(ctx)),
 		delegates: cfg.Delegates, peers: cfg.Peers, delegateAddress: cfg.DelegateAddress,
@@ -165,6 +169,8 @@
 			x.meter.Add(e.Sample)
 		case dispatcher.ReportCrashes:
 			x.reportCrashes(sharer.CrashReport{Crashes: e.Crashes, Cleared: e.Cleared})
+		case avoider.TellRejections:
+			x.reportRejections(e.Rejections)
 		case dispatcher.SavePoison:
 			x.savePoison(e.Crash)
 		case placer.SendOrder:
--- a/entry/internal/sharer/sharer.go
+++ b/entry/internal/sharer/sharer.go
@@ -15,6 +15,7 @@
 	"fuchsiabridge.example/common/bootclock"
 	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/entry/internal/avoider"
 	"fuchsiabridge.example/entry/internal/crashrecorder"
 	"fuchsiabridge.example/entry/internal/limiter"
 	"fuchsiabridge.example/entry/internal/loadtracker"
@@ -84,6 +85,8 @@
 	// Loads are the reports of targets' load since the query's revision. They are not compressed with the contents, as their ages
 	// are those at the time of the answer.
 	Loads []loadtracker.Report `json:"loads,omitempty"`
+	// Rejections are the targets that have rejected requests since the query's revision, with ages as those of the loads.
+	Rejections []avoider.Rejection `json:"rejections,omitempty"`
 	// Configuration is the offset up to which the sharer knows configurations, in an era of the store.
 	Configuration identifier.Offset `json:"configuration"`
 	Era           identifier.Era    `json:"era,omitempty"`
@@ -138,6 +141,7 @@
 	cleared       []clearance
 	limits        map[identifier.TargetID]limit
 	loads         map[identifier.TargetID]load
+	rejections    map[identifier.TargetID]rejection
 	outages       int
 	configuration identifier.StorePosition
 	// source is the text of the newest configuration and version its number; packed is the compressed text once a peer has asked for it.
@@ -153,7 +157,8 @@
 func NewSharer() *Sharer {
 	return &Sharer{
 		id: strconv.FormatUint(rand.Uint64(), idBase), packedUpdates: map[updateSpan]packedUpdate{},
-		entries: map[identifier.TargetID]entry{}, limits: map[identifier.TargetID]limit{}, loads: map[identifier.TargetID]load{}, changed: make(chan struct{}),
+		entries: map[identifier.TargetID]entry{}, limits: map[identifier.TargetID]limit{}, loads: map[identifier.TargetID]load{},
+		rejections: map[identifier.TargetID]rejection{}, changed: make(chan struct{}),
 	}
 }
 
@@ -361,6 +366,7 @@
 	report := s.newCrashes(since)
 	update.Crashes, update.Cleared = report.Crashes, report.Cleared
 	update.Limits = s.newLimits(since)
-	update.Loads = s.newLoads(bootclock.Now(), since)
+	now := bootclock.Now()
+	update.Loads, update.Rejections = s.newLoads(now, since), s.newRejections(now, since)
 	return update, s.changed, nil
 }
