Weigh chains by the slots that become free too

Cause: with reports that are up to 800 ms old, weights by free slots alone let 80 nodes send 150 requests to a chain with 104 free slots, and none in the next half second, at 0.95 of the capacity.

The weight is now what ends at the first target plus a gain on what is free.

--- a/entry/internal/loadtracker/loadtracker.go
+++ b/entry/internal/loadtracker/loadtracker.go
@@ -132,8 +132,9 @@
 	if age < 0 || age >= maxAge {
 		return Load{}, false
 	}
-	l := Load{Running: float64(s.last.Running), Pace: clampPace(s.last.Pace), Age: age}
-	l.Waiting = max(0, float64(s.last.Waiting)+max(s.trend()*min(age, maxTrendTime).Seconds(), s.ownWaiting()))
+	trendTime := min(age, maxTrendTime).Seconds()
+	l := Load{Running: s.predictRunning(trendTime), Pace: clampPace(s.last.Pace), Age: age}
+	l.Waiting = max(0, float64(s.last.Waiting)+max(s.trend()*trendTime, s.ownWaiting()))
 	if s.last.MemoryTotal > 0 {
 		l.MemoryShare = min(1, float64(s.last.MemoryUsed)/float64(s.last.MemoryTotal))
 	}
@@ -148,6 +149,20 @@
 	return float64(s.last.Waiting-s.previous.Waiting) / s.at.Sub(s.previousAt).Seconds()
 }
 
+// predictRunning continues the trend of the running requests over a time in seconds. While requests wait, all that can run do. What this
+// node has sent since the last report runs, if that is more than the trend.
+func (s *state) predictRunning(trendTime float64) float64 {
+	running := float64(s.last.Running)
+	if s.last.Waiting > 0 {
+		return running
+	}
+	trend := 0.0
+	if !s.previousAt.IsZero() {
+		trend = float64(s.last.Running-s.previous.Running) / s.at.Sub(s.previousAt).Seconds()
+	}
+	return max(0, running+max(trend*trendTime, float64(s.sent)))
+}
+
 // ownWaiting returns how many of this node's requests since the last report wait. While nothing waited, they have begun; a falling
 // trend says that others have.
 func (s *state) ownWaiting() float64 {
--- a/entry/internal/weigher/plan.go
+++ b/entry/internal/weigher/plan.go
@@ -10,8 +10,15 @@
 	"fuchsiabridge.example/entry/internal/chainer"
 )
 
-// unknownDelay is the delay between two data centres of which the configuration names none.
-const unknownDelay = 8 * time.Millisecond
+const (
+	// unknownDelay is the delay between two data centres of which the configuration names none.
+	unknownDelay = 8 * time.Millisecond
+	// correctionTime is the time in which free slots are to be filled; it exceeds the age of reports. The gain that follows from it and from
+	// the time of a typical request is bounded by minGain and maxGain.
+	correctionTime = 500 * time.Millisecond
+	minGain        = 0.25
+	maxGain        = 4.0
+)
 
 // Place is what must be known of a target to weigh the chains that use it.
 type Place struct {
@@ -24,6 +31,9 @@
 type Plan struct {
 	engine *describer.Engine
 	chains []planned
+	// gain is the weight of a free slot against one that is taken. Reports are late: with too much gain, all nodes go on sending to a
+	// chain that has become full, and with too little a chain stays fuller than others.
+	gain float64
 }
 
 // planned is a chain of a plan.
@@ -42,9 +52,11 @@
 
 // NewPlan returns the plan of the chains for a node in a data centre.
 func NewPlan(dc identifier.DataCentre, e *describer.Engine, chains []chainer.Chain, placeOf func(identifier.TargetID) Place) *Plan {
-	p := &Plan{engine: e}
+	p := &Plan{engine: e, gain: maxGain}
 	for i := range chains {
 		p.chains = append(p.chains, newPlanned(dc, e, &chains[i], placeOf))
+		typical := chains[i].StepCost * e.TypicalAnswer
+		p.gain = min(p.gain, max(minGain, typical/milliseconds(correctionTime)))
 	}
 	passing := map[identifier.TargetID][]identifier.TargetID{}
 	starts := map[identifier.TargetID]float64{}
--- a/entry/internal/weigher/weigher.go
+++ b/entry/internal/weigher/weigher.go
@@ -67,9 +67,10 @@
 	}
 }
 
-// Weights returns the weight of each chain of a plan: what is free at its first target, divided by the time of a step. A request that goes to a
-// chain with a probability in proportion to its weight shares what is free with those of all other nodes. It returns nil if less than
-// minReportedShare of the first targets have reported lately.
+// Weights returns the weight of each chain of a plan: the requests that end at its first target, and with a gain the slots that are free
+// there, divided by the time of a step. A request that goes to a chain with a probability in proportion to its weight shares what is
+// free, and what becomes free, with those of all other nodes. It returns nil if less than minReportedShare of the first targets have
+// reported lately.
 func (w *Weigher) Weights(now time.Time, p *Plan) []float64 {
 	loads := make([]loadtracker.Load, len(p.chains))
 	isReported := make([]bool, len(p.chains))
@@ -89,23 +90,25 @@
 	}
 	weights := make([]float64, len(p.chains))
 	for i, c := range p.chains {
-		free := unreportedShare * c.slots
+		room := unreportedShare * c.slots
 		if isReported[i] {
-			free = c.free(loads[i], running)
+			room = c.room(loads[i], running, p.gain)
 		}
-		weights[i] = free / max(w.stepTime(now, p.engine, c, loads[i], isReported[i]), math.SmallestNonzeroFloat64)
+		weights[i] = room / max(w.stepTime(now, p.engine, c, loads[i], isReported[i]), math.SmallestNonzeroFloat64)
 	}
 	return weights
 }
 
-// free returns the number of slots that are free for a chain, given the requests that begin at each first target.
-func (c *planned) free(l loadtracker.Load, running map[identifier.TargetID]float64) float64 {
+// room returns the slots that are free for a chain, multiplied by the gain, and those that are taken, which become free, given the
+// requests that begin at each first target. Waiting requests are to take slots that become free.
+func (c *planned) room(l loadtracker.Load, running map[identifier.TargetID]float64, gain float64) float64 {
 	passing := 0.0
 	for _, first := range c.passing {
 		passing += running[first]
 	}
-	own := max(0, l.Running-passing)
-	return max(minFreeShare*c.slots/(1+l.Waiting), c.slots-(own+l.Waiting)/c.starts)
+	own := min(c.slots, max(0, l.Running-passing)/c.starts)
+	free := c.slots - own - l.Waiting/c.starts
+	return max(minFreeShare*c.slots/(1+l.Waiting), own+gain*free)
 }
 
 // stepTime returns what a step costs along a chain, in milliseconds, with the requests that run there. The delay of a first target in another
