Let rejecting targets have their share back over at least 750 ms

Cause: with a return within 250 ms, up to six requests of 80 nodes came in the second after the first half second before all knew of a rejection.

--- a/entry/internal/avoider/rejections.go
+++ b/entry/internal/avoider/rejections.go
@@ -17,6 +17,9 @@
 	minBackoff      = 250 * time.Millisecond
 	maxBackoff      = 2 * time.Second
 	rejectionMemory = 2 * time.Second
+	// minReturnTime is the least time over which a target gets its share of requests back. With 250 ms, up to six requests of 80 nodes came before
+	// all nodes knew of the first rejection.
+	minReturnTime = 750 * time.Millisecond
 	// tellInterval is the least time between two messages about one target from this node.
 	tellInterval = 500 * time.Millisecond
 	// maxLearnedShare is the share of all targets that may be avoided by what other nodes say alone, but one always may: the
@@ -184,7 +187,7 @@
 	if !ok || now.Before(r.until) {
 		return ok
 	}
-	returned := float64(now.Sub(r.until)) / float64(r.backoff)
+	returned := float64(now.Sub(r.until)) / float64(max(minReturnTime, r.backoff))
 	return rand.New(rand.NewPCG(seed, uint64(r.until.UnixNano()))).Float64() >= returned*returned
 }
 
