--- a/entry/internal/loadtracker/loadtracker_test.go
+++ b/entry/internal/loadtracker/loadtracker_test.go
@@ -48,6 +48,25 @@
 	c.Assert(load.Waiting, qt.Equals, 0.0)
 }
 
+// TestRunningRequestsArePredicted guards against a target that fills, or empties, between two reports and counts as before: while nothing
+// waits, the trend of the running requests is continued, and what this node has sent runs.
+func TestRunningRequestsArePredicted(t *testing.T) {
+	c := qt.New(t)
+	tracker := loadtracker.NewTracker()
+	tracker.Learn(after(0), []loadtracker.Report{report(0, 50)})
+	tracker.Learn(after(300), []loadtracker.Report{report(0, 80)})
+	load, _ := tracker.Load(after(500), "t")
+	c.Assert(load.Running, qt.Equals, 100.0)
+	for range 30 {
+		tracker.Sent("t")
+	}
+	load, _ = tracker.Load(after(500), "t")
+	c.Assert(load.Running, qt.Equals, 110.0)
+	tracker.Learn(after(600), []loadtracker.Report{report(4, 90)})
+	load, _ = tracker.Load(after(800), "t")
+	c.Assert(load.Running, qt.Equals, 90.0)
+}
+
 // TestOwnRequestsCountWhileOthersWait guards against one node that sends a burst of its own to a target with a queue between two reports.
 func TestOwnRequestsCountWhileOthersWait(t *testing.T) {
 	c := qt.New(t)
