--- a/entry/internal/chooser/loads_test.go
+++ b/entry/internal/chooser/loads_test.go
@@ -231,11 +231,11 @@
 }
 
 // shares returns the share of requests that each chain gets.
-func shares(x *chooser.Chooser, at time.Time, prompt weigher.Prompt) map[identifier.TargetID]float64 {
+func shares(x *chooser.Chooser, at time.Time) map[identifier.TargetID]float64 {
 	const requests = 2000
 	out := map[identifier.TargetID]float64{}
 	for seed := range uint64(requests) {
-		out[x.Chain(at, "draft", seed, nil, prompt).Stages[0].Target] += 1.0 / requests
+		out[x.Chain(at, "draft", seed, nil, weigher.Prompt{}).Stages[0].Target] += 1.0 / requests
 	}
 	return out
 }
@@ -245,16 +245,16 @@
 func TestUnsoundReportsKeepChainsInUse(t *testing.T) {
 	c := qt.New(t)
 	x, tracker := chooserWithReports(describer.Engine{}, loadtracker.Report{Target: "full", Running: slots, Waiting: 300}, loadtracker.Report{Target: "empty"}, loadtracker.Report{Target: "mute", AgeMS: 5000})
-	got := shares(x, now, weigher.Prompt{})
+	got := shares(x, now)
 	c.Check(got["full"] < 0.02 && got["empty"] > 0.7 && got["mute"] > 0.02, qt.IsTrue, qt.Commentf("%v", got))
-	got = shares(x, now.Add(2*time.Second), weigher.Prompt{})
+	got = shares(x, now.Add(2*time.Second))
 	c.Check(got["full"] > 0.3 && got["empty"] > 0.3 && got["mute"] > 0.3, qt.IsTrue, qt.Commentf("stale: %v", got))
 	at := now.Add(2 * time.Second)
 	for i := range 9 {
 		at = at.Add(150 * time.Millisecond)
 		tracker.Learn(at, []loadtracker.Report{{Target: "full", Running: slots * (i % 2)}, {Target: "empty", Running: slots * (i % 2)}, {Target: "mute", Running: slots / 2}})
 	}
-	got = shares(x, at.Add(100*time.Millisecond), weigher.Prompt{})
+	got = shares(x, at.Add(100*time.Millisecond))
 	c.Check(got["full"] > 0.1 && got["empty"] > 0.1 && got["mute"] > 0.1, qt.IsTrue, qt.Commentf("contradictory: %v", got))
 }
 
@@ -267,11 +267,11 @@
 		x.RecordGap(now, "draft", "slow", 100*time.Millisecond)
 		x.RecordGap(now, "draft", "sound", 32*time.Millisecond)
 	}
-	got := shares(x, now, weigher.Prompt{})
+	got := shares(x, now)
 	c.Check(got["slow"] > 0.15 && got["slow"] < 0.35, qt.IsTrue, qt.Commentf("%v", got))
 	later := now.Add(10 * time.Second)
 	tracker.Learn(later, []loadtracker.Report{{Target: "slow", Running: 50}, {Target: "sound", Running: 50}})
-	got = shares(x, later, weigher.Prompt{})
+	got = shares(x, later)
 	c.Check(got["slow"] > 0.45, qt.IsTrue, qt.Commentf("%v", got))
 }
 
--- a/entry/internal/commander/relay.go
+++ b/entry/internal/commander/relay.go
@@ -75,7 +75,7 @@
 		{Name: "store-parts", Default: "12", Usage: "partitions of a topic of the store, 1 to 1000; the retry slack is divided among them; a fraction is rounded down", Check: optionparser.IsAmount(1, maxPartitions), IsRoundedDown: true},
 		{Name: "retry-window", Default: "10s", Usage: "window over which the retry ratio is enforced", Check: optionparser.IsDuration},
 		{Name: "heartbeat", Default: "1200ms", Usage: "interval at which a target reports to the store that it is alive", Check: optionparser.IsDuration},
-		{Name: "load-interval", Default: "0s", Usage: "interval at which nodes that read the store request load reports of the first targets of chains; 0s requests none, and chains are chosen by what each node sees itself", Check: optionparser.IsDuration},
+		{Name: "load-interval", Default: "0s", Usage: "interval at which nodes that read the store request load reports of the first targets of chains, by which chains are chosen; 0s requests none, chains are chosen by what each node sees itself, and nodes do not tell each other of targets that reject requests", Check: optionparser.IsDuration},
 		{Name: "balancer-lag", Default: "2600ms", Usage: "how long a stopping node still accepts requests, so that the load balancer can detect that it is unready", Check: optionparser.IsDuration},
 		{Name: "stop-limit", Default: "8s", Usage: "maximum time a stopping node waits for requests in progress", Check: optionparser.IsDuration},
 		{Name: "trace-endpoint", Usage: "OTLP over HTTP endpoint for spans, host:port; disabled when empty"},
@@ -196,7 +196,12 @@
 	n.joiner = joiner.NewJoiner(store, joiner.Config{
 		Self: self, StorePartitions: values.Number("store-parts"), RetrySlack: int(slackShare * values.Amount("retry-slack")),
 	}, n.relayer.Submit)
-	learnLoads := func(r []loadtracker.Report) { n.relayer.Submit(dispatcher.LoadsLearned{Reports: r}) }
+	usesLoads := values.Duration("load-interval") > 0
+	learnLoads := func(r []loadtracker.Report) {
+		if usesLoads {
+			n.relayer.Submit(dispatcher.LoadsLearned{Reports: r})
+		}
+	}
 	n.loads = loadpoller.NewPoller(loadpoller.Config{
 		Interval: values.Duration("load-interval"), Targets: n.relayer,
 		IsAsking: func() bool { return values.Text("peer-listen") == "" || n.joiner.IsReader() },
@@ -217,7 +222,7 @@
 	})
 	n.rejections = rejectionreporter.NewReporter(rejectionreporter.Config{
 		Peers: n.peers, Readers: n.joiner, Recorder: updates, Submit: n.relayer.Submit,
-		IsOn: values.Duration("load-interval") > 0 && values.Text("peer-listen") != "",
+		IsOn: usesLoads && values.Text("peer-listen") != "",
 	})
 	n.granter = granter.NewGranter(granter.Config{
 		Self: values.Text("peer-listen"), Partitions: values.Number("store-parts"), Peers: questions, Holders: n.joiner, Recorder: updates, Submit: n.relayer.Submit,
