--- a/entry/internal/commander/relay.go
+++ b/entry/internal/commander/relay.go
@@ -21,6 +21,7 @@
 	"fuchsiabridge.example/common/logwriter"
 	"fuchsiabridge.example/common/optionparser"
 	"fuchsiabridge.example/common/responder"
+	"fuchsiabridge.example/entry/internal/avoider"
 	"fuchsiabridge.example/entry/internal/connector"
 	"fuchsiabridge.example/entry/internal/crashrecorder"
 	"fuchsiabridge.example/entry/internal/crashreporter"
@@ -35,6 +36,7 @@
 	"fuchsiabridge.example/entry/internal/meter"
 	"fuchsiabridge.example/entry/internal/peercaller"
 	"fuchsiabridge.example/entry/internal/receiver"
+	"fuchsiabridge.example/entry/internal/rejectionreporter"
 	"fuchsiabridge.example/entry/internal/relayer"
 	"fuchsiabridge.example/entry/internal/server"
 	"fuchsiabridge.example/entry/internal/sharer"
@@ -73,7 +75,7 @@
 		{Name: "store-parts", Default: "12", Usage: "partitions of a topic of the store, 1 to 1000; the retry slack is divided among them; a fraction is rounded down", Check: optionparser.IsAmount(1, maxPartitions), IsRoundedDown: true},
 		{Name: "retry-window", Default: "10s", Usage: "window over which the retry ratio is enforced", Check: optionparser.IsDuration},
 		{Name: "heartbeat", Default: "1200ms", Usage: "interval at which a target reports to the store that it is alive", Check: optionparser.IsDuration},
-		{Name: "load-interval", Default: "0s", Usage: "interval at which nodes that read the store request load reports of the first targets of chains; 0s requests none, and chains are chosen by what each node sees itself", Check: optionparser.IsDuration},
+		{Name: "load-interval", Default: "0s", Usage: "interval at which nodes that read the store request load reports of the first targets of chains, by which chains are chosen; 0s requests none, chains are chosen by what each node sees itself, and nodes do not tell each other of targets that reject requests", Check: optionparser.IsDuration},
 		{Name: "balancer-lag", Default: "2600ms", Usage: "how long a stopping node still accepts requests, so that the load balancer can detect that it is unready", Check: optionparser.IsDuration},
 		{Name: "stop-limit", Default: "8s", Usage: "maximum time a stopping node waits for requests in progress", Check: optionparser.IsDuration},
 		{Name: "trace-endpoint", Usage: "OTLP over HTTP endpoint for spans, host:port; disabled when empty"},
@@ -115,13 +117,14 @@
 	relayer  *relayer.Relayer
 	receiver *receiver.Receiver
 	// delegated serves the requests of other nodes.
-	delegated *receiver.Receiver
-	joiner    *joiner.Joiner
-	follower  *follower.Follower
-	reporter  *crashreporter.Reporter
-	granter   *granter.Granter
-	peers     *peercaller.Caller
-	loads     *loadpoller.Poller
+	delegated  *receiver.Receiver
+	joiner     *joiner.Joiner
+	follower   *follower.Follower
+	reporter   *crashreporter.Reporter
+	granter    *granter.Granter
+	peers      *peercaller.Caller
+	loads      *loadpoller.Poller
+	rejections *rejectionreporter.Reporter
 }
 
 // newRelayNode returns a node whose calls end with ctx.
@@ -150,8 +153,9 @@
 			RetryWindow:     values.Duration("retry-window"),
 			HasPeers:        hasPeers,
 		},
-		ReportCrashes: func(r sharer.CrashReport) { n.reporter.ReportCrashes(r) },
-		SavePoison:    func(c crashrecorder.Crash) { n.reporter.SavePoison(c) },
+		ReportCrashes:    func(r sharer.CrashReport) { n.reporter.ReportCrashes(r) },
+		ReportRejections: func(r []avoider.Rejection) { n.rejections.Report(r) },
+		SavePoison:       func(c crashrecorder.Crash) { n.reporter.SavePoison(c) },
 		Grant: func(ctx context.Context, r limiter.Report) granter.Answer {
 			return n.granter.Grant(ctx, r)
 		},
@@ -177,6 +181,9 @@
 		sharer.ClearMethod: func(ctx context.Context, params json.RawMessage) (any, error) {
 			return n.reporter.ServeClear(ctx, params)
 		},
+		rejectionreporter.RejectMethod: func(ctx context.Context, params json.RawMessage) (any, error) {
+			return n.rejections.Serve(ctx, params)
+		},
 		sharer.CrashesMethod:  updates.ServeCrashes,
 		delegator.OfferMethod: n.relayer.ServeOffer, relayer.ReportMethod: n.relayer.ServeReport, relayer.OrderMethod: n.relayer.ServeOrder,
 		loadpoller.LoadsMethod: func(ctx context.Context, params json.RawMessage) (any, error) {
@@ -192,7 +199,12 @@
 	n.joiner = joiner.NewJoiner(store, joiner.Config{
 		Self: self, StorePartitions: values.Number("store-parts"), RetrySlack: int(slackShare * values.Amount("retry-slack")),
 	}, n.relayer.Submit)
-	learnLoads := func(r []loadtracker.Report) { n.relayer.Submit(dispatcher.LoadsLearned{Reports: r}) }
+	usesLoads := values.Duration("load-interval") > 0
+	learnLoads := func(r []loadtracker.Report) {
+		if usesLoads {
+			n.relayer.Submit(dispatcher.LoadsLearned{Reports: r})
+		}
+	}
 	n.loads = loadpoller.NewPoller(loadpoller.Config{
 		Interval: values.Duration("load-interval"), Targets: n.relayer,
 		Duty: n.loadDuty, Peers: loadCalls, Readers: n.readerAddresses,
@@ -202,14 +214,19 @@
 		},
 	})
 	n.follower = follower.NewFollower(store, n.peers, n.joiner, updates, follower.Config{
-		Self:         self,
-		LearnCrashes: func(r sharer.CrashReport) { n.reporter.Learn(r) },
-		LearnLimits:  func(r []limiter.Report) { n.granter.Learn(r) },
-		LearnLoads:   learnLoads,
+		Self:            self,
+		LearnCrashes:    func(r sharer.CrashReport) { n.reporter.Learn(r) },
+		LearnLimits:     func(r []limiter.Report) { n.granter.Learn(r) },
+		LearnLoads:      learnLoads,
+		LearnRejections: func(r []avoider.Rejection) { n.rejections.Learn(r) },
 	}, n.relayer.Submit)
 	n.reporter = crashreporter.NewReporter(crashreporter.Config{
 		Self: values.Text("peer-listen"), Peers: n.peers, Readers: n.joiner, Store: store, Sharer: updates, Submit: n.relayer.Submit,
 	})
+	n.rejections = rejectionreporter.NewReporter(rejectionreporter.Config{
+		Peers: n.peers, Readers: n.joiner, Recorder: updates, Submit: n.relayer.Submit,
+		IsOn: usesLoads && values.Text("peer-listen") != "",
+	})
 	n.granter = granter.NewGranter(granter.Config{
 		Self: values.Text("peer-listen"), Partitions: values.Number("store-parts"), Peers: questions, Holders: n.joiner, Recorder: updates, Submit: n.relayer.Submit,
 	})
@@ -275,6 +292,7 @@
 		go n.follower.FollowPeers(ctx)
 		go n.reporter.SendCrashReports(ctx)
 		go n.reporter.SyncCrashes(ctx)
+		go n.rejections.Run(ctx)
 	}
 	joined, stop := context.WithCancel(ctx)
 	hasLeft := make(chan struct{})
