Reroute streams before they are sent again

A stream whose chain had lost a later stage was sent again, which uses the retry budget and lets all stages read the prompt again; a refused reroute was repeated along the same targets.

Now the first target is asked first, along random replacements that keep the sound stages; targets that refused are avoided, alone or as a group. After two refusals the stream is sent again, else it waits 100, 200, 400 ms. Streams of routes with a gap objective leave a silent chain by its gaps while load reports are recent, two in a second for each first target. Decisions are in package continuer.

The tests of dispatcher, chooser, chainer, forwarder, meter and eventlogger pass.

--- a/common/eventlogger/relay.go
+++ b/common/eventlogger/relay.go
@@ -46,6 +46,8 @@
 	DelegatesFound         = Event{8042, "search for nodes that take requests ended"}
 	LoadsStale             = Event{8043, "load reports of targets are out of date"}
 	LoadsRecent            = Event{8044, "load reports of targets are recent again"}
+	SilentChainLeft        = Event{8047, "stream leaves a silent chain"}
+	StreamNotContinued     = Event{8048, "stream could not be continued"}
 )
 
 func relayEvents() []Event {
@@ -54,6 +56,8 @@
 		AttemptEnded,
 		LoadsStale,
 		LoadsRecent,
+		SilentChainLeft,
+		StreamNotContinued,
 		ConfigurationChanged,
 		ConfigurationStale,
 		ConfigurationConfirmed,
--- a/entry/internal/chainer/chainer.go
+++ b/entry/internal/chainer/chainer.go
@@ -65,8 +65,8 @@
 	holders []Holder
 	// uses counts, for each holder, the planned chains that use its target.
 	uses []int
-	// first is the stage with which a chain must begin; no target means any stage.
-	first describer.Stage
+	// fixed are the stages that a chain must have, in order; the first one of them begins it. If it is empty, any chain is allowed.
+	fixed []describer.Stage
 	// preferred is the data centre whose targets a mixed chain, one over several data centres,
 	// should use; empty for none.
 	preferred identifier.DataCentre
@@ -169,13 +169,29 @@
 	return slices.Compact(out)
 }
 
-// ContinueFrom returns the chain with the lowest cost that begins with the given stage.
-func (p *Planner) ContinueFrom(first describer.Stage) (Chain, bool) {
-	p.first = first
-	defer func() { p.first = describer.Stage{} }()
+// Continue returns the chain with the lowest cost that has the given stages, of which the first one begins it.
+func (p *Planner) Continue(kept []describer.Stage) (Chain, bool) {
+	boundaries := p.boundaries
+	p.fixed = kept
+	for _, stage := range kept {
+		p.boundaries = append(slices.Clone(p.boundaries), stage.Layers.From, stage.Layers.To)
+	}
+	slices.Sort(p.boundaries)
+	p.boundaries = slices.Compact(p.boundaries)
+	defer func() { p.fixed, p.boundaries = nil, boundaries }()
 	return p.findCheapest(func(Holder) bool { return true })
 }
 
+// fits reports whether holder h may run a stage between two boundaries beside the fixed stages.
+func (p *Planner) fits(h Holder, from, to identifier.Layer) bool {
+	for _, stage := range p.fixed {
+		if stage.Target == h.Target {
+			return stage.Layers.From == from && stage.Layers.To == to
+		}
+	}
+	return !slices.ContainsFunc(p.fixed, func(stage describer.Stage) bool { return from < stage.Layers.To && stage.Layers.From < to })
+}
+
 // countHeldLayers returns how many layers are held by at least one target of a data centre.
 func (p *Planner) countHeldLayers(dc identifier.DataCentre) int {
 	layers := map[identifier.Layer]bool{}
@@ -263,9 +279,6 @@
 	if p.boundaries[from] < h.Layers.From || p.boundaries[from] >= h.Layers.To {
 		return
 	}
-	if from == 0 && p.first.Target != "" && p.first.Target != h.Target {
-		return
-	}
 	before, ok := arrivals[h.DataCentre]
 	if !ok {
 		before = p.cheapestTo(best[from], h.DataCentre, from)
@@ -275,7 +288,7 @@
 		return
 	}
 	for to := from + 1; to < len(p.boundaries) && p.boundaries[to] <= h.Layers.To; to++ {
-		if from == 0 && p.first.Target != "" && p.boundaries[to] != p.first.Layers.To {
+		if !p.fits(h, p.boundaries[from], p.boundaries[to]) {
 			continue
 		}
 		cost := before.cost + p.stageCost(i, int(p.boundaries[to]-p.boundaries[from]))
--- a/entry/internal/chooser/chains.go
+++ b/entry/internal/chooser/chains.go
@@ -137,23 +137,6 @@
 	})
 }
 
-// ContinueFrom returns a chain that begins with the given stage and includes no ejected targets, and no avoided ones if
-// there is one without these.
-func (c *Chooser) ContinueFrom(now time.Time, id identifier.ServiceID, first describer.Stage) (chainer.Chain, bool) {
-	s := c.services[id]
-	if s == nil || s.engine == nil {
-		return chainer.Chain{}, false
-	}
-	holders := c.holders(s, false)
-	free := slices.DeleteFunc(slices.Clone(holders), func(h chainer.Holder) bool {
-		return h.Address != first.Address && now.Before(c.avoided[h.Address])
-	})
-	if chain, ok := chainer.NewPlanner(s.engine, free).ContinueFrom(first); ok {
-		return chain, true
-	}
-	return chainer.NewPlanner(s.engine, holders).ContinueFrom(first)
-}
-
 // isAvoided reports whether a chain includes a target that is avoided for now.
 func (c *Chooser) isAvoided(now time.Time, chain []describer.Stage) bool {
 	if len(c.avoided) == 0 {
--- a/entry/internal/chooser/chooser.go
+++ b/entry/internal/chooser/chooser.go
@@ -76,6 +76,8 @@
 	quiet map[identifier.TargetID]time.Time
 	// suspects holds the targets that other nodes have seen fail.
 	suspects map[identifier.TargetID]suspect
+	// refusedGroups holds the groups of targets of which one has refused a continuation.
+	refusedGroups []refusedGroup
 }
 
 // NewChooser returns a chooser without targets for a node in the given data centre.
@@ -127,6 +129,7 @@
 	dropExpired(now, c.stalled)
 	dropExpired(now, c.shut)
 	dropExpired(now, c.quiet)
+	c.dropRefusedGroups(now)
 }
 
 func dropExpired[K comparable](now time.Time, untils map[K]time.Time) {
--- a/entry/internal/dispatcher/attempts.go
+++ b/entry/internal/dispatcher/attempts.go
@@ -23,6 +23,7 @@
 	d.recordAlive(r, ev)
 	if ev.Events > r.events {
 		r.stalledAttempt = nil
+		r.progress.Resumed()
 	}
 	effects := d.noteWritten(now, r, ev)
 	r.firstByte, r.longestGap, r.events = ev.FirstByte, ev.LongestGap, ev.Events
@@ -213,46 +214,6 @@
 	return d.chooser.Address(r.target)
 }
 
-// stalled decides what to do with an attempt that has delivered no data within its idle timeout.
-func (d *Dispatcher) stalled(now time.Time, ev AttemptReported, r *request) []messenger.Effect {
-	if r.delegate != "" {
-		return d.stalledDelegate(now, ev, r)
-	}
-	if len(r.chain) == 0 {
-		return d.stalledPlain(now, ev, r)
-	}
-	if d.mustDelegate(r) {
-		return d.failOver(now, ev.Call, r, "path to the targets is lost", ev.Seed)
-	}
-	if d.chooser.HasFailed(r.chain) {
-		return d.failOver(now, ev.Call, r, "a target of the chain was ejected, or other nodes have seen it fail", ev.Seed)
-	}
-	firstStage := r.chain[0]
-	isIdle := ev.ChainIdleTime >= min(maxChainIdleTimeout, max(minChainIdleTimeout, typicalGapsUntilStalled*ev.ChainTypicalGap))
-	isKnownStalled := d.chooser.IsStalled(now, firstStage.Address)
-	if isIdle && (isKnownStalled || d.chooser.OpenRequests(firstStage.Target) >= stallQuorum) {
-		return d.leaveStalledChain(now, ev, r)
-	}
-	if ev.ChainIdleTime >= probeIdleTimeout {
-		return []messenger.Effect{Probe{Target: firstStage.Target, Address: firstStage.Address}}
-	}
-	return []messenger.Effect{Wait{Until: now.Add(stallCheckInterval)}}
-}
-
-// leaveStalledChain moves a request off a chain on which every request is stalled, before it
-// is known which of its targets is at fault. If there is no other chain, the request waits.
-func (d *Dispatcher) leaveStalledChain(now time.Time, ev AttemptReported, r *request) []messenger.Effect {
-	address := r.chain[0].Address
-	var effects []messenger.Effect
-	if d.chooser.MarkStalled(now, address, now.Add(stalledChainBackoff)) {
-		effects = append(effects, ProbeChain{Target: r.chain[0].Target, Address: address})
-	}
-	if !d.chooser.HasOtherChain(now, r.service) {
-		return append([]messenger.Effect{Wait{Until: now.Add(stallCheckInterval)}}, effects...)
-	}
-	return append(d.failOver(now, ev.Call, r, "no request receives data from the chain", ev.Seed), effects...)
-}
-
 // chainProbed ejects the targets that the requests at a stalled chain's first target wait for, or
 // the first target if it did not answer.
 func (d *Dispatcher) chainProbed(now time.Time, ev ChainProbed) []messenger.Effect {
@@ -278,15 +239,15 @@
 	return d.failOver(now, ev.Call, r, "target did not answer in time", ev.Seed)
 }
 
-// failOver sends a stalled request to another target or chain. If that is not possible, a request
-// at a chain is rerouted or goes on waiting, and one at a plain target goes on waiting.
+// failOver sends a stalled request to another target or chain. If that is not possible, it goes on waiting, and one at a chain tries again
+// later.
 func (d *Dispatcher) failOver(now time.Time, call identifier.CallID, r *request, reason string, seed uint64) []messenger.Effect {
 	r.hasArrived = true
 	r.executions += r.runs
 	if !d.mayRetry(now, r) || !d.hasAlternative(now, r) || d.isTried(now, r.key) {
 		r.executions -= r.runs
 		if len(r.chain) > 0 {
-			return d.rerouteChain(now, r)
+			return d.postpone(now, r, reason)
 		}
 		return []messenger.Effect{Wait{Until: r.deadline}}
 	}
@@ -295,48 +256,14 @@
 	effects = append(effects, d.logAttempt(now, r, left, isCandidate))
 	stalledAttempt := r.attempt
 	r.stalledAttempt = &stalledAttempt
+	move := d.moveOf(r, sentAgain, r.chain)
 	effects = append(effects, dropDelegate(r, left)...)
 	d.release(r)
-	return append(effects, d.sendAttempt(now, call, r, seed, true)...)
-}
-
-// rerouteChain handles a stalled request that cannot be retried. If a target after the first one of
-// its chain was ejected, the first target is asked to continue the request along another chain.
-// Otherwise the request goes on waiting.
-func (d *Dispatcher) rerouteChain(now time.Time, r *request) []messenger.Effect {
-	wait := []messenger.Effect{Wait{Until: now.Add(probeIdleTimeout)}}
-	if r.reroutes >= maxReroutes || !d.chooser.HasFailed(r.chain) || d.chooser.HasEjected(r.chain[:1]) {
-		return wait
-	}
-	chain, ok := d.chooser.ContinueFrom(now, r.service, r.chain[0])
-	if !ok {
-		return wait
-	}
-	r.reroutes++
-	return []messenger.Effect{Reroute{Address: r.chain[0].Address, Chain: chain.Stages}}
-}
-
-// rerouted applies the result of a reroute of a running request.
-func (d *Dispatcher) rerouted(now time.Time, ev Rerouted) []messenger.Effect {
-	r, ok := d.requests[ev.Call]
-	if !ok {
-		return nil
-	}
-	if ev.IsAccepted {
-		target := r.target
-		d.release(r)
-		r.chain, r.target = ev.Chain, target
-		d.chooser.Acquire(r.targets())
+	effects = append(effects, d.sendAttempt(now, call, r, seed, true)...)
+	if len(stalledAttempt.chain) > 0 && r.target != "" {
+		effects = append(effects, move)
 	}
-	effects := []messenger.Effect{messenger.Log{
-		Event: eventlogger.RequestRerouted, Subject: "request/" + string(r.id),
-		Values: []any{"taken", ev.IsAccepted, reasonKey, ev.Reason, "fault", ev.FaultAddress, "parts", len(ev.Chain)},
-	}}
-	if ev.IsAccepted || ev.FaultAddress == "" {
-		return append(effects, Wait{Until: now.Add(probeIdleTimeout)})
-	}
-	d.chooser.Avoid(ev.FaultAddress, now.Add(fullTargetBackoff))
-	return append(effects, d.rerouteChain(now, r)...)
+	return effects
 }
 
 // hasAlternative reports whether another attempt is possible: a plain request needs a target that
@@ -345,29 +272,6 @@
 	return d.chooser.IsChained(r.service) || d.chooser.Target(now, r.service, r.tried, 1) != nil || d.mustDelegate(r)
 }
 
-// probed handles the answer of a stalled chain's first target, which names the target that the
-// request waits for. That target is ejected, or the first one if it did not answer.
-func (d *Dispatcher) probed(now time.Time, ev Probed) []messenger.Effect {
-	r, ok := d.requests[ev.Call]
-	if !ok {
-		return nil
-	}
-	if ev.IsUnreached {
-		return d.failOver(now, ev.Call, r, "path to the targets is lost", ev.Seed)
-	}
-	faulty := ev.FaultAddress
-	var effects []messenger.Effect
-	if ev.IsUnanswered {
-		faulty = d.address(r)
-		effects = d.logPaths(d.paths.Failed(now, r.target))
-	}
-	if faulty == "" {
-		return []messenger.Effect{Wait{Until: now.Add(streamIdleTimeout)}}
-	}
-	effects = append(effects, d.eject(now, faulty, d.causeOfSilence(r.service), "a stalled request waits for this target")...)
-	return append(effects, d.failOver(now, ev.Call, r, "request waits for target "+faulty, ev.Seed)...)
-}
-
 // logAttempt logs the end of an attempt, or that it stalled; isCandidate says that the request may have
 // crashed a target.
 func (d *Dispatcher) logAttempt(now time.Time, r *request, ev AttemptReported, isCandidate bool) messenger.Effect {
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -11,6 +11,7 @@
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/entry/internal/budgeter"
 	"fuchsiabridge.example/entry/internal/chooser"
+	"fuchsiabridge.example/entry/internal/continuer"
 	"fuchsiabridge.example/entry/internal/crashrecorder"
 	"fuchsiabridge.example/entry/internal/crashtracker"
 	"fuchsiabridge.example/entry/internal/fingerprinter"
@@ -32,22 +33,12 @@
 	streamIdleTimeout = 70 * time.Millisecond
 	// stallCheckInterval is the time between two checks of a stalled chain.
 	stallCheckInterval = 25 * time.Millisecond
-	// minChainIdleTimeout and maxChainIdleTimeout bound the idle time after which a chain counts
-	// as stalled; between them it is typicalGapsUntilStalled times the typical gap between two events.
-	minChainIdleTimeout     = 80 * time.Millisecond
-	maxChainIdleTimeout     = 400 * time.Millisecond
-	typicalGapsUntilStalled = 3
-	// probeIdleTimeout is how long none of the node's requests may receive data from a chain's
-	// first target before a stream probes that target.
-	probeIdleTimeout = 260 * time.Millisecond
 	// stallQuorum is how many of the node's requests must be open at the first target of a stalled
 	// chain for them to leave the chain before the target at fault is known.
 	stallQuorum = 3
 	// stalledChainBackoff is how long a stalled chain is avoided: by then a probe has normally
 	// located the target at fault.
 	stalledChainBackoff = 600 * time.Millisecond
-	// maxReroutes is how often a request's first target may be asked to continue along another chain.
-	maxReroutes = 3
 	// fullTargetBackoff is how long a target without free capacity is avoided.
 	fullTargetBackoff = 250 * time.Millisecond
 	// plainTimeoutFraction is the fraction of the route's latency objective after which a plain
@@ -109,9 +100,6 @@
 	holdUntil time.Time
 	// tried holds the target of each attempt, of a chain its first target.
 	tried []identifier.TargetID
-	// reroutes counts how often the first target of the request's chain was asked to continue
-	// along another chain.
-	reroutes int
 	delegation
 	attempt
 	// pending is the attempt that waits for a grant, which its target's request limit makes necessary.
@@ -140,6 +128,8 @@
 	// eventsBefore counts the events that earlier attempts had delivered.
 	before       crashrecorder.Histories
 	eventsBefore int
+	// progress is what was tried to continue the attempt along another chain.
+	progress continuer.Progress
 }
 
 // Dispatcher is the reducer for requests in progress.
@@ -168,6 +158,8 @@
 	// loads holds what first targets report of their load, works what the answers of each route have been.
 	loads *loadtracker.Tracker
 	works *workestimator.Estimator
+	// moves limits how many streams leave silent chains.
+	moves *continuer.MoveLimiter
 }
 
 // NewDispatcher returns a dispatcher without a configuration.
@@ -175,7 +167,7 @@
 	return &Dispatcher{
 		cfg: cfg, chooser: chooser.NewChooser(cfg.DataCentre), crashTracker: crashtracker.NewTracker(), limits: limiter.NewTracker(), paths: pathtracker.NewTracker(),
 		refusals: map[identifier.TargetID]int{}, unreadable: map[identifier.TargetID]unreadableFields{}, requests: map[identifier.CallID]*request{},
-		loads: loadtracker.NewTracker(), works: workestimator.NewEstimator(),
+		loads: loadtracker.NewTracker(), works: workestimator.NewEstimator(), moves: continuer.NewMoveLimiter(),
 		trials: trier.NewTrier(), retries: budgeter.NewBudgets(budgeter.Config{Ratio: cfg.RetryRatio, Window: cfg.RetryWindow}),
 	}
 }
@@ -274,6 +266,7 @@
 func (d *Dispatcher) tick(now time.Time) []messenger.Effect {
 	d.chooser.Tick(now)
 	d.trials.Tick(now)
+	d.moves.Tick(now)
 	effects := append(d.startChecks(now), d.confirmTraits(now)...)
 	effects = append(effects, d.endQuiet(now)...)
 	effects = append(effects, d.checkPaths(now)...)
@@ -387,7 +380,7 @@
 	r.sent, r.before, r.eventsBefore = now, before, r.events
 	r.target, r.chain, r.delegate, r.runs = out.Target, out.Chain, "", 1
 	out.Runs = r.executions + 1
-	r.askUntil = time.Time{}
+	r.askUntil, r.progress = time.Time{}, continuer.Progress{}
 	out.IdleDeadline = r.idleDeadline(now, out)
 	d.trials.Begin(now, out.Call, r.key, before)
 	r.tried = append(r.tried, out.Target)
--- a/entry/internal/dispatcher/messages.go
+++ b/entry/internal/dispatcher/messages.go
@@ -142,6 +142,8 @@
 	// ChainTypicalGap is the typical gap between two events of a request at the first target. It is
 	// set if the attempt is stalled.
 	ChainTypicalGap time.Duration
+	// ChainLongestGap is the longest such gap lately seen, 0 if none was. It is set if the attempt is stalled.
+	ChainLongestGap time.Duration
 	// FirstByte is the time from the start of the attempt to the first byte of the response, 0 if none was received.
 	FirstByte time.Duration
 	// LongestGap is the longest gap so far between two events written to the caller.
@@ -310,11 +312,22 @@
 	// FaultAddress is the address of the target of the chain that a refusal names as its cause: it does not hold the
 	// layers, or has no room.
 	FaultAddress string
+	// IsUnanswered says that the first target gave no answer.
+	IsUnanswered bool
+	Seed         uint64
 }
 
 // Deliver is the effect that writes the error response that was held back to the caller.
 type Deliver struct{}
 
+// RecordMove is the effect that adds a stream that was moved to another chain to the metrics.
+type RecordMove struct {
+	// Cause says why it was moved and how, for the metrics.
+	Cause string
+	// Tokens is how many tokens of the prompt are read again, over all layers.
+	Tokens int
+}
+
 // RecordSample is the effect that adds an ended request to the metrics.
 type RecordSample struct{ Sample meter.Sample }
 
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -83,8 +83,10 @@
 	stopWatch func() bool
 	// receivedAt is when bytes last arrived.
 	receivedAt time.Time
-	resp       *fasthttp.Response
-	hasHeader  bool
+	// changedAt is when the target was last told to continue the request along another chain, or zero.
+	changedAt time.Time
+	resp      *fasthttp.Response
+	hasHeader bool
 	// result is what a delegate says of the request, nil until its answer was read.
 	result *delegator.Result
 	body   io.Reader
@@ -467,7 +469,8 @@
 func (x *Exchange) report(ctx context.Context, o dispatcher.Outcome, err error) dispatcher.AttemptReported {
 	r := dispatcher.AttemptReported{Call: x.send.Call, Outcome: o, Events: x.events.count, FirstByte: x.firstByte, LongestGap: x.longestGap, Result: x.result}
 	if o == dispatcher.Stalled {
-		r.ChainIdleTime, r.ChainTypicalGap = x.idle.idleTime(x.send.Address, x.sentAt, bootclock.Now())
+		idle, gaps := x.idle.idleTime(x.send.Address, x.sentAt, bootclock.Now())
+		r.ChainIdleTime, r.ChainTypicalGap, r.ChainLongestGap = idle, gaps.Typical, gaps.Longest
 	}
 	if o == dispatcher.CallerGone {
 		x.Drop()
--- a/entry/internal/forwarder/streams.go
+++ b/entry/internal/forwarder/streams.go
@@ -33,8 +33,10 @@
 	if idleTimeout <= 0 {
 		idleTimeout = time.Millisecond
 	}
+	until := bootclock.Now().Add(idleTimeout)
 	for {
-		n, err := x.read(bootclock.Now().Add(max(idleTimeout, x.idleTimeout())))
+		n, err := x.read(until)
+		until = bootclock.Now().Add(x.idleTimeout())
 		if n > 0 {
 			if r, ok := x.forward(ctx, x.buffer[:n]); !ok {
 				return r
@@ -122,12 +124,23 @@
 	now := bootclock.Now()
 	if !x.forwardedAt.IsZero() {
 		x.longestGap = max(x.longestGap, now.Sub(x.forwardedAt))
-		x.idle.recordGap(x.send.Address, now.Sub(x.forwardedAt))
+		x.recordGap(now)
 	}
 	x.forwardedAt = now
 	return dispatcher.AttemptReported{}, true
 }
 
+// recordGap records the gap that ends now as one of the target, unless the stream has changed its chain in it: such a gap shows how long
+// the change took, not how slow the target is.
+func (x *Exchange) recordGap(now time.Time) {
+	if x.forwardedAt.After(x.sentAt) && x.forwardedAt.After(x.changedAt) {
+		x.idle.recordGap(x.send.Address, now.Sub(x.forwardedAt), now)
+	}
+}
+
+// NoteRerouted notes that the target of the attempt continues the request along another chain from now on.
+func (x *Exchange) NoteRerouted() { x.changedAt = bootclock.Now() }
+
 // finish ends a complete stream.
 func (x *Exchange) finish(ctx context.Context) dispatcher.AttemptReported {
 	if len(x.pending) > 0 {
--- a/entry/internal/meter/meter.go
+++ b/entry/internal/meter/meter.go
@@ -3,6 +3,7 @@
 
 import (
 	"expvar"
+	"maps"
 	"strconv"
 	"sync"
 	"time"
@@ -45,10 +46,15 @@
 	mu       sync.Mutex
 	kinds    map[string]*series
 	accounts map[string]*series
+	// moves counts the streams that were moved to another chain, or could not be, and reread the tokens of prompts read again for that.
+	moves  map[string]int64
+	reread map[string]int64
 }
 
 // NewMeter returns a meter without samples.
-func NewMeter() *Meter { return &Meter{kinds: map[string]*series{}, accounts: map[string]*series{}} }
+func NewMeter() *Meter {
+	return &Meter{kinds: map[string]*series{}, accounts: map[string]*series{}, moves: map[string]int64{}, reread: map[string]int64{}}
+}
 
 // Publish registers the metrics with expvar under a name.
 func (m *Meter) Publish(name string) { expvar.Publish(name, expvar.Func(m.snapshot)) }
@@ -61,6 +67,14 @@
 	seriesOf(m.accounts, s.Account).add(s)
 }
 
+// AddMove records that a stream was moved to another chain, or could not be, with the tokens of its prompt that are read again.
+func (m *Meter) AddMove(cause string, tokens int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.moves[cause]++
+	m.reread[cause] += int64(tokens)
+}
+
 func seriesOf(all map[string]*series, name string) *series {
 	if _, ok := all[name]; !ok && len(all) >= maxSeries {
 		name = other
@@ -94,7 +108,9 @@
 func (m *Meter) snapshot() any {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return map[string]any{"by_kind": export(m.kinds), "by_account": export(m.accounts)}
+	return map[string]any{
+		"by_kind": export(m.kinds), "by_account": export(m.accounts), "moves": maps.Clone(m.moves), "reread_tokens": maps.Clone(m.reread),
+	}
 }
 
 func export(all map[string]*series) map[string]any {
--- a/entry/internal/relayer/relayer.go
+++ b/entry/internal/relayer/relayer.go
@@ -163,6 +163,8 @@
 			eventlogger.Info(e.Event, append([]any{"subject", e.Subject}, e.Values...)...)
 		case dispatcher.RecordSample:
 			x.meter.Add(e.Sample)
+		case dispatcher.RecordMove:
+			x.meter.AddMove(e.Cause, e.Tokens)
 		case dispatcher.ReportCrashes:
 			x.reportCrashes(sharer.CrashReport{Crashes: e.Crashes, Cleared: e.Cleared})
 		case dispatcher.SavePoison:
--- a/entry/internal/relayer/serving.go
+++ b/entry/internal/relayer/serving.go
@@ -167,11 +167,16 @@
 	first := targetcaller.Recipient{Target: e.Chain[0].Target, Address: e.Address}
 	if err := s.x.targets.Reroute(ctx, first, s.request.ID, e.Chain); err != nil {
 		rerouted.IsAccepted, rerouted.Reason = false, err.Error()
+		rerouted.IsUnanswered = true
 		var rejection *targetcaller.RejectionError
 		if errors.As(err, &rejection) {
-			rerouted.FaultAddress = rejection.FaultAddress
+			rerouted.FaultAddress, rerouted.IsUnanswered = rejection.FaultAddress, false
 		}
 	}
+	if rerouted.IsAccepted {
+		s.exchange.NoteRerouted()
+	}
+	rerouted.Seed = rand.Uint64()
 	return rerouted
 }
 
