Return to a stalled attempt that goes on, and move decisions out of package dispatcher

A stream waited for its second attempt while the first one had an event for it. The forwarder now reports that, and the second attempt is left.

--- a/entry/internal/chainer/chainer.go
+++ b/entry/internal/chainer/chainer.go
@@ -59,6 +59,15 @@
 	return fmt.Sprintf("%s parts=%d crossings=%d step_ms=%.1f room=%.0f", c.DataCentre, len(c.Stages), c.Hops, c.StepCost, c.Capacity)
 }
 
+// Targets returns the targets of the stages of a chain.
+func Targets(stages []describer.Stage) []identifier.TargetID {
+	out := make([]identifier.TargetID, 0, len(stages))
+	for _, stage := range stages {
+		out = append(out, stage.Target)
+	}
+	return out
+}
+
 // Planner plans the chains of one model.
 type Planner struct {
 	engine  *describer.Engine
--- a/entry/internal/dispatcher/attempts.go
+++ b/entry/internal/dispatcher/attempts.go
@@ -1,14 +1,15 @@
 package dispatcher
 
 import (
-	"math/rand/v2"
 	"net/http"
 	"time"
 
-	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
+	"fuchsiabridge.example/entry/internal/continuer"
+	"fuchsiabridge.example/entry/internal/delayer"
+	"fuchsiabridge.example/entry/internal/pathtracker"
 	"fuchsiabridge.example/entry/internal/registrar"
 )
 
@@ -95,21 +96,7 @@
 }
 
 // retryAfter returns the Retry-After delay for a request that found no free capacity.
-func (r *request) retryAfter() time.Duration {
-	typical := plainRetryAfter
-	if r.route.Kind == describer.Streaming {
-		typical = streamRetryAfter
-	}
-	return time.Duration((1-retryAfterJitter/2)*float64(typical)) + time.Duration(r.jitter()*float64(typical))
-}
-
-// spread returns a random delay that is added to the time at which a target may be used again.
-func (r *request) spread() time.Duration { return time.Duration(r.jitter() * float64(plainRetryAfter)) }
-
-// jitter returns a number from 0 to retryAfterJitter, the same each time for a request.
-func (r *request) jitter() float64 {
-	return retryAfterJitter * rand.New(rand.NewPCG(r.seed, 0)).Float64()
-}
+func (r *request) retryAfter() time.Duration { return delayer.RetryAfter(r.route.Kind, r.seed) }
 
 // resumeStalled waits again for the stalled attempt that was kept, because the attempts after it
 // failed or no target accepted them.
@@ -223,7 +210,7 @@
 	}
 	var effects []messenger.Effect
 	if ev.IsUnanswered {
-		effects = d.logPaths(d.paths.Failed(now, ev.Target))
+		effects = pathtracker.Log(d.paths.Failed(now, ev.Target))
 	}
 	for _, address := range faulty {
 		effects = append(effects, d.eject(now, address, d.causeOfSilence(d.chooser.ServiceOf(ev.Target)), "requests at a stalled chain wait for this target")...)
@@ -256,7 +243,7 @@
 	effects = append(effects, d.logAttempt(now, r, left, isCandidate))
 	stalledAttempt := r.attempt
 	r.stalledAttempt = &stalledAttempt
-	move := d.moveOf(r, sentAgain, r.chain)
+	move := d.moveOf(r, continuer.SentAgain, r.chain)
 	effects = append(effects, dropDelegate(r, left)...)
 	d.release(r)
 	effects = append(effects, d.sendAttempt(now, call, r, seed, true)...)
--- a/entry/internal/dispatcher/continuations.go
+++ b/entry/internal/dispatcher/continuations.go
@@ -1,33 +1,27 @@
 package dispatcher
 
 import (
-	"slices"
 	"time"
 
 	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
-	"fuchsiabridge.example/entry/internal/chainer"
 	"fuchsiabridge.example/entry/internal/continuer"
+	"fuchsiabridge.example/entry/internal/pathtracker"
 )
 
 // maxCrashesUntilSentAgain is how many attempts of a request may have crashed targets for it to be still rerouted. Sending it again waits
 // for other attempts at requests that may be poison.
 const maxCrashesUntilSentAgain = singleTrierAttempts - 1
 
-// Ways in which a stream is continued, in the metrics.
-const (
-	rerouteTaken = "rerouted"
-	sentAgain    = "sent_again"
-	notContinued = "not_continued"
-)
-
 // stalled decides what to do with an attempt that has delivered no data within its idle timeout.
 func (d *Dispatcher) stalled(now time.Time, ev AttemptReported, r *request) []messenger.Effect {
 	switch {
 	case r.delegate != "":
 		return d.stalledDelegate(now, ev, r)
+	case r.stalledAttempt != nil && ev.IsStalledReadable:
+		return d.returnToStalled(now, r)
 	case len(r.chain) == 0:
 		return d.stalledPlain(now, ev, r)
 	case d.mustDelegate(r):
@@ -40,7 +34,7 @@
 	case continuer.Reroute:
 		return d.reroute(now, ev.Call, r, ev.Seed)
 	case continuer.LeaveSilent:
-		return d.leaveSilentChain(now, ev, r)
+		return d.leaveSilentChain(now, ev, r, state)
 	case continuer.LeaveStalled:
 		return d.leaveStalledChain(now, ev, r)
 	case continuer.Probe:
@@ -54,6 +48,16 @@
 	return []messenger.Effect{Wait{Until: now.Add(streamIdleTimeout)}}
 }
 
+// returnToStalled leaves an attempt that has delivered nothing for the stalled one that was kept, which goes on first.
+func (d *Dispatcher) returnToStalled(now time.Time, r *request) []messenger.Effect {
+	left := AttemptReported{Outcome: Stalled, Reason: "the stalled attempt goes on", Events: r.events}
+	isCandidate, effects := d.notePoisonCandidate(now, r, left)
+	effects = append(effects, d.logAttempt(now, r, left, isCandidate))
+	r.executions += r.runs
+	d.release(r)
+	return append(effects, d.resumeStalled(now, r)...)
+}
+
 // chainState returns what is known of a stalled stream and its chain.
 func (d *Dispatcher) chainState(now time.Time, ev AttemptReported, r *request) continuer.State {
 	_, isRecent := d.loads.Load(now, r.target)
@@ -61,37 +65,19 @@
 	hasLateGap := max(r.longestGap, ev.ChainIdleTime) > r.route.GapObjective
 	hasLateStart := r.route.LatencyObjective > 0 && r.firstByte > r.route.LatencyObjective
 	return continuer.State{
-		Loss: d.loss(r.chain), HasEvents: ev.Events > r.eventsBefore,
+		Loss: d.continuer.Loss(r.chain), HasEvents: ev.Events > r.eventsBefore,
 		Silence: ev.ChainIdleTime, TypicalGap: ev.ChainTypicalGap, LongestGap: ev.ChainLongestGap,
 		FollowsGaps: followsGaps, IsLate: followsGaps && (hasLateGap || hasLateStart),
 		IsShared: d.chooser.IsStalled(now, r.chain[0].Address) || d.chooser.OpenRequests(r.target) >= stallQuorum,
-		MayMove:  d.moves.Allows(now, r.target),
+		MayMove:  d.continuer.Moves.Allows(now, r.target),
 	}
 }
 
-// loss returns which part of a chain has failed.
-func (d *Dispatcher) loss(chain []describer.Stage) continuer.Loss {
-	switch {
-	case d.chooser.HasFailed(chain[:1]):
-		return continuer.FirstTarget
-	case d.chooser.HasFailed(chain):
-		return continuer.LaterStage
-	}
-	return continuer.NoLoss
-}
-
 // leaveSilentChain moves a request off a chain that is silent for longer than its gaps explain, in time for the route's gap objective.
-func (d *Dispatcher) leaveSilentChain(now time.Time, ev AttemptReported, r *request) []messenger.Effect {
-	d.moves.Count(now, r.target)
+func (d *Dispatcher) leaveSilentChain(now time.Time, ev AttemptReported, r *request, state continuer.State) []messenger.Effect {
+	d.continuer.Moves.Count(now, r.target)
 	r.progress.Moved()
-	effects := []messenger.Effect{messenger.Log{
-		Event: eventlogger.SilentChainLeft, Subject: "request/" + string(r.id),
-		Values: []any{
-			"first", r.target, "silent_ms", ev.ChainIdleTime.Milliseconds(), "longest_ms", ev.ChainLongestGap.Milliseconds(),
-			"typical_ms", ev.ChainTypicalGap.Milliseconds(), "objective_ms", r.route.GapObjective.Milliseconds(),
-		},
-	}}
-	effects = append(effects, d.markStalled(now, r)...)
+	effects := append(d.markStalled(now, r), continuer.LogSilence(r.id, r.target, state, r.route.GapObjective))
 	return append(d.reroute(now, ev.Call, r, ev.Seed), effects...)
 }
 
@@ -117,8 +103,8 @@
 // reroute asks the first target of a request's chain to continue the request along another chain. If there is none, it is sent again.
 func (d *Dispatcher) reroute(now time.Time, call identifier.CallID, r *request, seed uint64) []messenger.Effect {
 	if d.mayReroute(now, r) {
-		if chain, ok := d.continuation(now, r, seed); ok {
-			return []messenger.Effect{Reroute{Address: r.chain[0].Address, Chain: chain.Stages}}
+		if chain, ok := d.continuer.Find(now, r.stream(), seed); ok {
+			return []messenger.Effect{Reroute{Address: r.chain[0].Address, Chain: chain}}
 		}
 	}
 	r.progress.Exhausted()
@@ -131,17 +117,9 @@
 	return !d.crashTracker.IsConfirmed(now, r.key) && known.Request.Attempts < maxCrashesUntilSentAgain
 }
 
-// continuation returns a chain along which a request can be continued.
-func (d *Dispatcher) continuation(now time.Time, r *request, seed uint64) (chainer.Chain, bool) {
-	if r.progress.LeavesSilent() && d.loss(r.chain) == continuer.NoLoss {
-		return d.chooser.ContinueElsewhere(now, r.service, r.chain, seed)
-	}
-	return d.chooser.ContinueFrom(now, r.service, r.chain, seed)
-}
-
 // leaveChain sends a request again that cannot be rerouted. One whose chain has only been silent needs another chain for that.
 func (d *Dispatcher) leaveChain(now time.Time, call identifier.CallID, r *request, reason string, seed uint64) []messenger.Effect {
-	if d.loss(r.chain) == continuer.NoLoss && !d.chooser.HasOtherChain(now, r.service) {
+	if d.continuer.Loss(r.chain) == continuer.NoLoss && !d.chooser.HasOtherChain(now, r.service) {
 		return d.postpone(now, r, reason)
 	}
 	return d.failOver(now, call, r, reason, seed)
@@ -149,7 +127,7 @@
 
 // postpone lets a request wait that can neither be rerouted nor sent again now.
 func (d *Dispatcher) postpone(now time.Time, r *request, reason string) []messenger.Effect {
-	if r.progress.Refusals() == 0 && d.loss(r.chain) == continuer.NoLoss {
+	if r.progress.Refusals() == 0 && d.continuer.Loss(r.chain) == continuer.NoLoss {
 		return []messenger.Effect{Wait{Until: now.Add(continuer.ProbeSilence)}}
 	}
 	until, isFirst := r.progress.Postpone(now)
@@ -158,7 +136,7 @@
 		effects = append(effects, messenger.Log{
 			Event: eventlogger.StreamNotContinued, Subject: "request/" + string(r.id),
 			Values: []any{"first", r.target, reasonKey, reason, "refused", r.progress.Refusals(), "barrier", d.retryBarrier(now, r), sendsKey, r.attempts},
-		}, d.moveOf(r, notContinued, nil))
+		}, d.moveOf(r, continuer.NotContinued, nil))
 	}
 	return effects
 }
@@ -169,10 +147,7 @@
 	if !ok {
 		return nil
 	}
-	effects := []messenger.Effect{messenger.Log{
-		Event: eventlogger.RequestRerouted, Subject: "request/" + string(r.id),
-		Values: []any{"taken", ev.IsAccepted, reasonKey, ev.Reason, "fault", ev.FaultAddress, "parts", len(ev.Chain)},
-	}}
+	effects := []messenger.Effect{continuer.LogReroute(r.id, ev.result(), ev.IsAccepted)}
 	if !ev.IsAccepted {
 		return append(effects, d.rerouteRefused(now, ev, r)...)
 	}
@@ -182,17 +157,7 @@
 
 // rerouteRefused avoids the targets that have refused a request's continuation, and continues it in another way.
 func (d *Dispatcher) rerouteRefused(now time.Time, ev Rerouted, r *request) []messenger.Effect {
-	until := now.Add(fullTargetBackoff)
-	switch {
-	case ev.IsUnanswered:
-		r.progress.Exhausted()
-	case ev.FaultAddress != "":
-		d.chooser.Avoid(ev.FaultAddress, until)
-		r.progress.Refused()
-	default:
-		d.chooser.AvoidGroup(ev.Chain, r.chain, until)
-		r.progress.Refused()
-	}
+	d.continuer.Refuse(now, r.stream(), ev.result())
 	if r.progress.Next() == continuer.Reroute {
 		return d.reroute(now, ev.Call, r, ev.Seed)
 	}
@@ -203,9 +168,9 @@
 // an attempt that was left.
 func (d *Dispatcher) changeChain(now time.Time, ev Rerouted, r *request) []messenger.Effect {
 	target, former := r.target, r.chain
-	move := d.moveOf(r, rerouteTaken, stagesWithout(ev.Chain, former))
+	move := d.moveOf(r, continuer.Rerouted, continuer.Without(ev.Chain, former))
 	d.release(r)
-	r.target, r.chain = target, stagesWithout(former, ev.Chain)
+	r.target, r.chain = target, continuer.Without(former, ev.Chain)
 	_, effects := d.notePoisonCandidate(now, r, AttemptReported{Outcome: Stalled, Events: r.events})
 	r.chain, r.sent, r.eventsBefore = ev.Chain, now, r.events
 	r.before = d.crashTracker.Histories(now, r.key)
@@ -215,33 +180,19 @@
 	return append(effects, move)
 }
 
-// stagesWithout returns the stages of a chain that are not among others.
-func stagesWithout(chain, others []describer.Stage) []describer.Stage {
-	return slices.DeleteFunc(slices.Clone(chain), func(p describer.Stage) bool { return slices.Contains(others, p) })
+// result returns what the continuer needs of the answer to a reroute.
+func (ev Rerouted) result() continuer.Result {
+	return continuer.Result{Chain: ev.Chain, Reason: ev.Reason, FaultAddress: ev.FaultAddress, IsUnanswered: ev.IsUnanswered}
 }
 
-// moveOf returns the effect that counts how a request was continued. The given stages read its prompt again.
-func (d *Dispatcher) moveOf(r *request, how string, stages []describer.Stage) messenger.Effect {
-	cause := "stalled"
-	switch {
-	case len(r.chain) == 0:
-	case d.loss(r.chain) == continuer.FirstTarget:
-		cause = "lost_first"
-	case d.loss(r.chain) == continuer.LaterStage:
-		cause = "lost_stage"
-	case r.progress.LeavesSilent():
-		cause = "silent"
-	}
-	layers := max(1, countLayers(r.chain))
-	return RecordMove{Cause: cause + "/" + how, Tokens: int(r.size.Prompt) * countLayers(stages) / layers}
+// stream returns what the continuer knows of a request.
+func (r *request) stream() continuer.Stream {
+	return continuer.Stream{Service: r.service, Chain: r.chain, Progress: &r.progress}
 }
 
-func countLayers(chain []describer.Stage) int {
-	n := 0
-	for _, stage := range chain {
-		n += stage.Layers.Len()
-	}
-	return n
+// moveOf returns the effect that counts how a request was continued. The given stages read its prompt again.
+func (d *Dispatcher) moveOf(r *request, how string, stages []describer.Stage) messenger.Effect {
+	return RecordMove{Move: d.continuer.Move(r.stream(), how, stages, int(r.size.Prompt))}
 }
 
 // probed handles the answer of a stalled chain's first target, which names the target that the
@@ -258,13 +209,13 @@
 	var effects []messenger.Effect
 	if ev.IsUnanswered {
 		faulty = d.address(r)
-		effects = d.logPaths(d.paths.Failed(now, r.target))
+		effects = pathtracker.Log(d.paths.Failed(now, r.target))
 	}
 	if faulty == "" {
 		return []messenger.Effect{Wait{Until: now.Add(streamIdleTimeout)}}
 	}
 	effects = append(effects, d.eject(now, faulty, d.causeOfSilence(r.service), "a stalled request waits for this target")...)
-	if d.loss(r.chain) == continuer.LaterStage && r.progress.Next() == continuer.Reroute {
+	if d.continuer.Loss(r.chain) == continuer.LaterStage && r.progress.Next() == continuer.Reroute {
 		return append(effects, d.reroute(now, ev.Call, r, ev.Seed)...)
 	}
 	return append(effects, d.failOver(now, ev.Call, r, "request waits for target "+faulty, ev.Seed)...)
--- a/entry/internal/dispatcher/crashes.go
+++ b/entry/internal/dispatcher/crashes.go
@@ -10,6 +10,7 @@
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/entry/internal/crashrecorder"
 	"fuchsiabridge.example/entry/internal/crashtracker"
+	"fuchsiabridge.example/entry/internal/pathtracker"
 	"fuchsiabridge.example/entry/internal/registrar"
 )
 
@@ -92,10 +93,7 @@
 		effects = append(effects, CheckTarget{Target: c.Target, Address: c.Address})
 	}
 	for _, s := range d.crashTracker.TakeSurvivals() {
-		effects = append(effects, messenger.Log{
-			Event: eventlogger.AttemptSurvived, Subject: "target/" + string(s.Target),
-			Values: []any{fingerprintKey, s.Request, "alive_ms", s.AliveAfter.Milliseconds()},
-		})
+		effects = append(effects, s.Log())
 	}
 	return effects
 }
@@ -106,7 +104,7 @@
 		// It may have answered another node, which says nothing of this node's path.
 		return d.applyFindings(now, d.crashTracker.CheckAnswered(now, ev.Target, ev.Incarnation))
 	}
-	effects := d.logPaths(d.paths.Failed(now, ev.Target))
+	effects := pathtracker.Log(d.paths.Failed(now, ev.Target))
 	effects = append(effects, d.applyFindings(now, d.crashTracker.CheckUnanswered(now, ev.Target))...)
 	return append(effects, d.eject(now, ev.Address, registrar.Unresponsive, "target did not answer a check")...)
 }
@@ -171,7 +169,7 @@
 		if t.IsPart {
 			seenBy = "different requests with one part in their prompts"
 		}
-		effects = append(effects, logConfirmation(t.Crash, seenBy))
+		effects = append(effects, crashrecorder.LogConfirmation(t.Crash, seenBy))
 		if t.IsOwn || now.Before(d.leaseUntil) {
 			effects = append(effects, SavePoison{Crash: t.Crash})
 		}
@@ -188,7 +186,7 @@
 	for _, c := range crashes {
 		d.trials.Drop(c.Key())
 		isConfirmed := d.crashTracker.IsRequestConfirmed(now, c.Request)
-		effects = append(effects, logCrash(c, "this node", isConfirmed)...)
+		effects = append(effects, crashrecorder.LogCrash(c, "this node", isConfirmed)...)
 		if isConfirmed {
 			effects = append(effects, SavePoison{Crash: c})
 		}
@@ -214,7 +212,7 @@
 		d.trials.Drop(c.Key())
 		isConfirmed := d.crashTracker.IsRequestConfirmed(now, c.Request)
 		if c.MaxDepth() > 1 {
-			effects = append(effects, logCrash(c, "a peer", isConfirmed)...)
+			effects = append(effects, crashrecorder.LogCrash(c, "a peer", isConfirmed)...)
 		}
 		// Crashes of several nodes may confirm a request together, so that none of these nodes stores it.
 		if now.Before(d.leaseUntil) && isConfirmed {
@@ -234,30 +232,5 @@
 	if !d.crashTracker.NoteReport(now, c) || !d.chooser.Suspect(c.Target, c.Incarnation, now.Add(suspicionTime)) {
 		return nil
 	}
-	return []messenger.Effect{messenger.Log{
-		Event: eventlogger.TargetSuspected, Subject: "target/" + string(c.Target), Values: []any{"born", c.Incarnation, ageKey, c.AgeMS},
-	}}
-}
-
-// logCrash logs a crash, and that the request is confirmed as poison if it now is.
-func logCrash(c crashrecorder.Crash, seenBy string, isConfirmed bool) []messenger.Effect {
-	effects := []messenger.Effect{messenger.Log{
-		Event: eventlogger.RequestCrashedTarget, Subject: "target/" + string(c.Target),
-		Values: []any{
-			fingerprintKey, c.Request, groupKey, c.Group, "born", c.Incarnation, "depth", c.Depth, "group_depth", c.GroupDepth, partsKey, c.Parts,
-			ageKey, c.AgeMS, "seen_by", seenBy,
-		},
-	}}
-	if isConfirmed {
-		effects = append(effects, logConfirmation(c, seenBy))
-	}
-	return effects
-}
-
-// logConfirmation logs that a request or a trait is confirmed as poison.
-func logConfirmation(c crashrecorder.Crash, seenBy string) messenger.Effect {
-	return messenger.Log{
-		Event: eventlogger.RelayedPoisonConfirmed, Subject: "target/" + string(c.Target),
-		Values: []any{fingerprintKey, c.Request, "seen_by", seenBy},
-	}
+	return []messenger.Effect{crashrecorder.LogSuspicion(c)}
 }
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -9,7 +9,9 @@
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
+	"fuchsiabridge.example/entry/internal/announcementtracker"
 	"fuchsiabridge.example/entry/internal/budgeter"
+	"fuchsiabridge.example/entry/internal/chainer"
 	"fuchsiabridge.example/entry/internal/chooser"
 	"fuchsiabridge.example/entry/internal/continuer"
 	"fuchsiabridge.example/entry/internal/crashrecorder"
@@ -50,13 +52,6 @@
 	// unreadyRetryAfter is the Retry-After delay while the node has no configuration, or none
 	// that is recent enough to deny a request.
 	unreadyRetryAfter = time.Second
-	// plainRetryAfter and streamRetryAfter are the typical Retry-After delays if no target or
-	// chain has free capacity: a slot for a plain request is free soon, one for a stream only
-	// after other streams have ended or a chain is repaired. The delays vary by up to half of
-	// retryAfterJitter times their length in either direction, so that callers don't return all at once.
-	plainRetryAfter  = 300 * time.Millisecond
-	streamRetryAfter = 2 * time.Second
-	retryAfterJitter = 0.5
 	// stoppingRetryAfter is the Retry-After delay of a node that is shutting down: another node
 	// accepts the request.
 	stoppingRetryAfter = 100 * time.Millisecond
@@ -142,32 +137,30 @@
 	// up to date again.
 	isStale bool
 	// refuseAt is when a node that is shutting down starts to refuse requests; zero for any other node.
-	refuseAt     time.Time
-	chooser      *chooser.Chooser
-	crashTracker *crashtracker.Tracker
-	limits       *limiter.Tracker
-	paths        *pathtracker.Tracker
-	// refusals counts the requests that targets have refused since they began to want none.
-	refusals   map[identifier.TargetID]int
-	unreadable map[identifier.TargetID]unreadableFields
-	requests   map[identifier.CallID]*request
-	trials     *trier.Trier
+	refuseAt      time.Time
+	chooser       *chooser.Chooser
+	crashTracker  *crashtracker.Tracker
+	limits        *limiter.Tracker
+	paths         *pathtracker.Tracker
+	announcements *announcementtracker.Tracker
+	requests      map[identifier.CallID]*request
+	trials        *trier.Trier
 	// leaseUntil is until when this node holds the lease, which no two nodes do at the same time.
 	leaseUntil time.Time
 	retries    *budgeter.Budgets
 	// loads holds what first targets report of their load, works what the answers of each route have been.
-	loads *loadtracker.Tracker
-	works *workestimator.Estimator
-	// moves limits how many streams leave silent chains.
-	moves *continuer.MoveLimiter
+	loads     *loadtracker.Tracker
+	works     *workestimator.Estimator
+	continuer *continuer.Continuer
 }
 
 // NewDispatcher returns a dispatcher without a configuration.
 func NewDispatcher(cfg Config) *Dispatcher {
+	known := chooser.NewChooser(cfg.DataCentre)
 	return &Dispatcher{
-		cfg: cfg, chooser: chooser.NewChooser(cfg.DataCentre), crashTracker: crashtracker.NewTracker(), limits: limiter.NewTracker(), paths: pathtracker.NewTracker(),
-		refusals: map[identifier.TargetID]int{}, unreadable: map[identifier.TargetID]unreadableFields{}, requests: map[identifier.CallID]*request{},
-		loads: loadtracker.NewTracker(), works: workestimator.NewEstimator(), moves: continuer.NewMoveLimiter(),
+		cfg: cfg, chooser: known, crashTracker: crashtracker.NewTracker(), limits: limiter.NewTracker(), paths: pathtracker.NewTracker(),
+		announcements: announcementtracker.NewTracker(known), requests: map[identifier.CallID]*request{},
+		loads: loadtracker.NewTracker(), works: workestimator.NewEstimator(), continuer: continuer.NewContinuer(known),
 		trials: trier.NewTrier(), retries: budgeter.NewBudgets(budgeter.Config{Ratio: cfg.RetryRatio, Window: cfg.RetryWindow}),
 	}
 }
@@ -215,9 +208,9 @@
 	case limiter.AnswerRead:
 		return d.answerRead(now, ev)
 	case QuietWanted:
-		return d.quietWanted(now, ev)
+		return d.announcements.WantQuiet(now, ev.Target, ev.Until, ev.Answer)
 	case AnnouncementUnreadable:
-		return d.announcementUnreadable(now, ev)
+		return d.announcements.NoteUnreadable(now, ev.Target, ev.Field)
 	case limiter.LimitsLearned:
 		return d.limitsLearned(now, ev)
 	case GrantAnswered:
@@ -247,7 +240,7 @@
 	s.PoisonCandidates = d.crashTracker.Candidates()
 	s.RequestsWithCrashes, s.ConfirmedPoison = d.crashTracker.Counts(now)
 	s.Limits = d.limits.Limits(now)
-	s.Quiet = d.quietStatus(now)
+	s.Quiet = d.announcements.Quiet(now)
 	s.LostPaths = d.paths.Lost()
 	if d.table != nil {
 		s.Version, s.ConfirmedMSAgo = d.table.Version, now.Sub(d.confirmedAt).Milliseconds()
@@ -266,9 +259,9 @@
 func (d *Dispatcher) tick(now time.Time) []messenger.Effect {
 	d.chooser.Tick(now)
 	d.trials.Tick(now)
-	d.moves.Tick(now)
+	d.continuer.Moves.Tick(now)
 	effects := append(d.startChecks(now), d.confirmTraits(now)...)
-	effects = append(effects, d.endQuiet(now)...)
+	effects = append(effects, d.announcements.EndQuiet(now)...)
 	effects = append(effects, d.checkPaths(now)...)
 	effects = append(effects, d.checkLoads(now)...)
 	if d.isStale || d.table == nil || d.isFresh(now) {
@@ -440,9 +433,5 @@
 	if len(a.chain) == 0 {
 		return []identifier.TargetID{a.target}
 	}
-	out := make([]identifier.TargetID, 0, len(a.chain))
-	for _, stage := range a.chain {
-		out = append(out, stage.Target)
-	}
-	return out
+	return chainer.Targets(a.chain)
 }
--- a/entry/internal/dispatcher/dispatcher_test.go
+++ b/entry/internal/dispatcher/dispatcher_test.go
@@ -418,6 +418,8 @@
 }
 
 func (x *history) noteResume(t *rapid.T) {
+	// The attempt that is left for the resumed one may have run.
+	x.mayHaveRun = x.mayHaveRun || (x.keepsStalled && x.isStalled)
 	if !x.keepsStalled && !x.isStalled {
 		t.Fatalf("resumed although no stalled attempt was kept")
 	}
@@ -464,7 +466,7 @@
 		if _, isSend := effect.(dispatcher.Send); isSend && outcome != dispatcher.NotSent {
 			x.arrivals++
 		}
-		effect = d.apply(at, dispatcher.AttemptReported{Call: call, Outcome: outcome, Status: 503, ChainIdleTime: time.Second})
+		effect = d.apply(at, dispatcher.AttemptReported{Call: call, Outcome: outcome, Status: 503, ChainIdleTime: time.Second, IsStalledReadable: rapid.Bool().Draw(t, "stalled readable")})
 	}
 	if (x.mayHaveRun || x.keepsStalled) && status(effect) == 503 {
 		t.Fatalf("%s refused as not run after it may have run", path)
--- a/entry/internal/dispatcher/limits.go
+++ b/entry/internal/dispatcher/limits.go
@@ -1,13 +1,13 @@
 package dispatcher
 
 import (
-	"maps"
 	"time"
 
 	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
+	"fuchsiabridge.example/entry/internal/delayer"
 	"fuchsiabridge.example/entry/internal/limiter"
 	"fuchsiabridge.example/entry/internal/registrar"
 )
@@ -66,7 +66,7 @@
 		known[t.ID] = true
 	}
 	d.limits.Keep(func(id identifier.TargetID) bool { return known[id] })
-	maps.DeleteFunc(d.unreadable, func(id identifier.TargetID, _ unreadableFields) bool { return !known[id] })
+	d.announcements.Keep(func(id identifier.TargetID) bool { return known[id] })
 }
 
 // HasRequestLimits reports whether any target names a request limit.
@@ -158,5 +158,5 @@
 	if reopensAt.IsZero() {
 		return 0
 	}
-	return reopensAt.Sub(now) + r.spread()
+	return reopensAt.Sub(now) + delayer.Spread(r.seed)
 }
--- a/entry/internal/dispatcher/messages.go
+++ b/entry/internal/dispatcher/messages.go
@@ -144,6 +144,8 @@
 	ChainTypicalGap time.Duration
 	// ChainLongestGap is the longest such gap lately seen, 0 if none was. It is set if the attempt is stalled.
 	ChainLongestGap time.Duration
+	// IsStalledReadable says that the stalled attempt that was kept has received a further event. It is set if the attempt is stalled too.
+	IsStalledReadable bool
 	// FirstByte is the time from the start of the attempt to the first byte of the response, 0 if none was received.
 	FirstByte time.Duration
 	// LongestGap is the longest gap so far between two events written to the caller.
@@ -320,13 +322,8 @@
 // Deliver is the effect that writes the error response that was held back to the caller.
 type Deliver struct{}
 
-// RecordMove is the effect that adds a stream that was moved to another chain to the metrics.
-type RecordMove struct {
-	// Cause says why it was moved and how, for the metrics.
-	Cause string
-	// Tokens is how many tokens of the prompt are read again, over all layers.
-	Tokens int
-}
+// RecordMove is the effect that adds how a stream was continued to the metrics.
+type RecordMove struct{ Move meter.Move }
 
 // RecordSample is the effect that adds an ended request to the metrics.
 type RecordSample struct{ Sample meter.Sample }
--- a/entry/internal/dispatcher/paths.go
+++ b/entry/internal/dispatcher/paths.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/entry/internal/pathtracker"
@@ -13,15 +12,15 @@
 // pathChecked applies the result of a check of a path.
 func (d *Dispatcher) pathChecked(now time.Time, ev PathChecked) []messenger.Effect {
 	if !ev.IsReached {
-		return d.logPaths(d.paths.CheckFailed(now, ev.Target))
+		return pathtracker.Log(d.paths.CheckFailed(now, ev.Target))
 	}
-	return append(d.logPaths(d.paths.Reached(now, now, ev.Target)), messenger.Raise{Event: registrar.Reached{Address: ev.Address}})
+	return append(pathtracker.Log(d.paths.Reached(now, now, ev.Target)), messenger.Raise{Event: registrar.Reached{Address: ev.Address}})
 }
 
 // checkPaths checks the targets that this node does not reach since it has lost a path.
 func (d *Dispatcher) checkPaths(now time.Time) []messenger.Effect {
 	due, changes := d.paths.DueChecks(now)
-	effects := d.logPaths(changes)
+	effects := pathtracker.Log(changes)
 	for _, t := range due {
 		effects = append(effects, CheckPath{Target: t.ID, Address: t.Address})
 	}
@@ -36,7 +35,7 @@
 			known = append(known, pathtracker.Target{ID: t.ID, Address: t.Address, Service: t.Service})
 		}
 	}
-	return d.logPaths(d.paths.SetTargets(now, known))
+	return pathtracker.Log(d.paths.SetTargets(now, known))
 }
 
 // noteReached records what an attempt shows of the path to its first target.
@@ -45,29 +44,17 @@
 	case r.target == "" || ev.Outcome == CallerGone:
 		return nil
 	case ev.Outcome == NotSent:
-		return d.logPaths(d.paths.Failed(now, r.target))
+		return pathtracker.Log(d.paths.Failed(now, r.target))
 	case ev.Outcome == Stalled:
 		if reachedAt := now.Add(-ev.ChainIdleTime); reachedAt.After(r.sent) {
-			return d.logPaths(d.paths.Reached(now, reachedAt, r.target))
+			return pathtracker.Log(d.paths.Reached(now, reachedAt, r.target))
 		}
 	case ev.Status != 0:
-		return d.logPaths(d.paths.Reached(now, now, r.target))
+		return pathtracker.Log(d.paths.Reached(now, now, r.target))
 	}
 	return nil
 }
 
-func (d *Dispatcher) logPaths(changes []pathtracker.Change) []messenger.Effect {
-	var effects []messenger.Effect
-	for _, c := range changes {
-		event, values := eventlogger.PathLost, []any{"failed", c.Failures, "reached_ms_ago", c.SinceReached.Milliseconds()}
-		if !c.IsLost {
-			event, values = eventlogger.PathRestored, []any{"lost_ms", c.SinceLost.Milliseconds()}
-		}
-		effects = append(effects, messenger.Log{Event: event, Subject: "service/" + string(c.Service), Values: values})
-	}
-	return effects
-}
-
 // LostPath returns the service of a target, and whether the path to it is lost and other nodes may have one.
 func (d *Dispatcher) LostPath(target identifier.TargetID) (identifier.ServiceID, bool) {
 	service := d.chooser.ServiceOf(target)
--- a/entry/internal/forwarder/events.go
+++ b/entry/internal/forwarder/events.go
@@ -14,8 +14,12 @@
 	count  int
 }
 
-// separator terminates an event.
-var separator = []byte("\n\n")
+var (
+	// separator terminates an event.
+	separator = []byte("\n\n")
+	// idField is the name of the field with an event's id.
+	idField = []byte("id:")
+)
 
 // split splits the rest of the last call, followed by b, into the bytes of complete events and the new rest. At an event that does not
 // continue the stream it ends with an error, and returns those before it.
@@ -65,9 +69,15 @@
 	return true
 }
 
+// hasEvent reports whether bytes of a stream, with their framing, include an event with an id.
+func hasEvent(b []byte) bool {
+	i := bytes.Index(b, idField)
+	return i >= 0 && bytes.Contains(b[i:], separator)
+}
+
 func eventID(event []byte) (string, bool) {
 	for line := range bytes.SplitSeq(event, []byte("\n")) {
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+		if id, ok := bytes.CutPrefix(line, idField); ok {
 			return string(bytes.TrimSpace(id)), true
 		}
 	}
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -28,6 +28,8 @@
 	maxAnswerBytes = 8 << 20
 	// headerTimeout is how long the rest of a header may take after its first byte.
 	headerTimeout = time.Second
+	// peekTimeout is how long is waited for data that a connection may have received.
+	peekTimeout = time.Millisecond
 	// maxEventBytes limits an event of a stream.
 	maxEventBytes = 256 << 10
 	// maxInformational limits the informational answers before an answer.
@@ -423,6 +425,22 @@
 	x.stalled, x.attempt = &stalled, attempt{}
 }
 
+// isStalledReadable reports whether the stalled attempt that was kept has received a further event. An error, or the end of its stream,
+// is no reason to leave the current attempt.
+func (x *Exchange) isStalledReadable() bool {
+	if x.stalled == nil || x.stalled.conn == nil || !x.stalled.hasHeader {
+		return false
+	}
+	if err := x.stalled.conn.SetReadDeadline(bootclock.ToRuntimeTime(bootclock.Now().Add(peekTimeout))); err != nil {
+		return false
+	}
+	if _, err := x.stalled.conn.R.Peek(1); err != nil {
+		return false
+	}
+	received, err := x.stalled.conn.R.Peek(x.stalled.conn.R.Buffered())
+	return err == nil && hasEvent(received)
+}
+
 func (x *Exchange) dropStalled() {
 	if x.stalled == nil {
 		return
@@ -470,6 +488,7 @@
 	r := dispatcher.AttemptReported{Call: x.send.Call, Outcome: o, Events: x.events.count, FirstByte: x.firstByte, LongestGap: x.longestGap, Result: x.result}
 	if o == dispatcher.Stalled {
 		idle, gaps := x.idle.idleTime(x.send.Address, x.sentAt, bootclock.Now())
+		r.IsStalledReadable = x.isStalledReadable()
 		r.ChainIdleTime, r.ChainTypicalGap, r.ChainLongestGap = idle, gaps.Typical, gaps.Longest
 	}
 	if o == dispatcher.CallerGone {
--- a/entry/internal/forwarder/forwarder_test.go
+++ b/entry/internal/forwarder/forwarder_test.go
@@ -428,6 +428,47 @@
 	f.Assert(f.caller.received, qt.Equals, event(1)+event(2)+event(3))
 }
 
+// TestStalledAttemptThatGoesOnIsReported guards against a stream that waits for its second attempt while the first one has an event for
+// it, and against one that leaves its second attempt for a first one that has only ended.
+func TestStalledAttemptThatGoesOnIsReported(t *testing.T) {
+	for more, goesOn := range map[string]bool{answerfaker.Chunk(event(2)) + "0\r\n\r\n": true, "0\r\n\r\n": false, "HTTP/1.1 503 x\r\n\r\n": false} {
+		f := newFixture(t)
+		address, later := serveLater(t, answerfaker.Stream(id, event(1)))
+		f.Assert(f.attempt(context.Background(), address, true).Outcome, qt.Equals, dispatcher.Stalled)
+		now := bootclock.Now()
+		silent, _ := serveLater(t, "")
+		got := f.exchange.Attempt(context.Background(), dispatcher.Send{
+			Target: "i-2", Address: silent, IsStream: true, KeepsStalled: true, Deadline: now.Add(deadline), IdleDeadline: now.Add(idleTimeout),
+		})
+		f.Assert(got.Outcome, qt.Equals, dispatcher.Stalled)
+		f.Assert(got.IsStalledReadable, qt.IsFalse)
+		later <- more
+		got = f.exchange.Await(context.Background(), bootclock.Now().Add(idleTimeout))
+		f.Assert(got.IsStalledReadable, qt.Equals, goesOn, qt.Commentf("%q", more))
+		if goesOn {
+			got = f.exchange.Resume(context.Background(), bootclock.Now().Add(idleTimeout))
+			f.Assert(got.Outcome, qt.Equals, dispatcher.Delivered, qt.Commentf("%s", got.Reason))
+			f.Assert(f.caller.received, qt.Equals, event(1)+event(2))
+		}
+	}
+}
+
+// TestLongestGapOfTargetIsReported guards against streams that leave a target which is only slow: its longest gap is known to all streams
+// of the node, but not one in which a stream has changed its target.
+func TestLongestGapOfTargetIsReported(t *testing.T) {
+	const gap = 60 * time.Millisecond
+	f := newFixture(t)
+	f.idleTimeout = 3 * gap
+	address, later := serveLater(t, answerfaker.Stream(id, event(1)))
+	time.AfterFunc(gap, func() { later <- answerfaker.Chunk(event(2)) })
+	got := f.attempt(context.Background(), address, true)
+	f.Assert(got.Events, qt.Equals, 2)
+	f.Assert(got.ChainLongestGap >= gap/2 && got.ChainLongestGap < 3*gap, qt.IsTrue, qt.Commentf("%v", got.ChainLongestGap))
+	got = f.attempt(context.Background(), serve(t, answerfaker.Stream(id, event(3))+"~"), true)
+	f.Assert(got.Events, qt.Equals, 3)
+	f.Assert(got.ChainLongestGap, qt.Equals, time.Duration(0))
+}
+
 // TestStalledAttemptIsDroppedOnNextAttemptsFirstEvent checks that the stalled attempt's connection is closed with
 // the first event of the next attempt, and not before.
 func TestStalledAttemptIsDroppedOnNextAttemptsFirstEvent(t *testing.T) {
--- a/entry/internal/meter/meter.go
+++ b/entry/internal/meter/meter.go
@@ -34,6 +34,14 @@
 	First time.Duration
 }
 
+// Move describes how a stream was continued that has left its chain, or could not be.
+type Move struct {
+	// Cause says why the stream has left its chain, and how it was continued.
+	Cause string
+	// Tokens is how many tokens of its prompt are read again, as a share of all layers.
+	Tokens int
+}
+
 // series holds the metrics of one kind or account.
 type series struct {
 	took     *hdrhistogram.Histogram
@@ -67,12 +75,12 @@
 	seriesOf(m.accounts, s.Account).add(s)
 }
 
-// AddMove records that a stream was moved to another chain, or could not be, with the tokens of its prompt that are read again.
-func (m *Meter) AddMove(cause string, tokens int) {
+// AddMove records a move.
+func (m *Meter) AddMove(move Move) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.moves[cause]++
-	m.reread[cause] += int64(tokens)
+	m.moves[move.Cause]++
+	m.reread[move.Cause] += int64(move.Tokens)
 }
 
 func seriesOf(all map[string]*series, name string) *series {
--- a/entry/internal/relayer/relayer.go
+++ b/entry/internal/relayer/relayer.go
@@ -164,7 +164,7 @@
 		case dispatcher.RecordSample:
 			x.meter.Add(e.Sample)
 		case dispatcher.RecordMove:
-			x.meter.AddMove(e.Cause, e.Tokens)
+			x.meter.AddMove(e.Move)
 		case dispatcher.ReportCrashes:
 			x.reportCrashes(sharer.CrashReport{Crashes: e.Crashes, Cleared: e.Cleared})
 		case dispatcher.SavePoison:
