--- a/common/eventlogger/relay.go
+++ b/common/eventlogger/relay.go
@@ -47,6 +47,8 @@
 	LoadsStale             = Event{8043, "load reports of targets are out of date"}
 	LoadsRecent            = Event{8044, "load reports of targets are recent again"}
 	TargetRejects          = Event{8046, "target avoided as it rejects requests"}
+	SilentChainLeft        = Event{8047, "stream leaves a silent chain"}
+	StreamNotContinued     = Event{8048, "stream could not be continued"}
 )
 
 func relayEvents() []Event {
@@ -56,6 +58,8 @@
 		LoadsStale,
 		LoadsRecent,
 		TargetRejects,
+		SilentChainLeft,
+		StreamNotContinued,
 		ConfigurationChanged,
 		ConfigurationStale,
 		ConfigurationConfirmed,
--- a/entry/internal/avoider/avoider.go
+++ b/entry/internal/avoider/avoider.go
@@ -27,8 +27,6 @@
 	// known holds the known targets, ids those at each address.
 	known map[identifier.TargetID]place
 	ids   map[string]identifier.TargetID
-	// refusals counts the requests that targets have refused since they began to want none.
-	refusals map[identifier.TargetID]int
 }
 
 // place is where an incarnation of a target runs.
@@ -43,7 +41,7 @@
 		avoided: map[string]time.Time{}, stalled: map[string]time.Time{},
 		shut: map[identifier.TargetID]time.Time{}, quiet: map[identifier.TargetID]time.Time{},
 		rejecting: map[identifier.TargetID]*rejecting{}, suspects: map[identifier.TargetID]suspect{},
-		known: map[identifier.TargetID]place{}, ids: map[string]identifier.TargetID{}, refusals: map[identifier.TargetID]int{},
+		known: map[identifier.TargetID]place{}, ids: map[string]identifier.TargetID{},
 	}
 }
 
--- a/entry/internal/chooser/chooser.go
+++ b/entry/internal/chooser/chooser.go
@@ -74,6 +74,8 @@
 	*avoider.Avoider
 	// weigher is nil if no load reports are used.
 	weigher *weigher.Weigher
+	// refusedGroups holds the groups of targets of which one has refused a continuation.
+	refusedGroups []refusedGroup
 }
 
 // NewChooser returns a chooser without targets for a node in the given data centre.
@@ -126,6 +128,7 @@
 	if c.Avoider.Tick(now) {
 		c.markStale()
 	}
+	c.dropRefusedGroups(now)
 }
 
 // HasTargets reports whether any target is known.
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -9,9 +9,12 @@
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
+	"fuchsiabridge.example/entry/internal/announcementtracker"
 	"fuchsiabridge.example/entry/internal/avoider"
 	"fuchsiabridge.example/entry/internal/budgeter"
+	"fuchsiabridge.example/entry/internal/chainer"
 	"fuchsiabridge.example/entry/internal/chooser"
+	"fuchsiabridge.example/entry/internal/continuer"
 	"fuchsiabridge.example/entry/internal/crashrecorder"
 	"fuchsiabridge.example/entry/internal/crashtracker"
 	"fuchsiabridge.example/entry/internal/fingerprinter"
@@ -34,22 +37,12 @@
 	streamIdleTimeout = 70 * time.Millisecond
 	// stallCheckInterval is the time between two checks of a stalled chain.
 	stallCheckInterval = 25 * time.Millisecond
-	// minChainIdleTimeout and maxChainIdleTimeout bound the idle time after which a chain counts
-	// as stalled; between them it is typicalGapsUntilStalled times the typical gap between two events.
-	minChainIdleTimeout     = 80 * time.Millisecond
-	maxChainIdleTimeout     = 400 * time.Millisecond
-	typicalGapsUntilStalled = 3
-	// probeIdleTimeout is how long none of the node's requests may receive data from a chain's
-	// first target before a stream probes that target.
-	probeIdleTimeout = 260 * time.Millisecond
 	// stallQuorum is how many of the node's requests must be open at the first target of a stalled
 	// chain for them to leave the chain before the target at fault is known.
 	stallQuorum = 3
 	// stalledChainBackoff is how long a stalled chain is avoided: by then a probe has normally
 	// located the target at fault.
 	stalledChainBackoff = 600 * time.Millisecond
-	// maxReroutes is how often a request's first target may be asked to continue along another chain.
-	maxReroutes = 3
 	// fullTargetBackoff is how long a target without free capacity is avoided.
 	fullTargetBackoff = 250 * time.Millisecond
 	// plainTimeoutFraction is the fraction of the route's latency objective after which a plain
@@ -61,13 +54,6 @@
 	// unreadyRetryAfter is the Retry-After delay while the node has no configuration, or none
 	// that is recent enough to deny a request.
 	unreadyRetryAfter = time.Second
-	// plainRetryAfter and streamRetryAfter are the typical Retry-After delays if no target or
-	// chain has free capacity: a slot for a plain request is free soon, one for a stream only
-	// after other streams have ended or a chain is repaired. The delays vary by up to half of
-	// retryAfterJitter times their length in either direction, so that callers don't return all at once.
-	plainRetryAfter  = 300 * time.Millisecond
-	streamRetryAfter = 2 * time.Second
-	retryAfterJitter = 0.5
 	// stoppingRetryAfter is the Retry-After delay of a node that is shutting down: another node
 	// accepts the request.
 	stoppingRetryAfter = 100 * time.Millisecond
@@ -111,9 +97,6 @@
 	holdUntil time.Time
 	// tried holds the target of each attempt, of a chain its first target.
 	tried []identifier.TargetID
-	// reroutes counts how often the first target of the request's chain was asked to continue
-	// along another chain.
-	reroutes int
 	delegation
 	attempt
 	// pending is the attempt that waits for a grant, which its target's request limit makes necessary.
@@ -142,6 +125,8 @@
 	// eventsBefore counts the events that earlier attempts had delivered.
 	before       crashrecorder.Histories
 	eventsBefore int
+	// progress is what was tried to continue the attempt along another chain.
+	progress continuer.Progress
 }
 
 // Dispatcher is the reducer for requests in progress.
@@ -154,28 +139,30 @@
 	// up to date again.
 	isStale bool
 	// refuseAt is when a node that is shutting down starts to refuse requests; zero for any other node.
-	refuseAt     time.Time
-	chooser      *chooser.Chooser
-	crashTracker *crashtracker.Tracker
-	limits       *limiter.Tracker
-	paths        *pathtracker.Tracker
-	unreadable   map[identifier.TargetID]unreadableFields
-	requests     map[identifier.CallID]*request
-	trials       *trier.Trier
+	refuseAt      time.Time
+	chooser       *chooser.Chooser
+	crashTracker  *crashtracker.Tracker
+	limits        *limiter.Tracker
+	paths         *pathtracker.Tracker
+	announcements *announcementtracker.Tracker
+	requests      map[identifier.CallID]*request
+	trials        *trier.Trier
 	// leaseUntil is until when this node holds the lease, which no two nodes do at the same time.
 	leaseUntil time.Time
 	retries    *budgeter.Budgets
 	// loads holds what first targets report of their load, works what the answers of each route have been.
-	loads *loadtracker.Tracker
-	works *workestimator.Estimator
+	loads     *loadtracker.Tracker
+	works     *workestimator.Estimator
+	continuer *continuer.Continuer
 }
 
 // NewDispatcher returns a dispatcher without a configuration.
 func NewDispatcher(cfg Config) *Dispatcher {
+	known := chooser.NewChooser(cfg.DataCentre)
 	d := &Dispatcher{
-		cfg: cfg, chooser: chooser.NewChooser(cfg.DataCentre), crashTracker: crashtracker.NewTracker(), limits: limiter.NewTracker(), paths: pathtracker.NewTracker(),
-		unreadable: map[identifier.TargetID]unreadableFields{}, requests: map[identifier.CallID]*request{},
-		loads: loadtracker.NewTracker(), works: workestimator.NewEstimator(),
+		cfg: cfg, chooser: known, crashTracker: crashtracker.NewTracker(), limits: limiter.NewTracker(), paths: pathtracker.NewTracker(),
+		announcements: announcementtracker.NewTracker(known), requests: map[identifier.CallID]*request{},
+		loads: loadtracker.NewTracker(), works: workestimator.NewEstimator(), continuer: continuer.NewContinuer(known),
 		trials: trier.NewTrier(), retries: budgeter.NewBudgets(budgeter.Config{Ratio: cfg.RetryRatio, Window: cfg.RetryWindow}),
 	}
 	d.chooser.UseLoads(d.loads)
@@ -225,9 +212,9 @@
 	case limiter.AnswerRead:
 		return d.answerRead(now, ev)
 	case QuietWanted:
-		return d.chooser.Quiet(now, ev.Target, ev.Until, ev.Answer)
+		return d.announcements.WantQuiet(now, ev.Target, ev.Until, ev.Answer)
 	case AnnouncementUnreadable:
-		return d.announcementUnreadable(now, ev)
+		return d.announcements.NoteUnreadable(now, ev.Target, ev.Field)
 	case limiter.LimitsLearned:
 		return d.limitsLearned(now, ev)
 	case GrantAnswered:
@@ -259,7 +246,8 @@
 	s.PoisonCandidates = d.crashTracker.Candidates()
 	s.RequestsWithCrashes, s.ConfirmedPoison = d.crashTracker.Counts(now)
 	s.Limits = d.limits.Limits(now)
-	s.Quiet, s.Rejections = d.chooser.QuietStatus(now), d.chooser.RejectionStatus(now)
+	s.Quiet = d.announcements.Quiet(now)
+	s.Rejections = d.chooser.RejectionStatus(now)
 	s.LostPaths = d.paths.Lost()
 	if d.table != nil {
 		s.Version, s.ConfirmedMSAgo = d.table.Version, now.Sub(d.confirmedAt).Milliseconds()
@@ -278,8 +266,9 @@
 func (d *Dispatcher) tick(now time.Time) []messenger.Effect {
 	d.chooser.Tick(now)
 	d.trials.Tick(now)
+	d.continuer.Moves.Tick(now)
 	effects := append(d.startChecks(now), d.confirmTraits(now)...)
-	effects = append(effects, d.chooser.EndQuiet(now)...)
+	effects = append(effects, d.announcements.EndQuiet(now)...)
 	effects = append(effects, d.checkPaths(now)...)
 	effects = append(effects, d.checkLoads(now)...)
 	if d.isStale || d.table == nil || d.isFresh(now) {
@@ -391,7 +380,7 @@
 	r.sent, r.before, r.eventsBefore = now, before, r.events
 	r.target, r.chain, r.delegate, r.runs = out.Target, out.Chain, "", 1
 	out.Runs = r.executions + 1
-	r.askUntil = time.Time{}
+	r.askUntil, r.progress = time.Time{}, continuer.Progress{}
 	out.IdleDeadline = r.idleDeadline(now, out)
 	d.trials.Begin(now, out.Call, r.key, before)
 	r.tried = append(r.tried, out.Target)
@@ -451,9 +440,5 @@
 	if len(a.chain) == 0 {
 		return []identifier.TargetID{a.target}
 	}
-	out := make([]identifier.TargetID, 0, len(a.chain))
-	for _, stage := range a.chain {
-		out = append(out, stage.Target)
-	}
-	return out
+	return chainer.Targets(a.chain)
 }
--- a/entry/internal/meter/meter.go
+++ b/entry/internal/meter/meter.go
@@ -3,6 +3,7 @@
 
 import (
 	"expvar"
+	"maps"
 	"strconv"
 	"sync"
 	"time"
@@ -33,6 +34,14 @@
 	First time.Duration
 }
 
+// Move describes how a stream was continued that has left its chain, or could not be.
+type Move struct {
+	// Cause says why the stream has left its chain, and how it was continued.
+	Cause string
+	// Tokens is how many tokens of its prompt are read again, as a share of all layers.
+	Tokens int
+}
+
 // series holds the metrics of one kind or account.
 type series struct {
 	took     *hdrhistogram.Histogram
@@ -45,10 +54,15 @@
 	mu       sync.Mutex
 	kinds    map[string]*series
 	accounts map[string]*series
+	// moves counts the streams that were moved to another chain, or could not be, and reread the tokens of prompts read again for that.
+	moves  map[string]int64
+	reread map[string]int64
 }
 
 // NewMeter returns a meter without samples.
-func NewMeter() *Meter { return &Meter{kinds: map[string]*series{}, accounts: map[string]*series{}} }
+func NewMeter() *Meter {
+	return &Meter{kinds: map[string]*series{}, accounts: map[string]*series{}, moves: map[string]int64{}, reread: map[string]int64{}}
+}
 
 // Publish registers the metrics with expvar under a name.
 func (m *Meter) Publish(name string) { expvar.Publish(name, expvar.Func(m.snapshot)) }
@@ -61,6 +75,14 @@
 	seriesOf(m.accounts, s.Account).add(s)
 }
 
+// AddMove records a move.
+func (m *Meter) AddMove(move Move) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.moves[move.Cause]++
+	m.reread[move.Cause] += int64(move.Tokens)
+}
+
 func seriesOf(all map[string]*series, name string) *series {
 	if _, ok := all[name]; !ok && len(all) >= maxSeries {
 		name = other
@@ -94,7 +116,9 @@
 func (m *Meter) snapshot() any {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return map[string]any{"by_kind": export(m.kinds), "by_account": export(m.accounts)}
+	return map[string]any{
+		"by_kind": export(m.kinds), "by_account": export(m.accounts), "moves": maps.Clone(m.moves), "reread_tokens": maps.Clone(m.reread),
+	}
 }
 
 func export(all map[string]*series) map[string]any {
