--- a/entry/internal/chooser/chains.go
+++ b/entry/internal/chooser/chains.go
@@ -54,6 +54,7 @@
 		if t.IsClosing {
 			factor *= leavingFactor
 		}
+		factor *= c.paceOf(t.ID)
 		holders = append(holders, chainer.Holder{
 			Target: t.ID, Address: t.Address, DataCentre: t.DataCentre, Layers: t.Layers,
 			LayerCost:     factor * milliseconds(s.engine.StepTime) / float64(s.engine.Layers),
--- a/entry/internal/chooser/chooser.go
+++ b/entry/internal/chooser/chooser.go
@@ -76,6 +76,8 @@
 	quiet map[identifier.TargetID]time.Time
 	// suspects holds the targets that other nodes have seen fail.
 	suspects map[identifier.TargetID]suspect
+	// paces holds the targets that say that they are slow.
+	paces map[identifier.TargetID]pace
 }
 
 // NewChooser returns a chooser without targets for a node in the given data centre.
@@ -83,7 +85,7 @@
 	return &Chooser{
 		dataCentre: dc, services: map[identifier.ServiceID]*service{}, stats: map[identifier.TargetID]*targetStats{},
 		avoided: map[string]time.Time{}, stalled: map[string]time.Time{}, shut: map[identifier.TargetID]time.Time{}, quiet: map[identifier.TargetID]time.Time{},
-		suspects: map[identifier.TargetID]suspect{},
+		suspects: map[identifier.TargetID]suspect{}, paces: map[identifier.TargetID]pace{},
 	}
 }
 
@@ -123,6 +125,7 @@
 // Tick forgets the avoided and shut targets and the stalled chains whose time has expired.
 func (c *Chooser) Tick(now time.Time) {
 	c.dropSuspects(now)
+	c.dropPaces(now)
 	dropExpired(now, c.avoided)
 	dropExpired(now, c.stalled)
 	dropExpired(now, c.shut)
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -233,7 +233,7 @@
 	case CrashesReported:
 		return d.crashesReported(now, ev)
 	case LoadsLearned:
-		d.loads.Learn(now, ev.Reports)
+		d.learnLoads(now, ev.Reports)
 	case messenger.Tick:
 		return d.tick(now)
 	}
--- a/entry/internal/dispatcher/loads.go
+++ b/entry/internal/dispatcher/loads.go
@@ -10,6 +10,23 @@
 	"fuchsiabridge.example/entry/internal/workestimator"
 )
 
+// learnLoads applies reports of targets' load and pace.
+func (d *Dispatcher) learnLoads(now time.Time, reports []loadtracker.Report) {
+	d.loads.Learn(now, reports)
+	for _, r := range reports {
+		d.chooser.SetPace(now, r.Target, loadtracker.ClampPace(r.Pace))
+	}
+}
+
+// Holders calls use with each target that may be a stage of a chain and be called now.
+func (d *Dispatcher) Holders(now time.Time, use func(target identifier.TargetID, address string)) {
+	d.chooser.Holders(func(target identifier.TargetID, address string) {
+		if !d.limits.IsLimited(target) && !d.chooser.IsQuiet(now, target) {
+			use(target, address)
+		}
+	})
+}
+
 // FirstTargets calls use with the first target of each planned chain that may be called now: it wants requests, and names no request limit.
 func (d *Dispatcher) FirstTargets(now time.Time, use func(target identifier.TargetID, address string)) {
 	d.chooser.FirstTargets(now, func(target identifier.TargetID, address string) {
--- a/entry/internal/loadpoller/loadpoller.go
+++ b/entry/internal/loadpoller/loadpoller.go
@@ -21,6 +21,9 @@
 const LoadsMethod = "loads"
 
 const (
+	// All targets that may be stages of chains are asked once in allTargetsRounds rounds, as any of them may turn slow; the first targets
+	// are asked in each.
+	allTargetsRounds = 5
 	// A reader that has got no reports for silentIntervals intervals requests them itself.
 	silentIntervals = 3
 	// shareTimeout bounds a call that passes reports on. Later reports follow soon.
@@ -41,6 +44,8 @@
 type Targets interface {
 	// FirstTargets returns the first targets of the planned chains that may be asked now.
 	FirstTargets() []Target
+	// Holders returns all targets that may be stages of chains and may be asked now.
+	Holders() []Target
 	// ReportLoad requests a target's report.
 	ReportLoad(ctx context.Context, t Target) (loadtracker.Report, error)
 }
@@ -98,12 +103,16 @@
 	if p.cfg.Interval <= 0 {
 		return
 	}
-	for sleeper.Sleep(ctx, p.cfg.Interval) {
+	for round := 0; sleeper.Sleep(ctx, p.cfg.Interval); round++ {
 		duty := p.cfg.Duty()
 		if duty == NoDuty || (duty == ReaderDuty && p.isSupplied(bootclock.Now())) {
 			continue
 		}
-		reports := p.poll(ctx)
+		targets := p.cfg.Targets.FirstTargets
+		if round%allTargetsRounds == 0 {
+			targets = p.cfg.Targets.Holders
+		}
+		reports := p.poll(ctx, targets())
 		if len(reports) == 0 {
 			continue
 		}
@@ -149,11 +158,11 @@
 }
 
 // poll requests a report of each target. A target that does not answer in time is left out.
-func (p *Poller) poll(ctx context.Context) []loadtracker.Report {
+func (p *Poller) poll(ctx context.Context, targets []Target) []loadtracker.Report {
 	var mu sync.Mutex
 	var reports []loadtracker.Report
 	calls := p.pool.NewGroup()
-	for _, t := range p.cfg.Targets.FirstTargets() {
+	for _, t := range targets {
 		calls.Submit(func() {
 			ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 			defer cancel()
--- a/entry/internal/loadtracker/loadtracker.go
+++ b/entry/internal/loadtracker/loadtracker.go
@@ -132,7 +132,7 @@
 	if age < 0 || age >= maxAge {
 		return Load{}, false
 	}
-	l := Load{Running: float64(s.last.Running), Pace: clampPace(s.last.Pace), Age: age}
+	l := Load{Running: float64(s.last.Running), Pace: ClampPace(s.last.Pace), Age: age}
 	l.Waiting = max(0, float64(s.last.Waiting)+max(s.trend()*min(age, maxTrendTime).Seconds(), s.ownWaiting()))
 	if s.last.MemoryTotal > 0 {
 		l.MemoryShare = min(1, float64(s.last.MemoryUsed)/float64(s.last.MemoryTotal))
@@ -160,7 +160,8 @@
 	return float64(s.sent)
 }
 
-func clampPace(pace float64) float64 {
+// ClampPace returns a reported pace within bounds, 1 if there is none.
+func ClampPace(pace float64) float64 {
 	if pace == 0 || math.IsNaN(pace) {
 		return 1
 	}
--- a/entry/internal/relayer/targets.go
+++ b/entry/internal/relayer/targets.go
@@ -96,6 +96,17 @@
 	return out
 }
 
+// Holders returns the targets that may be stages of chains and may be called now.
+func (x *Relayer) Holders() []loadpoller.Target {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var out []loadpoller.Target
+	x.dispatch.Holders(bootclock.Now(), func(target identifier.TargetID, address string) {
+		out = append(out, loadpoller.Target{ID: target, Address: address})
+	})
+	return out
+}
+
 // ReportLoad requests the report of a target's load. Its values are as old as the engine says that they are.
 func (x *Relayer) ReportLoad(ctx context.Context, t loadpoller.Target) (loadtracker.Report, error) {
 	report, err := x.targets.Report(ctx, t.Address)
