--- a/common/describer/describer.go
+++ b/common/describer/describer.go
@@ -106,6 +106,8 @@
 	ChunkTokens int
 	// Stride is the number of steps in one pass, which yields one event of a stream.
 	Stride int
+	// GapObjective is the shortest gap objective of the routes to the service, 0 if they have none.
+	GapObjective time.Duration
 	// ReportLag is how old the values in a target's report are when it is given.
 	ReportLag time.Duration
 	// TypicalTokens is the mean number of tokens of a request, prompt and answer together; TypicalAnswer that of the answer.
--- a/entry/internal/chooser/chooser.go
+++ b/entry/internal/chooser/chooser.go
@@ -76,13 +76,15 @@
 	weigher *weigher.Weigher
 	// refusedGroups holds the groups of targets of which one has refused a continuation.
 	refusedGroups []refusedGroup
+	// paces holds the targets that say that they are slow.
+	paces map[identifier.TargetID]pace
 }
 
 // NewChooser returns a chooser without targets for a node in the given data centre.
 func NewChooser(dc identifier.DataCentre) *Chooser {
 	return &Chooser{
 		dataCentre: dc, services: map[identifier.ServiceID]*service{}, stats: map[identifier.TargetID]*targetStats{},
-		Avoider: avoider.NewAvoider(),
+		Avoider: avoider.NewAvoider(), paces: map[identifier.TargetID]pace{},
 	}
 }
 
@@ -129,6 +131,7 @@
 		c.markStale()
 	}
 	c.dropRefusedGroups(now)
+	c.dropPaces(now)
 }
 
 // HasTargets reports whether any target is known.
--- a/entry/internal/chooser/continuations_test.go
+++ b/entry/internal/chooser/continuations_test.go
@@ -12,6 +12,7 @@
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/entry/internal/chooser"
 	"fuchsiabridge.example/entry/internal/registrar"
+	"fuchsiabridge.example/entry/internal/weigher"
 )
 
 // stagedTargets returns six targets for each of four stages.
@@ -28,7 +29,7 @@
 // loseStage returns a chooser with a chain whose third target has failed.
 func loseStage() (*chooser.Chooser, []describer.Stage) {
 	x := newChooser(stagedTargets()...)
-	chain := x.Chain(now, "draft", 1, nil).Stages
+	chain := x.Chain(now, "draft", 1, nil, weigher.Prompt{}).Stages
 	x.Eject(now, chain[2].Address)
 	return x, chain
 }
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -222,7 +222,7 @@
 	case CrashesReported:
 		return d.crashesReported(now, ev)
 	case LoadsLearned:
-		d.loads.Learn(now, ev.Reports)
+		d.learnLoads(now, ev.Reports)
 	case avoider.RejectionsLearned:
 		return d.chooser.LearnRejections(now, ev.Rejections)
 	case messenger.Tick:
--- a/entry/internal/loadtracker/loadtracker.go
+++ b/entry/internal/loadtracker/loadtracker.go
@@ -133,7 +133,7 @@
 		return Load{}, false
 	}
 	trendTime := min(age, maxTrendTime).Seconds()
-	l := Load{Running: s.predictRunning(trendTime), Pace: clampPace(s.last.Pace), Age: age}
+	l := Load{Running: s.predictRunning(trendTime), Pace: ClampPace(s.last.Pace), Age: age}
 	l.Waiting = max(0, float64(s.last.Waiting)+max(s.trend()*trendTime, s.ownWaiting()))
 	if s.last.MemoryTotal > 0 {
 		l.MemoryShare = min(1, float64(s.last.MemoryUsed)/float64(s.last.MemoryTotal))
@@ -175,7 +175,8 @@
 	return float64(s.sent)
 }
 
-func clampPace(pace float64) float64 {
+// ClampPace returns a reported pace within bounds, 1 if there is none.
+func ClampPace(pace float64) float64 {
 	if pace == 0 || math.IsNaN(pace) {
 		return 1
 	}
--- a/entry/internal/router/router.go
+++ b/entry/internal/router/router.go
@@ -34,6 +34,7 @@
 	for i := range cfg.Routes {
 		r := &cfg.Routes[i]
 		t.routes[routeKey{r.Host, r.Prefix}] = r
+		noteGapObjective(cfg, r)
 	}
 	for i := range cfg.Accounts {
 		for _, key := range cfg.Accounts[i].Keys {
@@ -45,6 +46,16 @@
 	return t
 }
 
+// noteGapObjective notes the gap objective of a route at the engines of its services.
+func noteGapObjective(cfg *describer.Configuration, r *describer.Route) {
+	for _, share := range r.Services {
+		e := cfg.Services[share.Service].Engine
+		if e != nil && r.GapObjective > 0 && (e.GapObjective == 0 || r.GapObjective < e.GapObjective) {
+			e.GapObjective = r.GapObjective
+		}
+	}
+}
+
 // Route returns the route with the longest path prefix for a host, nil if there is none.
 func (t *Table) Route(host, path string) *describer.Route {
 	host = strings.ToLower(host)
--- a/entry/internal/weigher/weigher.go
+++ b/entry/internal/weigher/weigher.go
@@ -20,6 +20,10 @@
 	minReportedShare = 0.5
 	// contextTokens is the number of tokens to which an engine's context time applies.
 	contextTokens = 1000.0
+	// freeGapShare is the share of the gap objective that the time between two events may take without a loss of weight, and lateShare is what
+	// is left of the weight of a chain where it takes all.
+	freeGapShare = 0.5
+	lateShare    = 0.1
 	// gapWeight is the weight of the newest excess of the gaps at a chain in its average. The excess halves in gapHalfLife, and is
 	// taken to be maxGapExcess at most.
 	gapWeight    = 0.5
@@ -94,7 +98,8 @@
 		if isReported[i] {
 			room = c.room(loads[i], running, p.gain)
 		}
-		weights[i] = room / max(w.stepTime(now, p.engine, c, loads[i], isReported[i]), math.SmallestNonzeroFloat64)
+		step := w.stepTime(now, p.engine, c, loads[i], isReported[i])
+		weights[i] = room * gapShare(p.engine, step) / max(step, math.SmallestNonzeroFloat64)
 	}
 	return weights
 }
@@ -111,6 +116,18 @@
 	return max(minFreeShare*c.slots/(1+l.Waiting), own+gain*free)
 }
 
+// gapShare returns the share of its weight that a chain keeps if its steps take the given time, in milliseconds. It falls from 1 to
+// lateShare while the time between two events grows from half of the gap objective to the whole: the longest gap of a stream is about twice
+// the typical one.
+func gapShare(e *describer.Engine, step float64) float64 {
+	limit := milliseconds(e.GapObjective)
+	if limit <= 0 {
+		return 1
+	}
+	excess := step*float64(max(1, e.Stride))/limit - freeGapShare
+	return min(1, max(lateShare, 1-(1-lateShare)*excess/(1-freeGapShare)))
+}
+
 // stepTime returns what a step costs along a chain, in milliseconds, with the requests that run there. The delay of a first target in another
 // data centre is part of the first pass of Stride steps.
 func (w *Weigher) stepTime(now time.Time, e *describer.Engine, c planned, l loadtracker.Load, isReported bool) float64 {
@@ -122,7 +139,8 @@
 func predictedStep(e *describer.Engine, c planned, l loadtracker.Load, isReported bool) float64 {
 	step := c.StepCost
 	if isReported {
-		step *= slowdown(e, l.Running) * l.Pace
+		// The paces of all stages are part of the step cost already.
+		step *= slowdown(e, l.Running)
 	}
 	return step + milliseconds(c.hops)
 }
