Test callers and connections outside the limits with real processes

Cause: nothing bounds what a process holds for callers, nor its connections, and no test showed it. Change: crowds of 180 connections with bodies, or 600 idle ones, against processes whose limits are lowered to 32 MB and 200 connections by environment variables, which programs without these settings ignore. Bounds: 64 MB + 32 MB, 64 + 2 x 200 descriptors.

--- /dev/null
+++ b/integration/caller_memory_test.go
@@ -0,0 +1,182 @@
+package integration_test
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fuchsiabridge.example/integration/launcher"
+)
+
+const (
+	// crowdMemoryMB and crowdConnections are the settings of the tested processes. The settings are given in the environment, which
+	// programs without them ignore.
+	crowdMemoryMB    = 32
+	crowdConnections = 200
+	// ownMemoryMB is what a process may need without callers, ownDescriptors what it may open for itself.
+	ownMemoryMB    = 64
+	ownDescriptors = 64
+	// maxCrowdMemoryMB and maxCrowdDescriptors are the bounds: callers and other nodes each have a connection limit of their own.
+	maxCrowdMemoryMB    = ownMemoryMB + crowdMemoryMB
+	maxCrowdDescriptors = ownDescriptors + 2*crowdConnections
+
+	// bodyCrowd connections send bodies, idleCrowd connections send nothing.
+	bodyCrowd = 180
+	idleCrowd = 600
+	// limitBytes is the largest body that both programs take in these tests.
+	limitBytes = 1 << 20
+	// crowdTimeout is how long a connection of the crowd tries to send, crowdPause how long the crowd then stays open at least.
+	crowdTimeout = 4 * time.Second
+	crowdPause   = 500 * time.Millisecond
+	crowdDial    = time.Second
+)
+
+// crowd is one kind of caller that does not keep to the limits.
+type crowd struct {
+	name        string
+	connections int
+	payload     []byte
+}
+
+// crowdOf returns the crowds that send requests for a path.
+func crowdOf(path, slowPath string) []crowd {
+	header := "POST " + path + " HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer k\r\n"
+	chunked := header + "Transfer-Encoding: chunked\r\n\r\n"
+	large := chunks(64<<10, limitBytes/(64<<10)-1)
+	return []crowd{
+		{"large chunks, unfinished", bodyCrowd, []byte(chunked + large + "ffff\r\n" + strings.Repeat("x", 0xfffe))},
+		{"chunks of a byte, unfinished", bodyCrowd, []byte(chunked + chunks(1, limitBytes/8))},
+		{"length announced, a byte short", bodyCrowd, []byte(header + fmt.Sprintf("Content-Length: %d\r\n\r\n", limitBytes) + strings.Repeat("x", limitBytes-1))},
+		{"over the limit in chunks", bodyCrowd, []byte(chunked + strings.Repeat(large, 3))},
+		{"over the limit, announced", bodyCrowd, []byte(header + fmt.Sprintf("Content-Length: %d\r\n\r\n", 3*limitBytes) + strings.Repeat("x", 3*limitBytes-1))},
+		{"headers that never end", bodyCrowd, []byte(header + strings.Repeat("X-Field: value\r\n", limitBytes/16))},
+		{"idle connections", idleCrowd, nil},
+		{"answers that are not read", bodyCrowd, []byte(strings.Repeat("GET "+slowPath+" HTTP/1.1\r\nHost: h\r\n\r\n", 2000))},
+	}
+}
+
+// chunks returns n chunks of the given size.
+func chunks(size, n int) string {
+	return strings.Repeat(fmt.Sprintf("%x\r\n%s\r\n", size, strings.Repeat("x", size)), n)
+}
+
+// open lets the crowd send at once. The returned function closes its connections.
+func (w crowd) open(address string) (leave func()) {
+	conns := make([]net.Conn, w.connections)
+	var sent sync.WaitGroup
+	for i := range conns {
+		sent.Go(func() {
+			conn, err := net.DialTimeout("tcp", address, crowdDial)
+			if err != nil {
+				return
+			}
+			conns[i] = conn
+			_ = conn.SetWriteDeadline(time.Now().Add(crowdTimeout))
+			_, _ = bytes.NewReader(w.payload).WriteTo(conn)
+		})
+	}
+	sent.Wait()
+	time.Sleep(crowdPause)
+	return func() {
+		for _, conn := range conns {
+			if conn != nil {
+				_ = conn.Close()
+			}
+		}
+	}
+}
+
+// checkCrowd checks that a process keeps within its bounds while a crowd is connected.
+func checkCrowd(t *testing.T, w crowd, address string, p *launcher.Process) {
+	t.Helper()
+	c := qt.New(t)
+	leave := w.open(address)
+	defer leave()
+	c.Assert(p.Exited(), qt.IsFalse)
+	memory, descriptors := p.PeakMemoryMB(t), p.Descriptors(t)
+	t.Logf("%s: at most %d MB, %d descriptors", w.name, memory, descriptors)
+	c.Check(memory <= maxCrowdMemoryMB, qt.IsTrue, qt.Commentf("%d MB, allowed %d", memory, maxCrowdMemoryMB))
+	c.Check(descriptors <= maxCrowdDescriptors, qt.IsTrue, qt.Commentf("%d descriptors, allowed %d", descriptors, maxCrowdDescriptors))
+}
+
+// limitCrowds sets the limits of the processes that a test starts.
+func limitCrowds(t *testing.T) {
+	t.Helper()
+	t.Setenv("FUCHSIABRIDGE_CALLER_MEMORY", fmt.Sprint(crowdMemoryMB))
+	t.Setenv("FUCHSIABRIDGE_CALLER_CONNECTIONS", fmt.Sprint(crowdConnections))
+}
+
+// TestRelayOutlivesCallersOutsideLimits guards against a node in relay mode that runs out of memory or descriptors by callers, or by
+// connections to its ports for other nodes, that do not keep to the limits.
+func TestRelayOutlivesCallersOutsideLimits(t *testing.T) {
+	limitCrowds(t)
+	ports := map[string]func(*launcher.Relay) string{
+		"callers": func(r *launcher.Relay) string { return r.Address }, "delegates": func(r *launcher.Relay) string { return r.Delegates },
+	}
+	for port, address := range ports {
+		for _, w := range crowdOf("/post/1", "/view/1") {
+			t.Run(port+", "+w.name, func(t *testing.T) {
+				b := newRelayFixture(t)
+				checkCrowd(t, w, address(b.node), b.node.Process)
+				status, _ := b.send(http.MethodPost, "/post/1", "after", relayKey)
+				b.Check(status, qt.Equals, http.StatusOK)
+			})
+		}
+	}
+}
+
+// TestRelayOutlivesConnectionsOutsideLimits guards against a node in relay mode that runs out of memory or descriptors by connections to
+// its ports for other nodes and for operators.
+func TestRelayOutlivesConnectionsOutsideLimits(t *testing.T) {
+	limitCrowds(t)
+	message := []byte("Content-Length: 99999999\r\n\r\n\"" + strings.Repeat("x", limitBytes))
+	line := bytes.Repeat([]byte("x"), limitBytes)
+	for _, row := range []struct {
+		crowd
+		address func(*launcher.Relay) string
+	}{
+		{crowd{"peers, messages that never end", bodyCrowd, message}, func(r *launcher.Relay) string { return r.Peer }},
+		{crowd{"peers, lines that never end", bodyCrowd, line}, func(r *launcher.Relay) string { return r.Peer }},
+		{crowd{"peers, idle connections", idleCrowd, nil}, func(r *launcher.Relay) string { return r.Peer }},
+		{crowd{"metrics, idle connections", idleCrowd, nil}, func(r *launcher.Relay) string { return r.Metrics }},
+		{crowd{"health, idle connections", idleCrowd, nil}, func(r *launcher.Relay) string { return r.Health }},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			b := newRelayFixture(t)
+			checkCrowd(t, row.crowd, row.address(b.node), b.node.Process)
+			status, _ := b.send(http.MethodPost, "/post/1", "after", relayKey)
+			b.Check(status, qt.Equals, http.StatusOK)
+		})
+	}
+}
+
+// TestNodeOutlivesCallersOutsideLimits guards against a node that runs out of memory or descriptors by callers of the product's own
+// interface that do not keep to the limits.
+func TestNodeOutlivesCallersOutsideLimits(t *testing.T) {
+	limitCrowds(t)
+	for _, w := range crowdOf("/services/catalogue/1", "/debug/vars") {
+		t.Run(w.name, func(t *testing.T) {
+			c := qt.New(t)
+			f := launcher.NewFleet(t)
+			f.AddService("catalogue", "catalogue-1")
+			p := f.AddNode("node-1", "")
+			f.Configure(1)
+			checkCrowd(t, w, p.Address, p)
+			req, err := http.NewRequest(http.MethodGet, "http://"+p.Address+"/services/catalogue/1", nil)
+			c.Assert(err, qt.IsNil)
+			req.Header.Set("Authorization", "Bearer "+launcher.AccountKey)
+			client := http.Client{Timeout: 5 * time.Second}
+			resp, err := client.Do(req)
+			c.Assert(err, qt.IsNil)
+			defer resp.Body.Close()
+			c.Check(resp.StatusCode, qt.Equals, http.StatusOK)
+		})
+	}
+}
--- a/integration/launcher/relay.go
+++ b/integration/launcher/relay.go
@@ -20,6 +20,8 @@
 	// Health and Metrics are the addresses of its health and metrics endpoints.
 	Health  string
 	Metrics string
+	// Delegates is the address for requests of other nodes.
+	Delegates string
 	// Program is the file of the node's program, empty for the one that is tested.
 	Program string
 	// Control is the address at which the network of a cuttable node is cut, empty for any other node.
@@ -127,7 +129,7 @@
 func (f *Fleet) addRelay(r *Relay, id, dc, store string, flags ...string) *Relay {
 	f.t.Helper()
 	r.Health, r.Metrics = FreeAddress(f.t), FreeAddress(f.t)
-	address := FreeAddress(f.t)
+	address, peer := FreeAddress(f.t), FreeAddress(f.t)
 	program := r.Program
 	var args []string
 	switch {
@@ -138,12 +140,14 @@
 	}
 	args = append(args, append([]string{
 		"relay", "--node", id, "--data-centre", dc, "--listen", address, "--health-listen", r.Health,
-		"--metrics-listen", r.Metrics, "--store", store, "--peer-listen", FreeAddress(f.t),
+		"--metrics-listen", r.Metrics, "--store", store, "--peer-listen", peer,
 	}, flags...)...)
 	if r.Program == "" {
-		args = append(args, "--delegate-listen", FreeAddress(f.t))
+		r.Delegates = FreeAddress(f.t)
+		args = append(args, "--delegate-listen", r.Delegates)
 	}
 	r.Process = f.start(id, program, address, args...)
+	r.Peer = peer
 	return r
 }
 
