Bound memory and connections that callers and other nodes take

Cause: each body was read whole within its own limit, and nothing bounded all of them together, nor the connections; the HTTP library took the memory of an announced body before it arrived, and messages of peers had no bound at all. Change: callerguard counts what all accepted connections hold, with a limit from the machine's memory (--caller-memory) and one of connections from the descriptors (--caller-connections), and closes those that hold most for longest without progress, never one whose request may run. receiver reads announced bodies in pieces; event 8050, two counters.

--- a/common/eventlogger/process.go
+++ b/common/eventlogger/process.go
@@ -9,6 +9,7 @@
 	CallFailed             = Event{1005, "call failed"}
 	PeerConnectionFailed   = Event{1006, "peer connection failed"}
 	CallerConnectionFailed = Event{1007, "caller connection failed"}
+	CallerDropped          = Event{8050, "connection closed to stay within the limits for callers"}
 	StandInStarted         = Event{9001, "stand-in started"}
 )
 
@@ -21,6 +22,7 @@
 		CallFailed,
 		PeerConnectionFailed,
 		CallerConnectionFailed,
+		CallerDropped,
 		StandInStarted,
 	}
 }
--- a/entry/internal/commander/commander.go
+++ b/entry/internal/commander/commander.go
@@ -91,7 +91,8 @@
 	defer stop()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	listener, err := listenForCallers(ctx, values)
+	guard := newGuard(values)
+	listener, err := listenForCallers(ctx, values, guard)
 	if err != nil {
 		return err
 	}
@@ -99,7 +100,7 @@
 	if err != nil {
 		return err
 	}
-	peerListener, err := listen(ctx, values.Text("peer-listen"), peers)
+	peerListener, err := listen(ctx, values.Text("peer-listen"), peers, guard, peerCalls)
 	if err != nil {
 		return errors.Wrap(err, "listening for peers")
 	}
@@ -155,6 +156,7 @@
 		ErrorHandler:          server.HandleError,
 		ReadTimeout:           readTimeout,
 		IdleTimeout:           idleTimeout,
+		ConnState:             endRequest,
 	}
 	stopped, stopServing := context.WithCancel(context.Background())
 	defer stopServing()
--- a/entry/internal/commander/relay.go
+++ b/entry/internal/commander/relay.go
@@ -21,6 +21,7 @@
 	"fuchsiabridge.example/common/logwriter"
 	"fuchsiabridge.example/common/optionparser"
 	"fuchsiabridge.example/common/responder"
+	"fuchsiabridge.example/entry/internal/callerguard"
 	"fuchsiabridge.example/entry/internal/connector"
 	"fuchsiabridge.example/entry/internal/crashrecorder"
 	"fuchsiabridge.example/entry/internal/crashreporter"
@@ -74,6 +75,8 @@
 		{Name: "retry-window", Default: "10s", Usage: "window over which the retry ratio is enforced", Check: optionparser.IsDuration},
 		{Name: "heartbeat", Default: "1200ms", Usage: "interval at which a target reports to the store that it is alive", Check: optionparser.IsDuration},
 		{Name: "load-interval", Default: "0s", Usage: "interval at which nodes that read the store request load reports of the first targets of chains; 0s requests none, and chains are chosen by what each node sees itself", Check: optionparser.IsDuration},
+		{Name: "caller-memory", Default: "0", Usage: "memory in MB that callers and other nodes may take, at least 6 times the largest body; 0 for half of the machine's memory", Check: optionparser.IsNumber(0, maxCallerMegabytes)},
+		{Name: "caller-connections", Default: "0", Usage: "maximum number of callers' connections, and as many at the other ports; 0 for a third of the descriptors that the process may open", Check: optionparser.IsNumber(0, maxCallerConnections)},
 		{Name: "balancer-lag", Default: "2600ms", Usage: "how long a stopping node still accepts requests, so that the load balancer can detect that it is unready", Check: optionparser.IsDuration},
 		{Name: "stop-limit", Default: "8s", Usage: "maximum time a stopping node waits for requests in progress", Check: optionparser.IsDuration},
 		{Name: "trace-endpoint", Usage: "OTLP over HTTP endpoint for spans, host:port; disabled when empty"},
@@ -122,6 +125,7 @@
 	granter   *granter.Granter
 	peers     *peercaller.Caller
 	loads     *loadpoller.Poller
+	guard     *callerguard.Guard
 }
 
 // newRelayNode returns a node whose calls end with ctx.
@@ -129,7 +133,7 @@
 	http := httpcaller.NewCaller()
 	requests := meter.NewMeter()
 	requests.Publish("requests")
-	n := &relayNode{values: values, id: identifier.NodeID(values.Text("node"))}
+	n := &relayNode{values: values, id: identifier.NodeID(values.Text("node")), guard: newGuard(values)}
 	dc := identifier.DataCentre(values.Text("data-centre"))
 	store := storecaller.NewCaller(http, values.Text("store"))
 	self := storecaller.Member{Node: n.id, DataCentre: dc, Address: values.Text("peer-listen")}
@@ -215,21 +219,21 @@
 
 // listen opens all listeners, serves all but the callers' one until ctx ends, and returns the callers' one.
 func (n *relayNode) listen(ctx context.Context) (net.Listener, error) {
-	callers, err := listen(ctx, n.values.Text("listen"), nil)
+	callers, err := listen(ctx, n.values.Text("listen"), nil, n.guard, relayCallers)
 	if err != nil {
 		return nil, errors.Wrap(err, "listening for callers")
 	}
-	if err := serveHealth(ctx, n.values, n.relayer); err != nil {
+	if err := serveHealth(ctx, n.values, n.relayer, n.guard); err != nil {
 		return nil, err
 	}
 	if address := n.values.Text("delegate-listen"); address != "" {
-		l, err := listen(ctx, address, nil)
+		l, err := listen(ctx, address, nil, n.guard, delegates)
 		if err != nil {
 			return nil, errors.Wrap(err, "listening for requests of other nodes")
 		}
 		go n.delegated.Serve(ctx, l)
 	}
-	return callers, servePeers(ctx, n.values.Text("peer-listen"), n.peers)
+	return callers, servePeers(ctx, n.values.Text("peer-listen"), n.peers, n.guard)
 }
 
 // open counts the requests in progress.
@@ -334,11 +338,11 @@
 }
 
 // servePeers serves other nodes until ctx ends, if an address is set.
-func servePeers(ctx context.Context, address string, peers *peercaller.Caller) error {
+func servePeers(ctx context.Context, address string, peers *peercaller.Caller, g *callerguard.Guard) error {
 	if address == "" {
 		return nil
 	}
-	l, err := listen(ctx, address, nil)
+	l, err := listen(ctx, address, nil, g, peerCalls)
 	if err != nil {
 		return errors.Wrap(err, "listening for peers")
 	}
@@ -347,7 +351,7 @@
 }
 
 // serveHealth serves the readiness check and the metrics until ctx ends.
-func serveHealth(ctx context.Context, values optionparser.Values, x *relayer.Relayer) error {
+func serveHealth(ctx context.Context, values optionparser.Values, x *relayer.Relayer, g *callerguard.Guard) error {
 	health := func(c *fasthttp.RequestCtx) {
 		if !x.IsReady() {
 			c.SetStatusCode(fasthttp.StatusServiceUnavailable)
@@ -356,7 +360,7 @@
 	for name, handle := range map[string]fasthttp.RequestHandler{
 		"health-listen": health, "metrics-listen": expvarhandler.ExpvarHandler,
 	} {
-		l, err := listen(ctx, values.Text(name), nil)
+		l, err := listen(ctx, values.Text(name), nil, g, operators)
 		if err != nil {
 			return errors.Wrapf(err, "listening for %s", name)
 		}
@@ -368,7 +372,7 @@
 func serveAuxiliary(ctx context.Context, l net.Listener, handle fasthttp.RequestHandler) {
 	s := &fasthttp.Server{
 		Handler: handle, NoDefaultServerHeader: true, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
-		Logger: eventlogger.Printer{Event: eventlogger.CallerConnectionFailed},
+		Logger: eventlogger.Printer{Event: eventlogger.CallerConnectionFailed}, ConnState: endRequest,
 	}
 	if err := responder.Serve(ctx, s, l, healthStopTimeout); err != nil {
 		eventlogger.Error(err, eventlogger.CallerConnectionFailed, "address", l.Addr().String())
--- a/entry/internal/commander/tls.go
+++ b/entry/internal/commander/tls.go
@@ -9,10 +9,11 @@
 
 	"fuchsiabridge.example/common/certloader"
 	"fuchsiabridge.example/common/optionparser"
+	"fuchsiabridge.example/entry/internal/callerguard"
 )
 
 // listenForCallers listens for callers, with TLS if a certificate is set.
-func listenForCallers(ctx context.Context, values optionparser.Values) (net.Listener, error) {
+func listenForCallers(ctx context.Context, values optionparser.Values, g *callerguard.Guard) (net.Listener, error) {
 	var cfg *tls.Config
 	if values.Text("tls-cert") != "" {
 		loader, err := certloader.NewLoader(values.Text("tls-cert"), values.Text("tls-key"))
@@ -21,7 +22,7 @@
 		}
 		cfg = loader.Server()
 	}
-	l, err := listen(ctx, values.Text("listen"), cfg)
+	l, err := listen(ctx, values.Text("listen"), cfg, g, callers)
 	return l, errors.Wrap(err, "listening for callers")
 }
 
@@ -37,11 +38,16 @@
 	return loader.Peer(values.Text("peer-ca"))
 }
 
-func listen(ctx context.Context, address string, cfg *tls.Config) (net.Listener, error) {
+// listen listens at an address, with TLS if a configuration is given. Its connections are guarded.
+func listen(ctx context.Context, address string, cfg *tls.Config, g *callerguard.Guard, use callerguard.Use) (net.Listener, error) {
 	var listener net.ListenConfig
 	l, err := listener.Listen(ctx, "tcp", address)
-	if err != nil || cfg == nil {
-		return l, err
+	if err != nil {
+		return nil, err
+	}
+	l = g.Listener(l, use)
+	if cfg == nil {
+		return l, nil
 	}
 	return tls.NewListener(l, cfg), nil
 }
--- a/entry/internal/counter/counter.go
+++ b/entry/internal/counter/counter.go
@@ -15,4 +15,7 @@
 	Offset    = expvar.NewInt("fb_log_offset")
 	Events    = expvar.NewInt("fb_events")
 	Shed      = expvar.NewInt("fb_effects_shed")
+	// CallerBytes is what is held for callers and other nodes, CallersDropped the connections closed for want of memory or connections.
+	CallerBytes    = expvar.NewInt("fb_caller_bytes")
+	CallersDropped = expvar.NewMap("fb_callers_dropped_by_reason")
 )
--- a/entry/internal/peercaller/peercaller.go
+++ b/entry/internal/peercaller/peercaller.go
@@ -2,6 +2,7 @@
 package peercaller
 
 import (
+	"bufio"
 	"context"
 	"crypto/tls"
 	"encoding/json"
@@ -13,6 +14,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"fuchsiabridge.example/common/eventlogger"
+	"fuchsiabridge.example/entry/internal/callerguard"
 )
 
 const dialTimeout = time.Second
@@ -102,11 +104,23 @@
 }
 
 func (c *Caller) open(ctx context.Context, raw net.Conn) *jsonrpc2.Conn {
-	stream := jsonrpc2.NewBufferedStream(raw, jsonrpc2.VSCodeObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(raw, messageCodec{conn: raw})
 	return jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(c.handle)),
 		jsonrpc2.SetLogger(eventlogger.Printer{Event: eventlogger.PeerConnectionFailed}))
 }
 
+// messageCodec tells the guard of the connection when a message has been read.
+type messageCodec struct {
+	jsonrpc2.VSCodeObjectCodec
+	conn net.Conn
+}
+
+// ReadObject reads the next message.
+func (m messageCodec) ReadObject(stream *bufio.Reader, v any) error {
+	defer callerguard.EndRequest(m.conn)
+	return m.VSCodeObjectCodec.ReadObject(stream, v)
+}
+
 func (c *Caller) handle(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
 	handler, ok := c.handlers[r.Method]
 	if !ok {
--- a/entry/internal/receiver/receiver.go
+++ b/entry/internal/receiver/receiver.go
@@ -18,6 +18,7 @@
 	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/entry/internal/bodyreader"
+	"fuchsiabridge.example/entry/internal/callerguard"
 )
 
 const (
@@ -143,6 +144,8 @@
 		r.reject(call, err)
 		return false
 	}
+	callerguard.BeginServing(c.Conn)
+	defer callerguard.EndRequest(c.Conn)
 	served, cancel := context.WithCancel(ctx)
 	stopWatch := c.watch(cancel)
 	r.handler.Serve(served, call)
@@ -232,14 +235,19 @@
 	return errors.Wrap(err, "reading over a body")
 }
 
-// readBody reads the body, which may have the given number of bytes at most. The fields after a body in chunks are left out: the
-// library would take them for fields of the header.
+// readBody reads the body, which may have the given number of bytes at most. The library takes the memory for all of an announced body
+// before it arrives, so it reads small ones only. The fields after a body in chunks are left out: the library would take them for fields
+// of the header.
 func (c *Call) readBody(r *bufio.Reader, limit int) error {
 	h := &c.request.Header
-	if h.ContentLength() != chunkedLength {
+	n := h.ContentLength()
+	if n > limit {
+		return fasthttp.ErrBodyTooLarge
+	}
+	if n != chunkedLength && n <= bufferBytes {
 		return c.request.ContinueReadBody(r, limit, false)
 	}
-	body, err := bodyreader.ReadAll(bodyreader.NewBody(r, chunkedLength), limit)
+	body, err := bodyreader.ReadAll(bodyreader.NewBody(r, n), limit)
 	if errors.Is(err, bodyreader.ErrTooLarge) {
 		return fasthttp.ErrBodyTooLarge
 	}
--- a/entry/internal/server/body.go
+++ b/entry/internal/server/body.go
@@ -18,18 +18,27 @@
 		return true
 	}
 	stream := c.RequestBodyStream()
+	if c.Request.Header.ContentLength() > MaxBodyBytes {
+		refuseBody(c, stream)
+		return false
+	}
 	body, err := io.ReadAll(io.LimitReader(stream, MaxBodyBytes+1))
 	if err != nil {
 		HandleError(c, err)
 		return false
 	}
 	if len(body) > MaxBodyBytes {
-		_, _ = io.CopyN(io.Discard, stream, maxDrainBytes)
-		responder.Refuse(c, fasthttp.StatusRequestEntityTooLarge, responder.Refused, responder.Problem{
-			Code: "body_too_large", Message: "at most 1 MiB", Place: "body", RequestID: string(c.Request.Header.Peek(headerRequestID)),
-		}, 0)
+		refuseBody(c, stream)
 		return false
 	}
 	c.Request.SetBody(body)
 	return true
 }
+
+// refuseBody refuses an oversized body. It keeps nothing of what is left of it.
+func refuseBody(c *fasthttp.RequestCtx, rest io.Reader) {
+	_, _ = io.CopyN(io.Discard, rest, maxDrainBytes)
+	responder.Refuse(c, fasthttp.StatusRequestEntityTooLarge, responder.Refused, responder.Problem{
+		Code: "body_too_large", Message: "at most 1 MiB", Place: "body", RequestID: string(c.Request.Header.Peek(headerRequestID)),
+	}, 0)
+}
--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -21,6 +21,7 @@
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/common/responder"
+	"fuchsiabridge.example/entry/internal/callerguard"
 	"fuchsiabridge.example/entry/internal/counter"
 	"fuchsiabridge.example/entry/internal/executor"
 )
@@ -92,6 +93,7 @@
 	if !readBody(c) {
 		return
 	}
+	callerguard.BeginServing(c.Conn())
 	path := string(c.Path())
 	isDraft, isCall := path == "/v1/chat/completions", strings.HasPrefix(path, "/services/")
 	switch {
