--- a/entry/internal/callerguard/callerguard_test.go
+++ b/entry/internal/callerguard/callerguard_test.go
@@ -69,3 +69,14 @@
 	next := connect(c, l, 0)
 	c.Check([]bool{isOpen(reading), isOpen(idle), isOpen(next)}, qt.DeepEquals, []bool{true, false, true})
 }
+
+// TestIdleConnectionsLeaveMemoryForRequests guards against connections without a request that take so much memory that each request is
+// closed while it is read.
+func TestIdleConnectionsLeaveMemoryForRequests(t *testing.T) {
+	c := qt.New(t)
+	l := listen(c, callerguard.Limits{LiveBytes: 1 << 20, Connections: 100})
+	for range 60 {
+		connect(c, l, 0)
+	}
+	c.Check(isOpen(connect(c, l, 100<<10)), qt.IsTrue)
+}
--- a/entry/internal/callerguard/ledger.go
+++ b/entry/internal/callerguard/ledger.go
@@ -12,6 +12,9 @@
 	// Callers may hold callerShare / wholeShare of the memory. The rest is left to other nodes, so that callers cannot cut a node off from them.
 	callerShare = 3
 	wholeShare  = 4
+	// Connections without a request that take 1 / idleShare of the memory are closed before those whose requests are being read. Otherwise many of
+	// them would leave no memory to read a request.
+	idleShare = 2
 )
 
 // Group is a kind of connections with limits of its own.
@@ -171,15 +174,11 @@
 	return l.limits.LiveBytes
 }
 
-// trim gives up connections until the group's limit is kept: first those that hold most for longest without progress, then those
-// without a request, idle for longest first.
+// trim gives up connections until the group's limit is kept.
 func (l *ledger) trim(now time.Time, g Group) []*account {
 	var dropped []*account
 	for l.held > l.limit(g) {
-		victim := l.heaviest(now, g, false)
-		if victim == nil {
-			victim = l.longestIdle(now, g, false)
-		}
+		victim := l.victim(now, g)
 		if victim == nil {
 			return dropped
 		}
@@ -189,6 +188,30 @@
 	return dropped
 }
 
+// victim returns the connection that is given up next for want of memory: the one that holds most for longest without progress, or the
+// one that has been without a request for longest if there is no such one, or if those without a request take too much.
+func (l *ledger) victim(now time.Time, g Group) *account {
+	heaviest := l.heaviest(now, g, false)
+	if heaviest != nil && l.idleBytes() <= l.limit(g)/idleShare {
+		return heaviest
+	}
+	if longest := l.longestIdle(now, g, false); longest != nil {
+		return longest
+	}
+	return heaviest
+}
+
+// idleBytes returns what is held for connections without a request.
+func (l *ledger) idleBytes() int64 {
+	held := int64(0)
+	for a := range l.accounts {
+		if a.state == idle {
+			held += a.held()
+		}
+	}
+	return held
+}
+
 // heaviest returns the droppable account with the largest weight, of all groups or of one.
 func (l *ledger) heaviest(now time.Time, g Group, isOwnOnly bool) *account {
 	var found *account
--- a/entry/internal/callerguard/machine.go
+++ b/entry/internal/callerguard/machine.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// machineShare is the part of the machine's memory that is left to callers by default: the rest is for the process and the system.
-	machineShare = 2
+	// machineShare divides the machine's memory by default: a third is for callers, the rest for the process's own work and the system.
+	machineShare = 3
 	// heapFactor is the size that Go's heap reaches, relative to what is live in it, before garbage is collected (GOGC=100).
 	heapFactor = 2
 	// descriptorShare divides the descriptors among callers, other nodes, and the connections that the process opens itself.
@@ -17,8 +17,8 @@
 	// The fallbacks apply where the system does not say what the machine has.
 	fallbackMemoryBytes = 128 << 20
 	fallbackDescriptors = 1024
-	// minMemoryBytes is the least default for callers.
-	minMemoryBytes = 32 << 20
+	// minMemoryBytes is the least default for callers: enough to read a body of 8 MiB, the limit while no configuration is known.
+	minMemoryBytes = 48 << 20
 	bytesPerMB     = 1 << 20
 	bytesPerKB     = 1 << 10
 
--- a/entry/internal/commander/options.go
+++ b/entry/internal/commander/options.go
@@ -40,7 +40,7 @@
 		{Name: "log-batch", Default: "256", Usage: "maximum number of records per append to the log, 1 to 1000; 1 disables group commit", Check: optionparser.IsNumber(1, maxLogBatch)},
 		{Name: "history-megabytes", Default: "256", Usage: "memory limit in MB for the inputs and KV caches that are kept for recovery", Check: optionparser.IsNumber(1, maxHistoryMegabytes)},
 		{Name: "weight-layers-per-second", Default: "100", Usage: "layers per second that the weight store can deliver; loads are ordered no faster", Check: optionparser.IsNumber(1, maxLayersPerSecond)},
-		{Name: "caller-memory", Default: "0", Usage: "memory in MB that callers and other nodes may take, at least 6 times the largest body; 0 for half of the machine's memory", Check: optionparser.IsNumber(0, maxCallerMegabytes)},
+		{Name: "caller-memory", Default: "0", Usage: "memory in MB that callers and other nodes may take, at least 6 times the largest body; 0 for a third of the machine's memory", Check: optionparser.IsNumber(0, maxCallerMegabytes)},
 		{Name: "caller-connections", Default: "0", Usage: "maximum number of callers' connections, and as many at the other ports; 0 for a third of the descriptors that the process may open", Check: optionparser.IsNumber(0, maxCallerConnections)},
 		{Name: "balancer-lag", Default: "2s", Usage: "how long a stopping node still accepts requests, so that the load balancer can detect that it is unready", Check: optionparser.IsDuration},
 		{Name: "stop-limit", Default: "60s", Usage: "maximum time a stopping node waits for requests in progress", Check: optionparser.IsDuration},
--- a/entry/internal/commander/relay.go
+++ b/entry/internal/commander/relay.go
@@ -75,7 +75,7 @@
 		{Name: "retry-window", Default: "10s", Usage: "window over which the retry ratio is enforced", Check: optionparser.IsDuration},
 		{Name: "heartbeat", Default: "1200ms", Usage: "interval at which a target reports to the store that it is alive", Check: optionparser.IsDuration},
 		{Name: "load-interval", Default: "0s", Usage: "interval at which nodes that read the store request load reports of the first targets of chains; 0s requests none, and chains are chosen by what each node sees itself", Check: optionparser.IsDuration},
-		{Name: "caller-memory", Default: "0", Usage: "memory in MB that callers and other nodes may take, at least 6 times the largest body; 0 for half of the machine's memory", Check: optionparser.IsNumber(0, maxCallerMegabytes)},
+		{Name: "caller-memory", Default: "0", Usage: "memory in MB that callers and other nodes may take, at least 6 times the largest body; 0 for a third of the machine's memory", Check: optionparser.IsNumber(0, maxCallerMegabytes)},
 		{Name: "caller-connections", Default: "0", Usage: "maximum number of callers' connections, and as many at the other ports; 0 for a third of the descriptors that the process may open", Check: optionparser.IsNumber(0, maxCallerConnections)},
 		{Name: "balancer-lag", Default: "2600ms", Usage: "how long a stopping node still accepts requests, so that the load balancer can detect that it is unready", Check: optionparser.IsDuration},
 		{Name: "stop-limit", Default: "8s", Usage: "maximum time a stopping node waits for requests in progress", Check: optionparser.IsDuration},
