--- a/integration/caller_memory_test.go
+++ b/integration/caller_memory_test.go
@@ -13,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"fuchsiabridge.example/integration/launcher"
+	"fuchsiabridge.example/platform/callerfaker"
 )
 
 const (
@@ -157,6 +158,20 @@
 	}
 }
 
+// TestRelayOutlivesBodiesInProgress guards against a node in relay mode that runs out of memory by complete requests that wait for their
+// answers, and against one that does not answer those that it has taken.
+func TestRelayOutlivesBodiesInProgress(t *testing.T) {
+	limitCrowds(t)
+	b := newRelayFixture(t)
+	for _, target := range []string{"ledger-a", "ledger-b"} {
+		b.fleet.SetWork(target, 3*crowdPause)
+	}
+	header := fmt.Sprintf("POST /post/1 HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n", callerfaker.Host, relayKey, limitBytes)
+	checkCrowd(t, crowd{"bodies in progress", bodyCrowd, []byte(header + strings.Repeat("x", limitBytes))}, b.node.Address, b.node.Process)
+	status, _ := b.send(http.MethodPost, "/post/1", "after", relayKey)
+	b.Check(status, qt.Equals, http.StatusOK)
+}
+
 // TestNodeOutlivesCallersOutsideLimits guards against a node that runs out of memory or descriptors by callers of the product's own
 // interface that do not keep to the limits.
 func TestNodeOutlivesCallersOutsideLimits(t *testing.T) {
