--- a/entry/internal/weigher/weigher.go
+++ b/entry/internal/weigher/weigher.go
@@ -53,7 +53,7 @@
 	return &Weigher{loads: loads, gaps: map[identifier.TargetID]excess{}, readUntil: map[identifier.TargetID]time.Time{}}
 }
 
-// Keep forgets the targets that are not kept, and what has expired.
+// Keep forgets the targets that are not kept.
 func (w *Weigher) Keep(isKept func(identifier.TargetID) bool) {
 	for id := range w.gaps {
 		if !isKept(id) {
