Admit ranked streams by the node's share of the capacity

Under overload, requests waited at first targets for longer than their latency objective, as each node learns of a queue late. Readers now divide the capacity of the first targets by the demand that nodes report, each node admits up to its share by rank, account and arrival, and X-Request-Priority orders what waits at targets.

--- a/common/describer/describer.go
+++ b/common/describer/describer.go
@@ -106,6 +106,8 @@
 	ChunkTokens int
 	// Stride is the number of steps in one pass, which yields one event of a stream.
 	Stride int
+	// Slots is the number of requests that the first target of a chain runs at once, 0 if it is not known.
+	Slots int
 	// ReportLag is how old the values in a target's report are when it is given.
 	ReportLag time.Duration
 	// TypicalTokens is the mean number of tokens of a request, prompt and answer together; TypicalAnswer that of the answer.
--- a/common/describer/status.go
+++ b/common/describer/status.go
@@ -38,6 +38,22 @@
 	HoldsLease bool                    `json:"holds_lease"`
 	Fence      identifier.FencingToken `json:"fence"`
 	Chains     []ChainStatus           `json:"chains"`
+	// Admission describes the services whose requests are shed if there are too many.
+	Admission []AdmissionStatus `json:"admission,omitempty"`
+}
+
+// AdmissionStatus describes the admission of requests of one service. Admitted, Waited and Shed count requests since the start.
+type AdmissionStatus struct {
+	Service    identifier.ServiceID `json:"service"`
+	Open       int                  `json:"open"`
+	Waiting    int                  `json:"waiting"`
+	Demand     float64              `json:"demand"`
+	Share      float64              `json:"share"`
+	ShareAgeMS int64                `json:"share_age_ms"`
+	Factor     float64              `json:"factor"`
+	Admitted   int64                `json:"admitted"`
+	Waited     int64                `json:"waited"`
+	Shed       int64                `json:"shed"`
 }
 
 // ShareStatus describes a node's share of the retries that all nodes together may make beyond the ratio.
--- a/common/eventlogger/relay.go
+++ b/common/eventlogger/relay.go
@@ -46,6 +46,7 @@
 	DelegatesFound         = Event{8042, "search for nodes that take requests ended"}
 	LoadsStale             = Event{8043, "load reports of targets are out of date"}
 	LoadsRecent            = Event{8044, "load reports of targets are recent again"}
+	RequestNotAdmitted     = Event{8045, "request is shed or waits to be admitted"}
 )
 
 func relayEvents() []Event {
@@ -54,6 +55,7 @@
 		AttemptEnded,
 		LoadsStale,
 		LoadsRecent,
+		RequestNotAdmitted,
 		ConfigurationChanged,
 		ConfigurationStale,
 		ConfigurationConfirmed,
--- a/entry/internal/commander/relay.go
+++ b/entry/internal/commander/relay.go
@@ -122,6 +122,7 @@
 	granter   *granter.Granter
 	peers     *peercaller.Caller
 	loads     *loadpoller.Poller
+	updates   *sharer.Sharer
 }
 
 // newRelayNode returns a node whose calls end with ctx.
@@ -149,6 +150,7 @@
 			RetryRatio:      values.Amount("retry-ratio"),
 			RetryWindow:     values.Duration("retry-window"),
 			HasPeers:        hasPeers,
+			LoadInterval:    values.Duration("load-interval"),
 		},
 		ReportCrashes: func(r sharer.CrashReport) { n.reporter.ReportCrashes(r) },
 		SavePoison:    func(c crashrecorder.Crash) { n.reporter.SavePoison(c) },
@@ -169,6 +171,7 @@
 	n.receiver = receiver.NewReceiver(n.relayer)
 	n.delegated = receiver.NewNodeReceiver(n.relayer.DelegatedHandler())
 	updates := sharer.NewSharer()
+	n.updates = updates
 	n.peers = peercaller.NewCaller(map[string]peercaller.Handler{
 		sharer.WatchMethod: updates.ServeWatch, sharer.ConfigurationMethod: updates.ServeConfiguration,
 		sharer.CrashReportMethod: func(ctx context.Context, params json.RawMessage) (any, error) {
@@ -192,7 +195,7 @@
 	learnLoads := func(r []loadtracker.Report) { n.relayer.Submit(dispatcher.LoadsLearned{Reports: r}) }
 	n.loads = loadpoller.NewPoller(loadpoller.Config{
 		Interval: values.Duration("load-interval"), Targets: n.relayer,
-		IsAsking: func() bool { return values.Text("peer-listen") == "" || n.joiner.IsReader() },
+		IsAsking: n.isAsking,
 		Record: func(r []loadtracker.Report) {
 			updates.RecordLoads(r)
 			learnLoads(r)
@@ -203,6 +206,8 @@
 		LearnCrashes: func(r sharer.CrashReport) { n.reporter.Learn(r) },
 		LearnLimits:  func(r []limiter.Report) { n.granter.Learn(r) },
 		LearnLoads:   learnLoads,
+		Demand:       n.relayer.Demand,
+		LearnShare:   n.learnShare,
 	}, n.relayer.Submit)
 	n.reporter = crashreporter.NewReporter(crashreporter.Config{
 		Self: values.Text("peer-listen"), Peers: n.peers, Readers: n.joiner, Store: store, Sharer: updates, Submit: n.relayer.Submit,
@@ -244,6 +249,7 @@
 	go n.reporter.KeepPoison(ctx)
 	go n.granter.KeepHolders(ctx)
 	go n.loads.Run(ctx)
+	go n.divideCapacity(ctx)
 	if n.values.Text("peer-listen") != "" {
 		go n.follower.FollowPeers(ctx)
 		go n.reporter.SendCrashReports(ctx)
--- a/entry/internal/dispatcher/attempts.go
+++ b/entry/internal/dispatcher/attempts.go
@@ -21,6 +21,7 @@
 	}
 	d.recordResult(now, r, ev)
 	d.recordAlive(r, ev)
+	d.noteRejection(now, r, ev)
 	if ev.Events > r.events {
 		r.stalledAttempt = nil
 	}
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -20,6 +20,7 @@
 	"fuchsiabridge.example/entry/internal/placer"
 	"fuchsiabridge.example/entry/internal/registrar"
 	"fuchsiabridge.example/entry/internal/router"
+	"fuchsiabridge.example/entry/internal/shedder"
 	"fuchsiabridge.example/entry/internal/trier"
 	"fuchsiabridge.example/entry/internal/workestimator"
 )
@@ -86,6 +87,8 @@
 	RetryWindow time.Duration
 	// HasPeers says that there may be other nodes that take requests whose targets this node does not reach.
 	HasPeers bool
+	// LoadInterval is the interval at which reports of targets' load are requested. Without them (0) no request is shed.
+	LoadInterval time.Duration
 }
 
 // request is a request in progress.
@@ -113,6 +116,7 @@
 	// along another chain.
 	reroutes int
 	delegation
+	admission
 	attempt
 	// pending is the attempt that waits for a grant, which its target's request limit makes necessary.
 	pending *Send
@@ -166,8 +170,9 @@
 	leaseUntil time.Time
 	retries    *budgeter.Budgets
 	// loads holds what first targets report of their load, works what the answers of each route have been.
-	loads *loadtracker.Tracker
-	works *workestimator.Estimator
+	loads   *loadtracker.Tracker
+	works   *workestimator.Estimator
+	shedder *shedder.Shedder
 }
 
 // NewDispatcher returns a dispatcher without a configuration.
@@ -175,7 +180,7 @@
 	return &Dispatcher{
 		cfg: cfg, chooser: chooser.NewChooser(cfg.DataCentre), crashTracker: crashtracker.NewTracker(), limits: limiter.NewTracker(), paths: pathtracker.NewTracker(),
 		refusals: map[identifier.TargetID]int{}, unreadable: map[identifier.TargetID]unreadableFields{}, requests: map[identifier.CallID]*request{},
-		loads: loadtracker.NewTracker(), works: workestimator.NewEstimator(),
+		loads: loadtracker.NewTracker(), works: workestimator.NewEstimator(), shedder: shedder.NewShedder(),
 		trials: trier.NewTrier(), retries: budgeter.NewBudgets(budgeter.Config{Ratio: cfg.RetryRatio, Window: cfg.RetryWindow}),
 	}
 }
@@ -234,6 +239,8 @@
 		return d.crashesReported(now, ev)
 	case LoadsLearned:
 		d.loads.Learn(now, ev.Reports)
+	case shedder.ShareLearned:
+		d.shedder.SetShare(now, ev.Share)
 	case messenger.Tick:
 		return d.tick(now)
 	}
@@ -257,6 +264,7 @@
 	s.Limits = d.limits.Limits(now)
 	s.Quiet = d.quietStatus(now)
 	s.LostPaths = d.paths.Lost()
+	s.Admission = d.shedder.Status(now)
 	if d.table != nil {
 		s.Version, s.ConfirmedMSAgo = d.table.Version, now.Sub(d.confirmedAt).Milliseconds()
 	}
@@ -291,6 +299,11 @@
 func (d *Dispatcher) requestArrived(now time.Time, ev RequestArrived) []messenger.Effect {
 	r := &request{id: ev.ID, arrived: now, deadline: ev.Deadline, seed: ev.Seed, size: ev.Size, delegation: newDelegation(ev.Terms)}
 	d.requests[ev.Call] = r
+	return d.check(now, ev, r)
+}
+
+// check refuses a request that may not be served now, and otherwise asks for its admission. It is called again after a request has waited for that.
+func (d *Dispatcher) check(now time.Time, ev RequestArrived, r *request) []messenger.Effect {
 	if d.table == nil {
 		return d.refuse(now, ev.Call, http.StatusServiceUnavailable, unreadyRetryAfter, "no configuration yet")
 	}
@@ -322,14 +335,14 @@
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
-	if routeDeadline := now.Add(timeout); r.deadline.IsZero() || routeDeadline.Before(r.deadline) {
+	if routeDeadline := r.arrived.Add(timeout); r.deadline.IsZero() || routeDeadline.Before(r.deadline) {
 		r.deadline = routeDeadline
 	}
 	r.service = router.Pick(r.route, ev.Seed)
 	if reason := d.admitDelegated(now, r); reason != "" {
 		return d.refuse(now, ev.Call, http.StatusServiceUnavailable, r.retryAfter(), reason)
 	}
-	return d.send(now, ev.Call, r, ev.Seed)
+	return d.admit(now, ev, r)
 }
 
 // send sends a request to the best target that it was not sent to yet, or along the best chain,
@@ -383,6 +396,7 @@
 	}
 	d.limits.CountSend(out.Target)
 	d.loads.Sent(out.Target)
+	out.Priority, out.IsRanked = d.priority(now, r)
 	r.attempts++
 	r.sent, r.before, r.eventsBefore = now, before, r.events
 	r.target, r.chain, r.delegate, r.runs = out.Target, out.Chain, "", 1
--- a/entry/internal/dispatcher/endings.go
+++ b/entry/internal/dispatcher/endings.go
@@ -61,6 +61,7 @@
 		return nil
 	}
 	d.release(r)
+	d.shedder.Leave(now, call, isSuccess(status))
 	delete(d.requests, call)
 	values := []any{"status", status, reasonKey, reason, "took_ms", now.Sub(r.arrived).Milliseconds(), sendsKey, r.attempts, "runs", r.executions,
 		"first_ms", r.firstByte.Milliseconds(), "longest_gap_ms", r.longestGap.Milliseconds(), "events", r.events, fingerprintKey, r.key.Request, groupKey, r.key.Group, partsKey, r.key.Parts}
--- a/entry/internal/dispatcher/messages.go
+++ b/entry/internal/dispatcher/messages.go
@@ -13,6 +13,7 @@
 	"fuchsiabridge.example/entry/internal/loadtracker"
 	"fuchsiabridge.example/entry/internal/meter"
 	"fuchsiabridge.example/entry/internal/router"
+	"fuchsiabridge.example/entry/internal/shedder"
 	"fuchsiabridge.example/entry/internal/workestimator"
 )
 
@@ -43,7 +44,8 @@
 	// Parts are those of the prompt that other requests share.
 	Parts []identifier.PromptPart
 	// Size is what the request says of its prompt and its answer.
-	Size workestimator.Size
+	Size      workestimator.Size
+	BodyBytes int
 	// Terms are those under which another node has handed the request over, nil for a request of this node's own caller.
 	Terms *delegator.Terms
 	// Seed is a random number for weighted and randomized choices.
@@ -204,6 +206,9 @@
 	KeepsStalled bool
 	// NewConn makes the attempt use a new connection. It is set if the request must not run twice.
 	NewConn bool
+	// Priority orders the requests that wait at the target, if the request IsRanked.
+	IsRanked bool
+	Priority shedder.Priority
 	// Runs counts the attempts that may have run the request, with this one.
 	Runs int
 	// Delegate is the node that the request is handed over to in place of a target, under the Terms; empty if it is sent to one.
--- a/entry/internal/dispatcher/trials.go
+++ b/entry/internal/dispatcher/trials.go
@@ -113,6 +113,9 @@
 	if effects := d.endBarred(now, ev.Call, r); effects != nil {
 		return effects
 	}
+	if r.waiting != nil {
+		return d.check(now, *r.waiting, r)
+	}
 	return d.send(now, ev.Call, r, ev.Seed)
 }
 
--- a/entry/internal/follower/follower.go
+++ b/entry/internal/follower/follower.go
@@ -92,6 +92,10 @@
 	LearnLimits func([]limiter.Report)
 	// LearnLoads applies what a peer has told of the load of targets.
 	LearnLoads func([]loadtracker.Report)
+	// Demand returns how many requests this node would have open if it shed none, and LearnShare applies its share of the capacity;
+	// nil if it sheds none.
+	Demand     func() float64
+	LearnShare func(float64)
 }
 
 // NewFollower returns a follower that submits events and records what it reads in the sharer.
--- a/entry/internal/follower/peers.go
+++ b/entry/internal/follower/peers.go
@@ -235,15 +235,7 @@
 		}
 		outages, q.Sharer, q.Revision = update.Outages, update.Sharer, update.Revision
 		f.submit(registrar.TargetsRead{Changes: update.Changes, IsComplete: update.IsComplete})
-		if report := (sharer.CrashReport{Crashes: update.Crashes, Cleared: update.Cleared}); !report.IsEmpty() {
-			f.cfg.LearnCrashes(report)
-		}
-		if len(update.Limits) > 0 {
-			f.cfg.LearnLimits(update.Limits)
-		}
-		if len(update.Loads) > 0 {
-			f.cfg.LearnLoads(update.Loads)
-		}
+		f.learn(update)
 		if err := f.applyPeerConfiguration(ctx, peer.Address, update, &q); err != nil {
 			eventlogger.Error(err, eventlogger.PeerNotFollowed, "peer", peer.Node, "address", peer.Address)
 			return err
@@ -258,6 +250,22 @@
 	return errors.Wrap(ctx.Err(), "following a peer")
 }
 
+// learn passes on what a peer's update says beside the targets and the configuration.
+func (f *Follower) learn(update sharer.Update) {
+	if report := (sharer.CrashReport{Crashes: update.Crashes, Cleared: update.Cleared}); !report.IsEmpty() {
+		f.cfg.LearnCrashes(report)
+	}
+	if len(update.Limits) > 0 {
+		f.cfg.LearnLimits(update.Limits)
+	}
+	if len(update.Loads) > 0 {
+		f.cfg.LearnLoads(update.Loads)
+	}
+	if f.cfg.LearnShare != nil && update.Share > 0 {
+		f.cfg.LearnShare(update.Share)
+	}
+}
+
 // poll asks a peer for updates, and also returns when the store confirmed the configuration to that peer.
 func (f *Follower) poll(ctx context.Context, address string, q sharer.Query, r *readers) (sharer.Update, time.Time, error) {
 	if isReader, _, _ := f.gate.snapshot(); isReader {
@@ -265,6 +273,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerWait+peerTimeout)
 	defer cancel()
+	if f.cfg.Demand != nil {
+		q.Node, q.Demand = f.cfg.Self.Node, f.cfg.Demand()
+	}
 	asked := bootclock.Now()
 	var update sharer.Update
 	if err := f.peers.Call(ctx, address, sharer.WatchMethod, q, &update); err != nil {
--- a/entry/internal/forwarder/delegates.go
+++ b/entry/internal/forwarder/delegates.go
@@ -11,6 +11,7 @@
 func (x *Exchange) writeFields(h *fasthttp.RequestHeader) error {
 	a := translator.Attempt{
 		Target: x.send.Target, Account: x.send.Account, Timeout: x.send.Deadline.Sub(x.sentAt), LastEvent: x.lastEvent(), Chain: x.send.Chain,
+		IsRanked: x.send.IsRanked, Priority: int(x.send.Priority),
 	}
 	// A caller cannot set what only nodes exchange.
 	h.Del(delegator.Field)
--- /dev/null
+++ b/entry/internal/relayer/admission.go
@@ -0,0 +1,17 @@
+package relayer
+
+import "fuchsiabridge.example/common/bootclock"
+
+// Demand returns how many requests this node would have open if it shed none.
+func (x *Relayer) Demand() float64 {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.dispatch.Demand(bootclock.Now())
+}
+
+// Capacity returns how many requests the chains run at once whose requests are shed if there are too many.
+func (x *Relayer) Capacity() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.dispatch.Capacity(bootclock.Now())
+}
--- a/entry/internal/relayer/serving.go
+++ b/entry/internal/relayer/serving.go
@@ -68,7 +68,7 @@
 	arrived := dispatcher.RequestArrived{
 		Call: s.call, ID: request.ID, Host: string(h.Host()), Path: string(h.RequestURI()),
 		Key: request.Key, Seed: rand.Uint64(), Fingerprint: fingerprint(h.Method(), h.Host(), h.RequestURI(), c.Body()), Group: fingerprint(path(h), c.Body()),
-		Parts: request.Parts, Terms: terms,
+		Parts: request.Parts, Terms: terms, BodyBytes: len(c.Body()),
 		Size: workestimator.Size{
 			Prompt: workestimator.Tokens(request.PromptTokens), MaxAnswer: workestimator.Tokens(request.MaxAnswerTokens), Hint: workestimator.Tokens(request.AnswerHint),
 		},
--- a/entry/internal/router/router.go
+++ b/entry/internal/router/router.go
@@ -20,6 +20,9 @@
 	isOpen   bool
 	// accountCount also counts the accounts without keys.
 	accountCount int
+	// priorities are those that occur at each service, in order. They are those of accounts if the configuration ranks accounts.
+	priorities    map[identifier.ServiceID][]int
+	ranksAccounts bool
 }
 
 type routeKey struct{ host, prefix string }
@@ -42,6 +45,7 @@
 	}
 	// A request without a key must not pass for one with an empty key.
 	delete(t.accounts, "")
+	t.collectPriorities(cfg)
 	return t
 }
 
--- a/entry/internal/sharer/sharer.go
+++ b/entry/internal/sharer/sharer.go
@@ -61,6 +61,9 @@
 	WaitMS int64 `json:"wait_ms"`
 	// AcceptsPacked says that the contents of an update may be compressed.
 	AcceptsPacked bool `json:"accepts_packed,omitempty"`
+	// Node is the sender, and Demand the number of requests that it would have open if it shed none.
+	Node   identifier.NodeID `json:"node,omitempty"`
+	Demand float64           `json:"demand,omitempty"`
 }
 
 // position is that up to which the sender of the query knows configurations.
@@ -84,6 +87,8 @@
 	// Loads are the reports of targets' load since the query's revision. They are not compressed with the contents, as their ages
 	// are those at the time of the answer.
 	Loads []loadtracker.Report `json:"loads,omitempty"`
+	// Share is the share of the capacity of all chains that the sender of the query may use, from 0 to 1; 0 if it is not known.
+	Share float64 `json:"share,omitempty"`
 	// Configuration is the offset up to which the sharer knows configurations, in an era of the store.
 	Configuration identifier.Offset `json:"configuration"`
 	Era           identifier.Era    `json:"era,omitempty"`
@@ -138,6 +143,7 @@
 	cleared       []clearance
 	limits        map[identifier.TargetID]limit
 	loads         map[identifier.TargetID]load
+	capacity      capacity
 	outages       int
 	configuration identifier.StorePosition
 	// source is the text of the newest configuration and version its number; packed is the compressed text once a peer has asked for it.
@@ -302,6 +308,7 @@
 // all but the last changes gets these after minAnswerInterval.
 func (s *Sharer) Watch(ctx context.Context, q Query) (Update, error) {
 	arrived := bootclock.Now()
+	s.recordDemand(arrived, q)
 	wait := time.NewTimer(min(maxWait, time.Duration(q.WaitMS)*time.Millisecond))
 	defer wait.Stop()
 	soonest := time.NewTimer(minAnswerInterval)
@@ -362,5 +369,6 @@
 	update.Crashes, update.Cleared = report.Crashes, report.Cleared
 	update.Limits = s.newLimits(since)
 	update.Loads = s.newLoads(bootclock.Now(), since)
+	update.Share = s.capacity.shareOf(bootclock.Now(), q.Node)
 	return update, s.changed, nil
 }
