Move logs and holds out of package dispatcher

Which attempts wait for others now stands in package trier, what targets say of themselves in package quietreporter, and the logs of crashes, paths and retry shares in the packages that own them.

--- a/entry/internal/dispatcher/admission.go
+++ b/entry/internal/dispatcher/admission.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"fuchsiabridge.example/common/describer"
-	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/entry/internal/shedder"
@@ -34,9 +33,7 @@
 	}
 	effects := d.chooser.Replan(now, r.service)
 	verdict := d.shedder.Ask(now, ev.Call, r.asking(ev), d.chooser.Capacity(now, r.service))
-	if verdict.Outcome == shedder.Shed || (verdict.Outcome == shedder.Waits && verdict.IsFirst) {
-		effects = append(effects, logAdmission(r, verdict))
-	}
+	effects = append(effects, verdict.Log(r.id, r.rank)...)
 	if verdict.IsFirst {
 		d.shedder.ObservePrompt(r.route.ID, int64(r.size.Prompt))
 	}
@@ -79,12 +76,6 @@
 	}
 }
 
-func logAdmission(r *request, v shedder.Verdict) messenger.Effect {
-	return messenger.Log{Event: eventlogger.RequestNotAdmitted, Subject: "request/" + string(r.id), Values: []any{
-		"outcome", v.Outcome, "rank", r.rank, "open", v.Open, "limit", v.Limit, "share", v.Share, "share_age_ms", v.ShareAge.Milliseconds(), "factor", v.Factor,
-	}}
-}
-
 // noteRejection notes that a target of a chain has rejected an attempt for want of room.
 func (d *Dispatcher) noteRejection(now time.Time, r *request, ev AttemptReported) {
 	if ev.Outcome == NotRun && ev.Status == http.StatusServiceUnavailable && len(r.chain) > 0 && r.target != "" {
--- a/entry/internal/dispatcher/crashes.go
+++ b/entry/internal/dispatcher/crashes.go
@@ -171,8 +171,8 @@
 		if t.IsPart {
 			seenBy = "different requests with one part in their prompts"
 		}
-		effects = append(effects, logConfirmation(t.Crash, seenBy))
-		if t.IsOwn || now.Before(d.leaseUntil) {
+		effects = append(effects, t.Crash.LogConfirmation(seenBy))
+		if t.IsOwn || d.trials.HoldsLease(now) {
 			effects = append(effects, SavePoison{Crash: t.Crash})
 		}
 	}
@@ -188,7 +188,7 @@
 	for _, c := range crashes {
 		d.trials.Drop(c.Key())
 		isConfirmed := d.crashTracker.IsRequestConfirmed(now, c.Request)
-		effects = append(effects, logCrash(c, "this node", isConfirmed)...)
+		effects = append(effects, c.Log("this node", isConfirmed)...)
 		if isConfirmed {
 			effects = append(effects, SavePoison{Crash: c})
 		}
@@ -214,10 +214,10 @@
 		d.trials.Drop(c.Key())
 		isConfirmed := d.crashTracker.IsRequestConfirmed(now, c.Request)
 		if c.MaxDepth() > 1 {
-			effects = append(effects, logCrash(c, "a peer", isConfirmed)...)
+			effects = append(effects, c.Log("a peer", isConfirmed)...)
 		}
 		// Crashes of several nodes may confirm a request together, so that none of these nodes stores it.
-		if now.Before(d.leaseUntil) && isConfirmed {
+		if d.trials.HoldsLease(now) && isConfirmed {
 			effects = append(effects, SavePoison{Crash: c})
 		}
 	}
@@ -238,26 +238,3 @@
 		Event: eventlogger.TargetSuspected, Subject: "target/" + string(c.Target), Values: []any{"born", c.Incarnation, ageKey, c.AgeMS},
 	}}
 }
-
-// logCrash logs a crash, and that the request is confirmed as poison if it now is.
-func logCrash(c crashrecorder.Crash, seenBy string, isConfirmed bool) []messenger.Effect {
-	effects := []messenger.Effect{messenger.Log{
-		Event: eventlogger.RequestCrashedTarget, Subject: "target/" + string(c.Target),
-		Values: []any{
-			fingerprintKey, c.Request, groupKey, c.Group, "born", c.Incarnation, "depth", c.Depth, "group_depth", c.GroupDepth, partsKey, c.Parts,
-			ageKey, c.AgeMS, "seen_by", seenBy,
-		},
-	}}
-	if isConfirmed {
-		effects = append(effects, logConfirmation(c, seenBy))
-	}
-	return effects
-}
-
-// logConfirmation logs that a request or a trait is confirmed as poison.
-func logConfirmation(c crashrecorder.Crash, seenBy string) messenger.Effect {
-	return messenger.Log{
-		Event: eventlogger.RelayedPoisonConfirmed, Subject: "target/" + string(c.Target),
-		Values: []any{fingerprintKey, c.Request, "seen_by", seenBy},
-	}
-}
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -18,6 +18,7 @@
 	"fuchsiabridge.example/entry/internal/loadtracker"
 	"fuchsiabridge.example/entry/internal/pathtracker"
 	"fuchsiabridge.example/entry/internal/placer"
+	"fuchsiabridge.example/entry/internal/quietreporter"
 	"fuchsiabridge.example/entry/internal/registrar"
 	"fuchsiabridge.example/entry/internal/router"
 	"fuchsiabridge.example/entry/internal/shedder"
@@ -161,14 +162,10 @@
 	crashTracker *crashtracker.Tracker
 	limits       *limiter.Tracker
 	paths        *pathtracker.Tracker
-	// refusals counts the requests that targets have refused since they began to want none.
-	refusals   map[identifier.TargetID]int
-	unreadable map[identifier.TargetID]unreadableFields
-	requests   map[identifier.CallID]*request
-	trials     *trier.Trier
-	// leaseUntil is until when this node holds the lease, which no two nodes do at the same time.
-	leaseUntil time.Time
-	retries    *budgeter.Budgets
+	quiet        *quietreporter.Reporter
+	requests     map[identifier.CallID]*request
+	trials       *trier.Trier
+	retries      *budgeter.Budgets
 	// loads holds what first targets report of their load, works what the answers of each route have been.
 	loads   *loadtracker.Tracker
 	works   *workestimator.Estimator
@@ -177,11 +174,12 @@
 
 // NewDispatcher returns a dispatcher without a configuration.
 func NewDispatcher(cfg Config) *Dispatcher {
+	targets, crashes := chooser.NewChooser(cfg.DataCentre), crashtracker.NewTracker()
 	return &Dispatcher{
-		cfg: cfg, chooser: chooser.NewChooser(cfg.DataCentre), crashTracker: crashtracker.NewTracker(), limits: limiter.NewTracker(), paths: pathtracker.NewTracker(),
-		refusals: map[identifier.TargetID]int{}, unreadable: map[identifier.TargetID]unreadableFields{}, requests: map[identifier.CallID]*request{},
+		cfg: cfg, chooser: targets, crashTracker: crashes, limits: limiter.NewTracker(), paths: pathtracker.NewTracker(),
+		quiet: quietreporter.NewReporter(targets), requests: map[identifier.CallID]*request{}, trials: trier.NewTrier(crashes),
 		loads: loadtracker.NewTracker(), works: workestimator.NewEstimator(), shedder: shedder.NewShedder(),
-		trials: trier.NewTrier(), retries: budgeter.NewBudgets(budgeter.Config{Ratio: cfg.RetryRatio, Window: cfg.RetryWindow}),
+		retries: budgeter.NewBudgets(budgeter.Config{Ratio: cfg.RetryRatio, Window: cfg.RetryWindow}),
 	}
 }
 
@@ -209,7 +207,7 @@
 	case ChainProbed:
 		return d.chainProbed(now, ev)
 	case RetryQuotaChanged:
-		return d.setShare(now, ev)
+		return d.retries.ApplyShare(now, ev.Retries, "partitions", ev.Partitions, "generation", ev.Generation)
 	case Stopping:
 		d.refuseAt = ev.RefuseAt
 		d.retries.Leave(now)
@@ -218,7 +216,11 @@
 	case registrar.Ejected:
 		return d.targetEjected(now, ev)
 	case placer.LeaseChanged:
-		d.setLease(ev)
+		until := ev.Until
+		if !ev.IsHeld {
+			until = time.Time{}
+		}
+		d.trials.SetLease(until)
 	case HoldEnded:
 		return d.holdEnded(now, ev)
 	case CheckSkipped:
@@ -230,7 +232,7 @@
 	case QuietWanted:
 		return d.quietWanted(now, ev)
 	case AnnouncementUnreadable:
-		return d.announcementUnreadable(now, ev)
+		return d.quiet.Unreadable(now, ev.Target, ev.Field)
 	case limiter.LimitsLearned:
 		return d.limitsLearned(now, ev)
 	case GrantAnswered:
@@ -262,7 +264,7 @@
 	s.PoisonCandidates = d.crashTracker.Candidates()
 	s.RequestsWithCrashes, s.ConfirmedPoison = d.crashTracker.Counts(now)
 	s.Limits = d.limits.Limits(now)
-	s.Quiet = d.quietStatus(now)
+	s.Quiet = d.quiet.Status(now)
 	s.LostPaths = d.paths.Lost()
 	s.Admission = d.shedder.Status(now)
 	if d.table != nil {
@@ -283,7 +285,7 @@
 	d.chooser.Tick(now)
 	d.trials.Tick(now)
 	effects := append(d.startChecks(now), d.confirmTraits(now)...)
-	effects = append(effects, d.endQuiet(now)...)
+	effects = append(effects, d.quiet.LogEnds(now)...)
 	effects = append(effects, d.checkPaths(now)...)
 	effects = append(effects, d.checkLoads(now)...)
 	if d.isStale || d.table == nil || d.isFresh(now) {
@@ -360,7 +362,7 @@
 		return d.askDelegate(r, keepsStalled)
 	}
 	before := d.crashTracker.Histories(now, r.key)
-	if d.mustHold(now, r, before) {
+	if d.trials.MustHold(now, r.key, before) {
 		return d.hold(now, call, r)
 	}
 	out := Send{
@@ -438,21 +440,6 @@
 	return r.deadline
 }
 
-// setShare applies the node's share of the retries beyond the ratio.
-func (d *Dispatcher) setShare(now time.Time, ev RetryQuotaChanged) []messenger.Effect {
-	before := d.retries.Share(now)
-	if !d.retries.SetShare(now, ev.Retries) {
-		return nil
-	}
-	return []messenger.Effect{messenger.Log{
-		Event: eventlogger.RetryShareChanged, Subject: "retries",
-		Values: []any{
-			"share", ev.Retries, "former", before.Held, "former_ms", before.HeldMS, "least", before.Least,
-			"partitions", ev.Partitions, "generation", ev.Generation,
-		},
-	}}
-}
-
 // targets returns the targets that the attempt uses.
 func (a *attempt) targets() []identifier.TargetID {
 	if a.target == "" {
--- a/entry/internal/dispatcher/limits.go
+++ b/entry/internal/dispatcher/limits.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"maps"
 	"time"
 
 	"fuchsiabridge.example/common/describer"
@@ -66,7 +65,7 @@
 		known[t.ID] = true
 	}
 	d.limits.Keep(func(id identifier.TargetID) bool { return known[id] })
-	maps.DeleteFunc(d.unreadable, func(id identifier.TargetID, _ unreadableFields) bool { return !known[id] })
+	d.quiet.Keep(func(id identifier.TargetID) bool { return known[id] })
 }
 
 // HasRequestLimits reports whether any target names a request limit.
@@ -124,7 +123,7 @@
 // startGranted starts an attempt, unless another copy of the request has meanwhile begun to be tried.
 func (d *Dispatcher) startGranted(now time.Time, call identifier.CallID, r *request, out Send) []messenger.Effect {
 	before := d.crashTracker.Histories(now, r.key)
-	if d.mustHold(now, r, before) {
+	if d.trials.MustHold(now, r.key, before) {
 		r.askUntil = time.Time{}
 		return d.hold(now, call, r)
 	}
--- a/entry/internal/dispatcher/paths.go
+++ b/entry/internal/dispatcher/paths.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/entry/internal/pathtracker"
@@ -56,20 +55,12 @@
 	return nil
 }
 
-func (d *Dispatcher) logPaths(changes []pathtracker.Change) []messenger.Effect {
-	var effects []messenger.Effect
-	for _, c := range changes {
-		event, values := eventlogger.PathLost, []any{"failed", c.Failures, "reached_ms_ago", c.SinceReached.Milliseconds()}
-		if !c.IsLost {
-			event, values = eventlogger.PathRestored, []any{"lost_ms", c.SinceLost.Milliseconds()}
-		}
-		effects = append(effects, messenger.Log{Event: event, Subject: "service/" + string(c.Service), Values: values})
-	}
-	return effects
-}
-
 // LostPath returns the service of a target, and whether the path to it is lost and other nodes may have one.
 func (d *Dispatcher) LostPath(target identifier.TargetID) (identifier.ServiceID, bool) {
 	service := d.chooser.ServiceOf(target)
 	return service, d.cfg.HasPeers && d.paths.IsLost(service)
 }
+
+func (*Dispatcher) logPaths(changes []pathtracker.Change) []messenger.Effect {
+	return pathtracker.Log(changes)
+}
--- a/entry/internal/trier/trier.go
+++ b/entry/internal/trier/trier.go
@@ -27,11 +27,16 @@
 
 // Trier holds the attempts that hold back others, by request and by trait.
 type Trier struct {
-	trials map[identifier.Fingerprint]trial
+	trials  map[identifier.Fingerprint]trial
+	crashes Crashes
+	// leaseUntil is until when this node holds the lease.
+	leaseUntil time.Time
 }
 
 // NewTrier returns a trier without trials.
-func NewTrier() *Trier { return &Trier{trials: map[identifier.Fingerprint]trial{}} }
+func NewTrier(crashes Crashes) *Trier {
+	return &Trier{trials: map[identifier.Fingerprint]trial{}, crashes: crashes}
+}
 
 // IsTried reports whether it is still open if the last attempt of a request, or with a trait, has crashed its targets.
 func (t *Trier) IsTried(now time.Time, id identifier.Fingerprint) bool {
