--- a/entry/internal/dispatcher/admission.go
+++ b/entry/internal/dispatcher/admission.go
@@ -18,6 +18,8 @@
 	// waiting is the event of a request that waits to be admitted, nil otherwise.
 	waiting *RequestArrived
 	rank    shedder.Rank
+	// urgency is its rank at a target.
+	urgency shedder.Rank
 	// ranks is the number of ranks of the request's service, at most 1 if requests of it are not ranked.
 	ranks int
 }
@@ -34,6 +36,7 @@
 	effects := d.chooser.Replan(now, r.service)
 	verdict := d.shedder.Ask(now, ev.Call, r.asking(ev), d.chooser.Capacity(now, r.service))
 	effects = append(effects, verdict.Log(r.id, r.rank)...)
+	r.urgency = verdict.Urgency
 	if verdict.IsFirst {
 		d.shedder.ObservePrompt(r.route.ID, int64(r.size.Prompt))
 	}
@@ -89,7 +92,7 @@
 		return 0, false
 	}
 	return d.shedder.Priority(shedder.Waiting{
-		Rank: r.rank, IsResumed: r.mayHaveRun(), Route: r.route.ID, Prompt: int64(r.size.Prompt), Waited: now.Sub(r.arrived), Objective: r.route.LatencyObjective,
+		Rank: r.urgency, IsResumed: r.mayHaveRun(), Route: r.route.ID, Prompt: int64(r.size.Prompt), Waited: now.Sub(r.arrived), Objective: r.route.LatencyObjective,
 	}), true
 }
 
--- a/entry/internal/shedder/gate.go
+++ b/entry/internal/shedder/gate.go
@@ -13,8 +13,10 @@
 	rejectionFactor = 0.97
 	minFactor       = 0.3
 	factorRecovery  = 0.05
-	// demandHalfLife is the half-life of the rate of shed requests.
+	// The rate of shed requests is the lower one of two with these half-lives: a demand that is told for longer than it lasts keeps
+	// capacity from other nodes after a burst.
 	demandHalfLife = 2 * time.Second
+	shortHalfLife  = demandHalfLife / 4
 	// assumedStreamTime is the mean time of streams as long as none has ended, newestWeight the weight of the newest one.
 	assumedStreamTime = 2 * time.Second
 	newestWeight      = 0.05
@@ -43,9 +45,11 @@
 	// factor is the one on the limit as of changedAt.
 	factor    float64
 	changedAt time.Time
-	// shedRate is the number of shed requests in a second as of shedAt, meanTime the mean time of streams.
-	shedRate float64
-	shedAt   time.Time
+	// shedRate is the number of shed requests in a second as of shedAt, and shortRate the same over a shorter time.
+	shedRate  float64
+	shortRate float64
+	shedAt    time.Time
+	// meanTime is the mean time of streams.
 	meanTime time.Duration
 	// admitted, waited and shedCount count requests, for the metrics.
 	admitted, waited, shedCount int64
@@ -70,12 +74,12 @@
 // position returns the rank of a request in the waiting order: that of the most urgent ones if its rank has starved, and one below the
 // least urgent if its account has too much.
 func (g *gate) position(now time.Time, e *entry, limit float64) Rank {
-	accounts, own := len(g.accounts), g.accounts[e.Account]
-	if own == 0 {
+	accounts, own := len(g.accounts), g.accounts[e.Account]+1
+	if own == 1 {
 		accounts++
 	}
 	isBusy := float64(len(g.open)) >= busyFraction*limit
-	if isBusy && float64(own) > maxAccountParts*float64(len(g.open))/float64(accounts) {
+	if isBusy && float64(own) > maxAccountParts*float64(len(g.open)+1)/float64(accounts) {
 		return Rank(e.Ranks)
 	}
 	if g.recent.isStarved(now, e.Rank) {
@@ -157,7 +161,10 @@
 
 func (g *gate) shed(now time.Time, call identifier.CallID) {
 	g.stopWaiting(call)
-	g.shedRate, g.shedAt = g.shedRateAt(now)+math.Ln2/demandHalfLife.Seconds(), now
+	age := now.Sub(g.shedAt)
+	g.shedRate = g.shedRate*decay(age, demandHalfLife) + math.Ln2/demandHalfLife.Seconds()
+	g.shortRate = g.shortRate*decay(age, shortHalfLife) + math.Ln2/shortHalfLife.Seconds()
+	g.shedAt = now
 	g.shedCount++
 }
 
@@ -176,11 +183,13 @@
 	}
 }
 
-func (g *gate) shedRateAt(now time.Time) float64 {
-	return g.shedRate * math.Exp2(-now.Sub(g.shedAt).Seconds()/demandHalfLife.Seconds())
+func decay(age, halfLife time.Duration) float64 {
+	return math.Exp2(-age.Seconds() / halfLife.Seconds())
 }
 
 // demand returns the number of requests that would be open if none had been shed.
 func (g *gate) demand(now time.Time) float64 {
-	return float64(len(g.open)) + g.shedRateAt(now)*g.meanTime.Seconds()
+	age := now.Sub(g.shedAt)
+	rate := min(g.shedRate*decay(age, demandHalfLife), g.shortRate*decay(age, shortHalfLife))
+	return float64(len(g.open)) + rate*g.meanTime.Seconds()
 }
--- a/entry/internal/shedder/shedder.go
+++ b/entry/internal/shedder/shedder.go
@@ -15,7 +15,7 @@
 	// shareMaxAge is the age from which on a share limits nothing.
 	shareMaxAge = 2 * time.Second
 	// overbooking is the factor on a node's part of the capacity: not all nodes are at their limits at once.
-	overbooking = 1.15
+	overbooking = 1.1
 	// minLimit is the least limit of a node, in requests.
 	minLimit = 2.0
 	// waitFraction is the fraction of the latency objective for which a request waits: that costs its caller nothing.
@@ -80,6 +80,8 @@
 	// Until is when a request that waits asks again, RetryAfter when one that is shed may return.
 	Until      time.Time
 	RetryAfter time.Duration
+	// Urgency is the rank of the request at its target: that of the most urgent ones if its own one has starved.
+	Urgency Rank
 	// Open counts the admitted requests. The limit is infinite if there is none.
 	Open     int
 	Limit    float64
@@ -132,8 +134,9 @@
 		g.recent.add(now, r.Rank, 1, 0)
 		s.services[call] = r.Service
 	}
-	v := Verdict{IsFirst: !hasWaited, Open: len(g.open), Limit: s.limit(now, g, capacity), Share: s.share, ShareAge: now.Sub(s.sharedAt), Factor: g.factorAt(now)}
+	v := Verdict{IsFirst: !hasWaited, Open: len(g.open), Limit: s.limit(now, g, capacity), Share: s.share, ShareAge: s.shareAge(now), Factor: g.factorAt(now)}
 	e.position = g.position(now, e, v.Limit)
+	v.Urgency = min(r.Rank, e.position)
 	switch {
 	case r.IsObliged || float64(len(g.open)+g.ahead(call, e)) < v.Limit*g.fraction(e):
 		v.Outcome = Admitted
@@ -166,13 +169,14 @@
 	}
 }
 
-// Demand returns the number of requests that this node would have open if it shed none.
+// Demand returns the number of requests that this node would have open if it shed none, and as many more as that number varies by
+// chance: a node with few requests would otherwise shed some of them while others get what it lacks.
 func (s *Shedder) Demand(now time.Time) float64 {
 	sum := 0.0
 	for _, g := range s.gates {
 		sum += g.demand(now)
 	}
-	return sum
+	return sum + math.Sqrt(sum)
 }
 
 // Status returns the state of admission for the status page.
@@ -181,15 +185,23 @@
 	for id, g := range s.gates {
 		out = append(out, describer.AdmissionStatus{
 			Service: id, Open: len(g.open), Waiting: len(g.waiting), Demand: g.demand(now), Factor: g.factorAt(now),
-			Share: s.share, ShareAgeMS: now.Sub(s.sharedAt).Milliseconds(), Admitted: g.admitted, Waited: g.waited, Shed: g.shedCount,
+			Share: s.share, ShareAgeMS: s.shareAge(now).Milliseconds(), Admitted: g.admitted, Waited: g.waited, Shed: g.shedCount,
 		})
 	}
 	return out
 }
 
+// shareAge returns the age of the share, 0 if there is none.
+func (s *Shedder) shareAge(now time.Time) time.Duration {
+	if s.sharedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(s.sharedAt)
+}
+
 // limit returns how many requests of a service this node may have open, infinite without a recent share.
 func (s *Shedder) limit(now time.Time, g *gate, capacity int) float64 {
-	if s.sharedAt.IsZero() || now.Sub(s.sharedAt) >= shareMaxAge || capacity <= 0 {
+	if s.sharedAt.IsZero() || s.shareAge(now) >= shareMaxAge || capacity <= 0 {
 		return math.Inf(1)
 	}
 	return max(minLimit, s.share*float64(capacity)*overbooking*g.factorAt(now))
--- a/entry/internal/shedder/window.go
+++ b/entry/internal/shedder/window.go
@@ -1,6 +1,9 @@
 package shedder
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// A window covers the last buckets times bucketTime.
@@ -35,20 +38,19 @@
 	c.admitted += admitted
 }
 
-// isStarved reports whether a rank was admitted much less often than all requests.
+// isStarved reports whether a rank, or a less urgent one, was admitted much less often than all requests: what is done for a rank must not
+// put it before more urgent ones.
 func (w *window) isStarved(now time.Time, r Rank) bool {
 	w.advance(now)
-	var all, own counts
+	var all counts
+	var byRank [maxRanks]counts
 	for _, slot := range w.slots {
 		for rank, c := range slot {
 			all.arrived, all.admitted = all.arrived+c.arrived, all.admitted+c.admitted
-			if rank == int(min(r, maxRanks-1)) {
-				own.arrived, own.admitted = own.arrived+c.arrived, own.admitted+c.admitted
-			}
+			byRank[rank].arrived, byRank[rank].admitted = byRank[rank].arrived+c.arrived, byRank[rank].admitted+c.admitted
 		}
 	}
-	if own.arrived < minArrivals {
-		return false
-	}
-	return float64(own.admitted)*float64(all.arrived) < starvedFraction*float64(all.admitted)*float64(own.arrived)
+	return slices.ContainsFunc(byRank[min(r, maxRanks-1):], func(own counts) bool {
+		return own.arrived >= minArrivals && float64(own.admitted)*float64(all.arrived) < starvedFraction*float64(all.admitted)*float64(own.arrived)
+	})
 }
