--- a/entry/internal/commander/relay.go
+++ b/entry/internal/commander/relay.go
@@ -73,7 +73,7 @@
 		{Name: "store-parts", Default: "12", Usage: "partitions of a topic of the store, 1 to 1000; the retry slack is divided among them; a fraction is rounded down", Check: optionparser.IsAmount(1, maxPartitions), IsRoundedDown: true},
 		{Name: "retry-window", Default: "10s", Usage: "window over which the retry ratio is enforced", Check: optionparser.IsDuration},
 		{Name: "heartbeat", Default: "1200ms", Usage: "interval at which a target reports to the store that it is alive", Check: optionparser.IsDuration},
-		{Name: "load-interval", Default: "0s", Usage: "interval at which nodes that read the store request load reports of the first targets of chains; 0s requests none, and chains are chosen by what each node sees itself", Check: optionparser.IsDuration},
+		{Name: "load-interval", Default: "0s", Usage: "interval at which nodes that read the store request load reports of the first targets of chains; 0s requests none: chains are chosen by what each node sees itself, and no request is shed", Check: optionparser.IsDuration},
 		{Name: "balancer-lag", Default: "2600ms", Usage: "how long a stopping node still accepts requests, so that the load balancer can detect that it is unready", Check: optionparser.IsDuration},
 		{Name: "stop-limit", Default: "8s", Usage: "maximum time a stopping node waits for requests in progress", Check: optionparser.IsDuration},
 		{Name: "trace-endpoint", Usage: "OTLP over HTTP endpoint for spans, host:port; disabled when empty"},
--- a/entry/internal/shedder/shedder.go
+++ b/entry/internal/shedder/shedder.go
@@ -127,9 +127,15 @@
 // Ask decides about a request that arrives, or that has waited. capacity is the number of requests that the first targets of the
 // service's chains run at once.
 func (s *Shedder) Ask(now time.Time, call identifier.CallID, r Request, capacity int) Verdict {
+	if former, ok := s.services[call]; ok && former != r.Service {
+		// A new configuration sends the request to another service.
+		s.Leave(now, call, false)
+	}
 	g := s.gateOf(r.Service)
 	e, hasWaited := g.waiting[call]
-	if !hasWaited {
+	if hasWaited {
+		e.Request = r
+	} else {
 		e = &entry{Request: r, began: now, until: now.Add(time.Duration(waitFraction * float64(r.Objective)))}
 		g.recent.add(now, r.Rank, 1, 0)
 		s.services[call] = r.Service
