Test that followers get a share by their demand, and shorten the simulation

The exchange is tested with the store stand-in and two followers that the package has already, which also shows it over a connection.

--- a/entry/internal/dispatcher/admission_test.go
+++ b/entry/internal/dispatcher/admission_test.go
@@ -27,12 +27,12 @@
 }
 
 // rankedHarness returns a harness that may have two streams open, which it has, and one that waits.
-func rankedHarness(c *qt.C) (d *harness, open, waiting identifier.CallID) {
+func rankedHarness(c *qt.C) (d *harness, waiting identifier.CallID) {
 	d = &harness{dispatcher: dispatcher.NewDispatcher(dispatcher.Config{DataCentre: "a", RevocationLimit: revocationLimit, ChangeLimit: changeLimit, RetryWindow: retryWindow, LoadInterval: time.Second})}
 	makeReady(d)
 	d.apply(0, rankedConfiguration(2, "key"))
 	d.apply(0, shedder.ShareLearned{Share: 0.01})
-	open, _ = d.sendRequest(0, "/draft/", "key")
+	d.sendRequest(0, "/draft/", "key")
 	_, e := d.sendRequest(0, "/once/", "key")
 	sent, ok := e.(dispatcher.Send)
 	c.Assert(ok, qt.IsTrue, qt.Commentf("%T", e))
@@ -41,7 +41,7 @@
 	waiting, e = d.sendRequest(0, "/draft/", "key")
 	_, ok = e.(dispatcher.Hold)
 	c.Assert(ok, qt.IsTrue, qt.Commentf("%T", e))
-	return d, open, waiting
+	return d, waiting
 }
 
 // TestWaitingForAdmissionKeepsPromises guards against requests that are sent after they have waited although their caller has left, their
@@ -50,26 +50,22 @@
 	const after = 20 * time.Millisecond
 	c := qt.New(t)
 	for name, row := range map[string]struct {
-		change func(d *harness, open identifier.CallID) messenger.Event
+		change messenger.Event
 		isGone bool
 		at     time.Duration
 		want   int
 	}{
-		"caller leaves": {isGone: true, at: after},
-		"key revoked":   {change: func(*harness, identifier.CallID) messenger.Event { return rankedConfiguration(3, "other") }, at: after, want: 401},
-		"stopping":      {change: func(*harness, identifier.CallID) messenger.Event { return dispatcher.Stopping{RefuseAt: start} }, at: after, want: 503},
-		"wait is over":  {at: 63 * time.Millisecond, want: 503},
-		"place is free": {change: func(_ *harness, open identifier.CallID) messenger.Event {
-			return dispatcher.AttemptReported{Call: open, Outcome: dispatcher.Delivered, Status: 200}
-		}, at: after, want: -1},
-		"no ranks any more": {change: func(*harness, identifier.CallID) messenger.Event {
-			return dispatcher.ConfigurationRead{Table: router.NewTable(configuration(3, "key"))}
-		}, at: after, want: -1},
+		"caller leaves":     {isGone: true, at: after},
+		"key revoked":       {change: rankedConfiguration(3, "other"), at: after, want: 401},
+		"stopping":          {change: dispatcher.Stopping{RefuseAt: start}, at: after, want: 503},
+		"wait is over":      {at: 63 * time.Millisecond, want: 503},
+		"place is free":     {change: dispatcher.AttemptReported{Call: 1, Outcome: dispatcher.Delivered, Status: 200}, at: after, want: -1},
+		"no ranks any more": {change: dispatcher.ConfigurationRead{Table: router.NewTable(configuration(3, "key"))}, at: after, want: -1},
 	} {
 		c.Run(name, func(c *qt.C) {
-			d, open, waiting := rankedHarness(c)
+			d, waiting := rankedHarness(c)
 			if row.change != nil {
-				d.apply(row.at, row.change(d, open))
+				d.apply(row.at, row.change)
 			}
 			e := d.apply(row.at, dispatcher.HoldEnded{Call: waiting, IsCallerGone: row.isGone})
 			_, isSent := e.(dispatcher.Send)
@@ -83,8 +79,8 @@
 // TestRejectionLowersLimit guards against a node that does not notice that targets reject its requests for want of room.
 func TestRejectionLowersLimit(t *testing.T) {
 	c := qt.New(t)
-	d, open, _ := rankedHarness(c)
-	d.apply(0, dispatcher.AttemptReported{Call: open, Outcome: dispatcher.NotRun, Status: 503})
+	d, _ := rankedHarness(c)
+	d.apply(0, dispatcher.AttemptReported{Call: 1, Outcome: dispatcher.NotRun, Status: 503})
 	c.Check(d.dispatcher.Status(start).Admission[0].Factor < 1, qt.IsTrue)
 }
 
--- a/entry/internal/follower/peers_test.go
+++ b/entry/internal/follower/peers_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -16,6 +17,7 @@
 	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/httpcaller"
 	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/entry/internal/crashrecorder"
 	"fuchsiabridge.example/entry/internal/crashreporter"
 	"fuchsiabridge.example/entry/internal/dispatcher"
@@ -24,6 +26,7 @@
 	"fuchsiabridge.example/entry/internal/peercaller"
 	"fuchsiabridge.example/entry/internal/registrar"
 	"fuchsiabridge.example/entry/internal/sharer"
+	"fuchsiabridge.example/entry/internal/shedder"
 	"fuchsiabridge.example/platform/storecaller"
 	"fuchsiabridge.example/platform/storefaker"
 )
@@ -97,6 +100,7 @@
 	joiner   *joiner.Joiner
 	follower *follower.Follower
 	reporter *crashreporter.Reporter
+	sharer   *sharer.Sharer
 	link     *link
 	peers    *unreliablePeers
 	address  string
@@ -120,7 +124,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	share := sharer.NewSharer()
 	caller := storecaller.NewCaller(httpcaller.NewCaller(), store.Address())
-	n := &node{events: &events{}, stop: cancel, link: &link{platformStore: caller}, address: l.Addr().String()}
+	n := &node{events: &events{}, sharer: share, stop: cancel, link: &link{platformStore: caller}, address: l.Addr().String()}
 	peers := peercaller.NewCaller(map[string]peercaller.Handler{
 		sharer.WatchMethod: share.ServeWatch, sharer.ConfigurationMethod: share.ServeConfiguration,
 		sharer.CrashReportMethod: func(ctx context.Context, params json.RawMessage) (any, error) {
@@ -136,6 +140,7 @@
 	n.joiner = joiner.NewJoiner(n.link, joiner.Config{Self: self, StorePartitions: storefaker.Partitions}, n.submit)
 	f := follower.NewFollower(n.link, n.peers, n.joiner, share, follower.Config{
 		Self: self, LearnCrashes: func(r sharer.CrashReport) { n.reporter.Learn(r) },
+		Demand: func() float64 { return 30 }, LearnShare: func(s float64) { n.submit(shedder.ShareLearned{Share: s}) },
 	}, n.submit)
 	n.reporter = crashreporter.NewReporter(crashreporter.Config{
 		Self: l.Addr().String(), Peers: n.peers, Readers: n.joiner, Store: caller, Sharer: share, Submit: n.submit,
@@ -219,6 +224,16 @@
 	awaitTarget(c, n, "target-0", waitLimit)
 }
 
+// TestFollowerGetsShareByItsDemand guards against a follower that tells its reader no demand, or learns no share.
+func TestFollowerGetsShareByItsDemand(t *testing.T) {
+	c, _, first, second := startTwo(t)
+	first.sharer.DivideCapacity(sharer.Own{Node: "first", Demand: 10, Capacity: 100, Nodes: 2})
+	await[shedder.ShareLearned](c, second.events, 0)
+	second.mu.Lock()
+	defer second.mu.Unlock()
+	c.Check(slices.Contains(second.submitted, messenger.Event(shedder.ShareLearned{Share: 0.6})), qt.IsTrue)
+}
+
 // TestFollowersGetUpdatesWithoutReadingStore checks that, where few nodes read the store, the others get
 // targets, configurations and confirmations just as early, and read nothing themselves.
 func TestFollowersGetUpdatesWithoutReadingStore(t *testing.T) {
--- a/entry/internal/shedder/fleet_test.go
+++ b/entry/internal/shedder/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"fuchsiabridge.example/common/identifier"
@@ -26,12 +27,11 @@
 
 var start = time.Unix(1_000_000, 0)
 
-// demand is what callers send at a time, relative to the capacity, and at which node a request arrives, with which account.
+// demand is what callers send at a time, relative to the capacity.
 type demand struct {
-	load    func(at time.Duration) float64
-	node    func(r *rand.Rand) int
-	account func(r *rand.Rand) identifier.AccountID
-	rank    func(r *rand.Rand) shedder.Rank
+	load func(at time.Duration) float64
+	// vary changes the node, the account or the rank of a request, which are random, all the same.
+	vary func(r *rand.Rand, c *caller)
 	// isSilent says that a node's reader does not answer at a time.
 	isSilent func(node int, at time.Duration) bool
 	// memory limits the requests of a target to fewer than its slots, which makes it reject the others.
@@ -41,14 +41,12 @@
 // caller is one request with its state.
 type caller struct {
 	shedder.Request
-	call     identifier.CallID
-	node     int
-	arrived  time.Duration
-	asksAt   time.Duration
-	sentAt   time.Duration
-	endsAt   time.Duration
-	urgency  shedder.Rank
-	priority shedder.Priority
+	call identifier.CallID
+	node int
+	// arrived to endsAt are times since the start.
+	arrived, asksAt, sentAt, endsAt time.Duration
+	urgency                         shedder.Rank
+	priority                        shedder.Priority
 }
 
 // target runs requests up to its slots, the others wait in the order of their priorities.
@@ -65,9 +63,9 @@
 	targets  [targetCount]target
 	asking   []*caller
 	next     identifier.CallID
-	seconds  map[int]*result
-	started  map[int]int
-	byRank   map[shedder.Rank]*result
+	seconds  [60]result
+	started  [60]int
+	byRank   [ranks]result
 	accounts map[identifier.AccountID]*result
 	byNode   [nodeCount]result
 	maxOpen  int
@@ -75,16 +73,7 @@
 }
 
 func newFleet(d demand) *fleet {
-	if d.node == nil {
-		d.node = func(r *rand.Rand) int { return r.IntN(nodeCount) }
-	}
-	if d.account == nil {
-		d.account = func(r *rand.Rand) identifier.AccountID { return identifier.AccountID(rune('a' + r.IntN(200))) }
-	}
-	if d.rank == nil {
-		d.rank = func(r *rand.Rand) shedder.Rank { return shedder.Rank(r.IntN(ranks)) }
-	}
-	f := &fleet{demand: d, random: rand.New(rand.NewPCG(1, 2)), seconds: map[int]*result{}, started: map[int]int{}, byRank: map[shedder.Rank]*result{}, accounts: map[identifier.AccountID]*result{}}
+	f := &fleet{demand: d, random: rand.New(rand.NewPCG(1, 2)), accounts: map[identifier.AccountID]*result{}}
 	for i := range f.nodes {
 		f.nodes[i] = shedder.NewShedder()
 	}
@@ -96,10 +85,8 @@
 		if at%tellInterval == 0 {
 			f.tellShares(at)
 		}
-		for expected := f.load(at) * capacityRate * step.Seconds(); expected > 0; expected-- {
-			if expected >= 1 || f.random.Float64() < expected {
-				f.arrive(at)
-			}
+		for expected := f.load(at) * capacityRate * step.Seconds(); expected > f.random.Float64(); expected-- {
+			f.arrive(at)
 		}
 		due := f.asking
 		f.asking = nil
@@ -130,25 +117,22 @@
 
 func (f *fleet) arrive(at time.Duration) {
 	f.next++
-	c := &caller{call: f.next, node: f.node(f.random), arrived: at, asksAt: at, Request: shedder.Request{
-		Service: "s", Account: f.account(f.random), Rank: f.rank(f.random), Ranks: ranks, Bytes: 4000, Objective: objective, Deadline: start.Add(at + timeout), Seed: f.random.Uint64(),
+	r := f.random
+	c := &caller{call: f.next, node: r.IntN(nodeCount), arrived: at, asksAt: at, Request: shedder.Request{
+		Service: "s", Account: identifier.AccountID(rune('a' + r.IntN(200))), Rank: shedder.Rank(r.IntN(ranks)), Ranks: ranks, Bytes: 4000, Objective: objective, Deadline: start.Add(at + timeout), Seed: r.Uint64(),
 	}}
+	if f.vary != nil {
+		f.vary(r, c)
+	}
 	f.count(c, func(r *result) { r.arrived++ })
 	f.asking = append(f.asking, c)
 }
 
 func (f *fleet) count(c *caller, change func(*result)) {
-	second := int(c.arrived / time.Second)
-	if f.seconds[second] == nil {
-		f.seconds[second] = &result{}
-	}
-	if f.byRank[c.Rank] == nil {
-		f.byRank[c.Rank] = &result{}
-	}
 	if f.accounts[c.Account] == nil {
 		f.accounts[c.Account] = &result{}
 	}
-	for _, r := range []*result{f.seconds[second], f.byRank[c.Rank], f.accounts[c.Account], &f.byNode[c.node]} {
+	for _, r := range []*result{&f.seconds[c.arrived/time.Second], &f.byRank[c.Rank], f.accounts[c.Account], &f.byNode[c.node]} {
 		change(r)
 	}
 }
@@ -183,26 +167,20 @@
 	c.priority = f.nodes[c.node].Priority(shedder.Waiting{Rank: c.urgency, Route: "r", Waited: at - c.arrived, Objective: objective})
 	if f.memory > 0 && len(t.running)+len(t.waiting) >= f.memory {
 		f.nodes[c.node].Rejected(start.Add(at), "s")
-		f.nodes[c.node].Leave(start.Add(at), c.call, false)
+		f.leave(at, c, false)
 		return
 	}
 	t.waiting = append(t.waiting, c)
 }
 
+func (f *fleet) leave(at time.Duration, c *caller, isComplete bool) bool {
+	f.nodes[c.node].Leave(start.Add(at), c.call, isComplete)
+	return true
+}
+
 func (f *fleet) work(at time.Duration, t *target) {
-	leave := func(all []*caller, isOver func(*caller) bool, isComplete bool) []*caller {
-		kept := all[:0]
-		for _, c := range all {
-			if !isOver(c) {
-				kept = append(kept, c)
-				continue
-			}
-			f.nodes[c.node].Leave(start.Add(at), c.call, isComplete)
-		}
-		return kept
-	}
-	t.running = leave(t.running, func(c *caller) bool { return at >= c.endsAt }, true)
-	t.waiting = leave(t.waiting, func(c *caller) bool { return at-c.sentAt > patience }, false)
+	t.running = slices.DeleteFunc(t.running, func(c *caller) bool { return at >= c.endsAt && f.leave(at, c, true) })
+	t.waiting = slices.DeleteFunc(t.waiting, func(c *caller) bool { return at-c.sentAt > patience && f.leave(at, c, false) })
 	for len(t.running) < slots && len(t.waiting) > 0 {
 		first := 0
 		for i, c := range t.waiting {
@@ -211,7 +189,7 @@
 			}
 		}
 		c := t.waiting[first]
-		t.waiting = append(t.waiting[:first], t.waiting[first+1:]...)
+		t.waiting = slices.Delete(t.waiting, first, first+1)
 		c.endsAt = at + streamTime/2 + time.Duration(f.random.Int64N(int64(streamTime)))
 		t.running = append(t.running, c)
 		if at-c.arrived <= objective {
--- a/entry/internal/shedder/overload_test.go
+++ b/entry/internal/shedder/overload_test.go
@@ -61,10 +61,10 @@
 	c := qt.New(t)
 	f := newFleet(demand{
 		load: func(time.Duration) float64 { return 2.5 },
-		rank: func(r *rand.Rand) shedder.Rank { return shedder.Rank(max(0, r.IntN(5)-2)) },
+		vary: func(r *rand.Rand, c *caller) { c.Rank = shedder.Rank(max(0, r.IntN(5)-2)) },
 	}).run(15 * time.Second)
 	all, _ := f.sum(0, 15)
-	for rank := shedder.Rank(0); rank < ranks; rank++ {
+	for rank := range ranks {
 		c.Check(f.byRank[rank].served() >= all.served()/4, qt.IsTrue, qt.Commentf("rank %d: %+v of %+v", rank, f.byRank[rank], all))
 		if rank > 0 {
 			c.Check(f.byRank[rank-1].served() >= f.byRank[rank].served()-0.03, qt.IsTrue, qt.Commentf("%+v, %+v", f.byRank[rank-1], f.byRank[rank]))
@@ -79,8 +79,8 @@
 	served := func(load float64, greedyParts int) (others, greedy float64) {
 		f := newFleet(demand{
 			load: func(time.Duration) float64 { return load },
-			account: func(r *rand.Rand) identifier.AccountID {
-				return identifier.AccountID(rune('a' + max(0, r.IntN(100+greedyParts)-greedyParts+1)))
+			vary: func(r *rand.Rand, c *caller) {
+				c.Account = identifier.AccountID(rune('a' + max(0, r.IntN(100+greedyParts)-greedyParts+1)))
 			},
 		}).run(15 * time.Second)
 		all, _ := f.sum(0, 15)
@@ -97,11 +97,10 @@
 // other nodes whose few requests are displaced. Load: 1.9 times, nine tenths of it at a quarter of the nodes.
 func TestBusyDataCentreUsesAllCapacity(t *testing.T) {
 	c := qt.New(t)
-	f := newFleet(demand{load: burst(1.9), node: func(r *rand.Rand) int {
-		if r.IntN(10) > 0 {
-			return r.IntN(nodeCount / 4)
+	f := newFleet(demand{load: burst(1.9), vary: func(r *rand.Rand, c *caller) {
+		if c.node >= nodeCount/4 && r.IntN(15) > 1 {
+			c.node = r.IntN(nodeCount / 4)
 		}
-		return nodeCount/4 + r.IntN(nodeCount*3/4)
 	}}).run(18 * time.Second)
 	_, started := f.sum(7, 14)
 	c.Check(float64(started) >= 0.9*capacityRate*7, qt.IsTrue, qt.Commentf("%d in time", started))
