--- a/common/eventlogger/relay.go
+++ b/common/eventlogger/relay.go
@@ -49,6 +49,7 @@
 	TargetRejects          = Event{8046, "target avoided as it rejects requests"}
 	SilentChainLeft        = Event{8047, "stream leaves a silent chain"}
 	StreamNotContinued     = Event{8048, "stream could not be continued"}
+	RequestNotAdmitted     = Event{8045, "request is shed or waits to be admitted"}
 )
 
 func relayEvents() []Event {
@@ -60,6 +61,7 @@
 		TargetRejects,
 		SilentChainLeft,
 		StreamNotContinued,
+		RequestNotAdmitted,
 		ConfigurationChanged,
 		ConfigurationStale,
 		ConfigurationConfirmed,
--- a/entry/internal/commander/relay.go
+++ b/entry/internal/commander/relay.go
@@ -129,6 +129,7 @@
 	loads      *loadpoller.Poller
 	rejections *rejectionreporter.Reporter
 	guard      *callerguard.Guard
+	updates    *sharer.Sharer
 }
 
 // newRelayNode returns a node whose calls end with ctx.
@@ -156,6 +157,7 @@
 			RetryRatio:      values.Amount("retry-ratio"),
 			RetryWindow:     values.Duration("retry-window"),
 			HasPeers:        hasPeers,
+			LoadInterval:    values.Duration("load-interval"),
 		},
 		ReportCrashes:    func(r sharer.CrashReport) { n.reporter.ReportCrashes(r) },
 		ReportRejections: func(r []avoider.Rejection) { n.rejections.Report(r) },
@@ -177,6 +179,7 @@
 	n.receiver = receiver.NewReceiver(n.relayer)
 	n.delegated = receiver.NewNodeReceiver(n.relayer.DelegatedHandler())
 	updates := sharer.NewSharer()
+	n.updates = updates
 	n.peers = peercaller.NewCaller(map[string]peercaller.Handler{
 		sharer.WatchMethod: updates.ServeWatch, sharer.ConfigurationMethod: updates.ServeConfiguration,
 		sharer.CrashReportMethod: func(ctx context.Context, params json.RawMessage) (any, error) {
@@ -223,6 +226,8 @@
 		LearnLimits:     func(r []limiter.Report) { n.granter.Learn(r) },
 		LearnLoads:      learnLoads,
 		LearnRejections: func(r []avoider.Rejection) { n.rejections.Learn(r) },
+		Demand:          n.relayer.Demand,
+		LearnShare:      n.learnShare,
 	}, n.relayer.Submit)
 	n.reporter = crashreporter.NewReporter(crashreporter.Config{
 		Self: values.Text("peer-listen"), Peers: n.peers, Readers: n.joiner, Store: store, Sharer: updates, Submit: n.relayer.Submit,
@@ -292,6 +297,7 @@
 	go n.reporter.KeepPoison(ctx)
 	go n.granter.KeepHolders(ctx)
 	go n.loads.Run(ctx)
+	go n.divideCapacity(ctx)
 	if n.values.Text("peer-listen") != "" {
 		go n.follower.FollowPeers(ctx)
 		go n.reporter.SendCrashReports(ctx)
--- a/entry/internal/dispatcher/continuations.go
+++ b/entry/internal/dispatcher/continuations.go
@@ -9,11 +9,12 @@
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/entry/internal/continuer"
 	"fuchsiabridge.example/entry/internal/pathtracker"
+	"fuchsiabridge.example/entry/internal/trier"
 )
 
 // maxCrashesUntilSentAgain is how many attempts of a request may have crashed targets for it to be still rerouted. Sending it again waits
 // for other attempts at requests that may be poison.
-const maxCrashesUntilSentAgain = singleTrierAttempts - 1
+const maxCrashesUntilSentAgain = trier.SingleTrierAttempts - 1
 
 // stalled decides what to do with an attempt that has delivered no data within its idle timeout.
 func (d *Dispatcher) stalled(now time.Time, ev AttemptReported, r *request) []messenger.Effect {
--- a/entry/internal/dispatcher/crashes.go
+++ b/entry/internal/dispatcher/crashes.go
@@ -170,7 +170,7 @@
 			seenBy = "different requests with one part in their prompts"
 		}
 		effects = append(effects, crashrecorder.LogConfirmation(t.Crash, seenBy))
-		if t.IsOwn || now.Before(d.leaseUntil) {
+		if t.IsOwn || d.trials.HoldsLease(now) {
 			effects = append(effects, SavePoison{Crash: t.Crash})
 		}
 	}
@@ -215,7 +215,7 @@
 			effects = append(effects, crashrecorder.LogCrash(c, "a peer", isConfirmed)...)
 		}
 		// Crashes of several nodes may confirm a request together, so that none of these nodes stores it.
-		if now.Before(d.leaseUntil) && isConfirmed {
+		if d.trials.HoldsLease(now) && isConfirmed {
 			effects = append(effects, SavePoison{Crash: c})
 		}
 	}
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -24,6 +24,7 @@
 	"fuchsiabridge.example/entry/internal/placer"
 	"fuchsiabridge.example/entry/internal/registrar"
 	"fuchsiabridge.example/entry/internal/router"
+	"fuchsiabridge.example/entry/internal/shedder"
 	"fuchsiabridge.example/entry/internal/trier"
 	"fuchsiabridge.example/entry/internal/weigher"
 	"fuchsiabridge.example/entry/internal/workestimator"
@@ -74,6 +75,8 @@
 	RetryWindow time.Duration
 	// HasPeers says that there may be other nodes that take requests whose targets this node does not reach.
 	HasPeers bool
+	// LoadInterval is the interval at which reports of targets' load are requested. Without them (0) no request is shed.
+	LoadInterval time.Duration
 }
 
 // request is a request in progress.
@@ -98,6 +101,7 @@
 	// tried holds the target of each attempt, of a chain its first target.
 	tried []identifier.TargetID
 	delegation
+	admission
 	attempt
 	// pending is the attempt that waits for a grant, which its target's request limit makes necessary.
 	pending *Send
@@ -147,23 +151,22 @@
 	announcements *announcementtracker.Tracker
 	requests      map[identifier.CallID]*request
 	trials        *trier.Trier
-	// leaseUntil is until when this node holds the lease, which no two nodes do at the same time.
-	leaseUntil time.Time
-	retries    *budgeter.Budgets
+	retries       *budgeter.Budgets
 	// loads holds what first targets report of their load, works what the answers of each route have been.
 	loads     *loadtracker.Tracker
 	works     *workestimator.Estimator
 	continuer *continuer.Continuer
+	shedder   *shedder.Shedder
 }
 
 // NewDispatcher returns a dispatcher without a configuration.
 func NewDispatcher(cfg Config) *Dispatcher {
-	known := chooser.NewChooser(cfg.DataCentre)
+	known, crashes := chooser.NewChooser(cfg.DataCentre), crashtracker.NewTracker()
 	d := &Dispatcher{
-		cfg: cfg, chooser: known, crashTracker: crashtracker.NewTracker(), limits: limiter.NewTracker(), paths: pathtracker.NewTracker(),
+		cfg: cfg, chooser: known, crashTracker: crashes, limits: limiter.NewTracker(), paths: pathtracker.NewTracker(),
 		announcements: announcementtracker.NewTracker(known), requests: map[identifier.CallID]*request{},
-		loads: loadtracker.NewTracker(), works: workestimator.NewEstimator(), continuer: continuer.NewContinuer(known),
-		trials: trier.NewTrier(), retries: budgeter.NewBudgets(budgeter.Config{Ratio: cfg.RetryRatio, Window: cfg.RetryWindow}),
+		loads: loadtracker.NewTracker(), works: workestimator.NewEstimator(), continuer: continuer.NewContinuer(known), shedder: shedder.NewShedder(),
+		trials: trier.NewTrier(crashes), retries: budgeter.NewBudgets(budgeter.Config{Ratio: cfg.RetryRatio, Window: cfg.RetryWindow}),
 	}
 	d.chooser.UseLoads(d.loads)
 	return d
@@ -193,7 +196,7 @@
 	case ChainProbed:
 		return d.chainProbed(now, ev)
 	case RetryQuotaChanged:
-		return d.setShare(now, ev)
+		return d.retries.ApplyShare(now, ev.Retries, "partitions", ev.Partitions, "generation", ev.Generation)
 	case Stopping:
 		d.refuseAt = ev.RefuseAt
 		d.retries.Leave(now)
@@ -202,7 +205,11 @@
 	case registrar.Ejected:
 		return d.targetEjected(now, ev)
 	case placer.LeaseChanged:
-		d.setLease(ev)
+		until := ev.Until
+		if !ev.IsHeld {
+			until = time.Time{}
+		}
+		d.trials.SetLease(until)
 	case HoldEnded:
 		return d.holdEnded(now, ev)
 	case CheckSkipped:
@@ -225,6 +232,8 @@
 		d.learnLoads(now, ev.Reports)
 	case avoider.RejectionsLearned:
 		return d.chooser.LearnRejections(now, ev.Rejections)
+	case shedder.ShareLearned:
+		d.shedder.SetShare(now, ev.Share)
 	case messenger.Tick:
 		return d.tick(now)
 	}
@@ -249,6 +258,7 @@
 	s.Quiet = d.announcements.Quiet(now)
 	s.Rejections = d.chooser.RejectionStatus(now)
 	s.LostPaths = d.paths.Lost()
+	s.Admission = d.shedder.Status(now)
 	if d.table != nil {
 		s.Version, s.ConfirmedMSAgo = d.table.Version, now.Sub(d.confirmedAt).Milliseconds()
 	}
@@ -284,6 +294,11 @@
 func (d *Dispatcher) requestArrived(now time.Time, ev RequestArrived) []messenger.Effect {
 	r := &request{id: ev.ID, arrived: now, deadline: ev.Deadline, seed: ev.Seed, size: ev.Size, delegation: newDelegation(ev.Terms)}
 	d.requests[ev.Call] = r
+	return d.check(now, ev, r)
+}
+
+// check refuses a request that may not be served now, and otherwise asks for its admission. It is called again after a request has waited for that.
+func (d *Dispatcher) check(now time.Time, ev RequestArrived, r *request) []messenger.Effect {
 	if d.table == nil {
 		return d.refuse(now, ev.Call, http.StatusServiceUnavailable, unreadyRetryAfter, "no configuration yet")
 	}
@@ -315,14 +330,14 @@
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
-	if routeDeadline := now.Add(timeout); r.deadline.IsZero() || routeDeadline.Before(r.deadline) {
+	if routeDeadline := r.arrived.Add(timeout); r.deadline.IsZero() || routeDeadline.Before(r.deadline) {
 		r.deadline = routeDeadline
 	}
 	r.service = router.Pick(r.route, ev.Seed)
 	if reason := d.admitDelegated(now, r); reason != "" {
 		return d.refuse(now, ev.Call, http.StatusServiceUnavailable, r.retryAfter(), reason)
 	}
-	return d.send(now, ev.Call, r, ev.Seed)
+	return d.admit(now, ev, r)
 }
 
 // send sends a request to the best target that it was not sent to yet, or along the best chain,
@@ -340,7 +355,7 @@
 		return d.askDelegate(r, keepsStalled)
 	}
 	before := d.crashTracker.Histories(now, r.key)
-	if d.mustHold(now, r, before) {
+	if d.trials.MustHold(now, r.key, before) {
 		return d.hold(now, call, r)
 	}
 	out := Send{
@@ -376,6 +391,7 @@
 	}
 	d.limits.CountSend(out.Target)
 	d.loads.Sent(out.Target)
+	out.Priority, out.IsRanked = d.priority(now, r)
 	r.attempts++
 	r.sent, r.before, r.eventsBefore = now, before, r.events
 	r.target, r.chain, r.delegate, r.runs = out.Target, out.Chain, "", 1
@@ -417,21 +433,6 @@
 	return r.deadline
 }
 
-// setShare applies the node's share of the retries beyond the ratio.
-func (d *Dispatcher) setShare(now time.Time, ev RetryQuotaChanged) []messenger.Effect {
-	before := d.retries.Share(now)
-	if !d.retries.SetShare(now, ev.Retries) {
-		return nil
-	}
-	return []messenger.Effect{messenger.Log{
-		Event: eventlogger.RetryShareChanged, Subject: "retries",
-		Values: []any{
-			"share", ev.Retries, "former", before.Held, "former_ms", before.HeldMS, "least", before.Least,
-			"partitions", ev.Partitions, "generation", ev.Generation,
-		},
-	}}
-}
-
 // targets returns the targets that the attempt uses.
 func (a *attempt) targets() []identifier.TargetID {
 	if a.target == "" {
--- a/entry/internal/dispatcher/limits.go
+++ b/entry/internal/dispatcher/limits.go
@@ -124,7 +124,7 @@
 // startGranted starts an attempt, unless another copy of the request has meanwhile begun to be tried.
 func (d *Dispatcher) startGranted(now time.Time, call identifier.CallID, r *request, out Send) []messenger.Effect {
 	before := d.crashTracker.Histories(now, r.key)
-	if d.mustHold(now, r, before) {
+	if d.trials.MustHold(now, r.key, before) {
 		r.askUntil = time.Time{}
 		return d.hold(now, call, r)
 	}
--- a/entry/internal/follower/follower.go
+++ b/entry/internal/follower/follower.go
@@ -95,6 +95,10 @@
 	LearnLoads func([]loadtracker.Report)
 	// LearnRejections applies what a peer has told of targets that reject requests.
 	LearnRejections func([]avoider.Rejection)
+	// Demand returns how many requests this node would have open if it shed none, and LearnShare applies its share of the capacity;
+	// nil if it sheds none.
+	Demand     func() float64
+	LearnShare func(float64)
 }
 
 // NewFollower returns a follower that submits events and records what it reads in the sharer.
--- a/entry/internal/sharer/sharer.go
+++ b/entry/internal/sharer/sharer.go
@@ -62,6 +62,9 @@
 	WaitMS int64 `json:"wait_ms"`
 	// AcceptsPacked says that the contents of an update may be compressed.
 	AcceptsPacked bool `json:"accepts_packed,omitempty"`
+	// Node is the sender, and Demand the number of requests that it would have open if it shed none.
+	Node   identifier.NodeID `json:"node,omitempty"`
+	Demand float64           `json:"demand,omitempty"`
 }
 
 // position is that up to which the sender of the query knows configurations.
@@ -87,6 +90,8 @@
 	Loads []loadtracker.Report `json:"loads,omitempty"`
 	// Rejections are the targets that have rejected requests since the query's revision, with ages as those of the loads.
 	Rejections []avoider.Rejection `json:"rejections,omitempty"`
+	// Share is the share of the capacity of all chains that the sender of the query may use, from 0 to 1; 0 if it is not known.
+	Share float64 `json:"share,omitempty"`
 	// Configuration is the offset up to which the sharer knows configurations, in an era of the store.
 	Configuration identifier.Offset `json:"configuration"`
 	Era           identifier.Era    `json:"era,omitempty"`
@@ -142,6 +147,7 @@
 	limits        map[identifier.TargetID]limit
 	loads         map[identifier.TargetID]load
 	rejections    map[identifier.TargetID]rejection
+	capacity      capacity
 	outages       int
 	configuration identifier.StorePosition
 	// source is the text of the newest configuration and version its number; packed is the compressed text once a peer has asked for it.
@@ -307,6 +313,7 @@
 // all but the last changes gets these after minAnswerInterval.
 func (s *Sharer) Watch(ctx context.Context, q Query) (Update, error) {
 	arrived := bootclock.Now()
+	s.recordDemand(arrived, q)
 	wait := time.NewTimer(min(maxWait, time.Duration(q.WaitMS)*time.Millisecond))
 	defer wait.Stop()
 	soonest := time.NewTimer(minAnswerInterval)
@@ -368,5 +375,6 @@
 	update.Limits = s.newLimits(since)
 	now := bootclock.Now()
 	update.Loads, update.Rejections = s.newLoads(now, since), s.newRejections(now, since)
+	update.Share = s.capacity.shareOf(now, q.Node)
 	return update, s.changed, nil
 }
