--- a/entry/internal/relayer/relayer.go
+++ b/entry/internal/relayer/relayer.go
@@ -84,22 +84,21 @@
 
 // Relayer serves requests as the reducer decides.
 type Relayer struct {
-	ctx              context.Context
-	targets          *targetcaller.Caller
-	translator       translator.Translator
-	pools            forwarder.Pools
-	idle             *forwarder.IdleTracker
-	memory           *bodyreader.Memory
-	meter            *meter.Meter
-	reportCrashes    func(sharer.CrashReport)
-	reportRejections func([]avoider.Rejection)
-	savePoison       func(crashrecorder.Crash)
-	grant            func(context.Context, limiter.Report) granter.Answer
-	reportLimit      func(context.Context, limiter.Report)
-	workers          pond.Pool
-	nextCall         atomic.Uint64
-	isLeaving        atomic.Bool
-	limits           atomic.Pointer[describer.Limits]
+	ctx           context.Context
+	targets       *targetcaller.Caller
+	translator    translator.Translator
+	pools         forwarder.Pools
+	idle          *forwarder.IdleTracker
+	memory        *bodyreader.Memory
+	meter         *meter.Meter
+	reportCrashes func(sharer.CrashReport)
+	savePoison    func(crashrecorder.Crash)
+	grant         func(context.Context, limiter.Report) granter.Answer
+	reportLimit   func(context.Context, limiter.Report)
+	workers       pond.Pool
+	nextCall      atomic.Uint64
+	isLeaving     atomic.Bool
+	limits        atomic.Pointer[describer.Limits]
 	// hasRequestLimits reports whether any target names a request limit.
 	hasRequestLimits atomic.Bool
 	delegates        Delegates
@@ -107,6 +106,8 @@
 	delegateAddress  string
 	gate             delegator.Gate
 
+	reportRejections func([]avoider.Rejection)
+
 	mu       sync.Mutex
 	reducer  *composer.Composer
 	dispatch *dispatcher.Dispatcher
