--- a/entry/internal/dispatcher/lost_chain_test.go
+++ b/entry/internal/dispatcher/lost_chain_test.go
@@ -289,3 +289,22 @@
 		c.Check(isResumed, qt.IsTrue)
 	}
 }
+
+// TestRefusalWithoutAddressIsAvoided guards against the next order of a stream that goes to the same targets as the one just refused,
+// where the refusal names none: with the same random number, only what was refused makes the difference.
+func TestRefusalWithoutAddressIsAvoided(t *testing.T) {
+	c := qt.New(t)
+	d := chainsHarness(0)
+	calls, former := d.startStreams(1, "/draft/")
+	left := manyChains()
+	for i := range left {
+		left[i].IsEjected = left[i].ID == former[2].Target
+	}
+	d.apply(0, registrar.TargetsChanged{Targets: left})
+	first, ok := d.stall(100*time.Millisecond, calls[0], 90*time.Millisecond).(dispatcher.Reroute)
+	c.Assert(ok, qt.IsTrue)
+	e := d.apply(100*time.Millisecond, dispatcher.Rerouted{Call: calls[0], Chain: first.Chain, Seed: uint64(calls[0])})
+	second, ok := e.(dispatcher.Reroute)
+	c.Assert(ok, qt.IsTrue, qt.Commentf("%T", e))
+	c.Assert(second.Chain[2].Target, qt.Not(qt.Equals), first.Chain[2].Target)
+}
