Let the factor of admission fall to 0.3 again

With 0.6, more than half of the rejections stayed in the test in which targets have memory for half of their slots. Rejections show that there is no room.

--- a/entry/internal/shedder/gate.go
+++ b/entry/internal/shedder/gate.go
@@ -9,10 +9,10 @@
 
 const (
 	// Each rejection by a target multiplies the factor on the limit by rejectionFactor, down to minFactor. It grows by factorRecovery
-	// in a second, relative to itself. With minFactor the least urgent rank still gets over half of the places: nothing is shed while
-	// half of them are free.
+	// in a second, relative to itself. At minFactor requests may be shed while half of the places are free: the rejections show
+	// that what is short is memory.
 	rejectionFactor = 0.97
-	minFactor       = 0.6
+	minFactor       = 0.3
 	factorRecovery  = 0.05
 	// The rate of shed requests is the lower one of two with these half-lives: a demand that is told for longer than it lasts keeps
 	// capacity from other nodes after a burst.
