--- a/entry/internal/dispatcher/paths.go
+++ b/entry/internal/dispatcher/paths.go
@@ -60,7 +60,3 @@
 	service := d.chooser.ServiceOf(target)
 	return service, d.cfg.HasPeers && d.paths.IsLost(service)
 }
-
-func (*Dispatcher) logPaths(changes []pathtracker.Change) []messenger.Effect {
-	return pathtracker.Log(changes)
-}
