Test that streams are rerouted, and sent again where that is refused

TestRelayStalledStageIsRetried expected a second attempt where the budget allows one; streams are rerouted first now, so it makes targets refuse that, with the same checks. A further test shows the reroute with budget.

--- a/integration/relay_test.go
+++ b/integration/relay_test.go
@@ -108,10 +108,19 @@
 	}
 }
 
-// TestRelayStalledStageIsRetried stalls one stage of a running chain. The stream must resume on another
-// chain after its last complete event, and the caller must see each event once.
+// TestRelayStalledStageIsRerouted stalls one stage of a running chain. The first target must go around it within the same attempt, also
+// where the retry budget allows a second one: sending the stream again lets all stages of another chain read its prompt.
+func TestRelayStalledStageIsRerouted(t *testing.T) {
+	b := newRelayFixture(t, "--retry-slack", "20", "--retry-window", "1s")
+	b.Assert(b.draft("silenced", true), qt.Equals, relayEvents)
+	b.Assert(b.fleet.Attempts("silenced"), qt.HasLen, 1)
+}
+
+// TestRelayStalledStageIsRetried stalls one stage of a running chain whose first target cannot go around it. The stream must resume on
+// another chain after its last complete event, and the caller must see each event once.
 func TestRelayStalledStageIsRetried(t *testing.T) {
 	b := newRelayFixture(t, "--retry-slack", "20", "--retry-window", "1s")
+	b.fleet.RefuseReroutes()
 	b.Assert(b.draft("silenced", true), qt.Equals, relayEvents)
 	attempts := b.fleet.Attempts("silenced")
 	b.Assert(len(attempts), qt.Equals, 2)
