--- a/entry/internal/avoider/avoider_test.go
+++ b/entry/internal/avoider/avoider_test.go
@@ -111,9 +111,9 @@
 	}
 }
 
-// TestFewTargetsAreAvoidedByHearsay guards against one node, or a fault of many targets, that makes all nodes crowd onto what is left. What a
+// TestFewTargetsAreAvoidedForWhatPeersSay guards against one node, or a fault of many targets, that makes all nodes send to the few targets that are left. What a
 // node has met itself is not limited.
-func TestFewTargetsAreAvoidedByHearsay(t *testing.T) {
+func TestFewTargetsAreAvoidedForWhatPeersSay(t *testing.T) {
 	for _, row := range []struct{ targets, most int }{{6, 1}, {41, 2}, {221, 11}} {
 		t.Run(fmt.Sprint(row.targets), func(t *testing.T) {
 			a := newAvoider(row.targets, 1)
