Count the calls to the store by kind in a fleet of 128 nodes

The new test logs them by kind at the start, in calm, after a restart of a tenth, with a third cut off from the store, and after a rebalance.

--- a/entry/internal/follower/fleet_test.go
+++ b/entry/internal/follower/fleet_test.go
@@ -164,20 +164,39 @@
 type fleetLink struct {
 	*fleetStore
 	calls atomic.Int64
+	// kinds counts all calls by kind, and isCut says that they fail.
+	kinds [callKinds]atomic.Int64
+	isCut atomic.Bool
 	// lookups counts the calls for the owners of the partitions, which are among the calls.
 	lookups atomic.Int64
 	// targetsDelay is how long a read of all targets takes, in milliseconds.
 	targetsDelay atomic.Int64
 }
 
+// count counts a call, and returns an error if the node is cut off from the store.
+func (l *fleetLink) count(kind callKind) error {
+	l.kinds[kind].Add(1)
+	if kind != joinCall {
+		l.calls.Add(1)
+	}
+	if l.isCut.Load() {
+		return errCut
+	}
+	return nil
+}
+
 func (l *fleetLink) NewestConfiguration(context.Context) (*describer.Configuration, identifier.StorePosition, error) {
-	l.calls.Add(1)
+	if err := l.count(newestConfigurationCall); err != nil {
+		return nil, identifier.StorePosition{}, err
+	}
 	cfg, position, _ := l.newest()
 	return cfg, position, nil
 }
 
 func (l *fleetLink) ReadConfiguration(ctx context.Context, from identifier.StorePosition, wait time.Duration) (*describer.Configuration, identifier.StorePosition, error) {
-	l.calls.Add(1)
+	if err := l.count(readConfigurationCall); err != nil {
+		return nil, from, err
+	}
 	cfg, position, changed := l.newest()
 	if position != from {
 		return cfg, position, nil
@@ -194,7 +213,9 @@
 }
 
 func (l *fleetLink) NewestTargets(ctx context.Context) ([]describer.TargetChange, identifier.StorePosition, error) {
-	l.calls.Add(1)
+	if err := l.count(newestTargetsCall); err != nil {
+		return nil, identifier.StorePosition{}, err
+	}
 	if err := l.awaitTargets(ctx); err != nil {
 		return nil, identifier.StorePosition{}, err
 	}
@@ -203,7 +224,9 @@
 }
 
 func (l *fleetLink) ReadTargets(ctx context.Context, from identifier.StorePosition, wait time.Duration) ([]describer.TargetChange, identifier.StorePosition, error) {
-	l.calls.Add(1)
+	if err := l.count(readTargetsCall); err != nil {
+		return nil, from, err
+	}
 	select {
 	case <-time.After(min(wait, fleetTargetsInterval)):
 		if changes := l.targets(); len(changes) > 0 {
@@ -216,6 +239,9 @@
 }
 
 func (l *fleetLink) Join(_ context.Context, m storecaller.Member, _ identifier.FencingToken, _ time.Duration, _ int) (storecaller.Membership, error) {
+	if err := l.count(joinCall); err != nil {
+		return storecaller.Membership{}, err
+	}
 	defer time.Sleep(l.joinDelay)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -245,7 +271,9 @@
 func (l *fleetLink) Leave(context.Context, storecaller.Member) error { return nil }
 
 func (l *fleetLink) Owners(context.Context) (map[int]storecaller.Member, error) {
-	l.calls.Add(1)
+	if err := l.count(ownersCall); err != nil {
+		return nil, err
+	}
 	l.lookups.Add(1)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -323,12 +351,13 @@
 	if err != nil {
 		return err
 	}
-	serve := n.sharer.ServeWatch
+	share := n.currentSharer()
+	serve := share.ServeWatch
 	if method == sharer.WatchMethod {
 		n.watches.Add(1)
 	}
 	if method == sharer.ConfigurationMethod {
-		serve = n.sharer.ServeConfiguration
+		serve = share.ServeConfiguration
 	}
 	answer, err := serve(ctx, raw)
 	if err != nil {
@@ -356,24 +385,44 @@
 		p(f.store)
 	}
 	for i := range size {
-		n := &fleetNode{id: fmt.Sprint("node-", i), link: &fleetLink{fleetStore: f.store}, sharer: sharer.NewSharer()}
-		n.joiner = joiner.NewJoiner(n.link, joiner.Config{Self: fleetMember(n.id), StorePartitions: topicPartitions}, n.submit)
-		n.follower = follower.NewFollower(n.link, f, n.joiner, n.sharer, follower.Config{Self: fleetMember(n.id)}, n.submit)
+		n := &fleetNode{id: fmt.Sprint("node-", i), link: &fleetLink{fleetStore: f.store}}
+		f.prepare(n)
 		f.nodes[n.id] = n
 		f.order = append(f.order, n)
 	}
 	for _, n := range f.order {
-		ctx, cancel := context.WithCancel(context.Background())
-		t.Cleanup(cancel)
-		n.stop = cancel
-		go n.follower.FollowConfiguration(ctx)
-		go n.follower.FollowTargets(ctx)
-		go n.follower.FollowPeers(ctx)
-		go n.joiner.KeepLease(ctx, n.follower.SetReader)
+		f.run(n)
 	}
 	return f
 }
 
+// currentSharer returns the sharer since the node's last start.
+func (n *fleetNode) currentSharer() *sharer.Sharer {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.sharer
+}
+
+// prepare gives a node the state that it has at its start.
+func (f *fleet) prepare(n *fleetNode) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.sharer = sharer.NewSharer()
+	n.joiner = joiner.NewJoiner(n.link, joiner.Config{Self: fleetMember(n.id), StorePartitions: topicPartitions}, n.submit)
+	n.follower = follower.NewFollower(n.link, f, n.joiner, n.sharer, follower.Config{Self: fleetMember(n.id)}, n.submit)
+}
+
+// run starts a node, which ends with the test.
+func (f *fleet) run(n *fleetNode) {
+	ctx, cancel := context.WithCancel(context.Background())
+	f.Cleanup(cancel)
+	n.stop = cancel
+	go n.follower.FollowConfiguration(ctx)
+	go n.follower.FollowTargets(ctx)
+	go n.follower.FollowPeers(ctx)
+	go n.joiner.KeepLease(ctx, n.follower.SetReader)
+}
+
 // followers returns the nodes that do not read the store for others.
 func (f *fleet) followers() []*fleetNode {
 	var out []*fleetNode
