Let one reader of a large fleet read the store for the others

Half of the calls to the store of 128 nodes were those of five readers that each read the same, and of the nodes' starts. In fleets of more than 16 nodes the owner of partition 0 now reads alone. The other readers follow it, pass its updates on with the true age of the confirmation, and read the store themselves as soon as it fails. Nodes of a large fleet leave the configuration to the readers at their start too, look up the readers once they have joined, and share lookups within 250 ms. Followers do not choose the lead.

--- a/entry/internal/follower/fleet_test.go
+++ b/entry/internal/follower/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -64,6 +65,8 @@
 	version int64
 	changed chan struct{}
 	members []storecaller.Member
+	// joinedAt is when a member last joined; one that has not joined again for the term is removed.
+	joinedAt map[storecaller.Member]time.Time
 	// firstReader is the index of the first member that reads the store for the others.
 	firstReader int
 	// hasTarget says that the one target is there.
@@ -139,7 +142,17 @@
 	return []describer.TargetChange{{ID: fleetTarget, Target: &describer.Target{ID: fleetTarget}}}
 }
 
-func newFleetStore() *fleetStore { return &fleetStore{version: 1, changed: make(chan struct{})} }
+func newFleetStore() *fleetStore {
+	return &fleetStore{version: 1, changed: make(chan struct{}), joinedAt: map[storecaller.Member]time.Time{}}
+}
+
+// expire removes the members that have joined, but not for a term.
+func (s *fleetStore) expire(term time.Duration) {
+	s.members = slices.DeleteFunc(s.members, func(m storecaller.Member) bool {
+		at, hasJoined := s.joinedAt[m]
+		return hasJoined && time.Since(at) > term
+	})
+}
 
 // change publishes a new version of the configuration.
 func (s *fleetStore) change() {
@@ -164,9 +177,10 @@
 type fleetLink struct {
 	*fleetStore
 	calls atomic.Int64
-	// kinds counts all calls by kind, and isCut says that they fail.
-	kinds [callKinds]atomic.Int64
-	isCut atomic.Bool
+	// kinds counts all calls by kind that reach the store. None does if isCut, which failed counts.
+	kinds  [callKinds]atomic.Int64
+	failed atomic.Int64
+	isCut  atomic.Bool
 	// lookups counts the calls for the owners of the partitions, which are among the calls.
 	lookups atomic.Int64
 	// targetsDelay is how long a read of all targets takes, in milliseconds.
@@ -175,13 +189,14 @@
 
 // count counts a call, and returns an error if the node is cut off from the store.
 func (l *fleetLink) count(kind callKind) error {
-	l.kinds[kind].Add(1)
 	if kind != joinCall {
 		l.calls.Add(1)
 	}
 	if l.isCut.Load() {
+		l.failed.Add(1)
 		return errCut
 	}
+	l.kinds[kind].Add(1)
 	return nil
 }
 
@@ -238,13 +253,15 @@
 	}
 }
 
-func (l *fleetLink) Join(_ context.Context, m storecaller.Member, _ identifier.FencingToken, _ time.Duration, _ int) (storecaller.Membership, error) {
+func (l *fleetLink) Join(_ context.Context, m storecaller.Member, _ identifier.FencingToken, term time.Duration, _ int) (storecaller.Membership, error) {
 	if err := l.count(joinCall); err != nil {
 		return storecaller.Membership{}, err
 	}
 	defer time.Sleep(l.joinDelay)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.joinedAt[m] = time.Now()
+	l.expire(term)
 	for i, known := range l.members {
 		if known == m {
 			return l.membership(i), nil
@@ -297,6 +314,8 @@
 	joiner   *joiner.Joiner
 	follower *follower.Follower
 	isDead   atomic.Bool
+	// isFrozen says that calls to the node get no answer.
+	isFrozen atomic.Bool
 	// watches counts the calls of followers for updates.
 	watches atomic.Int64
 	stop    context.CancelFunc
@@ -351,6 +370,10 @@
 	if err != nil {
 		return err
 	}
+	if n.isFrozen.Load() {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	share := n.currentSharer()
 	serve := share.ServeWatch
 	if method == sharer.WatchMethod {
--- a/entry/internal/follower/follower.go
+++ b/entry/internal/follower/follower.go
@@ -65,6 +65,7 @@
 	CurrentReaders(ctx context.Context) ([]storecaller.Member, error)
 	ReaderCount() int
 	IsInLargeFleet(ctx context.Context) bool
+	IsLead() bool
 }
 
 // Follower turns updates from the store, and those that peers forward, into events.
@@ -77,6 +78,10 @@
 	gate   *readGate
 	submit func(messenger.Event)
 
+	// feedMu is held while what was read from the store or received from the lead is recorded, so that an older state does not
+	// replace a newer one.
+	feedMu sync.Mutex
+
 	mu sync.Mutex
 	// next is the position up to which configurations are known.
 	next identifier.StorePosition
@@ -107,8 +112,10 @@
 
 // SetReader sets whether this node reads the store for its peers.
 func (f *Follower) SetReader(isReader bool) {
+	isLead := f.group.IsLead()
 	f.sharer.SetReading(isReader)
-	f.gate.setReader(isReader)
+	f.sharer.SetRelaying(isReader && !isLead)
+	f.gate.setReader(isReader, isLead)
 }
 
 // outage tracks consecutive failures of one kind of call.
@@ -158,12 +165,13 @@
 	// askedEra is the newest era of the store in which this node has asked its peers for a newer version.
 	var askedEra identifier.Era
 	isStarted := false
-	// A node reads once at its start, so that it serves at once, and then leaves the store to its peers.
+	// A node of a small fleet reads once at its start, so that it serves at once, and then leaves the store to its peers. The nodes of a large
+	// fleet leave it to its readers from the start on.
 	hasRead := false
 	// wait is zero after a failure, because the configuration in force must be confirmed soon.
 	wait := time.Duration(0)
 	for ctx.Err() == nil {
-		if hasRead && f.gate.awaitReading(ctx, f.sharer.PauseConfiguration) {
+		if (hasRead || f.leavesStore(ctx)) && f.awaitReading(ctx, f.sharer.PauseConfiguration) {
 			isStarted = false
 			continue
 		}
@@ -192,11 +200,30 @@
 			askedEra = position.Era
 			f.askReaders(ctx)
 		}
-		f.sharer.RecordConfiguration(position, asOf)
+		f.recordRead(func() { f.sharer.RecordConfiguration(position, asOf) })
 		f.submit(dispatcher.ConfigurationConfirmed{AsOf: asOf})
 	}
 }
 
+// awaitReading waits until this node has to read the store itself, and reports whether it had to wait. It calls pause before it waits as a
+// node that is no reader, after which nothing that the lead has sent is recorded.
+func (f *Follower) awaitReading(ctx context.Context, pause func()) bool {
+	return f.gate.awaitReading(ctx, func() {
+		f.feedMu.Lock()
+		defer f.feedMu.Unlock()
+		pause()
+	})
+}
+
+// recordRead records what was read from the store, unless this node relays the updates of the lead by now, which may be newer.
+func (f *Follower) recordRead(record func()) {
+	f.feedMu.Lock()
+	defer f.feedMu.Unlock()
+	if !f.gate.isFed(bootclock.Now()) {
+		record()
+	}
+}
+
 // applyConfiguration applies a new configuration that was read from a source, if there is one, and records the position
 // up to which configurations are known.
 func (f *Follower) applyConfiguration(cfg *describer.Configuration, next identifier.StorePosition, source string) {
@@ -236,10 +263,10 @@
 	out := outage{call: "targets"}
 	known := map[identifier.TargetID]bool{}
 	var next identifier.StorePosition
-	// hasRead is as for the configuration, but the nodes of a large fleet leave the targets to its readers from the start on.
+	// hasRead is as for the configuration.
 	isStarted, hasRead := false, false
 	for ctx.Err() == nil {
-		if (hasRead || f.leavesTargets(ctx)) && f.gate.awaitReading(ctx, f.sharer.PauseTargets) {
+		if (hasRead || f.leavesStore(ctx)) && f.awaitReading(ctx, f.sharer.PauseTargets) {
 			isStarted = false
 			continue
 		}
@@ -259,8 +286,10 @@
 		if out.succeeded() {
 			f.noteReachable()
 		}
-		f.sharer.RecordTargets(changes, !isStarted)
-		f.submit(registrar.TargetsRead{Changes: changes, IsComplete: !isStarted})
+		f.recordRead(func() {
+			f.sharer.RecordTargets(changes, !isStarted)
+			f.submit(registrar.TargetsRead{Changes: changes, IsComplete: !isStarted})
+		})
 		isStarted, hasRead, next = true, true, position
 		for _, c := range changes {
 			known[c.ID] = c.Target != nil
@@ -270,8 +299,8 @@
 	}
 }
 
-// leavesTargets reports whether this node leaves the targets to its peers from its start on.
-func (f *Follower) leavesTargets(ctx context.Context) bool {
+// leavesStore reports whether this node leaves the store to its peers from its start on.
+func (f *Follower) leavesStore(ctx context.Context) bool {
 	return f.cfg.Self.Address != "" && f.group.IsInLargeFleet(ctx)
 }
 
--- a/entry/internal/follower/peers.go
+++ b/entry/internal/follower/peers.go
@@ -23,7 +23,7 @@
 const (
 	// peerWait is how long a peer may wait for updates before it answers.
 	peerWait = 500 * time.Millisecond
-	// peerTimeout bounds a call to a peer, not counting peerWait.
+	// peerTimeout bounds a call to a peer, not counting the time that the peer may wait for updates.
 	peerTimeout = 400 * time.Millisecond
 	// configurationTimeout bounds a call for a configuration, which may be large.
 	configurationTimeout = time.Second
@@ -54,7 +54,7 @@
 
 var (
 	errCutOff = errors.New("the peer's updates are too old")
-	errReader = errors.New("this node reads the store itself")
+	errReader = errors.New("this node has begun or ceased to read the store")
 	// errMoreReaders is returned when more nodes read the store by now than were known at the last lookup.
 	errMoreReaders = errors.New("more nodes read the store")
 )
@@ -72,6 +72,8 @@
 	// count is how many partitions belonged to these and to this node, and moveAt when this node looks for further ones.
 	count  int
 	moveAt time.Time
+	// lead is the one that the others follow in a large fleet.
+	lead storecaller.Member
 	// hasSkipped says that one of those that read the store in large fleets only did not read it yet.
 	hasSkipped   bool
 	backoffUntil map[string]time.Time
@@ -93,8 +95,14 @@
 // FollowPeers applies updates from peers that read the store, while this node does not read it for them, until ctx ends.
 func (f *Follower) FollowPeers(ctx context.Context) {
 	r := readers{backoffUntil: map[string]time.Time{}, wasReading: map[string]bool{}}
+	// How many nodes read the store is known once this node has joined the group.
+	f.group.IsInLargeFleet(ctx)
 	for ctx.Err() == nil {
 		f.gate.awaitFollowing(ctx)
+		if f.gate.relays() {
+			f.relayLead(ctx, &r)
+			continue
+		}
 		peer, ok := r.pick(f.cfg.Self.DataCentre)
 		if !ok {
 			f.idle(ctx, &r)
@@ -103,7 +111,7 @@
 		backoff := peerBackoff
 		switch err := f.followPeer(ctx, peer, &r); {
 		case errors.Is(err, errMoreReaders):
-			f.lookup(ctx, &r)
+			f.findMore(ctx, &r)
 			continue
 		case errors.Is(err, errCutOff):
 			backoff = stalePeerBackoff
@@ -198,7 +206,19 @@
 		eventlogger.Error(err, eventlogger.CallFailed, "doing", "looking up the peers that read the store")
 		return
 	}
-	r.known, r.first, r.count = found.All, found.First, found.Partitions
+	r.known, r.first, r.count, r.lead = found.All, found.First, found.Partitions, found.Lead
+	if f.leavesStore(ctx) {
+		r.known = withoutLead(found)
+	}
+}
+
+// findMore looks up the peers that read the store, if these have become more. Else it is known already which have begun to.
+func (f *Follower) findMore(ctx context.Context, r *readers) {
+	if f.group.ReaderCount() > r.count {
+		f.lookup(ctx, r)
+		return
+	}
+	r.moveAt, r.hasSkipped = time.Time{}, false
 }
 
 // mustMove reports whether more nodes read the store by now than were known at the last lookup, or have begun to since, so that this
@@ -213,13 +233,17 @@
 	return now.After(r.moveAt)
 }
 
-// followPeer applies a peer's updates until a call fails or this node reads the store itself.
+// followPeer applies a peer's updates until a call fails or this node gets another role.
 func (f *Follower) followPeer(ctx context.Context, peer storecaller.Member, r *readers) error {
 	q := sharer.Query{WaitMS: peerWait.Milliseconds(), AcceptsPacked: true}
+	isRelaying := f.gate.relays()
+	if isRelaying {
+		q.WaitMS, q.AwaitsConfirmation = leadWait.Milliseconds(), true
+	}
 	// outages is the count of the last update, or -1 before the first one.
 	outages := -1
 	for ctx.Err() == nil {
-		update, confirmed, err := f.poll(ctx, peer.Address, q, r)
+		update, confirmed, err := f.poll(ctx, peer.Address, q, r, isRelaying)
 		if err != nil {
 			if outages >= 0 {
 				eventlogger.Error(err, eventlogger.PeerNotFollowed, "peer", peer.Node, "address", peer.Address)
@@ -232,25 +256,24 @@
 				"targets", len(update.Changes), "confirmed_ms_ago", bootclock.Now().Sub(confirmed).Milliseconds())
 		case update.Outages > outages:
 			f.submit(registrar.StoreReachable{})
+			if isRelaying {
+				f.sharer.RecordOutage()
+			}
 		}
 		outages, q.Sharer, q.Revision = update.Outages, update.Sharer, update.Revision
-		f.submit(registrar.TargetsRead{Changes: update.Changes, IsComplete: update.IsComplete})
-		if report := (sharer.CrashReport{Crashes: update.Crashes, Cleared: update.Cleared}); !report.IsEmpty() {
-			f.cfg.LearnCrashes(report)
-		}
-		if len(update.Limits) > 0 {
-			f.cfg.LearnLimits(update.Limits)
-		}
-		if len(update.Loads) > 0 {
-			f.cfg.LearnLoads(update.Loads)
-		}
+		f.applyPeerTargets(update, isRelaying)
+		f.learn(update)
 		if err := f.applyPeerConfiguration(ctx, peer.Address, update, &q); err != nil {
 			eventlogger.Error(err, eventlogger.PeerNotFollowed, "peer", peer.Node, "address", peer.Address)
 			return err
 		}
 		f.submit(dispatcher.ConfigurationConfirmed{AsOf: confirmed})
-		f.gate.setPeersFresh(bootclock.Now().Add(updateMaxAge))
 		r.lookupInterval, r.isStoreUnreachable, r.hasUpdated = 0, false, true
+		if isRelaying {
+			f.recordLead(confirmed)
+			continue
+		}
+		f.gate.setPeersFresh(bootclock.Now().Add(updateMaxAge))
 		if r.mustMove(bootclock.Now(), f.group.ReaderCount()) {
 			return errMoreReaders
 		}
@@ -258,12 +281,25 @@
 	return errors.Wrap(ctx.Err(), "following a peer")
 }
 
+// learn applies what a peer has told of crashes, request limits and loads.
+func (f *Follower) learn(update sharer.Update) {
+	if report := (sharer.CrashReport{Crashes: update.Crashes, Cleared: update.Cleared}); !report.IsEmpty() {
+		f.cfg.LearnCrashes(report)
+	}
+	if len(update.Limits) > 0 {
+		f.cfg.LearnLimits(update.Limits)
+	}
+	if len(update.Loads) > 0 {
+		f.cfg.LearnLoads(update.Loads)
+	}
+}
+
 // poll asks a peer for updates, and also returns when the store confirmed the configuration to that peer.
-func (f *Follower) poll(ctx context.Context, address string, q sharer.Query, r *readers) (sharer.Update, time.Time, error) {
-	if isReader, _, _ := f.gate.snapshot(); isReader {
+func (f *Follower) poll(ctx context.Context, address string, q sharer.Query, r *readers, isRelaying bool) (sharer.Update, time.Time, error) {
+	if isReader, _, _ := f.gate.snapshot(); isReader != isRelaying || f.gate.relays() != isRelaying {
 		return sharer.Update{}, time.Time{}, errReader
 	}
-	ctx, cancel := context.WithTimeout(ctx, peerWait+peerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(q.WaitMS)*time.Millisecond+peerTimeout)
 	defer cancel()
 	asked := bootclock.Now()
 	var update sharer.Update
@@ -273,12 +309,19 @@
 	if update.IsNotReading {
 		return sharer.Update{}, time.Time{}, sharer.ErrNotReading
 	}
+	if isRelaying && update.IsRelayed {
+		return sharer.Update{}, time.Time{}, errNotLead
+	}
 	if err := update.Unpack(); err != nil {
 		return sharer.Update{}, time.Time{}, err
 	}
 	r.answeredAt, r.hasAnswered, r.wasReading[address] = bootclock.Now(), true, true
 	confirmed := asked.Add(time.Duration(update.ConfirmedMS) * time.Millisecond)
-	if r.answeredAt.Sub(confirmed) > maxConfirmationAge {
+	maxAge := maxConfirmationAge
+	if update.IsRelayed {
+		maxAge = maxRelayedAge
+	}
+	if r.answeredAt.Sub(confirmed) > maxAge {
 		return sharer.Update{}, time.Time{}, errCutOff
 	}
 	return update, confirmed, nil
--- a/entry/internal/joiner/holders.go
+++ b/entry/internal/joiner/holders.go
@@ -47,6 +47,8 @@
 
 // LookUpHolders asks the store which nodes hold the partitions.
 func (j *Joiner) LookUpHolders(ctx context.Context) error {
-	_, err := j.FindReaders(ctx)
+	j.lookupMu.Lock()
+	defer j.lookupMu.Unlock()
+	_, err := j.findReaders(ctx)
 	return err
 }
--- a/entry/internal/joiner/joiner.go
+++ b/entry/internal/joiner/joiner.go
@@ -67,9 +67,9 @@
 	lookupMu sync.Mutex
 
 	mu sync.Mutex
-	// readers are the other nodes that read the store, as of the last lookup at readersAt.
-	readers   []storecaller.Member
-	readersAt time.Time
+	// found are the nodes that read the store, as of the last lookup at foundAt.
+	found   Readers
+	foundAt time.Time
 	// holders are the nodes that hold partitions, as of the same lookup, and tenures are those of this node.
 	holders map[int]storecaller.Member
 	tenures map[int]limiter.Tenure
@@ -77,8 +77,8 @@
 	fence identifier.FencingToken
 	// fleetSize is about how many nodes there are, by this node's part of the partitions, or 0 if it is not known.
 	fleetSize int
-	// isReader says whether this node reads the store for its peers.
-	isReader bool
+	// isReader says whether this node reads the store for its peers, and isLead whether it does not follow another reader.
+	isReader, isLead bool
 }
 
 // NewJoiner returns a joiner that submits events.
@@ -154,6 +154,7 @@
 func (j *Joiner) applyMembership(m storecaller.Membership, until time.Time, tellReader func(isReader bool)) {
 	j.setFleetSize(topics * j.cfg.StorePartitions / max(1, m.PartitionCount))
 	readers := j.ReaderCount()
+	j.setLead(slices.Contains(m.Partitions, leasePartition))
 	j.setReader(slices.ContainsFunc(m.Partitions, func(p int) bool { return p < readers }), tellReader)
 	j.setTenures(m, until)
 	j.submit(placer.LeaseChanged{IsHeld: slices.Contains(m.Partitions, leasePartition), Fence: m.Fence(), Until: until})
--- a/entry/internal/joiner/readers.go
+++ b/entry/internal/joiner/readers.go
@@ -19,6 +19,9 @@
 	maxSmallFleet = 16
 	// readersMaxAge is how long the readers found by a lookup count as the current ones.
 	readersMaxAge = 10 * time.Second
+	// minLookupAge is the age up to which the result of a lookup serves for further ones: at the start of a node, several of its parts look
+	// for the readers.
+	minLookupAge = 250 * time.Millisecond
 )
 
 // Readers are the nodes that read the store.
@@ -27,6 +30,8 @@
 	Partitions int
 	// All are those other than this node, and First those of them that read the store whatever the size of the fleet is.
 	All, First []storecaller.Member
+	// Lead is the one that the others follow in a large fleet. It is empty if that is this node.
+	Lead storecaller.Member
 }
 
 func (r *Readers) add(partition int, m, self storecaller.Member) {
@@ -40,15 +45,28 @@
 	if partition < minReaders {
 		r.First = append(r.First, m)
 	}
+	if partition == leasePartition {
+		r.Lead = m
+	}
 }
 
 // FindReaders asks the store which nodes read it.
 func (j *Joiner) FindReaders(ctx context.Context) (Readers, error) {
 	j.lookupMu.Lock()
 	defer j.lookupMu.Unlock()
+	if found, ok := j.lastLookup(); ok {
+		return found, nil
+	}
 	return j.findReaders(ctx)
 }
 
+// lastLookup returns the result of the last lookup, if that is at most minLookupAge old.
+func (j *Joiner) lastLookup() (Readers, bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.found, bootclock.Now().Sub(j.foundAt) < minLookupAge
+}
+
 // findReaders asks the store for the other nodes that read it. j.lookupMu must be held.
 func (j *Joiner) findReaders(ctx context.Context) (Readers, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -66,7 +84,7 @@
 	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.readers, j.readersAt, j.holders = found.All, bootclock.Now(), owners
+	j.found, j.foundAt, j.holders = found, bootclock.Now(), owners
 	return found, nil
 }
 
@@ -90,7 +108,7 @@
 func (j *Joiner) knownReaders() ([]storecaller.Member, bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return j.readers, bootclock.Now().Sub(j.readersAt) < readersMaxAge
+	return j.found.All, bootclock.Now().Sub(j.foundAt) < readersMaxAge
 }
 
 // IsReader reports whether this node reads the store for its peers.
@@ -107,6 +125,20 @@
 	tell(isReader)
 }
 
+// IsLead reports whether this node, if it reads the store for its peers, does not follow another reader: in a small fleet, or
+// because it owns the lead's partition.
+func (j *Joiner) IsLead() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.isLead
+}
+
+func (j *Joiner) setLead(ownsLead bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.isLead = ownsLead || j.fleetSize <= maxSmallFleet
+}
+
 // IsInLargeFleet reports whether there are so many nodes that they leave the targets to those that read the store. It waits
 // until this node has tried to join the group.
 func (j *Joiner) IsInLargeFleet(ctx context.Context) bool {
--- a/entry/internal/sharer/sharer.go
+++ b/entry/internal/sharer/sharer.go
@@ -61,6 +61,8 @@
 	WaitMS int64 `json:"wait_ms"`
 	// AcceptsPacked says that the contents of an update may be compressed.
 	AcceptsPacked bool `json:"accepts_packed,omitempty"`
+	// AwaitsConfirmation says that the answer waits for the next confirmation of the configuration only.
+	AwaitsConfirmation bool `json:"awaits_confirmation,omitempty"`
 }
 
 // position is that up to which the sender of the query knows configurations.
@@ -71,9 +73,11 @@
 // Update is the answer to a query.
 type Update struct {
 	// IsNotReading reports that the node does not read the store. All other fields are then empty.
-	IsNotReading bool     `json:"is_not_reading,omitempty"`
-	Sharer       string   `json:"sharer"`
-	Revision     Revision `json:"revision"`
+	IsNotReading bool `json:"is_not_reading,omitempty"`
+	// IsRelayed reports that the node follows another reader.
+	IsRelayed bool     `json:"is_relayed,omitempty"`
+	Sharer    string   `json:"sharer"`
+	Revision  Revision `json:"revision"`
 	// IsComplete reports that targets that are not among the changes no longer exist.
 	IsComplete bool `json:"is_complete"`
 	Contents
@@ -128,8 +132,10 @@
 	// isReading reports whether this node reads the store for its peers, hasReadTargets whether it has read all targets.
 	isReading      bool
 	hasReadTargets bool
-	entries        map[identifier.TargetID]entry
-	revision       Revision
+	// isRelaying reports whether this node follows another reader.
+	isRelaying bool
+	entries    map[identifier.TargetID]entry
+	revision   Revision
 	// completeSince is the revision from which on the recorded changes are complete.
 	completeSince Revision
 	// removedCount is the number of entries of removed targets.
@@ -145,8 +151,9 @@
 	version     int64
 	packed      []byte
 	confirmedAt time.Time
-	// changed is closed and replaced on each change.
-	changed chan struct{}
+	// changed is closed and replaced on each change, and confirmed on each confirmation of the configuration.
+	changed   chan struct{}
+	confirmed chan struct{}
 }
 
 // NewSharer returns an empty sharer.
@@ -154,6 +161,7 @@
 	return &Sharer{
 		id: strconv.FormatUint(rand.Uint64(), idBase), packedUpdates: map[updateSpan]packedUpdate{},
 		entries: map[identifier.TargetID]entry{}, limits: map[identifier.TargetID]limit{}, loads: map[identifier.TargetID]load{}, changed: make(chan struct{}),
+		confirmed: make(chan struct{}),
 	}
 }
 
@@ -168,6 +176,13 @@
 	s.notify()
 }
 
+// SetRelaying sets whether this node follows another reader.
+func (s *Sharer) SetRelaying(isRelaying bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isRelaying = isRelaying
+}
+
 // PauseTargets notes that this node stops reading the targets. What is recorded of them is not told to peers until it has read
 // all of them again, as targets may leave meanwhile.
 func (s *Sharer) PauseTargets() {
@@ -263,6 +278,8 @@
 	defer s.mu.Unlock()
 	if asOf.After(s.confirmedAt) {
 		s.confirmedAt = asOf
+		close(s.confirmed)
+		s.confirmed = make(chan struct{})
 	}
 	if s.configuration != next {
 		s.configuration = next
@@ -306,6 +323,7 @@
 	defer wait.Stop()
 	soonest := time.NewTimer(minAnswerInterval)
 	defer soonest.Stop()
+	confirmed := s.nextConfirmation(q)
 	isOver, mayAnswer := false, false
 	for {
 		update, changed, err := s.nextUpdate(q, arrived)
@@ -319,11 +337,23 @@
 			isOver = true
 		case <-soonest.C:
 			mayAnswer = true
+		case <-confirmed:
+			isOver = true
 		case <-changed:
 		}
 	}
 }
 
+// nextConfirmation returns a channel that is closed on the next confirmation of the configuration, or nil if the query does not await it.
+func (s *Sharer) nextConfirmation(q Query) <-chan struct{} {
+	if !q.AwaitsConfirmation {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.confirmed
+}
+
 // isUrgentFor reports whether the sender of the query lacks a configuration, or all that is kept.
 func (u Update) isUrgentFor(q Query) bool {
 	return u.IsComplete || q.position().Before(u.Position())
@@ -341,7 +371,7 @@
 		return Update{}, nil, ErrNotReading
 	}
 	update := Update{
-		Sharer: s.id, Revision: s.revision, Outages: s.outages, Configuration: s.configuration.Offset, Era: s.configuration.Era,
+		IsRelayed: s.isRelaying, Sharer: s.id, Revision: s.revision, Outages: s.outages, Configuration: s.configuration.Offset, Era: s.configuration.Era,
 		IsComplete:  q.Sharer != s.id || q.Revision < s.completeSince || q.Revision > s.revision,
 		ConfirmedMS: s.confirmedAt.Sub(arrived).Truncate(time.Millisecond).Milliseconds() - 1,
 	}
