--- a/entry/internal/follower/lead.go
+++ b/entry/internal/follower/lead.go
@@ -61,6 +61,13 @@
 	return others
 }
 
+// awaitJoin waits up to a limit until this node has tried to join the group, and reports whether the fleet is known to be large.
+func (f *Follower) awaitJoin(ctx context.Context, limit time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return f.group.IsInLargeFleet(ctx)
+}
+
 // findLead looks up the lead while none is followed.
 func (f *Follower) findLead(ctx context.Context, r *readers) {
 	if !bootclock.Now().Before(r.nextLookupAt) {
--- a/entry/internal/follower/peers.go
+++ b/entry/internal/follower/peers.go
@@ -96,7 +96,7 @@
 func (f *Follower) FollowPeers(ctx context.Context) {
 	r := readers{backoffUntil: map[string]time.Time{}, wasReading: map[string]bool{}}
 	// How many nodes read the store is known once this node has joined the group.
-	f.group.IsInLargeFleet(ctx)
+	f.awaitJoin(ctx, callTimeout)
 	for ctx.Err() == nil {
 		f.gate.awaitFollowing(ctx)
 		if f.gate.relays() {
@@ -207,7 +207,7 @@
 		return
 	}
 	r.known, r.first, r.count, r.lead = found.All, found.First, found.Partitions, found.Lead
-	if f.leavesStore(ctx) {
+	if f.awaitJoin(ctx, 0) {
 		r.known = withoutLead(found)
 	}
 }
