--- a/entry/internal/follower/calls_test.go
+++ b/entry/internal/follower/calls_test.go
@@ -81,6 +81,6 @@
 	f.store.setReaders(countedNodes / 2)
 	time.Sleep(countTime)
 	f.weightedCalls("rebalanced")
-	f.checkFresh(1500 * time.Millisecond)
+	f.checkFresh()
 	f.Check(cut/2 <= 1.5*calm, qt.IsTrue)
 }
--- a/entry/internal/follower/fleet_test.go
+++ b/entry/internal/follower/fleet_test.go
@@ -444,15 +444,18 @@
 	f.Check(worst <= most, qt.IsTrue, qt.Commentf("%d calls by one node, %d allowed", worst, most))
 }
 
+// freshLimit is the age from which on a confirmation is not recent.
+const freshLimit = 1500 * time.Millisecond
+
 // checkFresh checks that all nodes but the dead know the newest version and have a recent confirmation of it.
-func (f *fleet) checkFresh(limit time.Duration) {
+func (f *fleet) checkFresh() {
 	f.Helper()
 	cfg, _, _ := f.store.newest()
 	for _, n := range f.order {
 		n.mu.Lock()
 		age, version := bootclock.Now().Sub(n.confirmedAt), n.version
 		n.mu.Unlock()
-		f.Check(n.isDead.Load() || age < limit, qt.IsTrue, qt.Commentf("%s: confirmed %v ago", n.id, age))
+		f.Check(n.isDead.Load() || age < freshLimit, qt.IsTrue, qt.Commentf("%s: confirmed %v ago", n.id, age))
 		f.Check(n.isDead.Load() || version == cfg.Version, qt.IsTrue, qt.Commentf("%s: version %d", n.id, version))
 	}
 }
@@ -471,7 +474,7 @@
 				f.store.change()
 			}
 			time.Sleep(2 * time.Second)
-			f.checkFresh(1500 * time.Millisecond)
+			f.checkFresh()
 			f.checkCalls(followers, 0)
 			ended := f.order[0]
 			for _, n := range f.order {
@@ -484,7 +487,7 @@
 			time.Sleep(time.Second)
 			f.store.change()
 			time.Sleep(time.Second)
-			f.checkFresh(1500 * time.Millisecond)
+			f.checkFresh()
 			f.checkCalls(followers, 1)
 		})
 	}
@@ -499,7 +502,7 @@
 			followers := f.followers()
 			f.Assert(followers, qt.HasLen, size-readersOf(size))
 			f.checkCalls(followers, maxStartCalls)
-			f.checkFresh(1500 * time.Millisecond)
+			f.checkFresh()
 		})
 	}
 }
