--- a/entry/internal/commander/relay.go
+++ b/entry/internal/commander/relay.go
@@ -76,7 +76,7 @@
 		{Name: "store-parts", Default: "12", Usage: "partitions of a topic of the store, 1 to 1000; the retry slack is divided among them; a fraction is rounded down", Check: optionparser.IsAmount(1, maxPartitions), IsRoundedDown: true},
 		{Name: "retry-window", Default: "10s", Usage: "window over which the retry ratio is enforced", Check: optionparser.IsDuration},
 		{Name: "heartbeat", Default: "1200ms", Usage: "interval at which a target reports to the store that it is alive", Check: optionparser.IsDuration},
-		{Name: "load-interval", Default: "0s", Usage: "interval at which nodes that read the store request load reports of the first targets of chains, by which chains are chosen; 0s requests none, chains are chosen by what each node sees itself, and nodes do not tell each other of targets that reject requests", Check: optionparser.IsDuration},
+		{Name: "load-interval", Default: "0s", Usage: "interval at which, in fleets of more than 16 nodes, load reports of the first targets of chains are requested, by which chains are chosen; 0s requests none, chains are chosen by what each node sees itself, and nodes do not tell each other of targets that reject requests", Check: optionparser.IsDuration},
 		{Name: "caller-memory", Default: "0", Usage: "memory in MB that callers and other nodes may take, at least 6 times the largest body; 0 for a third of the machine's memory", Check: optionparser.IsNumber(0, maxCallerMegabytes)},
 		{Name: "caller-connections", Default: "0", Usage: "maximum number of callers' connections, and as many at the other ports; 0 for a third of the descriptors that the process may open", Check: optionparser.IsNumber(0, maxCallerConnections)},
 		{Name: "balancer-lag", Default: "2600ms", Usage: "how long a stopping node still accepts requests, so that the load balancer can detect that it is unready", Check: optionparser.IsDuration},
@@ -160,7 +160,7 @@
 			LoadInterval:    values.Duration("load-interval"),
 		},
 		ReportCrashes:    func(r sharer.CrashReport) { n.reporter.ReportCrashes(r) },
-		ReportRejections: func(r []avoider.Rejection) { n.rejections.Report(r) },
+		ReportRejections: n.reportRejections,
 		SavePoison:       func(c crashrecorder.Crash) { n.reporter.SavePoison(c) },
 		Grant: func(ctx context.Context, r limiter.Report) granter.Answer {
 			return n.granter.Grant(ctx, r)
@@ -243,9 +243,14 @@
 }
 
 // loadDuty returns whether this node requests load reports: the holder of the lease does for all nodes, other readers while they get none.
+// In a small fleet nobody does: each node has enough requests of its own at each chain to know its load.
 func (n *relayNode) loadDuty() loadpoller.Duty {
 	switch {
-	case n.values.Text("peer-listen") == "", n.joiner.HoldsLease():
+	case n.values.Text("peer-listen") == "":
+		return loadpoller.FullDuty
+	case !n.joiner.KnowsLargeFleet():
+		return loadpoller.NoDuty
+	case n.joiner.HoldsLease():
 		return loadpoller.FullDuty
 	case n.joiner.IsReader():
 		return loadpoller.ReaderDuty
@@ -253,6 +258,13 @@
 	return loadpoller.NoDuty
 }
 
+// reportRejections tells the other nodes of a large fleet of targets that reject requests. In a small one each node soon learns it by itself.
+func (n *relayNode) reportRejections(r []avoider.Rejection) {
+	if n.joiner.KnowsLargeFleet() {
+		n.rejections.Report(r)
+	}
+}
+
 // readerAddresses returns the addresses of the other nodes that read the store, as far as they are known.
 func (n *relayNode) readerAddresses(ctx context.Context) []string {
 	readers, err := n.joiner.CurrentReaders(ctx)
--- a/entry/internal/joiner/readers.go
+++ b/entry/internal/joiner/readers.go
@@ -114,6 +114,11 @@
 	case <-j.joined:
 	case <-ctx.Done():
 	}
+	return j.KnowsLargeFleet()
+}
+
+// KnowsLargeFleet is IsInLargeFleet by what is known now: false until this node has joined the group.
+func (j *Joiner) KnowsLargeFleet() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	return j.fleetSize > maxSmallFleet
