--- a/entry/internal/dispatcher/attempts.go
+++ b/entry/internal/dispatcher/attempts.go
@@ -184,8 +184,11 @@
 		if ev.Status == http.StatusMisdirectedRequest {
 			return d.eject(now, address, registrar.WrongLayers, "target answered that it holds other layers")
 		}
-		if len(r.chain) > 0 {
+		switch {
+		case len(r.chain) > 0 && d.loads.IsRecent(now):
 			return d.chooser.Reject(now, address)
+		case len(r.chain) > 0:
+			d.chooser.Avoid(address, now.Add(fullTargetBackoff))
 		}
 	default:
 	}
@@ -244,14 +247,13 @@
 // later.
 func (d *Dispatcher) failOver(now time.Time, call identifier.CallID, r *request, reason string, seed uint64) []messenger.Effect {
 	r.hasArrived = true
-	r.executions += r.runs
-	if !d.mayRetry(now, r) || !d.hasAlternative(now, r) || d.isTried(now, r.key) {
-		r.executions -= r.runs
+	if !d.maySendAgain(now, r) {
 		if len(r.chain) > 0 {
 			return d.postpone(now, r, reason)
 		}
 		return []messenger.Effect{Wait{Until: r.deadline}}
 	}
+	r.executions += r.runs
 	left := AttemptReported{Outcome: Stalled, Reason: reason, Events: r.events}
 	isCandidate, effects := d.notePoisonCandidate(now, r, left)
 	effects = append(effects, d.logAttempt(now, r, left, isCandidate))
--- a/entry/internal/dispatcher/continuations.go
+++ b/entry/internal/dispatcher/continuations.go
@@ -33,7 +33,7 @@
 	case continuer.SendAgain:
 		return d.failOver(now, ev.Call, r, "a target of the chain was ejected, or other nodes have seen it fail", ev.Seed)
 	case continuer.Reroute:
-		return d.reroute(now, ev.Call, r, ev.Seed)
+		return d.continueLost(now, ev.Call, r, ev.Seed)
 	case continuer.LeaveSilent:
 		return d.leaveSilentChain(now, ev, r, state)
 	case continuer.LeaveStalled:
@@ -102,6 +102,23 @@
 	return []messenger.Effect{ProbeChain{Target: r.target, Address: address}}
 }
 
+// continueLost continues a request whose chain has lost a later target. A node that gets load reports, as one of many, asks the first target to go
+// around it, and spares the retry budget. A node of a small fleet has the budget to send the request again.
+func (d *Dispatcher) continueLost(now time.Time, call identifier.CallID, r *request, seed uint64) []messenger.Effect {
+	if r.progress.Refusals() == 0 && !d.loads.IsRecent(now) && d.maySendAgain(now, r) {
+		return d.failOver(now, call, r, "a target of the chain was ejected, or other nodes have seen it fail", seed)
+	}
+	return d.reroute(now, call, r, seed)
+}
+
+// maySendAgain reports whether a request whose attempt is left, and may have run, may be sent again.
+func (d *Dispatcher) maySendAgain(now time.Time, r *request) bool {
+	left := *r
+	left.hasArrived = true
+	left.executions += r.runs
+	return d.mayRetry(now, &left) && d.hasAlternative(now, &left) && !d.isTried(now, r.key)
+}
+
 // reroute asks the first target of a request's chain to continue the request along another chain. If there is none, it is sent again.
 func (d *Dispatcher) reroute(now time.Time, call identifier.CallID, r *request, seed uint64) []messenger.Effect {
 	if d.mayReroute(now, r) {
@@ -218,7 +235,7 @@
 	}
 	effects = append(effects, d.eject(now, faulty, d.causeOfSilence(r.service), "a stalled request waits for this target")...)
 	if d.continuer.Loss(r.chain) == continuer.LaterStage && r.progress.Next() == continuer.Reroute {
-		return append(effects, d.reroute(now, ev.Call, r, ev.Seed)...)
+		return append(effects, d.continueLost(now, ev.Call, r, ev.Seed)...)
 	}
 	return append(effects, d.failOver(now, ev.Call, r, "request waits for target "+faulty, ev.Seed)...)
 }
--- a/entry/internal/dispatcher/rejections_test.go
+++ b/entry/internal/dispatcher/rejections_test.go
@@ -13,6 +13,7 @@
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/entry/internal/avoider"
 	"fuchsiabridge.example/entry/internal/dispatcher"
+	"fuchsiabridge.example/entry/internal/loadtracker"
 )
 
 // TestRequestsGoAroundTargetsThatReject guards against a stage without room that is only avoided as the first one of its chain, or only by
@@ -23,6 +24,8 @@
 		return slices.ContainsFunc(e.(dispatcher.Send).Chain, func(s describer.Stage) bool { return s.Address == address })
 	}
 	met, told := readyHarness(), readyHarness()
+	// Nodes avoid targets for longer, and tell each other, while they get load reports, as in a large fleet.
+	met.apply(0, dispatcher.LoadsLearned{Reports: []loadtracker.Report{{Target: "draft-a0", Pace: 1}}})
 	call, _ := met.sendRequest(0, "/draft/", "key")
 	var rejections []avoider.Rejection
 	for _, effect := range met.dispatcher.Apply(start, dispatcher.AttemptReported{
--- a/entry/internal/loadtracker/loadtracker.go
+++ b/entry/internal/loadtracker/loadtracker.go
@@ -220,7 +220,7 @@
 // Check returns whether reports have become too old to be used, or recent again, since the last call. A tracker that never had a report
 // does not become stale.
 func (t *Tracker) Check(now time.Time) Change {
-	isStale := !t.learnedAt.IsZero() && now.Sub(t.learnedAt) >= maxAge
+	isStale := !t.learnedAt.IsZero() && !t.IsRecent(now)
 	if isStale == t.isStale {
 		return None
 	}
@@ -231,5 +231,10 @@
 	return Recovered
 }
 
+// IsRecent reports whether a usable report has arrived lately.
+func (t *Tracker) IsRecent(now time.Time) bool {
+	return !t.learnedAt.IsZero() && now.Sub(t.learnedAt) < maxAge
+}
+
 // LearnedAt returns when a usable report last arrived, zero if none has.
 func (t *Tracker) LearnedAt() time.Time { return t.learnedAt }
