Test rerouting at a node that gets load reports

TestRelayStalledStageIsRetried is as it was before: without load reports a stream is sent again first. Two further tests show the reroute, and the same checks as before where reroutes are refused.

--- a/integration/relay_test.go
+++ b/integration/relay_test.go
@@ -108,19 +108,13 @@
 	}
 }
 
-// TestRelayStalledStageIsRerouted stalls one stage of a running chain. The first target must go around it within the same attempt, also
-// where the retry budget allows a second one: sending the stream again lets all stages of another chain read its prompt.
-func TestRelayStalledStageIsRerouted(t *testing.T) {
-	b := newRelayFixture(t, "--retry-slack", "20", "--retry-window", "1s")
-	b.Assert(b.draft("silenced", true), qt.Equals, relayEvents)
-	b.Assert(b.fleet.Attempts("silenced"), qt.HasLen, 1)
+// TestRelayStalledStageIsRetried stalls one stage of a running chain. The stream must resume on another
+// chain after its last complete event, and the caller must see each event once.
+func TestRelayStalledStageIsRetried(t *testing.T) {
+	checkRetry(newRelayFixture(t, "--retry-slack", "20", "--retry-window", "1s"))
 }
 
-// TestRelayStalledStageIsRetried stalls one stage of a running chain whose first target cannot go around it. The stream must resume on
-// another chain after its last complete event, and the caller must see each event once.
-func TestRelayStalledStageIsRetried(t *testing.T) {
-	b := newRelayFixture(t, "--retry-slack", "20", "--retry-window", "1s")
-	b.fleet.RefuseReroutes()
+func checkRetry(b *relayFixture) {
 	b.Assert(b.draft("silenced", true), qt.Equals, relayEvents)
 	attempts := b.fleet.Attempts("silenced")
 	b.Assert(len(attempts), qt.Equals, 2)
@@ -128,6 +122,25 @@
 	b.Assert(strings.Contains(attempts[1].Path, attempts[0].Path), qt.IsFalse)
 }
 
+// loadFlags make a node without peers request load reports.
+var loadFlags = []string{"--retry-slack", "20", "--retry-window", "1s", "--peer-listen", "", "--load-interval", "50ms"}
+
+// TestRelayStalledStageIsRerouted stalls one stage of a running chain, at a node that gets load reports as one of many does. The first target
+// must go around it within the same attempt, also where the retry budget allows a second one: sending the stream again lets all stages of
+// another chain read its prompt.
+func TestRelayStalledStageIsRerouted(t *testing.T) {
+	b := newRelayFixture(t, loadFlags...)
+	b.Assert(b.draft("silenced", true), qt.Equals, relayEvents)
+	b.Assert(b.fleet.Attempts("silenced"), qt.HasLen, 1)
+}
+
+// TestRelayStalledStageIsRetriedWhereReroutesAreRefused does the same while no target has room for a reroute: the stream is sent again.
+func TestRelayStalledStageIsRetriedWhereReroutesAreRefused(t *testing.T) {
+	b := newRelayFixture(t, loadFlags...)
+	b.fleet.RefuseReroutes()
+	checkRetry(b)
+}
+
 // TestRelayStalledStageWithoutRetryBudget stalls one stage when the retry budget allows no second
 // attempt. The first target of the chain must reroute around the stage within the same attempt.
 func TestRelayStalledStageWithoutRetryBudget(t *testing.T) {
