--- a/entry/internal/chooser/loads_test.go
+++ b/entry/internal/chooser/loads_test.go
@@ -289,3 +289,21 @@
 	weights := weigher.NewWeigher(tracker).Weights(now, plan)
 	c.Assert(weights[0] > 1.5*weights[1], qt.IsTrue, qt.Commentf("%v", weights))
 }
+
+// TestPlacesAreFreeByRecentReportsOnly guards against limits that are lifted by reports that are old or missing, or while memory is short.
+func TestPlacesAreFreeByRecentReportsOnly(t *testing.T) {
+	c := qt.New(t)
+	idle, busy := loadtracker.Report{Target: "t0", Running: 40}, loadtracker.Report{Target: "t1", Running: 190}
+	short := loadtracker.Report{Target: "t1", Running: 40, MemoryUsed: 99, MemoryTotal: 100}
+	for _, row := range []struct {
+		first, second loadtracker.Report
+		age           time.Duration
+		want          bool
+	}{{idle, busy, 0, true}, {busy, busy, 0, false}, {idle, short, 0, true}, {short, busy, 0, false}, {idle, busy, 2 * time.Second, false}} {
+		row.first.Target, row.second.Target = "t0", "t1"
+		x, tracker := chooserWithReports(describer.Engine{}, row.first, row.second)
+		c.Check(x.HasFreePlaces(now.Add(row.age), "draft", tracker), qt.Equals, row.want, qt.Commentf("%+v", row))
+	}
+	x, _ := chooserWithReports(describer.Engine{}, idle, idle)
+	c.Check(x.HasFreePlaces(now, "draft", loadtracker.NewTracker()), qt.IsFalse)
+}
--- a/entry/internal/dispatcher/admission.go
+++ b/entry/internal/dispatcher/admission.go
@@ -34,7 +34,9 @@
 		return d.send(now, ev.Call, r, ev.Seed)
 	}
 	effects := d.chooser.Replan(now, r.service)
-	verdict := d.shedder.Ask(now, ev.Call, r.asking(ev), d.chooser.Capacity(now, r.service))
+	asking := r.asking(ev)
+	asking.IsRoomy = d.chooser.HasFreePlaces(now, r.service, d.loads)
+	verdict := d.shedder.Ask(now, ev.Call, asking, d.chooser.Capacity(now, r.service))
 	effects = append(effects, verdict.Log(r.id, r.rank)...)
 	r.urgency = verdict.Urgency
 	if verdict.IsFirst {
--- a/entry/internal/shedder/shedder.go
+++ b/entry/internal/shedder/shedder.go
@@ -46,7 +46,10 @@
 	IsReturning bool
 	// IsObliged says that another node has admitted the request, so that it only counts here.
 	IsObliged bool
-	Bytes     int
+	// IsRoomy says that the chains have free places by recent reports. Then the limit does not hold while targets reject no requests: the
+	// division estimates the number of nodes, and a node whose share is too small would shed requests for which there is room.
+	IsRoomy bool
+	Bytes   int
 	// Objective is the latency objective of the request's route, Deadline when its caller leaves.
 	Objective time.Duration
 	Deadline  time.Time
@@ -141,6 +144,9 @@
 		s.services[call] = r.Service
 	}
 	v := Verdict{IsFirst: !hasWaited, Open: len(g.open), Limit: s.limit(now, g, capacity), Share: s.share, ShareAge: s.shareAge(now), Factor: g.factorAt(now)}
+	if r.IsRoomy && v.Factor >= 1 {
+		v.Limit = math.Inf(1)
+	}
 	e.position = g.position(now, e, v.Limit)
 	v.Urgency = min(r.Rank, e.position)
 	switch {
--- a/entry/internal/shedder/shedder_test.go
+++ b/entry/internal/shedder/shedder_test.go
@@ -83,6 +83,18 @@
 	c.Check(shedder.NewShedder().Ask(start, 1, request(1), capacity).Outcome, qt.Equals, shedder.Admitted)
 }
 
+// TestFreePlacesLiftLimit guards against requests that are shed while the chains have free places, as at a node whose share was too small
+// because the number of nodes was estimated at 384 instead of 74. Rejections by targets show that room is short all the same.
+func TestFreePlacesLiftLimit(t *testing.T) {
+	c := qt.New(t)
+	s, call := full()
+	r := request(call)
+	r.IsRoomy = true
+	c.Check(s.Ask(start, call, r, capacity).Outcome, qt.Equals, shedder.Admitted)
+	s.Rejected(start, "s")
+	c.Check(s.Ask(start, call+1, r, capacity).Outcome, qt.Equals, shedder.Waits)
+}
+
 // TestRetryAfterSuitsCaller guards against callers that come back too late to be served, or all at the same moment.
 func TestRetryAfterSuitsCaller(t *testing.T) {
 	c := qt.New(t)
