Share code that load reports, admission and rerouting had twice

The stages that two chains do not share, the jitter of Retry-After, the expected wait at a target, the age of load reports, the timeout of a route and the list of first targets each have one implementation now. The dispatcher no longer learns the lengths of answers, which nothing reads, and forgets the loads of targets that are gone with one set of known targets instead of a search among all targets for each.

--- a/entry/internal/avoider/quiet.go
+++ b/entry/internal/avoider/quiet.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/identifier"
 )
 
@@ -15,8 +14,3 @@
 
 // QuietUntil returns until when a target wants no requests.
 func (a *Avoider) QuietUntil(id identifier.TargetID) time.Time { return a.quiet[id] }
-
-// RejectionStatus returns how often targets were avoided for rejections, for the status page.
-func (a *Avoider) RejectionStatus(now time.Time) describer.RejectionStatus {
-	return describer.RejectionStatus{Avoided: a.countRejecting(now), Own: a.counts.Own, Learned: a.counts.Learned, Dropped: a.counts.Dropped}
-}
--- a/entry/internal/avoider/rejections.go
+++ b/entry/internal/avoider/rejections.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
@@ -202,6 +203,11 @@
 	return count
 }
 
+// RejectionStatus returns how often targets were avoided for rejections, for the status page.
+func (a *Avoider) RejectionStatus(now time.Time) describer.RejectionStatus {
+	return describer.RejectionStatus{Avoided: a.countRejecting(now), Own: a.counts.Own, Learned: a.counts.Learned, Dropped: a.counts.Dropped}
+}
+
 func (a *Avoider) logRejecting(now time.Time, id identifier.TargetID, seenBy string) messenger.Effect {
 	return messenger.Log{Event: eventlogger.TargetRejects, Subject: "target/" + string(id), Values: []any{
 		"seen_by", seenBy, "avoid_ms", a.rejecting[id].until.Sub(now).Milliseconds(), "avoided", a.countRejecting(now),
--- a/entry/internal/chainer/chainer.go
+++ b/entry/internal/chainer/chainer.go
@@ -68,6 +68,11 @@
 	return out
 }
 
+// Without returns the stages of a chain that are not among others.
+func Without(chain, others []describer.Stage) []describer.Stage {
+	return slices.DeleteFunc(slices.Clone(chain), func(p describer.Stage) bool { return slices.Contains(others, p) })
+}
+
 // Planner plans the chains of one model.
 type Planner struct {
 	engine  *describer.Engine
--- a/entry/internal/chooser/capacity.go
+++ b/entry/internal/chooser/capacity.go
@@ -21,12 +21,12 @@
 	return len(c.openFirsts(now, s)) * s.engine.Slots
 }
 
-// openFirsts returns the first targets of a service's planned chains that may get requests now.
-func (c *Chooser) openFirsts(now time.Time, s *service) map[identifier.TargetID]bool {
-	firsts := map[identifier.TargetID]bool{}
+// openFirsts returns the first targets of a service's planned chains that may get requests now, with their addresses.
+func (c *Chooser) openFirsts(now time.Time, s *service) map[identifier.TargetID]string {
+	firsts := map[identifier.TargetID]string{}
 	for i := range s.chains {
-		if first := s.chains[i].Stages[0].Target; !c.IsShut(now, first) {
-			firsts[first] = true
+		if first := s.chains[i].Stages[0]; !c.IsShut(now, first.Target) {
+			firsts[first.Target] = first.Address
 		}
 	}
 	return firsts
--- a/entry/internal/chooser/chains.go
+++ b/entry/internal/chooser/chains.go
@@ -182,14 +182,9 @@
 
 // FirstTargets calls use with the first target of each planned chain that wants requests now, once for each.
 func (c *Chooser) FirstTargets(now time.Time, use func(target identifier.TargetID, address string)) {
-	seen := map[identifier.TargetID]bool{}
 	for _, s := range c.services {
-		for _, chain := range s.chains {
-			first := chain.Stages[0]
-			if !seen[first.Target] && !c.IsShut(now, first.Target) {
-				seen[first.Target] = true
-				use(first.Target, first.Address)
-			}
+		for target, address := range c.openFirsts(now, s) {
+			use(target, address)
 		}
 	}
 }
--- a/entry/internal/chooser/chooser.go
+++ b/entry/internal/chooser/chooser.go
@@ -151,11 +151,6 @@
 	return c.services[id] != nil && c.services[id].engine != nil
 }
 
-// IsTarget reports whether a target is known.
-func (c *Chooser) IsTarget(id identifier.TargetID) bool {
-	return slices.ContainsFunc(c.targets, func(t registrar.Target) bool { return t.ID == id })
-}
-
 // ServiceOf returns the service of a target, empty if the target is not known.
 func (c *Chooser) ServiceOf(id identifier.TargetID) identifier.ServiceID {
 	i := slices.IndexFunc(c.targets, func(t registrar.Target) bool { return t.ID == id })
--- a/entry/internal/chooser/continuations.go
+++ b/entry/internal/chooser/continuations.go
@@ -33,7 +33,7 @@
 // the given time. Requests that are not sent yet may still use them: they need less room than one in progress.
 func (c *Chooser) AvoidGroup(refused, former []describer.Stage, until time.Time) {
 	var addresses []string
-	for _, p := range newStages(refused, former) {
+	for _, p := range chainer.Without(refused, former) {
 		addresses = append(addresses, p.Address)
 	}
 	if len(addresses) == 0 {
@@ -43,11 +43,6 @@
 	c.refusedGroups = c.refusedGroups[max(0, len(c.refusedGroups)-maxRefusedGroups):]
 }
 
-// newStages returns the stages of a chain that its former one does not have.
-func newStages(chain, former []describer.Stage) []describer.Stage {
-	return slices.DeleteFunc(slices.Clone(chain), func(p describer.Stage) bool { return slices.Contains(former, p) })
-}
-
 func (c *Chooser) dropRefusedGroups(now time.Time) {
 	c.refusedGroups = slices.DeleteFunc(c.refusedGroups, func(g refusedGroup) bool { return !now.Before(g.until) })
 }
@@ -119,7 +114,7 @@
 
 // isRefusedChain reports whether a continuation would ask a whole group again of which one has lately refused, or changes nothing.
 func (c *Chooser) isRefusedChain(now time.Time, found, present []describer.Stage) bool {
-	stages := newStages(found, present)
+	stages := chainer.Without(found, present)
 	return len(stages) == 0 || slices.ContainsFunc(c.refusedGroups, func(g refusedGroup) bool {
 		return now.Before(g.until) && g.isPartOf(stages)
 	})
--- a/entry/internal/continuer/chains.go
+++ b/entry/internal/continuer/chains.go
@@ -1,7 +1,6 @@
 package continuer
 
 import (
-	"slices"
 	"time"
 
 	"fuchsiabridge.example/common/describer"
@@ -116,11 +115,6 @@
 	return "stalled"
 }
 
-// Without returns the stages of a chain that are not among others.
-func Without(chain, others []describer.Stage) []describer.Stage {
-	return slices.DeleteFunc(slices.Clone(chain), func(p describer.Stage) bool { return slices.Contains(others, p) })
-}
-
 func countLayers(chain []describer.Stage) int {
 	n := 0
 	for _, stage := range chain {
--- a/entry/internal/delayer/delayer.go
+++ b/entry/internal/delayer/delayer.go
@@ -24,15 +24,15 @@
 	if kind == describer.Streaming {
 		typical = streamRetryAfter
 	}
-	return time.Duration((1-retryAfterJitter/2)*float64(typical)) + time.Duration(jitter(seed)*float64(typical))
+	return time.Duration((1-retryAfterJitter/2)*float64(typical)) + time.Duration(Jitter(seed)*float64(typical))
 }
 
 // Spread returns a random delay that is added to the time at which a target may be used again.
 func Spread(seed uint64) time.Duration {
-	return time.Duration(jitter(seed) * float64(plainRetryAfter))
+	return time.Duration(Jitter(seed) * float64(plainRetryAfter))
 }
 
-// jitter returns a number from 0 to retryAfterJitter, the same each time for a seed.
-func jitter(seed uint64) float64 {
+// Jitter returns a number from 0 to retryAfterJitter, the same each time for a seed.
+func Jitter(seed uint64) float64 {
 	return retryAfterJitter * rand.New(rand.NewPCG(seed, 0)).Float64()
 }
--- a/entry/internal/dispatcher/admission.go
+++ b/entry/internal/dispatcher/admission.go
@@ -70,13 +70,9 @@
 
 // asking returns what the shedder needs to know of a request.
 func (r *request) asking(ev RequestArrived) shedder.Request {
-	timeout := r.route.Timeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
 	return shedder.Request{
 		Service: r.service, Account: r.account, Rank: r.rank, Ranks: r.ranks, Bytes: ev.BodyBytes, Seed: r.seed,
-		IsReturning: r.arrived.Add(timeout).Sub(r.deadline) >= returningMargin, IsObliged: r.terms != nil,
+		IsReturning: r.arrived.Add(r.timeout()).Sub(r.deadline) >= returningMargin, IsObliged: r.terms != nil,
 		Objective: r.route.LatencyObjective, Deadline: r.deadline,
 	}
 }
--- a/entry/internal/dispatcher/attempts.go
+++ b/entry/internal/dispatcher/attempts.go
@@ -57,7 +57,6 @@
 	switch ev.Outcome {
 	case Delivered:
 		r.executions += runs
-		d.noteAnswerSize(r)
 		return append(effects, d.end(now, ev.Call, ev.Status, "delivered")...)
 	case CallerGone:
 		return append(effects, d.end(now, ev.Call, 0, "caller gone")...)
--- a/entry/internal/dispatcher/continuations.go
+++ b/entry/internal/dispatcher/continuations.go
@@ -7,6 +7,7 @@
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
+	"fuchsiabridge.example/entry/internal/chainer"
 	"fuchsiabridge.example/entry/internal/continuer"
 	"fuchsiabridge.example/entry/internal/pathtracker"
 	"fuchsiabridge.example/entry/internal/trier"
@@ -187,9 +188,9 @@
 // an attempt that was left.
 func (d *Dispatcher) changeChain(now time.Time, ev Rerouted, r *request) []messenger.Effect {
 	target, former := r.target, r.chain
-	move := d.moveOf(r, continuer.Rerouted, continuer.Without(ev.Chain, former))
+	move := d.moveOf(r, continuer.Rerouted, chainer.Without(ev.Chain, former))
 	d.release(r)
-	r.target, r.chain = target, continuer.Without(former, ev.Chain)
+	r.target, r.chain = target, chainer.Without(former, ev.Chain)
 	_, effects := d.notePoisonCandidate(now, r, AttemptReported{Outcome: Stalled, Events: r.events})
 	r.chain, r.sent, r.eventsBefore = ev.Chain, now, r.events
 	r.before = d.crashTracker.Histories(now, r.key)
--- a/entry/internal/dispatcher/crashes.go
+++ b/entry/internal/dispatcher/crashes.go
@@ -112,8 +112,7 @@
 // targetsChanged applies the current state of the targets, and reports the crashes that it reveals.
 func (d *Dispatcher) targetsChanged(now time.Time, targets []registrar.Target) []messenger.Effect {
 	d.chooser.SetTargets(targets)
-	d.keepLimits(targets)
-	d.loads.Keep(d.chooser.IsTarget)
+	d.keepTargets(targets)
 	return append(d.setPathTargets(now, targets), d.applyFindings(now, d.crashTracker.SetTargets(now, targets))...)
 }
 
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -152,9 +152,8 @@
 	requests      map[identifier.CallID]*request
 	trials        *trier.Trier
 	retries       *budgeter.Budgets
-	// loads holds what first targets report of their load, works what the answers of each route have been.
+	// loads holds what first targets report of their load.
 	loads     *loadtracker.Tracker
-	works     *workestimator.Estimator
 	continuer *continuer.Continuer
 	shedder   *shedder.Shedder
 }
@@ -165,7 +164,7 @@
 	d := &Dispatcher{
 		cfg: cfg, chooser: known, crashTracker: crashes, limits: limiter.NewTracker(), paths: pathtracker.NewTracker(),
 		announcements: announcementtracker.NewTracker(known), requests: map[identifier.CallID]*request{},
-		loads: loadtracker.NewTracker(), works: workestimator.NewEstimator(), continuer: continuer.NewContinuer(known), shedder: shedder.NewShedder(),
+		loads: loadtracker.NewTracker(), continuer: continuer.NewContinuer(known), shedder: shedder.NewShedder(),
 		trials: trier.NewTrier(crashes), retries: budgeter.NewBudgets(budgeter.Config{Ratio: cfg.RetryRatio, Window: cfg.RetryWindow}),
 	}
 	d.chooser.UseLoads(d.loads)
@@ -326,11 +325,7 @@
 	if d.crashTracker.IsConfirmed(now, r.key) {
 		return d.refuse(now, ev.Call, http.StatusBadGateway, 0, quarantined)
 	}
-	timeout := r.route.Timeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
-	if routeDeadline := r.arrived.Add(timeout); r.deadline.IsZero() || routeDeadline.Before(r.deadline) {
+	if routeDeadline := r.arrived.Add(r.timeout()); r.deadline.IsZero() || routeDeadline.Before(r.deadline) {
 		r.deadline = routeDeadline
 	}
 	r.service = router.Pick(r.route, ev.Seed)
@@ -340,6 +335,14 @@
 	return d.admit(now, ev, r)
 }
 
+// timeout returns the timeout of the request's route.
+func (r *request) timeout() time.Duration {
+	if r.route.Timeout <= 0 {
+		return defaultTimeout
+	}
+	return r.route.Timeout
+}
+
 // send sends a request to the best target that it was not sent to yet, or along the best chain,
 // preferably one that begins at such a target.
 func (d *Dispatcher) send(now time.Time, call identifier.CallID, r *request, seed uint64) []messenger.Effect {
--- a/entry/internal/dispatcher/limits.go
+++ b/entry/internal/dispatcher/limits.go
@@ -59,14 +59,16 @@
 	}}
 }
 
-// keepLimits forgets the limits of targets that are gone.
-func (d *Dispatcher) keepLimits(targets []registrar.Target) {
+// keepTargets forgets what targets that are gone have said of themselves.
+func (d *Dispatcher) keepTargets(targets []registrar.Target) {
 	known := make(map[identifier.TargetID]bool, len(targets))
 	for _, t := range targets {
 		known[t.ID] = true
 	}
-	d.limits.Keep(func(id identifier.TargetID) bool { return known[id] })
-	d.announcements.Keep(func(id identifier.TargetID) bool { return known[id] })
+	isKept := func(id identifier.TargetID) bool { return known[id] }
+	d.limits.Keep(isKept)
+	d.announcements.Keep(isKept)
+	d.loads.Keep(isKept)
 }
 
 // HasRequestLimits reports whether any target names a request limit.
--- a/entry/internal/dispatcher/loads.go
+++ b/entry/internal/dispatcher/loads.go
@@ -7,7 +7,6 @@
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/entry/internal/loadtracker"
-	"fuchsiabridge.example/entry/internal/workestimator"
 )
 
 // learnLoads applies reports of targets' load and pace.
@@ -62,13 +61,3 @@
 		Event: event, Subject: "loads", Values: []any{"learned_ms_ago", now.Sub(d.loads.LearnedAt()).Milliseconds()},
 	}}
 }
-
-// noteAnswerSize learns from a complete stream how long the answers of its route are.
-func (d *Dispatcher) noteAnswerSize(r *request) {
-	s, ok := d.table.Services[r.service]
-	if !ok || s.Engine == nil || r.events == 0 {
-		return
-	}
-	// Each pass of the engine makes one event.
-	d.works.Observe(r.route.ID, r.size, workestimator.Tokens(r.events*max(1, s.Engine.Stride)))
-}
--- a/entry/internal/loadtracker/loadtracker.go
+++ b/entry/internal/loadtracker/loadtracker.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// maxAge is the age of a report from which on it predicts nothing.
-	maxAge = 1500 * time.Millisecond
+	// MaxAge is the age of a report from which on it predicts nothing.
+	MaxAge = 1500 * time.Millisecond
 	// minTrendTime is the shortest time between two reports that shows a trend: reports lag by some hundred milliseconds, not all
 	// by the same time.
 	minTrendTime = 100 * time.Millisecond
@@ -21,6 +21,8 @@
 	maxTrendTime = 600 * time.Millisecond
 	// MinSlowPace is the pace from which on a target counts as slow. Reports of sound targets vary a little.
 	MinSlowPace = 1.25
+	// maxWait bounds a predicted wait: a report may name any number of waiting requests.
+	maxWait = time.Hour
 	// minPace and maxPace bound the factor by which a target says that it is slow.
 	minPace = 0.1
 	maxPace = 100.0
@@ -93,7 +95,7 @@
 func (t *Tracker) Learn(now time.Time, reports []Report) {
 	for _, r := range reports {
 		at := now.Add(-time.Duration(r.AgeMS) * time.Millisecond)
-		if !r.isValid() || now.Sub(at) >= maxAge {
+		if !r.isValid() || now.Sub(at) >= MaxAge {
 			continue
 		}
 		t.learn(r, at)
@@ -131,7 +133,7 @@
 		return Load{}, false
 	}
 	age := now.Sub(s.at)
-	if age < 0 || age >= maxAge {
+	if age < 0 || age >= MaxAge {
 		return Load{}, false
 	}
 	trendTime := min(age, maxTrendTime).Seconds()
@@ -189,14 +191,16 @@
 // given time each. It returns false if there is no recent report.
 func (t *Tracker) ExpectedWait(now time.Time, target identifier.TargetID, service time.Duration) (time.Duration, bool) {
 	l, ok := t.Load(now, target)
-	if !ok {
-		return 0, false
-	}
+	return l.ExpectedWait(service), ok
+}
+
+// ExpectedWait returns how long a request that is sent now waits before it begins, if the requests that run take the given time each.
+func (l Load) ExpectedWait(service time.Duration) time.Duration {
 	if l.Waiting < 1 {
-		return 0, true
+		return 0
 	}
 	// With Running requests in progress, one ends, and the next one begins, each service/Running.
-	return time.Duration(l.Waiting / max(1, l.Running) * float64(service)), true
+	return time.Duration(min(l.Waiting/max(1, l.Running)*float64(service), float64(maxWait)))
 }
 
 // Keep forgets the targets that are not kept.
@@ -233,7 +237,7 @@
 
 // IsRecent reports whether a usable report has arrived lately.
 func (t *Tracker) IsRecent(now time.Time) bool {
-	return !t.learnedAt.IsZero() && now.Sub(t.learnedAt) < maxAge
+	return !t.learnedAt.IsZero() && now.Sub(t.learnedAt) < MaxAge
 }
 
 // LearnedAt returns when a usable report last arrived, zero if none has.
--- a/entry/internal/relayer/targets.go
+++ b/entry/internal/relayer/targets.go
@@ -87,21 +87,18 @@
 // FirstTargets returns the first targets of the planned chains that may be called now.
 func (x *Relayer) FirstTargets() []loadpoller.Target {
 	x.Submit(dispatcher.ChainsWanted{})
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	var out []loadpoller.Target
-	x.dispatch.FirstTargets(bootclock.Now(), func(target identifier.TargetID, address string) {
-		out = append(out, loadpoller.Target{ID: target, Address: address})
-	})
-	return out
+	return x.collectTargets(x.dispatch.FirstTargets)
 }
 
 // Holders returns the targets that may be stages of chains and may be called now.
-func (x *Relayer) Holders() []loadpoller.Target {
+func (x *Relayer) Holders() []loadpoller.Target { return x.collectTargets(x.dispatch.Holders) }
+
+// collectTargets returns the targets with which each calls use.
+func (x *Relayer) collectTargets(each func(now time.Time, use func(target identifier.TargetID, address string))) []loadpoller.Target {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	var out []loadpoller.Target
-	x.dispatch.Holders(bootclock.Now(), func(target identifier.TargetID, address string) {
+	each(bootclock.Now(), func(target identifier.TargetID, address string) {
 		out = append(out, loadpoller.Target{ID: target, Address: address})
 	})
 	return out
--- a/entry/internal/sharer/loads.go
+++ b/entry/internal/sharer/loads.go
@@ -9,9 +9,6 @@
 	"fuchsiabridge.example/entry/internal/loadtracker"
 )
 
-// maxLoadAge is the age from which on a report of a target's load is of no use to peers.
-const maxLoadAge = 1500 * time.Millisecond
-
 // load is a report of a target's load, the time of its values, and the revision that recorded it.
 type load struct {
 	report   loadtracker.Report
@@ -28,7 +25,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := bootclock.Now()
-	maps.DeleteFunc(s.loads, func(_ identifier.TargetID, l load) bool { return now.Sub(l.at) >= maxLoadAge })
+	maps.DeleteFunc(s.loads, func(_ identifier.TargetID, l load) bool { return now.Sub(l.at) >= loadtracker.MaxAge })
 	s.revision++
 	for _, r := range reports {
 		s.loads[r.Target] = load{report: r, at: now.Add(-time.Duration(r.AgeMS) * time.Millisecond), revision: s.revision}
@@ -41,7 +38,7 @@
 	var out []loadtracker.Report
 	for _, l := range s.loads {
 		age := now.Sub(l.at)
-		if l.revision <= since || age >= maxLoadAge {
+		if l.revision <= since || age >= loadtracker.MaxAge {
 			continue
 		}
 		r := l.report
--- a/entry/internal/shedder/shedder.go
+++ b/entry/internal/shedder/shedder.go
@@ -4,11 +4,11 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"time"
 
 	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/identifier"
+	"fuchsiabridge.example/entry/internal/delayer"
 )
 
 const (
@@ -26,10 +26,9 @@
 	maxWaiting      = 64
 	maxWaitingBytes = 1 << 20
 	// minRetryAfter is the least time after which a shed request returns. At most retryAfterFraction of the time that its caller has
-	// left is used, and retryAfterJitter of it is added at random, so that callers don't return together.
+	// left is used, and up to half of it is added at random (delayer.Jitter), so that callers don't return together.
 	minRetryAfter      = time.Second
 	retryAfterFraction = 1.0 / 3
-	retryAfterJitter   = 0.5
 )
 
 // ShareLearned is the event that this node's share of the capacity of all chains, from 0 to 1, was determined.
@@ -232,7 +231,7 @@
 func (g *gate) retryAfter(now time.Time, e *entry, limit float64) time.Duration {
 	excess := max(0, g.demand(now)/limit-1)
 	after := max(minRetryAfter, time.Duration(excess*float64(g.meanTime)))
-	jitter := rand.New(rand.NewPCG(e.Seed, 0)).Float64() * retryAfterJitter
+	jitter := delayer.Jitter(e.Seed)
 	left := time.Duration(retryAfterFraction * float64(e.Deadline.Sub(now)))
 	if after > left {
 		// The jitter stays within the time that is left.
--- a/entry/internal/weigher/prompts.go
+++ b/entry/internal/weigher/prompts.go
@@ -52,11 +52,10 @@
 func (w *Weigher) wait(now time.Time, p *Plan, i int) time.Duration {
 	c := p.chains[i]
 	l, ok := w.loads.Load(now, c.Stages[0].Target)
-	if !ok || l.Waiting < 1 {
+	if !ok {
 		return 0
 	}
-	service := predictedStep(p.engine, c, l, true) * p.engine.TypicalAnswer
-	return fromMilliseconds(l.Waiting / max(1, l.Running) * service)
+	return l.ExpectedWait(fromMilliseconds(predictedStep(p.engine, c, l, true) * p.engine.TypicalAnswer))
 }
 
 // readTime returns the time in which the i-th chain reads a prompt. Reading is slower than on the fastest accelerator by about as much
--- a/entry/internal/weigher/weigher.go
+++ b/entry/internal/weigher/weigher.go
@@ -1,6 +1,7 @@
 package weigher
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -59,16 +60,8 @@
 
 // Keep forgets the targets that are not kept.
 func (w *Weigher) Keep(isKept func(identifier.TargetID) bool) {
-	for id := range w.gaps {
-		if !isKept(id) {
-			delete(w.gaps, id)
-		}
-	}
-	for id := range w.readUntil {
-		if !isKept(id) {
-			delete(w.readUntil, id)
-		}
-	}
+	maps.DeleteFunc(w.gaps, func(id identifier.TargetID, _ excess) bool { return !isKept(id) })
+	maps.DeleteFunc(w.readUntil, func(id identifier.TargetID, _ time.Time) bool { return !isKept(id) })
 }
 
 // Weights returns the weight of each chain of a plan: the requests that end at its first target, and with a gain the slots that are free
