Take an answer whose head breaks the grammar for no answer

What callers saw: a target's answer with a blank in the name of a field reached them as 200 with that line, and one with "Content-Length : 3" with 3 bytes of a longer body.

Cause: the HTTP library reads names with blanks in them or before the colon, joins folded lines, and takes a bare LF for the end of a line. Only status lines were checked apart from it, at two places: by a look at the buffer for relayed answers, on the connection for all other calls.

Change: `statuschecker` becomes `headchecker`, a scanner of whole heads by the grammar of RFC 9110 and RFC 9112, fed with the bytes as they arrive. Every connection on which answers are read goes through it: those to targets and other nodes (`connector`), and those of `httpcaller` (store, platform, engines, services, reports, orders, operators). It checks informational heads too, and limits them and their number. Names are tokens, values have no control characters but tabs, lines end with CR LF, and one field at most says where the body ends. Folded lines are no answer: RFC 9112, 5.2, lets a gateway choose between 502 and replacing them, and a line that begins with a blank is what a broken head looks like.

The row "a space before the colon" of TestAnswerWithUnclearLengthIsNoAnswer wanted the answer delivered, since RFC 9112, 5.1, lets a proxy remove the blank. It now wants it broken: callers asked that such a head be no answer, and a length in it cannot be trusted.

Control characters in names and values, and the status 000, failed before as well; their tests stay.

The library takes an error before the first byte of a head for the end of the connection, by which a broken answer counted as one whose target had gone. The forwarder looks at the first byte itself now.

--- a/common/statuschecker/statuschecker_test.go
+++ b/common/headchecker/status_test.go
@@ -1,15 +1,13 @@
-package statuschecker_test
+package headchecker_test
 
 import (
-	"bufio"
 	"io"
 	"net"
-	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
-	"fuchsiabridge.example/common/statuschecker"
+	"fuchsiabridge.example/common/headchecker"
 )
 
 // statusLines are what was tried as the beginning of an answer, and the status that it has; 0 for one that is no answer.
@@ -25,10 +23,17 @@
 func TestStatusLines(t *testing.T) {
 	c := qt.New(t)
 	for line, want := range statusLines {
-		status, err := statuschecker.Peek(bufio.NewReader(strings.NewReader(line + "\r\nContent-Length: 0\r\n\r\n")))
-		c.Check(status, qt.Equals, want, qt.Commentf("%q", line))
+		var s headchecker.Scanner
+		err := s.Scan([]byte(line + "\r\nContent-Length: 0\r\n\r\n"))
+		if want > 0 {
+			c.Check(err, qt.IsNil, qt.Commentf("%q", line))
+		}
+		c.Check(s.IsDone(), qt.Equals, want >= 200, qt.Commentf("%q", line))
+		if want >= 200 {
+			c.Check(s.Status(), qt.Equals, want, qt.Commentf("%q", line))
+		}
 		if want == 0 {
-			c.Check(err, qt.ErrorIs, statuschecker.ErrInvalid, qt.Commentf("%q", line))
+			c.Check(err, qt.ErrorIs, headchecker.ErrInvalid, qt.Commentf("%q", line))
 		}
 	}
 }
@@ -43,7 +48,7 @@
 		for _, before := range []string{"", informational} {
 			for _, size := range []int{1, 5, 4096} {
 				client, server := net.Pipe()
-				conn := statuschecker.NewConn(client)
+				conn := headchecker.NewConn(client)
 				answer := before + line + "\r\nContent-Length: 0\r\n\r\nHTTP/1.1 000 in a body\r\n"
 				isSound := exchange(conn, server, sound, size) == nil
 				err := exchange(conn, server, answer, size)
@@ -51,7 +56,7 @@
 				if want >= 200 {
 					c.Check(err, qt.IsNil, qt.Commentf("%q after %q, %d bytes at a time", line, before, size))
 				} else if want == 0 {
-					c.Check(err, qt.ErrorIs, statuschecker.ErrInvalid, qt.Commentf("%q after %q, %d bytes at a time", line, before, size))
+					c.Check(err, qt.ErrorIs, headchecker.ErrInvalid, qt.Commentf("%q after %q, %d bytes at a time", line, before, size))
 				}
 				_, _ = client.Close(), server.Close()
 			}
--- a/common/httpcaller/httpcaller.go
+++ b/common/httpcaller/httpcaller.go
@@ -13,7 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
-	"fuchsiabridge.example/common/statuschecker"
+	"fuchsiabridge.example/common/headchecker"
 )
 
 const (
@@ -111,7 +111,7 @@
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "dialing %s", address), ErrNotSent)
 	}
-	return statuschecker.NewConn(conn), nil
+	return headchecker.NewConn(conn), nil
 }
 
 // singleCallClient returns a client for a single call. Its pool is empty, so it opens a new connection.
--- a/entry/internal/connector/connector.go
+++ b/entry/internal/connector/connector.go
@@ -11,6 +11,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"fuchsiabridge.example/common/headchecker"
 )
 
 const (
@@ -28,7 +30,7 @@
 	bufferBytes       = 4096
 )
 
-// Conn is a buffered connection to a target.
+// Conn is a buffered connection to a target. A read from R fails at an answer without a valid head.
 type Conn struct {
 	net.Conn
 	R       *bufio.Reader
@@ -103,9 +105,10 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "dialling %s", address)
 	}
+	checked := headchecker.NewConn(conn)
 	return &Conn{
 		Conn: conn, address: address,
-		R: bufio.NewReaderSize(conn, bufferBytes), W: bufio.NewWriterSize(conn, bufferBytes),
+		R: bufio.NewReaderSize(checked, bufferBytes), W: bufio.NewWriterSize(checked, bufferBytes),
 	}, nil
 }
 
--- /dev/null
+++ b/entry/internal/forwarder/broken_head_test.go
@@ -0,0 +1,113 @@
+package forwarder_test
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/valyala/fasthttp"
+	"pgregory.net/rapid"
+
+	"fuchsiabridge.example/entry/internal/bodyreader"
+	"fuchsiabridge.example/entry/internal/dispatcher"
+	"fuchsiabridge.example/platform/answerfaker"
+)
+
+// brokenLines are lines that no head of an answer may hold.
+func brokenLines() map[string]string {
+	lines := map[string]string{
+		"blank in a name": "X Field: v", "blank before the colon": "X-Field : v", "tab before the colon": "X-Field\t: v", "no name": ": v", "no colon": "X-Field v",
+		"folded line": "X-Field: v\r\n more", "folded by a tab": "X-Field: v\r\n\tmore", "folded first line": " X-Field: v", "quotes in a name": "X\"Field: v", "letter outside ASCII in a name": "X-Fi\xe9ld: v",
+		"length behind a blank": "Content-Length : 3", "length in a folded line": " Content-Length: 3", "chunks behind a blank": "Transfer-Encoding : chunked",
+		"bare CR in a value": "X-Field: a\rb", "line that ends with LF": "X-Field: a\nX-Other: b",
+	}
+	for _, char := range []byte{0, 1, 8, 0x0b, 0x0c, 0x1b, 0x1f, 0x7f} {
+		lines[fmt.Sprintf("%#x in a name", char)] = "X-F" + string(rune(char)) + "ield: v"
+		lines[fmt.Sprintf("%#x in a value", char)] = "X-Field: a" + string(rune(char)) + "b"
+	}
+	return lines
+}
+
+// TestAnswerWithBrokenHeadIsNoAnswer guards against a target in trouble whose answer reaches the caller with a line that is no field, or
+// with a part of the body since the library takes such a line for a length.
+func TestAnswerWithBrokenHeadIsNoAnswer(t *testing.T) {
+	for name, line := range brokenLines() {
+		for framing, raw := range map[string]string{
+			"with a length": answerfaker.Plain(id, http.StatusOK, "body of the answer"),
+			"in chunks":     answerfaker.Stream(id, event(1)) + "0\r\n\r\n",
+			"neither":       answerfaker.Unframed(id, "body") + "|",
+			"not run":       answerfaker.NotRunFor(id),
+			"informational": "HTTP/1.1 103 X\r\n" + line + "\r\n\r\n" + answerfaker.Plain(id, http.StatusOK, "body"),
+		} {
+			if framing != "informational" {
+				status, rest, _ := strings.Cut(raw, "\r\n")
+				raw = status + "\r\n" + line + "\r\n" + rest
+			}
+			for _, isStream := range []bool{false, true} {
+				comment := qt.Commentf("%s, %s, stream %t", name, framing, isStream)
+				f := newFixture(t)
+				address, later := serveLater(t, raw[:len(raw)/3])
+				later <- raw[len(raw)/3:]
+				r := f.attempt(t.Context(), address, isStream)
+				f.Check(r.Outcome, qt.Equals, dispatcher.Broken, comment)
+				f.Check(r.IsLeft, qt.IsTrue, comment)
+				f.Check(f.caller.isComplete || f.caller.isBegun || f.caller.isEnded, qt.IsFalse, comment)
+				f.Check(f.answers, qt.HasLen, 0, comment)
+			}
+		}
+	}
+}
+
+// fieldCaller records the fields of the answer that it gets, as they are written.
+type fieldCaller struct {
+	caller
+	lines []string
+}
+
+func (c *fieldCaller) Answer(h *fasthttp.ResponseHeader, body []byte) error {
+	h.SetNoDefaultContentType(true)
+	c.lines = strings.Split(h.String(), "\r\n")
+	return c.caller.Answer(h, body)
+}
+
+// TestFieldsOfSoundAnswerArePassedOn guards against a check of heads that refuses what a sound target may send, and against fields that
+// reach the caller changed in a byte of their value.
+func TestFieldsOfSoundAnswerArePassedOn(t *testing.T) {
+	values := rapid.OneOf(
+		rapid.SampledFrom([]string{"", "v", "a, b;c=\"d\"", "a\tb  c", "caf\xc3\xa9", "\xe9\xff\x80", "name=value; Path=/; HttpOnly", strings.Repeat("long ", 200) + "end", ":", "a:b"}),
+		rapid.Map(rapid.SliceOfN(rapid.SampledFrom([]byte("aZ0 \t!~,;:=\"\\\x80\xff")), 0, 20), func(b []byte) string { return strings.Trim(string(b), " \t") }),
+	)
+	names := rapid.OneOf(
+		rapid.SampledFrom([]string{"Content-Type", "Server", "ETag", "Set-Cookie", "Location", "Content-Encoding", "Content-Language", "Cache-Control", "Retry-After", "Via", "X-Weight-Versions"}),
+		rapid.StringMatching("X[-!#$%&'*+.^_`|~0-9A-Za-z]{0,10}"),
+	)
+	rapid.Check(t, func(rt *rapid.T) {
+		fields := rapid.MapOfN(rapid.Map(names, strings.ToLower), values, 0, 6).Draw(rt, "fields")
+		head := answerfaker.SealedHead(id, http.StatusOK)
+		for name, value := range fields {
+			if value == "" && !strings.HasPrefix(name, "x") {
+				// The grammar of these fields asks for a value.
+				value, fields[name] = "v", "v"
+			}
+			head += name + rapid.SampledFrom([]string{":", ": ", ":\t "}).Draw(rt, "colon") + value + rapid.SampledFrom([]string{"", " ", " \t"}).Draw(rt, "blanks") + "\r\n"
+		}
+		c := &fieldCaller{}
+		f := newFixtureFor(t, c, &c.caller, bodyreader.NewMemory())
+		got := f.attempt(t.Context(), serve(t, head+"Content-Length: 4\r\n\r\nbody|"), false)
+		if got.Outcome != dispatcher.Delivered || f.caller.body != "body" {
+			rt.Fatalf("%q: %v, %s", head, got.Outcome, got.Reason)
+		}
+		for name, value := range fields {
+			isPassedOn := slices.ContainsFunc(c.lines, func(line string) bool {
+				n, v, _ := strings.Cut(line, ":")
+				return strings.EqualFold(n, name) && strings.TrimPrefix(v, " ") == value
+			})
+			if !isPassedOn {
+				rt.Fatalf("%s: %q is not among %q", name, value, c.lines)
+			}
+		}
+	})
+}
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -13,8 +13,8 @@
 
 	"fuchsiabridge.example/common/bootclock"
 	"fuchsiabridge.example/common/describer"
+	"fuchsiabridge.example/common/headchecker"
 	"fuchsiabridge.example/common/identifier"
-	"fuchsiabridge.example/common/statuschecker"
 	"fuchsiabridge.example/entry/internal/bodyreader"
 	"fuchsiabridge.example/entry/internal/connector"
 	"fuchsiabridge.example/entry/internal/delegator"
@@ -32,22 +32,14 @@
 	peekTimeout = time.Millisecond
 	// maxEventBytes limits an event of a stream.
 	maxEventBytes = 256 << 10
-	// maxInformational limits the informational answers before an answer.
-	maxInformational = 8
 	// readBufferBytes is the size of the buffer for reading a body.
 	readBufferBytes = 8192
 	// idleFraction is the fraction of a target's idle timeout within which a connection is reused.
 	idleFraction = 0.7
 )
 
-var (
-	// errInformational is returned for too many informational answers.
-	errInformational = errors.New("too many informational answers")
-	// errSwitching is returned for an answer that changes the protocol, which no request asks for.
-	errSwitching = errors.New("answer changes the protocol")
-	// errTooLarge is returned for an answer, or an event of a stream, that is larger than the limit.
-	errTooLarge = errors.New("answer is too large")
-)
+// errTooLarge is returned for an answer, or an event of a stream, that is larger than the limit.
+var errTooLarge = errors.New("answer is too large")
 
 // errMismatch is returned when an answer carries the id of another request, or none by which it would be known as the request's own.
 var errMismatch = errors.New("answer is not known to be that of the request")
@@ -257,25 +249,21 @@
 	return dispatcher.AttemptReported{}, true
 }
 
-// readHeader reads the header of the answer, after some informational answers.
+// readHeader reads the header of the answer, after informational answers. The connection checks them and limits their number.
 func (x *Exchange) readHeader() error {
 	x.resp = &fasthttp.Response{}
-	for range maxInformational {
-		status, err := statuschecker.Peek(x.conn.R)
-		if err != nil {
+	for {
+		// The library takes an error before the first byte of a header for the end of the connection.
+		if _, err := x.conn.R.Peek(1); err != nil {
 			return err
 		}
 		if err := x.resp.Header.Read(x.conn.R); err != nil {
 			return err
 		}
-		if status == fasthttp.StatusSwitchingProtocols {
-			return errSwitching
-		}
-		if statuschecker.IsFinal(status) {
+		if headchecker.IsFinal(x.resp.StatusCode()) {
 			return nil
 		}
 	}
-	return errInformational
 }
 
 // reportAnswer reports what the head of an answer says of the target, unless the answer belongs to another request.
--- a/entry/internal/forwarder/forwarder_test.go
+++ b/entry/internal/forwarder/forwarder_test.go
@@ -149,13 +149,20 @@
 
 func newFixtureWith(t *testing.T, memory *bodyreader.Memory) *fixture {
 	t.Helper()
-	f := &fixture{C: qt.New(t), caller: &caller{}, idleTimeout: idleTimeout}
+	c := &caller{}
+	return newFixtureFor(t, c, c, memory)
+}
+
+// newFixtureFor returns an exchange for a caller that records what it gets in r.
+func newFixtureFor(t *testing.T, c forwarder.Caller, r *caller, memory *bodyreader.Memory) *fixture {
+	t.Helper()
+	f := &fixture{C: qt.New(t), caller: r, idleTimeout: idleTimeout}
 	f.caller.header.SetMethod(http.MethodGet)
 	f.caller.header.SetRequestURI("/x")
 	f.caller.header.SetHost("h")
 	answerfaker.Mark(&f.caller.header, id)
 	onAnswer := func(a forwarder.AnswerHead) { f.answers = append(f.answers, a) }
-	f.exchange = forwarder.NewExchange(f.caller, translator.Request{ID: id}, forwarder.Pools{Targets: connector.NewConnector(), Nodes: connector.NewConnector()}, forwarder.NewIdleTracker(), memory, onAnswer)
+	f.exchange = forwarder.NewExchange(c, translator.Request{ID: id}, forwarder.Pools{Targets: connector.NewConnector(), Nodes: connector.NewConnector()}, forwarder.NewIdleTracker(), memory, onAnswer)
 	t.Cleanup(f.exchange.Drop)
 	return f
 }
--- a/entry/internal/forwarder/status_test.go
+++ b/entry/internal/forwarder/status_test.go
@@ -58,8 +58,8 @@
 		"a space inside":           {"Content-Length: 0 4\r\n", dispatcher.Broken},
 		"empty":                    {"Content-Length: \r\n", dispatcher.Broken},
 		"larger than any number":   {"Content-Length: 99999999999999999999\r\n", dispatcher.Broken},
-		// A proxy removes this space (RFC 9112, 5.1).
-		"a space before the colon":    {"Content-Length : 4\r\n", dispatcher.Delivered},
+		// A proxy may remove this space (RFC 9112, 5.1). Here such a head is no answer.
+		"a space before the colon":    {"Content-Length : 4\r\n", dispatcher.Broken},
 		"another encoding than chunk": {"Transfer-Encoding: gzip\r\n", dispatcher.Broken},
 	} {
 		f := newFixture(t)
--- a/integration/relay_fields_test.go
+++ b/integration/relay_fields_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"fuchsiabridge.example/platform/callerfaker"
+	"fuchsiabridge.example/platform/targetfaker"
 )
 
 // spellings are ways to write the name of a field, all of which mean the same.
@@ -55,3 +56,20 @@
 		}
 	}
 }
+
+// TestRelayPassesOnNoBrokenHead guards against a caller that gets 200 and 3 bytes of a longer body, since its target has written a length
+// with a blank before the colon.
+func TestRelayPassesOnNoBrokenHead(t *testing.T) {
+	t.Parallel()
+	b := newRelayFixture(t)
+	for fault, want := range map[targetfaker.Fault]int{targetfaker.BrokenHeads: http.StatusBadGateway, targetfaker.None: http.StatusOK} {
+		for _, target := range []string{"ledger-a", "ledger-b"} {
+			b.fleet.SetFault(target, fault)
+		}
+		for _, path := range []string{"/post/1", "/view/1"} {
+			status, body := b.send(http.MethodPost, path, fmt.Sprintf("broken-%d%s", fault, path[:5]), relayKey)
+			b.Check(status, qt.Equals, want, qt.Commentf("%s: %q", path, body))
+			b.Check(strings.HasPrefix(body, "answer"), qt.Equals, want == http.StatusOK, qt.Commentf("%q", body))
+		}
+	}
+}
