Pass on the date that a target has set

What callers saw: the Date of each relayed answer was the time at which the node passed it on. Found by drawing the fields that a sound answer may hold, all of which are to reach the caller unchanged.

Cause: the HTTP library writes the present date into every header of an answer, also where one was read. Only an answer without a date may get one from a proxy (RFC 9110, 6.6.1).

Change: the receiver puts the date of the answer in its place. Evidence: TestDateOfAnswerIsKept failed before (the date of 1994 came as today's) and passes now.

--- a/entry/internal/receiver/receiver.go
+++ b/entry/internal/receiver/receiver.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http/httputil"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -390,11 +391,23 @@
 	if err := c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return errors.Wrap(err, "setting a deadline")
 	}
-	h.SetNoDefaultContentType(true)
-	_, err := h.WriteTo(c.conn.w)
+	_, err := c.conn.w.Write(encode(h))
 	return errors.Wrap(err, "writing a header")
 }
 
+// encode returns a header as it is sent. The library sets the present date, also where the target has set one (RFC 9110, 6.6.1).
+func encode(h *fasthttp.ResponseHeader) []byte {
+	h.SetNoDefaultContentType(true)
+	raw := h.AppendBytes(nil)
+	date := h.Peek(fasthttp.HeaderDate)
+	before, rest, ok := bytes.Cut(raw, []byte("\r\nDate: "))
+	if len(date) == 0 || !ok {
+		return raw
+	}
+	_, after, _ := bytes.Cut(rest, []byte("\r\n"))
+	return slices.Concat(before, []byte("\r\nDate: "), date, []byte("\r\n"), after)
+}
+
 // complete flushes the answer and marks it as complete.
 func (c *Call) complete() error {
 	if err := c.conn.w.Flush(); err != nil {
--- a/entry/internal/receiver/receiver_test.go
+++ b/entry/internal/receiver/receiver_test.go
@@ -44,6 +44,10 @@
 		path = fields(c)
 	}
 	var header fasthttp.ResponseHeader
+	if date := c.Header().Peek(fasthttp.HeaderDate); len(date) > 0 {
+		// Only a header that is read keeps its date.
+		_ = header.Read(bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\nDate: " + string(date) + "\r\n\r\n")))
+	}
 	if c.Answer(&header, []byte(path+string(c.Body()))) != nil {
 		h.disconnected <- struct{}{}
 	}
@@ -187,3 +191,20 @@
 	resp := read(c, bufio.NewReader(conn))
 	c.Assert(resp.isLast, qt.IsTrue)
 }
+
+// TestDateOfAnswerIsKept guards against an answer whose date is the time at which the node passes it on.
+func TestDateOfAnswerIsKept(t *testing.T) {
+	c, _, _, conn := start(t)
+	r := bufio.NewReader(conn)
+	const date = "Sun, 06 Nov 1994 08:49:37 GMT"
+	for _, sent := range []string{date, ""} {
+		write(c, conn, "GET /1 HTTP/1.1\r\nHost: h\r\nDate: "+sent+"\r\n\r\n")
+		resp, err := http.ReadResponse(r, nil)
+		c.Assert(err, qt.IsNil)
+		body, err := io.ReadAll(resp.Body)
+		c.Assert(err, qt.IsNil)
+		c.Check(string(body), qt.Equals, "/1")
+		c.Check(resp.Header[fasthttp.HeaderDate], qt.HasLen, 1)
+		c.Check(resp.Header.Get(fasthttp.HeaderDate) == date, qt.Equals, sent == date)
+	}
+}
