Read the chunks of bodies by the grammar

What callers saw: nothing that we know of; found while looking for the class of the broken heads. An answer in chunks whose trailer held a line that is no field, a folded line or a control character, or whose lines ended with a bare LF, counted as complete and sound.

Cause: `bodyreader` trimmed blanks on both sides of a chunk's size, took a CR before the LF as optional, and did not look at the lines of the trailer, which it leaves out.

Change: lines end with CR LF, a size has digits only (blanks may follow it), extensions hold no control characters, and each line of the trailer is a field by the same check as those of a head. Bodies of requests are read by the same code.

--- a/common/headchecker/fields.go
+++ b/common/headchecker/fields.go
@@ -24,7 +24,7 @@
 	if !ok || !isToken(name) {
 		return nil, nil, errors.Wrapf(ErrInvalid, "field name %.20q", name)
 	}
-	if !isText(value) {
+	if !IsText(value) {
 		return nil, nil, errors.Wrapf(ErrInvalid, "value of the field %.40s", name)
 	}
 	return name, bytes.Trim(value, " \t"), nil
@@ -36,9 +36,6 @@
 	return err
 }
 
-// IsText reports whether the bytes may stand in the value of a field.
-func IsText(b []byte) bool { return isText(b) }
-
 func isToken(b []byte) bool {
 	for _, char := range b {
 		isAlphanumeric := '0' <= char && char <= '9' || 'A' <= char && char <= 'Z' || 'a' <= char && char <= 'z'
@@ -49,8 +46,8 @@
 	return len(b) > 0
 }
 
-// isText reports whether the bytes are blanks, visible characters or characters outside ASCII.
-func isText(b []byte) bool {
+// IsText reports whether the bytes may stand in the value of a field: blanks, visible characters and characters outside ASCII.
+func IsText(b []byte) bool {
 	for _, char := range b {
 		if char != '\t' && (char < ' ' || char == 0x7f) {
 			return false
--- a/common/headchecker/headchecker.go
+++ b/common/headchecker/headchecker.go
@@ -96,7 +96,7 @@
 	if err != nil {
 		return err
 	}
-	if !isText(line) {
+	if !IsText(line) {
 		return errors.Wrapf(ErrInvalid, "status line %.40q", line)
 	}
 	s.status, s.framing = status, framing{isHTTP10: line[versionAt] == '0'}
--- a/entry/internal/bodyreader/bodyreader.go
+++ b/entry/internal/bodyreader/bodyreader.go
@@ -8,6 +8,8 @@
 	"strconv"
 
 	"github.com/cockroachdb/errors"
+
+	"fuchsiabridge.example/common/headchecker"
 )
 
 const (
@@ -111,6 +113,10 @@
 	if err != nil {
 		return unexpectedEOF(err)
 	}
+	line, ok := bytes.CutSuffix(line, []byte("\r"))
+	if !ok {
+		return errors.Wrap(errChunk, "line without CR")
+	}
 	if c.framingBytes > max(maxFramingBytes, framingFactor*c.dataBytes) {
 		return errors.Wrap(errChunk, "too many lines between the chunks")
 	}
@@ -124,17 +130,22 @@
 		if c.trailerLines++; c.trailerLines > maxTrailerLines {
 			return errors.Wrap(errChunk, "too many lines in the trailer")
 		}
-		c.isDone = len(line) == 0
+		if c.isDone = len(line) == 0; !c.isDone {
+			return headchecker.CheckField(line)
+		}
 	default:
 		return c.begin(line)
 	}
 	return nil
 }
 
-// begin parses the line that contains a chunk's size.
+// begin parses the line that contains a chunk's size, behind which blanks and extensions may follow.
 func (c *chunkReader) begin(line []byte) error {
+	if !headchecker.IsText(line) {
+		return errors.Wrap(errChunk, "control character")
+	}
 	size, _, _ := bytes.Cut(line, []byte(";"))
-	n, err := strconv.ParseUint(string(bytes.TrimSpace(size)), 16, 31)
+	n, err := strconv.ParseUint(string(bytes.TrimRight(size, " \t")), 16, 31)
 	if err != nil {
 		return errors.Mark(errors.Wrap(err, "parsing a chunk size"), errChunk)
 	}
@@ -142,7 +153,7 @@
 	return nil
 }
 
-// line returns the next complete line without its line break, until the next read. It consumes nothing before the line is complete.
+// line returns the next complete line without its LF, until the next read. It consumes nothing before the line is complete.
 func (c *chunkReader) line() ([]byte, error) {
 	for {
 		b, err := c.r.Peek(min(c.r.Buffered(), maxChunkLine))
@@ -152,7 +163,7 @@
 		if end := bytes.IndexByte(b, '\n'); end >= 0 {
 			c.framingBytes += end + 1
 			_, err = c.r.Discard(end + 1)
-			return bytes.TrimSuffix(b[:end], []byte("\r")), err
+			return b[:end], err
 		}
 		if len(b) >= maxChunkLine {
 			return nil, errChunk
