Bound what a process holds of the answers it reads

What callers saw: a target in trouble sends a body without end; the node that has called it keeps it, runs out of memory, and the requests of its other callers end with it.

Cause: `httpcaller`, which makes all calls but relayed requests (store, platform, engines, services, reports, orders, checks, operators), let the HTTP library collect each answer up to 64 MiB in a buffer that is copied as it grows, and then copied it once more. Nothing bounded all of them together. The answers of other nodes had no bound at all, neither of a line nor of a message. Only relayed answers had one.

Relayed answers keep their bound as a part of it. When it is reached, an answer of the source that holds most is given up, large ones first, so that a source without end cannot displace the answers of others; complete answers are not given up. `httpcaller` keeps the library's pool of connections, but reads heads and bodies itself, in pieces that are counted before they are filled and reused after. The fields after a body in chunks are left out, which the library took for fields of the head: a Retry-After or the era of the store could come from there. Connections on which more arrives than the answer are not used again. Connections that a node opens to others count their messages. Event 8051, fb_answer_bytes, fb_answers_dropped.

TestFieldAfterBodyIsNoFieldOfHead: 4 checks failed before.

--- a/entry/internal/bodyreader/bodyreader.go
+++ b/common/bodyreader/bodyreader.go
@@ -1,4 +1,4 @@
-// Package bodyreader reads the bodies of answers within bounds: of their framing, and of what all of them hold together.
+// Package bodyreader reads the bodies of requests and answers, and bounds their framing.
 package bodyreader
 
 import (
@@ -43,15 +43,29 @@
 
 // ReadAll reads a body to its end. It returns ErrTooLarge as soon as there are more bytes than the limit.
 func ReadAll(body io.Reader, limit int) ([]byte, error) {
-	var out Pieces
+	return ReadHeld(body, limit, func(int) error { return nil })
+}
+
+// ReadHeld is ReadAll for a body whose memory is counted while it is read: hold is called with the bytes taken for it, before they are
+// filled, and its error ends reading.
+func ReadHeld(body io.Reader, limit int, hold func(n int) error) ([]byte, error) {
+	var out pieces
+	defer out.release()
 	for {
-		n, err := body.Read(out.Room())
-		out.Add(n)
-		switch {
-		case out.Len() > limit:
+		if out.isFull() {
+			out.grow()
+			if err := hold(out.capacity); err != nil {
+				return nil, err
+			}
+		}
+		n, err := body.Read(out.room())
+		out.add(n)
+		if out.length > limit {
 			return nil, ErrTooLarge
+		}
+		switch {
 		case errors.Is(err, io.EOF):
-			return out.Join(), nil
+			return out.join(), nil
 		case err != nil:
 			return nil, err
 		}
--- a/common/eventlogger/process.go
+++ b/common/eventlogger/process.go
@@ -10,6 +10,7 @@
 	PeerConnectionFailed   = Event{1006, "peer connection failed"}
 	CallerConnectionFailed = Event{1007, "caller connection failed"}
 	CallerDropped          = Event{8050, "connection closed to stay within the limits for callers"}
+	AnswerDropped          = Event{8051, "answer given up to stay within the limit for answers"}
 	StandInStarted         = Event{9001, "stand-in started"}
 )
 
@@ -23,6 +24,7 @@
 		PeerConnectionFailed,
 		CallerConnectionFailed,
 		CallerDropped,
+		AnswerDropped,
 		StandInStarted,
 	}
 }
--- a/common/httpcaller/httpcaller.go
+++ b/common/httpcaller/httpcaller.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"fuchsiabridge.example/common/answerlimiter"
 	"fuchsiabridge.example/common/headchecker"
 )
 
@@ -21,7 +22,8 @@
 	dialTimeout      = time.Second
 	idleConnLifetime = 10 * time.Second
 	maxConnsPerHost  = 512
-	maxResponseBytes = 64 << 20
+	// defaultMaxBytes limits the body of an answer, beside the bound for all answers of the process.
+	defaultMaxBytes = 64 << 20
 	// singleCallIdleLifetime bounds how long the cleanup goroutine of a single-use client outlives its call.
 	singleCallIdleLifetime = 100 * time.Millisecond
 )
@@ -38,53 +40,64 @@
 // Error returns the status and the body as text.
 func (e *StatusError) Error() string { return fmt.Sprintf("status %d: %s", e.Status, e.Body) }
 
+// Dialer opens connections.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Config says how calls are made.
+type Config struct {
+	// Answers bounds what the process holds of the answers.
+	Answers *answerlimiter.Limiter
+	// MaxBytes is the number of bytes from which on the body of an answer is refused, 0 for defaultMaxBytes.
+	MaxBytes int
+	// Dialer opens connections; nil for one without settings of its own.
+	Dialer Dialer
+}
+
 // Caller makes calls to many hosts over pooled connections. After a call to a host has timed out,
 // the connections to that host that are open at that time are not used for further calls, because
 // they may be broken as well.
 type Caller struct {
-	maxResponse int
-	dialer      Dialer
+	cfg Config
 
 	mu      sync.Mutex
-	clients map[string]*fasthttp.Client
+	clients map[string]*fasthttp.HostClient
 }
 
-// NewCaller returns a caller that does not retry failed calls.
-func NewCaller() *Caller { return NewCallerWith(&net.Dialer{}) }
-
-// NewCallerWith is NewCaller for a caller whose connections are opened by d.
-func NewCallerWith(d Dialer) *Caller { return NewLimitedCaller(maxResponseBytes, d) }
-
-// Dialer opens connections.
-type Dialer interface {
-	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+// NewCaller returns a caller that does not retry failed calls, and whose connections have no settings of their own.
+func NewCaller(answers *answerlimiter.Limiter) *Caller {
+	return NewCallerWith(Config{Answers: answers})
 }
 
-// NewLimitedCaller returns a caller whose calls fail if the body of the response has more than the given number of bytes, and whose
-// connections are opened by d.
-func NewLimitedCaller(maxResponse int, d Dialer) *Caller {
-	return &Caller{maxResponse: maxResponse, dialer: d, clients: map[string]*fasthttp.Client{}}
+// NewCallerWith returns a caller that does not retry failed calls.
+func NewCallerWith(cfg Config) *Caller {
+	if cfg.MaxBytes == 0 {
+		cfg.MaxBytes = defaultMaxBytes
+	}
+	if cfg.Dialer == nil {
+		cfg.Dialer = &net.Dialer{}
+	}
+	return &Caller{cfg: cfg, clients: map[string]*fasthttp.HostClient{}}
 }
 
-func (c *Caller) newClient() *fasthttp.Client {
-	return &fasthttp.Client{
-		NoDefaultUserAgentHeader:  true,
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		MaxIdleConnDuration:       idleConnLifetime,
-		MaxConnsPerHost:           maxConnsPerHost,
-		MaxResponseBodySize:       c.maxResponse,
-		Dial:                      func(address string) (net.Conn, error) { return c.dialBefore(address, time.Now().Add(dialTimeout)) },
+// newClient returns the client whose connection pool is used for a host.
+func (c *Caller) newClient(host string, idleLifetime time.Duration) *fasthttp.HostClient {
+	return &fasthttp.HostClient{
+		Addr: host, MaxIdleConnDuration: idleLifetime, MaxConns: maxConnsPerHost,
+		DialTimeout: func(address string, timeout time.Duration) (net.Conn, error) {
+			return c.dial(address, time.Now().Add(timeout))
+		},
 	}
 }
 
 // client returns the client that holds the connection pool of a host.
-func (c *Caller) client(host string) *fasthttp.Client {
+func (c *Caller) client(host string) *fasthttp.HostClient {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	client, ok := c.clients[host]
 	if !ok {
-		client = c.newClient()
+		client = c.newClient(host, idleConnLifetime)
 		c.clients[host] = client
 	}
 	return client
@@ -92,7 +105,7 @@
 
 // retire removes a host's client and closes its idle connections. Connections in use return to the retired
 // client's pool when their call succeeds; it closes them after idleConnLifetime.
-func (c *Caller) retire(host string, client *fasthttp.Client) {
+func (c *Caller) retire(host string, client *fasthttp.HostClient) {
 	c.mu.Lock()
 	if c.clients[host] == client {
 		delete(c.clients, host)
@@ -101,33 +114,19 @@
 	client.CloseIdleConnections()
 }
 
-// dialBefore dials with the call's deadline, so that no call is sent after its deadline.
-func (c *Caller) dialBefore(address string, deadline time.Time) (net.Conn, error) {
+// dial opens a connection, within dialTimeout and before the call's deadline.
+func (c *Caller) dial(address string, deadline time.Time) (net.Conn, error) {
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	ctx, cancelDial := context.WithTimeout(ctx, dialTimeout)
 	defer cancelDial()
-	conn, err := c.dialer.DialContext(ctx, "tcp", address)
+	conn, err := c.cfg.Dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "dialing %s", address), ErrNotSent)
 	}
 	return headchecker.NewConn(conn), nil
 }
 
-// singleCallClient returns a client for a single call. Its pool is empty, so it opens a new connection.
-func (c *Caller) singleCallClient(address string, deadline time.Time) *fasthttp.HostClient {
-	return &fasthttp.HostClient{
-		Addr:                      address,
-		NoDefaultUserAgentHeader:  true,
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		// The client's cleanup goroutine ends this long after the call.
-		MaxIdleConnDuration: singleCallIdleLifetime,
-		MaxResponseBodySize: c.maxResponse,
-		Dial:                func(address string) (net.Conn, error) { return c.dialBefore(address, deadline) },
-	}
-}
-
 type newConnKey struct{}
 
 // WithNewConn returns a context that makes every call with it use a new connection.
@@ -165,9 +164,8 @@
 	if err := ctx.Err(); err != nil {
 		return Response{}, errors.Mark(err, ErrNotSent)
 	}
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetMethod(r.Method)
 	req.SetRequestURI(r.URL)
 	req.SetBody(r.Body)
@@ -176,27 +174,17 @@
 	}
 	host := string(req.URI().Host())
 	client := c.client(host)
-	do := client.DoDeadline
 	if r.NewConn || ctx.Value(newConnKey{}) != nil {
 		req.SetConnectionClose()
-		do = c.singleCallClient(host, deadline).DoDeadline
+		client = c.newClient(host, singleCallIdleLifetime)
 	}
-	if err := do(req, resp, deadline); err != nil {
+	response, err := c.exchange(client, req, r.AnswerFields, deadline)
+	if err != nil {
 		if errors.Is(err, fasthttp.ErrTimeout) {
 			c.retire(host, client)
 		}
 		return Response{}, errors.Wrapf(err, "calling %s %s", r.Method, r.URL)
 	}
-	response := Response{
-		Status: resp.StatusCode(),
-		Body:   append([]byte(nil), resp.Body()...),
-		Header: map[string]string{"Content-Type": string(resp.Header.ContentType())},
-	}
-	for _, name := range append([]string{fasthttp.HeaderRetryAfter}, r.AnswerFields...) {
-		if v := resp.Header.Peek(name); len(v) > 0 {
-			response.Header[name] = string(v)
-		}
-	}
 	return response, nil
 }
 
--- a/entry/internal/commander/commander.go
+++ b/entry/internal/commander/commander.go
@@ -116,6 +116,7 @@
 			DataCentre:  identifier.DataCentre(values.Text("data-centre")),
 		},
 		Targets:    targets,
+		Answers:    newAnswerLimiter(values),
 		Platform:   values.Text("platform"),
 		LogKeep:    values.Duration("log-keep"),
 		PeerTLS:    peers,
--- a/entry/internal/commander/guarding.go
+++ b/entry/internal/commander/guarding.go
@@ -5,6 +5,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"fuchsiabridge.example/common/answerlimiter"
 	"fuchsiabridge.example/common/optionparser"
 	"fuchsiabridge.example/entry/internal/callerguard"
 	"fuchsiabridge.example/entry/internal/server"
@@ -28,6 +29,20 @@
 	return callerguard.NewGuard(callerguard.LimitsOf(values.Number("caller-memory"), values.Number("caller-connections")))
 }
 
+// newAnswerLimiter returns the limiter of all answers that the process reads, and publishes what they hold.
+func newAnswerLimiter(values optionparser.Values) *answerlimiter.Limiter {
+	l := answerlimiter.NewLimiter(answerlimiter.Bytes(values.Number("answer-memory")))
+	server.Publish("fb_answer_bytes", func() any {
+		held, _ := l.Held()
+		return held
+	})
+	server.Publish("fb_answers_dropped", func() any {
+		_, dropped := l.Held()
+		return dropped
+	})
+	return l
+}
+
 // endRequest tells the guard that a request of the HTTP library's server has ended.
 func endRequest(nc net.Conn, state fasthttp.ConnState) {
 	if state == fasthttp.StateIdle {
--- a/entry/internal/commander/options.go
+++ b/entry/internal/commander/options.go
@@ -20,6 +20,7 @@
 	maxLayersPerSecond = 1_000_000
 
 	maxCallerMegabytes   = 1_048_576
+	maxAnswerMegabytes   = 1_048_576
 	maxCallerConnections = 10_000_000
 )
 
@@ -41,6 +42,7 @@
 		{Name: "history-megabytes", Default: "256", Usage: "memory limit in MB for the inputs and KV caches that are kept for recovery", Check: optionparser.IsNumber(1, maxHistoryMegabytes)},
 		{Name: "weight-layers-per-second", Default: "100", Usage: "layers per second that the weight store can deliver; loads are ordered no faster", Check: optionparser.IsNumber(1, maxLayersPerSecond)},
 		{Name: "caller-memory", Default: "0", Usage: "memory in MB that callers and other nodes may take, at least 6 times the largest body; 0 for a third of the machine's memory", Check: optionparser.IsNumber(0, maxCallerMegabytes)},
+		{Name: "answer-memory", Default: "0", Usage: "memory in MB that the answers of the store or the platform, targets and other nodes may take, at least 6 times the largest; 0 for a sixth of the machine's memory, from 48 to 256", Check: optionparser.IsNumber(0, maxAnswerMegabytes)},
 		{Name: "caller-connections", Default: "0", Usage: "maximum number of callers' connections, and as many at the other ports; 0 for a third of the descriptors that the process may open", Check: optionparser.IsNumber(0, maxCallerConnections)},
 		{Name: "balancer-lag", Default: "2s", Usage: "how long a stopping node still accepts requests, so that the load balancer can detect that it is unready", Check: optionparser.IsDuration},
 		{Name: "stop-limit", Default: "60s", Usage: "maximum time a stopping node waits for requests in progress", Check: optionparser.IsDuration},
--- a/entry/internal/commander/relay.go
+++ b/entry/internal/commander/relay.go
@@ -78,6 +78,7 @@
 		{Name: "heartbeat", Default: "1200ms", Usage: "interval at which a target reports to the store that it is alive", Check: optionparser.IsDuration},
 		{Name: "load-interval", Default: "0s", Usage: "interval at which, in fleets of more than 16 nodes, load reports of the first targets of chains are requested, by which chains are chosen; 0s requests none, chains are chosen by what each node sees itself, and nodes do not tell each other of targets that reject requests", Check: optionparser.IsDuration},
 		{Name: "caller-memory", Default: "0", Usage: "memory in MB that callers and other nodes may take, at least 6 times the largest body; 0 for a third of the machine's memory", Check: optionparser.IsNumber(0, maxCallerMegabytes)},
+		{Name: "answer-memory", Default: "0", Usage: "memory in MB that the answers of the store or the platform, targets and other nodes may take, at least 6 times the largest; 0 for a sixth of the machine's memory, from 48 to 256", Check: optionparser.IsNumber(0, maxAnswerMegabytes)},
 		{Name: "caller-connections", Default: "0", Usage: "maximum number of callers' connections, and as many at the other ports; 0 for a third of the descriptors that the process may open", Check: optionparser.IsNumber(0, maxCallerConnections)},
 		{Name: "balancer-lag", Default: "2600ms", Usage: "how long a stopping node still accepts requests, so that the load balancer can detect that it is unready", Check: optionparser.IsDuration},
 		{Name: "stop-limit", Default: "8s", Usage: "maximum time a stopping node waits for requests in progress", Check: optionparser.IsDuration},
@@ -134,7 +135,8 @@
 
 // newRelayNode returns a node whose calls end with ctx.
 func newRelayNode(ctx context.Context, values optionparser.Values, targets connector.Dialer) *relayNode {
-	http := httpcaller.NewCaller()
+	answers := newAnswerLimiter(values)
+	http := httpcaller.NewCaller(answers)
 	requests := meter.NewMeter()
 	requests.Publish("requests")
 	n := &relayNode{values: values, id: identifier.NodeID(values.Text("node")), guard: newGuard(values)}
@@ -142,7 +144,7 @@
 	store := storecaller.NewCaller(http, values.Text("store"))
 	self := storecaller.Member{Node: n.id, DataCentre: dc, Address: values.Text("peer-listen")}
 	// A call that gets no answer in time closes its connection, so calls with different timeouts have connections of their own.
-	questions, offers, targetCalls, loadCalls := peercaller.NewCaller(nil, nil), peercaller.NewCaller(nil, nil), peercaller.NewCaller(nil, nil), peercaller.NewCaller(nil, nil)
+	questions, offers, targetCalls, loadCalls := peercaller.NewCaller(nil, nil, answers), peercaller.NewCaller(nil, nil, answers), peercaller.NewCaller(nil, nil, answers), peercaller.NewCaller(nil, nil, answers)
 	hasPeers := values.Text("peer-listen") != "" && values.Text("delegate-listen") != ""
 	var delegates relayer.Delegates
 	if hasPeers {
@@ -168,6 +170,7 @@
 		ReportLimit: func(ctx context.Context, r limiter.Report) { n.granter.Report(ctx, r) },
 		Heartbeat:   values.Duration("heartbeat"),
 		Targets:     targets,
+		Answers:     answers,
 
 		Delegates: delegates, Peers: targetCalls, DelegateAddress: values.Text("delegate-listen"),
 	})
@@ -202,7 +205,7 @@
 		granter.LimitsMethod: func(ctx context.Context, params json.RawMessage) (any, error) {
 			return n.granter.ServeLimits(ctx, params)
 		},
-	}, nil)
+	}, nil, answers)
 	n.joiner = joiner.NewJoiner(store, joiner.Config{
 		Self: self, StorePartitions: values.Number("store-parts"), RetrySlack: int(slackShare * values.Amount("retry-slack")),
 	}, n.relayer.Submit)
--- a/entry/internal/executor/executor.go
+++ b/entry/internal/executor/executor.go
@@ -12,6 +12,7 @@
 	"github.com/alitto/pond/v2"
 	"github.com/cespare/xxhash/v2"
 
+	"fuchsiabridge.example/common/answerlimiter"
 	"fuchsiabridge.example/common/configurer"
 	"fuchsiabridge.example/common/enginecaller"
 	"fuchsiabridge.example/common/eventlogger"
@@ -63,6 +64,8 @@
 	PeerTLS *tls.Config
 	// Peers are addresses of nodes to ask until the VM list can be read.
 	Peers []string
+	// Answers bounds what the process holds of answers.
+	Answers *answerlimiter.Limiter
 	// Shards is the number of reducers that the drafts are distributed over.
 	Shards int
 	// DraftLimit is the maximum number of drafts that run on this node at a time.
@@ -111,7 +114,7 @@
 func NewExecutor(ctx context.Context, cfg Config) *Executor {
 	x := &Executor{
 		ctx:            ctx,
-		platform:       platformcaller.NewCaller(httpcaller.NewCaller(), cfg.Platform),
+		platform:       platformcaller.NewCaller(httpcaller.NewCaller(cfg.Answers), cfg.Platform),
 		stepPool:       newPool(ctx, stepWorkers),
 		servicePool:    newPool(ctx, serviceWorkers),
 		platformPool:   newPool(ctx, platformWorkers),
@@ -122,7 +125,7 @@
 	}
 	x.rerouter = x.newRerouter(cfg)
 	x.engine = enginecaller.NewCaller(x.rerouter)
-	x.peers = peercaller.NewCaller(x.peerHandlers(), cfg.PeerTLS)
+	x.peers = peercaller.NewCaller(x.peerHandlers(), cfg.PeerTLS, cfg.Answers)
 	x.steps = stepsender.NewSender(ctx, x.engine, x.stepPool, x.Submit)
 	owner := recorder.Owner{Node: cfg.Self.Node, Incarnation: cfg.Self.Incarnation}
 	x.control = newLoop(composer.NewControl(
--- a/entry/internal/executor/reroutes.go
+++ b/entry/internal/executor/reroutes.go
@@ -18,8 +18,9 @@
 	self := storecaller.Member{Node: cfg.Self.Node, DataCentre: cfg.Self.DataCentre, Address: cfg.Self.Address}
 	return rerouter.NewCaller(x.ctx, rerouter.Config{
 		Targets:   cfg.Targets,
-		Peers:     peercaller.NewCaller(nil, cfg.PeerTLS),
-		Delegates: delegator.NewFinder(x.ctx, self, peercaller.NewCaller(nil, cfg.PeerTLS), peerMembers{x}),
+		Answers:   cfg.Answers,
+		Peers:     peercaller.NewCaller(nil, cfg.PeerTLS, cfg.Answers),
+		Delegates: delegator.NewFinder(x.ctx, self, peercaller.NewCaller(nil, cfg.PeerTLS, cfg.Answers), peerMembers{x}),
 		Serves:    x.servesTarget,
 	})
 }
--- a/entry/internal/forwarder/connections.go
+++ b/entry/internal/forwarder/connections.go
@@ -19,7 +19,7 @@
 
 // release returns the connection to the pool if it can carry another request.
 func (x *Exchange) release() {
-	if x.conn == nil || !x.stopWatch() {
+	if x.conn == nil || !x.stopWatch() || x.answer.Complete() != nil {
 		x.drop()
 		return
 	}
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -11,11 +11,12 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"fuchsiabridge.example/common/answerlimiter"
+	"fuchsiabridge.example/common/bodyreader"
 	"fuchsiabridge.example/common/bootclock"
 	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/headchecker"
 	"fuchsiabridge.example/common/identifier"
-	"fuchsiabridge.example/entry/internal/bodyreader"
 	"fuchsiabridge.example/entry/internal/connector"
 	"fuchsiabridge.example/entry/internal/delegator"
 	"fuchsiabridge.example/entry/internal/dispatcher"
@@ -26,6 +27,8 @@
 const (
 	// maxAnswerBytes limits an answer that is read completely before it is forwarded.
 	maxAnswerBytes = 8 << 20
+	// copies is the number of bytes held for each byte of an answer.
+	copies = 1
 	// headerTimeout is how long the rest of a header may take after its first byte.
 	headerTimeout = time.Second
 	// peekTimeout is how long is waited for data that a connection may have received.
@@ -85,16 +88,18 @@
 	result *delegator.Result
 	body   io.Reader
 	buffer []byte
-	// pending is the beginning of an incomplete event.
-	pending []byte
-	// held is what the attempt holds of the node's memory for answers.
-	held int
+	// pending is the beginning of an incomplete event, heldPending the number of its bytes that count as held.
+	pending     []byte
+	heldPending int
+	// answer is what the process holds of the answer, nil before there is a connection.
+	answer *answerlimiter.Answer
 }
 
 // drop closes the connection, so that the target stops working on the request. The answer is no longer held.
-func (a *attempt) drop(memory *bodyreader.Memory) {
-	// Holding nothing is always possible.
-	a.held, _ = memory.Reserve(a.held, 0)
+func (a *attempt) drop() {
+	if a.answer != nil {
+		a.answer.Close()
+	}
 	if a.conn == nil {
 		return
 	}
@@ -103,9 +108,6 @@
 	a.conn = nil
 }
 
-// drop ends the current attempt.
-func (x *Exchange) drop() { x.attempt.drop(x.memory) }
-
 // Pools are the pools of connections to targets and to other nodes.
 type Pools struct {
 	Targets *connector.Connector
@@ -122,7 +124,7 @@
 	// onAnswer is called with the head of each answer, as soon as it is read.
 	onAnswer func(AnswerHead)
 
-	memory *bodyreader.Memory
+	answers *answerlimiter.Limiter
 
 	// attempt is the current attempt.
 	attempt
@@ -138,9 +140,15 @@
 	longestGap  time.Duration
 }
 
-// NewExchange returns an exchange for a caller's request.
-func NewExchange(caller Caller, r translator.Request, pools Pools, idle *IdleTracker, memory *bodyreader.Memory, onAnswer func(AnswerHead)) *Exchange {
-	x := &Exchange{caller: caller, request: r, pools: pools, idle: idle, memory: memory, onAnswer: onAnswer}
+// NewLimiter returns the limiter of the answers that are relayed, which also keep to the limit for all answers. Beyond the size of ordinary
+// ones they hold no more than the largest.
+func NewLimiter(all *answerlimiter.Limiter) *answerlimiter.Limiter {
+	return all.Part(copies * maxAnswerBytes)
+}
+
+// NewExchange returns an exchange for a caller's request. The answers are those that are relayed.
+func NewExchange(caller Caller, r translator.Request, pools Pools, idle *IdleTracker, answers *answerlimiter.Limiter, onAnswer func(AnswerHead)) *Exchange {
+	x := &Exchange{caller: caller, request: r, pools: pools, idle: idle, answers: answers, onAnswer: onAnswer}
 	x.events.lastID = r.LastEvent
 	return x
 }
@@ -160,6 +168,7 @@
 		return x.report(ctx, dispatcher.NotSent, err)
 	}
 	x.conn = conn
+	x.answer = x.answers.Open(answerlimiter.Source(s.Address), copies, conn.Drop)
 	x.stopWatch = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	if n, err := x.write(); err != nil {
 		x.drop()
@@ -350,37 +359,29 @@
 	if length > maxAnswerBytes {
 		return nil, errTooLarge
 	}
-	body := bodyreader.NewBody(x.conn.R, length)
-	var out bodyreader.Pieces
-	for {
-		n, err := body.Read(out.Room())
-		out.Add(n)
-		if n > 0 {
-			x.noteReceived()
-		}
-		if holdErr := x.hold(out.Len(), maxAnswerBytes); holdErr != nil {
-			return nil, holdErr
-		}
-		if errors.Is(err, io.EOF) && !x.hasEnded() {
-			return nil, errors.Wrap(io.ErrUnexpectedEOF, "after a silence")
-		}
-		if errors.Is(err, io.EOF) {
-			return out.Join(), nil
-		}
-		if err != nil {
-			return nil, err
-		}
+	body, err := bodyreader.ReadHeld(&wholeBody{x: x, body: bodyreader.NewBody(x.conn.R, length)}, maxAnswerBytes, x.answer.Hold)
+	if errors.Is(err, bodyreader.ErrTooLarge) {
+		return nil, errTooLarge
 	}
+	return body, err
+}
+
+// wholeBody is the body of an answer that is held until it is complete. It notes when bytes arrive.
+type wholeBody struct {
+	x    *Exchange
+	body io.Reader
 }
 
-// hold notes that the attempt holds a number of bytes, and returns an error if that is too much.
-func (x *Exchange) hold(n, limit int) error {
-	if n > limit {
-		return errTooLarge
+// Read reads a part of the body.
+func (b *wholeBody) Read(p []byte) (int, error) {
+	n, err := b.body.Read(p)
+	if n > 0 {
+		b.x.noteReceived()
+	}
+	if errors.Is(err, io.EOF) && !b.x.hasEnded() {
+		return n, errors.Wrap(io.ErrUnexpectedEOF, "after a silence")
 	}
-	var err error
-	x.held, err = x.memory.Reserve(x.held, n)
-	return err
+	return n, err
 }
 
 // Deliver forwards the answer that was read, including a failure that was held back.
@@ -433,7 +434,7 @@
 	if x.stalled == nil {
 		return
 	}
-	x.stalled.drop(x.memory)
+	x.stalled.drop()
 	x.stalled = nil
 }
 
@@ -451,6 +452,12 @@
 
 // fail ends the attempt. A disconnected caller and an expired deadline take precedence over the error.
 func (x *Exchange) fail(ctx context.Context, err error) dispatcher.AttemptReported {
+	if x.answer != nil {
+		// The connection of an answer that was given up is closed, which says nothing of the target.
+		if limit := x.answer.Complete(); limit != nil {
+			err = limit
+		}
+	}
 	x.drop()
 	switch {
 	case ctx.Err() != nil:
--- a/entry/internal/forwarder/streams.go
+++ b/entry/internal/forwarder/streams.go
@@ -9,8 +9,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"fuchsiabridge.example/common/bodyreader"
 	"fuchsiabridge.example/common/bootclock"
-	"fuchsiabridge.example/entry/internal/bodyreader"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 )
 
@@ -109,12 +109,24 @@
 	if faulty != nil {
 		return x.fail(ctx, faulty), false
 	}
-	if err := x.hold(len(x.pending), maxEventBytes); err != nil {
+	if len(x.pending) > maxEventBytes {
+		return x.fail(ctx, errors.Wrap(errTooLarge, "reading an event")), false
+	}
+	if err := x.holdPending(); err != nil {
 		return x.fail(ctx, errors.Wrap(err, "reading an event")), false
 	}
 	return dispatcher.AttemptReported{}, true
 }
 
+// holdPending counts the memory for the beginning of an event.
+func (x *Exchange) holdPending() error {
+	if len(x.pending) == x.heldPending {
+		return nil
+	}
+	x.heldPending = len(x.pending)
+	return x.answer.Hold(x.heldPending)
+}
+
 // forwardEvents forwards complete events. A stalled attempt is dropped, as this one continues the stream.
 func (x *Exchange) forwardEvents(ctx context.Context, complete []byte) (dispatcher.AttemptReported, bool) {
 	x.dropStalled()
--- a/entry/internal/peercaller/peercaller.go
+++ b/entry/internal/peercaller/peercaller.go
@@ -13,11 +13,17 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"fuchsiabridge.example/common/answerlimiter"
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/entry/internal/callerguard"
 )
 
-const dialTimeout = time.Second
+const (
+	dialTimeout = time.Second
+	// copies is the number of bytes held for each byte of a message: the decoder doubles its buffer, so at worst it holds two buffers of one
+	// and two times the message, and the message itself.
+	copies = 4
+)
 
 // ErrNoMethod is returned when the peer does not know the method, as one of an earlier version.
 var ErrNoMethod = errors.New("the peer does not know the method")
@@ -33,15 +39,17 @@
 type Caller struct {
 	handlers map[string]Handler
 	dialer   dialer
+	answers  *answerlimiter.Limiter
 
 	mu    sync.Mutex
 	conns map[string]*jsonrpc2.Conn
 }
 
 // NewCaller returns a caller that serves the given methods. It dials with TLS if a configuration
-// is given. Whether peers dial this node with TLS depends on the listener that is passed to Serve.
-func NewCaller(handlers map[string]Handler, tlsConfig *tls.Config) *Caller {
-	c := &Caller{handlers: handlers, conns: map[string]*jsonrpc2.Conn{}, dialer: &net.Dialer{Timeout: dialTimeout}}
+// is given. Whether peers dial this node with TLS depends on the listener that is passed to Serve. The answers of peers keep to the limiter;
+// what arrives on connections that peers have opened is bounded by their listener.
+func NewCaller(handlers map[string]Handler, tlsConfig *tls.Config, answers *answerlimiter.Limiter) *Caller {
+	c := &Caller{handlers: handlers, answers: answers, conns: map[string]*jsonrpc2.Conn{}, dialer: &net.Dialer{Timeout: dialTimeout}}
 	if tlsConfig != nil {
 		c.dialer = &tls.Dialer{NetDialer: &net.Dialer{Timeout: dialTimeout}, Config: tlsConfig}
 	}
@@ -92,7 +100,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "dialling %s", address)
 	}
-	conn = c.open(context.WithoutCancel(ctx), raw)
+	conn = c.open(context.WithoutCancel(ctx), c.answers.NewConn(raw, copies))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if other, ok := c.conns[address]; ok {
@@ -109,7 +117,7 @@
 		jsonrpc2.SetLogger(eventlogger.Printer{Event: eventlogger.PeerConnectionFailed}))
 }
 
-// messageCodec tells the guard of the connection when a message has been read.
+// messageCodec tells the guard or the limiter of the connection when a message has been read.
 type messageCodec struct {
 	jsonrpc2.VSCodeObjectCodec
 	conn net.Conn
@@ -118,6 +126,9 @@
 // ReadObject reads the next message.
 func (m messageCodec) ReadObject(stream *bufio.Reader, v any) error {
 	defer callerguard.EndRequest(m.conn)
+	if limited, ok := m.conn.(*answerlimiter.Conn); ok {
+		defer limited.EndMessage()
+	}
 	return m.VSCodeObjectCodec.ReadObject(stream, v)
 }
 
--- a/entry/internal/receiver/receiver.go
+++ b/entry/internal/receiver/receiver.go
@@ -16,9 +16,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"fuchsiabridge.example/common/bodyreader"
 	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/eventlogger"
-	"fuchsiabridge.example/entry/internal/bodyreader"
 	"fuchsiabridge.example/entry/internal/callerguard"
 )
 
--- a/entry/internal/receiver/receiver_test.go
+++ b/entry/internal/receiver/receiver_test.go
@@ -203,6 +203,7 @@
 		c.Assert(err, qt.IsNil)
 		body, err := io.ReadAll(resp.Body)
 		c.Assert(err, qt.IsNil)
+		c.Assert(resp.Body.Close(), qt.IsNil)
 		c.Check(string(body), qt.Equals, "/1")
 		c.Check(resp.Header[fasthttp.HeaderDate], qt.HasLen, 1)
 		c.Check(resp.Header.Get(fasthttp.HeaderDate) == date, qt.Equals, sent == date)
--- a/entry/internal/relayer/relayer.go
+++ b/entry/internal/relayer/relayer.go
@@ -11,6 +11,7 @@
 	"github.com/alitto/pond/v2"
 	"github.com/cockroachdb/errors"
 
+	"fuchsiabridge.example/common/answerlimiter"
 	"fuchsiabridge.example/common/bootclock"
 	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/eventlogger"
@@ -19,7 +20,6 @@
 	"fuchsiabridge.example/common/messenger"
 	"fuchsiabridge.example/common/sleeper"
 	"fuchsiabridge.example/entry/internal/avoider"
-	"fuchsiabridge.example/entry/internal/bodyreader"
 	"fuchsiabridge.example/entry/internal/composer"
 	"fuchsiabridge.example/entry/internal/connector"
 	"fuchsiabridge.example/entry/internal/crashrecorder"
@@ -75,6 +75,8 @@
 	Heartbeat time.Duration
 	// Targets opens connections to targets.
 	Targets connector.Dialer
+	// Answers bounds what the process holds of answers.
+	Answers *answerlimiter.Limiter
 	// Delegates finds other nodes, and Peers calls them; nil if there are none. DelegateAddress is where this node takes the
 	// requests of other nodes, empty if it does not.
 	Delegates       Delegates
@@ -89,7 +91,7 @@
 	translator    translator.Translator
 	pools         forwarder.Pools
 	idle          *forwarder.IdleTracker
-	memory        *bodyreader.Memory
+	answers       *answerlimiter.Limiter
 	meter         *meter.Meter
 	reportCrashes func(sharer.CrashReport)
 	savePoison    func(crashrecorder.Crash)
@@ -119,7 +121,7 @@
 	d := dispatcher.NewDispatcher(cfg.Dispatch)
 	p := placer.NewPlacer()
 	return &Relayer{
-		ctx: ctx, targets: targetcaller.NewCaller(httpcaller.NewLimitedCaller(maxReportBytes, cfg.Targets)), pools: forwarder.Pools{Targets: connector.NewConnectorWith(cfg.Targets), Nodes: connector.NewConnector()}, idle: forwarder.NewIdleTracker(), memory: bodyreader.NewMemory(), meter: cfg.Meter, reportCrashes: cfg.ReportCrashes, reportRejections: cfg.ReportRejections, savePoison: cfg.SavePoison,
+		ctx: ctx, targets: targetcaller.NewCaller(httpcaller.NewCallerWith(httpcaller.Config{Answers: cfg.Answers, MaxBytes: maxReportBytes, Dialer: cfg.Targets})), pools: forwarder.Pools{Targets: connector.NewConnectorWith(cfg.Targets), Nodes: connector.NewConnector()}, idle: forwarder.NewIdleTracker(), answers: forwarder.NewLimiter(cfg.Answers), meter: cfg.Meter, reportCrashes: cfg.ReportCrashes, reportRejections: cfg.ReportRejections, savePoison: cfg.SavePoison,
 		grant: cfg.Grant, reportLimit: cfg.ReportLimit,
 		workers:   pond.NewPool(orderWorkers, pond.WithContext(ctx)),
 		delegates: cfg.Delegates, peers: cfg.Peers, delegateAddress: cfg.DelegateAddress,
--- a/entry/internal/relayer/serving.go
+++ b/entry/internal/relayer/serving.go
@@ -59,7 +59,7 @@
 	request := x.translator.ReadRequest(h)
 	s := &servedRequest{
 		x: x, call: identifier.CallID(x.nextCall.Add(1)), caller: c, request: request,
-		exchange: forwarder.NewExchange(c, request, x.pools, x.idle, x.memory, x.answerRead),
+		exchange: forwarder.NewExchange(c, request, x.pools, x.idle, x.answers, x.answerRead),
 	}
 	defer s.exchange.Drop()
 	trace, end := tracer.Start(string(h.Peek(tracer.Header)), "request", "request", string(request.ID))
--- a/entry/internal/rerouter/rerouter.go
+++ b/entry/internal/rerouter/rerouter.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"fuchsiabridge.example/common/answerlimiter"
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/httpcaller"
 	"fuchsiabridge.example/common/identifier"
@@ -55,7 +56,9 @@
 // Config is what a caller uses.
 type Config struct {
 	// Targets opens connections to targets.
-	Targets   httpcaller.Dialer
+	Targets httpcaller.Dialer
+	// Answers bounds what the process holds of answers.
+	Answers   *answerlimiter.Limiter
 	Peers     Peers
 	Delegates Delegates
 	// Serves reports whether this node makes calls to the target at an address for other nodes now.
@@ -90,8 +93,10 @@
 func NewCaller(ctx context.Context, cfg Config) *Caller {
 	cfg.Targets = limitedDialer{cfg.Targets}
 	return &Caller{
-		ctx: ctx, cfg: cfg, direct: httpcaller.NewCallerWith(cfg.Targets), forOthers: httpcaller.NewLimitedCaller(maxAnswerBytes, cfg.Targets),
-		lost: map[string]*lostTarget{},
+		ctx: ctx, cfg: cfg,
+		direct:    httpcaller.NewCallerWith(httpcaller.Config{Answers: cfg.Answers, Dialer: cfg.Targets}),
+		forOthers: httpcaller.NewCallerWith(httpcaller.Config{Answers: cfg.Answers, Dialer: cfg.Targets, MaxBytes: maxAnswerBytes}),
+		lost:      map[string]*lostTarget{},
 	}
 }
 
--- a/fbctl/internal/operatorcaller/operatorcaller.go
+++ b/fbctl/internal/operatorcaller/operatorcaller.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"fuchsiabridge.example/common/answerlimiter"
 	"fuchsiabridge.example/common/configurer"
 	"fuchsiabridge.example/common/httpcaller"
 	"fuchsiabridge.example/common/responder"
@@ -44,7 +45,7 @@
 
 // NewCaller returns a caller of the nodes (host:port) with the operator's bearer key.
 func NewCaller(nodes []string, key string) *Caller {
-	return &Caller{http: httpcaller.NewCaller(), nodes: nodes, key: key}
+	return &Caller{http: httpcaller.NewCaller(answerlimiter.NewDefault()), nodes: nodes, key: key}
 }
 
 // Answer is the answer of one node, or the error of its call.
--- a/fbload/internal/demonstrator/demonstrator.go
+++ b/fbload/internal/demonstrator/demonstrator.go
@@ -16,6 +16,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"fuchsiabridge.example/common/answerlimiter"
 	"fuchsiabridge.example/common/configurer"
 	"fuchsiabridge.example/common/httpcaller"
 	"fuchsiabridge.example/common/identifier"
@@ -183,7 +184,7 @@
 // configuration changes a value through one node and waits until the change is in force on all nodes.
 func (d demonstration) configuration(ctx context.Context) error {
 	started := time.Now()
-	caller := httpcaller.NewCaller()
+	caller := httpcaller.NewCaller(answerlimiter.NewDefault())
 	tree, err := d.tree(ctx, caller, d.cfg.Nodes[0])
 	if err != nil {
 		return err
--- a/fbload/internal/experimenter/experimenter.go
+++ b/fbload/internal/experimenter/experimenter.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"fuchsiabridge.example/common/answerlimiter"
 	"fuchsiabridge.example/common/enginecaller"
 	"fuchsiabridge.example/common/httpcaller"
 	"fuchsiabridge.example/common/identifier"
@@ -113,7 +114,7 @@
 // fleetBound returns the bound of the listed engines, in drafts per second, from the status that they
 // report.
 func fleetBound(ctx context.Context, cfg Config, work scheduler.Work) (float64, error) {
-	caller := httpcaller.NewCaller()
+	caller := httpcaller.NewCaller(answerlimiter.NewDefault())
 	vms, err := platformcaller.NewCaller(caller, cfg.Platform).VMs(ctx)
 	if err != nil {
 		return 0, err
