--- a/common/headchecker/fields.go
+++ b/common/headchecker/fields.go
@@ -10,11 +10,11 @@
 // nameSymbols are the characters of a name other than letters and digits (RFC 9110, 5.6.2).
 const nameSymbols = "!#$%&'*+-.^_`|~"
 
-// Names of the fields that say where a body ends, in lower case, and the only encoding that does.
-const (
-	contentLength    = "content-length"
-	transferEncoding = "transfer-encoding"
-	chunked          = "chunked"
+// The fields that say where a body ends, and the only encoding that does.
+var (
+	contentLength    = []byte("Content-Length")
+	transferEncoding = []byte("Transfer-Encoding")
+	chunked          = []byte("chunked")
 )
 
 // parseField returns the name and the value of a field line without its line break. A line that begins with a blank would continue the
@@ -66,11 +66,11 @@
 // add notes a field. It returns ErrInvalid if the end of the body is unclear then.
 func (f *framing) add(name, value []byte) error {
 	var isValid bool
-	switch strings.ToLower(string(name)) {
-	case contentLength:
+	switch {
+	case bytes.EqualFold(name, contentLength):
 		isValid = isNumber(value)
-	case transferEncoding:
-		isValid = !f.isHTTP10 && strings.EqualFold(string(value), chunked)
+	case bytes.EqualFold(name, transferEncoding):
+		isValid = !f.isHTTP10 && bytes.EqualFold(value, chunked)
 	default:
 		return nil
 	}
--- a/common/headchecker/headchecker.go
+++ b/common/headchecker/headchecker.go
@@ -51,6 +51,9 @@
 		if err := s.checkLine(isComplete); err != nil {
 			return err
 		}
+		if isComplete {
+			s.line = s.line[:0]
+		}
 	}
 	return nil
 }
@@ -76,7 +79,6 @@
 	if !ok {
 		return errors.Wrapf(ErrInvalid, "line without CR: %.20q", s.line)
 	}
-	defer func() { s.line = s.line[:0] }()
 	switch {
 	case s.status == 0:
 		return s.begin(line)
@@ -106,7 +108,7 @@
 // end ends a head. Another one follows after an informational answer.
 func (s *Scanner) end() error {
 	if IsFinal(s.status) {
-		s.isDone, s.line = true, nil
+		s.isDone = true
 		return nil
 	}
 	if s.informational++; s.informational > maxInformational {
--- a/common/httpcaller/exchange.go
+++ b/common/httpcaller/exchange.go
@@ -24,7 +24,7 @@
 func (c *Caller) exchange(client *fasthttp.HostClient, req *fasthttp.Request, fields []string, deadline time.Time) (Response, error) {
 	pooled, err := client.AcquireConn(time.Until(deadline), req.ConnectionClose())
 	if err != nil {
-		return Response{}, errors.Mark(err, ErrNotSent)
+		return Response{}, err
 	}
 	conn := pooled.Conn()
 	answer := c.cfg.Answers.Open(answerlimiter.Source(client.Addr), copies, func() { _ = conn.Close() })
