Use no connection again on which a request was not written whole

A server may answer before it has read a long request. The call returns that answer; its connection counted as one that can carry another request. Found while reading the change. The exchange is a type of its own now, instead of a function with seven parameters.

--- a/common/httpcaller/exchange.go
+++ b/common/httpcaller/exchange.go
@@ -14,29 +14,47 @@
 	"fuchsiabridge.example/common/headchecker"
 )
 
-// smallBytes is the length up to which a body is read in one piece, and its memory is not counted.
-const smallBytes = 8 << 10
+const (
+	// copies is the number of bytes held for each byte of a body: its pieces, the whole body, and what the call's user makes of it.
+	copies = 3
+	// smallBytes is the length up to which a body is read in one piece, and its memory is not counted.
+	smallBytes = 8 << 10
+	// chunkedLength is the content length of a body in chunks. That of a body that ends with its connection is less.
+	chunkedLength = -1
+)
+
+// exchange is a request on a connection, and its answer.
+type exchange struct {
+	client   *fasthttp.HostClient
+	conn     net.Conn
+	r        *bufio.Reader
+	request  *fasthttp.Request
+	answer   *answerlimiter.Answer
+	maxBytes int
 
-// copies is the number of bytes held for each byte of a body: its pieces, the whole body, and what the call's user makes of it.
-const copies = 3
+	// isWritten says that the request was written completely.
+	isWritten bool
+	header    fasthttp.ResponseHeader
+	body      []byte
+}
 
-// exchange sends a request over a connection of a host, and reads the answer.
-func (c *Caller) exchange(client *fasthttp.HostClient, req *fasthttp.Request, fields []string, deadline time.Time) (Response, error) {
-	pooled, err := client.AcquireConn(time.Until(deadline), req.ConnectionClose())
+// exchange sends a request over a connection of a host, and reads the answer. Its connection is used again if nothing is left on it.
+func (c *Caller) exchange(client *fasthttp.HostClient, request *fasthttp.Request, fields []string, deadline time.Time) (Response, error) {
+	pooled, err := client.AcquireConn(time.Until(deadline), request.ConnectionClose())
 	if err != nil {
 		return Response{}, err
 	}
 	conn := pooled.Conn()
 	answer := c.cfg.Answers.Open(answerlimiter.Source(client.Addr), copies, func() { _ = conn.Close() })
 	defer answer.Close()
-	var h fasthttp.ResponseHeader
-	r := client.AcquireReader(conn)
-	body, err := c.send(client, conn, req, r, &h, answer, deadline)
+	x := &exchange{client: client, conn: conn, r: client.AcquireReader(conn), request: request, answer: answer, maxBytes: c.cfg.MaxBytes}
+	err = x.run(deadline)
+	// From here on the answer is not given up, so that its connection is not closed while another call uses it.
 	if limit := answer.Complete(); limit != nil {
 		err = limit
 	}
-	isReusable := err == nil && !req.ConnectionClose() && !h.ConnectionClose() && h.ContentLength() >= chunkedLength && r.Buffered() == 0
-	client.ReleaseReader(r)
+	isReusable := err == nil && x.isReusable()
+	client.ReleaseReader(x.r)
 	if isReusable && conn.SetDeadline(time.Time{}) == nil {
 		client.ReleaseConn(pooled)
 	} else {
@@ -45,13 +63,7 @@
 	if err != nil {
 		return Response{}, markTimeout(err)
 	}
-	response := Response{Status: h.StatusCode(), Body: body, Header: map[string]string{fasthttp.HeaderContentType: string(h.ContentType())}}
-	for _, name := range append([]string{fasthttp.HeaderRetryAfter}, fields...) {
-		if v := h.Peek(name); len(v) > 0 {
-			response.Header[name] = string(v)
-		}
-	}
-	return response, nil
+	return x.response(fields), nil
 }
 
 // markTimeout returns the library's error for a call that has timed out, and other errors as they are.
@@ -63,59 +75,82 @@
 	return err
 }
 
-// send writes a request, and reads the header and the body of its answer. A server may answer and close the connection before it has read
-// a long request.
-func (c *Caller) send(client *fasthttp.HostClient, conn net.Conn, req *fasthttp.Request, r *bufio.Reader, h *fasthttp.ResponseHeader, answer *answerlimiter.Answer, deadline time.Time) ([]byte, error) {
-	if err := conn.SetDeadline(deadline); err != nil {
-		return nil, errors.Wrap(err, "setting a deadline")
+// run writes the request, and reads the answer. A server may answer and close the connection before it has read a long request.
+func (x *exchange) run(deadline time.Time) error {
+	if err := x.conn.SetDeadline(deadline); err != nil {
+		return errors.Wrap(err, "setting a deadline")
 	}
-	w := client.AcquireWriter(conn)
-	writeErr := req.Write(w)
-	if writeErr == nil {
-		writeErr = w.Flush()
+	writeErr := x.write()
+	x.isWritten = writeErr == nil
+	if err := x.readHeader(); err != nil {
+		return errors.CombineErrors(writeErr, err)
 	}
-	client.ReleaseWriter(w)
-	if err := readHeader(r, h); err != nil {
-		return nil, errors.CombineErrors(writeErr, err)
+	return errors.Wrap(x.readBody(), "reading a body")
+}
+
+func (x *exchange) write() error {
+	w := x.client.AcquireWriter(x.conn)
+	defer x.client.ReleaseWriter(w)
+	if err := x.request.Write(w); err != nil {
+		return err
 	}
-	return c.readBody(r, req, h, answer)
+	return w.Flush()
 }
 
-// readHeader reads the header of an answer after informational ones.
-func readHeader(r *bufio.Reader, h *fasthttp.ResponseHeader) error {
+// readHeader reads the header of the answer after informational ones.
+func (x *exchange) readHeader() error {
 	for {
-		if _, err := r.Peek(1); err != nil {
+		// The library takes an error before the first byte of a header for the end of the connection.
+		if _, err := x.r.Peek(1); err != nil {
 			return errors.Wrap(err, "awaiting an answer")
 		}
-		if err := h.Read(r); err != nil {
+		if err := x.header.Read(x.r); err != nil {
 			return errors.Wrap(err, "reading a header")
 		}
-		if headchecker.IsFinal(h.StatusCode()) {
+		if headchecker.IsFinal(x.header.StatusCode()) {
 			return nil
 		}
 	}
 }
 
-// chunkedLength is the content length of a body in chunks. That of a body that ends with its connection is less.
-const chunkedLength = -1
-
-// readBody reads the body of an answer. The fields after a body in chunks are left out.
-func (c *Caller) readBody(r *bufio.Reader, req *fasthttp.Request, h *fasthttp.ResponseHeader, answer *answerlimiter.Answer) ([]byte, error) {
-	status, length := h.StatusCode(), h.ContentLength()
-	if req.Header.IsHead() || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
-		return nil, nil
+// readBody reads the body of the answer. The fields after a body in chunks are left out.
+func (x *exchange) readBody() error {
+	status, length := x.header.StatusCode(), x.header.ContentLength()
+	if x.request.Header.IsHead() || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
+		return nil
 	}
-	if length > c.cfg.MaxBytes {
-		return nil, fasthttp.ErrBodyTooLarge
+	if length > x.maxBytes {
+		return fasthttp.ErrBodyTooLarge
 	}
+	body := bodyreader.NewBody(x.r, length)
+	var err error
 	if length >= 0 && length <= smallBytes {
-		body := make([]byte, length)
-		_, err := io.ReadFull(bodyreader.NewBody(r, length), body)
-		return body, errors.Wrap(err, "reading a body")
+		x.body = make([]byte, length)
+		_, err = io.ReadFull(body, x.body)
+		return err
 	}
-	body, err := bodyreader.ReadHeld(bodyreader.NewBody(r, length), c.cfg.MaxBytes, answer.Hold)
+	x.body, err = bodyreader.ReadHeld(body, x.maxBytes, x.answer.Hold)
 	if errors.Is(err, bodyreader.ErrTooLarge) {
-		return nil, fasthttp.ErrBodyTooLarge
+		return fasthttp.ErrBodyTooLarge
+	}
+	return err
+}
+
+// isReusable reports whether the connection can carry another request after the answer.
+func (x *exchange) isReusable() bool {
+	isFramed := x.header.ContentLength() >= chunkedLength
+	return x.isWritten && isFramed && !x.request.ConnectionClose() && !x.header.ConnectionClose() && x.r.Buffered() == 0
+}
+
+func (x *exchange) response(fields []string) Response {
+	response := Response{
+		Status: x.header.StatusCode(), Body: x.body,
+		Header: map[string]string{fasthttp.HeaderContentType: string(x.header.ContentType())},
+	}
+	for _, name := range append([]string{fasthttp.HeaderRetryAfter}, fields...) {
+		if v := x.header.Peek(name); len(v) > 0 {
+			response.Header[name] = string(v)
+		}
 	}
-	return body, errors.Wrap(err, "reading a body")
+	return response
 }
