--- a/entry/internal/forwarder/broken_head_test.go
+++ b/entry/internal/forwarder/broken_head_test.go
@@ -12,6 +12,8 @@
 	"pgregory.net/rapid"
 
 	"fuchsiabridge.example/common/answerlimiter"
+	"fuchsiabridge.example/common/bootclock"
+	"fuchsiabridge.example/entry/internal/delegator"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/forwarder"
 	"fuchsiabridge.example/platform/answerfaker"
@@ -112,3 +114,27 @@
 		}
 	})
 }
+
+// TestBrokenHeadAmidStreamIsNoAnswer guards against a stream that goes on with an answer whose head is broken.
+func TestBrokenHeadAmidStreamIsNoAnswer(t *testing.T) {
+	f := newFixture(t)
+	f.attempt(t.Context(), serve(t, answerfaker.Stream(id, event(1))+"|"), true)
+	status, rest, _ := strings.Cut(answerfaker.Stream(id, event(2))+"0\r\n\r\n", "\r\n")
+	f.Check(f.attempt(t.Context(), serve(t, status+"\r\nX Field: v\r\n"+rest), true).Outcome, qt.Equals, dispatcher.Broken)
+	f.Check(f.caller.received, qt.Equals, event(1))
+	f.Check(f.attempt(t.Context(), serve(t, status+"\r\n"+rest), true).Outcome, qt.Equals, dispatcher.Delivered)
+	f.Check(f.caller.received, qt.Equals, event(1)+event(2))
+}
+
+// TestBrokenHeadOfDelegateIsNoAnswer guards against the same in the answer of a node that has taken a request over.
+func TestBrokenHeadOfDelegateIsNoAnswer(t *testing.T) {
+	status, rest, _ := strings.Cut(answerfaker.Plain(id, http.StatusOK, "body"), "\r\n")
+	result := "\r\n" + delegator.Field + ": {}\r\n"
+	for fields, want := range map[string]dispatcher.Outcome{"": dispatcher.Delivered, "X-Field : v\r\n": dispatcher.Broken} {
+		f := newFixture(t)
+		end := bootclock.Now().Add(deadline)
+		send := dispatcher.Send{Target: "i-1", Delegate: "n-2", Address: serve(t, status+result+fields+rest), Deadline: end, IdleDeadline: end}
+		got := f.exchange.Attempt(t.Context(), send)
+		f.Check(got.Outcome, qt.Equals, want, qt.Commentf("%q: %s", fields, got.Reason))
+	}
+}
