Read heads, and tell bodies, in one place for relayed answers and calls

The loop that reads over informational heads, the rule which answers have a body, and the one which end with their connection stood in `forwarder` and in `httpcaller`; they are headchecker.Read, bodyreader.HasBody and bodyreader.IsFramed now. The pool of pieces had a second way to make a piece, which gave one of the wrong size and was never taken. The three settings of the bounds are written once for both kinds of nodes. Two comments of `answerlimiter` spoke of bytes read where memory is counted when it is taken. Behaviour is unchanged, but for the text of an error of a relayed attempt that ends before the first byte of a head.

--- a/common/answerlimiter/answerlimiter.go
+++ b/common/answerlimiter/answerlimiter.go
@@ -92,9 +92,9 @@
 	limiter *Limiter
 	source  Source
 	drop    func()
-	// factor is the number of bytes that are held for each of the bytes that were read, as they are copied.
-	factor int64
+	// bytes is the part of the answer for which memory was taken, factor the number of bytes held for each of them, as they are copied.
 	bytes  int64
+	factor int64
 	// since is when the answer began to hold memory.
 	since     time.Time
 	isDropped bool
@@ -106,7 +106,7 @@
 	return &Answer{limiter: l, source: source, drop: drop, factor: int64(factor)}
 }
 
-// Hold notes that a number of bytes of the answer have been read in all. It returns ErrMemory if the answer was given up, now or before.
+// Hold notes that memory was taken for a number of bytes of the answer in all. It returns ErrMemory if the answer was given up, now or before.
 func (a *Answer) Hold(bytes int) error {
 	a.limiter.mu.Lock()
 	given := a.hold(time.Now(), int64(bytes))
@@ -143,7 +143,7 @@
 	return nil
 }
 
-// hold notes how many bytes of the answer have been read, and returns the answers that are given up for it.
+// hold notes for how many bytes of the answer memory was taken, and returns the answers that are given up for it.
 func (a *Answer) hold(now time.Time, bytes int64) []*Answer {
 	if a.isDropped {
 		return nil
--- a/common/bodyreader/bodyreader.go
+++ b/common/bodyreader/bodyreader.go
@@ -5,6 +5,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"net/http"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
@@ -38,6 +39,14 @@
 	}
 }
 
+// IsFramed reports whether a body with a content length as for NewBody has a length or chunks; otherwise it ends with its connection.
+func IsFramed(length int) bool { return length >= -1 }
+
+// HasBody reports whether a body follows the header of an answer with the given status, to a HEAD request or another one.
+func HasBody(isHead bool, status int) bool {
+	return !isHead && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
 // ErrTooLarge is returned for a body that is larger than its limit.
 var ErrTooLarge = errors.New("body is too large")
 
--- a/common/bodyreader/pieces.go
+++ b/common/bodyreader/pieces.go
@@ -10,13 +10,25 @@
 
 // Pieces that are not in use. Bodies without end would otherwise fill the heap with garbage faster than it is collected.
 var (
-	firstPieces = sync.Pool{New: func() any { return newPiece(firstPieceBytes) }}
-	nextPieces  = sync.Pool{New: func() any { return newPiece(pieceBytes) }}
+	firstPieces = piecePool{size: firstPieceBytes}
+	nextPieces  = piecePool{size: pieceBytes}
 )
 
-func newPiece(size int) *[]byte {
-	p := make([]byte, 0, size)
-	return &p
+// piecePool holds pieces of one size.
+type piecePool struct {
+	size int
+	pool sync.Pool
+}
+
+// take returns an empty piece.
+func (p *piecePool) take() *[]byte {
+	piece, ok := p.pool.Get().(*[]byte)
+	if !ok {
+		created := make([]byte, 0, p.size)
+		return &created
+	}
+	*piece = (*piece)[:0]
+	return piece
 }
 
 // pieces collects a body of unknown length without copying what it has. The zero value is full.
@@ -36,7 +48,7 @@
 	if len(p.all) == 0 {
 		pool = &firstPieces
 	}
-	piece := take(pool)
+	piece := pool.take()
 	p.all = append(p.all, piece)
 	p.capacity += cap(*piece)
 }
@@ -67,20 +79,10 @@
 func (p *pieces) release() {
 	for _, piece := range p.all {
 		if cap(*piece) == firstPieceBytes {
-			firstPieces.Put(piece)
+			firstPieces.pool.Put(piece)
 		} else {
-			nextPieces.Put(piece)
+			nextPieces.pool.Put(piece)
 		}
 	}
 	p.all = nil
 }
-
-// take returns an empty piece.
-func take(pool *sync.Pool) *[]byte {
-	piece, ok := pool.Get().(*[]byte)
-	if !ok {
-		return newPiece(pieceBytes)
-	}
-	*piece = (*piece)[:0]
-	return piece
-}
--- a/common/httpcaller/exchange.go
+++ b/common/httpcaller/exchange.go
@@ -19,8 +19,6 @@
 	copies = 3
 	// smallBytes is the length up to which a body is read in one piece, and its memory is not counted.
 	smallBytes = 8 << 10
-	// chunkedLength is the content length of a body in chunks. That of a body that ends with its connection is less.
-	chunkedLength = -1
 )
 
 // exchange is a request on a connection, and its answer.
@@ -82,7 +80,7 @@
 	}
 	writeErr := x.write()
 	x.isWritten = writeErr == nil
-	if err := x.readHeader(); err != nil {
+	if err := headchecker.Read(x.r, &x.header); err != nil {
 		return errors.CombineErrors(writeErr, err)
 	}
 	return errors.Wrap(x.readBody(), "reading a body")
@@ -97,28 +95,12 @@
 	return w.Flush()
 }
 
-// readHeader reads the header of the answer after informational ones.
-func (x *exchange) readHeader() error {
-	for {
-		// The library takes an error before the first byte of a header for the end of the connection.
-		if _, err := x.r.Peek(1); err != nil {
-			return errors.Wrap(err, "awaiting an answer")
-		}
-		if err := x.header.Read(x.r); err != nil {
-			return errors.Wrap(err, "reading a header")
-		}
-		if headchecker.IsFinal(x.header.StatusCode()) {
-			return nil
-		}
-	}
-}
-
 // readBody reads the body of the answer. The fields after a body in chunks are left out.
 func (x *exchange) readBody() error {
-	status, length := x.header.StatusCode(), x.header.ContentLength()
-	if x.request.Header.IsHead() || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
+	if !bodyreader.HasBody(x.request.Header.IsHead(), x.header.StatusCode()) {
 		return nil
 	}
+	length := x.header.ContentLength()
 	if length > x.maxBytes {
 		return fasthttp.ErrBodyTooLarge
 	}
@@ -138,7 +120,7 @@
 
 // isReusable reports whether the connection can carry another request after the answer.
 func (x *exchange) isReusable() bool {
-	isFramed := x.header.ContentLength() >= chunkedLength
+	isFramed := bodyreader.IsFramed(x.header.ContentLength())
 	return x.isWritten && isFramed && !x.request.ConnectionClose() && !x.header.ConnectionClose() && x.r.Buffered() == 0
 }
 
--- a/entry/internal/commander/guarding.go
+++ b/entry/internal/commander/guarding.go
@@ -24,6 +24,13 @@
 	operators    = callerguard.Use{Group: callerguard.Nodes, Factor: 3, LimitsWrites: true}
 )
 
+// The settings of the bounds, which both kinds of nodes have.
+var (
+	callerMemory      = optionparser.Option{Name: "caller-memory", Default: "0", Usage: "memory in MB that callers and other nodes may take, at least 6 times the largest body; 0 for a third of the machine's memory", Check: optionparser.IsNumber(0, maxCallerMegabytes)}
+	answerMemory      = optionparser.Option{Name: "answer-memory", Default: "0", Usage: "memory in MB that the answers of the store or the platform, targets and other nodes may take, at least 6 times the largest; 0 for a sixth of the machine's memory, from 48 to 256", Check: optionparser.IsNumber(0, maxAnswerMegabytes)}
+	callerConnections = optionparser.Option{Name: "caller-connections", Default: "0", Usage: "maximum number of callers' connections, and as many at the other ports; 0 for a third of the descriptors that the process may open", Check: optionparser.IsNumber(0, maxCallerConnections)}
+)
+
 // newGuard returns the guard of all connections that the process accepts.
 func newGuard(values optionparser.Values) *callerguard.Guard {
 	return callerguard.NewGuard(callerguard.LimitsOf(values.Number("caller-memory"), values.Number("caller-connections")))
--- a/entry/internal/forwarder/connections.go
+++ b/entry/internal/forwarder/connections.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"fuchsiabridge.example/common/bodyreader"
 	"fuchsiabridge.example/common/bootclock"
 	"fuchsiabridge.example/entry/internal/connector"
 )
@@ -59,4 +60,4 @@
 }
 
 // isFramed reports whether the answer has a length or chunks; otherwise it ends with its connection.
-func (x *Exchange) isFramed() bool { return x.resp.Header.ContentLength() >= -1 }
+func (x *Exchange) isFramed() bool { return bodyreader.IsFramed(x.resp.Header.ContentLength()) }
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -247,8 +247,9 @@
 	if err := x.conn.SetReadDeadline(bootclock.ToRuntimeTime(earlier(x.send.Deadline, bootclock.Now().Add(headerTimeout)))); err != nil {
 		return x.fail(ctx, err), false
 	}
-	if err := x.readHeader(); err != nil {
-		return x.fail(ctx, errors.Wrap(err, "reading a header")), false
+	x.resp = &fasthttp.Response{}
+	if err := headchecker.Read(x.conn.R, &x.resp.Header); err != nil {
+		return x.fail(ctx, err), false
 	}
 	x.hasHeader = true
 	if err := x.readResult(); err != nil {
@@ -258,23 +259,6 @@
 	return dispatcher.AttemptReported{}, true
 }
 
-// readHeader reads the header of the answer, after informational answers. The connection checks them and limits their number.
-func (x *Exchange) readHeader() error {
-	x.resp = &fasthttp.Response{}
-	for {
-		// The library takes an error before the first byte of a header for the end of the connection.
-		if _, err := x.conn.R.Peek(1); err != nil {
-			return err
-		}
-		if err := x.resp.Header.Read(x.conn.R); err != nil {
-			return err
-		}
-		if headchecker.IsFinal(x.resp.StatusCode()) {
-			return nil
-		}
-	}
-}
-
 // reportAnswer reports what the head of an answer says of the target, unless the answer belongs to another request.
 func (x *Exchange) reportAnswer() {
 	answer := x.readAnswer()
@@ -341,18 +325,9 @@
 	return x.Deliver(ctx)
 }
 
-// hasBody reports whether a body follows the header of the answer.
-func (x *Exchange) hasBody() bool {
-	switch x.resp.StatusCode() {
-	case fasthttp.StatusNoContent, fasthttp.StatusNotModified:
-		return false
-	}
-	return !x.caller.Header().IsHead()
-}
-
 // readBody reads a body that is held until it is complete.
 func (x *Exchange) readBody() ([]byte, error) {
-	if !x.hasBody() {
+	if !bodyreader.HasBody(x.caller.Header().IsHead(), x.resp.StatusCode()) {
 		return nil, nil
 	}
 	length := x.resp.Header.ContentLength()
