Test who is dropped first with a clock that stands still while bytes are sent

Cause: the test, not the guard. Bytes count times the time without progress plus 100 ms, so that 2 MiB after 50 ms weigh hardly more than 3 MiB that have just come (317,030 to 316,211 in KiB and ms). The log line says that the last byte of the 3 MiB was 22 ms old when memory ran short: the machine was late with the next connection, and the guard rightly counted that.

Change: the test runs in a bubble of `testing/synctest`, in which time only passes in its sleep of 50 ms. Sizes, limits, the sleep and what must be closed are as before; a guard whose weights differ by 10 ms fails it.

--- a/entry/internal/callerguard/callerguard_test.go
+++ b/entry/internal/callerguard/callerguard_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -33,18 +34,21 @@
 func isOpen(served net.Conn) bool { return served.SetDeadline(time.Time{}) == nil }
 
 // TestStalledRequestIsDroppedBeforeOthers guards against closing a connection whose request may run, or one that has just sent as much as
-// another did long ago, when memory is short.
+// another did long ago, when memory is short. Its clock stands still while bytes are sent: what the machine is late with is no time without
+// progress of a caller.
 func TestStalledRequestIsDroppedBeforeOthers(t *testing.T) {
-	c := qt.New(t)
-	l := listen(c, callerguard.LimitsOf(32, 10))
-	running := connect(c, l, 2<<20)
-	callerguard.BeginServing(running)
-	stalled := connect(c, l, 1<<20)
-	time.Sleep(50 * time.Millisecond)
-	recent := connect(c, l, 1<<20)
-	last := connect(c, l, 3<<19)
-	small := connect(c, l, 3<<18)
-	c.Check([]bool{isOpen(running), isOpen(stalled), isOpen(recent), isOpen(last), isOpen(small)}, qt.DeepEquals, []bool{true, false, true, true, true})
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		l := listen(c, callerguard.LimitsOf(32, 10))
+		running := connect(c, l, 2<<20)
+		callerguard.BeginServing(running)
+		stalled := connect(c, l, 1<<20)
+		time.Sleep(50 * time.Millisecond)
+		recent := connect(c, l, 1<<20)
+		last := connect(c, l, 3<<19)
+		small := connect(c, l, 3<<18)
+		c.Check([]bool{isOpen(running), isOpen(stalled), isOpen(recent), isOpen(last), isOpen(small)}, qt.DeepEquals, []bool{true, false, true, true, true})
+	})
 }
 
 // TestLargestBodyIsReadInCalm guards against limits that a single body within the configuration's limits reaches, at the least default, and
