--- a/entry/internal/forwarder/forwarder_test.go
+++ b/entry/internal/forwarder/forwarder_test.go
@@ -243,6 +243,17 @@
 	f.Assert(f.caller.body, qt.Equals, "second")
 }
 
+// TestAnswerForTwoRequestsIsNoAnswer guards against an answer that names another request beside that of the caller, whichever comes first.
+func TestAnswerForTwoRequestsIsNoAnswer(t *testing.T) {
+	own, other := strings.Split(answerfaker.NotRunFor(id), "\r\n")[1]+"\r\n", strings.Split(answerfaker.NotRunFor("r0"), "\r\n")[1]+"\r\n"
+	for fields, want := range map[string]dispatcher.Outcome{own: dispatcher.Delivered, own + other: dispatcher.Broken, other + own: dispatcher.Broken} {
+		raw := strings.Replace(answerfaker.Plain(id, 200, "body"), own, fields, 1)
+		f := newFixture(t)
+		f.Check(f.attempt(t.Context(), serve(t, raw), false).Outcome, qt.Equals, want, qt.Commentf("%q", raw))
+		f.Check(f.caller.isComplete, qt.Equals, want == dispatcher.Delivered)
+	}
+}
+
 // TestEarlierRefusalIsNotThatOfNextRequest guards against a caller who is told that its request has not run, or a request that runs at
 // a second target, since the target has written an earlier refusal once more on a connection that was kept.
 func TestEarlierRefusalIsNotThatOfNextRequest(t *testing.T) {
