--- a/entry/internal/forwarder/broken_head_test.go
+++ b/entry/internal/forwarder/broken_head_test.go
@@ -77,7 +77,7 @@
 }
 
 // TestFieldsOfSoundAnswerArePassedOn guards against a check of heads that refuses what a sound target may send, and against fields that
-// reach the caller changed in a byte of their value.
+// reach the caller changed in a byte of their value, or without a part of them that came in a field of its own.
 func TestFieldsOfSoundAnswerArePassedOn(t *testing.T) {
 	values := rapid.OneOf(
 		rapid.SampledFrom([]string{"", "v", "a, b;c=\"d\"", "a\tb  c", "caf\xc3\xa9", "\xe9\xff\x80", "name=value; Path=/; HttpOnly", strings.Repeat("long ", 200) + "end", ":", "a:b"}),
@@ -88,14 +88,16 @@
 		rapid.StringMatching("X[-!#$%&'*+.^_`|~0-9A-Za-z]{0,10}"),
 	)
 	rapid.Check(t, func(rt *rapid.T) {
-		fields := rapid.MapOfN(rapid.Map(names, strings.ToLower), values, 0, 6).Draw(rt, "fields")
+		fields := rapid.MapOfN(rapid.Map(names, strings.ToLower), rapid.SliceOfN(values, 1, 2), 0, 6).Draw(rt, "fields")
 		head := answerfaker.SealedHead(id, http.StatusOK)
-		for name, value := range fields {
-			if value == "" && !strings.HasPrefix(name, "x") {
-				// The grammar of these fields asks for a value.
-				value, fields[name] = "v", "v"
+		for name, all := range fields {
+			for i, value := range all {
+				if value == "" && !strings.HasPrefix(name, "x") {
+					// The grammar of these fields asks for a value.
+					value, all[i] = "v", "v"
+				}
+				head += name + rapid.SampledFrom([]string{":", ": ", ":\t "}).Draw(rt, "colon") + value + rapid.SampledFrom([]string{"", " ", " \t"}).Draw(rt, "blanks") + "\r\n"
 			}
-			head += name + rapid.SampledFrom([]string{":", ": ", ":\t "}).Draw(rt, "colon") + value + rapid.SampledFrom([]string{"", " ", " \t"}).Draw(rt, "blanks") + "\r\n"
 		}
 		c := &fieldCaller{}
 		f := newFixtureFor(t, c, &c.caller, forwarder.NewLimiter(answerlimiter.NewDefault()))
@@ -103,13 +105,18 @@
 		if got.Outcome != dispatcher.Delivered || f.caller.body != "body" {
 			rt.Fatalf("%q: %v, %s", head, got.Outcome, got.Reason)
 		}
-		for name, value := range fields {
-			isPassedOn := slices.ContainsFunc(c.lines, func(line string) bool {
-				n, v, _ := strings.Cut(line, ":")
-				return strings.EqualFold(n, name) && strings.TrimPrefix(v, " ") == value
-			})
-			if !isPassedOn {
-				rt.Fatalf("%s: %q is not among %q", name, value, c.lines)
+		for name, want := range fields {
+			if name != "set-cookie" {
+				want = []string{strings.Join(want, ",")}
+			}
+			var passedOn []string
+			for _, line := range c.lines {
+				if n, v, _ := strings.Cut(line, ":"); strings.EqualFold(n, name) {
+					passedOn = append(passedOn, strings.TrimPrefix(v, " "))
+				}
+			}
+			if !slices.Equal(passedOn, want) {
+				rt.Fatalf("%s: %q instead of %q", name, passedOn, want)
 			}
 		}
 	})
