Keep the length of an answer to HEAD

What callers would see: a target answers HEAD with the length that GET would have, and the caller reads 0.

Cause: the receiver set the length of each answer to that of the body it writes, and an answer to HEAD has none.

Change: an answer to HEAD without a body keeps the length that its header says. Where it says none, 0 is written as before.

Evidence: TestLengthOfAnswerToHeadIsKept: 0 before, 1234 now; a body that the node itself would have written still counts.

--- a/entry/internal/receiver/receiver.go
+++ b/entry/internal/receiver/receiver.go
@@ -335,13 +335,16 @@
 // Body returns the request's body.
 func (c *Call) Body() []byte { return c.request.Body() }
 
-// Answer writes a complete answer.
+// Answer writes a complete answer. One to HEAD keeps the length that the header says, if it says one and there is no body.
 func (c *Call) Answer(h *fasthttp.ResponseHeader, body []byte) error {
-	h.SetContentLength(len(body))
+	isHead := c.request.Header.IsHead()
+	if !isHead || len(body) > 0 || h.ContentLength() < 0 {
+		h.SetContentLength(len(body))
+	}
 	if err := c.writeHeader(h); err != nil {
 		return err
 	}
-	if !c.request.Header.IsHead() {
+	if !isHead {
 		if _, err := c.conn.w.Write(body); err != nil {
 			return errors.Wrap(err, "writing a body")
 		}
--- a/entry/internal/receiver/receiver_test.go
+++ b/entry/internal/receiver/receiver_test.go
@@ -44,6 +44,10 @@
 		path = fields(c)
 	}
 	var header fasthttp.ResponseHeader
+	if path == "/length" {
+		path = ""
+		header.SetContentLength(1234)
+	}
 	if date := c.Header().Peek(fasthttp.HeaderDate); len(date) > 0 {
 		// Only a header that is read keeps its date.
 		_ = header.Read(bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\nDate: " + string(date) + "\r\n\r\n")))
@@ -209,3 +213,16 @@
 		c.Check(resp.Header.Get(fasthttp.HeaderDate) == date, qt.Equals, sent == date)
 	}
 }
+
+// TestLengthOfAnswerToHeadIsKept guards against an answer to HEAD that says 0 where GET would have a body.
+func TestLengthOfAnswerToHeadIsKept(t *testing.T) {
+	c, _, _, conn := start(t)
+	r := bufio.NewReader(conn)
+	for path, want := range map[string]int64{"/length": 1234, "/1": 2} {
+		write(c, conn, "HEAD "+path+" HTTP/1.1\r\nHost: h\r\n\r\n")
+		resp, err := http.ReadResponse(r, &http.Request{Method: http.MethodHead})
+		c.Assert(err, qt.IsNil)
+		c.Assert(resp.Body.Close(), qt.IsNil)
+		c.Check(resp.ContentLength, qt.Equals, want)
+	}
+}
