Serve answers without end from one place in tests

Three tests in three modules had a server of endless answers of their own. The tests ask for what they asked for before.

The property test of sound heads is divided into functions that the linter takes, and always has one long field: two of them in each of six fields could have exceeded the 4 KiB that a head may have.

--- a/common/httpcaller/endless_test.go
+++ b/common/httpcaller/endless_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"runtime"
 	"strings"
@@ -13,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"fuchsiabridge.example/common/answerlimiter"
+	"fuchsiabridge.example/common/answerrepeater"
 	"fuchsiabridge.example/common/httpcaller"
 )
 
@@ -29,51 +29,31 @@
 	endlessTime = time.Second
 )
 
-// endlessAnswers are answers by their heads, and the part that follows until the caller closes. An empty part stands for silence.
-func endlessAnswers() map[string][2]string {
+func endlessAnswers() map[string]answerrepeater.Answer {
 	const head = "HTTP/1.1 200 OK\r\n"
 	filler := strings.Repeat("x", 32<<10)
-	return map[string][2]string{
-		"length":                {head + "Content-Length: 60000000\r\n\r\n", filler},
-		"length over the limit": {head + "Content-Length: 1000000000000\r\n\r\n", filler},
-		"length and silence":    {head + "Content-Length: 60000000\r\n\r\n" + strings.Repeat(filler, 40), ""},
-		"until close":           {head + "\r\n", filler},
-		"chunks":                {head + "Transfer-Encoding: chunked\r\n\r\n", "8000\r\n" + filler + "\r\n"},
-		"small chunks":          {head + "Transfer-Encoding: chunked\r\n\r\n", strings.Repeat("1\r\nx\r\n", 1000)},
-		"one chunk":             {head + "Transfer-Encoding: chunked\r\n\r\n7fffffff\r\n", filler},
-		"chunk line":            {head + "Transfer-Encoding: chunked\r\n\r\n1;", filler},
-		"trailers":              {head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", strings.Repeat("X-Field: v\r\n", 1000)},
-		"fields":                {head, strings.Repeat("X-Field: v\r\n", 1000)},
-		"status line":           {"HTTP/1.1 200 ", filler},
-		"informational":         {"", strings.Repeat("HTTP/1.1 100 X\r\n\r\n", 1000)},
-		"noise":                 {"", filler},
+	return map[string]answerrepeater.Answer{
+		"length":                {Head: head + "Content-Length: 60000000\r\n\r\n", Part: filler},
+		"length over the limit": {Head: head + "Content-Length: 1000000000000\r\n\r\n", Part: filler},
+		"length and silence":    {Head: head + "Content-Length: 60000000\r\n\r\n" + strings.Repeat(filler, 40)},
+		"until close":           {Head: head + "\r\n", Part: filler},
+		"chunks":                {Head: head + "Transfer-Encoding: chunked\r\n\r\n", Part: "8000\r\n" + filler + "\r\n"},
+		"small chunks":          {Head: head + "Transfer-Encoding: chunked\r\n\r\n", Part: strings.Repeat("1\r\nx\r\n", 1000)},
+		"one chunk":             {Head: head + "Transfer-Encoding: chunked\r\n\r\n7fffffff\r\n", Part: filler},
+		"chunk line":            {Head: head + "Transfer-Encoding: chunked\r\n\r\n1;", Part: filler},
+		"trailers":              {Head: head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", Part: strings.Repeat("X-Field: v\r\n", 1000)},
+		"fields":                {Head: head, Part: strings.Repeat("X-Field: v\r\n", 1000)},
+		"status line":           {Head: "HTTP/1.1 200 ", Part: filler},
+		"informational":         {Part: strings.Repeat("HTTP/1.1 100 X\r\n\r\n", 1000)},
+		"noise":                 {Part: filler},
 	}
 }
 
-// serveRaw answers all connections with the given bytes, and then repeats the part until the caller closes.
-func serveRaw(c *qt.C, head, part string) string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+// serve serves an answer, and returns a URL of it.
+func serve(c *qt.C, a answerrepeater.Answer) string {
+	s, err := answerrepeater.Serve(c.Context(), a)
 	c.Assert(err, qt.IsNil)
-	c.Cleanup(func() { _ = l.Close() })
-	first, next := []byte(head), []byte(part)
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				_, err := conn.Write(first)
-				for err == nil && part != "" {
-					_, err = conn.Write(next)
-				}
-				_, _ = conn.Read(make([]byte, 4096))
-				_, _ = conn.Read(make([]byte, 1))
-			}()
-		}
-	}()
-	return "http://" + l.Addr().String() + "/x"
+	return "http://" + s.Address + "/x"
 }
 
 // TestAnswersWithoutEndStayWithinMemory guards against a process that runs out of memory because many calls at once get answers without
@@ -83,8 +63,8 @@
 	for name, a := range endlessAnswers() {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			url := serveRaw(c, a[0], a[1])
-			sound := serveRaw(c, "HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n100000\r\n"+page+"\r\n0\r\n\r\n", "")
+			url := serve(c, a)
+			sound := serve(c, answerrepeater.Answer{Head: "HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n100000\r\n" + page + "\r\n0\r\n\r\n"})
 			limiter := answerlimiter.NewLimiter(answerlimiter.Bytes(answerMB))
 			caller := httpcaller.NewCaller(limiter)
 			runtime.GC()
--- a/entry/internal/forwarder/broken_head_test.go
+++ b/entry/internal/forwarder/broken_head_test.go
@@ -76,11 +76,37 @@
 	return c.caller.Answer(h, body)
 }
 
+// values returns the values of a field, as they are written.
+func (c *fieldCaller) values(name string) []string {
+	var values []string
+	for _, line := range c.lines {
+		if n, v, _ := strings.Cut(line, ":"); strings.EqualFold(n, name) {
+			values = append(values, strings.TrimPrefix(v, " "))
+		}
+	}
+	return values
+}
+
+// drawHead draws the head of an answer with the given fields, without the empty line that ends it.
+func drawHead(t *rapid.T, fields map[string][]string) string {
+	head := answerfaker.SealedHead(id, http.StatusOK)
+	for name, values := range fields {
+		for i, value := range values {
+			if value == "" && !strings.HasPrefix(name, "x") {
+				// The grammar of these fields asks for a value.
+				value, values[i] = "v", "v"
+			}
+			head += name + rapid.SampledFrom([]string{":", ": ", ":\t "}).Draw(t, "colon") + value + rapid.SampledFrom([]string{"", " ", " \t"}).Draw(t, "blanks") + "\r\n"
+		}
+	}
+	return head
+}
+
 // TestFieldsOfSoundAnswerArePassedOn guards against a check of heads that refuses what a sound target may send, and against fields that
 // reach the caller changed in a byte of their value, or without a part of them that came in a field of its own.
 func TestFieldsOfSoundAnswerArePassedOn(t *testing.T) {
 	values := rapid.OneOf(
-		rapid.SampledFrom([]string{"", "v", "a, b;c=\"d\"", "a\tb  c", "caf\xc3\xa9", "\xe9\xff\x80", "name=value; Path=/; HttpOnly", strings.Repeat("long ", 200) + "end", ":", "a:b"}),
+		rapid.SampledFrom([]string{"", "v", "a, b;c=\"d\"", "a\tb  c", "caf\xc3\xa9", "\xe9\xff\x80", "name=value; Path=/; HttpOnly", ":", "a:b"}),
 		rapid.Map(rapid.SliceOfN(rapid.SampledFrom([]byte("aZ0 \t!~,;:=\"\\\x80\xff")), 0, 20), func(b []byte) string { return strings.Trim(string(b), " \t") }),
 	)
 	names := rapid.OneOf(
@@ -89,16 +115,8 @@
 	)
 	rapid.Check(t, func(rt *rapid.T) {
 		fields := rapid.MapOfN(rapid.Map(names, strings.ToLower), rapid.SliceOfN(values, 1, 2), 0, 6).Draw(rt, "fields")
-		head := answerfaker.SealedHead(id, http.StatusOK)
-		for name, all := range fields {
-			for i, value := range all {
-				if value == "" && !strings.HasPrefix(name, "x") {
-					// The grammar of these fields asks for a value.
-					value, all[i] = "v", "v"
-				}
-				head += name + rapid.SampledFrom([]string{":", ": ", ":\t "}).Draw(rt, "colon") + value + rapid.SampledFrom([]string{"", " ", " \t"}).Draw(rt, "blanks") + "\r\n"
-			}
-		}
+		fields["x-long"] = []string{strings.Repeat("long ", 200) + "end"}
+		head := drawHead(rt, fields)
 		c := &fieldCaller{}
 		f := newFixtureFor(t, c, &c.caller, forwarder.NewLimiter(answerlimiter.NewDefault()))
 		got := f.attempt(t.Context(), serve(t, head+"Content-Length: 4\r\n\r\nbody|"), false)
@@ -109,14 +127,8 @@
 			if name != "set-cookie" {
 				want = []string{strings.Join(want, ",")}
 			}
-			var passedOn []string
-			for _, line := range c.lines {
-				if n, v, _ := strings.Cut(line, ":"); strings.EqualFold(n, name) {
-					passedOn = append(passedOn, strings.TrimPrefix(v, " "))
-				}
-			}
-			if !slices.Equal(passedOn, want) {
-				rt.Fatalf("%s: %q instead of %q", name, passedOn, want)
+			if got := c.values(name); !slices.Equal(got, want) {
+				rt.Fatalf("%s: %q instead of %q", name, got, want)
 			}
 		}
 	})
--- a/entry/internal/forwarder/endless_test.go
+++ b/entry/internal/forwarder/endless_test.go
@@ -2,18 +2,17 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"runtime"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"fuchsiabridge.example/common/answerlimiter"
+	"fuchsiabridge.example/common/answerrepeater"
 	"fuchsiabridge.example/common/bootclock"
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/forwarder"
@@ -31,62 +30,38 @@
 	ordinaryTimeout = time.Minute
 )
 
-// endlessAnswer is an answer that begins with a head and goes on with the same part until the caller closes.
+// endlessAnswer is an answer without end, plain or a stream.
 type endlessAnswer struct {
-	head, part string
-	isStream   bool
+	answerrepeater.Answer
+	isStream bool
 }
 
 func endlessAnswers() map[string]endlessAnswer {
 	plain := answerfaker.SealedHead(id, http.StatusOK)
 	filler := strings.Repeat("x", 4096)
 	return map[string]endlessAnswer{
-		"status line":        {head: "HTTP/1.1 200 ", part: filler},
-		"head":               {head: plain, part: "X-Field: " + filler[:200] + "\r\n"},
-		"informational":      {part: "HTTP/1.1 100 X\r\n\r\n"},
-		"early hints":        {part: answerfaker.SealedHead(id, http.StatusEarlyHints) + "\r\n"},
-		"body until close":   {head: plain + "\r\n", part: filler},
-		"body with length":   {head: plain + "Content-Length: 1000000000000\r\n\r\n", part: filler},
-		"chunks":             {head: plain + "Transfer-Encoding: chunked\r\n\r\n", part: answerfaker.Chunk(filler)},
-		"small chunks":       {head: plain + "Transfer-Encoding: chunked\r\n\r\n", part: strings.Repeat(answerfaker.Chunk("x"), 500)},
-		"chunk line":         {head: plain + "Transfer-Encoding: chunked\r\n\r\n1;", part: filler},
-		"trailers":           {head: plain + "Transfer-Encoding: chunked\r\n\r\n0\r\n", part: strings.Repeat("X-Field: y\r\n", 300)},
-		"event":              {head: answerfaker.Stream(id), part: answerfaker.Chunk(filler), isStream: true},
-		"chunk of an event":  {head: answerfaker.Stream(id) + "7fffffff\r\n", part: filler, isStream: true},
-		"trailers of stream": {head: answerfaker.Stream(id, event(1)) + "0\r\n", part: strings.Repeat("X-Field: y\r\n", 300), isStream: true},
+		"status line":        {Answer: answerrepeater.Answer{Head: "HTTP/1.1 200 ", Part: filler}},
+		"head":               {Answer: answerrepeater.Answer{Head: plain, Part: "X-Field: " + filler[:200] + "\r\n"}},
+		"informational":      {Answer: answerrepeater.Answer{Part: "HTTP/1.1 100 X\r\n\r\n"}},
+		"early hints":        {Answer: answerrepeater.Answer{Part: answerfaker.SealedHead(id, http.StatusEarlyHints) + "\r\n"}},
+		"body until close":   {Answer: answerrepeater.Answer{Head: plain + "\r\n", Part: filler}},
+		"body with length":   {Answer: answerrepeater.Answer{Head: plain + "Content-Length: 1000000000000\r\n\r\n", Part: filler}},
+		"chunks":             {Answer: answerrepeater.Answer{Head: plain + "Transfer-Encoding: chunked\r\n\r\n", Part: answerfaker.Chunk(filler)}},
+		"small chunks":       {Answer: answerrepeater.Answer{Head: plain + "Transfer-Encoding: chunked\r\n\r\n", Part: strings.Repeat(answerfaker.Chunk("x"), 500)}},
+		"chunk line":         {Answer: answerrepeater.Answer{Head: plain + "Transfer-Encoding: chunked\r\n\r\n1;", Part: filler}},
+		"trailers":           {Answer: answerrepeater.Answer{Head: plain + "Transfer-Encoding: chunked\r\n\r\n0\r\n", Part: strings.Repeat("X-Field: y\r\n", 300)}},
+		"event":              {Answer: answerrepeater.Answer{Head: answerfaker.Stream(id), Part: answerfaker.Chunk(filler)}, isStream: true},
+		"chunk of an event":  {Answer: answerrepeater.Answer{Head: answerfaker.Stream(id) + "7fffffff\r\n", Part: filler}, isStream: true},
+		"trailers of stream": {Answer: answerrepeater.Answer{Head: answerfaker.Stream(id, event(1)) + "0\r\n", Part: strings.Repeat("X-Field: y\r\n", 300)}, isStream: true},
 	}
 }
 
-// serveEndless answers each connection with an endless answer, and counts what it has written.
-func serveEndless(t *testing.T, a endlessAnswer) (string, *atomic.Int64) {
+// serveEndless serves an answer without end.
+func serveEndless(t *testing.T, a endlessAnswer) *answerrepeater.Server {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	s, err := answerrepeater.Serve(t.Context(), a.Answer)
 	qt.New(t).Assert(err, qt.IsNil)
-	t.Cleanup(func() { _ = l.Close() })
-	var written atomic.Int64
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go writeEndless(conn, a, &written)
-		}
-	}()
-	return l.Addr().String(), &written
-}
-
-func writeEndless(conn net.Conn, a endlessAnswer, written *atomic.Int64) {
-	defer conn.Close()
-	// What the target allocates would count as the node's memory.
-	part := []byte(a.part)
-	for next := []byte(a.head); ; next = part {
-		n, err := conn.Write(next)
-		written.Add(int64(n))
-		if err != nil {
-			return
-		}
-	}
+	return s
 }
 
 // TestAnswerWithoutEndIsCutOff guards against an answer without end, in any of its parts, that is read until the deadline or
@@ -95,14 +70,14 @@
 	for name, a := range endlessAnswers() {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t)
-			address, written := serveEndless(t, a)
+			s := serveEndless(t, a)
 			began := time.Now()
-			got := f.attempt(context.Background(), address, a.isStream)
+			got := f.attempt(context.Background(), s.Address, a.isStream)
 			f.Check(got.Outcome, qt.Equals, dispatcher.Broken, qt.Commentf("%s", got.Reason))
 			f.Check(got.IsLeft, qt.IsTrue, qt.Commentf("%s", got.Reason))
 			f.Check(time.Since(began) < deadline/2, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
 			f.Check(f.caller.isComplete, qt.IsFalse)
-			f.Check(written.Load() < maxEndlessBytes, qt.IsTrue, qt.Commentf("%d bytes", written.Load()))
+			f.Check(s.Written.Load() < maxEndlessBytes, qt.IsTrue, qt.Commentf("%d bytes", s.Written.Load()))
 		})
 	}
 }
@@ -116,10 +91,10 @@
 			c := qt.New(t)
 			runtime.GC()
 			answers := forwarder.NewLimiter(answerlimiter.NewDefault())
-			address, _ := serveEndless(t, a)
+			s := serveEndless(t, a)
 			var wg sync.WaitGroup
 			for range endlessConns {
-				wg.Go(func() { newFixtureWith(t, answers).attempt(context.Background(), address, a.isStream) })
+				wg.Go(func() { newFixtureWith(t, answers).attempt(context.Background(), s.Address, a.isStream) })
 			}
 			peak, done := uint64(0), make(chan struct{})
 			go func() { wg.Wait(); close(done) }()
--- a/integration/answer_memory_test.go
+++ b/integration/answer_memory_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -11,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"fuchsiabridge.example/common/answerrepeater"
 	"fuchsiabridge.example/common/platformcaller"
 	"fuchsiabridge.example/integration/launcher"
 )
@@ -27,40 +27,20 @@
 	chunkBytes = 64 << 10
 )
 
-// serveEndless answers each connection with a head, and with chunks until the caller closes.
-func serveEndless(c *qt.C, head string) string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	c.Cleanup(func() { _ = l.Close() })
-	first, next := []byte(head), []byte(fmt.Sprintf("%x\r\n%s\r\n", chunkBytes, strings.Repeat("x", chunkBytes)))
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				_, err := conn.Write(first)
-				for err == nil {
-					_, err = conn.Write(next)
-				}
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
-
 // TestNodeOutlivesAnswersWithoutEnd guards against a node that runs out of memory by the answers of a target in trouble that do not end, and
 // against failing the calls of other targets meanwhile.
 func TestNodeOutlivesAnswersWithoutEnd(t *testing.T) {
+	// The parts are chunks; after another head, they are bytes.
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", chunkBytes, strings.Repeat("x", chunkBytes))
 	t.Setenv("FUCHSIABRIDGE_ANSWER_MEMORY", fmt.Sprint(answerMemoryMB))
 	for framing, fields := range map[string]string{"length": "Content-Length: 60000000\r\n\r\n", "chunks": "Transfer-Encoding: chunked\r\n\r\n", "until close": "\r\n"} {
 		t.Run(framing, func(t *testing.T) {
 			c := qt.New(t)
+			endless, err := answerrepeater.Serve(t.Context(), answerrepeater.Answer{Head: "HTTP/1.1 200 OK\r\n" + fields, Part: chunk})
+			c.Assert(err, qt.IsNil)
 			f := launcher.NewFleet(t)
 			f.AddService("catalogue", "catalogue-1")
-			f.ListVM(platformcaller.VM{ID: "ledger-1", Role: platformcaller.RoleService, Service: "ledger", Address: serveEndless(c, "HTTP/1.1 200 OK\r\n"+fields), DataCentre: "a"})
+			f.ListVM(platformcaller.VM{ID: "ledger-1", Role: platformcaller.RoleService, Service: "ledger", Address: endless.Address, DataCentre: "a"})
 			p := f.AddNode("node-1", "")
 			f.Configure(1)
 			isServed := func(service string) bool {
