Show that a large configuration is not in force in time, and write down what was seen

Callers saw routes handled as an older version says, more than 3 s after a newer one was confirmed (CONFIG).

--- a/entry/internal/follower/fleet_test.go
+++ b/entry/internal/follower/fleet_test.go
@@ -78,6 +78,37 @@
 	busyUntil   time.Time
 	// completeReads counts the reads of all targets.
 	completeReads int
+	// isThin says that nodes have thin links, and texts holds the texts of large versions.
+	isThin bool
+	texts  map[int64][]byte
+}
+
+// prepareText makes the texts of the next large versions.
+func (s *fleetStore) prepareText(versions int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.texts = map[int64][]byte{}
+	for v := range int64(versions) {
+		s.texts[s.version+v+1] = largeText(s.version + v + 1)
+	}
+}
+
+func (s *fleetStore) currentVersion() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
+// text returns the text of a version. s.mu must be held.
+func (s *fleetStore) text(version int64) []byte {
+	if text, ok := s.texts[version]; ok {
+		return text
+	}
+	source, err := json.Marshal(storefaker.Sample(int(version), "key"))
+	if err != nil {
+		panic(err)
+	}
+	return source
 }
 
 // awaitTargets waits until the store has sent all targets to a node.
@@ -153,11 +184,7 @@
 func (s *fleetStore) newest() (*describer.Configuration, identifier.StorePosition, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	source, err := json.Marshal(storefaker.Sample(int(s.version), "key"))
-	if err != nil {
-		panic(err)
-	}
-	return &describer.Configuration{Version: s.version, Source: source}, identifier.StorePosition{Offset: identifier.Offset(s.version)}, s.changed
+	return &describer.Configuration{Version: s.version, Source: s.text(s.version)}, identifier.StorePosition{Offset: identifier.Offset(s.version)}, s.changed
 }
 
 // fleetLink is a node's connection to the store, which counts its calls except for the renewals of its membership.
@@ -171,6 +198,8 @@
 	lookups atomic.Int64
 	// targetsDelay is how long a read of all targets takes, in milliseconds.
 	targetsDelay atomic.Int64
+	// down and up are the directions of the node's link, nil if they take no time.
+	down, up *thinLink
 }
 
 // count counts a call, and returns an error if the node is cut off from the store.
@@ -185,11 +214,14 @@
 	return nil
 }
 
-func (l *fleetLink) NewestConfiguration(context.Context) (*describer.Configuration, identifier.StorePosition, error) {
+func (l *fleetLink) NewestConfiguration(ctx context.Context) (*describer.Configuration, identifier.StorePosition, error) {
 	if err := l.count(newestConfigurationCall); err != nil {
 		return nil, identifier.StorePosition{}, err
 	}
 	cfg, position, _ := l.newest()
+	if err := l.down.carry(ctx, encodedBytes(cfg.Source)); err != nil {
+		return nil, identifier.StorePosition{}, err
+	}
 	return cfg, position, nil
 }
 
@@ -199,12 +231,12 @@
 	}
 	cfg, position, changed := l.newest()
 	if position != from {
-		return cfg, position, nil
+		return cfg, position, l.download(ctx, from, position)
 	}
 	select {
 	case <-changed:
 		cfg, position, _ = l.newest()
-		return cfg, position, nil
+		return cfg, position, l.download(ctx, from, position)
 	case <-time.After(wait):
 		return nil, from, nil
 	case <-ctx.Done():
@@ -212,6 +244,17 @@
 	}
 }
 
+// download carries all versions between two positions to the node.
+func (l *fleetLink) download(ctx context.Context, from, to identifier.StorePosition) error {
+	bytes := 0
+	l.mu.Lock()
+	for v := from.Offset + 1; v <= to.Offset; v++ {
+		bytes += len(l.text(int64(v)))
+	}
+	l.mu.Unlock()
+	return l.down.carry(ctx, bytes)
+}
+
 func (l *fleetLink) NewestTargets(ctx context.Context) ([]describer.TargetChange, identifier.StorePosition, error) {
 	if err := l.count(newestTargetsCall); err != nil {
 		return nil, identifier.StorePosition{}, err
@@ -366,6 +409,9 @@
 	if raw, err = json.Marshal(answer); err != nil {
 		return err
 	}
+	if err := n.link.up.carry(ctx, len(raw)); err != nil {
+		return err
+	}
 	return json.Unmarshal(raw, result)
 }
 
@@ -386,6 +432,9 @@
 	}
 	for i := range size {
 		n := &fleetNode{id: fmt.Sprint("node-", i), link: &fleetLink{fleetStore: f.store}}
+		if f.store.isThin {
+			n.link.down, n.link.up = &thinLink{}, &thinLink{}
+		}
 		f.prepare(n)
 		f.nodes[n.id] = n
 		f.order = append(f.order, n)
--- /dev/null
+++ b/entry/internal/follower/thin_test.go
@@ -0,0 +1,143 @@
+package follower_test
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fuchsiabridge.example/platform/storefaker"
+)
+
+const (
+	// thinNodes is the number of nodes of a fleet with thin links, and thinRate how many bytes a second each link carries: 14 Mbit/s.
+	thinNodes = 104
+	thinRate  = 14_000_000 / 8
+	// largeRoutes is the number of routes of a large configuration, about 1.1 MB.
+	largeRoutes = 4450
+	// changeLimit is how long a change may take until it is in force everywhere.
+	changeLimit = 3 * time.Second
+)
+
+// thinLink is one direction of a node's link. It carries one message after the other, also for those that do not wait any more.
+type thinLink struct {
+	mu        sync.Mutex
+	busyUntil time.Time
+}
+
+// carry waits until a number of bytes has passed. A nil link takes no time.
+func (l *thinLink) carry(ctx context.Context, bytes int) error {
+	if l == nil {
+		return nil
+	}
+	l.mu.Lock()
+	now := time.Now()
+	if l.busyUntil.Before(now) {
+		l.busyUntil = now
+	}
+	l.busyUntil = l.busyUntil.Add(time.Duration(bytes) * time.Second / thinRate)
+	wait := l.busyUntil.Sub(now)
+	l.mu.Unlock()
+	select {
+	case <-time.After(wait):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// largeText returns the text of a version of a configuration with many routes, all but the first of which are the same in each version.
+func largeText(version int64) []byte {
+	cfg := storefaker.Sample(int(version), "key")
+	routes := cfg["routes"].([]any)
+	for i := range largeRoutes {
+		h := fnv.New64()
+		_, _ = fmt.Fprint(h, i)
+		name := strconv.FormatUint(h.Sum64(), 36)
+		routes = append(routes, map[string]any{
+			"name": "r-" + name[:7], "hostname": "h.example", "path_prefix": "/" + name + "/", "kind": "safe", "timeout_ms": 600,
+			"target_latency_ms": 120, "priority": 2, "service": "ledger", "max_attempts": 2, "public": false, "sticky_sessions": false,
+			"resumable": false, "gap_aim_ms": 0,
+		})
+	}
+	cfg["routes"] = routes
+	raw, err := json.Marshal(cfg)
+	if err != nil {
+		panic(err)
+	}
+	return raw
+}
+
+// launchThin starts a fleet whose nodes have thin links.
+func launchThin(t *testing.T) *fleet {
+	return startFleet(t, thinNodes, func(s *fleetStore) { s.isThin = true })
+}
+
+// grow publishes large versions one after the other, and returns when each was published.
+func (f *fleet) grow(versions int, interval time.Duration) []time.Time {
+	var published []time.Time
+	for range versions {
+		f.store.change()
+		published = append(published, time.Now())
+		time.Sleep(interval)
+	}
+	return published
+}
+
+// awaitVersion returns how many nodes do not know a version at a time.
+func (f *fleet) awaitVersion(version int64, until time.Time) int {
+	for {
+		behind := 0
+		for _, n := range f.order {
+			if n.knownVersion() < version {
+				behind++
+			}
+		}
+		if behind == 0 || !time.Now().Before(until) {
+			return behind
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// TestLargeConfigurationIsInForceInTime guards against a change that is not in force everywhere in time (CONFIG) because the configuration
+// has grown: its transfer takes longer than a time limit, so that followers leave readers that work, and read the store.
+func TestLargeConfigurationIsInForceInTime(t *testing.T) {
+	f := launchThin(t)
+	f.store.prepareText(4)
+	followers := f.followers()
+	f.checkCalls(followers, maxStartCalls)
+	for range 3 {
+		published := f.grow(1, 0)
+		f.Check(f.awaitVersion(f.store.currentVersion(), published[0].Add(changeLimit)), qt.Equals, 0)
+		time.Sleep(time.Second)
+		f.checkCalls(followers, 0)
+	}
+}
+
+// TestStormOfLargeVersionsIsInForceInTime guards against versions that are not in force in time (CONFIG) because they come faster than links
+// carry them whole.
+func TestStormOfLargeVersionsIsInForceInTime(t *testing.T) {
+	const versions = 12
+	f := launchThin(t)
+	f.store.prepareText(versions + 1)
+	first := f.store.currentVersion() + 1
+	done := make(chan []time.Time)
+	go func() { done <- f.grow(versions, 330*time.Millisecond) }()
+	began := time.Now()
+	for i := range int64(versions) {
+		due := began.Add(time.Duration(i)*330*time.Millisecond + changeLimit)
+		f.Check(f.awaitVersion(first+i, due), qt.Equals, 0, qt.Commentf("version %d", first+i))
+	}
+	<-done
+}
+
+// encodedBytes is the size of a text among the newest records.
+func encodedBytes(text []byte) int { return base64.StdEncoding.EncodedLen(len(text)) }
