Send a configuration as its difference, in pieces, and let it take as long as it arrives

Cause: bounds and ways that fit a small message were used for one that grows. A page of the newest records had 0.7 s, and takes 0.86 s at 14 Mbit/s; a read from a position carried each version since; each change was sent whole to each follower, within 1 s; a reader that was receiving a version counted as cut off after 1.1 s; a node that left its reader read all anew.

Change: the time limit of a call to the store is for the head of the answer, a body may go on while bytes of it arrive (httpcaller). A read returns one record, and the next one is the last (storecaller). The parts of a configuration are the unit: followers get the difference to what they know (differ, publisher, fetcher) in pieces of 32 KiB, three large transfers at a time for each node, and others are referred to nodes that have it; a piece that is lost or given up is asked for again. Updates go on meanwhile (catchUp), on a connection of their own. A node knows the position up to which peers have sent configurations, and reads on from there. Routes that did not change are not decoded again.

A damaged piece that named another configuration each time was read for ever in a test without a deadline; a call's context ends that now.

--- a/common/describer/describer.go
+++ b/common/describer/describer.go
@@ -37,10 +37,14 @@
 	// one of accounts without keys, lets in nobody but the callers of public routes.
 	IsOpen bool
 	Limits Limits
-	// Source is the encoded text that the configuration was decoded from; nodes forward it to peers.
-	Source []byte
+	// Parts are the text that the configuration was decoded from; nodes forward them to peers.
+	Parts []ConfigurationPart
 }
 
+// ConfigurationPart is an entry of a configuration, such as a route, in the format of the operators. Versions that differ little have most
+// parts in common.
+type ConfigurationPart string
+
 // Route maps requests for one host and path prefix to services.
 type Route struct {
 	ID     identifier.RouteID
--- a/common/eventlogger/relay.go
+++ b/common/eventlogger/relay.go
@@ -49,12 +49,14 @@
 	TargetRejects          = Event{8046, "target avoided as it rejects requests"}
 	SilentChainLeft        = Event{8047, "stream leaves a silent chain"}
 	StreamNotContinued     = Event{8048, "stream could not be continued"}
+	ConfigurationReceived  = Event{8052, "configuration received"}
 	RequestNotAdmitted     = Event{8045, "request is shed or waits to be admitted"}
 )
 
 func relayEvents() []Event {
 	return []Event{
 		RequestEnded,
+		ConfigurationReceived,
 		AttemptEnded,
 		LoadsStale,
 		LoadsRecent,
--- a/common/httpcaller/exchange.go
+++ b/common/httpcaller/exchange.go
@@ -24,7 +24,7 @@
 // exchange is a request on a connection, and its answer.
 type exchange struct {
 	client   *fasthttp.HostClient
-	conn     net.Conn
+	conn     *slowConn
 	r        *bufio.Reader
 	request  *fasthttp.Request
 	answer   *answerlimiter.Answer
@@ -37,7 +37,7 @@
 }
 
 // exchange sends a request over a connection of a host, and reads the answer. Its connection is used again if nothing is left on it.
-func (c *Caller) exchange(client *fasthttp.HostClient, request *fasthttp.Request, fields []string, deadline time.Time) (Response, error) {
+func (c *Caller) exchange(client *fasthttp.HostClient, request *fasthttp.Request, call Request, deadline time.Time) (Response, error) {
 	pooled, err := client.AcquireConn(time.Until(deadline), request.ConnectionClose())
 	if err != nil {
 		return Response{}, err
@@ -45,8 +45,9 @@
 	conn := pooled.Conn()
 	answer := c.cfg.Answers.Open(answerlimiter.Source(client.Addr), copies, func() { _ = conn.Close() })
 	defer answer.Close()
-	x := &exchange{client: client, conn: conn, r: client.AcquireReader(conn), request: request, answer: answer, maxBytes: c.cfg.MaxBytes}
-	err = x.run(deadline)
+	slow := &slowConn{Conn: conn}
+	x := &exchange{client: client, conn: slow, r: client.AcquireReader(slow), request: request, answer: answer, maxBytes: c.cfg.MaxBytes}
+	err = x.run(call, deadline)
 	// From here on the answer is not given up, so that its connection is not closed while another call uses it.
 	if limit := answer.Complete(); limit != nil {
 		err = limit
@@ -61,7 +62,7 @@
 	if err != nil {
 		return Response{}, markTimeout(err)
 	}
-	return x.response(fields), nil
+	return x.response(call.AnswerFields), nil
 }
 
 // markTimeout returns the library's error for a call that has timed out, and other errors as they are.
@@ -74,7 +75,7 @@
 }
 
 // run writes the request, and reads the answer. A server may answer and close the connection before it has read a long request.
-func (x *exchange) run(deadline time.Time) error {
+func (x *exchange) run(call Request, deadline time.Time) error {
 	if err := x.conn.SetDeadline(deadline); err != nil {
 		return errors.Wrap(err, "setting a deadline")
 	}
@@ -83,6 +84,10 @@
 	if err := headchecker.Read(x.r, &x.header); err != nil {
 		return errors.CombineErrors(writeErr, err)
 	}
+	if call.Began != nil {
+		call.Began()
+	}
+	x.conn.bodyDeadline = call.BodyDeadline
 	return errors.Wrap(x.readBody(), "reading a body")
 }
 
@@ -136,3 +141,24 @@
 	}
 	return response
 }
+
+// slowConn is a connection on which a body may take longer than the call's deadline, as long as it arrives.
+type slowConn struct {
+	net.Conn
+	// bodyDeadline is until when the body may arrive; it is zero before the body, or if the call's deadline counts.
+	bodyDeadline time.Time
+}
+
+// Read reads a part of the answer.
+func (c *slowConn) Read(b []byte) (int, error) {
+	if !c.bodyDeadline.IsZero() {
+		deadline := time.Now().Add(stallTimeout)
+		if deadline.After(c.bodyDeadline) {
+			deadline = c.bodyDeadline
+		}
+		if err := c.SetReadDeadline(deadline); err != nil {
+			return 0, errors.Wrap(err, "setting a deadline")
+		}
+	}
+	return c.Conn.Read(b)
+}
--- a/common/httpcaller/httpcaller.go
+++ b/common/httpcaller/httpcaller.go
@@ -24,6 +24,8 @@
 	maxConnsPerHost  = 512
 	// defaultMaxBytes limits the body of an answer, beside the bound for all answers of the process.
 	defaultMaxBytes = 64 << 20
+	// stallTimeout is how long no byte of a body may arrive that may take longer than the call's deadline.
+	stallTimeout = 700 * time.Millisecond
 	// singleCallIdleLifetime bounds how long the cleanup goroutine of a single-use client outlives its call.
 	singleCallIdleLifetime = 100 * time.Millisecond
 )
@@ -144,6 +146,11 @@
 	AnswerFields []string
 	// NewConn makes the call on a new connection that is closed afterwards.
 	NewConn bool
+	// BodyDeadline is until when the body of the response may arrive, if bytes of it arrive at least every stallTimeout. The deadline of the
+	// call is then for the header only. It is zero if the deadline is for all.
+	BodyDeadline time.Time
+	// Began is called once the header of the response has arrived, unless it is nil.
+	Began func()
 }
 
 // Response is the response to a call. Header holds only Content-Type, Retry-After and the AnswerFields of
@@ -178,7 +185,7 @@
 		req.SetConnectionClose()
 		client = c.newClient(host, singleCallIdleLifetime)
 	}
-	response, err := c.exchange(client, req, r.AnswerFields, deadline)
+	response, err := c.exchange(client, req, r, deadline)
 	if err != nil {
 		if errors.Is(err, fasthttp.ErrTimeout) {
 			c.retire(host, client)
--- a/common/identifier/identifier.go
+++ b/common/identifier/identifier.go
@@ -74,6 +74,9 @@
 	return p.Era < o.Era || (p.Era == o.Era && p.Offset < o.Offset)
 }
 
+// ConfigurationFingerprint is a hash of the parts of a configuration; 0 stands for none.
+type ConfigurationFingerprint uint64
+
 // Fingerprint is a hash of a request's route, caller and body; requests with equal fingerprints are
 // treated as the same request.
 type Fingerprint uint64
--- a/entry/internal/commander/relay.go
+++ b/entry/internal/commander/relay.go
@@ -36,6 +36,7 @@
 	"fuchsiabridge.example/entry/internal/loadtracker"
 	"fuchsiabridge.example/entry/internal/meter"
 	"fuchsiabridge.example/entry/internal/peercaller"
+	"fuchsiabridge.example/entry/internal/publisher"
 	"fuchsiabridge.example/entry/internal/receiver"
 	"fuchsiabridge.example/entry/internal/rejectionreporter"
 	"fuchsiabridge.example/entry/internal/relayer"
@@ -144,7 +145,8 @@
 	store := storecaller.NewCaller(http, values.Text("store"))
 	self := storecaller.Member{Node: n.id, DataCentre: dc, Address: values.Text("peer-listen")}
 	// A call that gets no answer in time closes its connection, so calls with different timeouts have connections of their own.
-	questions, offers, targetCalls, loadCalls := peercaller.NewCaller(nil, nil, answers), peercaller.NewCaller(nil, nil, answers), peercaller.NewCaller(nil, nil, answers), peercaller.NewCaller(nil, nil, answers)
+	newCaller := func() *peercaller.Caller { return peercaller.NewCaller(nil, nil, answers) }
+	questions, offers, targetCalls, loadCalls, configurations := newCaller(), newCaller(), newCaller(), newCaller(), newCaller()
 	hasPeers := values.Text("peer-listen") != "" && values.Text("delegate-listen") != ""
 	var delegates relayer.Delegates
 	if hasPeers {
@@ -183,8 +185,9 @@
 	n.delegated = receiver.NewNodeReceiver(n.relayer.DelegatedHandler())
 	updates := sharer.NewSharer()
 	n.updates = updates
+	published := publisher.NewPublisher()
 	n.peers = peercaller.NewCaller(map[string]peercaller.Handler{
-		sharer.WatchMethod: updates.ServeWatch, sharer.ConfigurationMethod: updates.ServeConfiguration,
+		sharer.WatchMethod: updates.ServeWatch, publisher.PieceMethod: published.ServePiece, publisher.WholeMethod: published.ServeWhole,
 		sharer.CrashReportMethod: func(ctx context.Context, params json.RawMessage) (any, error) {
 			return n.reporter.ServeReportCrashes(ctx, params)
 		},
@@ -225,6 +228,8 @@
 	})
 	n.follower = follower.NewFollower(store, n.peers, n.joiner, updates, follower.Config{
 		Self:            self,
+		Configurations:  configurations,
+		Publisher:       published,
 		LearnCrashes:    func(r sharer.CrashReport) { n.reporter.Learn(r) },
 		LearnLimits:     func(r []limiter.Report) { n.granter.Learn(r) },
 		LearnLoads:      learnLoads,
--- a/entry/internal/follower/fleet_test.go
+++ b/entry/internal/follower/fleet_test.go
@@ -19,8 +19,10 @@
 	"fuchsiabridge.example/entry/internal/dispatcher"
 	"fuchsiabridge.example/entry/internal/follower"
 	"fuchsiabridge.example/entry/internal/joiner"
+	"fuchsiabridge.example/entry/internal/publisher"
 	"fuchsiabridge.example/entry/internal/registrar"
 	"fuchsiabridge.example/entry/internal/sharer"
+	"fuchsiabridge.example/platform/decoder"
 	"fuchsiabridge.example/platform/storecaller"
 	"fuchsiabridge.example/platform/storefaker"
 )
@@ -81,6 +83,8 @@
 	// isThin says that nodes have thin links, and texts holds the texts of large versions.
 	isThin bool
 	texts  map[int64][]byte
+	// decoded holds the configurations that nodes have read.
+	decoded map[int64]*describer.Configuration
 }
 
 // prepareText makes the texts of the next large versions.
@@ -170,7 +174,9 @@
 	return []describer.TargetChange{{ID: fleetTarget, Target: &describer.Target{ID: fleetTarget}}}
 }
 
-func newFleetStore() *fleetStore { return &fleetStore{version: 1, changed: make(chan struct{})} }
+func newFleetStore() *fleetStore {
+	return &fleetStore{version: 1, changed: make(chan struct{}), decoded: map[int64]*describer.Configuration{}}
+}
 
 // change publishes a new version of the configuration.
 func (s *fleetStore) change() {
@@ -184,7 +190,15 @@
 func (s *fleetStore) newest() (*describer.Configuration, identifier.StorePosition, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return &describer.Configuration{Version: s.version, Source: s.text(s.version)}, identifier.StorePosition{Offset: identifier.Offset(s.version)}, s.changed
+	cfg, ok := s.decoded[s.version]
+	if !ok {
+		var err error
+		if cfg, err = decoder.Configuration(s.text(s.version)); err != nil {
+			panic(err)
+		}
+		s.decoded[s.version] = cfg
+	}
+	return cfg, identifier.StorePosition{Offset: identifier.Offset(s.version)}, s.changed
 }
 
 // fleetLink is a node's connection to the store, which counts its calls except for the renewals of its membership.
@@ -219,40 +233,44 @@
 		return nil, identifier.StorePosition{}, err
 	}
 	cfg, position, _ := l.newest()
-	if err := l.down.carry(ctx, encodedBytes(cfg.Source)); err != nil {
+	if err := l.down.carry(ctx, encodedBytes(l.textAt(position))); err != nil {
 		return nil, identifier.StorePosition{}, err
 	}
 	return cfg, position, nil
 }
 
-func (l *fleetLink) ReadConfiguration(ctx context.Context, from identifier.StorePosition, wait time.Duration) (*describer.Configuration, identifier.StorePosition, error) {
+func (l *fleetLink) ReadConfiguration(ctx context.Context, from identifier.StorePosition, wait time.Duration, began func()) (*describer.Configuration, identifier.StorePosition, error) {
 	if err := l.count(readConfigurationCall); err != nil {
 		return nil, from, err
 	}
-	cfg, position, changed := l.newest()
-	if position != from {
-		return cfg, position, l.download(ctx, from, position)
+	_, position, changed := l.newest()
+	if position == from {
+		select {
+		case <-changed:
+		case <-time.After(wait):
+			return nil, from, nil
+		case <-ctx.Done():
+			return nil, from, ctx.Err()
+		}
 	}
-	select {
-	case <-changed:
-		cfg, position, _ = l.newest()
-		return cfg, position, l.download(ctx, from, position)
-	case <-time.After(wait):
-		return nil, from, nil
-	case <-ctx.Done():
-		return nil, from, ctx.Err()
+	began()
+	from.Offset++
+	if err := l.down.carry(ctx, len(l.textAt(from))); err != nil {
+		return nil, from, err
+	}
+	cfg, position, _ := l.newest()
+	if position == from {
+		return cfg, position, nil
 	}
+	// Further versions have come meanwhile; only the newest is read.
+	return cfg, position, l.down.carry(ctx, len(l.textAt(position)))
 }
 
-// download carries all versions between two positions to the node.
-func (l *fleetLink) download(ctx context.Context, from, to identifier.StorePosition) error {
-	bytes := 0
+// textAt returns the text of the version before a position.
+func (l *fleetLink) textAt(position identifier.StorePosition) []byte {
 	l.mu.Lock()
-	for v := from.Offset + 1; v <= to.Offset; v++ {
-		bytes += len(l.text(int64(v)))
-	}
-	l.mu.Unlock()
-	return l.down.carry(ctx, bytes)
+	defer l.mu.Unlock()
+	return l.text(int64(position.Offset))
 }
 
 func (l *fleetLink) NewestTargets(ctx context.Context) ([]describer.TargetChange, identifier.StorePosition, error) {
@@ -334,12 +352,13 @@
 
 // fleetNode is one node of a fleet.
 type fleetNode struct {
-	id       string
-	link     *fleetLink
-	sharer   *sharer.Sharer
-	joiner   *joiner.Joiner
-	follower *follower.Follower
-	isDead   atomic.Bool
+	id        string
+	link      *fleetLink
+	sharer    *sharer.Sharer
+	publisher *publisher.Publisher
+	joiner    *joiner.Joiner
+	follower  *follower.Follower
+	isDead    atomic.Bool
 	// watches counts the calls of followers for updates.
 	watches atomic.Int64
 	stop    context.CancelFunc
@@ -394,13 +413,13 @@
 	if err != nil {
 		return err
 	}
-	share := n.currentSharer()
+	share, published := n.currentSharer()
 	serve := share.ServeWatch
 	if method == sharer.WatchMethod {
 		n.watches.Add(1)
 	}
-	if method == sharer.ConfigurationMethod {
-		serve = share.ServeConfiguration
+	if method == publisher.PieceMethod {
+		serve = published.ServePiece
 	}
 	answer, err := serve(ctx, raw)
 	if err != nil {
@@ -445,20 +464,20 @@
 	return f
 }
 
-// currentSharer returns the sharer since the node's last start.
-func (n *fleetNode) currentSharer() *sharer.Sharer {
+// currentSharer returns the sharer and the publisher since the node's last start.
+func (n *fleetNode) currentSharer() (*sharer.Sharer, *publisher.Publisher) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.sharer
+	return n.sharer, n.publisher
 }
 
 // prepare gives a node the state that it has at its start.
 func (f *fleet) prepare(n *fleetNode) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.sharer = sharer.NewSharer()
+	n.sharer, n.publisher = sharer.NewSharer(), publisher.NewPublisher()
 	n.joiner = joiner.NewJoiner(n.link, joiner.Config{Self: fleetMember(n.id), StorePartitions: topicPartitions}, n.submit)
-	n.follower = follower.NewFollower(n.link, f, n.joiner, n.sharer, follower.Config{Self: fleetMember(n.id)}, n.submit)
+	n.follower = follower.NewFollower(n.link, f, n.joiner, n.sharer, follower.Config{Self: fleetMember(n.id), Publisher: n.publisher}, n.submit)
 }
 
 // run starts a node, which ends with the test.
--- a/entry/internal/follower/follower.go
+++ b/entry/internal/follower/follower.go
@@ -17,20 +17,23 @@
 	"fuchsiabridge.example/common/sleeper"
 	"fuchsiabridge.example/entry/internal/avoider"
 	"fuchsiabridge.example/entry/internal/dispatcher"
+	"fuchsiabridge.example/entry/internal/fetcher"
 	"fuchsiabridge.example/entry/internal/joiner"
 	"fuchsiabridge.example/entry/internal/limiter"
 	"fuchsiabridge.example/entry/internal/loadtracker"
+	"fuchsiabridge.example/entry/internal/publisher"
 	"fuchsiabridge.example/entry/internal/registrar"
 	"fuchsiabridge.example/entry/internal/router"
 	"fuchsiabridge.example/entry/internal/sharer"
+	"fuchsiabridge.example/platform/decoder"
 	"fuchsiabridge.example/platform/storecaller"
 )
 
 const (
 	// callTimeout bounds a call, not counting the time that it may wait for updates.
 	callTimeout = 700 * time.Millisecond
-	// allTargetsTimeout bounds a read of all targets, which are tens of thousands at most, on a thin link.
-	allTargetsTimeout = 10 * time.Second
+	// completeTimeout bounds a read of all targets, which are tens of thousands at most, or of the configuration, on a thin link.
+	completeTimeout = 10 * time.Second
 	// configurationWait is how long a call waits for a new configuration. If none arrives, the wait confirms the current one.
 	configurationWait = 700 * time.Millisecond
 	// targetsWait is how long a call waits for target updates.
@@ -55,7 +58,8 @@
 // Store is the part of the platform's store that the follower uses.
 type Store interface {
 	NewestConfiguration(ctx context.Context) (*describer.Configuration, identifier.StorePosition, error)
-	ReadConfiguration(ctx context.Context, from identifier.StorePosition, wait time.Duration) (*describer.Configuration, identifier.StorePosition, error)
+	// ReadConfiguration calls began when the store begins to answer.
+	ReadConfiguration(ctx context.Context, from identifier.StorePosition, wait time.Duration, began func()) (*describer.Configuration, identifier.StorePosition, error)
 	NewestTargets(ctx context.Context) ([]describer.TargetChange, identifier.StorePosition, error)
 	ReadTargets(ctx context.Context, from identifier.StorePosition, wait time.Duration) ([]describer.TargetChange, identifier.StorePosition, error)
 }
@@ -78,6 +82,12 @@
 	gate   *readGate
 	submit func(messenger.Event)
 
+	// publisher sends configurations to peers, fetcher gets them, and decoder decodes these.
+	publisher *publisher.Publisher
+	fetcher   *fetcher.Fetcher
+	decodeMu  sync.Mutex
+	decoder   decoder.Decoder
+
 	mu sync.Mutex
 	// next is the position up to which configurations are known.
 	next identifier.StorePosition
@@ -87,6 +97,10 @@
 type Config struct {
 	// Self identifies this node in the group.
 	Self storecaller.Member
+	// Configurations calls peers for configurations, so that other calls do not wait for these; nil to make them like the others.
+	Configurations Peers
+	// Publisher keeps the configuration for peers; nil if none ask this node.
+	Publisher *publisher.Publisher
 	// LearnCrashes applies what a peer has told of requests that crash targets.
 	LearnCrashes func(sharer.CrashReport)
 	// LearnLimits applies what a peer has told of the request limits of targets.
@@ -103,8 +117,15 @@
 
 // NewFollower returns a follower that submits events and records what it reads in the sharer.
 func NewFollower(store Store, peers Peers, group Group, share *sharer.Sharer, cfg Config, submit func(messenger.Event)) *Follower {
+	if cfg.Publisher == nil {
+		cfg.Publisher = publisher.NewPublisher()
+	}
+	if cfg.Configurations == nil {
+		cfg.Configurations = peers
+	}
 	f := &Follower{
 		store: store, peers: peers, group: group, sharer: share, cfg: cfg, gate: newReadGate(), submit: submit,
+		publisher: cfg.Publisher, fetcher: fetcher.NewFetcher(cfg.Configurations, cfg.Self.Address),
 	}
 	if cfg.Self.Address != "" {
 		f.gate.setPeersFresh(bootclock.Now().Add(startGrace))
@@ -115,6 +136,7 @@
 // SetReader sets whether this node reads the store for its peers.
 func (f *Follower) SetReader(isReader bool) {
 	f.sharer.SetReading(isReader)
+	f.publisher.SetReading(isReader)
 	f.gate.setReader(isReader)
 }
 
@@ -171,11 +193,13 @@
 	wait := time.Duration(0)
 	for ctx.Err() == nil {
 		if hasRead && f.gate.awaitReading(ctx, f.sharer.PauseConfiguration) {
-			isStarted = false
+			// What peers have sent meanwhile need not be read again.
+			next = f.known()
 			continue
 		}
 		sent := bootclock.Now()
 		cfg, position, err := f.configuration(ctx, isStarted, next, wait)
+		f.sharer.SetCatchingUp(false)
 		if storecaller.IsPositionLost(err) {
 			isStarted = false
 			continue
@@ -199,6 +223,7 @@
 			askedEra = position.Era
 			f.askReaders(ctx)
 		}
+		f.publisher.Confirm(position)
 		f.sharer.RecordConfiguration(position, asOf)
 		f.submit(dispatcher.ConfigurationConfirmed{AsOf: asOf})
 	}
@@ -215,10 +240,17 @@
 	if cfg == nil {
 		return
 	}
-	f.sharer.KeepConfiguration(cfg)
+	f.publisher.Keep(cfg)
 	f.submit(dispatcher.ConfigurationRead{Table: router.NewTable(cfg), Source: source, Position: next})
 }
 
+// known returns the position up to which configurations are known.
+func (f *Follower) known() identifier.StorePosition {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.next
+}
+
 // maxBackoff returns the longest delay after failed calls.
 func (f *Follower) maxBackoff() time.Duration {
 	if isReader, _, _ := f.gate.snapshot(); isReader || f.cfg.Self.Address == "" {
@@ -229,13 +261,11 @@
 
 func (f *Follower) configuration(ctx context.Context, isStarted bool, from identifier.StorePosition, wait time.Duration) (*describer.Configuration, identifier.StorePosition, error) {
 	if !isStarted {
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		ctx, cancel := context.WithTimeout(ctx, completeTimeout)
 		defer cancel()
 		return f.store.NewestConfiguration(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout+wait)
-	defer cancel()
-	return f.store.ReadConfiguration(ctx, from, wait)
+	return f.store.ReadConfiguration(ctx, from, wait, func() { f.sharer.SetCatchingUp(true) })
 }
 
 // FollowTargets follows the targets in the store until ctx ends, except while peers provide them.
@@ -290,7 +320,7 @@
 
 func (f *Follower) targets(ctx context.Context, isStarted bool, from identifier.StorePosition) ([]describer.TargetChange, identifier.StorePosition, error) {
 	if !isStarted {
-		ctx, cancel := context.WithTimeout(ctx, allTargetsTimeout)
+		ctx, cancel := context.WithTimeout(ctx, completeTimeout)
 		defer cancel()
 		return f.store.NewestTargets(ctx)
 	}
--- a/entry/internal/follower/moved_test.go
+++ b/entry/internal/follower/moved_test.go
@@ -47,7 +47,7 @@
 	return nil, identifier.StorePosition{}, errCut
 }
 
-func (s *movingStore) ReadConfiguration(context.Context, identifier.StorePosition, time.Duration) (*describer.Configuration, identifier.StorePosition, error) {
+func (s *movingStore) ReadConfiguration(context.Context, identifier.StorePosition, time.Duration, func()) (*describer.Configuration, identifier.StorePosition, error) {
 	return nil, identifier.StorePosition{}, errCut
 }
 
--- a/entry/internal/follower/peers.go
+++ b/entry/internal/follower/peers.go
@@ -4,13 +4,11 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"fuchsiabridge.example/common/bootclock"
-	"fuchsiabridge.example/common/describer"
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/common/sleeper"
@@ -25,13 +23,13 @@
 	peerWait = 500 * time.Millisecond
 	// peerTimeout bounds a call to a peer, not counting peerWait.
 	peerTimeout = 400 * time.Millisecond
-	// configurationTimeout bounds a call for a configuration, which may be large.
-	configurationTimeout = time.Second
 	// updateMaxAge is how long the updates from a peer count as recent.
 	updateMaxAge = 2 * time.Second
 	// maxConfirmationAge is the age of a peer's newest confirmation from which on the peer counts as cut off
 	// from the store. It is somewhat longer than a call for a configuration waits.
 	maxConfirmationAge = 1100 * time.Millisecond
+	// maxCatchUpAge is the same for a peer to which the store is sending a newer configuration, which may be large.
+	maxCatchUpAge = 4 * time.Second
 	// peerBackoff is how long a peer is not asked after a failed call, stalePeerBackoff after it returned outdated updates.
 	peerBackoff      = time.Second
 	stalePeerBackoff = 400 * time.Millisecond
@@ -218,6 +216,9 @@
 	q := sharer.Query{WaitMS: peerWait.Milliseconds(), AcceptsPacked: true}
 	// outages is the count of the last update, or -1 before the first one.
 	outages := -1
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	news := catchUp{follower: f, address: peer.Address}
 	for ctx.Err() == nil {
 		update, confirmed, err := f.poll(ctx, peer.Address, q, r)
 		if err != nil {
@@ -236,11 +237,15 @@
 		outages, q.Sharer, q.Revision = update.Outages, update.Sharer, update.Revision
 		f.submit(registrar.TargetsRead{Changes: update.Changes, IsComplete: update.IsComplete})
 		f.learn(update)
-		if err := f.applyPeerConfiguration(ctx, peer.Address, update, &q); err != nil {
+		isKnown, err := news.want(ctx, update.Position())
+		if err != nil {
 			eventlogger.Error(err, eventlogger.PeerNotFollowed, "peer", peer.Node, "address", peer.Address)
 			return err
 		}
-		f.submit(dispatcher.ConfigurationConfirmed{AsOf: confirmed})
+		if isKnown {
+			f.submit(dispatcher.ConfigurationConfirmed{AsOf: confirmed})
+		}
+		q.Configuration, q.Era = update.Configuration, update.Era
 		f.gate.setPeersFresh(bootclock.Now().Add(updateMaxAge))
 		r.lookupInterval, r.isStoreUnreachable, r.hasUpdated = 0, false, true
 		if r.mustMove(bootclock.Now(), f.group.ReaderCount()) {
@@ -292,81 +297,12 @@
 	}
 	r.answeredAt, r.hasAnswered, r.wasReading[address] = bootclock.Now(), true, true
 	confirmed := asked.Add(time.Duration(update.ConfirmedMS) * time.Millisecond)
-	if r.answeredAt.Sub(confirmed) > maxConfirmationAge {
+	limit := maxConfirmationAge
+	if update.IsCatchingUp {
+		limit = maxCatchUpAge
+	}
+	if r.answeredAt.Sub(confirmed) > limit {
 		return sharer.Update{}, time.Time{}, errCutOff
 	}
 	return update, confirmed, nil
 }
-
-// applyPeerConfiguration fetches and applies the newest configuration if the peer knows one that this node does not.
-func (f *Follower) applyPeerConfiguration(ctx context.Context, address string, update sharer.Update, q *sharer.Query) error {
-	f.mu.Lock()
-	known := f.next
-	f.mu.Unlock()
-	if known.Before(update.Position()) {
-		cfg, next, source, err := f.newestConfiguration(ctx, address)
-		if err != nil {
-			return err
-		}
-		f.applyConfiguration(cfg, next, source)
-		known = next
-	}
-	q.Configuration, q.Era = known.Offset, known.Era
-	return nil
-}
-
-// newestConfiguration asks the peer for the newest configuration, and the store if the peer does not answer. It also returns
-// which of them has answered.
-func (f *Follower) newestConfiguration(ctx context.Context, address string) (*describer.Configuration, identifier.StorePosition, string, error) {
-	cfg, next, err := f.peerConfiguration(ctx, address)
-	if err == nil {
-		return cfg, next, address, nil
-	}
-	eventlogger.Error(err, eventlogger.CallFailed, "doing", "asking a peer for the configuration", "address", address)
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	cfg, next, err = f.store.NewestConfiguration(ctx)
-	return cfg, next, storeSource, err
-}
-
-// askReaders applies newer configurations that other readers know, as the store may have been restored from a copy that is
-// older than these.
-func (f *Follower) askReaders(ctx context.Context) {
-	if f.cfg.Self.Address == "" {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	known, err := f.group.CurrentReaders(ctx)
-	if err != nil {
-		eventlogger.Error(err, eventlogger.CallFailed, "doing", "looking up the peers that read the store")
-	}
-	var wg sync.WaitGroup
-	for _, m := range known {
-		wg.Go(func() {
-			cfg, next, err := f.peerConfiguration(ctx, m.Address)
-			if err != nil {
-				eventlogger.Error(err, eventlogger.CallFailed, "doing", "asking a peer for the configuration", "address", m.Address)
-				return
-			}
-			f.applyConfiguration(cfg, next, m.Address)
-		})
-	}
-	wg.Wait()
-}
-
-func (f *Follower) peerConfiguration(ctx context.Context, address string) (*describer.Configuration, identifier.StorePosition, error) {
-	ctx, cancel := context.WithTimeout(ctx, configurationTimeout)
-	defer cancel()
-	var received sharer.Configuration
-	var none identifier.StorePosition
-	if err := f.peers.Call(ctx, address, sharer.ConfigurationMethod, struct{}{}, &received); err != nil {
-		return nil, none, err
-	}
-	source, err := received.Source()
-	if err != nil {
-		return nil, none, err
-	}
-	cfg, err := storecaller.ReadSource(source)
-	return cfg, received.Position(), err
-}
--- a/entry/internal/follower/peers_test.go
+++ b/entry/internal/follower/peers_test.go
@@ -25,6 +25,7 @@
 	"fuchsiabridge.example/entry/internal/follower"
 	"fuchsiabridge.example/entry/internal/joiner"
 	"fuchsiabridge.example/entry/internal/peercaller"
+	"fuchsiabridge.example/entry/internal/publisher"
 	"fuchsiabridge.example/entry/internal/registrar"
 	"fuchsiabridge.example/entry/internal/sharer"
 	"fuchsiabridge.example/entry/internal/shedder"
@@ -47,12 +48,12 @@
 
 var errCut = errors.New("cut off")
 
-func (l *link) ReadConfiguration(ctx context.Context, from identifier.StorePosition, wait time.Duration) (*describer.Configuration, identifier.StorePosition, error) {
+func (l *link) ReadConfiguration(ctx context.Context, from identifier.StorePosition, wait time.Duration, began func()) (*describer.Configuration, identifier.StorePosition, error) {
 	l.reads.Add(1)
 	if l.isCut.Load() {
 		return nil, identifier.StorePosition{}, errCut
 	}
-	cfg, next, err := l.platformStore.ReadConfiguration(ctx, from, wait)
+	cfg, next, err := l.platformStore.ReadConfiguration(ctx, from, wait, began)
 	if l.isCut.Load() {
 		return nil, identifier.StorePosition{}, errCut
 	}
@@ -123,11 +124,11 @@
 	t.Cleanup(cancel)
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
-	share := sharer.NewSharer()
+	share, published := sharer.NewSharer(), publisher.NewPublisher()
 	caller := storecaller.NewCaller(httpcaller.NewCaller(answerlimiter.NewDefault()), store.Address())
 	n := &node{events: &events{}, sharer: share, stop: cancel, link: &link{platformStore: caller}, address: l.Addr().String()}
 	peers := peercaller.NewCaller(map[string]peercaller.Handler{
-		sharer.WatchMethod: share.ServeWatch, sharer.ConfigurationMethod: share.ServeConfiguration,
+		sharer.WatchMethod: share.ServeWatch, publisher.PieceMethod: published.ServePiece, publisher.WholeMethod: published.ServeWhole,
 		sharer.CrashReportMethod: func(ctx context.Context, params json.RawMessage) (any, error) {
 			return n.reporter.ServeReportCrashes(ctx, params)
 		},
@@ -140,7 +141,7 @@
 	self := storecaller.Member{Node: identifier.NodeID(id), DataCentre: "a", Address: l.Addr().String()}
 	n.joiner = joiner.NewJoiner(n.link, joiner.Config{Self: self, StorePartitions: storefaker.Partitions}, n.submit)
 	f := follower.NewFollower(n.link, n.peers, n.joiner, share, follower.Config{
-		Self: self, LearnCrashes: func(r sharer.CrashReport) { n.reporter.Learn(r) },
+		Self: self, Publisher: published, LearnCrashes: func(r sharer.CrashReport) { n.reporter.Learn(r) },
 		Demand: func() float64 { return 30 }, LearnShare: func(s float64) { n.submit(shedder.ShareLearned{Share: s}) },
 	}, n.submit)
 	n.reporter = crashreporter.NewReporter(crashreporter.Config{
--- a/entry/internal/follower/thin_test.go
+++ b/entry/internal/follower/thin_test.go
@@ -4,9 +4,6 @@
 	"context"
 	"encoding/base64"
 	"encoding/json"
-	"fmt"
-	"hash/fnv"
-	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -53,22 +50,9 @@
 	}
 }
 
-// largeText returns the text of a version of a configuration with many routes, all but the first of which are the same in each version.
+// largeText returns the text of a version of a configuration with many routes, all but one of which are the same in each version.
 func largeText(version int64) []byte {
-	cfg := storefaker.Sample(int(version), "key")
-	routes := cfg["routes"].([]any)
-	for i := range largeRoutes {
-		h := fnv.New64()
-		_, _ = fmt.Fprint(h, i)
-		name := strconv.FormatUint(h.Sum64(), 36)
-		routes = append(routes, map[string]any{
-			"name": "r-" + name[:7], "hostname": "h.example", "path_prefix": "/" + name + "/", "kind": "safe", "timeout_ms": 600,
-			"target_latency_ms": 120, "priority": 2, "service": "ledger", "max_attempts": 2, "public": false, "sticky_sessions": false,
-			"resumable": false, "gap_aim_ms": 0,
-		})
-	}
-	cfg["routes"] = routes
-	raw, err := json.Marshal(cfg)
+	raw, err := json.Marshal(storefaker.LargeSample(int(version), largeRoutes, "key"))
 	if err != nil {
 		panic(err)
 	}
--- a/entry/internal/sharer/packer.go
+++ b/entry/internal/sharer/packer.go
@@ -1,10 +1,7 @@
 package sharer
 
 import (
-	"bytes"
-	"compress/gzip"
 	"encoding/json"
-	"io"
 	"maps"
 	"time"
 
@@ -12,11 +9,10 @@
 
 	"fuchsiabridge.example/common/bootclock"
 	"fuchsiabridge.example/common/eventlogger"
+	"fuchsiabridge.example/entry/internal/compressor"
 )
 
 const (
-	// maxUnpackedBytes limits the decompressed size of a text.
-	maxUnpackedBytes = 64 << 20
 	// packedMaxAge is how long a compressed update is sent to further peers: the ages of its crashes are as of its start.
 	packedMaxAge = time.Second
 	// minPackedItems is how many items an update must hold to be compressed.
@@ -69,7 +65,11 @@
 		eventlogger.Error(err, eventlogger.CallFailed, "doing", "encoding an update")
 		return nil
 	}
-	return pack(text)
+	packed, err := compressor.Pack(text)
+	if err != nil {
+		eventlogger.Error(err, eventlogger.CallFailed, "doing", "compressing an update")
+	}
+	return packed
 }
 
 // Unpack decompresses the contents of an update that were compressed.
@@ -77,34 +77,10 @@
 	if len(u.Packed) == 0 {
 		return nil
 	}
-	text, err := unpack(u.Packed)
+	text, err := compressor.Unpack(u.Packed)
 	if err != nil {
 		return err
 	}
 	u.Packed = nil
 	return errors.Wrap(json.Unmarshal(text, &u.Contents), "decoding the contents of an update")
 }
-
-// pack compresses a text that this node sends to many peers. It returns nil on failure.
-func pack(text []byte) []byte {
-	var b bytes.Buffer
-	w := gzip.NewWriter(&b)
-	_, err := w.Write(text)
-	if err == nil {
-		err = w.Close()
-	}
-	if err != nil {
-		eventlogger.Error(err, eventlogger.CallFailed, "doing", "compressing a text for peers")
-		return nil
-	}
-	return b.Bytes()
-}
-
-func unpack(packed []byte) ([]byte, error) {
-	r, err := gzip.NewReader(bytes.NewReader(packed))
-	if err != nil {
-		return nil, errors.Wrap(err, "decompressing a text of a peer")
-	}
-	text, err := io.ReadAll(io.LimitReader(r, maxUnpackedBytes))
-	return text, errors.Wrap(err, "decompressing a text of a peer")
-}
--- a/entry/internal/sharer/sharer.go
+++ b/entry/internal/sharer/sharer.go
@@ -21,12 +21,10 @@
 	"fuchsiabridge.example/entry/internal/loadtracker"
 )
 
-// Names of the peer calls that ask for updates, ask for the current configuration, and report requests
-// that crash targets.
+// Names of the peer calls that ask for updates, and report requests that crash targets.
 const (
-	WatchMethod         = "watch"
-	ConfigurationMethod = "configuration"
-	CrashReportMethod   = "accuse"
+	WatchMethod       = "watch"
+	CrashReportMethod = "accuse"
 	// CrashesMethod asks for crashes only, ClearMethod reports requests whose crashes count no more.
 	CrashesMethod = "crashes"
 	ClearMethod   = "clear"
@@ -98,6 +96,8 @@
 	// ConfirmedMS is when the store confirmed the configuration, in milliseconds relative to the arrival of the
 	// query. It is negative if the confirmation came before the query.
 	ConfirmedMS int64 `json:"confirmed_ms"`
+	// IsCatchingUp says that the store is sending a newer configuration to the sharer, so that it confirms none for a while.
+	IsCatchingUp bool `json:"is_catching_up,omitempty"`
 }
 
 // Contents are the changes since the query's revision, or all that is kept if the update is complete.
@@ -150,11 +150,9 @@
 	capacity      capacity
 	outages       int
 	configuration identifier.StorePosition
-	// source is the text of the newest configuration and version its number; packed is the compressed text once a peer has asked for it.
-	source      []byte
-	version     int64
-	packed      []byte
-	confirmedAt time.Time
+	confirmedAt   time.Time
+	// isCatchingUp says that the store is sending a newer configuration.
+	isCatchingUp bool
 	// changed is closed and replaced on each change.
 	changed chan struct{}
 }
@@ -259,13 +257,11 @@
 	s.removedCount, s.completeSince = 0, s.revision
 }
 
-// KeepConfiguration keeps the text of a configuration for peers, unless a newer version is kept.
-func (s *Sharer) KeepConfiguration(cfg *describer.Configuration) {
+// SetCatchingUp sets whether the store is sending a newer configuration to this node.
+func (s *Sharer) SetCatchingUp(isCatchingUp bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if cfg.Version > s.version || s.source == nil {
-		s.source, s.version, s.packed = cfg.Source, cfg.Version, nil
-	}
+	s.isCatchingUp = isCatchingUp
 }
 
 // RecordConfiguration records that all configurations up to the position next were known as of a time.
@@ -355,7 +351,7 @@
 	update := Update{
 		Sharer: s.id, Revision: s.revision, Outages: s.outages, Configuration: s.configuration.Offset, Era: s.configuration.Era,
 		IsComplete:  q.Sharer != s.id || q.Revision < s.completeSince || q.Revision > s.revision,
-		ConfirmedMS: s.confirmedAt.Sub(arrived).Truncate(time.Millisecond).Milliseconds() - 1,
+		ConfirmedMS: s.confirmedAt.Sub(arrived).Truncate(time.Millisecond).Milliseconds() - 1, IsCatchingUp: s.isCatchingUp,
 	}
 	for _, e := range s.entries {
 		isNew := e.revision > q.Revision
