--- a/integration/caller_crowds_test.go
+++ b/integration/caller_crowds_test.go
@@ -55,16 +55,11 @@
 	c.Check(descriptors <= maxDescriptors, qt.IsTrue, qt.Commentf("%d descriptors, allowed %d", descriptors, maxDescriptors))
 }
 
-// keyed returns the head of a request with a key and an id, without its end.
-func keyed(method, path, id string) string {
-	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 20000\r\n", method, path, callerfaker.Host, relayKey, id)
-}
-
 // unreadRequests returns the requests of a caller that reads no answers.
 func unreadRequests() []byte {
 	var requests strings.Builder
 	for i := range 20 {
-		requests.WriteString(keyed(http.MethodGet, "/view/1", fmt.Sprintf("unread-%d", i)) + "\r\n")
+		requests.WriteString(callerfaker.Head(http.MethodGet, "/view/1", fmt.Sprintf("unread-%d", i), relayKey) + "\r\n")
 	}
 	return []byte(requests.String())
 }
@@ -94,7 +89,7 @@
 func TestRelayOfSmallVMOutlivesThousandsOfCallers(t *testing.T) {
 	limitSmall(t)
 	b := newRelayFixture(t)
-	request := keyed(http.MethodPost, "/post/1", "many") + "Content-Length: 2048\r\n\r\n" + strings.Repeat("x", 2048)
+	request := callerfaker.Head(http.MethodPost, "/post/1", "many", relayKey) + "Content-Length: 2048\r\n\r\n" + strings.Repeat("x", 2048)
 	published := publishLarge(b)
 	leave := crowd{"thousands of callers", ordinaryCallers, []byte(request)}.open(b.node.Address)
 	b.Assert(<-published, qt.IsNil)
