Follow a reader until the version that it received is confirmed

The reader ceased to say that it is catching up when the transfer had ended, but its last confirmation counts from the transfer's start until the next read is answered. It says so until that read now.

--- a/entry/internal/follower/catchup.go
+++ b/entry/internal/follower/catchup.go
@@ -9,6 +9,7 @@
 	"fuchsiabridge.example/common/eventlogger"
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/entry/internal/fetcher"
+	"fuchsiabridge.example/entry/internal/publisher"
 )
 
 const (
@@ -78,6 +79,9 @@
 	if err != nil {
 		return err
 	}
+	if got.Position.Before(wanted) {
+		return publisher.ErrBehind
+	}
 	var cfg *describer.Configuration
 	if got.ID != base.ID {
 		if cfg, err = f.decode(got.Parts); err != nil {
--- a/entry/internal/follower/follower.go
+++ b/entry/internal/follower/follower.go
@@ -193,13 +193,16 @@
 	wait := time.Duration(0)
 	for ctx.Err() == nil {
 		if hasRead && f.gate.awaitReading(ctx, f.sharer.PauseConfiguration) {
-			// What peers have sent meanwhile need not be read again.
-			next = f.known()
+			// What peers have sent meanwhile need not be read again, but must be confirmed soon.
+			next, wait = f.known(), 0
 			continue
 		}
 		sent := bootclock.Now()
 		cfg, position, err := f.configuration(ctx, isStarted, next, wait)
-		f.sharer.SetCatchingUp(false)
+		if cfg == nil {
+			// A new configuration is confirmed by the next read only.
+			f.sharer.SetCatchingUp(false)
+		}
 		if storecaller.IsPositionLost(err) {
 			isStarted = false
 			continue
