--- a/entry/internal/commander/relay.go
+++ b/entry/internal/commander/relay.go
@@ -237,6 +237,8 @@
 		Demand:          n.relayer.Demand,
 		LearnShare:      n.learnShare,
 	}, n.relayer.Submit)
+	server.Publish("fb_configurations_sent", func() any { return published.Counts() })
+	server.Publish("fb_configurations_received", func() any { return n.follower.Transfers() })
 	n.reporter = crashreporter.NewReporter(crashreporter.Config{
 		Self: values.Text("peer-listen"), Peers: n.peers, Readers: n.joiner, Store: store, Sharer: updates, Submit: n.relayer.Submit,
 	})
--- a/entry/internal/follower/catchup.go
+++ b/entry/internal/follower/catchup.go
@@ -19,6 +19,40 @@
 	askTimeout = 1500 * time.Millisecond
 )
 
+// Transfers are the configurations that peers have sent to this node since its start.
+type Transfers struct {
+	Received    int64 `json:"received"`
+	Differences int64 `json:"differences"`
+	Failed      int64 `json:"failed"`
+	// Bytes is their compressed size, LongestMS the time that the slowest one took, in milliseconds.
+	Bytes     int64 `json:"bytes"`
+	LongestMS int64 `json:"longest_ms"`
+}
+
+// Transfers returns what peers have sent to this node since its start.
+func (f *Follower) Transfers() Transfers {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.transfers
+}
+
+// countTransfer counts a configuration that a peer has sent, or failed to send.
+func (f *Follower) countTransfer(got fetcher.Fetched, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := &f.transfers
+	if err != nil {
+		t.Failed++
+		return
+	}
+	t.Received++
+	if got.BaseID != 0 {
+		t.Differences++
+	}
+	t.Bytes += int64(len(got.Packed))
+	t.LongestMS = max(t.LongestMS, got.Took.Milliseconds())
+}
+
 // catchUp gets the newer configurations that a peer knows, while its other updates are applied.
 type catchUp struct {
 	follower *Follower
@@ -76,6 +110,7 @@
 	var base fetcher.Base
 	base.ID, base.Parts, _ = f.publisher.Newest()
 	got, err := f.fetcher.Fetch(ctx, address, base, wanted)
+	f.countTransfer(got, err)
 	if err != nil {
 		return err
 	}
--- a/entry/internal/follower/follower.go
+++ b/entry/internal/follower/follower.go
@@ -90,7 +90,8 @@
 
 	mu sync.Mutex
 	// next is the position up to which configurations are known.
-	next identifier.StorePosition
+	next      identifier.StorePosition
+	transfers Transfers
 }
 
 // Config holds the settings of a follower.
--- a/entry/internal/publisher/publisher.go
+++ b/entry/internal/publisher/publisher.go
@@ -57,6 +57,7 @@
 	// position is that up to which no configuration is newer than the last one.
 	position  identifier.StorePosition
 	isReading bool
+	counts    Counts
 	transfers transfers
 }
 
@@ -81,6 +82,7 @@
 	p.configurations = append(p.configurations, kept{id: id, parts: cfg.Parts})
 	p.configurations = p.configurations[max(0, len(p.configurations)-maxKept):]
 	p.version, p.whole = cfg.Version, nil
+	p.counts.Versions++
 	p.transfers.reset()
 }
 
@@ -141,7 +143,9 @@
 		return nil, err
 	}
 	if len(packed) > maxPieceBytes && !p.transfers.admit(ctx, q.Address) {
-		return Piece{IsBusy: true, AskAt: p.transfers.holder(q.Address)}, nil
+		holder := p.transfers.holder(q.Address)
+		p.countBusy(holder != "")
+		return Piece{IsBusy: true, AskAt: holder}, nil
 	}
 	offset := q.Offset
 	if q.Configuration != next.id || offset < 0 || offset > len(packed) {
@@ -151,6 +155,7 @@
 	if end == len(packed) {
 		p.transfers.finish(q.Address)
 	}
+	p.countPiece(end - offset)
 	return Piece{
 		Next: position.Offset, Era: position.Era, Configuration: next.id, Base: base.id, Offset: offset, Total: len(packed), Bytes: packed[offset:end],
 	}, nil
@@ -190,6 +195,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.counts.Differences++
 	p.keepText(text{span: wanted, packed: packed})
 	return packed, nil
 }
