Let the decoder of configurations guard itself

Its two users each had a lock around it. The error for a node that does not read the store stood twice with the same text, and the newest configuration came with a flag that its fingerprint says too. No behaviour changes.

--- a/entry/internal/fetcher/fetcher_test.go
+++ b/entry/internal/fetcher/fetcher_test.go
@@ -104,7 +104,7 @@
 	wg.Wait()
 	p.keep("reader", large(c, 2))
 	base := fetcher.Base{}
-	base.ID, base.Parts, _ = p.publishers["3"].Newest()
+	base.ID, base.Parts = p.publishers["3"].Newest()
 	before := p.calls["reader"]
 	got, err := fetcher.NewFetcher(p, "3").Fetch(t.Context(), "reader", base, position)
 	c.Assert(err, qt.IsNil)
--- a/entry/internal/follower/catchup.go
+++ b/entry/internal/follower/catchup.go
@@ -108,7 +108,7 @@
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	var base fetcher.Base
-	base.ID, base.Parts, _ = f.publisher.Newest()
+	base.ID, base.Parts = f.publisher.Newest()
 	got, err := f.fetcher.Fetch(ctx, address, base, wanted)
 	f.countTransfer(got, err)
 	if err != nil {
@@ -119,7 +119,7 @@
 	}
 	var cfg *describer.Configuration
 	if got.ID != base.ID {
-		if cfg, err = f.decode(got.Parts); err != nil {
+		if cfg, err = f.decoder.Decode(got.Parts); err != nil {
 			return err
 		}
 		eventlogger.Info(eventlogger.ConfigurationReceived, "source", got.Address, "version", cfg.Version, "bytes", len(got.Packed),
@@ -133,12 +133,6 @@
 	return nil
 }
 
-func (f *Follower) decode(parts []describer.ConfigurationPart) (*describer.Configuration, error) {
-	f.decodeMu.Lock()
-	defer f.decodeMu.Unlock()
-	return f.decoder.Decode(parts)
-}
-
 // askReaders applies newer configurations that other readers know, as the store may have been restored from a copy that is
 // older than these.
 func (f *Follower) askReaders(ctx context.Context) {
--- a/entry/internal/follower/follower.go
+++ b/entry/internal/follower/follower.go
@@ -85,7 +85,6 @@
 	// publisher sends configurations to peers, fetcher gets them, and decoder decodes these.
 	publisher *publisher.Publisher
 	fetcher   *fetcher.Fetcher
-	decodeMu  sync.Mutex
 	decoder   decoder.Decoder
 
 	mu sync.Mutex
--- a/entry/internal/publisher/messages.go
+++ b/entry/internal/publisher/messages.go
@@ -14,12 +14,8 @@
 	WholeMethod = "configuration"
 )
 
-var (
-	// ErrBehind is returned when this node does not know configurations up to the position that the peer asks for.
-	ErrBehind = errors.New("this node does not know the configuration yet")
-	// ErrNotReading is returned to peers of earlier versions when this node does not read the store.
-	ErrNotReading = errors.New("this node does not read the store")
-)
+// ErrBehind is returned when this node does not know configurations up to the position that the peer asks for.
+var ErrBehind = errors.New("this node does not know the configuration yet")
 
 // Query asks for a piece of the newest configuration.
 type Query struct {
--- a/entry/internal/publisher/publisher.go
+++ b/entry/internal/publisher/publisher.go
@@ -13,6 +13,7 @@
 	"fuchsiabridge.example/common/identifier"
 	"fuchsiabridge.example/entry/internal/compressor"
 	"fuchsiabridge.example/entry/internal/differ"
+	"fuchsiabridge.example/entry/internal/sharer"
 	"fuchsiabridge.example/platform/decoder"
 )
 
@@ -107,14 +108,14 @@
 	p.texts = p.texts[max(0, len(p.texts)-maxTexts):]
 }
 
-// Newest returns the newest configuration, and false if none is known.
-func (p *Publisher) Newest() (identifier.ConfigurationFingerprint, []describer.ConfigurationPart, bool) {
+// Newest returns the newest configuration, and no fingerprint if none is known.
+func (p *Publisher) Newest() (identifier.ConfigurationFingerprint, []describer.ConfigurationPart) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.configurations) == 0 {
-		return 0, nil, false
+		return 0, nil
 	}
-	return p.newest().id, p.newest().parts, true
+	return p.newest().id, p.newest().parts
 }
 
 // newest returns the newest configuration. There must be one.
@@ -205,7 +206,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.isReading || len(p.configurations) == 0 {
-		return nil, ErrNotReading
+		return nil, sharer.ErrNotReading
 	}
 	if p.whole == nil {
 		source, err := decoder.Join(p.newest().parts)
